--- /dev/null
+++ b/ashtiller/src/agent.rs
@@ -0,0 +1,180 @@
+//! A worker, as a cell's owner talks to it.
+//!
+//! One call carries everything for one worker: the lease, commands for tasks and
+//! acknowledgements; the answer reports everything that runs. It is level
+//! triggered: what an answer lacks is sent again with the next call.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::failure::Failure;
+use crate::store::Called;
+use crate::web;
+
+/// Path of the call.
+const TARGET: &str = "/v1/sync";
+
+/// What a worker is told to do.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Command {
+    /// Run an attempt.
+    Start {
+        /// Task.
+        task: Arc<str>,
+        /// Attempt, counted from 1.
+        attempt: u32,
+        /// Progress to resume from, in milliseconds of run time.
+        progress: u64,
+        /// Declared run time in milliseconds; 0 runs until stopped.
+        length: u64,
+    },
+    /// Write a checkpoint and stop.
+    Evict {
+        /// Task.
+        task: Arc<str>,
+        /// Attempt.
+        attempt: u32,
+    },
+    /// Stop without a checkpoint.
+    Stop {
+        /// Task.
+        task: Arc<str>,
+        /// Attempt.
+        attempt: u32,
+    },
+    /// Run at a share of full speed.
+    Throttle {
+        /// Task.
+        task: Arc<str>,
+        /// Attempt.
+        attempt: u32,
+        /// Share of full speed in percent, 1 to 100.
+        percent: u32,
+    },
+}
+
+/// Everything for one worker.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Sync {
+    /// Epoch of the cell's owner.
+    pub epoch: u64,
+    /// Number of this call within the epoch.
+    pub seq: u64,
+    /// Boot number expected; 0 for any. Another life of the worker refuses it.
+    pub boot: u64,
+    /// End of the lease on the worker's clock, in milliseconds; 0 for none.
+    pub until: u64,
+    /// Commands, in order.
+    pub commands: Vec<Command>,
+    /// Ended attempts that the log has.
+    pub acks: Vec<(Arc<str>, u32)>,
+}
+
+/// How the worker says that an attempt ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Ending {
+    /// All of its work is done.
+    Finished,
+    /// It failed by itself.
+    Failed,
+    /// It was stopped after a checkpoint.
+    Evicted,
+    /// It was stopped on command.
+    Stopped,
+    /// The lease ended.
+    Lapsed,
+}
+
+/// A running attempt.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Running {
+    /// Task.
+    pub task: Arc<str>,
+    /// Attempt.
+    pub attempt: u32,
+    /// Work done in milliseconds of run time.
+    pub progress: u64,
+}
+
+/// An ended attempt.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Ended {
+    /// Task.
+    pub task: Arc<str>,
+    /// Attempt.
+    pub attempt: u32,
+    /// How it ended.
+    pub end: Ending,
+    /// Progress that a later attempt can resume from, in milliseconds.
+    pub progress: u64,
+}
+
+/// What a worker answers.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Report {
+    /// Boot number.
+    pub boot: u64,
+    /// The worker's clock in milliseconds.
+    pub clock: u64,
+    /// Highest epoch seen.
+    pub epoch: u64,
+    /// Highest number seen in that epoch.
+    pub seq: u64,
+    /// Running attempts.
+    pub running: Vec<Running>,
+    /// Ended attempts that are not acknowledged.
+    pub ended: Vec<Ended>,
+}
+
+/// A worker.
+pub trait Worker: Send + std::marker::Sync {
+    /// Makes one call.
+    fn sync<'a>(&'a self, worker: SocketAddr, sync: &'a Sync) -> Called<'a, Report>;
+}
+
+struct Http {
+    client: web::Client,
+    limit: Duration,
+}
+
+/// Opens a client that talks JSON over HTTP; each call may take `limit`.
+#[must_use]
+pub fn open(limit: Duration) -> Arc<dyn Worker> {
+    Arc::new(Http {
+        client: web::Client::default(),
+        limit,
+    })
+}
+
+impl Worker for Http {
+    fn sync<'a>(&'a self, worker: SocketAddr, sync: &'a Sync) -> Called<'a, Report> {
+        Box::pin(async move {
+            let body =
+                serde_json::to_vec(sync).map_err(|error| Failure::none("sync", worker, error))?;
+            let answer = self
+                .client
+                .call(
+                    "sync",
+                    worker,
+                    Method::POST,
+                    TARGET,
+                    Bytes::from(body),
+                    self.limit,
+                )
+                .await?;
+            // A refusal carries a report too.
+            if answer.status != StatusCode::OK && answer.status != StatusCode::CONFLICT {
+                return Err(Failure::unknown("sync", worker, answer.status));
+            }
+            serde_json::from_slice(&answer.body)
+                .map_err(|error| Failure::unknown("sync", worker, error))
+        })
+    }
+}
--- /dev/null
+++ b/ashtiller/src/apply.rs
@@ -0,0 +1,137 @@
+//! Puts operators' templates in force by compare-and-swap.
+
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use crate::failure::{Effect, Failure};
+use crate::ledger::{self, Head, Stored};
+use crate::store::{Commit, Item, Store, Write};
+
+/// What became of a template.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Applied {
+    /// It is accepted under this revision.
+    Accepted(u64),
+    /// The store holds the same text already.
+    Unchanged(u64),
+    /// A dry run: it would replace this text.
+    Would(Option<Arc<str>>),
+    /// Another operator was faster; this is the text now.
+    Raced(u64, Arc<str>),
+}
+
+/// The value of an account that a change starts from.
+#[derive(Clone, Debug)]
+pub struct Base {
+    head: Head,
+    head_index: u64,
+    stored: Option<Stored>,
+    index: u64,
+}
+
+impl Base {
+    /// The text in the store, if the account exists.
+    #[must_use]
+    pub fn text(&self) -> Option<&Arc<str>> {
+        self.stored
+            .as_ref()
+            .map(|stored| &stored.text)
+            .filter(|text| !text.is_empty())
+    }
+}
+
+/// Reads what a change of `account` starts from.
+///
+/// # Errors
+/// The store cannot be read, or holds what is not a template's value.
+pub async fn read(store: &dyn Store, account: &str) -> Result<Base, Failure> {
+    let (head, head_index) = read_key(store, ledger::HEAD).await?;
+    let key = format!("{}{account}", ledger::ACCOUNTS);
+    let (stored, index) = read_key(store, &key).await?;
+    Ok(Base {
+        head: head.unwrap_or_default(),
+        head_index,
+        stored,
+        index,
+    })
+}
+
+async fn read_key<T: serde::de::DeserializeOwned>(
+    store: &dyn Store,
+    key: &str,
+) -> Result<(Option<T>, u64), Failure> {
+    let Some(Item { value, index, .. }) = store.get(key).await? else {
+        return Ok((None, 0));
+    };
+    let value = serde_json::from_slice(&value)
+        .map_err(|error| Failure::none("read configuration", key, error))?;
+    Ok((Some(value), index))
+}
+
+/// Writes `text` as the template of `account`, from `base`. An empty text removes
+/// the account.
+///
+/// # Errors
+/// The store cannot be reached; with an unknown effect, nothing could be read back.
+pub async fn write(
+    store: &dyn Store,
+    account: &Arc<str>,
+    text: &Arc<str>,
+    base: &Base,
+    dry: bool,
+) -> Result<Applied, Failure> {
+    if let Some(stored) = base.stored.as_ref().filter(|stored| stored.text == *text) {
+        return Ok(Applied::Unchanged(stored.revision));
+    }
+    if dry {
+        return Ok(Applied::Would(base.text().cloned()));
+    }
+    let mut base = base.clone();
+    loop {
+        let head = base.head.next(account, now_millis());
+        let stored = Stored {
+            revision: head.revision,
+            text: text.clone(),
+        };
+        let writes = [
+            swap(ledger::HEAD.to_owned(), &head, base.head_index),
+            swap(
+                format!("{}{account}", ledger::ACCOUNTS),
+                &stored,
+                base.index,
+            ),
+        ];
+        match store.commit(&writes).await {
+            Ok(Commit::Done) => return Ok(Applied::Accepted(head.revision)),
+            Ok(Commit::Conflict(_)) => {}
+            // The write may have happened although its answer was lost.
+            Err(failure) if failure.effect == Effect::Unknown => {}
+            Err(failure) => return Err(failure),
+        }
+        let fresh = read(store, account).await?;
+        if fresh.stored.as_ref() == Some(&stored) {
+            return Ok(Applied::Accepted(head.revision));
+        }
+        if fresh.index != base.index {
+            let (revision, text) = fresh
+                .stored
+                .map_or((0, Arc::from("")), |stored| (stored.revision, stored.text));
+            return Ok(Applied::Raced(revision, text));
+        }
+        // Only the head moved, by a change of another account.
+        base = fresh;
+    }
+}
+
+fn swap(key: String, value: &impl serde::Serialize, index: u64) -> Write {
+    // These types have no map keys or numbers that JSON cannot write.
+    let value = serde_json::to_vec(value).unwrap_or_default().into();
+    Write::Swap { key, value, index }
+}
+
+fn now_millis() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/ashtiller/src/balance.rs
@@ -0,0 +1,170 @@
+//! Ways to choose an endpoint for a request.
+//!
+//! `docs/DESIGN.md` compares them by measurement and says why `dealt` is the
+//! default.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use serde::Serialize;
+
+use crate::endpoint::Endpoint;
+
+/// Draws before a two-choice policy looks at every endpoint.
+const DRAWS: usize = 8;
+/// Age beyond which a reported load says nothing.
+const LOAD_AGE: Duration = Duration::from_secs(1);
+
+/// The policies by name.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// Any endpoint, evenly.
+    Random,
+    /// The less loaded of two by this gateway's own requests in flight.
+    LeastOwn,
+    /// The less loaded of two by the load from their answers.
+    LeastReported,
+    /// A free slot among those dealt to this gateway or borrowed.
+    Dealt,
+}
+
+/// Names of the policies in settings.
+pub const KINDS: [(&str, Kind); 4] = [
+    ("random", Kind::Random),
+    ("least-own", Kind::LeastOwn),
+    ("least-reported", Kind::LeastReported),
+    ("dealt", Kind::Dealt),
+];
+
+/// A way to choose an endpoint.
+pub trait Balance: Send {
+    /// Returns the position of the endpoint for a request at `now`, or `None` when
+    /// the request must wait. `avoid` names one that just failed the request.
+    fn choose(
+        &mut self,
+        endpoints: &[Endpoint],
+        avoid: Option<u64>,
+        connections: u32,
+        now: Duration,
+    ) -> Option<usize>;
+}
+
+/// Builds a policy; `seed` makes its draws repeatable.
+#[must_use]
+pub fn open(kind: Kind, seed: u64) -> Box<dyn Balance> {
+    let rng = Pcg64Mcg::new(u128::from(seed) << 1 | 1);
+    match kind {
+        Kind::Random => Box::new(Random { rng }),
+        Kind::LeastOwn => Box::new(LeastOfTwo {
+            rng,
+            cost: own_cost,
+        }),
+        Kind::LeastReported => Box::new(LeastOfTwo {
+            rng,
+            cost: reported_cost,
+        }),
+        Kind::Dealt => Box::new(Dealt),
+    }
+}
+
+struct Random {
+    rng: Pcg64Mcg,
+}
+
+impl Balance for Random {
+    fn choose(
+        &mut self,
+        endpoints: &[Endpoint],
+        avoid: Option<u64>,
+        connections: u32,
+        _: Duration,
+    ) -> Option<usize> {
+        draw(&mut self.rng, endpoints, avoid, connections)
+    }
+}
+
+struct LeastOfTwo {
+    rng: Pcg64Mcg,
+    cost: fn(&Endpoint, Duration) -> u32,
+}
+
+impl Balance for LeastOfTwo {
+    fn choose(
+        &mut self,
+        endpoints: &[Endpoint],
+        avoid: Option<u64>,
+        connections: u32,
+        now: Duration,
+    ) -> Option<usize> {
+        let one = draw(&mut self.rng, endpoints, avoid, connections)?;
+        let two = draw(&mut self.rng, endpoints, avoid, connections)?;
+        let cost = |index: usize| (self.cost)(&endpoints[index], now);
+        Some(if cost(two) < cost(one) { two } else { one })
+    }
+}
+
+fn own_cost(endpoint: &Endpoint, _: Duration) -> u32 {
+    endpoint.in_flight
+}
+
+fn reported_cost(endpoint: &Endpoint, now: Duration) -> u32 {
+    let fresh = endpoint
+        .load
+        .filter(|(_, at)| now.saturating_sub(*at) <= LOAD_AGE);
+    fresh.map_or(endpoint.in_flight, |(load, _)| load.max(endpoint.in_flight))
+}
+
+struct Dealt;
+
+impl Balance for Dealt {
+    fn choose(
+        &mut self,
+        endpoints: &[Endpoint],
+        avoid: Option<u64>,
+        connections: u32,
+        now: Duration,
+    ) -> Option<usize> {
+        let free =
+            |endpoint: &Endpoint| endpoint.takes(connections) && endpoint.idle_slots(now) > 0;
+        // The one that rested longest: an endpoint that answers at great speed
+        // gains no more requests than its peers.
+        let longest = |avoid: Option<u64>| {
+            endpoints
+                .iter()
+                .enumerate()
+                .filter(|(_, endpoint)| Some(endpoint.id) != avoid && free(endpoint))
+                .min_by_key(|(_, endpoint)| endpoint.begun)
+                .map(|(index, _)| index)
+        };
+        longest(avoid).or_else(|| avoid.and_then(|_| longest(None)))
+    }
+}
+
+fn draw(
+    rng: &mut Pcg64Mcg,
+    endpoints: &[Endpoint],
+    avoid: Option<u64>,
+    connections: u32,
+) -> Option<usize> {
+    let fits = |endpoint: &Endpoint| Some(endpoint.id) != avoid && endpoint.takes(connections);
+    if endpoints.is_empty() {
+        return None;
+    }
+    for _ in 0..DRAWS {
+        let index = rng.random_range(0..endpoints.len());
+        if fits(&endpoints[index]) {
+            return Some(index);
+        }
+    }
+    let left: Vec<usize> = (0..endpoints.len())
+        .filter(|&index| fits(&endpoints[index]))
+        .collect();
+    if left.is_empty() {
+        return endpoints
+            .iter()
+            .position(|endpoint| endpoint.takes(connections));
+    }
+    Some(left[rng.random_range(0..left.len())])
+}
--- /dev/null
+++ b/ashtiller/src/codec.rs
@@ -0,0 +1,177 @@
+//! Messages of [`peer`](crate::peer) to and from their schema.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::peer::{Ask, Greeting, Submission, Verdict};
+use crate::resources::Resources;
+use crate::schema::peer_capnp as schema;
+use crate::template::Class;
+
+/// Length of a list in a message.
+#[must_use]
+pub fn length(size: usize) -> u32 {
+    u32::try_from(size).unwrap_or(u32::MAX)
+}
+
+/// Reads a name.
+///
+/// # Errors
+/// The text is not UTF-8.
+pub fn read_name(text: capnp::text::Reader) -> Result<Arc<str>, capnp::Error> {
+    Ok(Arc::from(text.to_str()?))
+}
+
+/// Writes a heartbeat.
+pub fn write_greeting(mut to: schema::greeting::Builder, greeting: &Greeting) {
+    to.set_name(&*greeting.name);
+    to.set_role(&*greeting.role);
+    to.set_revision(greeting.revision);
+    to.set_leaving(greeting.leaving);
+    let mut cells = to.init_cells(length(greeting.cells.len()));
+    for (index, cell) in (0..).zip(&greeting.cells) {
+        cells.set(index, &**cell);
+    }
+}
+
+/// Reads a heartbeat.
+///
+/// # Errors
+/// A field is damaged.
+pub fn read_greeting(from: schema::greeting::Reader) -> Result<Greeting, capnp::Error> {
+    let cells: Result<Vec<_>, capnp::Error> = from
+        .get_cells()?
+        .iter()
+        .map(|cell| read_name(cell?))
+        .collect();
+    Ok(Greeting {
+        name: read_name(from.get_name()?)?,
+        role: read_name(from.get_role()?)?,
+        revision: from.get_revision(),
+        leaving: from.get_leaving(),
+        cells: cells?,
+    })
+}
+
+/// Writes loans.
+pub fn write_loans(mut to: capnp::struct_list::Builder<schema::loan::Owned>, loans: &[(u64, u32)]) {
+    for (index, (endpoint, count)) in (0..).zip(loans) {
+        let mut loan = to.reborrow().get(index);
+        loan.set_endpoint(*endpoint);
+        loan.set_count(u16::try_from(*count).unwrap_or(u16::MAX));
+    }
+}
+
+/// Reads loans.
+#[must_use]
+pub fn read_loans(from: capnp::struct_list::Reader<schema::loan::Owned>) -> Vec<(u64, u32)> {
+    from.iter()
+        .map(|loan| (loan.get_endpoint(), loan.get_count().into()))
+        .collect()
+}
+
+/// Writes a question for slots.
+pub fn write_ask(mut to: schema::ask::Builder, ask: &Ask) {
+    to.set_service(&*ask.service);
+    to.set_borrower(&*ask.borrower);
+    to.set_want(u16::try_from(ask.want).unwrap_or(u16::MAX));
+    write_loans(to.init_keep(length(ask.keep.len())), &ask.keep);
+}
+
+/// Reads a question for slots.
+///
+/// # Errors
+/// A field is damaged.
+pub fn read_ask(from: schema::ask::Reader) -> Result<Ask, capnp::Error> {
+    Ok(Ask {
+        service: read_name(from.get_service()?)?,
+        borrower: read_name(from.get_borrower()?)?,
+        keep: read_loans(from.get_keep()?),
+        want: from.get_want().into(),
+    })
+}
+
+/// Writes a job.
+pub fn write_submission(mut to: schema::submission::Builder, job: &Submission) {
+    to.set_account(&*job.account);
+    to.set_job(&*job.job);
+    to.set_kind(&*job.kind);
+    to.set_latency_critical(job.class == Class::LatencyCritical);
+    to.set_urgent(job.urgent);
+    to.set_tasks(job.tasks);
+    to.set_processors(job.needs.processors);
+    to.set_memory(job.needs.memory);
+    to.set_accelerators(job.needs.accelerators);
+    let millis = job.length.map_or(0, |length| length.as_millis());
+    to.set_length(u64::try_from(millis).unwrap_or(u64::MAX));
+    to.set_attempts(job.attempts);
+    to.set_quota_processors(job.quota.processors);
+    to.set_quota_memory(job.quota.memory);
+    to.set_quota_accelerators(job.quota.accelerators);
+    to.set_evictions(job.evictions);
+}
+
+/// Reads a job.
+///
+/// # Errors
+/// A field is damaged.
+pub fn read_submission(from: schema::submission::Reader) -> Result<Submission, capnp::Error> {
+    let critical = from.get_latency_critical();
+    Ok(Submission {
+        account: read_name(from.get_account()?)?,
+        job: read_name(from.get_job()?)?,
+        kind: read_name(from.get_kind()?)?,
+        class: if critical {
+            Class::LatencyCritical
+        } else {
+            Class::Batch
+        },
+        urgent: from.get_urgent(),
+        tasks: from.get_tasks(),
+        needs: Resources {
+            processors: from.get_processors(),
+            memory: from.get_memory(),
+            accelerators: from.get_accelerators(),
+        },
+        length: Some(from.get_length())
+            .filter(|millis| *millis > 0)
+            .map(Duration::from_millis),
+        attempts: from.get_attempts(),
+        quota: Resources {
+            processors: from.get_quota_processors(),
+            memory: from.get_quota_memory(),
+            accelerators: from.get_quota_accelerators(),
+        },
+        evictions: from.get_evictions(),
+    })
+}
+
+/// Writes a verdict.
+pub fn write_verdict(mut to: schema::verdict::Builder, verdict: &Verdict) {
+    match verdict {
+        Verdict::Accepted => to.set_accepted(()),
+        Verdict::Known => to.set_known(()),
+        Verdict::Conflict(reason) => to.set_conflict(&**reason),
+        Verdict::Never(reason) => to.set_never(&**reason),
+        Verdict::NotOwner(owner) => to.set_not_owner(&**owner),
+        Verdict::Unknown(reason) => to.set_unknown(&**reason),
+        Verdict::Missing => to.set_missing(()),
+    }
+}
+
+/// Reads a verdict.
+///
+/// # Errors
+/// A field is damaged or not known to this version.
+pub fn read_verdict(from: schema::verdict::Reader) -> Result<Verdict, capnp::Error> {
+    use schema::verdict::Which;
+    Ok(match from.which()? {
+        Which::Accepted(()) => Verdict::Accepted,
+        Which::Known(()) => Verdict::Known,
+        Which::Conflict(reason) => Verdict::Conflict(read_name(reason?)?),
+        Which::Never(reason) => Verdict::Never(read_name(reason?)?),
+        Which::NotOwner(owner) => Verdict::NotOwner(read_name(owner?)?),
+        Which::Unknown(reason) => Verdict::Unknown(read_name(reason?)?),
+        Which::Missing(()) => Verdict::Missing,
+    })
+}
--- /dev/null
+++ b/ashtiller/src/consul.rs
@@ -0,0 +1,382 @@
+//! The platform's key-value service and list of instances over the published
+//! Consul HTTP API (`/v1/kv`, `/v1/txn`, `/v1/session`, `/v1/catalog`).
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::endpoint::Phase;
+use crate::failure::Failure;
+use crate::resources::Resources;
+use crate::roster::{self, Roster};
+use crate::store::{Called, Commit, Item, Store, View, Write};
+use crate::unit;
+use crate::web;
+
+/// Time beyond a watch's own wait before it is given up.
+const WATCH_SLACK: Duration = Duration::from_secs(2);
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Pair {
+    key: String,
+    #[serde(default)]
+    value: Option<String>,
+    modify_index: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Session {
+    #[serde(rename = "ID")]
+    id: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Failed {
+    errors: Vec<FailedStep>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct FailedStep {
+    op_index: usize,
+}
+
+#[derive(Serialize)]
+struct Step<'a> {
+    #[serde(rename = "KV")]
+    kv: StepBody<'a>,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct StepBody<'a> {
+    verb: &'static str,
+    key: &'a str,
+    value: String,
+    index: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Listed {
+    node: String,
+    service_address: String,
+    service_port: u16,
+    #[serde(default)]
+    service_meta: BTreeMap<String, String>,
+}
+
+/// Calls made to the store since the start.
+#[derive(Debug, Default)]
+pub struct Calls {
+    /// Reads and watches.
+    pub reads: AtomicU64,
+    /// Writes and lease calls.
+    pub writes: AtomicU64,
+    /// Calls that failed.
+    pub failed: AtomicU64,
+}
+
+/// A client of the key-value service.
+pub struct Consul {
+    address: SocketAddr,
+    timeout: Duration,
+    client: web::Client,
+    calls: Arc<Calls>,
+}
+
+/// Opens a client; no connection is made yet.
+#[must_use]
+pub fn open(address: SocketAddr, timeout: Duration) -> Arc<Consul> {
+    Arc::new(Consul {
+        address,
+        timeout,
+        client: web::Client::default(),
+        calls: Arc::default(),
+    })
+}
+
+impl Consul {
+    /// Calls made so far.
+    #[must_use]
+    pub fn calls(&self) -> &Arc<Calls> {
+        &self.calls
+    }
+
+    async fn call(
+        &self,
+        step: &'static str,
+        method: Method,
+        target: &str,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<web::Answer, Failure> {
+        let count = if method == Method::GET {
+            &self.calls.reads
+        } else {
+            &self.calls.writes
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+        let answer = self
+            .client
+            .call(step, self.address, method, target, body, limit)
+            .await;
+        if answer.is_err() {
+            self.calls.failed.fetch_add(1, Ordering::Relaxed);
+        }
+        answer
+    }
+
+    async fn read(
+        &self,
+        step: &'static str,
+        target: &str,
+        limit: Duration,
+    ) -> Result<View, Failure> {
+        let answer = self
+            .call(step, Method::GET, target, Bytes::new(), limit)
+            .await?;
+        let index = answer.index.unwrap_or(0);
+        match answer.status {
+            StatusCode::NOT_FOUND => Ok(View {
+                items: Vec::new(),
+                index,
+            }),
+            StatusCode::OK => {
+                let pairs: Vec<Pair> = self.decode(step, &answer.body)?;
+                let items: Result<_, Failure> = pairs
+                    .into_iter()
+                    .map(|pair| self.item(step, pair))
+                    .collect();
+                Ok(View {
+                    items: items?,
+                    index,
+                })
+            }
+            status => Err(Failure::none(step, self.address, status)),
+        }
+    }
+
+    fn decode<'a, T: Deserialize<'a>>(
+        &self,
+        step: &'static str,
+        body: &'a [u8],
+    ) -> Result<T, Failure> {
+        serde_json::from_slice(body).map_err(|error| Failure::unknown(step, self.address, error))
+    }
+
+    fn item(&self, step: &'static str, pair: Pair) -> Result<Item, Failure> {
+        let value = STANDARD
+            .decode(pair.value.unwrap_or_default())
+            .map_err(|error| Failure::none(step, self.address, error))?;
+        Ok(Item {
+            key: pair.key.into(),
+            value: value.into(),
+            index: pair.modify_index,
+        })
+    }
+
+    async fn write(
+        &self,
+        step: &'static str,
+        method: Method,
+        target: &str,
+        body: Bytes,
+    ) -> Result<bool, Failure> {
+        let answer = self.call(step, method, target, body, self.timeout).await?;
+        match answer.status {
+            StatusCode::OK => Ok(answer.body.trim_ascii() == b"true"),
+            status => Err(Failure::unknown(step, self.address, status)),
+        }
+    }
+}
+
+impl Store for Consul {
+    fn get<'a>(&'a self, key: &'a str) -> Called<'a, Option<Item>> {
+        Box::pin(async move {
+            let view = self
+                .read("get", &format!("/v1/kv/{key}"), self.timeout)
+                .await?;
+            Ok(view.items.into_iter().next())
+        })
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> Called<'a, View> {
+        Box::pin(async move {
+            self.read("list", &format!("/v1/kv/{prefix}?recurse"), self.timeout)
+                .await
+        })
+    }
+
+    fn watch<'a>(&'a self, prefix: &'a str, index: u64, wait: Duration) -> Called<'a, View> {
+        Box::pin(async move {
+            let millis = wait.as_millis();
+            let target = format!("/v1/kv/{prefix}?recurse&index={index}&wait={millis}ms");
+            self.read("watch", &target, wait + WATCH_SLACK).await
+        })
+    }
+
+    fn swap<'a>(&'a self, key: &'a str, value: Bytes, index: u64) -> Called<'a, bool> {
+        Box::pin(async move {
+            self.write(
+                "swap",
+                Method::PUT,
+                &format!("/v1/kv/{key}?cas={index}"),
+                value,
+            )
+            .await
+        })
+    }
+
+    fn commit<'a>(&'a self, writes: &'a [Write]) -> Called<'a, Commit> {
+        Box::pin(async move {
+            let steps: Vec<Step> = writes.iter().map(step_of).collect();
+            let body = serde_json::to_vec(&steps)
+                .map_err(|error| Failure::none("commit", self.address, error))?;
+            let answer = self
+                .call("commit", Method::PUT, "/v1/txn", body.into(), self.timeout)
+                .await?;
+            match answer.status {
+                StatusCode::OK => Ok(Commit::Done),
+                StatusCode::CONFLICT => {
+                    let failed: Failed = self.decode("commit", &answer.body)?;
+                    Ok(Commit::Conflict(
+                        failed.errors.iter().map(|step| step.op_index).collect(),
+                    ))
+                }
+                status => Err(Failure::unknown("commit", self.address, status)),
+            }
+        })
+    }
+
+    fn remove<'a>(&'a self, key: &'a str, index: u64) -> Called<'a, bool> {
+        Box::pin(async move {
+            let target = format!("/v1/kv/{key}?cas={index}");
+            self.write("remove", Method::DELETE, &target, Bytes::new())
+                .await
+        })
+    }
+
+    fn remove_all<'a>(&'a self, prefix: &'a str) -> Called<'a, ()> {
+        Box::pin(async move {
+            let target = format!("/v1/kv/{prefix}?recurse");
+            self.write("remove all", Method::DELETE, &target, Bytes::new())
+                .await
+                .map(drop)
+        })
+    }
+
+    fn lease(&self, ttl: Duration) -> Called<'_, Arc<str>> {
+        Box::pin(async move {
+            let ttl = format!("{}ms", ttl.as_millis());
+            let body = serde_json::json!({ "TTL": ttl, "Behavior": "delete" }).to_string();
+            let target = "/v1/session/create";
+            let answer = self
+                .call("lease", Method::PUT, target, body.into(), self.timeout)
+                .await?;
+            let session: Session = self.decode("lease", &answer.body)?;
+            Ok(session.id.into())
+        })
+    }
+
+    fn renew<'a>(&'a self, lease: &'a str) -> Called<'a, bool> {
+        Box::pin(async move {
+            let target = format!("/v1/session/renew/{lease}");
+            let answer = self
+                .call("renew", Method::PUT, &target, Bytes::new(), self.timeout)
+                .await?;
+            match answer.status {
+                StatusCode::OK => Ok(true),
+                StatusCode::NOT_FOUND => Ok(false),
+                status => Err(Failure::unknown("renew", self.address, status)),
+            }
+        })
+    }
+
+    fn revoke<'a>(&'a self, lease: &'a str) -> Called<'a, ()> {
+        Box::pin(async move {
+            let target = format!("/v1/session/destroy/{lease}");
+            self.write("revoke", Method::PUT, &target, Bytes::new())
+                .await
+                .map(drop)
+        })
+    }
+
+    fn hold<'a>(&'a self, key: &'a str, value: Bytes, lease: &'a str) -> Called<'a, bool> {
+        Box::pin(async move {
+            let target = format!("/v1/kv/{key}?acquire={lease}");
+            self.write("hold", Method::PUT, &target, value).await
+        })
+    }
+}
+
+impl Roster for Consul {
+    fn instances<'a>(&'a self, service: &'a str) -> Called<'a, Vec<roster::Instance>> {
+        Box::pin(async move {
+            let target = format!("/v1/catalog/service/{service}");
+            let answer = self
+                .call(
+                    "instances",
+                    Method::GET,
+                    &target,
+                    Bytes::new(),
+                    self.timeout,
+                )
+                .await?;
+            if answer.status != StatusCode::OK {
+                return Err(Failure::none("instances", self.address, answer.status));
+            }
+            let listed: Vec<Listed> = self.decode("instances", &answer.body)?;
+            Ok(listed.iter().filter_map(instance_of).collect())
+        })
+    }
+}
+
+fn step_of(write: &Write) -> Step<'_> {
+    let kv = match write {
+        Write::Swap { key, value, index } => StepBody {
+            verb: "cas",
+            key,
+            value: STANDARD.encode(value),
+            index: *index,
+        },
+        Write::Absent { key } => StepBody {
+            verb: "check-not-exists",
+            key,
+            value: String::new(),
+            index: 0,
+        },
+    };
+    Step { kv }
+}
+
+/// An instance without a usable address is passed over.
+fn instance_of(listed: &Listed) -> Option<roster::Instance> {
+    let ip: IpAddr = listed.service_address.parse().ok()?;
+    let meta = |name: &str| listed.service_meta.get(name).map_or("", String::as_str);
+    let leaving = meta("state") == "leaving";
+    Some(roster::Instance {
+        name: listed.node.as_str().into(),
+        address: SocketAddr::new(ip, listed.service_port),
+        phase: if leaving { Phase::Leaving } else { Phase::Live },
+        zone: meta("zone").into(),
+        rack: meta("rack").into(),
+        slots: meta("slots").parse().unwrap_or(0),
+        resources: Resources {
+            processors: unit::parse_processors(meta("processors")).unwrap_or(0),
+            memory: unit::parse_size(meta("memory")).unwrap_or(0),
+            accelerators: meta("accelerators").parse().unwrap_or(0),
+        },
+    })
+}
--- /dev/null
+++ b/ashtiller/src/demo.rs
@@ -0,0 +1,527 @@
+//! `ashtiller demo`: the roles and stand-ins in one process.
+//!
+//! Requests and jobs run through the same code as in separate processes; a
+//! worker is killed in the middle. At the end a checker compares what callers
+//! were told with what endpoints and workers saw.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use parking_lot::Mutex;
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use ashtiller::apply;
+use ashtiller::consul;
+use ashtiller::gateway::{self, Gateway};
+use ashtiller::scheduler::{self, Scheduler};
+use ashtiller::settings::Settings;
+use ashtiller::web;
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper::{Method, Request};
+use hyper_util::rt::TokioIo;
+use standin::agent::{Agent, End, Record};
+use standin::endpoint::Endpoint;
+use standin::store::{Listed, Store};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time;
+
+const GATEWAYS: usize = 3;
+const SCHEDULERS: usize = 2;
+const ENDPOINTS: usize = 6;
+const WORKERS: usize = 6;
+const ZONES: [&str; 2] = ["bern", "olten"];
+const CALLERS: usize = 24;
+const JOB_EVERY: Duration = Duration::from_millis(400);
+/// One job in so many is a listener, or a plan that makes others give way.
+const LISTENER_EVERY: usize = 16;
+const PLAN_EVERY: usize = 10;
+const PRINT_EVERY: Duration = Duration::from_secs(2);
+const JOB_LIMIT: Duration = Duration::from_secs(10);
+
+const TEMPLATE: &str = "\
+[account]
+name = dealer-north
+processors = 96
+memory = 360GiB
+
+[service fleet]
+class = latency-critical
+target = 200ms
+timeout = 2s
+repeat = GET, HEAD
+
+[job reconcile]
+class = batch
+processors = 2
+memory = 4GiB
+tasks = 4
+length = 4s
+
+[job listener]
+class = latency-critical
+processors = 1
+memory = 1GiB
+listener = yes
+
+[job plan]
+class = latency-critical
+processors = 12
+memory = 8GiB
+length = 1s
+";
+
+/// What callers were told.
+#[derive(Default)]
+struct Told {
+    answered: AtomicU64,
+    not_run: AtomicU64,
+    unknown: AtomicU64,
+    wrong_answer: AtomicU64,
+    requests: Mutex<BTreeMap<String, Fate>>,
+    latency: Mutex<Option<Histogram<u64>>>,
+}
+
+/// What one caller was told about one request.
+#[derive(Clone, Copy, PartialEq)]
+enum Fate {
+    Answered { once: bool },
+    NotRun,
+    Unknown { once: bool },
+}
+
+struct World {
+    store: Store,
+    endpoints: Vec<Endpoint>,
+    agents: Vec<Agent>,
+    record: Arc<Record>,
+    gateways: Vec<Gateway>,
+    schedulers: Vec<Scheduler>,
+}
+
+/// Runs the demo for about `length`.
+///
+/// # Errors
+/// Something could not be started, or the checker found a violation.
+pub async fn run(length: Duration) -> anyhow::Result<()> {
+    println!("starting stand-ins, {GATEWAYS} gateways and {SCHEDULERS} schedulers on loopback");
+    let world = open().await?;
+    let told = Arc::new(Told::default());
+    *told.latency.lock() = Some(Histogram::new(3)?);
+    wait_ready(&world).await?;
+    let stop = Arc::new(AtomicBool::new(false));
+    let operators = world.gateways.iter().map(Gateway::operators).collect();
+    let submitter = tokio::spawn(submit_jobs(operators, stop.clone()));
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        let address = world.gateways[number % GATEWAYS].callers();
+        callers.spawn(call(number, address, told.clone(), stop.clone()));
+    }
+    watch(&world, &told, length).await;
+    stop.store(true, Ordering::SeqCst);
+    callers.join_all().await;
+    let refused = submitter.await.context("submitting jobs")?;
+    finish(world, &told, refused).await
+}
+
+async fn open() -> anyhow::Result<World> {
+    let store = standin::store::bind("127.0.0.1:0").await?;
+    let record = Arc::new(Record::default());
+    let mut endpoints = Vec::new();
+    for number in 0..ENDPOINTS {
+        let name = format!("runner-{number}");
+        endpoints.push(standin::endpoint::bind("127.0.0.1:0", &name, 8, true).await?);
+    }
+    let mut agents = Vec::new();
+    for number in 0..WORKERS {
+        let name = format!("worker-{number}");
+        agents.push(standin::agent::bind("127.0.0.1:0", &name, 1, record.clone()).await?);
+    }
+    list_endpoints(&store, &endpoints);
+    list_workers(&store, &agents);
+    apply_template(&store).await?;
+    let mut gateways = Vec::new();
+    for number in 0..GATEWAYS {
+        gateways.push(gateway::spawn(settings(&store, number)?).await?);
+    }
+    let mut schedulers = Vec::new();
+    for number in 0..SCHEDULERS {
+        schedulers.push(scheduler::spawn(settings(&store, number)?).await?);
+    }
+    Ok(World {
+        store,
+        endpoints,
+        agents,
+        record,
+        gateways,
+        schedulers,
+    })
+}
+
+fn settings(store: &Store, number: usize) -> anyhow::Result<Settings> {
+    let zone = ZONES[number % ZONES.len()];
+    let text = format!(
+        "[instance]\nname = entry-{number}\navailability_zone = {zone}\n\
+         [platform]\nstore = {}\nrefresh = 200ms\nlease = 3s\n\
+         [gateway]\ncallers = 127.0.0.1:0\noperators = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
+         drain = 200ms\n\
+         [scheduler]\noperators = 127.0.0.1:0\npeers = 127.0.0.1:0\nlease = 1500ms\n\
+         renew = 300ms\nmargin = 200ms\nhorizon = 5s\n",
+        store.address()
+    );
+    Ok(Settings::parse("demo", &text)?)
+}
+
+fn list_endpoints(store: &Store, endpoints: &[Endpoint]) {
+    let listed = endpoints.iter().enumerate().map(|(number, endpoint)| {
+        listing(
+            &format!("runner-{number}"),
+            endpoint.address(),
+            number,
+            &[("slots", "8")],
+        )
+    });
+    store.list("fleet", listed.collect());
+}
+
+fn list_workers(store: &Store, agents: &[Agent]) {
+    let has = [
+        ("processors", "16"),
+        ("memory", "60GiB"),
+        ("accelerators", "0"),
+    ];
+    let listed = agents
+        .iter()
+        .enumerate()
+        .map(|(number, agent)| listing(&format!("worker-{number}"), agent.address(), number, &has));
+    store.list("workers", listed.collect());
+}
+
+fn listing(name: &str, address: SocketAddr, number: usize, facts: &[(&str, &str)]) -> Listed {
+    let zone = ("zone", ZONES[number % ZONES.len()]);
+    let facts = facts.iter().copied().chain([zone, ("state", "live")]);
+    Listed {
+        node: name.to_owned(),
+        service_address: address.ip().to_string(),
+        service_port: address.port(),
+        service_meta: facts
+            .map(|(key, value)| (key.to_owned(), value.to_owned()))
+            .collect(),
+    }
+}
+
+async fn apply_template(store: &Store) -> anyhow::Result<()> {
+    let client = consul::open(store.address(), Duration::from_secs(2));
+    let account = Arc::from("dealer-north");
+    let base = apply::read(&*client, &account).await?;
+    apply::write(&*client, &account, &Arc::from(TEMPLATE), &base, false).await?;
+    Ok(())
+}
+
+async fn wait_ready(world: &World) -> anyhow::Result<()> {
+    let client = web::Client::default();
+    let limit = Duration::from_secs(1);
+    for gateway in &world.gateways {
+        let until = Instant::now() + JOB_LIMIT;
+        loop {
+            let asked = client.call(
+                "wait for gateway",
+                gateway.operators(),
+                Method::GET,
+                "/health",
+                Bytes::new(),
+                limit,
+            );
+            if asked.await.is_ok_and(|answer| answer.status.is_success()) {
+                break;
+            }
+            anyhow::ensure!(Instant::now() < until, "a gateway did not become ready");
+            time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    Ok(())
+}
+
+/// Submits a job now and then; one whose outcome is unknown is asked for again.
+async fn submit_jobs(gateways: Vec<SocketAddr>, stop: Arc<AtomicBool>) -> usize {
+    let client = web::Client::default();
+    let mut refused = 0;
+    for number in 0.. {
+        if stop.load(Ordering::SeqCst) {
+            break;
+        }
+        let kind = match number {
+            _ if number % LISTENER_EVERY == 0 => "listener",
+            _ if number % PLAN_EVERY == PLAN_EVERY - 1 => "plan",
+            _ => "reconcile",
+        };
+        let target = format!("/v1/jobs/dealer-north/night-{number}?kind={kind}");
+        let address = gateways[number % gateways.len()];
+        let method = Method::PUT;
+        let asked = client.call(
+            "submit job",
+            address,
+            method,
+            &target,
+            Bytes::new(),
+            JOB_LIMIT,
+        );
+        if !asked.await.is_ok_and(|answer| answer.status.is_success()) {
+            refused += 1;
+        }
+        time::sleep(JOB_EVERY).await;
+    }
+    refused
+}
+
+/// One caller: a request at a time on one connection, opened anew when it breaks.
+async fn call(number: usize, address: SocketAddr, told: Arc<Told>, stop: Arc<AtomicBool>) {
+    let mut sequence = 0;
+    while !stop.load(Ordering::SeqCst) {
+        let Ok(stream) = TcpStream::connect(address).await else {
+            time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let Ok((mut sender, connection)) = http1::handshake(TokioIo::new(stream)).await else {
+            continue;
+        };
+        tokio::spawn(connection);
+        while !stop.load(Ordering::SeqCst) && sender.ready().await.is_ok() {
+            sequence += 1;
+            let id = format!("{number}-{sequence}");
+            let once = sequence % 3 == 0;
+            let fate = exchange(&mut sender, &id, once, &told).await;
+            told.requests.lock().insert(id, fate);
+            time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+}
+
+async fn exchange(
+    sender: &mut http1::SendRequest<Full<Bytes>>,
+    id: &str,
+    once: bool,
+    told: &Told,
+) -> Fate {
+    let body = if once {
+        format!("charge {id}")
+    } else {
+        String::new()
+    };
+    let request = Request::builder()
+        .method(if once { Method::POST } else { Method::GET })
+        .uri("/fleet/sweep")
+        .header("host", "fleet")
+        .header("client-account", "dealer-north")
+        .header("request-id", id)
+        .header("service-ms", "5")
+        .body(Full::new(Bytes::from(body.clone())));
+    let Ok(request) = request else {
+        return Fate::NotRun;
+    };
+    let began = Instant::now();
+    let answered = match sender.send_request(request).await {
+        Ok(answer) => {
+            let (head, payload) = answer.into_parts();
+            payload
+                .collect()
+                .await
+                .ok()
+                .map(|payload| (head, payload.to_bytes()))
+        }
+        Err(_) => None,
+    };
+    let Some((head, payload)) = answered else {
+        told.unknown.fetch_add(1, Ordering::Relaxed);
+        return Fate::Unknown { once };
+    };
+    let outcome = head
+        .headers
+        .get("ashtiller-outcome")
+        .and_then(|value| value.to_str().ok());
+    match outcome {
+        Some("not-run") => {
+            told.not_run.fetch_add(1, Ordering::Relaxed);
+            Fate::NotRun
+        }
+        Some(_) => {
+            told.unknown.fetch_add(1, Ordering::Relaxed);
+            Fate::Unknown { once }
+        }
+        None => {
+            told.answered.fetch_add(1, Ordering::Relaxed);
+            let own = head
+                .headers
+                .get("request-id")
+                .is_some_and(|found| found == id);
+            if !own || (once && payload != body) {
+                told.wrong_answer.fetch_add(1, Ordering::Relaxed);
+            }
+            let micros = u64::try_from(began.elapsed().as_micros()).unwrap_or(u64::MAX);
+            if let Some(latency) = told.latency.lock().as_mut() {
+                // An auto-resizing histogram refuses nothing below its bound.
+                let _ = latency.record(micros);
+            }
+            Fate::Answered { once }
+        }
+    }
+}
+
+async fn watch(world: &World, told: &Told, length: Duration) {
+    let began = Instant::now();
+    let mut killed = false;
+    while began.elapsed() < length {
+        time::sleep(PRINT_EVERY.min(length)).await;
+        if !killed && began.elapsed() * 3 >= length {
+            killed = true;
+            kill_busiest(world);
+        }
+        let running: usize = world.agents.iter().map(Agent::running).sum();
+        println!(
+            "{:4.0} s: {} answered, {} not run, {} unknown; {running} tasks running",
+            began.elapsed().as_secs_f64(),
+            told.answered.load(Ordering::Relaxed),
+            told.not_run.load(Ordering::Relaxed),
+            told.unknown.load(Ordering::Relaxed),
+        );
+    }
+}
+
+fn kill_busiest(world: &World) {
+    let busiest = world
+        .agents
+        .iter()
+        .enumerate()
+        .max_by_key(|(_, agent)| agent.running());
+    if let Some((number, agent)) = busiest {
+        println!(
+            "        killing worker-{number} with {} tasks",
+            agent.running()
+        );
+        agent.kill();
+    }
+}
+
+async fn finish(world: World, told: &Told, refused: usize) -> anyhow::Result<()> {
+    let runs = endpoint_runs(&world.endpoints);
+    let stretches = world.record.stretches();
+    let count = |end: End| {
+        stretches
+            .iter()
+            .filter(|stretch| stretch.end == Some(end))
+            .count()
+    };
+    let resumed = stretches
+        .iter()
+        .filter(|stretch| stretch.attempt > 1)
+        .count();
+    let violations = check(told, &runs, &world.record);
+    let calls = world.store.calls();
+    let latency = told.latency.lock().take();
+    println!();
+    let row = |name: &str, value: String| println!("{name:<32}{value:>12}");
+    row(
+        "requests answered",
+        told.answered.load(Ordering::Relaxed).to_string(),
+    );
+    row(
+        "requests not run",
+        told.not_run.load(Ordering::Relaxed).to_string(),
+    );
+    row(
+        "requests unknown",
+        told.unknown.load(Ordering::Relaxed).to_string(),
+    );
+    if let Some(latency) = latency {
+        for (name, quantile) in [("p50", 0.5), ("p99", 0.99), ("p99.9", 0.999)] {
+            let micros = Duration::from_micros(latency.value_at_quantile(quantile));
+            row(
+                &format!("latency {name}, ms"),
+                format!("{:.1}", micros.as_secs_f64() * 1e3),
+            );
+        }
+    }
+    row("jobs refused", refused.to_string());
+    row("task attempts started", stretches.len().to_string());
+    row("task attempts finished", count(End::Finished).to_string());
+    row("evictions", count(End::Evicted).to_string());
+    row("resumes after a lost attempt", resumed.to_string());
+    row(
+        "store reads / writes",
+        format!("{} / {}", calls.reads, calls.writes),
+    );
+    row("violations", violations.len().to_string());
+    for gateway in world.gateways {
+        gateway.stop().await;
+    }
+    for scheduler in world.schedulers {
+        scheduler.stop().await;
+    }
+    anyhow::ensure!(
+        violations.is_empty(),
+        "violations: {}",
+        violations.join("; ")
+    );
+    Ok(())
+}
+
+fn endpoint_runs(endpoints: &[Endpoint]) -> BTreeMap<String, u32> {
+    let mut runs = BTreeMap::new();
+    for endpoint in endpoints {
+        for (id, times) in endpoint.runs() {
+            *runs.entry(id).or_default() += times;
+        }
+    }
+    runs
+}
+
+/// Compares what callers were told with what endpoints and workers saw.
+fn check(told: &Told, runs: &BTreeMap<String, u32>, record: &Record) -> Vec<String> {
+    let mut violations = Vec::new();
+    let wrong = told.wrong_answer.load(Ordering::Relaxed);
+    if wrong > 0 {
+        violations.push(format!(
+            "{wrong} callers got an answer that was not their own"
+        ));
+    }
+    for (id, fate) in told.requests.lock().iter() {
+        let times = runs.get(id).copied().unwrap_or(0);
+        match fate {
+            Fate::NotRun if times > 0 => {
+                violations.push(format!("{id}: told not run, ran {times}"));
+            }
+            Fate::Answered { .. } if times == 0 => {
+                violations.push(format!("{id}: answered, never ran"));
+            }
+            Fate::Answered { once: true } | Fate::Unknown { once: true } if times > 1 => {
+                violations.push(format!("{id}: may run once, ran {times} times"));
+            }
+            _ => {}
+        }
+    }
+    for (one, other) in record.doubles() {
+        violations.push(format!(
+            "{} ran on {} and {} at once",
+            one.task, one.worker, other.worker
+        ));
+    }
+    let mut finished = BTreeMap::new();
+    for stretch in record
+        .stretches()
+        .iter()
+        .filter(|stretch| stretch.end == Some(End::Finished))
+    {
+        *finished.entry(stretch.task.clone()).or_insert(0_u32) += 1;
+    }
+    for (task, times) in finished.iter().filter(|(_, times)| **times > 1) {
+        violations.push(format!("{task} finished {times} times"));
+    }
+    violations
+}
--- /dev/null
+++ b/ashtiller/src/desk.rs
@@ -0,0 +1,227 @@
+//! One service in a running gateway: its dispatch, waiting requests and pool.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use parking_lot::{Mutex, MutexGuard};
+use std::time::Duration;
+
+use tokio::sync::{Notify, oneshot};
+use tokio::time;
+
+use crate::budget::Budget;
+use crate::clock::Clock;
+use crate::dispatch::{Dispatch, Next, Refusal};
+use crate::endpoint::Endpoint;
+use crate::health::Sample;
+use crate::line::Ticket;
+use crate::pool::Pool;
+
+struct State {
+    dispatch: Dispatch,
+    waiting: HashMap<u64, oneshot::Sender<u64>>,
+}
+
+/// A service that requests are routed to.
+pub struct Desk {
+    /// Name of the service.
+    pub name: Arc<str>,
+    /// Connections to its endpoints.
+    pub pool: Pool,
+    /// Budget for retries.
+    pub budget: Mutex<Budget>,
+    /// Told when slots run short.
+    pub short: Notify,
+    state: Mutex<State>,
+    clock: Arc<dyn Clock>,
+}
+
+/// What became of a request that asked for a slot.
+pub enum Admitted {
+    /// It has a slot.
+    Slot(Slot),
+    /// It is refused.
+    Refused(Refusal),
+    /// Its deadline passed while it waited.
+    Late,
+}
+
+impl Desk {
+    /// A service around a dispatch.
+    #[must_use]
+    pub fn new(
+        name: Arc<str>,
+        dispatch: Dispatch,
+        pool: Pool,
+        budget: Budget,
+        clock: Arc<dyn Clock>,
+    ) -> Arc<Self> {
+        let state = Mutex::new(State {
+            dispatch,
+            waiting: HashMap::new(),
+        });
+        Arc::new(Self {
+            name,
+            pool,
+            budget: Mutex::new(budget),
+            short: Notify::new(),
+            state,
+            clock,
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock()
+    }
+
+    /// Time since the gateway's start.
+    #[must_use]
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// Reads or changes the dispatch, then hands out what became free.
+    pub fn with<T>(&self, change: impl FnOnce(&mut Dispatch, Duration) -> T) -> T {
+        let now = self.now();
+        let mut state = self.lock();
+        let result = change(&mut state.dispatch, now);
+        hand_out(&mut state, now);
+        result
+    }
+
+    /// Asks for a slot and waits for it until the ticket's deadline.
+    pub async fn admit(self: &Arc<Self>, ticket: Ticket) -> Admitted {
+        let (id, account, deadline) = (ticket.id, ticket.account.clone(), ticket.deadline);
+        let (next, receiver) = self.offer(ticket);
+        match next {
+            Next::Send(endpoint) => Admitted::Slot(self.slot(account, endpoint)),
+            Next::Refuse(refusal) => Admitted::Refused(refusal),
+            Next::Wait => {
+                let mut waiting = Waiting {
+                    desk: self.clone(),
+                    account,
+                    id,
+                    receiver,
+                };
+                let left = deadline.saturating_sub(self.now());
+                match time::timeout(left, &mut waiting.receiver).await {
+                    Ok(Ok(endpoint)) => {
+                        Admitted::Slot(self.slot(waiting.account.clone(), endpoint))
+                    }
+                    _ => Admitted::Late,
+                }
+            }
+        }
+    }
+
+    fn offer(&self, ticket: Ticket) -> (Next, oneshot::Receiver<u64>) {
+        let id = ticket.id;
+        let now = self.now();
+        let mut state = self.lock();
+        let next = state.dispatch.offer(ticket, now);
+        let (sender, receiver) = oneshot::channel();
+        if next == Next::Wait {
+            state.waiting.insert(id, sender);
+        }
+        if state.dispatch.shortage(now) > 0 {
+            self.short.notify_one();
+        }
+        (next, receiver)
+    }
+
+    fn slot(self: &Arc<Self>, account: Arc<str>, endpoint: u64) -> Slot {
+        let began = self.now();
+        Slot {
+            desk: self.clone(),
+            account,
+            endpoint,
+            began,
+            sample: Sample::Nothing,
+        }
+    }
+
+    /// A copy of one endpoint.
+    #[must_use]
+    pub fn endpoint(&self, id: u64) -> Option<Endpoint> {
+        self.lock().dispatch.endpoint(id).cloned()
+    }
+}
+
+fn hand_out(state: &mut State, now: Duration) {
+    loop {
+        let assigned = state.dispatch.assign(now);
+        if assigned.is_empty() {
+            return;
+        }
+        for (id, endpoint) in assigned {
+            let sender = state.waiting.remove(&id);
+            // A receiver that is gone cannot have been told: its ticket was removed
+            // under this lock when it gave up.
+            if let Some(sender) = sender {
+                let _ = sender.send(endpoint);
+            }
+        }
+    }
+}
+
+struct Waiting {
+    desk: Arc<Desk>,
+    account: Arc<str>,
+    id: u64,
+    receiver: oneshot::Receiver<u64>,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let now = self.desk.now();
+        let mut state = self.desk.lock();
+        state.waiting.remove(&self.id);
+        if state.dispatch.give_up(&self.account, self.id) {
+            return;
+        }
+        // Assigned between the last poll and now: the slot goes back.
+        if let Ok(endpoint) = self.receiver.try_recv() {
+            state
+                .dispatch
+                .finish(&self.account, endpoint, Sample::Nothing, now);
+            hand_out(&mut state, now);
+        }
+    }
+}
+
+/// A slot at an endpoint; dropping it gives it back.
+pub struct Slot {
+    desk: Arc<Desk>,
+    account: Arc<str>,
+    /// Number of the endpoint.
+    pub endpoint: u64,
+    began: Duration,
+    sample: Sample,
+}
+
+impl Slot {
+    /// Sets what the end of this request says about the endpoint.
+    pub fn judge(&mut self, sample: Sample) {
+        self.sample = sample;
+    }
+
+    /// Time since the slot was taken.
+    #[must_use]
+    pub fn elapsed(&self) -> Duration {
+        self.desk.now().saturating_sub(self.began)
+    }
+
+    /// The service.
+    #[must_use]
+    pub fn desk(&self) -> &Arc<Desk> {
+        &self.desk
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let (account, endpoint, sample) = (&self.account, self.endpoint, self.sample);
+        self.desk
+            .with(|dispatch, now| dispatch.finish(account, endpoint, sample, now));
+    }
+}
--- /dev/null
+++ b/ashtiller/src/dispatch.rs
@@ -0,0 +1,513 @@
+//! Admission and routing of one service in one gateway, as a state machine.
+//!
+//! [`Dispatch`] has no clock, socket or task: each call takes the time since the
+//! gateway's start and returns what to do next. The same code runs in the
+//! gateway, in replays and in golden sessions.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::balance::{self, Balance};
+use crate::endpoint::{Endpoint, Listing, Phase};
+use crate::health::{self, Judgement, Reason, Sample};
+use crate::line::{Line, Ticket};
+use crate::rendezvous;
+
+/// Weight of a new service time in the running mean.
+const WEIGHT: f64 = 0.02;
+/// Service time assumed before the first sample, in seconds.
+const FIRST_GUESS: f64 = 0.01;
+/// Shortest time after which a refused caller is asked to come back.
+const AFTER_MIN: Duration = Duration::from_millis(100);
+/// Longest such time.
+const AFTER_MAX: Duration = Duration::from_secs(30);
+/// Free slots below which a gateway asks to borrow, as a divisor of its slots.
+const RESERVE: u32 = 32;
+
+/// What to do with a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Next {
+    /// Send it to this endpoint now.
+    Send(u64),
+    /// It waits; [`Dispatch::assign`] will name it.
+    Wait,
+    /// Answer it at once: it was not run.
+    Refuse(Refusal),
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cause {
+    /// The account's queue is full.
+    QueueFull,
+    /// The wait would pass the deadline.
+    TooLate,
+    /// The service has no endpoint that takes requests.
+    NoEndpoint,
+}
+
+/// A refusal and when to come back.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Why.
+    pub cause: Cause,
+    /// When the backlog should be gone.
+    pub after: Duration,
+}
+
+/// Settings of a [`Dispatch`].
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Most connections from this gateway to one endpoint.
+    pub connections: u32,
+    /// Largest share of the endpoints that may be ejected.
+    pub ejected: f64,
+}
+
+/// Counts of the endpoints, for metrics and the dump.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Census {
+    /// Endpoints that take requests.
+    pub live: u32,
+    /// Endpoints that are leaving.
+    pub leaving: u32,
+    /// Endpoints that are ejected.
+    pub ejected: u32,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Slots lent to other gateways.
+    pub lent: u32,
+    /// Slots borrowed from other gateways.
+    pub borrowed: u32,
+    /// Slots dealt to this gateway.
+    pub dealt: u32,
+}
+
+/// Admission and routing of one service.
+pub struct Dispatch {
+    endpoints: Vec<Endpoint>,
+    places: BTreeMap<u64, usize>,
+    line: Line,
+    flying: BTreeMap<Arc<str>, u32>,
+    balance: Box<dyn Balance>,
+    limits: Limits,
+    service_time: f64,
+}
+
+impl Dispatch {
+    /// A service without endpoints.
+    #[must_use]
+    pub fn new(balance: Box<dyn Balance>, limits: Limits) -> Self {
+        Self {
+            endpoints: Vec::new(),
+            places: BTreeMap::new(),
+            line: Line::default(),
+            flying: BTreeMap::new(),
+            balance,
+            limits,
+            service_time: FIRST_GUESS,
+        }
+    }
+
+    /// The endpoints as this gateway sees them.
+    #[must_use]
+    pub fn endpoints(&self) -> &[Endpoint] {
+        &self.endpoints
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.line.len()
+    }
+
+    /// Takes the platform's list. An endpoint that has gone from it is treated as
+    /// leaving until its last request ends; leaving is never taken back by a list
+    /// that still shows it live.
+    pub fn list(&mut self, listings: &[Listing]) {
+        for endpoint in &mut self.endpoints {
+            let listed = listings
+                .iter()
+                .find(|listing| listing.name == endpoint.listing.name);
+            match listed {
+                Some(listing) if listing.address == endpoint.listing.address => {
+                    let was = endpoint.listing.phase;
+                    endpoint.listing = listing.clone();
+                    if was == Phase::Leaving {
+                        endpoint.listing.phase = Phase::Leaving;
+                    }
+                }
+                _ => endpoint.listing.phase = Phase::Leaving,
+            }
+        }
+        self.endpoints.retain(|endpoint| {
+            let gone = endpoint.listing.phase == Phase::Leaving
+                && !listings.iter().any(|listing| {
+                    listing.name == endpoint.listing.name
+                        && listing.address == endpoint.listing.address
+                });
+            !gone || endpoint.in_flight > 0
+        });
+        for listing in listings {
+            let known = |endpoint: &Endpoint| {
+                endpoint.listing.name == listing.name && endpoint.listing.address == listing.address
+            };
+            if !self.endpoints.iter().any(known) {
+                self.add(listing.clone());
+            }
+        }
+        self.index();
+    }
+
+    fn add(&mut self, listing: Listing) {
+        let mut endpoint = Endpoint::new(listing);
+        // Two lives of one name at two addresses need two numbers.
+        while self.endpoints.iter().any(|other| other.id == endpoint.id) {
+            endpoint.id = endpoint.id.wrapping_add(1);
+        }
+        self.endpoints.push(endpoint);
+    }
+
+    fn index(&mut self) {
+        self.places = self
+            .endpoints
+            .iter()
+            .enumerate()
+            .map(|(place, endpoint)| (endpoint.id, place))
+            .collect();
+    }
+
+    /// Deals every endpoint's slots among the gateways; `own` is this one.
+    pub fn deal(&mut self, gateways: &[Arc<str>], own: &str) {
+        for endpoint in &mut self.endpoints {
+            let ranked = rendezvous::rank(&endpoint.listing.name, gateways);
+            let Some(place) = ranked.iter().position(|name| &**name == own) else {
+                endpoint.slots.deal(0);
+                continue;
+            };
+            let (place, count) = (count_of(place), count_of(ranked.len()));
+            let slots = endpoint.listing.slots;
+            endpoint
+                .slots
+                .deal(slots / count + u32::from(place < slots % count));
+        }
+    }
+
+    /// A request asks for a slot.
+    pub fn offer(&mut self, ticket: Ticket, now: Duration) -> Next {
+        if !self
+            .endpoints
+            .iter()
+            .any(|endpoint| endpoint.listing.phase == Phase::Live)
+        {
+            return Next::Refuse(Refusal {
+                cause: Cause::NoEndpoint,
+                after: AFTER_MIN * 10,
+            });
+        }
+        let first = self.line.is_empty() && self.may_fly(&ticket);
+        if let Some(id) = first.then(|| self.begin(&ticket, now)).flatten() {
+            return Next::Send(id);
+        }
+        let wait = self.estimate(&ticket);
+        if self.line.waiting(&ticket.account) >= ticket.queue as usize {
+            return Next::Refuse(refuse(Cause::QueueFull, wait));
+        }
+        if now + wait >= ticket.deadline {
+            return Next::Refuse(refuse(Cause::TooLate, wait));
+        }
+        self.line.push(ticket);
+        Next::Wait
+    }
+
+    fn may_fly(&self, ticket: &Ticket) -> bool {
+        self.flying.get(&ticket.account).copied().unwrap_or(0) < ticket.limit
+    }
+
+    fn begin(&mut self, ticket: &Ticket, now: Duration) -> Option<u64> {
+        let connections = self.limits.connections;
+        let place = self
+            .balance
+            .choose(&self.endpoints, ticket.avoid, connections, now)?;
+        let endpoint = &mut self.endpoints[place];
+        endpoint.in_flight += 1;
+        endpoint.begun = now;
+        *self.flying.entry(ticket.account.clone()).or_default() += 1;
+        Some(endpoint.id)
+    }
+
+    /// Expected time until a new request would have its answer.
+    fn estimate(&self, ticket: &Ticket) -> Duration {
+        let slots: u32 = self
+            .endpoints
+            .iter()
+            .filter(|endpoint| endpoint.takes(u32::MAX))
+            .map(|endpoint| endpoint.slots.dealt().max(1))
+            .sum();
+        let ahead =
+            u32::try_from(self.line.ahead(&ticket.account, ticket.class)).unwrap_or(u32::MAX);
+        let turns = 1.0 + f64::from(ahead) / f64::from(slots.max(1));
+        Duration::from_secs_f64((self.service_time * turns).min(3600.0))
+    }
+
+    /// Names waiting requests that now have an endpoint.
+    pub fn assign(&mut self, now: Duration) -> Vec<(u64, u64)> {
+        let mut assigned = Vec::new();
+        while !self.line.is_empty() {
+            let connections = self.limits.connections;
+            if self
+                .balance
+                .choose(&self.endpoints, None, connections, now)
+                .is_none()
+            {
+                break;
+            }
+            let flying = &self.flying;
+            let may =
+                |ticket: &Ticket| flying.get(&ticket.account).copied().unwrap_or(0) < ticket.limit;
+            let Some(ticket) = self.line.pop(&may) else {
+                break;
+            };
+            if let Some(endpoint) = self.begin(&ticket, now) {
+                assigned.push((ticket.id, endpoint));
+            } else {
+                self.line.push(ticket);
+                break;
+            }
+        }
+        assigned
+    }
+
+    /// A waiting request gives up; false when it was assigned already.
+    pub fn give_up(&mut self, account: &Arc<str>, id: u64) -> bool {
+        self.line.remove(account, id)
+    }
+
+    /// A request at an endpoint has ended.
+    pub fn finish(&mut self, account: &Arc<str>, id: u64, sample: Sample, now: Duration) {
+        if let Some(flying) = self.flying.get_mut(account) {
+            *flying -= 1;
+            if *flying == 0 {
+                self.flying.remove(account);
+            }
+        }
+        if let Sample::Good(time) = sample {
+            self.service_time += WEIGHT * (time.as_secs_f64() - self.service_time);
+        }
+        let Some(&place) = self.places.get(&id) else {
+            return;
+        };
+        self.endpoints[place].in_flight = self.endpoints[place].in_flight.saturating_sub(1);
+        self.endpoints[place].health.add(sample);
+        self.judge(place, now);
+    }
+
+    fn judge(&mut self, place: usize, now: Duration) {
+        let endpoint = &self.endpoints[place];
+        if endpoint.health.is_ejected() {
+            return;
+        }
+        let peers = self.endpoints.iter().enumerate();
+        let peers = peers
+            .filter(|(other, _)| *other != place)
+            .map(|(_, peer)| &peer.health);
+        let Judgement::Eject(reason) = health::judge(&endpoint.health, peers) else {
+            return;
+        };
+        let ejected = self
+            .endpoints
+            .iter()
+            .filter(|peer| peer.health.is_ejected())
+            .count();
+        let share = f64::from(count_of(ejected + 1)) / f64::from(count_of(self.endpoints.len()));
+        if share <= self.limits.ejected {
+            self.endpoints[place].health.eject(reason, now);
+        }
+    }
+
+    /// An endpoint said, by an answer, that it takes no new requests.
+    pub fn leaving(&mut self, id: u64, now: Duration) {
+        if let Some(&place) = self.places.get(&id) {
+            self.endpoints[place].health.eject(Reason::Leaving, now);
+        }
+    }
+
+    /// An endpoint reported its load.
+    pub fn loaded(&mut self, id: u64, load: u32, now: Duration) {
+        if let Some(&place) = self.places.get(&id) {
+            self.endpoints[place].load = Some((load, now));
+        }
+    }
+
+    /// Endpoints whose ejection is over, to be probed.
+    #[must_use]
+    pub fn due(&self, now: Duration) -> Vec<u64> {
+        self.endpoints
+            .iter()
+            .filter(|endpoint| endpoint.listing.phase == Phase::Live && endpoint.health.is_due(now))
+            .map(|endpoint| endpoint.id)
+            .collect()
+    }
+
+    /// Takes the result of a probe.
+    pub fn probed(&mut self, id: u64, good: bool, now: Duration) {
+        if let Some(&place) = self.places.get(&id) {
+            self.endpoints[place].health.probed(good, now);
+        }
+    }
+
+    /// One endpoint by number.
+    #[must_use]
+    pub fn endpoint(&self, id: u64) -> Option<&Endpoint> {
+        self.places.get(&id).map(|&place| &self.endpoints[place])
+    }
+
+    /// Slots that this gateway would like to borrow.
+    #[must_use]
+    pub fn shortage(&self, now: Duration) -> u32 {
+        let (free, usable) = self.slack(now);
+        let reserve = (usable / RESERVE).max(1);
+        let waiting = count_of(self.line.len());
+        (waiting + reserve).saturating_sub(free)
+    }
+
+    fn slack(&self, now: Duration) -> (u32, u32) {
+        let takes = |endpoint: &&Endpoint| endpoint.takes(self.limits.connections);
+        self.endpoints
+            .iter()
+            .filter(takes)
+            .fold((0, 0), |(free, usable), endpoint| {
+                (
+                    free + endpoint.idle_slots(now),
+                    usable + endpoint.slots.usable(now),
+                )
+            })
+    }
+
+    /// Replaces the loan to `peer`: it keeps `keep` and wants `want` more. At most
+    /// half of what is free is lent. Returns the whole loan.
+    pub fn lend(
+        &mut self,
+        peer: &Arc<str>,
+        keep: &[(u64, u32)],
+        want: u32,
+        until: Duration,
+        now: Duration,
+    ) -> Vec<(u64, u32)> {
+        for endpoint in &mut self.endpoints {
+            let lent = endpoint.slots.lent_to(peer, now);
+            let kept = keep
+                .iter()
+                .find(|(id, _)| *id == endpoint.id)
+                .map_or(0, |(_, count)| *count);
+            endpoint.slots.lend(peer, kept.min(lent), until);
+        }
+        let (free, usable) = self.slack(now);
+        let reserve = (usable / RESERVE).max(1);
+        let spare = if self.line.is_empty() {
+            free.saturating_sub(reserve).div_ceil(2)
+        } else {
+            0
+        };
+        let mut open = want.min(spare);
+        for endpoint in &mut self.endpoints {
+            if open == 0 {
+                break;
+            }
+            if endpoint.takes(self.limits.connections) && endpoint.idle_slots(now) > 0 {
+                let lent = endpoint.slots.lent_to(peer, now);
+                endpoint.slots.lend(peer, lent + 1, until);
+                open -= 1;
+            }
+        }
+        self.endpoints
+            .iter()
+            .map(|endpoint| (endpoint.id, endpoint.slots.lent_to(peer, now)))
+            .filter(|(_, count)| *count > 0)
+            .collect()
+    }
+
+    /// Replaces what is borrowed from `peer`.
+    pub fn borrow_from(&mut self, peer: &Arc<str>, loans: &[(u64, u32)], until: Duration) {
+        for endpoint in &mut self.endpoints {
+            let count = loans
+                .iter()
+                .find(|(id, _)| *id == endpoint.id)
+                .map_or(0, |(_, count)| *count);
+            endpoint.slots.borrow_from(peer, count, until);
+        }
+    }
+
+    /// Borrowed slots of `peer` that are still needed at `now`.
+    #[must_use]
+    pub fn kept(&self, peer: &str, now: Duration) -> Vec<(u64, u32)> {
+        let mut spare = self
+            .slack(now)
+            .0
+            .saturating_sub(self.slack(now).1 / RESERVE + 1);
+        let mut kept = Vec::new();
+        for endpoint in &self.endpoints {
+            let borrowed = endpoint.slots.borrowed_from(peer, now);
+            let idle = endpoint.idle_slots(now).min(borrowed).min(spare);
+            spare -= idle;
+            if borrowed > idle {
+                kept.push((endpoint.id, borrowed - idle));
+            }
+        }
+        kept
+    }
+
+    /// All slots borrowed from `peer`.
+    #[must_use]
+    pub fn borrowed_from(&self, peer: &str, now: Duration) -> Vec<(u64, u32)> {
+        self.endpoints
+            .iter()
+            .map(|endpoint| (endpoint.id, endpoint.slots.borrowed_from(peer, now)))
+            .filter(|(_, count)| *count > 0)
+            .collect()
+    }
+
+    /// Whether anything is borrowed from `peer`.
+    #[must_use]
+    pub fn borrows_from(&self, peer: &str, now: Duration) -> bool {
+        self.endpoints
+            .iter()
+            .any(|endpoint| endpoint.slots.borrowed_from(peer, now) > 0)
+    }
+
+    /// Counts of the endpoints.
+    #[must_use]
+    pub fn census(&self, now: Duration) -> Census {
+        let mut census = Census::default();
+        for endpoint in &self.endpoints {
+            census.in_flight += endpoint.in_flight;
+            census.lent += endpoint.slots.lent(now);
+            census.borrowed += endpoint.slots.borrowed(now);
+            census.dealt += endpoint.slots.dealt();
+            match endpoint.listing.phase {
+                Phase::Leaving => census.leaving += 1,
+                Phase::Live if endpoint.health.is_ejected() => census.ejected += 1,
+                Phase::Live => census.live += 1,
+            }
+        }
+        census
+    }
+}
+
+/// Builds a dispatch with a policy by name.
+#[must_use]
+pub fn open(kind: balance::Kind, seed: u64, limits: Limits) -> Dispatch {
+    Dispatch::new(balance::open(kind, seed), limits)
+}
+
+fn refuse(cause: Cause, wait: Duration) -> Refusal {
+    Refusal {
+        cause,
+        after: wait.clamp(AFTER_MIN, AFTER_MAX),
+    }
+}
+
+fn count_of(size: usize) -> u32 {
+    u32::try_from(size).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/ashtiller/src/evict.rs
@@ -0,0 +1,102 @@
+//! Which batch tasks make room for a latency-critical one.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::cell::Cell;
+use crate::fact::{Attempt, TaskId};
+use crate::host::Host;
+use crate::job::Phase;
+use crate::resources::Resources;
+use crate::template::Class;
+
+/// Window of an account's eviction budget.
+const WINDOW: Duration = Duration::from_hours(1);
+
+/// A batch task that may be evicted.
+struct Victim {
+    attempt: Attempt,
+    needs: Resources,
+    spent: f64,
+}
+
+/// Chooses the worker on which the fewest evictions make room for `needs`.
+///
+/// Among tasks, those of the account that has spent least of its eviction budget
+/// go first, so that accounts bear evictions alike; an account whose budget is
+/// spent is passed over.
+#[must_use]
+pub fn choose(
+    cell: &Cell,
+    needs: &Resources,
+    silence: Duration,
+    now: Duration,
+) -> Option<(Arc<str>, Vec<Attempt>)> {
+    let mut best: Option<(Arc<str>, Vec<Attempt>)> = None;
+    for (name, host) in cell
+        .hosts
+        .iter()
+        .filter(|(_, host)| host.takes(now, silence))
+    {
+        let Some(victims) = victims_on(cell, host, needs, now) else {
+            continue;
+        };
+        if best
+            .as_ref()
+            .is_none_or(|(_, least)| victims.len() < least.len())
+        {
+            best = Some((name.clone(), victims));
+        }
+    }
+    best
+}
+
+fn victims_on(cell: &Cell, host: &Host, needs: &Resources, now: Duration) -> Option<Vec<Attempt>> {
+    if !needs.fits(host.pool().whole()) {
+        return None;
+    }
+    let mut candidates: Vec<Victim> = host
+        .tasks
+        .iter()
+        .filter_map(|id| victim(cell, *id, now))
+        .collect();
+    candidates.sort_by(|one, other| one.spent.total_cmp(&other.spent));
+    let mut free = host.pool().free();
+    let mut victims = Vec::new();
+    for victim in candidates {
+        if needs.fits(&free) {
+            break;
+        }
+        free = free.plus(&victim.needs);
+        victims.push(victim.attempt);
+    }
+    (needs.fits(&free) && !victims.is_empty()).then_some(victims)
+}
+
+fn victim(cell: &Cell, id: TaskId, now: Duration) -> Option<Victim> {
+    let (task, submission) = cell.task(id)?;
+    let evictable = submission.class == Class::Batch && !submission.urgent;
+    if !evictable || !matches!(task.phase, Phase::Placed(_)) {
+        return None;
+    }
+    let account = cell.accounts().get(&submission.account)?;
+    let recent = account
+        .evicted
+        .iter()
+        .filter(|at| now.saturating_sub(**at) < WINDOW)
+        .count();
+    let recent = u32::try_from(recent).unwrap_or(u32::MAX);
+    if recent >= account.evictions {
+        return None;
+    }
+    let spent = f64::from(recent) / f64::from(account.evictions);
+    let attempt = Attempt {
+        task: id,
+        number: task.attempt,
+    };
+    Some(Victim {
+        attempt,
+        needs: submission.needs,
+        spent,
+    })
+}
--- /dev/null
+++ b/ashtiller/src/gateway.rs
@@ -0,0 +1,460 @@
+//! The gateway role: from callers to endpoints, and from operators to cells.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
+
+use parking_lot::Mutex;
+use std::time::Duration;
+
+use futures_util::future::BoxFuture;
+use prometheus::Registry;
+use serde_json::json;
+use tokio::task::JoinSet;
+use tokio::time;
+
+use crate::balance;
+use crate::budget::Budget;
+use crate::claims;
+use crate::clock::{self, Clock};
+use crate::config::{self, Config};
+use crate::consul;
+use crate::desk::Desk;
+use crate::dispatch::{self, Limits};
+use crate::endpoint::Listing;
+use crate::failure::Failure;
+use crate::front::{self, Front};
+use crate::jobs::Jobs;
+use crate::lender::{self, Lender};
+use crate::members::Member;
+use crate::membership::{self, Membership};
+use crate::ops::{self, Command, Health, Operated, Ops, Said};
+use crate::peer::{Ask, Greeting, Peer, Role, Submission, Verdict};
+use crate::pool::Pool;
+use crate::prober;
+use crate::roster::{Instance, Roster};
+use crate::router::Router;
+use crate::settings::Settings;
+use crate::store::{Called, Store};
+use crate::tally::Tally;
+use crate::wire;
+
+/// Time limit of a call to another process.
+const WIRE_LIMIT: Duration = Duration::from_millis(800);
+/// Services that the dump shows.
+const SHOWN: usize = 100;
+
+/// What the gateway's parts share.
+struct Shared {
+    settings: Settings,
+    config: Arc<Config>,
+    router: Arc<Router>,
+    registry: Registry,
+    clock: Arc<dyn Clock>,
+    parts: OnceLock<Parts>,
+    seen: Mutex<BTreeSet<Arc<str>>>,
+}
+
+/// Parts that exist once the ports are open.
+struct Parts {
+    membership: Arc<Membership>,
+    jobs: Jobs,
+    front: Front,
+}
+
+/// A running gateway; dropping it cuts everything, as a kill does.
+pub struct Gateway {
+    shared: Arc<Shared>,
+    ops: Ops,
+    served: wire::Served,
+    _tasks: JoinSet<()>,
+}
+
+/// Starts a gateway. It serves once it has read its configuration and endpoints,
+/// and keeps trying while the store is down.
+///
+/// # Errors
+/// A port cannot be bound.
+pub async fn spawn(settings: Settings) -> anyhow::Result<Gateway> {
+    let clock = clock::open();
+    let consul = consul::open(settings.platform.store, settings.platform.timeout);
+    let store: Arc<dyn Store> = consul.clone();
+    let instances: Arc<dyn Roster> = consul;
+    let registry = Registry::new();
+    let tally = Arc::new(Tally::open(&registry)?);
+    let config = Arc::new(config::spawn(store.clone()));
+    let claims = claims::spawn(store.clone(), settings.gateway.claims);
+    let router = Router::new(
+        settings.gateway.clone(),
+        config.clone(),
+        claims,
+        tally.clone(),
+        clock.clone(),
+    );
+    let front = front::bind(&settings.gateway, router.clone(), tally.clone()).await?;
+    let shared = Arc::new(Shared {
+        settings: settings.clone(),
+        config: config.clone(),
+        router,
+        registry,
+        clock: clock.clone(),
+        parts: OnceLock::new(),
+        seen: Mutex::default(),
+    });
+    let local: Arc<dyn Peer> = Arc::new(Local {
+        shared: shared.clone(),
+    });
+    let served = wire::bind(settings.gateway.peers, WIRE_LIMIT, local).await?;
+    let operated: Arc<dyn Operated> = Arc::new(Local {
+        shared: shared.clone(),
+    });
+    let ops = ops::bind(settings.gateway.operators, operated).await?;
+    let membership = Arc::new(membership::spawn(membership::Args {
+        own: Member {
+            name: settings.instance.name.clone(),
+            role: Role::Gateway,
+            zone: settings.instance.zone.clone(),
+            region: settings.instance.region.clone(),
+            peers: served.address(),
+            operators: ops.address(),
+        },
+        store: store.clone(),
+        lease: settings.platform.lease,
+        wire: served.wire().clone(),
+        config: config.clone(),
+        clock,
+        greeting: greeter(&shared),
+    }));
+    let jobs = Jobs {
+        store,
+        roster: instances.clone(),
+        workers: settings.platform.workers.clone(),
+        config,
+        membership: membership.clone(),
+        wire: served.wire().clone(),
+        homes: Mutex::default(),
+    };
+    let _ = shared.parts.set(Parts {
+        membership,
+        jobs,
+        front,
+    });
+    let mut tasks = JoinSet::new();
+    tasks.spawn(follow_roster(
+        shared.clone(),
+        instances,
+        served.wire().clone(),
+        tally,
+    ));
+    Ok(Gateway {
+        shared,
+        ops,
+        served,
+        _tasks: tasks,
+    })
+}
+
+impl Gateway {
+    /// Where callers connect.
+    ///
+    /// # Panics
+    /// Never after [`spawn`] has returned.
+    #[must_use]
+    pub fn callers(&self) -> SocketAddr {
+        self.parts().front.address()
+    }
+
+    /// Where operators connect.
+    #[must_use]
+    pub fn operators(&self) -> SocketAddr {
+        self.ops.address()
+    }
+
+    /// Where other processes connect.
+    #[must_use]
+    pub fn peers(&self) -> SocketAddr {
+        self.served.address()
+    }
+
+    fn parts(&self) -> &Parts {
+        self.shared.parts.get().expect("set before spawn returns")
+    }
+
+    /// Stops in a planned way: says so, goes on accepting while the balancer lags,
+    /// finishes what is in flight.
+    pub async fn stop(self) {
+        let parts = self.parts();
+        parts.front.stop(self.shared.settings.gateway.drain).await;
+        parts.membership.leave().await;
+    }
+}
+
+fn greeter(shared: &Arc<Shared>) -> Arc<dyn Fn() -> Greeting + Send + Sync> {
+    let shared = Arc::downgrade(shared);
+    Arc::new(move || {
+        shared
+            .upgrade()
+            .map(|shared| shared.greeting())
+            .unwrap_or_default()
+    })
+}
+
+impl Shared {
+    fn greeting(&self) -> Greeting {
+        Greeting {
+            name: self.settings.instance.name.clone(),
+            role: Role::Gateway.name().into(),
+            revision: self.config.force().revision,
+            leaving: self.is_leaving(),
+            cells: Vec::new(),
+        }
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.parts
+            .get()
+            .is_some_and(|parts| parts.front.is_leaving())
+    }
+
+    fn open_desk(&self, service: &Arc<str>) -> Arc<Desk> {
+        let settings = &self.settings.gateway;
+        let limits = Limits {
+            connections: settings.connections,
+            ejected: settings.ejected,
+        };
+        let seed = crate::endpoint::id_of(&self.settings.instance.name);
+        let dispatch = dispatch::Dispatch::new(balance::open(settings.routing, seed), limits);
+        let head = usize::try_from(settings.head).unwrap_or(usize::MAX);
+        let pool = Pool::new(settings.connect, settings.idle, head);
+        let budget = Budget::new(settings.retries);
+        Desk::new(service.clone(), dispatch, pool, budget, self.clock.clone())
+    }
+
+    /// Services that any template names.
+    fn services(&self) -> BTreeSet<Arc<str>> {
+        let force = self.config.force();
+        let templates = force.templates.values();
+        templates
+            .flat_map(|template| template.services.keys().cloned())
+            .collect()
+    }
+
+    fn deal(&self, desk: &Desk) {
+        let Some(parts) = self.parts.get() else {
+            return;
+        };
+        let own = &self.settings.instance.name;
+        let mut gateways = parts.membership.members().present(Role::Gateway);
+        if !gateways.contains(own) {
+            gateways.push(own.clone());
+        }
+        desk.with(|dispatch, _| dispatch.deal(&gateways, own));
+    }
+}
+
+/// Keeps services and endpoints in step with the templates and the platform.
+async fn follow_roster(
+    shared: Arc<Shared>,
+    roster: Arc<dyn Roster>,
+    wire: wire::Wire,
+    tally: Arc<Tally>,
+) {
+    let mut helpers = JoinSet::new();
+    let mut ticks = time::interval(shared.settings.platform.refresh);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let mut force = shared.config.subscribe();
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            _ = force.changed() => {}
+        }
+        for service in shared.services() {
+            let known = shared.router.desk(&service).is_some();
+            shared
+                .router
+                .add_desk(&service, || shared.open_desk(&service));
+            let Some(desk) = shared.router.desk(&service) else {
+                continue;
+            };
+            if !known {
+                helpers.spawn(prober::run(desk.clone()));
+                if let Some(lender) = lender_of(&shared, &desk, &wire, &tally) {
+                    helpers.spawn(lender.run());
+                }
+            }
+            let Ok(instances) = roster.instances(&service).await else {
+                continue;
+            };
+            // An empty list is more likely the platform's trouble than the truth;
+            // endpoints that are gone show themselves by refusing connections.
+            if !instances.is_empty() {
+                let listings: Vec<Listing> = instances.iter().map(listing_of).collect();
+                desk.with(|dispatch, _| dispatch.list(&listings));
+                shared.seen.lock().insert(service.clone());
+            }
+            shared.deal(&desk);
+        }
+    }
+}
+
+fn lender_of(
+    shared: &Shared,
+    desk: &Arc<Desk>,
+    wire: &wire::Wire,
+    tally: &Arc<Tally>,
+) -> Option<Lender> {
+    let parts = shared.parts.get()?;
+    let dealt = shared.settings.gateway.routing == balance::Kind::Dealt;
+    dealt.then(|| Lender {
+        desk: desk.clone(),
+        own: shared.settings.instance.name.clone(),
+        membership: parts.membership.clone(),
+        wire: wire.clone(),
+        tally: tally.clone(),
+    })
+}
+
+fn listing_of(instance: &Instance) -> Listing {
+    Listing {
+        name: instance.name.clone(),
+        address: instance.address,
+        slots: instance.slots.max(1),
+        phase: instance.phase,
+    }
+}
+
+/// The gateway as other processes and operators see it.
+struct Local {
+    shared: Arc<Shared>,
+}
+
+fn not_here<T>(step: &'static str) -> Called<'static, T>
+where
+    T: Send + 'static,
+{
+    Box::pin(async move {
+        Err(Failure::none(
+            step,
+            "gateway",
+            "this process is no scheduler",
+        ))
+    })
+}
+
+impl Peer for Local {
+    fn greet(&self, mine: Greeting) -> Called<'_, Greeting> {
+        self.shared.config.heard(mine.revision);
+        Box::pin(async { Ok(self.shared.greeting()) })
+    }
+
+    fn lend(&self, ask: Ask) -> Called<'_, Vec<(u64, u32)>> {
+        Box::pin(async move {
+            let Some(desk) = self.shared.router.desk(&ask.service) else {
+                return Ok(Vec::new());
+            };
+            let term = lender::TERM;
+            Ok(desk.with(|dispatch, now| {
+                dispatch.lend(&ask.borrower, &ask.keep, ask.want, now + term, now)
+            }))
+        })
+    }
+
+    fn submit(&self, _: Arc<str>, _: Submission) -> Called<'_, Verdict> {
+        not_here("submit")
+    }
+
+    fn cancel(&self, _: Arc<str>, _: Arc<str>, _: Arc<str>) -> Called<'_, Verdict> {
+        not_here("cancel")
+    }
+
+    fn show(&self, _: Arc<str>, _: Arc<str>, _: Arc<str>) -> Called<'_, String> {
+        not_here("show")
+    }
+}
+
+impl Operated for Local {
+    fn health(&self) -> Health {
+        let seen = !self.shared.seen.lock().is_empty();
+        Health {
+            ready: seen,
+            leaving: self.shared.is_leaving(),
+        }
+    }
+
+    fn registry(&self) -> &Registry {
+        &self.shared.registry
+    }
+
+    fn dump(&self) -> BoxFuture<'_, String> {
+        Box::pin(async move { dump(&self.shared) })
+    }
+
+    fn command(&self, command: Command) -> BoxFuture<'_, Option<Said>> {
+        Box::pin(async move { self.shared.parts.get()?.jobs.command(&command).await })
+    }
+}
+
+fn dump(shared: &Shared) -> String {
+    let members: Vec<serde_json::Value> = shared.parts.get().map_or_else(Vec::new, |parts| {
+        let members = parts.membership.members();
+        members
+            .iter()
+            .filter_map(|known| serde_json::to_value(known).ok())
+            .collect()
+    });
+    let force = shared.config.force();
+    let services: BTreeMap<Arc<str>, serde_json::Value> = shared
+        .router
+        .desks()
+        .into_iter()
+        .take(SHOWN)
+        .map(|desk| (desk.name.clone(), dump_desk(&desk)))
+        .collect();
+    json!({
+        "name": shared.settings.instance.name,
+        "role": "gateway",
+        "leaving": shared.is_leaving(),
+        "revision": force.revision,
+        "accounts": force.templates.keys().take(SHOWN).collect::<Vec<_>>(),
+        "members": members,
+        "services": services,
+    })
+    .to_string()
+}
+
+fn dump_desk(desk: &Desk) -> serde_json::Value {
+    let idle = desk.pool.len();
+    desk.with(|dispatch, now| {
+        let census = dispatch.census(now);
+        let endpoints: Vec<serde_json::Value> = dispatch
+            .endpoints()
+            .iter()
+            .take(SHOWN)
+            .map(|endpoint| {
+                json!({
+                    "name": endpoint.listing.name,
+                    "address": endpoint.listing.address,
+                    "phase": endpoint.listing.phase,
+                    "in_flight": endpoint.in_flight,
+                    "dealt": endpoint.slots.dealt(),
+                    "borrowed": endpoint.slots.borrowed(now),
+                    "lent": endpoint.slots.lent(now),
+                    "failing": endpoint.health.failing(),
+                    "ejected": endpoint.health.reason(),
+                })
+            })
+            .collect();
+        json!({
+            "waiting": dispatch.waiting(),
+            "in_flight": census.in_flight,
+            "live": census.live,
+            "leaving": census.leaving,
+            "ejected": census.ejected,
+            "dealt": census.dealt,
+            "lent": census.lent,
+            "borrowed": census.borrowed,
+            "idle_connections": idle,
+            "endpoints": endpoints,
+        })
+    })
+}
--- /dev/null
+++ b/ashtiller/src/host.rs
@@ -0,0 +1,144 @@
+//! One worker as a cell's owner sees it.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::endpoint::Phase;
+use crate::fact::TaskId;
+use crate::reconcile::Ack;
+use crate::resources::{Pool, Resources};
+use crate::session::Session;
+
+/// Failures in a row, of different tasks, after which a worker is quarantined.
+const FAILURES: usize = 3;
+/// First quarantine; each further one doubles.
+const QUARANTINE_FIRST: Duration = Duration::from_secs(30);
+/// Longest quarantine.
+const QUARANTINE_MAX: Duration = Duration::from_mins(30);
+
+/// One worker.
+#[derive(Clone, Debug)]
+pub struct Host {
+    pool: Pool,
+    /// Tasks that may run on it.
+    pub tasks: BTreeSet<TaskId>,
+    /// Address, once the platform lists it.
+    pub address: Option<SocketAddr>,
+    /// Where it stands in the platform's list.
+    pub listed: Phase,
+    /// Since when the platform's list lacks it.
+    pub absent: Option<Duration>,
+    /// Rack.
+    pub rack: Arc<str>,
+    /// Lease and contact.
+    pub session: Session,
+    /// When it was last called.
+    pub called: Option<Duration>,
+    /// Whether a call is under way.
+    pub calling: bool,
+    /// Tasks that the last report showed running.
+    pub seen: BTreeSet<TaskId>,
+    /// Attempts that the last report showed running and the log does not place here.
+    pub strays: Vec<(Arc<str>, u32)>,
+    /// Reported ends to be acknowledged.
+    pub acks: Vec<Ack>,
+    failed: BTreeSet<TaskId>,
+    quarantined: Option<Duration>,
+    quarantines: u32,
+}
+
+impl Default for Host {
+    fn default() -> Self {
+        Self {
+            pool: Pool::default(),
+            tasks: BTreeSet::new(),
+            address: None,
+            listed: Phase::Live,
+            absent: None,
+            rack: Arc::from(""),
+            session: Session::new(Duration::ZERO),
+            called: None,
+            calling: false,
+            seen: BTreeSet::new(),
+            strays: Vec::new(),
+            acks: Vec::new(),
+            failed: BTreeSet::new(),
+            quarantined: None,
+            quarantines: 0,
+        }
+    }
+}
+
+impl Host {
+    /// What it has and has handed out.
+    #[must_use]
+    pub fn pool(&self) -> &Pool {
+        &self.pool
+    }
+
+    /// The same, to change its size.
+    pub fn pool_mut(&mut self) -> &mut Pool {
+        &mut self.pool
+    }
+
+    /// Counts a grant that the log records.
+    pub fn restore(&mut self, task: TaskId, needs: &Resources) {
+        self.tasks.insert(task);
+        self.pool.restore(needs);
+    }
+
+    /// Takes back a grant.
+    pub fn release(&mut self, task: TaskId, needs: &Resources) {
+        if self.tasks.remove(&task) {
+            self.pool.release(needs);
+        }
+    }
+
+    /// Whether a new attempt may be placed here.
+    #[must_use]
+    pub fn takes(&self, now: Duration, silence: Duration) -> bool {
+        self.listed == Phase::Live
+            && self.absent.is_none()
+            && self.address.is_some()
+            && self.session.boot().is_some()
+            && self.session.silence(now) < silence
+            && self.may_start(now)
+    }
+
+    /// After a quarantine one task is let in as a probe.
+    fn may_start(&self, now: Duration) -> bool {
+        match self.quarantined {
+            None => true,
+            Some(until) => now >= until && self.tasks.is_empty(),
+        }
+    }
+
+    /// Whether it is in quarantine or on probation.
+    #[must_use]
+    pub fn is_quarantined(&self) -> bool {
+        self.quarantined.is_some()
+    }
+
+    /// An attempt failed here; true when the worker enters quarantine.
+    pub fn note_failure(&mut self, task: TaskId, now: Duration) -> bool {
+        self.failed.insert(task);
+        let probation = self.quarantined.is_some();
+        if self.failed.len() < FAILURES && !probation {
+            return false;
+        }
+        let time = QUARANTINE_FIRST.saturating_mul(1 << self.quarantines.min(10));
+        self.quarantined = Some(now + time.min(QUARANTINE_MAX));
+        self.quarantines += 1;
+        self.failed.clear();
+        true
+    }
+
+    /// An attempt finished here.
+    pub fn note_success(&mut self) {
+        self.failed.clear();
+        self.quarantined = None;
+        self.quarantines = self.quarantines.saturating_sub(1);
+    }
+}
--- /dev/null
+++ b/ashtiller/src/journal.rs
@@ -0,0 +1,424 @@
+//! A cell's log and snapshots in the store.
+//!
+//! Entries are keys that are created if absent, at positions that rise by one.
+//! Whoever creates the entry at a position has written it; an owner that finds
+//! another's entry there has been superseded. Taking over is writing a seal, so
+//! it needs no clock and no lock. Blocks of entries before a snapshot are deleted
+//! as a whole, but a block with a young seal stays: a paused owner that wakes
+//! finds the seal where its next entry would go, not a gap.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use tokio::time;
+
+use crate::cell::{Cell, Lasting};
+use crate::fact::{Body, Entry};
+use crate::failure::{Effect, Failure};
+use crate::record::{self, Damage};
+use crate::session::Terms;
+use crate::store::Store;
+
+/// Prefix of all cells.
+pub const PREFIX: &str = "ashtiller/cells/";
+/// Positions in one block.
+const BLOCK: u64 = 256;
+/// Bytes in one chunk of a snapshot.
+const CHUNK: usize = 512 << 10;
+/// Age after which a seal may be cut.
+const SEAL_AGE: u64 = 24 * 3600;
+/// First pause before a write with an unknown outcome is tried again.
+const PAUSE_MIN: Duration = Duration::from_millis(20);
+/// Longest such pause.
+const PAUSE_MAX: Duration = Duration::from_secs(1);
+
+/// Why a cell cannot be opened.
+#[derive(Debug, thiserror::Error)]
+pub enum OpenError {
+    /// The store could not be asked; try again.
+    #[error(transparent)]
+    Store(#[from] Failure),
+    /// The log holds what this program cannot use; the cell stays closed.
+    #[error("{key}: {damage}")]
+    Damaged {
+        /// Key of the record.
+        key: String,
+        /// What is wrong with it.
+        damage: Damage,
+    },
+    /// A position is missing; another owner cuts the log just now, or it is damaged.
+    #[error("log of cell {cell}: position {position} is missing")]
+    Gap {
+        /// Cell.
+        cell: Arc<str>,
+        /// First position that is missing.
+        position: u64,
+    },
+}
+
+/// Where the newest snapshot is.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+struct Head {
+    position: u64,
+    epoch: u64,
+    chunks: u32,
+}
+
+/// What became of an entry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Appended {
+    /// It is durable.
+    Durable,
+    /// Another owner's entry stands there.
+    Superseded,
+}
+
+/// The log of a cell, as its owner writes it.
+#[derive(Clone)]
+pub struct Journal {
+    store: Arc<dyn Store>,
+    cell: Arc<str>,
+    writer: u64,
+    epoch: u64,
+    seals: BTreeMap<u64, u64>,
+    head: Head,
+    head_index: u64,
+    cut_to: u64,
+    garbage: Vec<String>,
+}
+
+/// An opened cell.
+pub struct Opened {
+    /// Its log.
+    pub journal: Journal,
+    /// Its state.
+    pub cell: Cell,
+    /// Position of the next entry.
+    pub next: u64,
+    /// How long leases of the last owner may go on after the seal.
+    pub former: Duration,
+}
+
+struct Replay {
+    cell: Cell,
+    next: u64,
+    epoch: u64,
+    former: Duration,
+    seals: BTreeMap<u64, u64>,
+}
+
+/// Reads a cell and takes it over by a seal of `owner`.
+///
+/// # Errors
+/// See [`OpenError`]. After an error nothing is owned, though a seal may have been
+/// written; the next try supersedes it.
+pub async fn open(
+    store: Arc<dyn Store>,
+    cell: Arc<str>,
+    owner: Arc<str>,
+    terms: &Terms,
+    horizon: Duration,
+) -> Result<Opened, OpenError> {
+    let (head, head_index) = read_head(&*store, &cell).await?;
+    let lasting = read_snapshot(&*store, &cell, &head).await?;
+    let mut replay = Replay {
+        cell: Cell::restore(lasting),
+        next: head.position + 1,
+        epoch: head.epoch,
+        former: terms.lease + terms.margin + horizon,
+        seals: BTreeMap::new(),
+    };
+    read_log(&*store, &cell, &mut replay).await?;
+    let writer = rand::random();
+    let mut journal = Journal {
+        store,
+        cell,
+        writer,
+        epoch: 0,
+        seals: BTreeMap::new(),
+        cut_to: 0,
+        garbage: Vec::new(),
+        head,
+        head_index,
+    };
+    loop {
+        journal.epoch = replay.epoch + 1;
+        let seal = Body::Seal {
+            owner: owner.clone(),
+            lease: millis(terms.lease + terms.margin),
+            horizon: millis(horizon),
+            at: now_secs(),
+        };
+        let position = replay.next;
+        let bytes = journal.encode(seal)?;
+        match journal.append(position, bytes).await {
+            Appended::Durable => {
+                journal.seals = replay.seals;
+                journal.seals.insert(position, now_secs());
+                let Replay { cell, former, .. } = replay;
+                return Ok(Opened {
+                    journal,
+                    cell,
+                    next: position + 1,
+                    former,
+                });
+            }
+            // The old owner, or a faster successor, wrote first.
+            Appended::Superseded => read_log(&*journal.store, &journal.cell, &mut replay).await?,
+        }
+    }
+}
+
+async fn read_head(store: &dyn Store, cell: &str) -> Result<(Head, u64), OpenError> {
+    let key = head_key(cell);
+    match store.get(&key).await? {
+        None => Ok((Head::default(), 0)),
+        Some(item) => Ok((decode(&key, &item.value)?, item.index)),
+    }
+}
+
+async fn read_snapshot(store: &dyn Store, cell: &str, head: &Head) -> Result<Lasting, OpenError> {
+    if head.chunks == 0 {
+        return Ok(Lasting::default());
+    }
+    let prefix = snapshot_prefix(cell, head.position, head.epoch);
+    let view = store.list(&prefix).await?;
+    if view.items.len() != head.chunks as usize {
+        return Err(OpenError::Gap {
+            cell: cell.into(),
+            position: head.position,
+        });
+    }
+    let bytes: Vec<u8> = view
+        .items
+        .iter()
+        .flat_map(|item| item.value.iter().copied())
+        .collect();
+    decode(&prefix, &bytes)
+}
+
+async fn read_log(
+    store: &dyn Store,
+    cell: &Arc<str>,
+    replay: &mut Replay,
+) -> Result<(), OpenError> {
+    let view = store.list(&log_prefix(cell)).await?;
+    for item in &view.items {
+        let Some(position) = position_of(&item.key) else {
+            continue;
+        };
+        if position > replay.next {
+            return Err(OpenError::Gap {
+                cell: cell.clone(),
+                position: replay.next,
+            });
+        }
+        let entry: Entry = decode(&item.key, &item.value)?;
+        replay_entry(replay, position, &entry);
+    }
+    Ok(())
+}
+
+fn replay_entry(replay: &mut Replay, position: u64, entry: &Entry) {
+    if let Body::Seal { at, .. } = &entry.body {
+        replay.seals.insert(position, *at);
+    }
+    if position < replay.next {
+        return;
+    }
+    replay.next = position + 1;
+    replay.epoch = replay.epoch.max(entry.epoch);
+    match &entry.body {
+        Body::Seal { lease, horizon, .. } => {
+            replay.former = Duration::from_millis(lease.saturating_add(*horizon));
+        }
+        Body::Facts(facts) => {
+            for fact in facts {
+                replay.cell.apply(fact, position, Duration::ZERO);
+            }
+        }
+        // Without horizon: the owner has said that it renews no more.
+        Body::Handover => replay.former = replay.former.min(Duration::from_mins(1)),
+    }
+}
+
+fn decode<T: serde::de::DeserializeOwned>(key: &str, bytes: &[u8]) -> Result<T, OpenError> {
+    record::decode(bytes).map_err(|damage| OpenError::Damaged {
+        key: key.to_owned(),
+        damage,
+    })
+}
+
+impl Journal {
+    /// Epoch of this owner.
+    #[must_use]
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Encodes an entry of this owner.
+    ///
+    /// # Errors
+    /// The entry cannot be written.
+    pub fn encode(&self, body: Body) -> Result<Bytes, OpenError> {
+        let entry = Entry {
+            epoch: self.epoch,
+            writer: self.writer,
+            body,
+        };
+        let bytes = record::encode(&entry).map_err(|damage| OpenError::Damaged {
+            key: log_prefix(&self.cell),
+            damage,
+        })?;
+        Ok(bytes.into())
+    }
+
+    /// Writes an entry and returns when its fate is known, however long the store
+    /// is down: an unknown outcome is read back, and the same bytes are written
+    /// again only where nothing stands.
+    pub async fn append(&self, position: u64, bytes: Bytes) -> Appended {
+        let key = log_key(&self.cell, position);
+        let mut pause = PAUSE_MIN;
+        loop {
+            let swapped = self.store.swap(&key, bytes.clone(), 0).await;
+            match self.fate(&key, &bytes, swapped).await {
+                Fate::Known(appended) => return appended,
+                Fate::Unknown => {
+                    time::sleep(pause).await;
+                    pause = (pause * 2).min(PAUSE_MAX);
+                }
+            }
+        }
+    }
+
+    async fn fate(&self, key: &str, bytes: &Bytes, swapped: Result<bool, Failure>) -> Fate {
+        match swapped {
+            Ok(true) => return Fate::Known(Appended::Durable),
+            Err(failure) if failure.effect == Effect::None => return Fate::Unknown,
+            _ => {}
+        }
+        match self.store.get(key).await {
+            Ok(Some(item)) if item.value == *bytes => Fate::Known(Appended::Durable),
+            Ok(Some(_)) => Fate::Known(Appended::Superseded),
+            Ok(None) | Err(_) => Fate::Unknown,
+        }
+    }
+
+    /// Whether nobody has written at `position`.
+    ///
+    /// # Errors
+    /// The store cannot be asked.
+    pub async fn is_free(&self, position: u64) -> Result<bool, Failure> {
+        Ok(self
+            .store
+            .get(&log_key(&self.cell, position))
+            .await?
+            .is_none())
+    }
+
+    /// Writes a snapshot of the state after `position`, which must be durable, and
+    /// cuts the log before it. Returns the journal with the new head.
+    ///
+    /// # Errors
+    /// The store cannot be asked; the old snapshot and log stay good.
+    pub async fn snapshot(mut self, position: u64, state: Bytes) -> Result<Self, Failure> {
+        let prefix = snapshot_prefix(&self.cell, position, self.epoch);
+        let mut chunks = 0;
+        for chunk in state.chunks(CHUNK) {
+            let key = format!("{prefix}{chunks:04}");
+            self.store
+                .swap(&key, Bytes::copy_from_slice(chunk), 0)
+                .await?;
+            chunks += 1;
+        }
+        let old = std::mem::replace(
+            &mut self.head,
+            Head {
+                position,
+                epoch: self.epoch,
+                chunks,
+            },
+        );
+        let value = record::encode(&self.head)
+            .map_err(|damage| Failure::none("snapshot", &self.cell, damage))?;
+        let key = head_key(&self.cell);
+        if !self.store.swap(&key, value.into(), self.head_index).await? {
+            return Err(Failure::none(
+                "snapshot",
+                &self.cell,
+                "another owner wrote one",
+            ));
+        }
+        self.head_index = self.store.get(&key).await?.map_or(0, |item| item.index);
+        if old.chunks > 0 {
+            self.garbage
+                .push(snapshot_prefix(&self.cell, old.position, old.epoch));
+        }
+        self.cut(position).await;
+        Ok(self)
+    }
+
+    /// Deletes what the snapshot replaces; what cannot be deleted now is deleted
+    /// with the next snapshot.
+    async fn cut(&mut self, position: u64) {
+        let now = now_secs();
+        self.seals
+            .retain(|_, at| now.saturating_sub(*at) < SEAL_AGE);
+        for block in self.cut_to..position / BLOCK {
+            let range = block * BLOCK..(block + 1) * BLOCK;
+            if self.seals.range(range).next().is_none() {
+                self.garbage.push(block_prefix(&self.cell, block));
+            }
+        }
+        self.cut_to = position / BLOCK;
+        while let Some(prefix) = self.garbage.pop() {
+            if self.store.remove_all(&prefix).await.is_err() {
+                self.garbage.push(prefix);
+                return;
+            }
+        }
+    }
+}
+
+enum Fate {
+    Known(Appended),
+    Unknown,
+}
+
+fn log_prefix(cell: &str) -> String {
+    format!("{PREFIX}{cell}/log/")
+}
+
+fn block_prefix(cell: &str, block: u64) -> String {
+    format!("{}{block:010}/", log_prefix(cell))
+}
+
+fn log_key(cell: &str, position: u64) -> String {
+    format!("{}{position:012}", block_prefix(cell, position / BLOCK))
+}
+
+fn position_of(key: &str) -> Option<u64> {
+    key.rsplit_once('/')?.1.parse().ok()
+}
+
+fn head_key(cell: &str) -> String {
+    format!("{PREFIX}{cell}/snapshot-head")
+}
+
+fn snapshot_prefix(cell: &str, position: u64, epoch: u64) -> String {
+    format!("{PREFIX}{cell}/snapshot/{position:012}-{epoch}/")
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn now_secs() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_secs()
+}
--- /dev/null
+++ b/ashtiller/src/plan.rs
@@ -0,0 +1,371 @@
+//! Decisions of a cell's owner: what to place, evict and give up as lost.
+//!
+//! Each decision becomes a fact that is applied at once, so that the next one
+//! sees it; nothing is done at a worker before the fact is durable.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::backlog::{RANKS, Rank};
+use crate::cell::Cell;
+use crate::endpoint;
+use crate::evict;
+use crate::fact::{Attempt, End, Fact, TaskId};
+use crate::fit::Fit;
+use crate::host::Host;
+use crate::job::Phase;
+use crate::peer::{Submission, Verdict};
+use crate::resources::Resources;
+use crate::session::Terms;
+
+/// Queued tasks of one account that are looked at for one that may start.
+const LOOK_AHEAD: usize = 16;
+/// Facts in one round, so that a log entry stays small.
+pub const FACTS_MAX: usize = 2000;
+/// An ended job is shown this long.
+const REMEMBER: Duration = Duration::from_mins(30);
+/// A worker held back for an urgent task is let go after this time.
+const PLEDGE: Duration = Duration::from_secs(30);
+
+/// A worker held back until a task can start on it.
+#[derive(Clone, Debug)]
+struct Pledge {
+    worker: Arc<str>,
+    until: Duration,
+}
+
+/// Decides for one cell.
+pub struct Planner {
+    fit: Box<dyn Fit>,
+    terms: Terms,
+    pledges: BTreeMap<TaskId, Pledge>,
+}
+
+impl Planner {
+    /// A planner that chooses workers by `fit`.
+    #[must_use]
+    pub fn new(fit: Box<dyn Fit>, terms: Terms) -> Self {
+        Self {
+            fit,
+            terms,
+            pledges: BTreeMap::new(),
+        }
+    }
+
+    /// One round of decisions; the facts belong to the entry at `position`.
+    pub fn round(&mut self, cell: &mut Cell, position: u64, now: Duration) -> Vec<Fact> {
+        let mut facts = Vec::new();
+        self.find_lost(cell, &mut facts, position, now);
+        empty_leaving(cell, &mut facts, position, now);
+        forget_ended(cell, &mut facts, position, now);
+        self.pledges.retain(|task, pledge| {
+            let queued = cell
+                .task(*task)
+                .is_some_and(|(task, _)| task.phase == Phase::Queued);
+            queued && pledge.until > now
+        });
+        for rank in RANKS {
+            self.place_rank(cell, rank, &mut facts, position, now);
+        }
+        facts
+    }
+
+    fn find_lost(&self, cell: &mut Cell, facts: &mut Vec<Fact>, position: u64, now: Duration) {
+        let lost: Vec<TaskId> = cell
+            .hosts
+            .values()
+            .filter(|host| self.is_lost(host, now))
+            .flat_map(|host| host.tasks.iter().copied())
+            .take(FACTS_MAX)
+            .collect();
+        for id in lost {
+            let Some((task, _)) = cell.task(id) else {
+                continue;
+            };
+            let attempt = Attempt {
+                task: id,
+                number: task.attempt,
+            };
+            record(cell, facts, Fact::Ended(attempt, End::Lost), position, now);
+        }
+    }
+
+    /// Whether every lease that the worker may hold has ended for certain.
+    fn is_lost(&self, host: &Host, now: Duration) -> bool {
+        let lapsed = now >= host.session.bound();
+        let wait = self.terms.lease + self.terms.margin;
+        let gone = host.absent.is_some_and(|since| now >= since + wait);
+        !host.tasks.is_empty() && (lapsed || (gone && host.session.silence(now) >= wait))
+    }
+
+    fn place_rank(
+        &mut self,
+        cell: &mut Cell,
+        rank: Rank,
+        facts: &mut Vec<Fact>,
+        position: u64,
+        now: Duration,
+    ) {
+        let mut turns: BinaryHeap<Reverse<(u64, Arc<str>)>> = cell
+            .backlog()
+            .accounts(rank)
+            .map(|name| turn(cell, name))
+            .collect();
+        while let Some(Reverse((_, account))) = turns.pop() {
+            if facts.len() >= FACTS_MAX {
+                return;
+            }
+            if self.place_one(cell, rank, &account, facts, position, now) {
+                turns.push(turn(cell, &account));
+            }
+        }
+    }
+
+    /// Places one task of an account; false when none of those looked at can start.
+    fn place_one(
+        &mut self,
+        cell: &mut Cell,
+        rank: Rank,
+        account: &Arc<str>,
+        facts: &mut Vec<Fact>,
+        position: u64,
+        now: Duration,
+    ) -> bool {
+        let queued: Vec<TaskId> = cell
+            .backlog()
+            .queued(rank, account)
+            .take(LOOK_AHEAD)
+            .collect();
+        let mut tried: Vec<Resources> = Vec::new();
+        for id in queued {
+            let Some((task, submission)) = cell.task(id) else {
+                continue;
+            };
+            let needs = submission.needs;
+            let quota = cell
+                .accounts()
+                .get(account)
+                .is_some_and(|held| held.pool.grants(&needs));
+            if task.after > now || !quota || tried.contains(&needs) {
+                continue;
+            }
+            let number = task.attempt + 1;
+            if let Some((worker, boot)) = self.choose(cell, id, rank, now) {
+                let attempt = Attempt { task: id, number };
+                record(
+                    cell,
+                    facts,
+                    Fact::Placed {
+                        attempt,
+                        worker,
+                        boot,
+                    },
+                    position,
+                    now,
+                );
+                self.pledges.remove(&id);
+                return true;
+            }
+            tried.push(needs);
+            if rank != Rank::Batch {
+                self.make_room(cell, id, facts, position, now);
+            }
+        }
+        false
+    }
+
+    fn choose(
+        &self,
+        cell: &Cell,
+        id: TaskId,
+        rank: Rank,
+        now: Duration,
+    ) -> Option<(Arc<str>, u64)> {
+        let (task, submission) = cell.task(id)?;
+        let pledged = self.pledged(id, rank);
+        let candidates = cell.hosts.iter().filter(|(name, host)| {
+            host.pool().grants(&submission.needs)
+                && host.takes(now, self.terms.lease)
+                && !pledged.contains(*name)
+        });
+        // A task that failed somewhere goes elsewhere while there is an elsewhere.
+        let cost = |(name, host): (&Arc<str>, &Host)| {
+            let again = f64::from(u8::from(task.failed_on.contains(name)));
+            self.fit.cost(name, host, submission) + 1000.0 * again
+        };
+        let best = candidates.min_by(|one, other| cost(*one).total_cmp(&cost(*other)))?;
+        Some((best.0.clone(), best.1.session.boot()?))
+    }
+
+    /// Workers held back for others.
+    fn pledged(&self, id: TaskId, rank: Rank) -> BTreeSet<Arc<str>> {
+        if rank == Rank::Urgent || self.pledges.is_empty() {
+            return BTreeSet::new();
+        }
+        let others = self.pledges.iter().filter(|(task, _)| **task != id);
+        others.map(|(_, pledge)| pledge.worker.clone()).collect()
+    }
+
+    fn make_room(
+        &mut self,
+        cell: &mut Cell,
+        id: TaskId,
+        facts: &mut Vec<Fact>,
+        position: u64,
+        now: Duration,
+    ) {
+        if self.pledges.contains_key(&id) {
+            return;
+        }
+        let Some((_, submission)) = cell.task(id) else {
+            return;
+        };
+        let needs = submission.needs;
+        let Some((worker, victims)) = evict::choose(cell, &needs, self.terms.lease, now) else {
+            return;
+        };
+        for victim in victims {
+            record(cell, facts, Fact::Evicting(victim), position, now);
+        }
+        self.pledges.insert(
+            id,
+            Pledge {
+                worker,
+                until: now + PLEDGE,
+            },
+        );
+    }
+}
+
+/// Accounts that hold the smallest share of their quota come first.
+fn turn(cell: &Cell, account: &Arc<str>) -> Reverse<(u64, Arc<str>)> {
+    let share = cell
+        .accounts()
+        .get(account)
+        .map_or(0.0, |held| held.pool.taken().share_of(held.pool.whole()));
+    // Non-negative floats order as their bits do.
+    Reverse((share.to_bits(), account.clone()))
+}
+
+fn record(cell: &mut Cell, facts: &mut Vec<Fact>, fact: Fact, position: u64, now: Duration) {
+    cell.apply(&fact, position, now);
+    facts.push(fact);
+}
+
+/// Moves tasks off workers that are leaving.
+fn empty_leaving(cell: &mut Cell, facts: &mut Vec<Fact>, position: u64, now: Duration) {
+    let leaving: Vec<TaskId> = cell
+        .hosts
+        .values()
+        .filter(|host| host.listed == endpoint::Phase::Leaving)
+        .flat_map(|host| host.tasks.iter().copied())
+        .collect();
+    for id in leaving {
+        let Some((task, _)) = cell.task(id) else {
+            continue;
+        };
+        if matches!(task.phase, Phase::Placed(_)) {
+            let attempt = Attempt {
+                task: id,
+                number: task.attempt,
+            };
+            record(cell, facts, Fact::Evicting(attempt), position, now);
+        }
+    }
+}
+
+fn forget_ended(cell: &mut Cell, facts: &mut Vec<Fact>, position: u64, now: Duration) {
+    let old: Vec<u32> = cell
+        .lasting()
+        .jobs
+        .iter()
+        .filter(|(_, job)| job.is_over() && job.ended.unwrap_or_default() + REMEMBER < now)
+        .map(|(number, _)| *number)
+        .take(FACTS_MAX)
+        .collect();
+    for number in old {
+        record(cell, facts, Fact::Forgotten(number), position, now);
+    }
+}
+
+/// Checks a submission and records it.
+pub fn submit(
+    cell: &mut Cell,
+    submission: Submission,
+    position: u64,
+    now: Duration,
+) -> (Verdict, Option<Fact>) {
+    if let Some(known) = cell.find(&submission.account, &submission.job) {
+        let same = cell
+            .job(known)
+            .is_some_and(|job| same_work(&job.submission, &submission));
+        if same {
+            return (Verdict::Known, None);
+        }
+        return (
+            Verdict::Conflict("the name is taken by another job".into()),
+            None,
+        );
+    }
+    if let Some(reason) = impossible(cell, &submission) {
+        return (Verdict::Never(reason.into()), None);
+    }
+    let fact = Fact::Submitted(Box::new(submission));
+    cell.apply(&fact, position, now);
+    (Verdict::Accepted, Some(fact))
+}
+
+/// The quota may have changed between two submissions of the same work.
+fn same_work(one: &Submission, other: &Submission) -> bool {
+    one.kind == other.kind
+        && one.tasks == other.tasks
+        && one.needs == other.needs
+        && one.class == other.class
+        && one.length == other.length
+        && one.urgent == other.urgent
+}
+
+fn impossible(cell: &Cell, submission: &Submission) -> Option<String> {
+    if submission.tasks == 0 {
+        return Some("the job has no tasks".to_owned());
+    }
+    let needs = &submission.needs;
+    if !needs.fits(&submission.quota) {
+        return Some(format!(
+            "a task needs {needs}; the account's quota is {}",
+            submission.quota
+        ));
+    }
+    let listed = || cell.hosts.values().filter(|host| host.address.is_some());
+    let possible = listed().any(|host| needs.fits(host.pool().whole()));
+    if possible || listed().next().is_none() {
+        return None;
+    }
+    Some(format!(
+        "a task needs {needs}; no worker of this cell has that much"
+    ))
+}
+
+/// Records the cancellation of a job.
+pub fn cancel(
+    cell: &mut Cell,
+    account: &Arc<str>,
+    job: &Arc<str>,
+    position: u64,
+    now: Duration,
+) -> (Verdict, Option<Fact>) {
+    let Some(number) = cell.find(account, job) else {
+        return (Verdict::Missing, None);
+    };
+    if cell
+        .job(number)
+        .is_some_and(|job| job.cancelled || job.is_over())
+    {
+        return (Verdict::Known, None);
+    }
+    let fact = Fact::Cancelled(number);
+    cell.apply(&fact, position, now);
+    (Verdict::Accepted, Some(fact))
+}
--- /dev/null
+++ b/ashtiller/src/record.rs
@@ -0,0 +1,56 @@
+//! Bytes of log entries and snapshots: a version, a checksum and a body.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Version that this code writes.
+const VERSION: u8 = 1;
+/// Bytes before the body: version and CRC-32 of the body.
+const PREFIX: usize = 5;
+
+/// Why a record cannot be used.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Damage {
+    /// Shorter than its prefix.
+    #[error("the record has {0} bytes, fewer than its prefix")]
+    Short(usize),
+    /// Written by a newer program.
+    #[error("the record has version {0}; this program reads version {VERSION}")]
+    Version(u8),
+    /// The checksum does not match.
+    #[error("the record's checksum does not match")]
+    Checksum,
+    /// The body does not decode.
+    #[error("the record's body does not decode: {0}")]
+    Body(String),
+}
+
+/// Encodes a record.
+///
+/// # Errors
+/// The value cannot be written.
+pub fn encode(value: &impl Serialize) -> Result<Vec<u8>, Damage> {
+    let body = postcard::to_stdvec(value).map_err(|error| Damage::Body(error.to_string()))?;
+    let mut record = Vec::with_capacity(PREFIX + body.len());
+    record.push(VERSION);
+    record.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
+    record.extend_from_slice(&body);
+    Ok(record)
+}
+
+/// Decodes a record.
+///
+/// # Errors
+/// The record is damaged or from a newer program.
+pub fn decode<T: DeserializeOwned>(record: &[u8]) -> Result<T, Damage> {
+    let Some((prefix, body)) = record.split_at_checked(PREFIX) else {
+        return Err(Damage::Short(record.len()));
+    };
+    if prefix[0] != VERSION {
+        return Err(Damage::Version(prefix[0]));
+    }
+    if prefix[1..] != crc32fast::hash(body).to_le_bytes() {
+        return Err(Damage::Checksum);
+    }
+    postcard::from_bytes(body).map_err(|error| Damage::Body(error.to_string()))
+}
--- /dev/null
+++ b/ashtiller/src/router.rs
@@ -0,0 +1,613 @@
+//! A caller's request on its way through the gateway.
+//!
+//! A request is checked, gets a slot, and is sent. What may be repeated is sent
+//! again after a failure, within the deadline and a budget; everything else is
+//! sent at most once. Once a request may have run, no later refusal may call it
+//! not run.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use parking_lot::RwLock;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::http::{request, response};
+use hyper::{Request, Response, StatusCode, Uri};
+use rand::RngExt;
+use tokio::time;
+
+use crate::claims::{self, Claim, Claimed, Claims};
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::desk::{Admitted, Desk, Slot};
+use crate::download::{Download, Flight};
+use crate::endpoint::Endpoint;
+use crate::headers;
+use crate::health::Sample;
+use crate::line::Ticket;
+use crate::outcome::{self, Outcome, Verdict};
+use crate::pool::Link;
+use crate::settings;
+use crate::tally::Tally;
+use crate::template::Service;
+use crate::unit;
+use crate::upload::Upload;
+
+/// Header that names the client account.
+pub const ACCOUNT: &str = "client-account";
+/// Header that sets the time limit of a request, such as `800ms`.
+pub const TIMEOUT: &str = "request-timeout";
+/// Header that makes a caller's own repeat recognisable.
+pub const KEY: &str = "idempotency-key";
+/// Header in which the gateway names the endpoint that answered.
+const ENDPOINT: HeaderName = HeaderName::from_static("ashtiller-endpoint");
+/// Longest idempotency key.
+const KEY_MAX: usize = 255;
+/// Attempts for one request.
+const ATTEMPTS_MAX: u32 = 3;
+/// Share of the time left that a first attempt of a repeatable request may take.
+const FIRST_SHARE: f64 = 0.6;
+/// When to come back after a failure that says nothing of the backlog.
+const AFTER: Duration = Duration::from_millis(500);
+/// Seed of the second half of a key's hash.
+const KEY_SEED: u64 = 0x6173_6874_696c_6c65;
+
+/// Routes callers' requests.
+pub struct Router {
+    settings: settings::Gateway,
+    config: Arc<Config>,
+    claims: Claims,
+    tally: Arc<Tally>,
+    clock: Arc<dyn Clock>,
+    desks: RwLock<HashMap<Arc<str>, Arc<Desk>>>,
+    ids: AtomicU64,
+    life: u64,
+}
+
+/// What a request asks for.
+struct Plan {
+    desk: Arc<Desk>,
+    service: Service,
+    account: Arc<str>,
+    deadline: Duration,
+    repeat: bool,
+    claim: Option<Claim>,
+    target: Uri,
+}
+
+/// A request's body between attempts.
+enum Held {
+    Kept(Bytes),
+    Stream(Box<Incoming>),
+    Spent,
+}
+
+/// State of a request over its attempts.
+struct Course {
+    attempts: u32,
+    avoid: Option<u64>,
+    claimed: Option<Box<str>>,
+    may_have_run: bool,
+}
+
+/// The end of one attempt.
+enum Attempt {
+    /// An answer for the caller.
+    Answer(Response<Download>),
+    /// The endpoint did not run it.
+    NotRun(Verdict),
+    /// The endpoint may have run it.
+    Unknown(Verdict),
+}
+
+impl Router {
+    /// A router without services; [`Router::set_desks`] brings them.
+    #[must_use]
+    pub fn new(
+        settings: settings::Gateway,
+        config: Arc<Config>,
+        claims: Claims,
+        tally: Arc<Tally>,
+        clock: Arc<dyn Clock>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            settings,
+            config,
+            claims,
+            tally,
+            clock,
+            desks: RwLock::default(),
+            ids: AtomicU64::new(1),
+            life: rand::random(),
+        })
+    }
+
+    /// The services.
+    #[must_use]
+    pub fn desks(&self) -> Vec<Arc<Desk>> {
+        self.desks.read().values().cloned().collect()
+    }
+
+    /// One service.
+    #[must_use]
+    pub fn desk(&self, service: &str) -> Option<Arc<Desk>> {
+        self.desks.read().get(service).cloned()
+    }
+
+    /// Adds a service unless it is known.
+    pub fn add_desk(&self, service: &Arc<str>, open: impl FnOnce() -> Arc<Desk>) {
+        self.desks
+            .write()
+            .entry(service.clone())
+            .or_insert_with(open);
+    }
+
+    /// Serves one request.
+    pub async fn serve(&self, request: Request<Incoming>) -> Response<Download> {
+        self.tally.requests.inc();
+        let began = self.clock.now();
+        let served = self.try_serve(request).await;
+        self.tally.requests.dec();
+        match served {
+            Ok(answer) => {
+                let took = self.clock.now().saturating_sub(began);
+                self.tally.latency.observe(took.as_secs_f64());
+                answer
+            }
+            Err(verdict) => self.end(&verdict),
+        }
+    }
+
+    fn end(&self, verdict: &Verdict) -> Response<Download> {
+        self.tally
+            .ended
+            .with_label_values(&[verdict.outcome.name()])
+            .inc();
+        let jitter = rand::rng().random_range(0.0..1.0);
+        verdict.answer(jitter).map(Download::Own)
+    }
+
+    async fn try_serve(&self, request: Request<Incoming>) -> Result<Response<Download>, Verdict> {
+        let (head, incoming) = request.into_parts();
+        let plan = self.plan(&head).inspect_err(|_| self.tally.wrong.inc())?;
+        let mut body = self
+            .hold_body(&plan, incoming)
+            .await
+            .inspect_err(|_| self.tally.wrong.inc())?;
+        plan.desk.budget.lock().earn();
+        let mut course = Course {
+            attempts: 0,
+            avoid: None,
+            claimed: None,
+            may_have_run: false,
+        };
+        loop {
+            let verdict = match self.attempt(&plan, &mut course, &head, &mut body).await {
+                Attempt::Answer(answer) => return Ok(answer),
+                Attempt::NotRun(verdict) if body.is_spent() => verdict,
+                Attempt::NotRun(verdict) => {
+                    if self.may_retry(&plan, &course, &verdict) {
+                        continue;
+                    }
+                    verdict
+                }
+                Attempt::Unknown(verdict) => {
+                    course.may_have_run = true;
+                    let retry = plan.repeat && !body.is_spent();
+                    if retry && self.may_retry(&plan, &course, &verdict) {
+                        continue;
+                    }
+                    verdict
+                }
+            };
+            return Err(self.conclude(&plan, &course, verdict));
+        }
+    }
+
+    /// The last word on a request: never "not run" once it may have run.
+    fn conclude(&self, plan: &Plan, course: &Course, mut verdict: Verdict) -> Verdict {
+        if course.may_have_run {
+            verdict.outcome = Outcome::Unknown;
+            return verdict;
+        }
+        if let (Some(key), Some(claim)) = (&course.claimed, &plan.claim) {
+            self.claims.undo(key.clone(), claim);
+        }
+        verdict
+    }
+
+    fn plan(&self, head: &request::Parts) -> Result<Plan, Verdict> {
+        headers::check(&head.method, head.version, &head.headers)?;
+        let wrong = Verdict::wrong;
+        let (service, target) = split_target(&head.uri)
+            .ok_or_else(|| wrong(StatusCode::BAD_REQUEST, "the path names no service"))?;
+        let account = header(head, ACCOUNT).ok_or_else(|| {
+            wrong(
+                StatusCode::FORBIDDEN,
+                "the header client-account is missing",
+            )
+        })?;
+        let force = self.config.force();
+        let (account, template) = force
+            .templates
+            .get_key_value(account)
+            .ok_or_else(|| wrong(StatusCode::FORBIDDEN, "this client account is not known"))?;
+        let known = template.services.get(service);
+        let settings = known.ok_or_else(|| {
+            wrong(
+                StatusCode::NOT_FOUND,
+                "the client account has no such service",
+            )
+        })?;
+        let desk = self.desk(service).ok_or_else(|| {
+            let reason = "the service is not open yet";
+            Verdict::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, AFTER)
+        })?;
+        let timeout = read_timeout(head)?.map_or(settings.timeout, |own| own.min(settings.timeout));
+        let repeat = settings.may_repeat(head.method.as_str());
+        let claim = if repeat {
+            None
+        } else {
+            self.read_claim(head, account)?
+        };
+        Ok(Plan {
+            desk,
+            service: settings.clone(),
+            account: account.clone(),
+            deadline: self.clock.now() + timeout,
+            repeat,
+            claim,
+            target,
+        })
+    }
+
+    fn read_claim(
+        &self,
+        head: &request::Parts,
+        account: &Arc<str>,
+    ) -> Result<Option<Claim>, Verdict> {
+        let Some(value) = head.headers.get(KEY) else {
+            return Ok(None);
+        };
+        let key = value.as_bytes();
+        if key.is_empty() || key.len() > KEY_MAX || head.headers.get_all(KEY).iter().count() > 1 {
+            let reason = "Idempotency-Key needs 1 to 255 characters, once";
+            return Err(Verdict::wrong(StatusCode::BAD_REQUEST, reason));
+        }
+        let low = xxhash_rust::xxh3::xxh3_64(key);
+        let high = xxhash_rust::xxh3::xxh3_64_with_seed(key, KEY_SEED);
+        let key = u128::from(high) << 64 | u128::from(low);
+        let nonce = self
+            .life
+            .wrapping_add(self.ids.fetch_add(1, Ordering::Relaxed));
+        Ok(Some(Claim {
+            account: account.clone(),
+            key,
+            nonce,
+        }))
+    }
+
+    async fn hold_body(&self, plan: &Plan, body: Incoming) -> Result<Held, Verdict> {
+        let too_large = || Verdict::wrong(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+        let size = body.size_hint();
+        if size.lower() > self.settings.body {
+            return Err(too_large());
+        }
+        if size.upper().is_none_or(|size| size > self.settings.replay) {
+            return Ok(Held::Stream(Box::new(body)));
+        }
+        let left = plan.deadline.saturating_sub(self.clock.now());
+        let late = |_| Verdict::wrong(StatusCode::REQUEST_TIMEOUT, "the body came too late");
+        let broken = |_| Verdict::wrong(StatusCode::BAD_REQUEST, "the body broke off");
+        let body = time::timeout(left, body.collect())
+            .await
+            .map_err(late)?
+            .map_err(broken)?;
+        Ok(Held::Kept(body.to_bytes()))
+    }
+
+    fn may_retry(&self, plan: &Plan, course: &Course, verdict: &Verdict) -> bool {
+        // A refusal of the admission is final; only what an endpoint did is retried.
+        let refused = verdict.status == StatusCode::TOO_MANY_REQUESTS || course.avoid.is_none();
+        if refused || course.attempts >= ATTEMPTS_MAX || self.clock.now() >= plan.deadline {
+            return false;
+        }
+        let spent = plan.desk.budget.lock().spend();
+        if spent {
+            self.tally.retries.inc();
+        } else {
+            self.tally.unspent.inc();
+        }
+        spent
+    }
+
+    async fn attempt(
+        &self,
+        plan: &Plan,
+        course: &mut Course,
+        head: &request::Parts,
+        body: &mut Held,
+    ) -> Attempt {
+        let avoid = course.avoid.take();
+        course.attempts += 1;
+        let mut slot = match plan.desk.admit(self.ticket(plan, avoid)).await {
+            Admitted::Slot(slot) => slot,
+            Admitted::Refused(refusal) => return Attempt::NotRun(Verdict::refused(refusal)),
+            Admitted::Late => {
+                let reason = "no slot became free before the deadline";
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                return Attempt::NotRun(Verdict::not_run(status, reason, AFTER));
+            }
+        };
+        if let Err(verdict) = self.claim(plan, course).await {
+            return Attempt::NotRun(verdict);
+        }
+        let Some(endpoint) = plan.desk.endpoint(slot.endpoint) else {
+            return Attempt::NotRun(unreachable_verdict());
+        };
+        course.avoid = Some(slot.endpoint);
+        let Ok(link) = plan.desk.pool.checkout(endpoint.listing.address).await else {
+            slot.judge(Sample::Bad);
+            return Attempt::NotRun(unreachable_verdict());
+        };
+        let limit = self.attempt_limit(plan, course, body);
+        self.send(
+            plan,
+            head,
+            body,
+            Sending {
+                slot,
+                link,
+                endpoint,
+                limit,
+            },
+        )
+        .await
+    }
+
+    fn ticket(&self, plan: &Plan, avoid: Option<u64>) -> Ticket {
+        Ticket {
+            id: self.ids.fetch_add(1, Ordering::Relaxed),
+            account: plan.account.clone(),
+            class: plan.service.class,
+            deadline: plan.deadline,
+            limit: plan.service.limit,
+            queue: plan.service.queue,
+            avoid,
+        }
+    }
+
+    async fn claim(&self, plan: &Plan, course: &mut Course) -> Result<(), Verdict> {
+        let Some(claim) = plan.claim.as_ref().filter(|_| course.claimed.is_none()) else {
+            return Ok(());
+        };
+        match self.claims.claim(claim.clone()).await {
+            Claimed::Ours(key) => {
+                self.tally.claimed.inc();
+                course.claimed = Some(key);
+                Ok(())
+            }
+            Claimed::Taken => {
+                self.tally.repeated.inc();
+                // This repeat is not sent, but the first request may have run.
+                course.may_have_run = true;
+                let reason = "a request with this Idempotency-Key was sent before";
+                Err(Verdict::unknown(StatusCode::CONFLICT, reason))
+            }
+            Claimed::Refused(failure) => {
+                tracing::debug!(%failure, "claim refused");
+                self.claims.undo(claims::current_key(claim), claim);
+                let reason = "the Idempotency-Key could not be recorded";
+                Err(Verdict::not_run(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    reason,
+                    AFTER,
+                ))
+            }
+        }
+    }
+
+    fn attempt_limit(&self, plan: &Plan, course: &Course, body: &Held) -> Duration {
+        let left = plan.deadline.saturating_sub(self.clock.now());
+        let again = plan.repeat && matches!(body, Held::Kept(_)) && course.attempts == 1;
+        if again {
+            left.mul_f64(FIRST_SHARE)
+        } else {
+            left
+        }
+    }
+
+    async fn send(
+        &self,
+        plan: &Plan,
+        head: &request::Parts,
+        body: &mut Held,
+        sending: Sending,
+    ) -> Attempt {
+        let Sending {
+            mut slot,
+            mut link,
+            endpoint,
+            limit,
+        } = sending;
+        let request = build(plan, head, body.take(self.settings.body));
+        let exchange = link.sender.try_send_request(request);
+        let answered = match time::timeout(limit, exchange).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(mut error)) => {
+                slot.judge(Sample::Bad);
+                return match error.take_message() {
+                    Some(request) => {
+                        body.give_back(request.into_body());
+                        Attempt::NotRun(unreachable_verdict())
+                    }
+                    None => Attempt::Unknown(failed_verdict(error.error())),
+                };
+            }
+            Err(_) => {
+                slot.judge(Sample::Bad);
+                let reason = "the endpoint gave no answer in time";
+                return Attempt::Unknown(Verdict::unknown(StatusCode::GATEWAY_TIMEOUT, reason));
+            }
+        };
+        self.receive(
+            plan,
+            answered,
+            Flying {
+                slot,
+                link,
+                endpoint,
+            },
+        )
+    }
+
+    fn receive(&self, plan: &Plan, answer: Response<Incoming>, flying: Flying) -> Attempt {
+        let Flying {
+            mut slot,
+            link,
+            endpoint,
+        } = flying;
+        let (mut head, body) = answer.into_parts();
+        let desk = &plan.desk;
+        let closes = headers::closes(&head.headers);
+        if let Some(load) = headers::reported_load(&head.headers) {
+            desk.with(|dispatch, now| dispatch.loaded(endpoint.id, load, now));
+        }
+        if head.status == StatusCode::SERVICE_UNAVAILABLE && says_not_run(&head) {
+            slot.judge(Sample::Nothing);
+            desk.with(|dispatch, now| dispatch.leaving(endpoint.id, now));
+            return Attempt::NotRun(unreachable_verdict());
+        }
+        // An outcome is the gateway's word; an endpoint's answer carries none.
+        head.headers.remove(outcome::HEADER);
+        headers::strip(&mut head.headers);
+        if let Ok(name) = HeaderValue::from_str(&endpoint.listing.name) {
+            head.headers.insert(ENDPOINT, name);
+        }
+        let failed = head.status.is_server_error();
+        self.tally
+            .answered
+            .with_label_values(&[class_of(head.status)])
+            .inc();
+        let flight = Flight {
+            slot,
+            link,
+            closes,
+            failed,
+            tally: self.tally.clone(),
+        };
+        let body = Download::stream(body, flight, plan.service.timeout);
+        Attempt::Answer(Response::from_parts(head, body))
+    }
+}
+
+fn build(plan: &Plan, head: &request::Parts, body: Upload) -> Request<Upload> {
+    let mut request = Request::new(body);
+    *request.method_mut() = head.method.clone();
+    *request.uri_mut() = plan.target.clone();
+    request.headers_mut().clone_from(&head.headers);
+    headers::strip_request(request.headers_mut());
+    request
+}
+
+struct Sending {
+    slot: Slot,
+    link: Link,
+    endpoint: Endpoint,
+    limit: Duration,
+}
+
+struct Flying {
+    slot: Slot,
+    link: Link,
+    endpoint: Endpoint,
+}
+
+impl Held {
+    fn is_spent(&self) -> bool {
+        matches!(self, Self::Spent)
+    }
+
+    fn take(&mut self, limit: u64) -> Upload {
+        match std::mem::replace(self, Self::Spent) {
+            Self::Kept(bytes) => {
+                *self = Self::Kept(bytes.clone());
+                Upload::Kept(Full::new(bytes))
+            }
+            Self::Stream(body) => Upload::Stream {
+                body: *body,
+                left: limit,
+            },
+            Self::Spent => Upload::Kept(Full::default()),
+        }
+    }
+
+    fn give_back(&mut self, body: Upload) {
+        if let Upload::Stream { body, .. } = body {
+            *self = Self::Stream(Box::new(body));
+        }
+    }
+}
+
+fn says_not_run(head: &response::Parts) -> bool {
+    let outcome = head.headers.get(outcome::HEADER);
+    outcome.is_some_and(|outcome| outcome == Outcome::NotRun.name())
+}
+
+fn unreachable_verdict() -> Verdict {
+    let reason = "no endpoint could be reached";
+    Verdict::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, AFTER)
+}
+
+fn failed_verdict(error: &hyper::Error) -> Verdict {
+    let too_large = std::error::Error::source(error)
+        .and_then(|source| source.downcast_ref::<crate::upload::Broken>())
+        .is_some_and(|broken| matches!(broken, crate::upload::Broken::TooLarge));
+    if too_large {
+        return Verdict::unknown(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+    }
+    Verdict::unknown(StatusCode::BAD_GATEWAY, "the endpoint's connection failed")
+}
+
+fn class_of(status: StatusCode) -> &'static str {
+    match status.as_u16() {
+        100..200 => "1xx",
+        200..300 => "2xx",
+        300..400 => "3xx",
+        400..500 => "4xx",
+        _ => "5xx",
+    }
+}
+
+fn header<'a>(head: &'a request::Parts, name: &str) -> Option<&'a str> {
+    head.headers.get(name)?.to_str().ok()
+}
+
+fn read_timeout(head: &request::Parts) -> Result<Option<Duration>, Verdict> {
+    let Some(text) = header(head, TIMEOUT) else {
+        return Ok(None);
+    };
+    let reason = "request-timeout needs a time such as 800ms";
+    let wrong = || Verdict::wrong(StatusCode::BAD_REQUEST, reason);
+    unit::parse_duration(text).map(Some).ok_or_else(wrong)
+}
+
+/// Splits `/service/rest?query` into the service and the endpoint's own target.
+fn split_target(uri: &Uri) -> Option<(&str, Uri)> {
+    let path = uri.path().strip_prefix('/')?;
+    let (service, rest) = path.split_once('/').unwrap_or((path, ""));
+    if service.is_empty() {
+        return None;
+    }
+    let query = uri
+        .query()
+        .map(|query| format!("?{query}"))
+        .unwrap_or_default();
+    let target = format!("/{rest}{query}").parse().ok()?;
+    Some((service, target))
+}
--- /dev/null
+++ b/ashtiller/src/scheduler.rs
@@ -0,0 +1,484 @@
+//! The scheduler role: owns cells and runs their tasks.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
+
+use parking_lot::Mutex;
+use std::time::Duration;
+
+use futures_util::future::BoxFuture;
+use hyper::{Method, StatusCode};
+use prometheus::Registry;
+use serde_json::json;
+use tokio::task::JoinSet;
+use tokio::time;
+
+use crate::agent::{self, Worker};
+use crate::clock::{self, Clock};
+use crate::config::{self, Config};
+use crate::consul;
+use crate::failure::Failure;
+use crate::journal::{self, OpenError};
+use crate::members::{Member, Members};
+use crate::membership::{self, Membership};
+use crate::ops::{self, Command, Health, Operated, Ops, Said};
+use crate::owner::{self, Handle, Tools};
+use crate::peer::{Ask, Greeting, Peer, Role, Submission, Verdict};
+use crate::rendezvous;
+use crate::roster::{Instance, Roster};
+use crate::score::Score;
+use crate::session::Terms;
+use crate::settings::Settings;
+use crate::store::{Called, Store};
+use crate::wire;
+
+/// Time limit of a call to another process; a job's answer waits for the log.
+const WIRE_LIMIT: Duration = Duration::from_secs(3);
+/// Least time between two cells handed to others.
+const MOVE_EVERY: Duration = Duration::from_secs(5);
+/// Time after the start before cells are taken over, so that heartbeats are heard.
+const SETTLE: Duration = Duration::from_millis(1500);
+/// Longest wait for the log in a planned stop.
+const STOP_LIMIT: Duration = Duration::from_secs(10);
+/// How often a damaged cell is tried again.
+const DAMAGED_EVERY: Duration = Duration::from_secs(30);
+
+struct Shared {
+    settings: Settings,
+    store: Arc<dyn Store>,
+    roster: Arc<dyn Roster>,
+    worker: Arc<dyn Worker>,
+    config: Arc<Config>,
+    registry: Registry,
+    score: Arc<Score>,
+    clock: Arc<dyn Clock>,
+    owned: Mutex<BTreeMap<Arc<str>, Handle>>,
+    damaged: Mutex<BTreeMap<Arc<str>, (String, Duration)>>,
+    leaving: AtomicBool,
+    membership: OnceLock<Arc<Membership>>,
+}
+
+/// What to do about a cell.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Next {
+    /// Leave it as it is.
+    Rest,
+    /// Take it over.
+    Open,
+    /// Hand it to the scheduler that should own it.
+    HandOver,
+}
+
+/// Decides about one cell. `owner` is the present scheduler that says it owns it.
+#[must_use]
+pub fn decide(own: &str, owns: bool, owner: Option<&str>, first: Option<&str>) -> Next {
+    // While another says that it owns the cell, the log decides between the two.
+    if owner.is_some() {
+        return Next::Rest;
+    }
+    match (owns, first) {
+        (true, Some(first)) if first != own => Next::HandOver,
+        (false, Some(first)) if first == own => Next::Open,
+        _ => Next::Rest,
+    }
+}
+
+/// A running scheduler; dropping it cuts everything, as a kill does.
+pub struct Scheduler {
+    shared: Arc<Shared>,
+    ops: Ops,
+    served: wire::Served,
+    _tasks: JoinSet<()>,
+}
+
+/// Starts a scheduler; it keeps trying while the store is down.
+///
+/// # Errors
+/// A port cannot be bound.
+pub async fn spawn(settings: Settings) -> anyhow::Result<Scheduler> {
+    let clock = clock::open();
+    let consul = consul::open(settings.platform.store, settings.platform.timeout);
+    let store: Arc<dyn Store> = consul.clone();
+    let registry = Registry::new();
+    let config = Arc::new(config::spawn(store.clone()));
+    let limit = settings.scheduler.lease / 3;
+    let shared = Arc::new(Shared {
+        store: store.clone(),
+        roster: consul,
+        worker: agent::open(limit),
+        config: config.clone(),
+        score: Score::open(&registry)?,
+        registry,
+        clock: clock.clone(),
+        owned: Mutex::default(),
+        damaged: Mutex::default(),
+        leaving: AtomicBool::new(false),
+        membership: OnceLock::new(),
+        settings,
+    });
+    let settings = &shared.settings;
+    let local: Arc<dyn Peer> = Arc::new(Local {
+        shared: shared.clone(),
+    });
+    let served = wire::bind(settings.scheduler.peers, WIRE_LIMIT, local).await?;
+    let operated: Arc<dyn Operated> = Arc::new(Local {
+        shared: shared.clone(),
+    });
+    let ops = ops::bind(settings.scheduler.operators, operated).await?;
+    let weak = Arc::downgrade(&shared);
+    let membership = Arc::new(membership::spawn(membership::Args {
+        own: Member {
+            name: settings.instance.name.clone(),
+            role: Role::Scheduler,
+            zone: settings.instance.zone.clone(),
+            region: settings.instance.region.clone(),
+            peers: served.address(),
+            operators: ops.address(),
+        },
+        store,
+        lease: settings.platform.lease,
+        wire: served.wire().clone(),
+        config,
+        clock,
+        greeting: Arc::new(move || {
+            weak.upgrade()
+                .map(|shared| shared.greeting())
+                .unwrap_or_default()
+        }),
+    }));
+    let _ = shared.membership.set(membership);
+    let mut tasks = JoinSet::new();
+    tasks.spawn(keep_cells(shared.clone()));
+    Ok(Scheduler {
+        shared,
+        ops,
+        served,
+        _tasks: tasks,
+    })
+}
+
+impl Scheduler {
+    /// Where operators connect.
+    #[must_use]
+    pub fn operators(&self) -> SocketAddr {
+        self.ops.address()
+    }
+
+    /// Where other processes connect.
+    #[must_use]
+    pub fn peers(&self) -> SocketAddr {
+        self.served.address()
+    }
+
+    /// Cells owned now.
+    #[must_use]
+    pub fn cells(&self) -> Vec<Arc<str>> {
+        self.shared.cells()
+    }
+
+    /// Stops in a planned way: hands every cell over, then leaves.
+    pub async fn stop(self) {
+        self.shared.leaving.store(true, Ordering::SeqCst);
+        let handles: Vec<Handle> = self.shared.owned.lock().values().cloned().collect();
+        let mut moves = JoinSet::new();
+        for handle in handles {
+            moves.spawn(async move { handle.hand_over().await });
+        }
+        let _ = time::timeout(STOP_LIMIT, moves.join_all()).await;
+        if let Some(membership) = self.shared.membership.get() {
+            membership.leave().await;
+        }
+    }
+}
+
+impl Drop for Scheduler {
+    fn drop(&mut self) {
+        for handle in self.shared.owned.lock().values() {
+            handle.kill();
+        }
+    }
+}
+
+impl Shared {
+    fn cells(&self) -> Vec<Arc<str>> {
+        let owned = self.owned.lock();
+        owned
+            .iter()
+            .filter(|(_, handle)| handle.is_owner())
+            .map(|(cell, _)| cell.clone())
+            .collect()
+    }
+
+    fn greeting(&self) -> Greeting {
+        Greeting {
+            name: self.settings.instance.name.clone(),
+            role: Role::Scheduler.name().into(),
+            revision: self.config.force().revision,
+            leaving: self.leaving.load(Ordering::SeqCst),
+            cells: self.cells(),
+        }
+    }
+
+    fn handle(&self, cell: &str) -> Option<Handle> {
+        self.owned
+            .lock()
+            .get(cell)
+            .filter(|handle| handle.is_owner())
+            .cloned()
+    }
+
+    fn members(&self) -> Arc<Members> {
+        self.membership
+            .get()
+            .map(|membership| membership.members())
+            .unwrap_or_default()
+    }
+
+    fn decide(&self, cell: &Arc<str>) -> Next {
+        let own = &self.settings.instance.name;
+        let members = self.members();
+        let mut present = members.present(Role::Scheduler);
+        if !present.contains(own) {
+            present.push(own.clone());
+        }
+        let first = rendezvous::first(cell, &present);
+        let owner = members
+            .owner(cell)
+            .map(|known| known.member.name.clone())
+            .filter(|name| name != own && present.contains(name));
+        let owns = self.handle(cell).is_some();
+        decide(own, owns, owner.as_deref(), first.as_deref())
+    }
+
+    async fn open(&self, cell: &Arc<str>) {
+        let settings = &self.settings.scheduler;
+        let terms = Terms {
+            lease: settings.lease,
+            margin: settings.margin,
+        };
+        let own = self.settings.instance.name.clone();
+        let (store, horizon) = (self.store.clone(), settings.horizon);
+        match journal::open(store, cell.clone(), own, &terms, horizon).await {
+            Ok(opened) => {
+                let epoch = opened.journal.epoch();
+                tracing::info!(%cell, epoch, next = opened.next, "cell taken over");
+                let handle = owner::spawn(opened, self.tools(cell));
+                self.owned.lock().insert(cell.clone(), handle);
+                self.damaged.lock().remove(cell);
+            }
+            Err(error @ OpenError::Damaged { .. }) => {
+                tracing::error!(%cell, %error, "the cell stays closed");
+                let until = self.clock.now() + DAMAGED_EVERY;
+                let mut damaged = self.damaged.lock();
+                damaged.insert(cell.clone(), (error.to_string(), until));
+            }
+            Err(error) => tracing::debug!(%cell, %error, "cell not opened"),
+        }
+    }
+
+    fn tools(&self, cell: &Arc<str>) -> Tools {
+        Tools {
+            name: cell.clone(),
+            settings: self.settings.scheduler.clone(),
+            worker: self.worker.clone(),
+            clock: self.clock.clone(),
+            tally: self.score.clone(),
+        }
+    }
+
+    fn may_open(&self, cell: &Arc<str>) -> bool {
+        let now = self.clock.now();
+        let damaged = self.damaged.lock();
+        damaged.get(cell).is_none_or(|(_, until)| now >= *until)
+    }
+}
+
+/// Keeps owned cells in step with the members and the platform's list.
+async fn keep_cells(shared: Arc<Shared>) {
+    time::sleep(SETTLE).await;
+    let mut ticks = time::interval(shared.settings.platform.refresh);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let mut cells: BTreeMap<Arc<str>, Vec<Instance>> = BTreeMap::new();
+    let mut moved: Option<Duration> = None;
+    loop {
+        ticks.tick().await;
+        if shared.leaving.load(Ordering::SeqCst) {
+            return;
+        }
+        let listed = shared
+            .roster
+            .instances(&shared.settings.platform.workers)
+            .await;
+        if let Some(workers) = listed.ok().filter(|workers| !workers.is_empty()) {
+            sort_by_cell(&mut cells, workers);
+        }
+        forget_released(&shared);
+        for (cell, workers) in &cells {
+            match shared.decide(cell) {
+                Next::Open if shared.may_open(cell) => shared.open(cell).await,
+                Next::HandOver => {
+                    let now = shared.clock.now();
+                    if moved.is_none_or(|last| now >= last + MOVE_EVERY) {
+                        moved = Some(now);
+                        if let Some(handle) = shared.handle(cell) {
+                            handle.hand_over().await;
+                        }
+                    }
+                }
+                _ => {}
+            }
+            if let Some(handle) = shared.handle(cell) {
+                handle.list(workers.clone()).await;
+            }
+        }
+    }
+}
+
+/// A cell that lost its last worker stays known.
+fn sort_by_cell(cells: &mut BTreeMap<Arc<str>, Vec<Instance>>, workers: Vec<Instance>) {
+    for listed in cells.values_mut() {
+        listed.clear();
+    }
+    for worker in workers {
+        cells.entry(worker.zone.clone()).or_default().push(worker);
+    }
+}
+
+fn forget_released(shared: &Shared) {
+    shared.owned.lock().retain(|cell, handle| {
+        let kept = handle.is_owner();
+        if !kept {
+            shared.score.forget(cell);
+        }
+        kept
+    });
+}
+
+/// The scheduler as other processes and operators see it.
+struct Local {
+    shared: Arc<Shared>,
+}
+
+fn not_owner(cell: &str) -> Verdict {
+    Verdict::NotOwner(format!("this scheduler does not own cell {cell}").into())
+}
+
+impl Peer for Local {
+    fn greet(&self, mine: Greeting) -> Called<'_, Greeting> {
+        self.shared.config.heard(mine.revision);
+        Box::pin(async { Ok(self.shared.greeting()) })
+    }
+
+    fn lend(&self, _: Ask) -> Called<'_, Vec<(u64, u32)>> {
+        Box::pin(async {
+            Err(Failure::none(
+                "lend",
+                "scheduler",
+                "this process is no gateway",
+            ))
+        })
+    }
+
+    fn submit(&self, cell: Arc<str>, job: Submission) -> Called<'_, Verdict> {
+        Box::pin(async move {
+            let Some(handle) = self.shared.handle(&cell) else {
+                return Ok(not_owner(&cell));
+            };
+            let lost = || Failure::unknown("submit", &cell, "the cell was released meanwhile");
+            handle.submit(job).await.ok_or_else(lost)
+        })
+    }
+
+    fn cancel(&self, cell: Arc<str>, account: Arc<str>, job: Arc<str>) -> Called<'_, Verdict> {
+        Box::pin(async move {
+            let Some(handle) = self.shared.handle(&cell) else {
+                return Ok(not_owner(&cell));
+            };
+            let lost = || Failure::unknown("cancel", &cell, "the cell was released meanwhile");
+            handle.cancel(account, job).await.ok_or_else(lost)
+        })
+    }
+
+    fn show(&self, cell: Arc<str>, account: Arc<str>, job: Arc<str>) -> Called<'_, String> {
+        Box::pin(async move {
+            let Some(handle) = self.shared.handle(&cell) else {
+                return Ok(String::new());
+            };
+            Ok(handle.show(account, job).await.unwrap_or_default())
+        })
+    }
+}
+
+impl Operated for Local {
+    fn health(&self) -> Health {
+        let known = self.shared.members().iter().next().is_some();
+        Health {
+            ready: known,
+            leaving: self.shared.leaving.load(Ordering::SeqCst),
+        }
+    }
+
+    fn registry(&self) -> &Registry {
+        &self.shared.registry
+    }
+
+    fn dump(&self) -> BoxFuture<'_, String> {
+        Box::pin(dump(&self.shared))
+    }
+
+    fn command(&self, command: Command) -> BoxFuture<'_, Option<Said>> {
+        Box::pin(async move {
+            let path: Vec<&str> = command.path.iter().map(|part| &**part).collect();
+            let (&Method::GET, ["v1", "cells", cell]) = (&command.method, path.as_slice()) else {
+                return None;
+            };
+            let shown = match self.shared.handle(cell) {
+                Some(handle) => handle.show("".into(), "".into()).await,
+                None => None,
+            };
+            let missing = || {
+                (
+                    StatusCode::NOT_FOUND,
+                    json!({ "error": "not owned here" }).to_string(),
+                )
+            };
+            Some(shown.map_or_else(missing, |shown| (StatusCode::OK, shown)))
+        })
+    }
+}
+
+async fn dump(shared: &Shared) -> String {
+    let mut cells = BTreeMap::new();
+    let owned: Vec<Arc<str>> = shared.cells();
+    for cell in owned {
+        if let Some(handle) = shared.handle(&cell) {
+            let shown = handle.show("".into(), "".into()).await.unwrap_or_default();
+            let shown: serde_json::Value = serde_json::from_str(&shown).unwrap_or_default();
+            cells.insert(cell, shown);
+        }
+    }
+    let damaged: BTreeMap<Arc<str>, String> = {
+        let damaged = shared.damaged.lock();
+        damaged
+            .iter()
+            .map(|(cell, (error, _))| (cell.clone(), error.clone()))
+            .collect()
+    };
+    let members: BTreeSet<String> = shared
+        .members()
+        .iter()
+        .map(|known| format!("{}/{}", known.member.role.name(), known.member.name))
+        .collect();
+    json!({
+        "name": shared.settings.instance.name,
+        "role": "scheduler",
+        "leaving": shared.leaving.load(Ordering::SeqCst),
+        "revision": shared.config.force().revision,
+        "members": members,
+        "cells": cells,
+        "damaged": damaged,
+    })
+    .to_string()
+}
--- /dev/null
+++ b/ashtiller/src/schema.rs
@@ -0,0 +1,6 @@
+//! Code generated from `schema/peer.capnp`; `CONTRIBUTING.md` says how.
+
+#[allow(missing_docs, clippy::all, clippy::pedantic, reason = "generated")]
+#[rustfmt::skip]
+#[path = "peer_capnp.rs"]
+pub mod peer_capnp;
--- /dev/null
+++ b/ashtiller/src/session.rs
@@ -0,0 +1,152 @@
+//! The lease that a cell's owner grants to one worker, as a state machine.
+//!
+//! The end of a lease is named on the worker's own clock: the clock of its last
+//! report plus the lease. A message that is late by any time, or sent by an owner
+//! that was paused, therefore extends nothing. For the same reason the owner
+//! knows a time on its own clock by which every lease it granted has ended.
+
+use std::time::Duration;
+
+/// Where a worker stands towards this owner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Contact {
+    /// It has not answered this owner yet.
+    Unfenced,
+    /// It has answered under this owner's epoch.
+    Fenced {
+        /// Its boot number.
+        boot: u64,
+    },
+}
+
+/// Times that a session uses.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// Length of a lease.
+    pub lease: Duration,
+    /// Allowance for drift.
+    pub margin: Duration,
+}
+
+/// A grant to send: number and end of the lease on the worker's clock.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Grant {
+    /// Number within the epoch.
+    pub seq: u64,
+    /// Boot number expected; 0 for any.
+    pub boot: u64,
+    /// End of the lease in milliseconds of the worker's clock; 0 grants nothing.
+    pub until: u64,
+}
+
+/// What a report changes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// First answer under this epoch.
+    Fenced,
+    /// The worker goes on as before.
+    Same,
+    /// The worker restarted: nothing of its earlier life runs.
+    Rebooted,
+    /// A newer owner has fenced the worker.
+    Superseded,
+}
+
+/// One worker's lease.
+#[derive(Clone, Debug)]
+pub struct Session {
+    contact: Contact,
+    seq: u64,
+    stamp: Option<(u64, Duration)>,
+    bound: Duration,
+}
+
+impl Session {
+    /// A session whose worker may hold leases of earlier owners until `bound`.
+    #[must_use]
+    pub fn new(bound: Duration) -> Self {
+        Self {
+            contact: Contact::Unfenced,
+            seq: 0,
+            stamp: None,
+            bound,
+        }
+    }
+
+    /// Where the worker stands.
+    #[must_use]
+    pub fn contact(&self) -> Contact {
+        self.contact
+    }
+
+    /// Boot number, once known.
+    #[must_use]
+    pub fn boot(&self) -> Option<u64> {
+        match self.contact {
+            Contact::Unfenced => None,
+            Contact::Fenced { boot } => Some(boot),
+        }
+    }
+
+    /// Time by which every lease granted so far has ended.
+    #[must_use]
+    pub fn bound(&self) -> Duration {
+        self.bound
+    }
+
+    /// Age of the last answer.
+    #[must_use]
+    pub fn silence(&self, now: Duration) -> Duration {
+        self.stamp.map_or(now, |(_, at)| now.saturating_sub(at))
+    }
+
+    /// Prepares the next grant. Without `renew` it grants nothing new.
+    pub fn grant(&mut self, terms: &Terms, renew: bool) -> Grant {
+        self.seq += 1;
+        let boot = self.boot().unwrap_or(0);
+        let Some((clock, at)) = self.stamp.filter(|_| renew && boot != 0) else {
+            return Grant {
+                seq: self.seq,
+                boot,
+                until: 0,
+            };
+        };
+        self.bound = self.bound.max(at + terms.lease + terms.margin);
+        let lease = u64::try_from(terms.lease.as_millis()).unwrap_or(u64::MAX);
+        Grant {
+            seq: self.seq,
+            boot,
+            until: clock.saturating_add(lease),
+        }
+    }
+
+    /// Takes an answer that arrived at `now`; `epoch` is this owner's.
+    pub fn answered(
+        &mut self,
+        epoch: u64,
+        their_epoch: u64,
+        boot: u64,
+        clock: u64,
+        terms: &Terms,
+        now: Duration,
+    ) -> Change {
+        if their_epoch > epoch {
+            return Change::Superseded;
+        }
+        let fenced = their_epoch == epoch;
+        let change = match self.contact {
+            Contact::Fenced { boot: known } if known != boot => Change::Rebooted,
+            Contact::Unfenced if fenced => Change::Fenced,
+            _ => Change::Same,
+        };
+        if fenced || change == Change::Rebooted {
+            if change == Change::Fenced {
+                // Leases of earlier owners were granted before this clock reading.
+                self.bound = now + terms.lease + terms.margin;
+            }
+            self.contact = Contact::Fenced { boot };
+            self.stamp = Some((clock, now));
+        }
+        change
+    }
+}
--- /dev/null
+++ b/ashtiller/src/settings.rs
@@ -0,0 +1,210 @@
+//! The settings of one instance, read from an INI file.
+//!
+//! Both roles read the same file, so an instance needs one. Every time and size
+//! names its unit. `docs/OPERATORS.md` lists each key with default and range.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::balance;
+use crate::document::Document;
+use crate::mistake::Mistakes;
+
+/// Sections of a settings file.
+const SECTIONS: [&str; 4] = ["instance", "platform", "gateway", "scheduler"];
+const MS: Duration = Duration::from_millis(1);
+const SECOND: Duration = Duration::from_secs(1);
+const MINUTE: Duration = Duration::from_mins(1);
+const HOUR: Duration = Duration::from_hours(1);
+const MIB: u64 = 1 << 20;
+
+/// Who and where this process is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Instance {
+    /// Name, unique among the entry instances.
+    pub name: Arc<str>,
+    /// Region.
+    pub region: Arc<str>,
+    /// Availability zone.
+    pub zone: Arc<str>,
+}
+
+/// How to reach the platform.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Platform {
+    /// Key-value service.
+    pub store: SocketAddr,
+    /// Time limit of one call.
+    pub timeout: Duration,
+    /// Lease of this process in the key-value service.
+    pub lease: Duration,
+    /// How often the list of instances is read.
+    pub refresh: Duration,
+    /// Service in the platform's list whose instances are workers.
+    pub workers: Arc<str>,
+}
+
+/// The gateway role.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Gateway {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where operators connect.
+    pub operators: SocketAddr,
+    /// Where the project's other processes connect.
+    pub peers: SocketAddr,
+    /// How endpoints are chosen.
+    pub routing: balance::Kind,
+    /// Most connections to one endpoint.
+    pub connections: u32,
+    /// Most connections from callers.
+    pub callers_max: u32,
+    /// Largest request body.
+    pub body: u64,
+    /// Largest head of a request or an answer.
+    pub head: u64,
+    /// Largest body that is kept for a retry.
+    pub replay: u64,
+    /// Time limit of connecting to an endpoint.
+    pub connect: Duration,
+    /// An idle connection to an endpoint is closed after this time.
+    pub idle: Duration,
+    /// How long the balancer may go on sending after a planned stop begins.
+    pub drain: Duration,
+    /// Share of retries among first attempts.
+    pub retries: f64,
+    /// Largest share of a service's endpoints that may be ejected.
+    pub ejected: f64,
+    /// Most groups of idempotency keys written each second.
+    pub claims: u32,
+}
+
+/// The scheduler role.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Scheduler {
+    /// Where operators connect.
+    pub operators: SocketAddr,
+    /// Where the project's other processes connect.
+    pub peers: SocketAddr,
+    /// Lease granted to a worker.
+    pub lease: Duration,
+    /// How long leases are renewed past the last confirmed ownership.
+    pub horizon: Duration,
+    /// Allowance for the drift of clocks over a lease.
+    pub margin: Duration,
+    /// How often a worker's lease is renewed.
+    pub renew: Duration,
+    /// Least time between two writes to a cell's log.
+    pub commit: Duration,
+    /// Log entries after which a snapshot cuts the log.
+    pub snapshot: u32,
+}
+
+/// Settings of one instance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Who and where this process is.
+    pub instance: Instance,
+    /// How to reach the platform.
+    pub platform: Platform,
+    /// The gateway role.
+    pub gateway: Gateway,
+    /// The scheduler role.
+    pub scheduler: Scheduler,
+}
+
+impl Settings {
+    /// Reads settings from the text of an INI file; `file` is shown in mistakes.
+    ///
+    /// # Errors
+    /// Every mistake in the file at once.
+    ///
+    /// ```
+    /// let text = "[instance]\nname = entry-1\navailability_zone = bern\n\
+    ///     [platform]\nstore = 127.0.0.1:8500\n";
+    /// let settings = ashtiller::settings::Settings::parse("entry.ini", text)?;
+    /// assert_eq!(&*settings.instance.zone, "bern");
+    /// # Ok::<(), ashtiller::mistake::Mistakes>(())
+    /// ```
+    pub fn parse(file: &str, text: &str) -> Result<Self, Mistakes> {
+        let mut document = Document::parse(file, text)?;
+        let settings = Self {
+            instance: read_instance(&mut document),
+            platform: read_platform(&mut document),
+            gateway: read_gateway(&mut document),
+            scheduler: read_scheduler(&mut document),
+        };
+        check_lease(&mut document, &settings.scheduler);
+        document.finish(&SECTIONS)?;
+        Ok(settings)
+    }
+}
+
+fn read_instance(document: &mut Document) -> Instance {
+    let mut section = document.section("instance");
+    Instance {
+        name: section.name("name", None),
+        region: section.name("region", Some("default")),
+        zone: section.name("availability_zone", None),
+    }
+}
+
+fn read_platform(document: &mut Document) -> Platform {
+    let mut section = document.section("platform");
+    Platform {
+        store: section.address("store", None),
+        timeout: section.duration("timeout", Some(2 * SECOND), 10 * MS..=MINUTE),
+        lease: section.duration("lease", Some(15 * SECOND), SECOND..=HOUR),
+        refresh: section.duration("refresh", Some(SECOND), 50 * MS..=MINUTE),
+        workers: section.name("workers", Some("workers")),
+    }
+}
+
+fn read_gateway(document: &mut Document) -> Gateway {
+    let mut section = document.section("gateway");
+    Gateway {
+        callers: section.address("callers", Some(loopback(8080))),
+        operators: section.address("operators", Some(loopback(8081))),
+        peers: section.address("peers", Some(loopback(8082))),
+        routing: section
+            .choice("routing", Some(balance::Kind::Dealt), &balance::KINDS)
+            .unwrap_or(balance::Kind::Dealt),
+        connections: section.count("connections", Some(6), 1..=1000),
+        callers_max: section.count("callers_max", Some(4096), 1..=1_000_000),
+        body: section.size("body", Some(16 * MIB), 1..=1024 * MIB),
+        head: section.size("head", Some(32 << 10), 8 << 10..=MIB),
+        replay: section.size("replay", Some(64 << 10), 0..=16 * MIB),
+        connect: section.duration("connect", Some(250 * MS), MS..=MINUTE),
+        idle: section.duration("idle", Some(30 * SECOND), 10 * MS..=HOUR),
+        drain: section.duration("drain", Some(5 * SECOND), Duration::ZERO..=10 * MINUTE),
+        retries: section.share("retries", Some(0.1)),
+        ejected: section.share("ejected", Some(0.3)),
+        claims: section.count("claims", Some(10), 1..=1000),
+    }
+}
+
+fn read_scheduler(document: &mut Document) -> Scheduler {
+    let mut section = document.section("scheduler");
+    Scheduler {
+        operators: section.address("operators", Some(loopback(8091))),
+        peers: section.address("peers", Some(loopback(8092))),
+        lease: section.duration("lease", Some(12 * SECOND), 100 * MS..=10 * MINUTE),
+        horizon: section.duration("horizon", Some(45 * MINUTE), Duration::ZERO..=24 * HOUR),
+        margin: section.duration("margin", Some(SECOND), MS..=MINUTE),
+        renew: section.duration("renew", Some(3 * SECOND), 20 * MS..=5 * MINUTE),
+        commit: section.duration("commit", Some(100 * MS), MS..=10 * SECOND),
+        snapshot: section.count("snapshot", Some(512), 1..=100_000),
+    }
+}
+
+fn check_lease(document: &mut Document, scheduler: &Scheduler) {
+    if scheduler.renew * 3 > scheduler.lease {
+        let found = "less than three renewals (`renew`) within a lease";
+        document.add_mistake("scheduler", "lease", found, "at least three times `renew`");
+    }
+}
+
+fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
--- /dev/null
+++ b/ashtiller/src/template.rs
@@ -0,0 +1,191 @@
+//! A client account's template: services, jobs and quota, written by operators.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::document::{self, Document};
+use crate::mistake::Mistakes;
+use crate::resources::Resources;
+
+/// Sections of a template.
+const SECTIONS: [&str; 3] = ["account", "service NAME", "job NAME"];
+const SECOND: Duration = Duration::from_secs(1);
+const HOUR: Duration = Duration::from_hours(1);
+const DAY: Duration = Duration::from_hours(24);
+/// Largest memory a template may name.
+const MEMORY_MAX: u64 = 1 << 50;
+
+/// Whether work is urgent for people or fills the rest.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Class {
+    /// Somebody waits for it.
+    LatencyCritical,
+    /// It fills what is left.
+    Batch,
+}
+
+/// Names of the classes in templates.
+pub const CLASSES: [(&str, Class); 2] = [
+    ("latency-critical", Class::LatencyCritical),
+    ("batch", Class::Batch),
+];
+
+/// A service that the account may call.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Class of its requests.
+    pub class: Class,
+    /// Latency that the service should keep.
+    pub target: Duration,
+    /// Time limit of a request that names none.
+    pub timeout: Duration,
+    /// Methods that may be repeated.
+    pub repeat: Vec<Arc<str>>,
+    /// Most requests in flight in one gateway.
+    pub limit: u32,
+    /// Most requests that wait in one gateway.
+    pub queue: u32,
+}
+
+impl Service {
+    /// Whether a request with this method may run twice.
+    #[must_use]
+    pub fn may_repeat(&self, method: &str) -> bool {
+        self.repeat.iter().any(|name| &**name == method)
+    }
+}
+
+/// A job that the account may submit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Job {
+    /// Class of its tasks.
+    pub class: Class,
+    /// What one task needs.
+    pub needs: Resources,
+    /// Number of tasks.
+    pub tasks: u32,
+    /// Declared run time of one task; `None` runs until it is cancelled.
+    pub length: Option<Duration>,
+    /// Whether its tasks start before all others.
+    pub urgent: bool,
+    /// Attempts that may fail before a task is given up.
+    pub attempts: u32,
+}
+
+/// Everything that operators set for one client account.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Template {
+    /// Client account.
+    pub account: Arc<str>,
+    /// Most that its running tasks may hold together.
+    pub quota: Resources,
+    /// Evictions of its tasks that are allowed in an hour.
+    pub evictions: u32,
+    /// Services by name.
+    pub services: BTreeMap<Arc<str>, Service>,
+    /// Jobs by name.
+    pub jobs: BTreeMap<Arc<str>, Job>,
+}
+
+impl Template {
+    /// Reads a template from the text of an INI file; `file` is shown in mistakes.
+    ///
+    /// # Errors
+    /// Every mistake in the file at once.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Mistakes> {
+        let mut document = Document::parse(file, text)?;
+        let mut section = document.section("account");
+        let account = section.name("name", None);
+        let evictions = section.count("evictions", Some(60), 0..=100_000);
+        let quota = Resources {
+            processors: section.processors("processors", Some(1_000_000_000)),
+            memory: section.size("memory", Some(MEMORY_MAX), 0..=MEMORY_MAX),
+            accelerators: section.count("accelerators", Some(0), 0..=1_000_000),
+        };
+        let services = read_services(&mut document);
+        let jobs = read_jobs(&mut document, &quota);
+        document.finish(&SECTIONS)?;
+        Ok(Self {
+            account,
+            quota,
+            evictions,
+            services,
+            jobs,
+        })
+    }
+}
+
+fn read_names(document: &mut Document, kind: &str) -> Vec<(Arc<str>, String)> {
+    let mut names = Vec::new();
+    for name in document.named(kind) {
+        let section = format!("{kind} {name}");
+        if !document::is_name(&name) {
+            let allowed = "1 to 63 letters, digits, `-`, `_` or `.`";
+            document.add_mistake(&section, "", &format!("the name `{name}`"), allowed);
+        }
+        names.push((Arc::from(name), section));
+    }
+    names
+}
+
+fn read_services(document: &mut Document) -> BTreeMap<Arc<str>, Service> {
+    let mut services = BTreeMap::new();
+    for (name, title) in read_names(document, "service") {
+        let mut section = document.section(&title);
+        let class = section
+            .choice("class", None, &CLASSES)
+            .unwrap_or(Class::Batch);
+        let timeout = section.duration("timeout", Some(10 * SECOND), SECOND / 100..=HOUR);
+        let service = Service {
+            class,
+            target: section.duration("target", Some(timeout), SECOND / 1000..=HOUR),
+            timeout,
+            repeat: section.words("repeat", "GET, HEAD, OPTIONS"),
+            limit: section.count("limit", Some(1024), 1..=1_000_000),
+            queue: section.count("queue", Some(256), 0..=1_000_000),
+        };
+        for method in &service.repeat {
+            let known = ["GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH"];
+            if !known.contains(&&**method) {
+                section.reject("repeat", &format!("`{method}`"), &known.join(", "));
+            }
+        }
+        services.insert(name, service);
+    }
+    services
+}
+
+fn read_jobs(document: &mut Document, quota: &Resources) -> BTreeMap<Arc<str>, Job> {
+    let mut jobs = BTreeMap::new();
+    for (name, title) in read_names(document, "job") {
+        let mut section = document.section(&title);
+        let needs = Resources {
+            processors: section.processors("processors", None),
+            memory: section.size("memory", None, 1..=MEMORY_MAX),
+            accelerators: section.count("accelerators", Some(0), 0..=1024),
+        };
+        let forever = section.flag("listener", Some(false));
+        let length = section.duration("length", Some(HOUR), SECOND / 100..=30 * DAY);
+        let job = Job {
+            class: section
+                .choice("class", Some(Class::Batch), &CLASSES)
+                .unwrap_or(Class::Batch),
+            needs,
+            tasks: section.count("tasks", Some(1), 1..=10_000),
+            length: (!forever).then_some(length),
+            urgent: section.flag("urgent", Some(false)),
+            attempts: section.count("attempts", Some(5), 1..=100),
+        };
+        // A quota that could not be read has its own mistake.
+        if quota.processors > 0 && !job.needs.fits(quota) {
+            let allowed = format!("at most the account's quota of {quota}");
+            section.reject("processors", &format!("a task of {}", job.needs), &allowed);
+        }
+        jobs.insert(name, job);
+    }
+    jobs
+}
--- /dev/null
+++ b/standin/src/agent.rs
@@ -0,0 +1,556 @@
+//! A stand-in for a worker: it runs tasks under one lease and reports them.
+//!
+//! `POST /v1/sync` is the only call. Its body carries the caller's epoch, a
+//! sequence number, the end of the lease on the worker's own clock, commands and
+//! acknowledgements; the answer is a report. An epoch below the highest seen, or
+//! a sequence number that is not new, or a boot number of another life, is refused
+//! with status 409 and changes nothing. At the end of the lease every task is stopped. Ended attempts stay
+//! in the report until they are acknowledged.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use tokio::time;
+
+use crate::faults::Faults;
+use crate::serve::{self, Call, Reply};
+
+/// How often ends of tasks and leases are looked for.
+const TICK: Duration = Duration::from_millis(5);
+
+/// What a caller asks of a task.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Command {
+    /// Run an attempt.
+    Start {
+        /// Task.
+        task: String,
+        /// Attempt, counted from 1.
+        attempt: u32,
+        /// Progress to resume from, in milliseconds of run time.
+        progress: u64,
+        /// Run time that the work takes, in milliseconds; 0 runs until stopped.
+        length: u64,
+    },
+    /// Write a checkpoint and stop.
+    Evict {
+        /// Task.
+        task: String,
+        /// Attempt.
+        attempt: u32,
+    },
+    /// Stop without a checkpoint.
+    Stop {
+        /// Task.
+        task: String,
+        /// Attempt.
+        attempt: u32,
+    },
+    /// Run at a share of full speed, in percent.
+    Throttle {
+        /// Task.
+        task: String,
+        /// Attempt.
+        attempt: u32,
+        /// Share of full speed, 1 to 100.
+        percent: u32,
+    },
+}
+
+/// A caller's request.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct Sync {
+    /// Epoch of the cell's owner.
+    pub epoch: u64,
+    /// Number of this request within the epoch.
+    pub seq: u64,
+    /// Boot number that the caller expects; 0 for any.
+    pub boot: u64,
+    /// End of the lease on the worker's clock, in milliseconds.
+    pub until: u64,
+    /// Commands, in order.
+    pub commands: Vec<Command>,
+    /// Ended attempts that the owner has recorded.
+    pub acks: Vec<(String, u32)>,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum End {
+    /// All of its work is done.
+    Finished,
+    /// It failed by itself.
+    Failed,
+    /// It was stopped after a checkpoint.
+    Evicted,
+    /// It was stopped on command.
+    Stopped,
+    /// The lease ended.
+    Lapsed,
+}
+
+/// A running attempt.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Running {
+    /// Task.
+    pub task: String,
+    /// Attempt.
+    pub attempt: u32,
+    /// Work done, in milliseconds of run time.
+    pub progress: u64,
+}
+
+/// An ended attempt.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Ended {
+    /// Task.
+    pub task: String,
+    /// Attempt.
+    pub attempt: u32,
+    /// How it ended.
+    pub end: End,
+    /// Progress that a later attempt can resume from, in milliseconds.
+    pub progress: u64,
+}
+
+/// The answer to a [`Sync`].
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Report {
+    /// Changes whenever the worker restarts.
+    pub boot: u64,
+    /// The worker's clock in milliseconds.
+    pub clock: u64,
+    /// Highest epoch seen.
+    pub epoch: u64,
+    /// Highest sequence number seen in that epoch.
+    pub seq: u64,
+    /// Running attempts.
+    pub running: Vec<Running>,
+    /// Attempts that ended and are not yet acknowledged.
+    pub ended: Vec<Ended>,
+}
+
+/// One stretch in which an attempt ran, in the worker's own record.
+#[derive(Clone, Debug)]
+pub struct Stretch {
+    /// Worker.
+    pub worker: String,
+    /// Task.
+    pub task: String,
+    /// Attempt.
+    pub attempt: u32,
+    /// Progress at its start.
+    pub progress: u64,
+    /// When it began.
+    pub from: Instant,
+    /// When it ended, if it has.
+    pub to: Option<Instant>,
+    /// How it ended.
+    pub end: Option<End>,
+}
+
+/// What workers themselves saw; shared by all workers of a test.
+#[derive(Debug, Default)]
+pub struct Record {
+    stretches: Mutex<Vec<Stretch>>,
+}
+
+impl Record {
+    /// All stretches so far.
+    #[must_use]
+    pub fn stretches(&self) -> Vec<Stretch> {
+        self.stretches.lock().clone()
+    }
+
+    /// Pairs of stretches in which one task ran in two places at once.
+    #[must_use]
+    pub fn doubles(&self) -> Vec<(Stretch, Stretch)> {
+        let stretches = self.stretches();
+        let mut doubles = Vec::new();
+        for (index, one) in stretches.iter().enumerate() {
+            for other in &stretches[index + 1..] {
+                let apart = one.to.is_some_and(|end| end <= other.from)
+                    || other.to.is_some_and(|end| end <= one.from);
+                if one.task == other.task && !apart {
+                    doubles.push((one.clone(), other.clone()));
+                }
+            }
+        }
+        doubles
+    }
+
+    fn open(&self, stretch: Stretch) -> usize {
+        let mut stretches = self.stretches.lock();
+        stretches.push(stretch);
+        stretches.len() - 1
+    }
+
+    fn close(&self, index: usize, end: Option<End>) {
+        let mut stretches = self.stretches.lock();
+        stretches[index].to = Some(Instant::now());
+        stretches[index].end = end;
+    }
+}
+
+struct Attempt {
+    number: u32,
+    progress: f64,
+    length: u64,
+    speed: f64,
+    since: Instant,
+    index: usize,
+}
+
+impl Attempt {
+    fn progress(&self, now: Instant) -> u64 {
+        let run = now.duration_since(self.since).as_secs_f64() * 1e3 * self.speed;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "small, positive"
+        )]
+        let progress = (self.progress + run) as u64;
+        progress
+    }
+}
+
+struct State {
+    boot: u64,
+    start: Instant,
+    epoch: u64,
+    seq: u64,
+    until: u64,
+    running: BTreeMap<String, Attempt>,
+    ended: BTreeMap<(String, u32), Ended>,
+    fail_all: bool,
+}
+
+struct Shared {
+    name: String,
+    state: Mutex<State>,
+    faults: Faults,
+    record: Arc<Record>,
+}
+
+/// A running worker stand-in.
+pub struct Agent {
+    server: serve::Server,
+    shared: Arc<Shared>,
+}
+
+impl Agent {
+    /// The address that the kernel gave.
+    #[must_use]
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.server.address()
+    }
+
+    /// The fault switches.
+    #[must_use]
+    pub fn faults(&self) -> &Faults {
+        &self.shared.faults
+    }
+
+    /// Kills the worker: its tasks end and its port closes.
+    pub fn kill(&self) {
+        self.server.kill();
+        let mut state = self.shared.state.lock();
+        for (_, attempt) in std::mem::take(&mut state.running) {
+            self.shared.record.close(attempt.index, None);
+        }
+    }
+
+    /// Restarts the worker in place: tasks are gone, and it has a new boot number.
+    pub fn restart(&self) {
+        let mut state = self.shared.state.lock();
+        for (_, attempt) in std::mem::take(&mut state.running) {
+            self.shared.record.close(attempt.index, None);
+        }
+        let fail_all = state.fail_all;
+        *state = State::new(state.boot + 1);
+        state.fail_all = fail_all;
+    }
+
+    /// Makes every attempt fail at once, or not.
+    pub fn set_fail_all(&self, fail: bool) {
+        self.shared.state.lock().fail_all = fail;
+    }
+
+    /// Number of running attempts.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.shared.state.lock().running.len()
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl State {
+    fn new(boot: u64) -> Self {
+        Self {
+            boot,
+            start: Instant::now(),
+            epoch: 0,
+            seq: 0,
+            until: 0,
+            running: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            fail_all: false,
+        }
+    }
+
+    fn clock(&self, now: Instant) -> u64 {
+        u64::try_from(now.duration_since(self.start).as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn end(&mut self, record: &Record, task: &str, end: End, now: Instant) {
+        let Some(attempt) = self.running.remove(task) else {
+            return;
+        };
+        record.close(attempt.index, Some(end));
+        let progress = attempt.progress(now);
+        let ended = Ended {
+            task: task.to_owned(),
+            attempt: attempt.number,
+            end,
+            progress,
+        };
+        self.ended.insert((task.to_owned(), attempt.number), ended);
+    }
+
+    fn advance(&mut self, record: &Record, now: Instant) {
+        let lapsed = self.clock(now) >= self.until;
+        let over: Vec<(String, End)> = self
+            .running
+            .iter()
+            .filter_map(|(task, attempt)| {
+                let done = attempt.length > 0 && attempt.progress(now) >= attempt.length;
+                match (self.fail_all, done, lapsed) {
+                    (true, _, _) => Some((task.clone(), End::Failed)),
+                    (_, true, _) => Some((task.clone(), End::Finished)),
+                    (_, _, true) => Some((task.clone(), End::Lapsed)),
+                    _ => None,
+                }
+            })
+            .collect();
+        for (task, end) in over {
+            self.end(record, &task, end, now);
+        }
+    }
+
+    /// An attempt that never came here is recorded as stopped, so that it cannot
+    /// start later.
+    fn stop(&mut self, record: &Record, task: &str, attempt: u32, end: End, now: Instant) {
+        if self.holds(task, attempt) {
+            self.end(record, task, end, now);
+            return;
+        }
+        let never = Ended {
+            task: task.to_owned(),
+            attempt,
+            end: End::Stopped,
+            progress: 0,
+        };
+        self.ended
+            .entry((task.to_owned(), attempt))
+            .or_insert(never);
+    }
+
+    fn holds(&self, task: &str, attempt: u32) -> bool {
+        self.running
+            .get(task)
+            .is_some_and(|running| running.number == attempt)
+    }
+
+    fn obey(&mut self, shared: &Shared, command: Command, now: Instant) {
+        match command {
+            Command::Start {
+                task,
+                attempt,
+                progress,
+                length,
+            } => {
+                self.start_attempt(shared, task, attempt, progress, length, now);
+            }
+            Command::Evict { task, attempt } => {
+                self.stop(&shared.record, &task, attempt, End::Evicted, now);
+            }
+            Command::Stop { task, attempt } => {
+                self.stop(&shared.record, &task, attempt, End::Stopped, now);
+            }
+            Command::Throttle {
+                task,
+                attempt,
+                percent,
+            } => {
+                if !self.holds(&task, attempt) {
+                    return;
+                }
+                if let Some(running) = self.running.get_mut(&task) {
+                    #[expect(clippy::cast_precision_loss, reason = "milliseconds of a test")]
+                    let progress = running.progress(now) as f64;
+                    running.progress = progress;
+                    running.since = now;
+                    running.speed = f64::from(percent) / 100.0;
+                }
+            }
+        }
+    }
+
+    fn start_attempt(
+        &mut self,
+        shared: &Shared,
+        task: String,
+        attempt: u32,
+        progress: u64,
+        length: u64,
+        now: Instant,
+    ) {
+        let over = self.ended.contains_key(&(task.clone(), attempt));
+        if over || self.running.contains_key(&task) || self.clock(now) >= self.until {
+            return;
+        }
+        let index = shared.record.open(Stretch {
+            worker: shared.name.clone(),
+            task: task.clone(),
+            attempt,
+            progress,
+            from: now,
+            to: None,
+            end: None,
+        });
+        #[expect(clippy::cast_precision_loss, reason = "milliseconds of a test")]
+        let progress = progress as f64;
+        let running = Attempt {
+            number: attempt,
+            progress,
+            length,
+            speed: 1.0,
+            since: now,
+            index,
+        };
+        self.running.insert(task, running);
+    }
+
+    fn report(&self, now: Instant) -> Report {
+        Report {
+            boot: self.boot,
+            clock: self.clock(now),
+            epoch: self.epoch,
+            seq: self.seq,
+            running: self
+                .running
+                .iter()
+                .map(|(task, attempt)| Running {
+                    task: task.clone(),
+                    attempt: attempt.number,
+                    progress: attempt.progress(now),
+                })
+                .collect(),
+            ended: self.ended.values().cloned().collect(),
+        }
+    }
+}
+
+/// Starts a worker on `address`; `boot` differs from that of an earlier life.
+///
+/// # Errors
+/// The port cannot be bound.
+pub async fn bind(
+    address: &str,
+    name: &str,
+    boot: u64,
+    record: Arc<Record>,
+) -> anyhow::Result<Agent> {
+    let shared = Arc::new(Shared {
+        name: name.to_owned(),
+        state: Mutex::new(State::new(boot)),
+        faults: Faults::default(),
+        record,
+    });
+    let server = serve::bind(address, {
+        let shared = shared.clone();
+        move |call| handle(shared.clone(), call)
+    })
+    .await?;
+    tokio::spawn(tick(Arc::downgrade(&shared)));
+    Ok(Agent { server, shared })
+}
+
+async fn tick(shared: std::sync::Weak<Shared>) {
+    let mut ticks = time::interval(TICK);
+    loop {
+        ticks.tick().await;
+        let Some(shared) = shared.upgrade() else {
+            return;
+        };
+        let mut state = shared.state.lock();
+        state.advance(&shared.record, Instant::now());
+    }
+}
+
+async fn handle(shared: Arc<Shared>, call: Call) -> Reply {
+    if call.path == "/fault" {
+        return Reply::Send(switch(&shared, &call));
+    }
+    let switches = shared.faults.get();
+    if switches.down {
+        return Reply::Cut;
+    }
+    if switches.slow_ms > 0 {
+        time::sleep(Duration::from_millis(switches.slow_ms)).await;
+    }
+    let sync: Sync = match serde_json::from_slice(&call.body) {
+        Ok(sync) => sync,
+        Err(error) => return Reply::Send(serve::text(400, error.to_string())),
+    };
+    let answer = obey(&shared, sync);
+    if shared.faults.lose_one() || shared.faults.get().down {
+        return Reply::Cut;
+    }
+    Reply::Send(answer)
+}
+
+fn switch(shared: &Shared, call: &Call) -> serve::Answer {
+    match serde_json::from_slice(&call.body) {
+        Ok(switches) => {
+            shared.faults.set(switches);
+            serve::text(200, "true")
+        }
+        Err(error) => serve::text(400, error.to_string()),
+    }
+}
+
+fn obey(shared: &Shared, sync: Sync) -> serve::Answer {
+    let now = Instant::now();
+    let mut state = shared.state.lock();
+    state.advance(&shared.record, now);
+    let old = (sync.epoch, sync.seq) <= (state.epoch, state.seq);
+    let other_life = sync.boot != 0 && sync.boot != state.boot;
+    if old || other_life {
+        let mut answer = serve::json(&state.report(now));
+        *answer.status_mut() = hyper::StatusCode::CONFLICT;
+        return answer;
+    }
+    state.epoch = sync.epoch;
+    state.seq = sync.seq;
+    state.until = state.until.max(sync.until);
+    for ack in &sync.acks {
+        state.ended.remove(ack);
+    }
+    for command in sync.commands {
+        state.obey(shared, command, now);
+    }
+    serve::json(&state.report(now))
+}
