--- /dev/null
+++ b/standin/src/endpoint.rs
@@ -0,0 +1,221 @@
+//! A stand-in for an endpoint: a few slots, a service time, and switches.
+//!
+//! A request's `service-ms` header sets how long it holds a slot (default 1 ms).
+//! The answer repeats the request's `request-id` and body, so that a caller can
+//! tell its own answer from another's. `leave` makes it refuse further work.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use parking_lot::Mutex;
+use std::time::Duration;
+
+use hyper::header::{HeaderMap, HeaderValue};
+use tokio::sync::Semaphore;
+use tokio::time;
+
+use crate::faults::Faults;
+use crate::serve::{self, Answer, Call, Payload, Reply};
+
+/// Header in which an endpoint says that it did not run a request.
+const OUTCOME: &str = "ashtiller-outcome";
+/// Published header for load reports (Open Request Cost Aggregation).
+const LOAD: &str = "endpoint-load-metrics";
+
+/// What an endpoint counted.
+#[derive(Debug, Default)]
+pub struct Counts {
+    /// Requests whose handler ran.
+    pub run: AtomicU64,
+    /// Requests that found every slot taken.
+    pub waited: AtomicU64,
+    /// Requests refused while leaving.
+    pub refused: AtomicU64,
+}
+
+struct Shared {
+    slots: Semaphore,
+    size: usize,
+    leaving: AtomicBool,
+    slowdown: Mutex<f64>,
+    faults: Faults,
+    counts: Counts,
+    runs: Mutex<BTreeMap<String, u32>>,
+    record: bool,
+    name: String,
+}
+
+/// A running endpoint stand-in.
+pub struct Endpoint {
+    server: serve::Server,
+    shared: Arc<Shared>,
+}
+
+impl Endpoint {
+    /// The address that the kernel gave.
+    #[must_use]
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.server.address()
+    }
+
+    /// The fault switches.
+    #[must_use]
+    pub fn faults(&self) -> &Faults {
+        &self.shared.faults
+    }
+
+    /// What was counted so far.
+    #[must_use]
+    pub fn counts(&self) -> &Counts {
+        &self.shared.counts
+    }
+
+    /// How often the handler ran for each `request-id`.
+    #[must_use]
+    pub fn runs(&self) -> BTreeMap<String, u32> {
+        self.shared.runs.lock().clone()
+    }
+
+    /// Refuses further work, as an endpoint that is about to leave.
+    pub fn leave(&self) {
+        self.shared.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Multiplies every service time.
+    pub fn set_slowdown(&self, factor: f64) {
+        *self.shared.slowdown.lock() = factor;
+    }
+
+    /// Closes the port and every connection.
+    pub fn kill(&self) {
+        self.server.kill();
+    }
+}
+
+/// Starts an endpoint with `slots` slots; `record` keeps every `request-id` seen.
+///
+/// # Errors
+/// The port cannot be bound.
+pub async fn bind(
+    address: &str,
+    name: &str,
+    slots: usize,
+    record: bool,
+) -> anyhow::Result<Endpoint> {
+    let shared = Arc::new(Shared {
+        slots: Semaphore::new(slots),
+        size: slots,
+        leaving: AtomicBool::new(false),
+        slowdown: Mutex::new(1.0),
+        faults: Faults::default(),
+        counts: Counts::default(),
+        runs: Mutex::default(),
+        record,
+        name: name.to_owned(),
+    });
+    let server = serve::bind(address, {
+        let shared = shared.clone();
+        move |call| handle(shared.clone(), call)
+    })
+    .await?;
+    Ok(Endpoint { server, shared })
+}
+
+async fn handle(shared: Arc<Shared>, call: Call) -> Reply {
+    if call.path == "/fault" {
+        return Reply::Send(switch(&shared, &call));
+    }
+    let switches = shared.faults.get();
+    if switches.down {
+        return Reply::Cut;
+    }
+    if switches.frozen {
+        std::future::pending::<()>().await;
+    }
+    if call.path == "/health" {
+        let leaving = shared.leaving.load(Ordering::SeqCst);
+        let status = if leaving || switches.failing {
+            503
+        } else {
+            200
+        };
+        return Reply::Send(serve::text(status, "{}"));
+    }
+    if shared.leaving.load(Ordering::SeqCst) {
+        shared.counts.refused.fetch_add(1, Ordering::Relaxed);
+        let mut answer = serve::text(503, "leaving");
+        answer
+            .headers_mut()
+            .insert(OUTCOME, HeaderValue::from_static("not-run"));
+        answer
+            .headers_mut()
+            .insert("connection", HeaderValue::from_static("close"));
+        return Reply::Send(answer);
+    }
+    if switches.failing {
+        note_run(&shared, &call.headers);
+        return Reply::Send(serve::text(500, "failing"));
+    }
+    if shared.slots.available_permits() == 0 {
+        shared.counts.waited.fetch_add(1, Ordering::Relaxed);
+    }
+    let Ok(_slot) = shared.slots.acquire().await else {
+        return Reply::Cut;
+    };
+    note_run(&shared, &call.headers);
+    let factor = *shared.slowdown.lock();
+    time::sleep(service_time(&call.headers).mul_f64(factor)).await;
+    if shared.faults.get().down {
+        return Reply::Cut;
+    }
+    Reply::Send(echo(&shared, &call, switches.cut_body))
+}
+
+fn switch(shared: &Shared, call: &Call) -> Answer {
+    match serde_json::from_slice(&call.body) {
+        Ok(switches) => {
+            shared.faults.set(switches);
+            serve::text(200, "true")
+        }
+        Err(error) => serve::text(400, error.to_string()),
+    }
+}
+
+fn note_run(shared: &Shared, headers: &HeaderMap) {
+    shared.counts.run.fetch_add(1, Ordering::Relaxed);
+    if !shared.record {
+        return;
+    }
+    if let Some(id) = headers.get("request-id").and_then(|id| id.to_str().ok()) {
+        *shared.runs.lock().entry(id.to_owned()).or_default() += 1;
+    }
+}
+
+fn service_time(headers: &HeaderMap) -> Duration {
+    let millis = headers
+        .get("service-ms")
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.parse::<f64>().ok())
+        .unwrap_or(1.0);
+    Duration::from_secs_f64(millis.max(0.0) / 1e3)
+}
+
+fn echo(shared: &Shared, call: &Call, cut: bool) -> Answer {
+    let mut answer = serve::text(200, call.body.clone());
+    if cut {
+        *answer.body_mut() = Payload::cut(&call.body);
+    }
+    if let Some(id) = call.headers.get("request-id") {
+        answer.headers_mut().insert("request-id", id.clone());
+    }
+    let taken = shared.size.saturating_sub(shared.slots.available_permits());
+    let load = format!("TEXT named_metrics.in_flight={taken}");
+    if let Ok(load) = HeaderValue::from_str(&load) {
+        answer.headers_mut().insert(LOAD, load);
+    }
+    if let Ok(name) = HeaderValue::from_str(&shared.name) {
+        answer.headers_mut().insert("endpoint-name", name);
+    }
+    answer
+}
--- /dev/null
+++ b/standin/src/faults.rs
@@ -0,0 +1,72 @@
+//! Switches for the faults that the brief names.
+
+use parking_lot::Mutex;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// The state of a stand-in's switches.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each switch is a fault of its own"
+)]
+pub struct Switches {
+    /// Every connection is closed without an answer.
+    pub down: bool,
+    /// Every answer waits this many milliseconds.
+    pub slow_ms: u64,
+    /// This many of the next writes take effect and lose their answer.
+    pub lose: u32,
+    /// Watches never wake.
+    pub stuck: bool,
+    /// Requests are taken and never answered.
+    pub frozen: bool,
+    /// Every request is answered at once with status 500.
+    pub failing: bool,
+    /// The body is cut after its first half.
+    pub cut_body: bool,
+}
+
+/// Switches shared between a stand-in and its test.
+#[derive(Debug, Default)]
+pub struct Faults {
+    switches: Mutex<Switches>,
+}
+
+impl Faults {
+    /// Returns the switches as they stand.
+    #[must_use]
+    pub fn get(&self) -> Switches {
+        self.switches.lock().clone()
+    }
+
+    /// Replaces all switches.
+    pub fn set(&self, switches: Switches) {
+        *self.switches.lock() = switches;
+    }
+
+    /// Takes the stand-in down or brings it back.
+    pub fn set_down(&self, down: bool) {
+        let mut switches = self.get();
+        switches.down = down;
+        self.set(switches);
+    }
+
+    /// Delays every answer.
+    pub fn set_slow(&self, delay: Duration) {
+        let mut switches = self.get();
+        switches.slow_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        self.set(switches);
+    }
+
+    /// Consumes one lost answer; true when the answer must be lost.
+    #[must_use]
+    pub fn lose_one(&self) -> bool {
+        let mut switches = self.switches.lock();
+        let lose = switches.lose > 0;
+        switches.lose = switches.lose.saturating_sub(1);
+        lose
+    }
+}
