--- a/ashtiller/tests/settings.rs
+++ b/ashtiller/tests/settings.rs
@@ -1,5 +1,6 @@
 //! Settings and templates: each case of the data files with what is said of it.
 
+use ashtiller::mistake::Mistakes;
 use ashtiller::settings::Settings;
 use ashtiller::template::Template;
 use ashtiller::unit;
@@ -11,30 +12,27 @@
         .filter_map(|case| case.split_once('\n'))
 }
 
+/// Every case with its mistakes, or with word that it has none.
+fn said_of<T>(text: &str, parse: impl Fn(&str, &str) -> Result<T, Mistakes>) -> String {
+    let said = cases(text).map(|(name, text)| {
+        let result = parse("case.ini", text).err();
+        let result = result.map_or("no mistakes".to_owned(), |mistakes| mistakes.to_string());
+        format!("=== {name}\n{result}\n")
+    });
+    said.collect()
+}
+
 #[test]
 fn settings_name_every_mistake() {
-    let mut said = String::new();
-    for (name, text) in cases(include_str!("cases/settings.txt")) {
-        let result = match Settings::parse("case.ini", text) {
-            Ok(_) => "no mistakes".to_owned(),
-            Err(mistakes) => mistakes.to_string(),
-        };
-        said.push_str(&format!("=== {name}\n{result}\n"));
-    }
-    insta::assert_snapshot!(said);
+    insta::assert_snapshot!(said_of(include_str!("cases/settings.txt"), Settings::parse));
 }
 
 #[test]
 fn templates_name_every_mistake() {
-    let mut said = String::new();
-    for (name, text) in cases(include_str!("cases/templates.txt")) {
-        let result = match Template::parse("case.ini", text) {
-            Ok(_) => "no mistakes".to_owned(),
-            Err(mistakes) => mistakes.to_string(),
-        };
-        said.push_str(&format!("=== {name}\n{result}\n"));
-    }
-    insta::assert_snapshot!(said);
+    insta::assert_snapshot!(said_of(
+        include_str!("cases/templates.txt"),
+        Template::parse
+    ));
 }
 
 #[test]
