--- a/ashtiller/schema/peer.capnp
+++ b/ashtiller/schema/peer.capnp
@@ -23,6 +23,7 @@
   borrower @1 :Text;
   keep @2 :List(Loan);
   want @3 :UInt16;
+  settles @4 :Bool;
 }
 
 struct Submission {
--- a/ashtiller/src/balance.rs
+++ b/ashtiller/src/balance.rs
@@ -65,7 +65,12 @@
             rng,
             cost: reported_cost,
         }),
-        Kind::Dealt => Box::new(Dealt),
+        Kind::Dealt => Box::new(Dealt {
+            spill: LeastOfTwo {
+                rng,
+                cost: own_cost,
+            },
+        }),
     }
 }
 
@@ -116,7 +121,14 @@
     fresh.map_or(endpoint.in_flight, |(load, _)| load.max(endpoint.in_flight))
 }
 
-struct Dealt;
+/// Requests beyond this gateway's slots that may be in flight, as a divisor of its
+/// slots. They bridge a short swing of the load at the price of a short wait at an
+/// endpoint; what lasts is borrowed.
+const SPILL: u32 = 8;
+
+struct Dealt {
+    spill: LeastOfTwo,
+}
 
 impl Balance for Dealt {
     fn choose(
@@ -126,22 +138,47 @@
         connections: u32,
         now: Duration,
     ) -> Option<usize> {
-        let free =
-            |endpoint: &Endpoint| endpoint.takes(connections) && endpoint.idle_slots(now) > 0;
-        // The one that rested longest: an endpoint that answers at great speed
-        // gains no more requests than its peers.
-        let longest = |avoid: Option<u64>| {
-            endpoints
-                .iter()
-                .enumerate()
-                .filter(|(_, endpoint)| Some(endpoint.id) != avoid && free(endpoint))
-                .min_by_key(|(_, endpoint)| endpoint.begun)
-                .map(|(index, _)| index)
-        };
-        longest(avoid).or_else(|| avoid.and_then(|_| longest(None)))
+        let rested = longest_rested(endpoints, avoid, connections, now);
+        if rested.is_some() {
+            return rested;
+        }
+        let (in_flight, usable) = endpoints
+            .iter()
+            .fold((0, 0), |(in_flight, usable), endpoint| {
+                (
+                    in_flight + endpoint.in_flight,
+                    usable + endpoint.slots.usable(now),
+                )
+            });
+        let room = in_flight < usable + usable / SPILL;
+        if room {
+            self.spill.choose(endpoints, avoid, connections, now)
+        } else {
+            None
+        }
     }
 }
 
+/// Among endpoints with a free slot, the one that rested longest: an endpoint that
+/// answers at great speed gains no more requests than its peers.
+fn longest_rested(
+    endpoints: &[Endpoint],
+    avoid: Option<u64>,
+    connections: u32,
+    now: Duration,
+) -> Option<usize> {
+    let free = |endpoint: &Endpoint| {
+        Some(endpoint.id) != avoid && endpoint.takes(connections) && endpoint.idle_slots(now) > 0
+    };
+    let candidates = endpoints
+        .iter()
+        .enumerate()
+        .filter(|(_, endpoint)| free(endpoint));
+    candidates
+        .min_by_key(|(_, endpoint)| endpoint.begun)
+        .map(|(index, _)| index)
+}
+
 fn draw(
     rng: &mut Pcg64Mcg,
     endpoints: &[Endpoint],
--- /dev/null
+++ b/ashtiller/src/calls.rs
@@ -0,0 +1,200 @@
+//! Calls to other processes, carried out on the wire's thread.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task;
+use tokio::time;
+use tokio_util::compat::{Compat, TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use crate::codec;
+use crate::failure::Failure;
+use crate::meter::{self, Meter};
+use crate::peer::{Ask, Greeting, Submission, Verdict};
+use crate::schema::peer_capnp::peer;
+
+/// Where an answer goes.
+pub type Asked<T> = oneshot::Sender<Result<T, Failure>>;
+
+/// A call that waits for the wire's thread.
+pub enum Call {
+    /// Heartbeat.
+    Greet(Greeting, Asked<Greeting>),
+    /// Question for slots.
+    Lend(Ask, Asked<Vec<(u64, u32)>>),
+    /// A job for a cell.
+    Submit(Arc<str>, Box<Submission>, Asked<Verdict>),
+    /// Cancellation of cell, account, job.
+    Cancel([Arc<str>; 3], Asked<Verdict>),
+    /// State of cell, account, job.
+    Show([Arc<str>; 3], Asked<String>),
+}
+
+/// A connection as the library sees it.
+pub type Network = twoparty::VatNetwork<Compat<Meter<OwnedReadHalf>>>;
+
+/// One connection, counted and without delay.
+pub fn network_of(stream: TcpStream, side: Side, bytes: &Arc<meter::Bytes>) -> Network {
+    // A delayed small message would cost more than the saved packet.
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.into_split();
+    let reader = Meter::new(reader, bytes.clone()).compat();
+    let writer = Meter::new(writer, bytes.clone()).compat_write();
+    twoparty::VatNetwork::new(reader, writer, side, capnp::message::ReaderOptions::new())
+}
+
+/// Carries out queued calls until the queue is closed; each may take `limit`.
+pub async fn carry(
+    mut received: mpsc::Receiver<(SocketAddr, Call)>,
+    limit: Duration,
+    bytes: Arc<meter::Bytes>,
+) {
+    let links = Rc::new(Links {
+        open: RefCell::default(),
+        bytes,
+    });
+    while let Some((address, call)) = received.recv().await {
+        task::spawn_local(perform(links.clone(), address, call, limit));
+    }
+}
+
+struct Links {
+    open: RefCell<HashMap<SocketAddr, peer::Client>>,
+    bytes: Arc<meter::Bytes>,
+}
+
+impl Links {
+    async fn client(
+        &self,
+        step: &'static str,
+        address: SocketAddr,
+    ) -> Result<peer::Client, Failure> {
+        if let Some(client) = self.open.borrow().get(&address) {
+            return Ok(client.clone());
+        }
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(|error| Failure::none(step, address, error))?;
+        let mut system = RpcSystem::new(
+            Box::new(network_of(stream, Side::Client, &self.bytes)),
+            None,
+        );
+        let client: peer::Client = system.bootstrap(Side::Server);
+        task::spawn_local(system);
+        self.open.borrow_mut().insert(address, client.clone());
+        Ok(client)
+    }
+
+    fn forget(&self, address: SocketAddr) {
+        self.open.borrow_mut().remove(&address);
+    }
+}
+
+async fn perform(links: Rc<Links>, address: SocketAddr, asked: Call, limit: Duration) {
+    match asked {
+        Call::Greet(mine, asked) => {
+            let done = within(&links, "greet", address, limit, |client| {
+                greet(client, mine)
+            });
+            let _ = asked.send(done.await);
+        }
+        Call::Lend(ask, asked) => {
+            let done = within(&links, "lend", address, limit, |client| lend(client, ask));
+            let _ = asked.send(done.await);
+        }
+        Call::Submit(cell, job, asked) => {
+            let done = within(&links, "submit", address, limit, |client| {
+                submit(client, cell, job)
+            });
+            let _ = asked.send(done.await);
+        }
+        Call::Cancel(names, asked) => {
+            let done = within(&links, "cancel", address, limit, |client| {
+                cancel(client, names)
+            });
+            let _ = asked.send(done.await);
+        }
+        Call::Show(names, asked) => {
+            let done = within(&links, "show", address, limit, |client| show(client, names));
+            let _ = asked.send(done.await);
+        }
+    }
+}
+
+async fn within<T, F>(
+    links: &Links,
+    step: &'static str,
+    address: SocketAddr,
+    limit: Duration,
+    call: impl FnOnce(peer::Client) -> F,
+) -> Result<T, Failure>
+where
+    F: Future<Output = Result<T, capnp::Error>>,
+{
+    let started = time::Instant::now();
+    let late = |_| Failure::none(step, address, "no connection in time");
+    let client = time::timeout(limit, links.client(step, address))
+        .await
+        .map_err(late)??;
+    let left = limit.saturating_sub(started.elapsed());
+    let failure = match time::timeout(left, call(client)).await {
+        Ok(Ok(value)) => return Ok(value),
+        Ok(Err(error)) => Failure::unknown(step, address, error),
+        Err(_) => Failure::unknown(step, address, "no answer in time"),
+    };
+    links.forget(address);
+    Err(failure)
+}
+
+async fn greet(client: peer::Client, mine: Greeting) -> Result<Greeting, capnp::Error> {
+    let mut request = client.greet_request();
+    codec::write_greeting(request.get().init_mine(), &mine);
+    let response = request.send().promise.await?;
+    codec::read_greeting(response.get()?.get_yours()?)
+}
+
+async fn lend(client: peer::Client, ask: Ask) -> Result<Vec<(u64, u32)>, capnp::Error> {
+    let mut request = client.lend_request();
+    codec::write_ask(request.get().init_ask(), &ask);
+    let response = request.send().promise.await?;
+    Ok(codec::read_loans(response.get()?.get_loans()?))
+}
+
+async fn submit(
+    client: peer::Client,
+    cell: Arc<str>,
+    job: Box<Submission>,
+) -> Result<Verdict, capnp::Error> {
+    let mut request = client.submit_request();
+    request.get().set_cell(&*cell);
+    codec::write_submission(request.get().init_job(), &job);
+    let response = request.send().promise.await?;
+    codec::read_verdict(response.get()?.get_verdict()?)
+}
+
+async fn cancel(client: peer::Client, names: [Arc<str>; 3]) -> Result<Verdict, capnp::Error> {
+    let mut request = client.cancel_request();
+    request.get().set_cell(&*names[0]);
+    request.get().set_account(&*names[1]);
+    request.get().set_job(&*names[2]);
+    let response = request.send().promise.await?;
+    codec::read_verdict(response.get()?.get_verdict()?)
+}
+
+async fn show(client: peer::Client, names: [Arc<str>; 3]) -> Result<String, capnp::Error> {
+    let mut request = client.show_request();
+    request.get().set_cell(&*names[0]);
+    request.get().set_account(&*names[1]);
+    request.get().set_job(&*names[2]);
+    let response = request.send().promise.await?;
+    Ok(response.get()?.get_json()?.to_string()?)
+}
--- a/ashtiller/src/codec.rs
+++ b/ashtiller/src/codec.rs
@@ -75,6 +75,7 @@
     to.set_service(&*ask.service);
     to.set_borrower(&*ask.borrower);
     to.set_want(u16::try_from(ask.want).unwrap_or(u16::MAX));
+    to.set_settles(ask.settles);
     write_loans(to.init_keep(length(ask.keep.len())), &ask.keep);
 }
 
@@ -88,6 +89,7 @@
         borrower: read_name(from.get_borrower()?)?,
         keep: read_loans(from.get_keep()?),
         want: from.get_want().into(),
+        settles: from.get_settles(),
     })
 }
 
--- a/ashtiller/src/desk.rs
+++ b/ashtiller/src/desk.rs
@@ -123,7 +123,7 @@
         if next == Next::Wait {
             state.waiting.insert(id, sender);
         }
-        if state.dispatch.shortage(now) > 0 {
+        if state.dispatch.shortage() > 0 {
             self.short.notify_one();
         }
         (next, receiver)
@@ -140,6 +140,13 @@
         }
     }
 
+    /// Wakes the lender when slots run short.
+    pub fn notify_shortage(&self) {
+        if self.with(|dispatch, _| dispatch.shortage()) > 0 {
+            self.short.notify_one();
+        }
+    }
+
     /// A copy of one endpoint.
     #[must_use]
     pub fn endpoint(&self, id: u64) -> Option<Endpoint> {
--- a/ashtiller/src/dispatch.rs
+++ b/ashtiller/src/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::endpoint::{Endpoint, Listing, Phase};
 use crate::health::{self, Judgement, Reason, Sample};
 use crate::line::{Line, Ticket};
+use crate::peer::Ask;
 use crate::rendezvous;
 
 /// Weight of a new service time in the running mean.
@@ -22,8 +23,12 @@
 const AFTER_MIN: Duration = Duration::from_millis(100);
 /// Longest such time.
 const AFTER_MAX: Duration = Duration::from_secs(30);
-/// Free slots below which a gateway asks to borrow, as a divisor of its slots.
+/// Free slots that a lender keeps, as a divisor of its slots.
 const RESERVE: u32 = 32;
+/// Slots that a borrower asks for beyond those it needs at once.
+const AHEAD: u32 = 4;
+/// Weight of the last peak against an earlier, higher one.
+const PEAK_DECAY: f64 = 0.8;
 
 /// What to do with a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -93,6 +98,8 @@
     balance: Box<dyn Balance>,
     limits: Limits,
     service_time: f64,
+    in_flight: u32,
+    peak: u32,
 }
 
 impl Dispatch {
@@ -107,6 +114,8 @@
             balance,
             limits,
             service_time: FIRST_GUESS,
+            in_flight: 0,
+            peak: 0,
         }
     }
 
@@ -218,6 +227,7 @@
             return Next::Refuse(refuse(Cause::TooLate, wait));
         }
         self.line.push(ticket);
+        self.note_peak();
         Next::Wait
     }
 
@@ -233,8 +243,15 @@
         let endpoint = &mut self.endpoints[place];
         endpoint.in_flight += 1;
         endpoint.begun = now;
+        let id = endpoint.id;
         *self.flying.entry(ticket.account.clone()).or_default() += 1;
-        Some(endpoint.id)
+        self.in_flight += 1;
+        self.note_peak();
+        Some(id)
+    }
+
+    fn note_peak(&mut self) {
+        self.peak = self.peak.max(self.in_flight + count_of(self.line.len()));
     }
 
     /// Expected time until a new request would have its answer.
@@ -286,6 +303,7 @@
 
     /// A request at an endpoint has ended.
     pub fn finish(&mut self, account: &Arc<str>, id: u64, sample: Sample, now: Duration) {
+        self.in_flight = self.in_flight.saturating_sub(1);
         if let Some(flying) = self.flying.get_mut(account) {
             *flying -= 1;
             if *flying == 0 {
@@ -371,13 +389,27 @@
         self.places.get(&id).map(|&place| &self.endpoints[place])
     }
 
-    /// Slots that this gateway would like to borrow.
+    /// Slots that requests in the line need now.
     #[must_use]
-    pub fn shortage(&self, now: Duration) -> u32 {
-        let (free, usable) = self.slack(now);
-        let reserve = (usable / RESERVE).max(1);
+    pub fn shortage(&self) -> u32 {
         let waiting = count_of(self.line.len());
-        (waiting + reserve).saturating_sub(free)
+        if waiting == 0 { 0 } else { waiting + AHEAD }
+    }
+
+    /// Slots by which the recent peak exceeds those of this gateway; begins a new
+    /// span of observation.
+    pub fn excess(&mut self, now: Duration) -> u32 {
+        let usable = self.slack(now).1;
+        let excess = self.peak.saturating_sub(usable);
+        let former = f64::from(self.peak) * PEAK_DECAY;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a count"
+        )]
+        let former = former as u32;
+        self.peak = former.max(self.in_flight + count_of(self.line.len()));
+        excess
     }
 
     fn slack(&self, now: Duration) -> (u32, u32) {
@@ -393,23 +425,18 @@
             })
     }
 
-    /// Replaces the loan to `peer`: it keeps `keep` and wants `want` more. At most
-    /// half of what is free is lent. Returns the whole loan.
-    pub fn lend(
-        &mut self,
-        peer: &Arc<str>,
-        keep: &[(u64, u32)],
-        want: u32,
-        until: Duration,
-        now: Duration,
-    ) -> Vec<(u64, u32)> {
+    /// Goes on with the loan to `peer` until `until`, reduced to `keep` when it
+    /// settles, and adds up to `want` slots, at most half of what is free. Returns
+    /// what was added.
+    pub fn lend(&mut self, ask: &Ask, until: Duration, now: Duration) -> Vec<(u64, u32)> {
+        let peer = &ask.borrower;
         for endpoint in &mut self.endpoints {
-            let lent = endpoint.slots.lent_to(peer, now);
-            let kept = keep
-                .iter()
-                .find(|(id, _)| *id == endpoint.id)
-                .map_or(0, |(_, count)| *count);
-            endpoint.slots.lend(peer, kept.min(lent), until);
+            let mut lent = endpoint.slots.lent_to(peer, now);
+            if ask.settles {
+                let kept = ask.keep.iter().find(|(id, _)| *id == endpoint.id);
+                lent = lent.min(kept.map_or(0, |(_, count)| *count));
+            }
+            endpoint.slots.lend(peer, lent, until);
         }
         let (free, usable) = self.slack(now);
         let reserve = (usable / RESERVE).max(1);
@@ -418,31 +445,42 @@
         } else {
             0
         };
-        let mut open = want.min(spare);
+        let mut added = Vec::new();
         for endpoint in &mut self.endpoints {
-            if open == 0 {
+            if added.len() >= ask.want.min(spare) as usize {
                 break;
             }
             if endpoint.takes(self.limits.connections) && endpoint.idle_slots(now) > 0 {
                 let lent = endpoint.slots.lent_to(peer, now);
                 endpoint.slots.lend(peer, lent + 1, until);
-                open -= 1;
+                added.push((endpoint.id, 1));
             }
         }
-        self.endpoints
-            .iter()
-            .map(|endpoint| (endpoint.id, endpoint.slots.lent_to(peer, now)))
-            .filter(|(_, count)| *count > 0)
-            .collect()
+        added
     }
 
     /// Replaces what is borrowed from `peer`.
     pub fn borrow_from(&mut self, peer: &Arc<str>, loans: &[(u64, u32)], until: Duration) {
         for endpoint in &mut self.endpoints {
-            let count = loans
-                .iter()
-                .find(|(id, _)| *id == endpoint.id)
-                .map_or(0, |(_, count)| *count);
+            let loan = loans.iter().find(|(id, _)| *id == endpoint.id);
+            endpoint
+                .slots
+                .borrow_from(peer, loan.map_or(0, |(_, count)| *count), until);
+        }
+    }
+
+    /// Goes on with what is borrowed from `peer` and adds to it.
+    pub fn borrow_more(
+        &mut self,
+        peer: &Arc<str>,
+        added: &[(u64, u32)],
+        until: Duration,
+        now: Duration,
+    ) {
+        for endpoint in &mut self.endpoints {
+            let more = added.iter().find(|(id, _)| *id == endpoint.id);
+            let count =
+                endpoint.slots.borrowed_from(peer, now) + more.map_or(0, |(_, count)| *count);
             endpoint.slots.borrow_from(peer, count, until);
         }
     }
@@ -450,10 +488,8 @@
     /// Borrowed slots of `peer` that are still needed at `now`.
     #[must_use]
     pub fn kept(&self, peer: &str, now: Duration) -> Vec<(u64, u32)> {
-        let mut spare = self
-            .slack(now)
-            .0
-            .saturating_sub(self.slack(now).1 / RESERVE + 1);
+        let (_, usable) = self.slack(now);
+        let mut spare = usable.saturating_sub(self.peak + 1);
         let mut kept = Vec::new();
         for endpoint in &self.endpoints {
             let borrowed = endpoint.slots.borrowed_from(peer, now);
@@ -466,16 +502,6 @@
         kept
     }
 
-    /// All slots borrowed from `peer`.
-    #[must_use]
-    pub fn borrowed_from(&self, peer: &str, now: Duration) -> Vec<(u64, u32)> {
-        self.endpoints
-            .iter()
-            .map(|endpoint| (endpoint.id, endpoint.slots.borrowed_from(peer, now)))
-            .filter(|(_, count)| *count > 0)
-            .collect()
-    }
-
     /// Whether anything is borrowed from `peer`.
     #[must_use]
     pub fn borrows_from(&self, peer: &str, now: Duration) -> bool {
--- a/ashtiller/src/gateway.rs
+++ b/ashtiller/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, OnceLock};
 
 use parking_lot::Mutex;
@@ -170,6 +171,13 @@
         self.ops.address()
     }
 
+    /// Bytes that passed to and from other processes.
+    #[must_use]
+    pub fn wire_bytes(&self) -> u64 {
+        let bytes = self.served.bytes();
+        bytes.sent.load(Ordering::Relaxed) + bytes.received.load(Ordering::Relaxed)
+    }
+
     /// Where other processes connect.
     #[must_use]
     pub fn peers(&self) -> SocketAddr {
@@ -351,6 +359,9 @@
 impl Peer for Local {
     fn greet(&self, mine: Greeting) -> Called<'_, Greeting> {
         self.shared.config.heard(mine.revision);
+        if let Some(parts) = self.shared.parts.get() {
+            parts.membership.greeted(mine, self.shared.clock.now());
+        }
         Box::pin(async { Ok(self.shared.greeting()) })
     }
 
@@ -360,9 +371,7 @@
                 return Ok(Vec::new());
             };
             let term = lender::TERM;
-            Ok(desk.with(|dispatch, now| {
-                dispatch.lend(&ask.borrower, &ask.keep, ask.want, now + term, now)
-            }))
+            Ok(desk.with(|dispatch, now| dispatch.lend(&ask, now + term, now)))
         })
     }
 
--- a/ashtiller/src/lender.rs
+++ b/ashtiller/src/lender.rs
@@ -17,11 +17,13 @@
 use crate::wire::Wire;
 
 /// A loan lapses this long after the last message about it.
-pub const TERM: Duration = Duration::from_secs(2);
+pub const TERM: Duration = Duration::from_secs(6);
 /// How often loans are renewed and idle slots given back.
-const SETTLE_EVERY: Duration = Duration::from_millis(700);
+const SETTLE_EVERY: Duration = Duration::from_millis(2500);
 /// Most slots in one question.
 const WANT_MAX: u32 = 32;
+/// Gateways asked in one round.
+const ASKED_MAX: usize = 3;
 /// Pause after a round in which nobody could lend.
 const PAUSE_MIN: Duration = Duration::from_millis(10);
 /// Longest such pause.
@@ -51,15 +53,16 @@
         loop {
             tokio::select! {
                 () = self.desk.short.notified() => {
-                    last = self.borrow(last).await;
-                    if last.is_some() {
-                        pause = PAUSE_MIN;
-                    } else {
-                        time::sleep(pause).await;
-                        pause = (pause * 2).min(PAUSE_MAX);
+                    let want = self.desk.with(|dispatch, _| dispatch.shortage());
+                    if want > 0 {
+                        last = self.borrow(last, want).await;
                     }
+                    pause = if last.is_some() { PAUSE_MIN } else { (pause * 2).min(PAUSE_MAX) };
+                    time::sleep(pause).await;
+                    // Those that wait bring no new offer by themselves.
+                    self.desk.notify_shortage();
                 }
-                _ = settle.tick() => self.settle().await,
+                _ = settle.tick() => last = self.settle(last).await,
             }
         }
     }
@@ -74,29 +77,25 @@
     }
 
     /// Asks until somebody lends; the last lender first, the others in any order.
-    async fn borrow(&self, last: Option<Arc<str>>) -> Option<Arc<str>> {
+    async fn borrow(&self, last: Option<Arc<str>>, want: u32) -> Option<Arc<str>> {
         let mut lenders = self.others(&self.membership.members());
         lenders.shuffle(&mut rand::rng());
         lenders.sort_by_key(|member| Some(&member.name) != last.as_ref());
-        for lender in lenders {
-            let want = self
-                .desk
-                .with(|dispatch, now| dispatch.shortage(now))
-                .min(WANT_MAX);
-            if want == 0 {
-                return Some(lender.name);
-            }
-            let keep = self
-                .desk
-                .with(|dispatch, now| dispatch.borrowed_from(&lender.name, now));
-            if self.ask(&lender, keep, want).await {
+        for lender in lenders.into_iter().take(ASKED_MAX) {
+            if self.ask_more(&lender, want.min(WANT_MAX)).await {
                 return Some(lender.name);
             }
         }
         None
     }
 
-    async fn settle(&self) {
+    /// Renews loans, gives back what the recent peak did not need, and borrows what
+    /// it needed beyond them.
+    async fn settle(&self, last: Option<Arc<str>>) -> Option<Arc<str>> {
+        let excess = self.desk.with(super::dispatch::Dispatch::excess);
+        if excess > 0 {
+            return self.borrow(last, excess).await;
+        }
         for lender in self.others(&self.membership.members()) {
             let name = &lender.name;
             let keep = self.desk.with(|dispatch, now| {
@@ -105,32 +104,48 @@
                     .then(|| dispatch.kept(name, now))
             });
             if let Some(keep) = keep {
-                self.ask(&lender, keep, 0).await;
+                self.give_back(&lender, keep).await;
             }
         }
+        last
+    }
+
+    /// Asks for more; true when something was lent.
+    async fn ask_more(&self, lender: &Member, want: u32) -> bool {
+        let until = self.desk.now() + TERM;
+        let Some(added) = self.ask(lender, false, Vec::new(), want).await else {
+            return false;
+        };
+        self.desk
+            .with(|dispatch, now| dispatch.borrow_more(&lender.name, &added, until, now));
+        !added.is_empty()
+    }
+
+    /// Renews the loan for `keep` and gives the rest back.
+    async fn give_back(&self, lender: &Member, keep: Vec<(u64, u32)>) {
+        let until = self.desk.now() + TERM;
+        // What is given back must not be used while the message is under way.
+        self.desk
+            .with(|dispatch, _| dispatch.borrow_from(&lender.name, &keep, until));
+        self.ask(lender, true, keep, 0).await;
     }
 
-    /// Sends one question; true when the loan grew.
-    async fn ask(&self, lender: &Member, keep: Vec<(u64, u32)>, want: u32) -> bool {
+    async fn ask(
+        &self,
+        lender: &Member,
+        settles: bool,
+        keep: Vec<(u64, u32)>,
+        want: u32,
+    ) -> Option<Vec<(u64, u32)>> {
         self.tally.asks.inc();
-        let before: u32 = keep.iter().map(|(_, count)| count).sum();
         let (service, borrower) = (self.desk.name.clone(), self.own.clone());
         let ask = Ask {
             service,
             borrower,
-            keep: keep.clone(),
+            settles,
+            keep,
             want,
         };
-        // What is given back must not be used while the message is under way.
-        let until = self.desk.now() + TERM;
-        self.desk
-            .with(|dispatch, _| dispatch.borrow_from(&lender.name, &keep, until));
-        let Ok(loans) = self.wire.connect(lender.peers).lend(ask).await else {
-            return false;
-        };
-        let after: u32 = loans.iter().map(|(_, count)| count).sum();
-        self.desk
-            .with(|dispatch, _| dispatch.borrow_from(&lender.name, &loans, until));
-        after > before
+        self.wire.connect(lender.peers).lend(ask).await.ok()
     }
 }
--- a/ashtiller/src/members.rs
+++ b/ashtiller/src/members.rs
@@ -15,6 +15,10 @@
 
 /// Prefix of the members' keys.
 pub const PREFIX: &str = "ashtiller/members/";
+/// How often two members exchange heartbeats.
+const GREET_EVERY: Duration = Duration::from_secs(2);
+/// Silence after which the member that is not to begin asks all the same.
+const GREET_LATE: Duration = Duration::from_secs(3);
 /// Heartbeats that may fail before a member is passed over.
 const MISSES: u32 = 3;
 /// Silence after which a member that the store has lost is forgotten.
@@ -54,6 +58,8 @@
     pub listed: bool,
     /// Whether it said that it is stopping.
     pub leaving: bool,
+    /// Whether a heartbeat was exchanged with it.
+    pub met: bool,
     /// Heartbeats that failed in a row.
     pub misses: u32,
     /// When it last answered.
@@ -80,6 +86,7 @@
                 member: member.clone(),
                 listed: true,
                 leaving: false,
+                met: false,
                 misses: 0,
                 heard: now,
                 cells: Vec::new(),
@@ -108,6 +115,7 @@
         match answer {
             Some(greeting) => {
                 known.misses = 0;
+                known.met = true;
                 known.heard = now;
                 known.leaving = greeting.leaving;
                 known.cells.clone_from(&greeting.cells);
@@ -117,6 +125,24 @@
         self.forget(now);
     }
 
+    /// Members that this one should greet now. Of two members the one that comes
+    /// first in order begins, so that a pair costs one exchange; the other asks
+    /// when it hears nothing, and anyone asks again after a failure.
+    #[must_use]
+    pub fn due(&self, own: &Member, now: Duration) -> Vec<Member> {
+        let first = (own.role, own.name.clone());
+        let due = self.known.iter().filter(|(key, known)| {
+            let silence = now.saturating_sub(known.heard);
+            let limit = if first < **key {
+                GREET_EVERY
+            } else {
+                GREET_LATE
+            };
+            **key != first && (!known.met || known.misses > 0 || silence >= limit)
+        });
+        due.map(|(_, known)| known.member.clone()).collect()
+    }
+
     /// Everything known, for heartbeats and the dump.
     pub fn iter(&self) -> impl Iterator<Item = &Known> {
         self.known.values()
--- a/ashtiller/src/membership.rs
+++ b/ashtiller/src/membership.rs
@@ -1,5 +1,6 @@
 //! The actor that announces this process and watches the others.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,8 +18,8 @@
 use crate::store::Store;
 use crate::wire::Wire;
 
-/// How often each member is greeted.
-const GREET_EVERY: Duration = Duration::from_secs(1);
+/// How often members are looked at for a heartbeat that is due.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
 /// Longest wait of the watch.
 const WAIT: Duration = Duration::from_mins(1);
 /// Pause after a failed call.
@@ -66,6 +67,23 @@
         self.members.clone()
     }
 
+    /// Takes a heartbeat that another member began.
+    pub fn greeted(&self, greeting: Greeting, now: Duration) {
+        let Some(role) = Role::parse(&greeting.role) else {
+            return;
+        };
+        let name = greeting.name.clone();
+        let _ = self
+            .actor
+            .tell(Heard {
+                role,
+                name,
+                answer: Some(greeting),
+                now,
+            })
+            .try_send();
+    }
+
     /// Stops to announce and to watch, as a kill does.
     pub fn end(&self) {
         for task in &self.tasks {
@@ -176,20 +194,31 @@
     actor: ActorRef<Registrar>,
     members: watch::Receiver<Arc<Members>>,
 ) {
-    let mut ticks = time::interval(GREET_EVERY);
+    let mut ticks = time::interval(LOOK_EVERY);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let mut greetings = JoinSet::new();
+    let mut busy = BTreeSet::new();
     loop {
-        ticks.tick().await;
-        let others: Vec<Member> = members
-            .borrow()
-            .iter()
-            .map(|known| known.member.clone())
-            .collect();
-        let mut greetings = JoinSet::new();
-        for member in others.into_iter().filter(|member| *member != args.own) {
-            greetings.spawn(greet(args.clone(), actor.clone(), member));
+        tokio::select! {
+            _ = ticks.tick() => {}
+            Some(done) = greetings.join_next() => {
+                if let Ok(key) = done {
+                    busy.remove(&key);
+                }
+                continue;
+            }
+        }
+        let due = members.borrow().due(&args.own, args.clock.now());
+        for member in due {
+            let key = (member.role, member.name.clone());
+            if busy.insert(key.clone()) {
+                let (args, actor) = (args.clone(), actor.clone());
+                greetings.spawn(async move {
+                    greet(args, actor, member).await;
+                    key
+                });
+            }
         }
-        greetings.join_all().await;
     }
 }
 
--- /dev/null
+++ b/ashtiller/src/meter.rs
@@ -0,0 +1,70 @@
+//! Counts the bytes that pass through a connection between processes.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Bytes of all connections of one process with its peers.
+#[derive(Debug, Default)]
+pub struct Bytes {
+    /// Bytes received.
+    pub received: AtomicU64,
+    /// Bytes sent.
+    pub sent: AtomicU64,
+}
+
+/// A stream, or half of one, whose bytes are counted.
+#[derive(Debug)]
+pub struct Meter<S> {
+    stream: S,
+    bytes: Arc<Bytes>,
+}
+
+impl<S> Meter<S> {
+    /// Counts what passes through `stream`.
+    pub fn new(stream: S, bytes: Arc<Bytes>) -> Self {
+        Self { stream, bytes }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Meter<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let read = (buffer.filled().len() - before) as u64;
+        self.bytes.received.fetch_add(read, Ordering::Relaxed);
+        polled
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Meter<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write(context, buffer);
+        if let Poll::Ready(Ok(written)) = &polled {
+            self.bytes
+                .sent
+                .fetch_add(*written as u64, Ordering::Relaxed);
+        }
+        polled
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/ashtiller/src/peer.rs
+++ b/ashtiller/src/peer.rs
@@ -20,6 +20,14 @@
 }
 
 impl Role {
+    /// Reads a role's name.
+    #[must_use]
+    pub fn parse(name: &str) -> Option<Self> {
+        [Self::Gateway, Self::Scheduler]
+            .into_iter()
+            .find(|role| role.name() == name)
+    }
+
     /// The role's name in settings, keys and messages.
     #[must_use]
     pub fn name(self) -> &'static str {
@@ -52,6 +60,8 @@
     pub service: Arc<str>,
     /// Gateway that asks.
     pub borrower: Arc<str>,
+    /// Whether `keep` replaces the loan; otherwise the loan goes on and grows.
+    pub settles: bool,
     /// Slots that it keeps from earlier, by endpoint.
     pub keep: Vec<(u64, u32)>,
     /// Further slots that it wants.
@@ -110,7 +120,7 @@
     /// Exchanges heartbeats.
     fn greet(&self, mine: Greeting) -> Called<'_, Greeting>;
 
-    /// Lends slots; the answer is the whole loan.
+    /// Lends slots; the answer is what was added to the loan.
     fn lend(&self, ask: Ask) -> Called<'_, Vec<(u64, u32)>>;
 
     /// Submits a job to a cell.
--- a/ashtiller/src/peer_capnp.rs
+++ b/ashtiller/src/peer_capnp.rs
@@ -665,6 +665,10 @@
         pub fn get_want(self) -> u16 {
             self.reader.get_data_field::<u16>(0)
         }
+        #[inline]
+        pub fn get_settles(self) -> bool {
+            self.reader.get_bool_field(16)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -775,6 +779,14 @@
         pub fn set_want(&mut self, value: u16)  {
             self.builder.set_data_field::<u16>(0, value);
         }
+        #[inline]
+        pub fn get_settles(self) -> bool {
+            self.builder.get_bool_field(16)
+        }
+        #[inline]
+        pub fn set_settles(&mut self, value: bool)  {
+            self.builder.set_bool_field(16, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -786,7 +798,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 81] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(191, 57, 114, 74, 2, 98, 146, 155),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
@@ -796,41 +808,48 @@
             ::capnp::word(21, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 65, 115, 107, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -868,6 +887,14 @@
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 116, 116, 108, 101, 115, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -875,6 +902,7 @@
                 1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::struct_list::Owned<crate::schema::peer_capnp::loan::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -888,9 +916,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0,4,3];
         pub(crate) const TYPE_ID: u64 = 0x9b92_6202_4a72_39bf;
     }
 }
--- a/ashtiller/src/plan.rs
+++ b/ashtiller/src/plan.rs
@@ -19,6 +19,7 @@
 use crate::peer::{Submission, Verdict};
 use crate::resources::Resources;
 use crate::session::Terms;
+use crate::template::Class;
 
 /// Queued tasks of one account that are looked at for one that may start.
 const LOOK_AHEAD: usize = 16;
@@ -41,6 +42,11 @@
     fit: Box<dyn Fit>,
     terms: Terms,
     pledges: BTreeMap<TaskId, Pledge>,
+    /// Shapes that found no worker in this round. A round only takes room away, so
+    /// what did not fit once does not fit again.
+    full: Vec<(Resources, Class)>,
+    /// Shapes for which nothing could be evicted in this round.
+    crowded: Vec<Resources>,
 }
 
 impl Planner {
@@ -51,6 +57,8 @@
             fit,
             terms,
             pledges: BTreeMap::new(),
+            full: Vec::new(),
+            crowded: Vec::new(),
         }
     }
 
@@ -66,6 +74,8 @@
                 .is_some_and(|(task, _)| task.phase == Phase::Queued);
             queued && pledge.until > now
         });
+        self.full.clear();
+        self.crowded.clear();
         for rank in RANKS {
             self.place_rank(cell, rank, &mut facts, position, now);
         }
@@ -138,21 +148,26 @@
             .queued(rank, account)
             .take(LOOK_AHEAD)
             .collect();
-        let mut tried: Vec<Resources> = Vec::new();
         for id in queued {
             let Some((task, submission)) = cell.task(id) else {
                 continue;
             };
-            let needs = submission.needs;
+            let (needs, class) = (submission.needs, submission.class);
             let quota = cell
                 .accounts()
                 .get(account)
                 .is_some_and(|held| held.pool.grants(&needs));
-            if task.after > now || !quota || tried.contains(&needs) {
+            if task.after > now || !quota {
                 continue;
             }
             let number = task.attempt + 1;
-            if let Some((worker, boot)) = self.choose(cell, id, rank, now) {
+            let full = self.full.contains(&(needs, class)) && !self.pledges.contains_key(&id);
+            let chosen = if full {
+                None
+            } else {
+                self.choose(cell, id, rank, now)
+            };
+            if let Some((worker, boot)) = chosen {
                 let attempt = Attempt { task: id, number };
                 record(
                     cell,
@@ -168,8 +183,10 @@
                 self.pledges.remove(&id);
                 return true;
             }
-            tried.push(needs);
-            if rank != Rank::Batch {
+            if !full && !self.pledges.contains_key(&id) {
+                self.full.push((needs, class));
+            }
+            if rank != Rank::Batch && !self.crowded.contains(&needs) {
                 self.make_room(cell, id, facts, position, now);
             }
         }
@@ -224,6 +241,7 @@
         };
         let needs = submission.needs;
         let Some((worker, victims)) = evict::choose(cell, &needs, self.terms.lease, now) else {
+            self.crowded.push(needs);
             return;
         };
         for victim in victims {
--- /dev/null
+++ b/ashtiller/src/remote.rs
@@ -0,0 +1,64 @@
+//! Another process, reached through the wire's thread.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::sync::oneshot;
+use tokio::time;
+
+use crate::calls::{Asked, Call};
+use crate::failure::Failure;
+use crate::peer::{Ask, Greeting, Peer, Submission, Verdict};
+use crate::store::Called;
+use crate::wire::Wire;
+
+/// A [`Peer`] that stands for the process at an address.
+pub struct Remote {
+    /// The wire's thread.
+    pub wire: Wire,
+    /// Where the process listens.
+    pub address: SocketAddr,
+}
+
+impl Remote {
+    async fn ask<T>(
+        &self,
+        step: &'static str,
+        call: impl FnOnce(Asked<T>) -> Call,
+    ) -> Result<T, Failure> {
+        let (asked, answer) = oneshot::channel();
+        let sent = self.wire.send(self.address, call(asked));
+        sent.map_err(|()| Failure::none(step, self.address, "the wire is busy"))?;
+        // The thread's own limit comes first; this one covers a stuck thread.
+        match time::timeout(self.wire.limit() * 2, answer).await {
+            Ok(Ok(done)) => done,
+            _ => Err(Failure::unknown(
+                step,
+                self.address,
+                "the wire gave no answer",
+            )),
+        }
+    }
+}
+
+impl Peer for Remote {
+    fn greet(&self, mine: Greeting) -> Called<'_, Greeting> {
+        Box::pin(self.ask("greet", |asked| Call::Greet(mine, asked)))
+    }
+
+    fn lend(&self, ask: Ask) -> Called<'_, Vec<(u64, u32)>> {
+        Box::pin(self.ask("lend", |asked| Call::Lend(ask, asked)))
+    }
+
+    fn submit(&self, cell: Arc<str>, job: Submission) -> Called<'_, Verdict> {
+        Box::pin(self.ask("submit", |asked| Call::Submit(cell, Box::new(job), asked)))
+    }
+
+    fn cancel(&self, cell: Arc<str>, account: Arc<str>, job: Arc<str>) -> Called<'_, Verdict> {
+        Box::pin(self.ask("cancel", |asked| Call::Cancel([cell, account, job], asked)))
+    }
+
+    fn show(&self, cell: Arc<str>, account: Arc<str>, job: Arc<str>) -> Called<'_, String> {
+        Box::pin(self.ask("show", |asked| Call::Show([cell, account, job], asked)))
+    }
+}
--- a/ashtiller/src/scheduler.rs
+++ b/ashtiller/src/scheduler.rs
@@ -166,6 +166,13 @@
         self.ops.address()
     }
 
+    /// Bytes that passed to and from other processes.
+    #[must_use]
+    pub fn wire_bytes(&self) -> u64 {
+        let bytes = self.served.bytes();
+        bytes.sent.load(Ordering::Relaxed) + bytes.received.load(Ordering::Relaxed)
+    }
+
     /// Where other processes connect.
     #[must_use]
     pub fn peers(&self) -> SocketAddr {
@@ -371,6 +378,9 @@
 impl Peer for Local {
     fn greet(&self, mine: Greeting) -> Called<'_, Greeting> {
         self.shared.config.heard(mine.revision);
+        if let Some(membership) = self.shared.membership.get() {
+            membership.greeted(mine, self.shared.clock.now());
+        }
         Box::pin(async { Ok(self.shared.greeting()) })
     }
 
--- /dev/null
+++ b/ashtiller/tests/fleet/worker.rs
@@ -0,0 +1,197 @@
+//! A worker as the protocol describes it, with a clock that drifts.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashtiller::agent::{Command, Ended, Ending, Report, Running, Sync};
+use ashtiller::resources::Resources;
+
+/// What every worker has.
+pub const WHOLE: Resources = Resources {
+    processors: 4000,
+    memory: 50,
+    accelerators: 0,
+};
+
+struct Attempt {
+    number: u32,
+    progress: u64,
+}
+
+pub struct Worker {
+    pub leaving: bool,
+    rate: f64,
+    boot: u64,
+    born: Duration,
+    epoch: u64,
+    seq: u64,
+    until: u64,
+    running: BTreeMap<Arc<str>, Attempt>,
+    ended: BTreeMap<(Arc<str>, u32), Ended>,
+    saved: Vec<(Arc<str>, u64)>,
+}
+
+impl Worker {
+    pub fn new(rate: f64) -> Self {
+        Self {
+            leaving: false,
+            rate,
+            boot: 1,
+            born: Duration::ZERO,
+            epoch: 0,
+            seq: 0,
+            until: 0,
+            running: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            saved: Vec::new(),
+        }
+    }
+
+    fn clock(&self, now: Duration) -> u64 {
+        let age = now.saturating_sub(self.born).mul_f64(self.rate);
+        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    pub fn running(&self) -> impl Iterator<Item = Arc<str>> {
+        self.running.keys().cloned()
+    }
+
+    /// Checkpoints written so far.
+    pub fn checkpoints(&self) -> impl Iterator<Item = (Arc<str>, u64)> {
+        self.saved.iter().cloned()
+    }
+
+    pub fn advance(&mut self, now: Duration) {
+        if self.clock(now) >= self.until {
+            let tasks: Vec<Arc<str>> = self.running.keys().cloned().collect();
+            for task in tasks {
+                self.end(&task, Ending::Lapsed);
+            }
+        }
+    }
+
+    pub fn restart(&mut self, now: Duration) {
+        let saved = std::mem::take(&mut self.saved);
+        let (rate, boot, leaving) = (self.rate, self.boot + 1, self.leaving);
+        *self = Self {
+            boot,
+            born: now,
+            saved,
+            leaving,
+            ..Self::new(rate)
+        };
+    }
+
+    fn end(&mut self, task: &Arc<str>, end: Ending) {
+        let Some(attempt) = self.running.remove(task) else {
+            return;
+        };
+        if end == Ending::Evicted {
+            self.saved.push((task.clone(), attempt.progress));
+        }
+        let (number, progress) = (attempt.number, attempt.progress);
+        let ended = Ended {
+            task: task.clone(),
+            attempt: number,
+            end,
+            progress,
+        };
+        self.ended.insert((task.clone(), number), ended);
+    }
+
+    /// Obeys a call; returns the attempts that it started.
+    pub fn sync(&mut self, sync: &Sync, now: Duration) -> Vec<(Arc<str>, u32, u64)> {
+        self.advance(now);
+        let other_life = sync.boot != 0 && sync.boot != self.boot;
+        if other_life || (sync.epoch, sync.seq) <= (self.epoch, self.seq) {
+            return Vec::new();
+        }
+        (self.epoch, self.seq) = (sync.epoch, sync.seq);
+        self.until = self.until.max(sync.until);
+        for (task, attempt) in &sync.acks {
+            self.ended.remove(&(task.clone(), *attempt));
+        }
+        let mut started = Vec::new();
+        for command in &sync.commands {
+            match command {
+                Command::Start {
+                    task,
+                    attempt,
+                    progress,
+                    ..
+                } => {
+                    let over = self.ended.contains_key(&(task.clone(), *attempt));
+                    let valid = self.clock(now) < self.until;
+                    if valid && !over && !self.running.contains_key(task) {
+                        let running = Attempt {
+                            number: *attempt,
+                            progress: *progress,
+                        };
+                        self.running.insert(task.clone(), running);
+                        started.push((task.clone(), *attempt, *progress));
+                    }
+                }
+                Command::Evict { task, attempt } => self.stop(task, *attempt, Ending::Evicted),
+                Command::Stop { task, attempt } => self.stop(task, *attempt, Ending::Stopped),
+                Command::Throttle { .. } => {}
+            }
+        }
+        started
+    }
+
+    fn stop(&mut self, task: &Arc<str>, number: u32, end: Ending) {
+        if self
+            .running
+            .get(task)
+            .is_some_and(|attempt| attempt.number == number)
+        {
+            self.end(task, end);
+            return;
+        }
+        let never = Ended {
+            task: task.clone(),
+            attempt: number,
+            end: Ending::Stopped,
+            progress: 0,
+        };
+        self.ended.entry((task.clone(), number)).or_insert(never);
+    }
+
+    pub fn report(&self, now: Duration) -> Report {
+        let running = self.running.iter().map(|(task, attempt)| Running {
+            task: task.clone(),
+            attempt: attempt.number,
+            progress: attempt.progress,
+        });
+        Report {
+            boot: self.boot,
+            clock: self.clock(now),
+            epoch: self.epoch,
+            seq: self.seq,
+            running: running.collect(),
+            ended: self.ended.values().cloned().collect(),
+        }
+    }
+
+    /// The first running attempt makes progress, finishes or fails; returns the
+    /// task when it finished.
+    pub fn work(&mut self, luck: u16, now: Duration) -> Option<Arc<str>> {
+        self.advance(now);
+        let task = self.running.keys().next().cloned()?;
+        if let Some(attempt) = self.running.get_mut(&task) {
+            attempt.progress += 100;
+        }
+        match luck % 4 {
+            1 => {
+                self.end(&task, Ending::Finished);
+                Some(task)
+            }
+            2 => {
+                self.end(&task, Ending::Failed);
+                None
+            }
+            _ => None,
+        }
+    }
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,1 +1,50 @@
-fn main() {}
+//! Measurements of ashtiller on one machine, against small stand-ins.
+
+mod arrivals;
+mod bound;
+mod caller;
+mod cells;
+mod price;
+mod routing;
+mod slopes;
+
+use pico_args::Arguments;
+
+const USAGE: &str = "\
+usage:
+  bench routing [--gateways 9] [--endpoints 65] [--slots 8] [--load 80%] [--mean 60ms]
+                [--seconds 8] [--policy NAME] [--scene even|skew|slow|wave|all] [--deadline 5s]
+      compares the ways to choose an endpoint, and computes a single shared queue
+  bench overload [--gateways 9] [--endpoints 65] [--times 3] [--seconds 8]
+      goodput when more arrives than the endpoints can do
+  bench price --gateway ADDRESS --endpoint ADDRESS [--pid PID] [--seconds 5]
+      what a gateway adds to each request, and costs
+  bench idle --gateway ADDRESS --pid PID [--connections 2000]
+      memory of idle connections
+  bench cells [--workers 1300] [--running 17700] [--queued 13000]
+      decisions a second of a cell's owner, in memory
+  bench slopes
+      bytes and microseconds for each worker, task and change, at three sizes";
+
+fn main() -> anyhow::Result<()> {
+    let mut args = Arguments::from_env();
+    match args.subcommand()?.as_deref() {
+        Some("routing") => block_on(routing::run(args)),
+        Some("overload") => block_on(routing::run_overload(args)),
+        Some("price") => block_on(price::run(args)),
+        Some("idle") => block_on(price::run_idle(args)),
+        Some("cells") => cells::run(args),
+        Some("slopes") => {
+            slopes::run();
+            Ok(())
+        }
+        _ => anyhow::bail!(USAGE),
+    }
+}
+
+fn block_on(work: impl Future<Output = anyhow::Result<()>>) -> anyhow::Result<()> {
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?
+        .block_on(work)
+}
