--- a/ashtiller/tests/fleet/mod.rs
+++ b/ashtiller/tests/fleet/mod.rs
@@ -1,4 +1,5 @@
 //! A cell's owners, log and workers for tests with injected time.
+#![allow(dead_code, reason = "each test file uses a part")]
 
 mod node;
 mod worker;
@@ -49,6 +50,10 @@
     pub nodes: Vec<Node>,
     pub workers: BTreeMap<Arc<str>, Worker>,
     pub flight: Vec<Message>,
+    /// Owners and workers that cannot reach each other.
+    cuts: BTreeSet<(usize, Arc<str>)>,
+    /// Whether the store is down.
+    down: bool,
     started: BTreeSet<(Arc<str>, u32)>,
     finished: BTreeSet<Arc<str>>,
     checkpoints: BTreeMap<Arc<str>, u64>,
@@ -69,6 +74,8 @@
             nodes: Vec::new(),
             workers: workers.collect(),
             flight: Vec::new(),
+            cuts: BTreeSet::new(),
+            down: false,
             started: BTreeSet::new(),
             finished: BTreeSet::new(),
             checkpoints: BTreeMap::new(),
@@ -90,11 +97,13 @@
             84..86 => self.cancel(one),
             86..91 => self.work(one, other)?,
             91 => self.restart(one)?,
-            92 => self.take_over(),
-            93 => self.kill_owner(one),
+            92 if !self.down => self.take_over(),
+            93 if !self.down => self.kill_owner(one),
             94..96 => self.leave(one, other),
             // A pause of an owner longer than a lease: time passes, others go on.
             96 => self.advance(2500)?,
+            97 => self.cut(one, other),
+            98 => self.down = !self.down,
             _ => self.tick_all(),
         }
         self.check()
@@ -104,6 +113,8 @@
     pub fn settle(&mut self) -> Result<(), String> {
         self.nodes.clear();
         self.flight.clear();
+        self.cuts.clear();
+        self.down = false;
         for worker in self.workers.values_mut() {
             worker.leaving = false;
         }
@@ -194,8 +205,8 @@
         let Some((position, entry)) = node.outgoing() else {
             return;
         };
-        if luck.is_multiple_of(8) {
-            return; // The store is down.
+        if self.down || luck.is_multiple_of(8) {
+            return;
         }
         let index = usize::try_from(position - 1).unwrap_or(usize::MAX);
         if self.log.len() == index {
@@ -249,6 +260,11 @@
         } else {
             self.flight.remove(index)
         };
+        let (Message::ToWorker { owner, worker, .. } | Message::ToOwner { owner, worker, .. }) =
+            &message;
+        if self.cuts.contains(&(*owner, worker.clone())) {
+            return Ok(());
+        }
         match message {
             Message::ToWorker {
                 owner,
@@ -299,6 +315,17 @@
         Ok(())
     }
 
+    /// Cuts an owner off from a worker, or mends the cut.
+    fn cut(&mut self, pick: u16, worker: u16) {
+        let Some(owner) = self.alive(pick) else {
+            return;
+        };
+        let pair = (owner, format!("w{}", usize::from(worker) % WORKERS).into());
+        if !self.cuts.remove(&pair) {
+            self.cuts.insert(pair);
+        }
+    }
+
     fn drop_message(&mut self, pick: u16) {
         if !self.flight.is_empty() {
             self.flight.remove(usize::from(pick) % self.flight.len());
@@ -306,9 +333,16 @@
     }
 
     pub fn submit(&mut self, luck: u16) {
-        let Some(owner) = self.alive(luck) else {
-            return;
-        };
+        if let Some(owner) = self.alive(luck) {
+            self.submit_to(owner, luck);
+        }
+    }
+
+    pub fn submit_to_newest(&mut self, luck: u16) {
+        self.submit_to(self.nodes.len() - 1, luck);
+    }
+
+    fn submit_to(&mut self, owner: usize, luck: u16) {
         let urgent = luck.is_multiple_of(5);
         let submission = Submission {
             account: format!("account-{}", luck % 3).into(),
@@ -350,7 +384,7 @@
     }
 
     /// A running attempt finishes, fails or makes progress.
-    fn work(&mut self, pick: u16, luck: u16) -> Result<(), String> {
+    pub fn work(&mut self, pick: u16, luck: u16) -> Result<(), String> {
         let worker = self.workers.values_mut().nth(usize::from(pick) % WORKERS);
         let Some(worker) = worker else { return Ok(()) };
         if let Some(task) = worker.work(luck, self.now)
@@ -361,7 +395,7 @@
         Ok(())
     }
 
-    fn restart(&mut self, pick: u16) -> Result<(), String> {
+    pub fn restart(&mut self, pick: u16) -> Result<(), String> {
         if let Some(worker) = self.workers.values_mut().nth(usize::from(pick) % WORKERS) {
             worker.restart(self.now);
         }
--- /dev/null
+++ b/ashtiller/tests/sessions.rs
@@ -0,0 +1,353 @@
+//! Whole sessions of the state machines, each step with what was decided.
+
+mod fleet;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashtiller::balance::Kind;
+use ashtiller::dispatch::{self, Dispatch, Limits, Next};
+use ashtiller::endpoint::{self, Listing, Phase};
+use ashtiller::fact::Body;
+use ashtiller::health::Sample;
+use ashtiller::line::Ticket;
+use ashtiller::peer::Ask;
+use ashtiller::template::Class;
+use fleet::Fleet;
+
+fn millis(text: &str) -> Duration {
+    Duration::from_millis(text.parse().expect("milliseconds"))
+}
+
+/// A gateway's view of one service, driven by a script.
+struct Routing {
+    dispatch: Dispatch,
+    gateways: Vec<Arc<str>>,
+    flying: BTreeMap<u64, (Arc<str>, u64)>,
+    waiting: BTreeMap<u64, Arc<str>>,
+    names: BTreeMap<u64, Arc<str>>,
+}
+
+impl Routing {
+    fn step(&mut self, words: &[&str]) -> String {
+        match words {
+            ["deal", gateways @ ..] => {
+                self.gateways = gateways.iter().map(|name| Arc::from(*name)).collect();
+                "dealt with the next list".to_owned()
+            }
+            ["list", listings @ ..] => self.list(listings),
+            [time, rest @ ..] => {
+                let now = millis(time);
+                let said = self.act(rest, now);
+                format!("{said}{}", self.assigned(now))
+            }
+            [] => String::new(),
+        }
+    }
+
+    fn list(&mut self, listings: &[&str]) -> String {
+        let listings: Vec<Listing> = listings
+            .iter()
+            .map(|text| {
+                let mut parts = text.split('/');
+                let name: Arc<str> = parts.next().expect("name").into();
+                let slots = parts
+                    .next()
+                    .and_then(|slots| slots.parse().ok())
+                    .expect("slots");
+                let live = parts.next() == Some("live");
+                self.names.insert(endpoint::id_of(&name), name.clone());
+                let phase = if live { Phase::Live } else { Phase::Leaving };
+                Listing {
+                    name,
+                    address: ([127, 0, 0, 1], 1).into(),
+                    slots,
+                    phase,
+                }
+            })
+            .collect();
+        self.dispatch.list(&listings);
+        self.dispatch.deal(&self.gateways[1..], &self.gateways[0]);
+        let census = self.dispatch.census(Duration::ZERO);
+        format!(
+            "{} live, {} leaving, {} slots dealt",
+            census.live, census.leaving, census.dealt
+        )
+    }
+
+    fn act(&mut self, words: &[&str], now: Duration) -> String {
+        match words {
+            [
+                "offer",
+                id,
+                account,
+                class,
+                deadline,
+                "limit",
+                limit,
+                "queue",
+                queue,
+            ] => {
+                let ticket = Ticket {
+                    id: id.parse().expect("number"),
+                    account: (*account).into(),
+                    class: if *class == "batch" {
+                        Class::Batch
+                    } else {
+                        Class::LatencyCritical
+                    },
+                    deadline: millis(deadline),
+                    limit: limit.parse().expect("limit"),
+                    queue: queue.parse().expect("queue"),
+                    avoid: None,
+                };
+                self.offer(ticket, now)
+            }
+            ["end", id, how, rest @ ..] => {
+                let sample = match rest {
+                    [time] if *how == "good" => Sample::Good(millis(time)),
+                    _ => Sample::Bad,
+                };
+                let id = id.parse().expect("number");
+                let Some((account, endpoint)) = self.flying.remove(&id) else {
+                    return "not in flight".to_owned();
+                };
+                self.dispatch.finish(&account, endpoint, sample, now);
+                format!("{} is free of {id}", self.names[&endpoint])
+            }
+            ["fail-all", name] => self.fail_all(name, now),
+            ["give-up", id] => {
+                let id = id.parse().expect("number");
+                let Some(account) = self.waiting.remove(&id) else {
+                    return "does not wait".to_owned();
+                };
+                format!("removed: {}", self.dispatch.give_up(&account, id))
+            }
+            ["lend", peer, want] => self.lend(peer, false, want.parse().expect("number"), now),
+            ["settle", peer] => self.lend(peer, true, 0, now),
+            ["due"] => format!("to be probed: {:?}", self.named(&self.dispatch.due(now))),
+            ["probe", name, how] => {
+                self.dispatch
+                    .probed(endpoint::id_of(name), *how == "good", now);
+                format!("{} ejected", self.dispatch.census(now).ejected)
+            }
+            ["leaving", name] => {
+                self.dispatch.leaving(endpoint::id_of(name), now);
+                format!("{} ejected", self.dispatch.census(now).ejected)
+            }
+            other => panic!("no such step: {other:?}"),
+        }
+    }
+
+    fn offer(&mut self, ticket: Ticket, now: Duration) -> String {
+        let (id, account) = (ticket.id, ticket.account.clone());
+        match self.dispatch.offer(ticket, now) {
+            Next::Send(endpoint) => {
+                self.flying.insert(id, (account, endpoint));
+                format!("send to {}", self.names[&endpoint])
+            }
+            Next::Wait => {
+                self.waiting.insert(id, account);
+                "wait".to_owned()
+            }
+            Next::Refuse(refusal) => {
+                format!("refuse: {:?}, back in {:?}", refusal.cause, refusal.after)
+            }
+        }
+    }
+
+    /// Every request at an endpoint fails, and five more that are sent there.
+    fn fail_all(&mut self, name: &str, now: Duration) -> String {
+        let id = endpoint::id_of(name);
+        let there: Vec<u64> = self
+            .flying
+            .iter()
+            .filter(|(_, (_, endpoint))| *endpoint == id)
+            .map(|(request, _)| *request)
+            .collect();
+        for request in &there {
+            if let Some((account, endpoint)) = self.flying.remove(request) {
+                self.dispatch.finish(&account, endpoint, Sample::Bad, now);
+            }
+        }
+        for _ in 0..5 {
+            self.dispatch.finish(&"nobody".into(), id, Sample::Bad, now);
+        }
+        format!(
+            "{there:?} failed; {} ejected",
+            self.dispatch.census(now).ejected
+        )
+    }
+
+    fn lend(&mut self, peer: &str, settles: bool, want: u32, now: Duration) -> String {
+        let ask = Ask {
+            service: "s".into(),
+            borrower: peer.into(),
+            settles,
+            keep: Vec::new(),
+            want,
+        };
+        let added = self.dispatch.lend(&ask, now + Duration::from_secs(6), now);
+        let ids: Vec<u64> = added.iter().map(|(id, _)| *id).collect();
+        let lent = self.dispatch.census(now).lent;
+        format!("added {:?}; {lent} lent in all", self.named(&ids))
+    }
+
+    fn named(&self, ids: &[u64]) -> Vec<Arc<str>> {
+        ids.iter().map(|id| self.names[id].clone()).collect()
+    }
+
+    fn assigned(&mut self, now: Duration) -> String {
+        let mut said = String::new();
+        for (id, endpoint) in self.dispatch.assign(now) {
+            let account = self.waiting.remove(&id).expect("a waiting request");
+            self.flying.insert(id, (account, endpoint));
+            said = format!("{said}; {id} goes to {}", self.names[&endpoint]);
+        }
+        said
+    }
+}
+
+fn lines(script: &str) -> impl Iterator<Item = &str> {
+    script.lines().filter(|line| !line.trim().is_empty())
+}
+
+#[test]
+fn a_session_of_routing() {
+    let limits = Limits {
+        connections: 8,
+        ejected: 0.3,
+    };
+    let mut routing = Routing {
+        dispatch: dispatch::open(Kind::Dealt, 7, limits),
+        gateways: Vec::new(),
+        flying: BTreeMap::new(),
+        waiting: BTreeMap::new(),
+        names: BTreeMap::new(),
+    };
+    let said = lines(include_str!("cases/routing.session")).map(|line| {
+        if line.starts_with('#') {
+            return format!("{line}\n");
+        }
+        let words: Vec<&str> = line.split_whitespace().collect();
+        format!("{line}\n    {}\n", routing.step(&words))
+    });
+    insta::assert_snapshot!(said.collect::<String>());
+}
+
+/// New log entries since the last step, in words.
+fn new_entries(fleet: &Fleet, shown: &mut usize) -> String {
+    let mut said = String::new();
+    for (position, entry) in fleet.log.iter().enumerate().skip(*shown) {
+        let body = match &entry.body {
+            Body::Seal { owner, .. } => format!("seal of {owner}"),
+            Body::Facts(facts) => facts
+                .iter()
+                .map(fact_in_words)
+                .collect::<Vec<_>>()
+                .join(", "),
+            Body::Handover => "hand-over".to_owned(),
+        };
+        said = format!(
+            "{said}\n    log {}: epoch {}: {body}",
+            position + 1,
+            entry.epoch
+        );
+    }
+    *shown = fleet.log.len();
+    said
+}
+
+fn fact_in_words(fact: &ashtiller::fact::Fact) -> String {
+    use ashtiller::fact::Fact;
+    match fact {
+        Fact::Submitted(job) => format!("submitted {} of {}", job.job, job.tasks),
+        Fact::Cancelled(job) => format!("cancelled {job}"),
+        Fact::Placed {
+            attempt, worker, ..
+        } => {
+            format!("placed {}#{} on {worker}", attempt.task, attempt.number)
+        }
+        Fact::Evicting(attempt) => format!("evicting {}#{}", attempt.task, attempt.number),
+        Fact::Ended(attempt, end) => format!("ended {}#{} {end:?}", attempt.task, attempt.number),
+        Fact::Forgotten(job) => format!("forgotten {job}"),
+    }
+}
+
+fn running(fleet: &Fleet) -> String {
+    let workers = fleet.workers.iter().map(|(name, worker)| {
+        let tasks: Vec<Arc<str>> = worker.running().collect();
+        format!("{name}: {}", tasks.join(" "))
+    });
+    workers.collect::<Vec<_>>().join("; ")
+}
+
+fn cell_step(fleet: &mut Fleet, words: &[&str]) -> Result<(), String> {
+    let number = |index: usize| {
+        words
+            .get(index)
+            .and_then(|word| word.parse().ok())
+            .unwrap_or(0)
+    };
+    let alive = fleet.nodes.iter().filter(|node| node.alive).count();
+    let newest = u16::try_from(alive).unwrap_or(1) - 1;
+    match words[0] {
+        "tick" => fleet.tick(newest),
+        "write" => fleet.write(newest, 3),
+        "drain" => {
+            while !fleet.flight.is_empty() {
+                fleet.deliver(0, false)?;
+            }
+        }
+        "go" => {
+            for _ in 0..3 {
+                fleet.tick(newest);
+                while !fleet.flight.is_empty() {
+                    fleet.deliver(0, false)?;
+                }
+                fleet.write(newest, 3);
+            }
+        }
+        "submit" => fleet.submit(number(1)),
+        "submit-new" => fleet.submit_to_newest(number(1)),
+        "write-old" => fleet.write(0, 3),
+        "kill" => {
+            for node in &mut fleet.nodes {
+                node.alive = false;
+            }
+            fleet.take_over();
+        }
+        "take-over" => fleet.take_over(),
+        "advance" => fleet.advance(number(1).into())?,
+        "restart" => fleet.restart(number(1))?,
+        "work" => fleet.work(number(1), number(2))?,
+        "show" => {}
+        other => panic!("no such step: {other}"),
+    }
+    Ok(())
+}
+
+#[test]
+fn a_session_of_a_cell() {
+    let mut fleet = Fleet::open();
+    let mut shown = 0;
+    let mut said = String::new();
+    for line in lines(include_str!("cases/cell.session")) {
+        said = format!("{said}{line}");
+        if !line.starts_with('#') {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            cell_step(&mut fleet, &words).expect("no promise is broken");
+            said = format!("{said}{}", new_entries(&fleet, &mut shown));
+            if words[0] == "show" {
+                let alive: Vec<bool> = fleet.nodes.iter().map(|node| node.alive).collect();
+                said = format!(
+                    "{said}\n    running {}\n    owners alive {alive:?}",
+                    running(&fleet)
+                );
+            }
+        }
+        said.push('\n');
+    }
+    insta::assert_snapshot!(said);
+}
--- a/bench/src/cells.rs
+++ b/bench/src/cells.rs
@@ -20,7 +20,8 @@
 const ACCOUNTS: usize = 610;
 /// Rounds that are timed one by one.
 const ROUNDS: usize = 400;
-const TERMS: Terms = Terms {
+/// Terms of leases in these measurements.
+pub const TERMS: Terms = Terms {
     lease: Duration::from_secs(12),
     margin: Duration::from_secs(1),
 };
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -34,10 +34,7 @@
         Some("price") => block_on(price::run(args)),
         Some("idle") => block_on(price::run_idle(args)),
         Some("cells") => cells::run(args),
-        Some("slopes") => {
-            slopes::run();
-            Ok(())
-        }
+        Some("slopes") => block_on(slopes::run()),
         _ => anyhow::bail!(USAGE),
     }
 }
