--- a/ashtiller/schema/peer.capnp
+++ b/ashtiller/schema/peer.capnp
@@ -42,6 +42,7 @@
   quotaAccelerators @12 :UInt32;
   evictions @13 :UInt32;
   kind @14 :Text;
+  target @15 :UInt64;
 }
 
 struct Verdict {
--- a/ashtiller/src/agent.rs
+++ b/ashtiller/src/agent.rs
@@ -94,6 +94,7 @@
 
 /// A running attempt.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
 pub struct Running {
     /// Task.
     pub task: Arc<str>,
@@ -101,6 +102,25 @@
     pub attempt: u32,
     /// Work done in milliseconds of run time.
     pub progress: u64,
+    /// Speed in percent of full speed.
+    pub speed: u32,
+    /// Tail latency of a service in microseconds, if it was measured.
+    pub latency: Option<u64>,
+    /// Load of a service in percent of what it can do.
+    pub load: u32,
+}
+
+impl Default for Running {
+    fn default() -> Self {
+        Self {
+            task: "".into(),
+            attempt: 0,
+            progress: 0,
+            speed: 100,
+            latency: None,
+            load: 0,
+        }
+    }
 }
 
 /// An ended attempt.
@@ -127,6 +147,9 @@
     pub epoch: u64,
     /// Highest number seen in that epoch.
     pub seq: u64,
+    /// Age of the measurements in milliseconds.
+    #[serde(default)]
+    pub lag: u64,
     /// Running attempts.
     pub running: Vec<Running>,
     /// Ended attempts that are not acknowledged.
--- a/ashtiller/src/cell.rs
+++ b/ashtiller/src/cell.rs
@@ -12,7 +12,8 @@
 
 use crate::backlog::{Backlog, Rank};
 use crate::fact::{Attempt, End, Fact, TaskId};
-use crate::host::Host;
+use crate::harm::Kinds;
+use crate::host::{Host, Work};
 use crate::job::{Job, Phase, Place, Task};
 use crate::peer::Submission;
 use crate::resources::{Pool, Resources};
@@ -77,6 +78,7 @@
     backlog: Backlog,
     running: usize,
     counts: Counts,
+    kinds: Kinds,
 }
 
 impl Cell {
@@ -96,7 +98,14 @@
         cell
     }
 
-    fn add_job(&mut self, number: u32, job: Job) {
+    fn add_job(&mut self, number: u32, mut job: Job) {
+        job.sort = self
+            .kinds
+            .number(&job.submission.account, &job.submission.kind);
+        let work = Work {
+            class: job.submission.class,
+            kind: job.sort,
+        };
         let submission = &job.submission;
         let (account, name) = (submission.account.clone(), submission.job.clone());
         self.names.insert((account.clone(), name), number);
@@ -112,7 +121,7 @@
                 self.hosts
                     .entry(place.worker.clone())
                     .or_default()
-                    .restore(id, &needs);
+                    .restore(id, &needs, work);
                 self.running += 1;
             } else if task.phase == Phase::Queued {
                 self.backlog.push_back(rank, &account, id);
@@ -210,11 +219,15 @@
         self.counts.placed += 1;
         self.counts.resumed += u64::from(task.progress > 0);
         self.running += 1;
+        let work = Work {
+            class: job.submission.class,
+            kind: job.sort,
+        };
         // The decision asked Pool::grants before it was recorded.
         self.hosts
             .entry(place.worker.clone())
             .or_default()
-            .restore(id, &needs);
+            .restore(id, &needs, work);
         self.accounts
             .entry(account)
             .or_default()
@@ -261,9 +274,13 @@
             return;
         };
         let needs = job.submission.needs;
+        let work = Work {
+            class: job.submission.class,
+            kind: job.sort,
+        };
         self.running -= 1;
         if let Some(host) = self.hosts.get_mut(&place.worker) {
-            host.release(id, &needs);
+            host.release(id, &needs, work);
         }
         if let Some(account) = self.accounts.get_mut(&job.submission.account) {
             account.pool.release(&needs);
--- a/ashtiller/src/codec.rs
+++ b/ashtiller/src/codec.rs
@@ -106,6 +106,8 @@
     to.set_accelerators(job.needs.accelerators);
     let millis = job.length.map_or(0, |length| length.as_millis());
     to.set_length(u64::try_from(millis).unwrap_or(u64::MAX));
+    let micros = job.target.map_or(0, |target| target.as_micros());
+    to.set_target(u64::try_from(micros).unwrap_or(u64::MAX));
     to.set_attempts(job.attempts);
     to.set_quota_processors(job.quota.processors);
     to.set_quota_memory(job.quota.memory);
@@ -138,6 +140,9 @@
         length: Some(from.get_length())
             .filter(|millis| *millis > 0)
             .map(Duration::from_millis),
+        target: Some(from.get_target())
+            .filter(|micros| *micros > 0)
+            .map(Duration::from_micros),
         attempts: from.get_attempts(),
         quota: Resources {
             processors: from.get_quota_processors(),
--- a/ashtiller/src/dispatch.rs
+++ b/ashtiller/src/dispatch.rs
@@ -215,7 +215,7 @@
                 after: AFTER_MIN * 10,
             });
         }
-        let first = self.line.is_empty() && self.may_fly(&ticket);
+        let first = self.line.is_empty() && may_fly(&self.flying, &ticket);
         if let Some(id) = first.then(|| self.begin(&ticket, now)).flatten() {
             return Next::Send(id);
         }
@@ -231,10 +231,6 @@
         Next::Wait
     }
 
-    fn may_fly(&self, ticket: &Ticket) -> bool {
-        self.flying.get(&ticket.account).copied().unwrap_or(0) < ticket.limit
-    }
-
     fn begin(&mut self, ticket: &Ticket, now: Duration) -> Option<u64> {
         let connections = self.limits.connections;
         let place = self
@@ -535,6 +531,11 @@
     Dispatch::new(balance::open(kind, seed), limits)
 }
 
+/// Whether the ticket's account may have another request in flight.
+fn may_fly(flying: &BTreeMap<Arc<str>, u32>, ticket: &Ticket) -> bool {
+    flying.get(&ticket.account).copied().unwrap_or(0) < ticket.limit
+}
+
 fn refuse(cause: Cause, wait: Duration) -> Refusal {
     Refusal {
         cause,
--- a/ashtiller/src/document.rs
+++ b/ashtiller/src/document.rs
@@ -219,6 +219,16 @@
         self.read(key, default, &allowed, parse).unwrap_or_default()
     }
 
+    /// Reads a duration within `range`, if the key is there.
+    pub fn optional_duration(
+        &mut self,
+        key: &str,
+        range: RangeInclusive<Duration>,
+    ) -> Option<Duration> {
+        let text = self.take(key);
+        text.map(|_| self.duration(key, None, range))
+    }
+
     /// Reads a size in bytes within `range`.
     pub fn size(&mut self, key: &str, default: Option<u64>, range: RangeInclusive<u64>) -> u64 {
         let (low, high) = (
--- a/ashtiller/src/evict.rs
+++ b/ashtiller/src/evict.rs
@@ -8,6 +8,7 @@
 use crate::host::Host;
 use crate::job::Phase;
 use crate::resources::Resources;
+use crate::session::Terms;
 use crate::template::Class;
 
 /// Window of an account's eviction budget.
@@ -29,15 +30,11 @@
 pub fn choose(
     cell: &Cell,
     needs: &Resources,
-    silence: Duration,
+    terms: &Terms,
     now: Duration,
 ) -> Option<(Arc<str>, Vec<Attempt>)> {
     let mut best: Option<(Arc<str>, Vec<Attempt>)> = None;
-    for (name, host) in cell
-        .hosts
-        .iter()
-        .filter(|(_, host)| host.takes(now, silence))
-    {
+    for (name, host) in cell.hosts.iter().filter(|(_, host)| host.takes(now, terms)) {
         let Some(victims) = victims_on(cell, host, needs, now) else {
             continue;
         };
@@ -73,6 +70,12 @@
     (needs.fits(&free) && !victims.is_empty()).then_some(victims)
 }
 
+/// Whether a batch task may be evicted within its account's budget.
+#[must_use]
+pub fn has_budget(cell: &Cell, id: TaskId, now: Duration) -> bool {
+    victim(cell, id, now).is_some()
+}
+
 fn victim(cell: &Cell, id: TaskId, now: Duration) -> Option<Victim> {
     let (task, submission) = cell.task(id)?;
     let evictable = submission.class == Class::Batch && !submission.urgent;
--- a/ashtiller/src/explain.rs
+++ b/ashtiller/src/explain.rs
@@ -11,6 +11,7 @@
 use crate::job::{Phase, Task};
 use crate::peer::Submission;
 use crate::resources::Resources;
+use crate::session::Terms;
 
 /// Entries of a list that are shown.
 const SHOWN: usize = 100;
@@ -75,7 +76,7 @@
     cell: &Cell,
     account: &str,
     job: &str,
-    silence: Duration,
+    terms: &Terms,
     now: Duration,
 ) -> String {
     let wanted = |found: &str, asked: &str| asked.is_empty() || found == asked;
@@ -90,7 +91,7 @@
         queued_batch: rank(RANKS[2]),
         counts: cell.counts(),
         workers: if whole {
-            show_hosts(cell, silence, now)
+            show_hosts(cell, terms, now)
         } else {
             Vec::new()
         },
@@ -102,13 +103,13 @@
             .filter(|(_, found)| wanted(&found.submission.account, account))
             .filter(|(_, found)| wanted(&found.submission.job, job))
             .take(SHOWN)
-            .map(|(number, _)| show_job(cell, *number, silence, now))
+            .map(|(number, _)| show_job(cell, *number, terms, now))
             .collect(),
     };
     serde_json::to_string(&view).unwrap_or_default()
 }
 
-fn show_hosts(cell: &Cell, silence: Duration, now: Duration) -> Vec<HostView> {
+fn show_hosts(cell: &Cell, terms: &Terms, now: Duration) -> Vec<HostView> {
     let shown = cell.hosts.iter().take(SHOWN);
     shown
         .map(|(worker, host)| HostView {
@@ -117,7 +118,7 @@
                 () if host.is_quarantined() => "quarantined",
                 () if host.absent.is_some() => "absent",
                 () if host.session.boot().is_none() => "not reached",
-                () if host.takes(now, silence) => "live",
+                () if host.takes(now, terms) => "live",
                 () => "leaving or silent",
             },
             tasks: host.tasks.len(),
@@ -144,7 +145,7 @@
         .collect()
 }
 
-fn show_job(cell: &Cell, number: u32, silence: Duration, now: Duration) -> JobView {
+fn show_job(cell: &Cell, number: u32, terms: &Terms, now: Duration) -> JobView {
     let Some(job) = cell.job(number) else {
         return JobView {
             account: "".into(),
@@ -165,7 +166,7 @@
                 attempt: task.attempt,
                 progress_ms: task.progress,
                 worker: task.phase.place().map(|place| place.worker.clone()),
-                waits: why_waits(cell, TaskId { job: number, index }, silence, now),
+                waits: why_waits(cell, TaskId { job: number, index }, terms, now),
             })
             .collect(),
     }
@@ -173,12 +174,12 @@
 
 /// Why a task waits, in one line; `None` when it does not.
 #[must_use]
-pub fn why_waits(cell: &Cell, id: TaskId, silence: Duration, now: Duration) -> Option<String> {
+pub fn why_waits(cell: &Cell, id: TaskId, terms: &Terms, now: Duration) -> Option<String> {
     let (task, submission) = cell.task(id)?;
     if task.phase != Phase::Queued {
         return None;
     }
-    Some(reason(cell, task, submission, id, silence, now))
+    Some(reason(cell, task, submission, id, terms, now))
 }
 
 fn reason(
@@ -186,7 +187,7 @@
     task: &Task,
     submission: &Submission,
     id: TaskId,
-    silence: Duration,
+    terms: &Terms,
     now: Duration,
 ) -> String {
     let needs = submission.needs;
@@ -199,7 +200,7 @@
         let (taken, quota) = (held.pool.taken(), held.pool.whole());
         return format!("over quota: needs {needs}; {taken} of {quota} taken");
     }
-    let live = || cell.hosts.values().filter(|host| host.takes(now, silence));
+    let live = || cell.hosts.values().filter(|host| host.takes(now, terms));
     if live().next().is_none() {
         return "no live worker in this cell".to_owned();
     }
--- a/ashtiller/src/host.rs
+++ b/ashtiller/src/host.rs
@@ -1,15 +1,18 @@
 //! One worker as a cell's owner sees it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::endpoint::Phase;
 use crate::fact::TaskId;
+use crate::guard::Guard;
+use crate::harm::Kind;
 use crate::reconcile::Ack;
 use crate::resources::{Pool, Resources};
-use crate::session::Session;
+use crate::session::{Session, Terms};
+use crate::template::Class;
 
 /// Failures in a row, of different tasks, after which a worker is quarantined.
 const FAILURES: usize = 3;
@@ -18,6 +21,15 @@
 /// Longest quarantine.
 const QUARANTINE_MAX: Duration = Duration::from_mins(30);
 
+/// What kind of work a task is.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Work {
+    /// Class.
+    pub class: Class,
+    /// Kind, by its number in the cell.
+    pub kind: Kind,
+}
+
 /// One worker.
 #[derive(Clone, Debug)]
 pub struct Host {
@@ -38,8 +50,14 @@
     pub called: Option<Duration>,
     /// Whether a call is under way.
     pub calling: bool,
-    /// Tasks that the last report showed running.
-    pub seen: BTreeSet<TaskId>,
+    /// Tasks that the last report showed running, with their speed in percent.
+    pub seen: BTreeMap<TaskId, u32>,
+    /// Work that may run on it, with the number of its tasks.
+    pub mix: BTreeMap<Work, u32>,
+    /// Last reported load of its services, 0 to 1.
+    pub loads: BTreeMap<Kind, f64>,
+    /// Services over their target, and what is done about it.
+    pub guard: Guard,
     /// Attempts that the last report showed running and the log does not place here.
     pub strays: Vec<(Arc<str>, u32)>,
     /// Reported ends to be acknowledged.
@@ -61,7 +79,10 @@
             session: Session::new(Duration::ZERO),
             called: None,
             calling: false,
-            seen: BTreeSet::new(),
+            seen: BTreeMap::new(),
+            mix: BTreeMap::new(),
+            loads: BTreeMap::new(),
+            guard: Guard::default(),
             strays: Vec::new(),
             acks: Vec::new(),
             failed: BTreeSet::new(),
@@ -84,26 +105,40 @@
     }
 
     /// Counts a grant that the log records.
-    pub fn restore(&mut self, task: TaskId, needs: &Resources) {
+    pub fn restore(&mut self, task: TaskId, needs: &Resources, work: Work) {
         self.tasks.insert(task);
+        *self.mix.entry(work).or_default() += 1;
         self.pool.restore(needs);
     }
 
     /// Takes back a grant.
-    pub fn release(&mut self, task: TaskId, needs: &Resources) {
-        if self.tasks.remove(&task) {
-            self.pool.release(needs);
+    pub fn release(&mut self, task: TaskId, needs: &Resources, work: Work) {
+        if !self.tasks.remove(&task) {
+            return;
+        }
+        self.pool.release(needs);
+        if let Some(count) = self.mix.get_mut(&work) {
+            *count -= 1;
         }
+        self.mix.retain(|_, count| *count > 0);
+    }
+
+    /// Last reported load of a service.
+    #[must_use]
+    pub fn load(&self, kind: Kind) -> f64 {
+        self.loads.get(&kind).copied().unwrap_or(0.5)
     }
 
-    /// Whether a new attempt may be placed here.
+    /// Whether a new attempt may be placed here: the worker is listed, answers, and
+    /// holds a lease that has not ended.
     #[must_use]
-    pub fn takes(&self, now: Duration, silence: Duration) -> bool {
+    pub fn takes(&self, now: Duration, terms: &Terms) -> bool {
         self.listed == Phase::Live
             && self.absent.is_none()
             && self.address.is_some()
             && self.session.boot().is_some()
-            && self.session.silence(now) < silence
+            && self.session.silence(now) < terms.lease
+            && now + terms.margin < self.session.bound()
             && self.may_start(now)
     }
 
--- a/ashtiller/src/job.rs
+++ b/ashtiller/src/job.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::harm::Kind;
 use crate::peer::Submission;
 
 /// Where a task stands.
@@ -121,6 +122,9 @@
     /// When it ended, on the owner's clock.
     #[serde(skip)]
     pub ended: Option<Duration>,
+    /// Number of its kind of work in this owner.
+    #[serde(skip)]
+    pub sort: Kind,
 }
 
 impl Job {
@@ -134,6 +138,7 @@
             cancelled: false,
             over: 0,
             ended: None,
+            sort: 0,
         }
     }
 
--- a/ashtiller/src/jobs.rs
+++ b/ashtiller/src/jobs.rs
@@ -129,6 +129,7 @@
             tasks,
             needs: found.needs,
             length: found.length,
+            target: found.target,
             attempts: found.attempts,
             quota: template.quota,
             evictions: template.evictions,
--- a/ashtiller/src/owner.rs
+++ b/ashtiller/src/owner.rs
@@ -21,7 +21,7 @@
 use crate::explain;
 use crate::fact::{Body, Fact};
 use crate::failure::Failure;
-use crate::fit::Spread;
+use crate::fit::Gentle;
 use crate::journal::{Appended, Journal, Opened};
 use crate::peer::{Submission, Verdict};
 use crate::plan::{self, Planner};
@@ -144,7 +144,7 @@
     let owner = Owner {
         tools,
         terms,
-        planner: Planner::new(Box::new(Spread), terms),
+        planner: Planner::new(Box::new(Gentle), terms),
         cell,
         bound: now + former,
         confirmed: now,
@@ -550,14 +550,7 @@
 
     async fn handle(&mut self, show: Show, _: &mut Context<Self, String>) -> String {
         let (name, now) = (&self.tools.name, self.now());
-        explain::show(
-            name,
-            &self.cell,
-            &show.account,
-            &show.job,
-            self.terms.lease,
-            now,
-        )
+        explain::show(name, &self.cell, &show.account, &show.job, &self.terms, now)
     }
 }
 
@@ -618,11 +611,17 @@
         let (change, facts) =
             reconcile::take_report(&mut self.cell, &called.worker, &report, &terms, moment);
         self.pending.extend(facts);
+        let taken = !matches!(change, Change::Superseded | Change::Stale);
+        if taken && report.epoch == moment.epoch {
+            let (cell, planner) = (&mut self.cell, &mut self.planner);
+            let facts = planner.observe(cell, &called.worker, &report, moment.position, moment.now);
+            self.pending.extend(facts);
+        }
         match change {
             Change::Superseded => self.step_down("a worker has a newer owner", &actor),
             // The first grant follows the fence at once, so that tasks run on.
             Change::Fenced | Change::Rebooted => self.call(&called.worker, true, &actor),
-            Change::Same => {}
+            Change::Same | Change::Stale => {}
         }
         self.flush(&actor);
     }
--- a/ashtiller/src/peer.rs
+++ b/ashtiller/src/peer.rs
@@ -87,6 +87,8 @@
     pub needs: Resources,
     /// Declared run time; `None` runs until it is cancelled.
     pub length: Option<Duration>,
+    /// Latency that its tasks should keep, if they serve requests.
+    pub target: Option<Duration>,
     /// Attempts that may fail before a task is given up.
     pub attempts: u32,
     /// Quota of the account.
--- a/ashtiller/src/peer_capnp.rs
+++ b/ashtiller/src/peer_capnp.rs
@@ -1056,11 +1056,15 @@
         pub fn has_kind(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
+        #[inline]
+        pub fn get_target(self) -> u64 {
+            self.reader.get_data_field::<u64>(8)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 9, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1254,6 +1258,14 @@
         pub fn has_kind(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
+        #[inline]
+        pub fn get_target(self) -> u64 {
+            self.builder.get_data_field::<u64>(8)
+        }
+        #[inline]
+        pub fn set_target(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(8, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1265,129 +1277,136 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 251] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 266] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(101, 121, 12, 228, 103, 51, 217, 223),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 8, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 9, 0),
             ::capnp::word(135, 150, 229, 180, 194, 240, 161, 211),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 79, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 83, 117, 98, 109, 105),
             ::capnp::word(115, 115, 105, 111, 110, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 1, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 146, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 99, 99, 111, 117, 110, 116, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1517,6 +1536,14 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1535,6 +1562,7 @@
                 12 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 13 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 14 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                15 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1548,9 +1576,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,0,9,13,1,14,2,8,6,5,12,11,10,4,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,0,9,13,1,14,2,8,6,5,12,11,10,15,4,3];
         pub(crate) const TYPE_ID: u64 = 0xdfd9_3367_e40c_7965;
     }
 }
--- a/ashtiller/src/plan.rs
+++ b/ashtiller/src/plan.rs
@@ -8,18 +8,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::agent::Report;
 use crate::backlog::{RANKS, Rank};
 use crate::cell::Cell;
 use crate::endpoint;
 use crate::evict;
 use crate::fact::{Attempt, End, Fact, TaskId};
-use crate::fit::Fit;
-use crate::host::Host;
+use crate::fit::{Fit, Site};
+use crate::guard::Act;
+use crate::harm::Harm;
+use crate::host::{Host, Work};
 use crate::job::Phase;
 use crate::peer::{Submission, Verdict};
 use crate::resources::Resources;
 use crate::session::Terms;
 use crate::template::Class;
+use crate::watch;
 
 /// Queued tasks of one account that are looked at for one that may start.
 const LOOK_AHEAD: usize = 16;
@@ -27,6 +31,8 @@
 pub const FACTS_MAX: usize = 2000;
 /// An ended job is shown this long.
 const REMEMBER: Duration = Duration::from_mins(30);
+/// Cost of a worker on which the task failed before.
+const AGAIN: f64 = 1000.0;
 /// A worker held back for an urgent task is let go after this time.
 const PLEDGE: Duration = Duration::from_secs(30);
 
@@ -41,6 +47,7 @@
 pub struct Planner {
     fit: Box<dyn Fit>,
     terms: Terms,
+    harm: Harm,
     pledges: BTreeMap<TaskId, Pledge>,
     /// Shapes that found no worker in this round. A round only takes room away, so
     /// what did not fit once does not fit again.
@@ -56,6 +63,7 @@
         Self {
             fit,
             terms,
+            harm: Harm::default(),
             pledges: BTreeMap::new(),
             full: Vec::new(),
             crowded: Vec::new(),
@@ -82,6 +90,30 @@
         facts
     }
 
+    /// Learns from a worker's report and acts on services that are over target.
+    pub fn observe(
+        &mut self,
+        cell: &mut Cell,
+        worker: &Arc<str>,
+        report: &Report,
+        position: u64,
+        now: Duration,
+    ) -> Vec<Fact> {
+        let mut facts = Vec::new();
+        if let Act::Evict(id) = watch::observe(cell, &mut self.harm, worker, report, now) {
+            let number = cell.task(id).map_or(0, |(task, _)| task.attempt);
+            let attempt = Attempt { task: id, number };
+            record(cell, &mut facts, Fact::Evicting(attempt), position, now);
+        }
+        facts
+    }
+
+    /// What was learned of harm.
+    #[must_use]
+    pub fn harm(&self) -> &Harm {
+        &self.harm
+    }
+
     fn find_lost(&self, cell: &mut Cell, facts: &mut Vec<Fact>, position: u64, now: Duration) {
         let lost: Vec<TaskId> = cell
             .hosts
@@ -201,19 +233,39 @@
         now: Duration,
     ) -> Option<(Arc<str>, u64)> {
         let (task, submission) = cell.task(id)?;
+        let work = Work {
+            class: submission.class,
+            kind: cell.job(id.job)?.sort,
+        };
         let pledged = self.pledged(id, rank);
-        let candidates = cell.hosts.iter().filter(|(name, host)| {
-            host.pool().grants(&submission.needs)
-                && host.takes(now, self.terms.lease)
-                && !pledged.contains(*name)
-        });
-        // A task that failed somewhere goes elsewhere while there is an elsewhere.
-        let cost = |(name, host): (&Arc<str>, &Host)| {
+        let mut best: Option<(f64, &Arc<str>, u64)> = None;
+        for (name, host) in &cell.hosts {
+            let open = host.pool().grants(&submission.needs) && host.takes(now, &self.terms);
+            let Some(boot) = host
+                .session
+                .boot()
+                .filter(|_| open && !pledged.contains(name))
+            else {
+                continue;
+            };
+            let site = Site {
+                host,
+                needs: &submission.needs,
+                work,
+                harm: &self.harm,
+                now,
+            };
+            let Some(cost) = self.fit.cost(&site) else {
+                continue;
+            };
+            // A task that failed somewhere goes elsewhere while there is an elsewhere.
             let again = f64::from(u8::from(task.failed_on.contains(name)));
-            self.fit.cost(name, host, submission) + 1000.0 * again
-        };
-        let best = candidates.min_by(|one, other| cost(*one).total_cmp(&cost(*other)))?;
-        Some((best.0.clone(), best.1.session.boot()?))
+            let cost = cost + AGAIN * again;
+            if best.is_none_or(|(least, _, _)| cost < least) {
+                best = Some((cost, name, boot));
+            }
+        }
+        best.map(|(_, name, boot)| (name.clone(), boot))
     }
 
     /// Workers held back for others.
@@ -240,7 +292,7 @@
             return;
         };
         let needs = submission.needs;
-        let Some((worker, victims)) = evict::choose(cell, &needs, self.terms.lease, now) else {
+        let Some((worker, victims)) = evict::choose(cell, &needs, &self.terms, now) else {
             self.crowded.push(needs);
             return;
         };
@@ -343,6 +395,7 @@
         && one.class == other.class
         && one.length == other.length
         && one.urgent == other.urgent
+        && one.target == other.target
 }
 
 fn impossible(cell: &Cell, submission: &Submission) -> Option<String> {
--- a/ashtiller/src/reconcile.rs
+++ b/ashtiller/src/reconcile.rs
@@ -1,5 +1,6 @@
 //! What a cell's owner says to a worker, and what it learns from the answer.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,7 +8,7 @@
 use crate::cell::Cell;
 use crate::fact::{Attempt, End, Fact, TaskId};
 use crate::job::Phase;
-use crate::session::{Change, Grant, Terms};
+use crate::session::{Answer, Change, Grant, Terms};
 
 /// An end that a worker reported; acknowledged once its position is durable.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -96,7 +97,15 @@
     let name = name_of(&submission.account, &submission.job, id);
     let attempt = task.attempt;
     match task.phase {
-        Phase::Placed(_) if host.seen.contains(&id) => None,
+        Phase::Placed(_) if host.seen.contains_key(&id) => {
+            let percent = host.guard.percent(id);
+            let differs = host.seen.get(&id) != Some(&percent);
+            differs.then_some(Command::Throttle {
+                task: name,
+                attempt,
+                percent,
+            })
+        }
         Phase::Placed(_) => {
             let length = submission.length.map_or(0, |length| length.as_millis());
             let length = u64::try_from(length).unwrap_or(u64::MAX);
@@ -145,10 +154,15 @@
     let Some(host) = cell.hosts.get_mut(worker) else {
         return (Change::Same, Vec::new());
     };
-    let change = host
-        .session
-        .answered(epoch, report.epoch, report.boot, report.clock, terms, now);
-    if change == Change::Superseded || report.epoch != epoch && change != Change::Rebooted {
+    let answer = Answer {
+        epoch: report.epoch,
+        seq: report.seq,
+        boot: report.boot,
+        clock: report.clock,
+    };
+    let change = host.session.answered(epoch, answer, terms, now);
+    let fenced = report.epoch == epoch || change == Change::Rebooted;
+    if matches!(change, Change::Superseded | Change::Stale) || !fenced {
         return (change, Vec::new());
     }
     let mut facts = Vec::new();
@@ -197,14 +211,14 @@
 }
 
 fn note_running(cell: &mut Cell, worker: &Arc<str>, report: &Report) {
-    let mut seen = std::collections::BTreeSet::new();
+    let mut seen = BTreeMap::new();
     let mut strays = Vec::new();
     for running in &report.running {
         let id = id_of(&running.task);
         let ours = id.is_some_and(|id| is_ours(cell, worker, id, running.attempt));
         match id {
             Some(id) if ours => {
-                seen.insert(id);
+                seen.insert(id, running.speed);
             }
             _ => strays.push((running.task.clone(), running.attempt)),
         }
--- a/ashtiller/src/session.rs
+++ b/ashtiller/src/session.rs
@@ -50,6 +50,21 @@
     Rebooted,
     /// A newer owner has fenced the worker.
     Superseded,
+    /// The answer is older than one that was taken; it says nothing.
+    Stale,
+}
+
+/// What an answer says of the worker itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Answer {
+    /// Highest epoch that the worker has seen.
+    pub epoch: u64,
+    /// Highest number that it has seen in that epoch.
+    pub seq: u64,
+    /// Its boot number.
+    pub boot: u64,
+    /// Its clock in milliseconds.
+    pub clock: u64,
 }
 
 /// One worker's lease.
@@ -57,6 +72,8 @@
 pub struct Session {
     contact: Contact,
     seq: u64,
+    heard: u64,
+    former: Vec<u64>,
     stamp: Option<(u64, Duration)>,
     bound: Duration,
 }
@@ -68,6 +85,8 @@
         Self {
             contact: Contact::Unfenced,
             seq: 0,
+            heard: 0,
+            former: Vec::new(),
             stamp: None,
             bound,
         }
@@ -121,32 +140,41 @@
     }
 
     /// Takes an answer that arrived at `now`; `epoch` is this owner's.
-    pub fn answered(
-        &mut self,
-        epoch: u64,
-        their_epoch: u64,
-        boot: u64,
-        clock: u64,
-        terms: &Terms,
-        now: Duration,
-    ) -> Change {
-        if their_epoch > epoch {
+    pub fn answered(&mut self, epoch: u64, answer: Answer, terms: &Terms, now: Duration) -> Change {
+        if answer.epoch > epoch {
             return Change::Superseded;
         }
-        let fenced = their_epoch == epoch;
+        if self.is_stale(epoch, answer) {
+            return Change::Stale;
+        }
+        let fenced = answer.epoch == epoch;
         let change = match self.contact {
-            Contact::Fenced { boot: known } if known != boot => Change::Rebooted,
+            Contact::Fenced { boot } if boot != answer.boot => Change::Rebooted,
             Contact::Unfenced if fenced => Change::Fenced,
             _ => Change::Same,
         };
+        if fenced {
+            self.heard = answer.seq;
+        }
+        if change == Change::Rebooted {
+            self.former.extend(self.boot());
+        }
+        if change == Change::Fenced {
+            // Leases of earlier owners were granted before this clock reading.
+            self.bound = now + terms.lease + terms.margin;
+        }
         if fenced || change == Change::Rebooted {
-            if change == Change::Fenced {
-                // Leases of earlier owners were granted before this clock reading.
-                self.bound = now + terms.lease + terms.margin;
-            }
-            self.contact = Contact::Fenced { boot };
-            self.stamp = Some((clock, now));
+            self.contact = Contact::Fenced { boot: answer.boot };
+            self.stamp = Some((answer.clock, now));
         }
         change
     }
+
+    /// Answers may overtake each other. Within an epoch their numbers tell; a life
+    /// of the worker that has ended does not come back.
+    fn is_stale(&self, epoch: u64, answer: Answer) -> bool {
+        let older = answer.epoch == epoch && answer.seq <= self.heard;
+        let rebooted = self.boot().is_some_and(|boot| boot != answer.boot);
+        self.former.contains(&answer.boot) || (older && !rebooted)
+    }
 }
--- a/ashtiller/src/template.rs
+++ b/ashtiller/src/template.rs
@@ -70,6 +70,8 @@
     pub tasks: u32,
     /// Declared run time of one task; `None` runs until it is cancelled.
     pub length: Option<Duration>,
+    /// Latency that its tasks should keep, if they serve requests.
+    pub target: Option<Duration>,
     /// Whether its tasks start before all others.
     pub urgent: bool,
     /// Attempts that may fail before a task is given up.
@@ -177,6 +179,7 @@
             needs,
             tasks: section.count("tasks", Some(1), 1..=10_000),
             length: (!forever).then_some(length),
+            target: section.optional_duration("target", SECOND / 1000..=HOUR),
             urgent: section.flag("urgent", Some(false)),
             attempts: section.count("attempts", Some(5), 1..=100),
         };
--- /dev/null
+++ b/ashtiller/src/watch.rs
@@ -0,0 +1,143 @@
+//! What a worker's report says about harm, and what is done about it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::agent::Report;
+use crate::cell::Cell;
+use crate::evict;
+use crate::fact::TaskId;
+use crate::guard::{Act, Sight, Suspect};
+use crate::harm::{Beside, Harm, Kind};
+use crate::job::Phase;
+use crate::reconcile;
+use crate::template::Class;
+
+/// A service in a report.
+struct Service {
+    kind: Kind,
+    ratio: f64,
+    load: f64,
+}
+
+/// A batch task in a report.
+struct Batch {
+    task: TaskId,
+    kind: Kind,
+    speed: f64,
+}
+
+/// Learns from a report and decides what to do on its worker.
+pub fn observe(
+    cell: &mut Cell,
+    harm: &mut Harm,
+    worker: &Arc<str>,
+    report: &Report,
+    now: Duration,
+) -> Act {
+    let (services, batches) = sort_running(cell, worker, report);
+    if services.is_empty() {
+        return Act::Rest;
+    }
+    let beside = sum_kinds(&batches);
+    for service in &services {
+        harm.learn(service.kind, &beside, service.load, service.ratio, now);
+    }
+    let suspects: Vec<Suspect> = batches
+        .iter()
+        .filter_map(|batch| suspect(cell, harm, &services, batch, now))
+        .collect();
+    let worst = services
+        .iter()
+        .map(|service| service.ratio)
+        .fold(0.0, f64::max);
+    let Some(host) = cell.hosts.get_mut(worker) else {
+        return Act::Rest;
+    };
+    host.loads = services
+        .iter()
+        .map(|service| (service.kind, service.load))
+        .collect();
+    let lag = Duration::from_millis(report.lag);
+    host.guard.look(
+        Sight {
+            worst,
+            lag,
+            suspects: &suspects,
+        },
+        now,
+    )
+}
+
+#[expect(clippy::cast_precision_loss, reason = "microseconds of a latency")]
+fn sort_running(cell: &Cell, worker: &str, report: &Report) -> (Vec<Service>, Vec<Batch>) {
+    let (mut services, mut batches) = (Vec::new(), Vec::new());
+    for running in &report.running {
+        let Some(id) = reconcile::id_of(&running.task) else {
+            continue;
+        };
+        let Some((task, submission)) = cell.task(id) else {
+            continue;
+        };
+        let here = task
+            .phase
+            .place()
+            .is_some_and(|place| &*place.worker == worker);
+        let Some(job) = cell
+            .job(id.job)
+            .filter(|_| here && task.attempt == running.attempt)
+        else {
+            continue;
+        };
+        match (submission.class, running.latency, submission.target) {
+            (Class::LatencyCritical, Some(latency), Some(target)) => services.push(Service {
+                kind: job.sort,
+                ratio: latency as f64 / 1e6 / target.as_secs_f64(),
+                load: f64::from(running.load) / 100.0,
+            }),
+            (Class::Batch, _, _) => batches.push(Batch {
+                task: id,
+                kind: job.sort,
+                speed: f64::from(running.speed) / 100.0,
+            }),
+            _ => {}
+        }
+    }
+    (services, batches)
+}
+
+fn sum_kinds(batches: &[Batch]) -> Vec<Beside> {
+    let mut beside: Vec<Beside> = Vec::new();
+    for batch in batches {
+        match beside.iter_mut().find(|other| other.kind == batch.kind) {
+            Some(other) => other.speed += batch.speed,
+            None => beside.push(Beside {
+                kind: batch.kind,
+                speed: batch.speed,
+            }),
+        }
+    }
+    beside
+}
+
+fn suspect(
+    cell: &Cell,
+    harm: &Harm,
+    services: &[Service],
+    batch: &Batch,
+    now: Duration,
+) -> Option<Suspect> {
+    let (task, _) = cell.task(batch.task)?;
+    if !matches!(task.phase, Phase::Placed(_)) {
+        return None;
+    }
+    let feared = services
+        .iter()
+        .map(|service| harm.fear(service.kind, batch.kind, service.load, now));
+    let evictable = evict::has_budget(cell, batch.task, now);
+    Some(Suspect {
+        task: batch.task,
+        harm: feared.fold(0.0, f64::max),
+        evictable,
+    })
+}
--- a/ashtiller/tests/fleet/worker.rs
+++ b/ashtiller/tests/fleet/worker.rs
@@ -163,12 +163,14 @@
             task: task.clone(),
             attempt: attempt.number,
             progress: attempt.progress,
+            ..Running::default()
         });
         Report {
             boot: self.boot,
             clock: self.clock(now),
             epoch: self.epoch,
             seq: self.seq,
+            lag: 0,
             running: running.collect(),
             ended: self.ended.values().cloned().collect(),
         }
--- a/ashtiller/tests/requests.rs
+++ b/ashtiller/tests/requests.rs
@@ -70,6 +70,29 @@
         "the caller took a short answer for a whole one"
     );
     world.endpoints[0].faults().set(Switches::default());
+    // Without a length only the missing last chunk tells.
+    world.endpoints[0].faults().set(Switches {
+        cut_body: true,
+        chunked: true,
+        ..Switches::default()
+    });
+    let got = Ask::post("chunks", vec![b'x'; 100_000])
+        .send(world.callers(0))
+        .await;
+    assert_eq!(
+        got.status(),
+        0,
+        "the caller took a short answer for a whole one"
+    );
+    world.endpoints[0].faults().set(Switches {
+        chunked: true,
+        ..Switches::default()
+    });
+    let got = Ask::post("all chunks", vec![b'x'; 100_000])
+        .send(world.callers(0))
+        .await;
+    assert_eq!(got.body().len(), 100_000);
+    world.endpoints[0].faults().set(Switches::default());
     let got = Ask::post("whole", vec![b'x'; 100_000])
         .send(world.callers(0))
         .await;
@@ -221,6 +244,29 @@
     assert_eq!(world.runs("d"), 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_that_took_effect_unseen_is_taken_back() {
+    let world = World::open(1, 2).await;
+    world.store.faults().set(Switches {
+        fall: true,
+        ..Switches::default()
+    });
+    let ask = || Ask::post("f", "charge").header("idempotency-key", "order-79");
+    let got = ask().send(world.callers(0)).await;
+    assert_eq!((got.status(), got.outcome()), (503, "not-run"));
+    assert_eq!(
+        world.store.values("ashtiller/claims/").len(),
+        1,
+        "the claim was written"
+    );
+    world.store.faults().set_down(false);
+    until("the same key is accepted", async || {
+        ask().send(world.callers(0)).await.status() == 200
+    })
+    .await;
+    assert_eq!(world.runs("f"), 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_claim_whose_answer_is_lost_is_read_back() {
     let world = World::open(1, 2).await;
--- a/bench/src/slopes.rs
+++ b/bench/src/slopes.rs
@@ -12,7 +12,7 @@
 use ashtiller::dispatch::{self, Dispatch, Limits, Next};
 use ashtiller::endpoint::{Listing, Phase};
 use ashtiller::fact::{Attempt, Body, End, Entry, Fact, TaskId};
-use ashtiller::fit::Spread;
+use ashtiller::fit::Gentle;
 use ashtiller::health::Sample;
 use ashtiller::ledger::{Head, Ledger, Stored};
 use ashtiller::line::Ticket;
@@ -181,6 +181,7 @@
             accelerators: 0,
         },
         length: Some(Duration::from_hours(1)),
+        target: None,
         attempts: 5,
         quota: ashtiller::resources::Resources {
             processors: 96_000,
@@ -214,12 +215,14 @@
         task: format!("team-123/reconcile-{number}/{}", attempt(number).task).into(),
         attempt: 1,
         progress: 1_234_567,
+        ..Running::default()
     });
     Report {
         boot: 1,
         clock: 1,
         epoch: 1,
         seq: 1,
+        lag: 0,
         running: running.collect(),
         ended: Vec::new(),
     }
@@ -246,7 +249,7 @@
 fn cell_with(workers: usize, tasks: usize) -> Cell {
     let mut cell = cells::open(workers);
     cells::submit(&mut cell, tasks, "running");
-    let mut planner = Planner::new(Box::new(Spread), cells::TERMS);
+    let mut planner = Planner::new(Box::new(Gentle), cells::TERMS);
     while !planner.round(&mut cell, 1, NOW).is_empty() {}
     cell
 }
@@ -277,7 +280,7 @@
 fn round_micros(workers: usize) -> f64 {
     // As many tasks for each worker as at the target.
     let mut cell = cell_with(workers, workers * 14);
-    let mut planner = Planner::new(Box::new(Spread), cells::TERMS);
+    let mut planner = Planner::new(Box::new(Gentle), cells::TERMS);
     let began = Instant::now();
     for _ in 0..REPEAT {
         planner.round(&mut cell, 1, NOW);
--- a/standin/src/endpoint.rs
+++ b/standin/src/endpoint.rs
@@ -15,7 +15,7 @@
 use tokio::sync::Semaphore;
 use tokio::time;
 
-use crate::faults::Faults;
+use crate::faults::{Faults, Switches};
 use crate::serve::{self, Answer, Call, Payload, Reply};
 
 /// Header in which an endpoint says that it did not run a request.
@@ -177,7 +177,7 @@
     if shared.faults.get().down || shared.faults.lose_one() {
         return Reply::Cut;
     }
-    Reply::Send(echo(&shared, &call, switches.cut_body))
+    Reply::Send(echo(&shared, &call, &switches))
 }
 
 fn switch(shared: &Shared, call: &Call) -> Answer {
@@ -210,11 +210,17 @@
     Duration::from_secs_f64(millis.max(0.0) / 1e3)
 }
 
-fn echo(shared: &Shared, call: &Call, cut: bool) -> Answer {
-    let mut answer = serve::text(200, call.body.clone());
-    if cut {
-        *answer.body_mut() = Payload::cut(&call.body);
+fn echo(shared: &Shared, call: &Call, switches: &Switches) -> Answer {
+    let mut answer = serve::text(200, "");
+    let mut body = Payload::whole(call.body.clone());
+    if switches.cut_body {
+        body = Payload::cut(&call.body);
     }
+    *answer.body_mut() = if switches.chunked {
+        body.in_chunks()
+    } else {
+        body
+    };
     if let Some(id) = call.headers.get("request-id") {
         answer.headers_mut().insert("request-id", id.clone());
     }
--- a/standin/src/faults.rs
+++ b/standin/src/faults.rs
@@ -27,6 +27,10 @@
     pub failing: bool,
     /// The body is cut after its first half.
     pub cut_body: bool,
+    /// A body is sent in chunks, without its length.
+    pub chunked: bool,
+    /// The next transaction takes effect, loses its answer, and the service goes down.
+    pub fall: bool,
 }
 
 /// Switches shared between a stand-in and its test.
--- a/standin/src/serve.rs
+++ b/standin/src/serve.rs
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 pub struct Payload {
     left: Option<Bytes>,
-    size: u64,
+    size: Option<u64>,
     /// Ends a body that is to be cut; the delay lets the first half be sent.
     cut: Option<pin::Pin<Box<time::Sleep>>>,
 }
@@ -35,7 +35,7 @@
     /// A body that is sent whole.
     #[must_use]
     pub fn whole(body: Bytes) -> Self {
-        let size = body.len() as u64;
+        let size = Some(body.len() as u64);
         Self {
             left: Some(body),
             size,
@@ -43,10 +43,17 @@
         }
     }
 
+    /// The same body without its length, so that it is sent in chunks.
+    #[must_use]
+    pub fn in_chunks(mut self) -> Self {
+        self.size = None;
+        self
+    }
+
     /// A body whose second half never comes, though its length was promised.
     #[must_use]
     pub fn cut(body: &Bytes) -> Self {
-        let size = body.len() as u64;
+        let size = Some(body.len() as u64);
         Self {
             left: Some(body.slice(..body.len() / 2)),
             size,
@@ -79,7 +86,8 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.size)
+        self.size
+            .map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
 
