--- a/ashtiller/src/fit.rs
+++ b/ashtiller/src/fit.rs
@@ -2,13 +2,14 @@
 
 use std::time::Duration;
 
+use crate::guard;
 use crate::harm::Harm;
 use crate::host::{Host, Work};
 use crate::resources::Resources;
 use crate::template::Class;
 
-/// Harm to one service, as a share of its target, that forbids a placement.
-const HARM_MAX: f64 = 0.3;
+/// Least speed in percent at which batch work is placed beside a service.
+const SPEED_MIN: u32 = 40;
 /// Weight of harm against an even use of the worker.
 const HARM_WEIGHT: f64 = 4.0;
 
@@ -48,29 +49,44 @@
         }
     }
 
-    /// Largest harm to fear between this task and one service, and the sum.
+    /// Harm to fear between this task and the work beside it, summed.
     #[must_use]
-    pub fn feared(&self) -> (f64, f64) {
+    pub fn feared(&self) -> f64 {
         let beside = self
             .host
             .mix
             .iter()
             .filter(|(other, _)| other.class != self.work.class);
-        beside.fold((0.0, 0.0), |(most, sum), (other, count)| {
-            let (service, batch) = match self.work.class {
-                Class::Batch => (other.kind, self.work.kind),
-                Class::LatencyCritical => (self.work.kind, other.kind),
+        let fears = beside.map(|(other, count)| {
+            let (service, batch, times) = match self.work.class {
+                Class::Batch => (other.kind, self.work.kind, 1.0),
+                Class::LatencyCritical => (self.work.kind, other.kind, f64::from(*count)),
             };
-            let fear = self
-                .harm
-                .fear(service, batch, self.host.load(service), self.now);
-            let times = if self.work.class == Class::Batch {
-                1.0
-            } else {
-                f64::from(*count)
-            };
-            (f64::max(most, fear * times), sum + fear * times)
-        })
+            times
+                * self
+                    .harm
+                    .fear(service, batch, self.host.load(service), self.now)
+        });
+        fears.sum()
+    }
+}
+
+impl Site<'_> {
+    /// Speed in percent at which batch work may begin here by what was learned.
+    #[must_use]
+    pub fn speed(&self) -> u32 {
+        let services = self
+            .host
+            .mix
+            .keys()
+            .filter(|work| work.class == Class::LatencyCritical);
+        let coming: f64 = self.host.coming.iter().map(|(_, harm)| harm).sum();
+        let speeds = services.map(|service| {
+            let load = self.host.load(service.kind);
+            let fear = self.harm.fear(service.kind, self.work.kind, load, self.now);
+            guard::bearable(self.host.worst + coming, fear, 0)
+        });
+        speeds.min().unwrap_or(100)
     }
 }
 
@@ -78,6 +94,11 @@
 pub trait Fit: Send + Sync {
     /// Cost of placing a task at a site, the least is chosen; `None` forbids it.
     fn cost(&self, site: &Site) -> Option<f64>;
+
+    /// Speed in percent at which a batch task begins at the site that was chosen.
+    fn speed(&self, _: &Site) -> u32 {
+        100
+    }
 }
 
 /// Keeps services and batch work apart where harm was learned; fills the fullest
@@ -87,12 +108,16 @@
 
 impl Fit for Gentle {
     fn cost(&self, site: &Site) -> Option<f64> {
-        let (most, sum) = site.feared();
+        let sum = site.feared();
         match site.work.class {
             // A service must run somewhere; batch work can wait for a better place.
             Class::LatencyCritical => Some(site.used() + site.waste() + HARM_WEIGHT * sum),
-            Class::Batch if most > HARM_MAX => None,
+            Class::Batch if site.speed() < SPEED_MIN => None,
             Class::Batch => Some(site.waste() - site.used() + HARM_WEIGHT * sum),
         }
     }
+
+    fn speed(&self, site: &Site) -> u32 {
+        site.speed().max(SPEED_MIN)
+    }
 }
--- a/ashtiller/src/guard.rs
+++ b/ashtiller/src/guard.rs
@@ -12,20 +12,20 @@
 
 /// Ratio of latency to target above which a service is over.
 const OVER: f64 = 1.0;
-/// Ratio below which it is at ease.
-const EASE: f64 = 0.85;
+/// Ratio that speeds are chosen for.
+const AIM: f64 = 0.92;
 /// Reports in a row above the target before something is done.
 const OVER_ROW: u32 = 2;
-/// Reports in a row at ease before something is undone.
-const EASE_ROW: u32 = 5;
-/// Speed of a slowed task in percent.
-const SLOWED: u32 = 20;
-/// Speeds of a task that is let back, in percent.
-const LET_BACK: [u32; 2] = [50, 100];
-/// First time before a slowed task may be let back; doubles with each relapse.
-const PATIENCE: Duration = Duration::from_mins(1);
+/// Reports in a row below the aim before something is undone.
+const EASE_ROW: u32 = 3;
+/// Least speed of a slowed task in percent; one that is still suspect is evicted.
+const SLOWEST: u32 = 20;
+/// A change of speed below this is not worth a step.
+const STEP: u32 = 10;
+/// First time before a slowed task is sped up; doubles with each relapse.
+const PATIENCE: Duration = Duration::from_secs(30);
 /// Longest such time.
-const PATIENCE_MAX: Duration = Duration::from_mins(16);
+const PATIENCE_MAX: Duration = Duration::from_mins(8);
 /// Time beyond the reports' lag that a step takes to show.
 const SETTLE: Duration = Duration::from_secs(4);
 
@@ -85,12 +85,24 @@
         self.slowed.get(&task).map_or(100, |slowed| slowed.percent)
     }
 
+    /// A task begins at this speed, because of harm learned before.
+    pub fn admit(&mut self, task: TaskId, percent: u32, now: Duration) {
+        if percent < 100 {
+            self.slowed.insert(
+                task,
+                Slowed {
+                    percent,
+                    since: now,
+                    relapses: 0,
+                },
+            );
+        }
+    }
+
     /// Decides after a report.
     pub fn look(&mut self, sight: Sight, now: Duration) -> Act {
-        self.slowed
-            .retain(|task, _| sight.suspects.iter().any(|suspect| suspect.task == *task));
         self.over = if sight.worst > OVER { self.over + 1 } else { 0 };
-        self.ease = if sight.worst < EASE { self.ease + 1 } else { 0 };
+        self.ease = if sight.worst < AIM { self.ease + 1 } else { 0 };
         let shown = self
             .acted
             .is_none_or(|acted| now >= acted + sight.lag + SETTLE);
@@ -98,7 +110,7 @@
             return Act::Rest;
         }
         let act = if self.over >= OVER_ROW {
-            self.restrain(sight.suspects, now)
+            self.restrain(sight, now)
         } else if self.ease >= EASE_ROW {
             self.let_back(sight, now)
         } else {
@@ -112,67 +124,84 @@
         act
     }
 
-    /// Slows the first suspect that runs at speed, or evicts the first that is
-    /// slowed when none does.
-    fn restrain(&mut self, suspects: &[Suspect], now: Duration) -> Act {
-        let first = |slowed: bool| {
-            let found = suspects.iter().filter(|suspect| {
-                let is_slowed = self.percent(suspect.task) <= SLOWED;
-                suspect.harm > 0.0 && is_slowed == slowed && (!slowed || suspect.evictable)
-            });
-            found
-                .max_by(|one, other| one.harm.total_cmp(&other.harm))
-                .copied()
-        };
-        if let Some(suspect) = first(false) {
+    /// A task has left the worker.
+    pub fn forget(&mut self, task: TaskId) {
+        self.slowed.remove(&task);
+    }
+
+    /// Slows the suspect that does most harm at its speed; evicts it when it is at
+    /// the least speed.
+    fn restrain(&mut self, sight: Sight, now: Duration) -> Act {
+        let doing = |suspect: &&Suspect| suspect.harm * f64::from(self.percent(suspect.task));
+        let fast = |suspect: &&Suspect| self.percent(suspect.task) > SLOWEST;
+        let most = |one: &&Suspect, other: &&Suspect| doing(one).total_cmp(&doing(other));
+        let suspects = || sight.suspects.iter().filter(|suspect| suspect.harm > 0.0);
+        if let Some(suspect) = suspects().filter(fast).max_by(most) {
+            let now_at = self.percent(suspect.task);
+            // At most half, so that each step shows.
+            let percent = bearable(sight.worst, suspect.harm, now_at)
+                .min(now_at / 2)
+                .max(SLOWEST);
             let relapses = self
                 .slowed
                 .get(&suspect.task)
                 .map_or(0, |slowed| slowed.relapses + 1);
-            let slowed = Slowed {
-                percent: SLOWED,
-                since: now,
-                relapses,
-            };
-            self.slowed.insert(suspect.task, slowed);
-            return Act::Throttle(suspect.task, SLOWED);
+            self.slowed.insert(
+                suspect.task,
+                Slowed {
+                    percent,
+                    since: now,
+                    relapses,
+                },
+            );
+            return Act::Throttle(suspect.task, percent);
         }
-        first(true).map_or(Act::Rest, |suspect| Act::Evict(suspect.task))
+        let evictable = suspects().filter(|suspect| suspect.evictable).max_by(most);
+        evictable.map_or(Act::Rest, |suspect| Act::Evict(suspect.task))
     }
 
-    /// Lets back the least feared of those that have waited long enough and whose
-    /// return the services can bear.
+    /// Speeds up the least feared of those that have waited long enough, as far as
+    /// the services can bear.
     fn let_back(&mut self, sight: Sight, now: Duration) -> Act {
-        let fits = |task: &TaskId, slowed: &Slowed| {
+        let mut best: Option<(f64, TaskId, u32)> = None;
+        for suspect in sight.suspects {
+            let Some(slowed) = self.slowed.get(&suspect.task) else {
+                continue;
+            };
             let patience = PATIENCE
                 .saturating_mul(1 << slowed.relapses.min(8))
                 .min(PATIENCE_MAX);
-            let harm = sight
-                .suspects
-                .iter()
-                .find(|suspect| suspect.task == *task)?
-                .harm;
-            let next = next_percent(slowed.percent)?;
-            let more = harm * f64::from(next - slowed.percent) / 100.0;
-            let waited = now >= slowed.since + patience;
-            (waited && sight.worst + more < OVER).then_some((harm, next))
-        };
-        let best = self
-            .slowed
-            .iter()
-            .filter_map(|(task, slowed)| fits(task, slowed).map(|(harm, next)| (*task, harm, next)))
-            .min_by(|one, other| one.1.total_cmp(&other.1));
-        let Some((task, _, next)) = best else {
+            let percent = bearable(sight.worst, suspect.harm, slowed.percent);
+            let worth = percent >= slowed.percent + STEP && now >= slowed.since + patience;
+            if worth && best.is_none_or(|(least, _, _)| suspect.harm < least) {
+                best = Some((suspect.harm, suspect.task, percent));
+            }
+        }
+        let Some((_, task, percent)) = best else {
             return Act::Rest;
         };
         if let Some(slowed) = self.slowed.get_mut(&task) {
-            slowed.percent = next;
+            slowed.percent = percent;
             slowed.since = now;
         }
-        Act::Throttle(task, next)
+        Act::Throttle(task, percent)
     }
 }
 
-fn next_percent(percent: u32) -> Option<u32> {
-    LET_BACK.into_iter().find(|next| *next > percent)
+/// Speed in percent at which a task of this harm, now at `percent`, keeps the worst
+/// service at the aim.
+#[must_use]
+pub fn bearable(worst: f64, harm: f64, percent: u32) -> u32 {
+    if harm <= 0.0 {
+        return 100;
+    }
+    let without = worst - harm * f64::from(percent) / 100.0;
+    let speed = ((AIM - without) / harm * 10.0).floor() * 10.0;
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "clamped"
+    )]
+    let speed = speed.clamp(0.0, 100.0) as u32;
+    speed
 }
--- a/ashtiller/src/host.rs
+++ b/ashtiller/src/host.rs
@@ -56,6 +56,10 @@
     pub mix: BTreeMap<Work, u32>,
     /// Last reported load of its services, 0 to 1.
     pub loads: BTreeMap<Kind, f64>,
+    /// Largest ratio of latency to target that its services last showed.
+    pub worst: f64,
+    /// Harm to fear from tasks placed too lately to show in a report, and when.
+    pub coming: Vec<(Duration, f64)>,
     /// Services over their target, and what is done about it.
     pub guard: Guard,
     /// Attempts that the last report showed running and the log does not place here.
@@ -82,6 +86,8 @@
             seen: BTreeMap::new(),
             mix: BTreeMap::new(),
             loads: BTreeMap::new(),
+            worst: 0.0,
+            coming: Vec::new(),
             guard: Guard::default(),
             strays: Vec::new(),
             acks: Vec::new(),
@@ -117,6 +123,7 @@
             return;
         }
         self.pool.release(needs);
+        self.guard.forget(task);
         if let Some(count) = self.mix.get_mut(&work) {
             *count -= 1;
         }
--- a/ashtiller/src/plan.rs
+++ b/ashtiller/src/plan.rs
@@ -213,6 +213,7 @@
                     now,
                 );
                 self.pledges.remove(&id);
+                self.set_speed(cell, id, now);
                 return true;
             }
             if !full && !self.pledges.contains_key(&id) {
@@ -268,6 +269,38 @@
         best.map(|(_, name, boot)| (name.clone(), boot))
     }
 
+    /// Lets a placed batch task begin as slowly as the services beside it need.
+    fn set_speed(&self, cell: &mut Cell, id: TaskId, now: Duration) {
+        let Some((task, submission)) = cell.task(id) else {
+            return;
+        };
+        let Some(place) = task
+            .phase
+            .place()
+            .filter(|_| submission.class == Class::Batch)
+        else {
+            return;
+        };
+        let (needs, worker) = (submission.needs, place.worker.clone());
+        let work = Work {
+            class: Class::Batch,
+            kind: cell.job(id.job).map_or(0, |job| job.sort),
+        };
+        let Some(host) = cell.hosts.get_mut(&worker) else {
+            return;
+        };
+        let site = Site {
+            host,
+            needs: &needs,
+            work,
+            harm: &self.harm,
+            now,
+        };
+        let (percent, feared) = (self.fit.speed(&site), site.feared());
+        host.guard.admit(id, percent, now);
+        host.coming.push((now, feared * f64::from(percent) / 100.0));
+    }
+
     /// Workers held back for others.
     fn pledged(&self, id: TaskId, rank: Rank) -> BTreeSet<Arc<str>> {
         if rank == Rank::Urgent || self.pledges.is_empty() {
--- a/ashtiller/src/watch.rs
+++ b/ashtiller/src/watch.rs
@@ -13,6 +13,9 @@
 use crate::reconcile;
 use crate::template::Class;
 
+/// Time beyond a report's lag after which a placed task shows in it.
+const SHOWN: Duration = Duration::from_secs(4);
+
 /// A service in a report.
 struct Service {
     kind: Kind,
@@ -59,6 +62,9 @@
         .map(|service| (service.kind, service.load))
         .collect();
     let lag = Duration::from_millis(report.lag);
+    host.worst = worst;
+    host.coming
+        .retain(|(placed, _)| *placed + lag + SHOWN > now);
     host.guard.look(
         Sight {
             worst,
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod cells;
 mod price;
+mod replays;
 mod routing;
 mod slopes;
 
@@ -23,6 +24,8 @@
       memory of idle connections
   bench cells [--workers 1300] [--running 17700] [--queued 13000]
       decisions a second of a cell's owner, in memory
+  bench replay [--seed N] TRACE...
+      recorded traces under each placement policy, for both deployments' weights
   bench slopes
       bytes and microseconds for each worker, task and change, at three sizes";
 
@@ -34,6 +37,7 @@
         Some("price") => block_on(price::run(args)),
         Some("idle") => block_on(price::run_idle(args)),
         Some("cells") => cells::run(args),
+        Some("replay") => replays::run(args),
         Some("slopes") => block_on(slopes::run()),
         _ => anyhow::bail!(USAGE),
     }
