--- a/ashtiller/src/agent.rs
+++ b/ashtiller/src/agent.rs
@@ -70,6 +70,9 @@
     pub boot: u64,
     /// End of the lease on the worker's clock, in milliseconds; 0 for none.
     pub until: u64,
+    /// Digest of the last report that was taken; 0 for none. A worker whose running
+    /// attempts have this digest need not list them again.
+    pub known: u64,
     /// Commands, in order.
     pub commands: Vec<Command>,
     /// Ended attempts that the log has.
@@ -150,6 +153,13 @@
     /// Age of the measurements in milliseconds.
     #[serde(default)]
     pub lag: u64,
+    /// The worker's own digest of its running attempts and their speeds.
+    #[serde(default)]
+    pub digest: u64,
+    /// Whether the running attempts are those of the digest that the caller knows;
+    /// then only services with measurements are listed.
+    #[serde(default)]
+    pub unchanged: bool,
     /// Running attempts.
     pub running: Vec<Running>,
     /// Ended attempts that are not acknowledged.
--- a/ashtiller/src/consul.rs
+++ b/ashtiller/src/consul.rs
@@ -322,23 +322,32 @@
 }
 
 impl Roster for Consul {
-    fn instances<'a>(&'a self, service: &'a str) -> Called<'a, Vec<roster::Instance>> {
+    fn watch<'a>(
+        &'a self,
+        service: &'a str,
+        index: u64,
+        wait: Duration,
+    ) -> Called<'a, roster::Listed> {
         Box::pin(async move {
-            let target = format!("/v1/catalog/service/{service}");
+            let millis = wait.as_millis();
+            let target = format!("/v1/catalog/service/{service}?index={index}&wait={millis}ms");
+            let limit = if index == 0 {
+                self.timeout
+            } else {
+                wait + WATCH_SLACK
+            };
             let answer = self
-                .call(
-                    "instances",
-                    Method::GET,
-                    &target,
-                    Bytes::new(),
-                    self.timeout,
-                )
+                .call("instances", Method::GET, &target, Bytes::new(), limit)
                 .await?;
             if answer.status != StatusCode::OK {
                 return Err(Failure::none("instances", self.address, answer.status));
             }
             let listed: Vec<Listed> = self.decode("instances", &answer.body)?;
-            Ok(listed.iter().filter_map(instance_of).collect())
+            let instances = listed.iter().filter_map(instance_of).collect();
+            Ok(roster::Listed {
+                instances,
+                index: answer.index.unwrap_or(0),
+            })
         })
     }
 }
--- a/ashtiller/src/demo.rs
+++ b/ashtiller/src/demo.rs
@@ -8,8 +8,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-
-use parking_lot::Mutex;
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
@@ -25,6 +23,7 @@
 use hyper::client::conn::http1;
 use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
 use standin::agent::{Agent, End, Record};
 use standin::endpoint::Endpoint;
 use standin::store::{Listed, Store};
--- a/ashtiller/src/desk.rs
+++ b/ashtiller/src/desk.rs
@@ -2,10 +2,9 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-
-use parking_lot::{Mutex, MutexGuard};
 use std::time::Duration;
 
+use parking_lot::{Mutex, MutexGuard};
 use tokio::sync::{Notify, oneshot};
 use tokio::time;
 
--- /dev/null
+++ b/ashtiller/src/events.rs
@@ -0,0 +1,240 @@
+//! What an owner is told, and what it does then.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::message::{Context, Message};
+use tokio::sync::oneshot;
+
+use crate::agent::Report;
+use crate::explain;
+use crate::failure::Failure;
+use crate::journal::{Appended, Journal};
+use crate::owner::{Owner, PENDING_MAX};
+use crate::peer::{Submission, Verdict};
+use crate::plan;
+use crate::reconcile;
+use crate::roster;
+use crate::session::Change;
+
+/// A job for the cell.
+pub(crate) struct Submit {
+    pub(crate) job: Submission,
+    pub(crate) reply: oneshot::Sender<Verdict>,
+}
+
+/// Cancellation of a job.
+pub(crate) struct Cancel {
+    pub(crate) account: Arc<str>,
+    pub(crate) job: Arc<str>,
+    pub(crate) reply: oneshot::Sender<Verdict>,
+}
+
+/// A question for the state; empty names show all.
+pub(crate) struct Show {
+    pub(crate) account: Arc<str>,
+    pub(crate) job: Arc<str>,
+}
+
+/// The platform's list of the cell's workers.
+pub(crate) struct Listed {
+    pub(crate) instances: Vec<roster::Instance>,
+}
+
+/// Time to decide.
+pub(crate) struct Tick;
+
+/// End of the ownership in a planned way.
+pub(crate) struct HandOver;
+
+/// An entry's fate is known.
+pub(crate) struct Wrote {
+    pub(crate) position: u64,
+    pub(crate) began: Duration,
+    pub(crate) appended: Appended,
+    pub(crate) last: bool,
+}
+
+/// A worker answered, or did not.
+pub(crate) struct Called {
+    pub(crate) worker: Arc<str>,
+    pub(crate) answer: Result<Report, Failure>,
+}
+
+/// The position of the next entry was looked at.
+pub(crate) struct Checked {
+    pub(crate) began: Duration,
+    pub(crate) position: u64,
+    pub(crate) free: Result<bool, Failure>,
+}
+
+/// A snapshot was written, or not.
+pub(crate) struct Snapped {
+    pub(crate) done: Result<Journal, Failure>,
+}
+
+impl Message<Tick> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Tick, context: &mut Context<Self, ()>) {
+        let actor = context.actor_ref().clone();
+        if self.pending.len() < PENDING_MAX && !self.handing {
+            let now = self.now();
+            let facts = self.planner.round(&mut self.cell, self.position, now);
+            self.pending.extend(facts);
+        }
+        self.flush(&actor);
+        self.call_workers(&actor);
+        self.confirm(&actor);
+        self.snapshot(&actor);
+        self.publish();
+    }
+}
+
+impl Message<Submit> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, submit: Submit, context: &mut Context<Self, ()>) {
+        let Submit { job, reply } = submit;
+        if self.handing || self.pending.len() >= PENDING_MAX {
+            let _ = reply.send(Verdict::NotOwner("the cell is busy or moving".into()));
+            return;
+        }
+        let now = self.now();
+        let (verdict, fact) = plan::submit(&mut self.cell, job, self.position, now);
+        self.reply_later(reply, verdict, fact);
+        self.flush(&context.actor_ref().clone());
+    }
+}
+
+impl Message<Cancel> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, cancel: Cancel, context: &mut Context<Self, ()>) {
+        let Cancel {
+            account,
+            job,
+            reply,
+        } = cancel;
+        if self.handing {
+            let _ = reply.send(Verdict::NotOwner("the cell is moving".into()));
+            return;
+        }
+        let now = self.now();
+        let (verdict, fact) = plan::cancel(&mut self.cell, &account, &job, self.position, now);
+        self.reply_later(reply, verdict, fact);
+        self.flush(&context.actor_ref().clone());
+    }
+}
+
+impl Message<Show> for Owner {
+    type Reply = String;
+
+    async fn handle(&mut self, show: Show, _: &mut Context<Self, String>) -> String {
+        let (name, now) = (&self.tools.name, self.now());
+        explain::show(name, &self.cell, &show.account, &show.job, &self.terms, now)
+    }
+}
+
+impl Message<Listed> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, listed: Listed, _: &mut Context<Self, ()>) {
+        self.list(&listed.instances);
+    }
+}
+
+impl Message<HandOver> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, _: HandOver, context: &mut Context<Self, ()>) {
+        self.handing = true;
+        self.flush(&context.actor_ref().clone());
+    }
+}
+
+impl Message<Wrote> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, wrote: Wrote, context: &mut Context<Self, ()>) {
+        let actor = context.actor_ref().clone();
+        self.writing = false;
+        if wrote.appended == Appended::Superseded {
+            self.step_down("another owner has written", &actor);
+            return;
+        }
+        self.durable = wrote.position;
+        self.confirmed = self.confirmed.max(wrote.began);
+        self.since_snapshot += 1;
+        self.answer();
+        if wrote.last {
+            self.step_down("handed over", &actor);
+            return;
+        }
+        self.flush(&actor);
+        self.call_workers(&actor);
+    }
+}
+
+impl Message<Called> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, called: Called, context: &mut Context<Self, ()>) {
+        let actor = context.actor_ref().clone();
+        let moment = self.moment();
+        if let Some(host) = self.cell.hosts.get_mut(&called.worker) {
+            host.calling = false;
+        }
+        let Ok(report) = called.answer else {
+            self.tools.tally.calls_failed.inc();
+            return;
+        };
+        let terms = self.terms;
+        let (change, facts) =
+            reconcile::take_report(&mut self.cell, &called.worker, &report, &terms, moment);
+        self.pending.extend(facts);
+        let taken = !matches!(change, Change::Superseded | Change::Stale);
+        if taken && report.epoch == moment.epoch {
+            let (cell, planner) = (&mut self.cell, &mut self.planner);
+            let facts = planner.observe(cell, &called.worker, &report, moment.position, moment.now);
+            self.pending.extend(facts);
+        }
+        match change {
+            Change::Superseded => self.step_down("a worker has a newer owner", &actor),
+            // The first grant follows the fence at once, so that tasks run on.
+            Change::Fenced | Change::Rebooted => self.call(&called.worker, true, &actor),
+            Change::Same | Change::Stale => {}
+        }
+        self.flush(&actor);
+    }
+}
+
+impl Message<Checked> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, checked: Checked, context: &mut Context<Self, ()>) {
+        self.checking = false;
+        match checked.free {
+            Ok(true) => self.confirmed = self.confirmed.max(checked.began),
+            // Written since by this owner itself.
+            Ok(false) if checked.position < self.position => {}
+            Ok(false) => {
+                let actor = context.actor_ref().clone();
+                self.step_down("another owner has written", &actor);
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+impl Message<Snapped> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, snapped: Snapped, _: &mut Context<Self, ()>) {
+        self.snapshotting = false;
+        match snapped.done {
+            Ok(journal) => self.journal = journal,
+            Err(failure) => tracing::debug!(%failure, "snapshot not written"),
+        }
+    }
+}
--- a/ashtiller/src/gateway.rs
+++ b/ashtiller/src/gateway.rs
@@ -4,11 +4,10 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, OnceLock};
-
-use parking_lot::Mutex;
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
+use parking_lot::Mutex;
 use prometheus::Registry;
 use serde_json::json;
 use tokio::task::JoinSet;
@@ -24,6 +23,7 @@
 use crate::dispatch::{self, Limits};
 use crate::endpoint::Listing;
 use crate::failure::Failure;
+use crate::follow;
 use crate::front::{self, Front};
 use crate::jobs::Jobs;
 use crate::lender::{self, Lender};
@@ -141,7 +141,7 @@
         front,
     });
     let mut tasks = JoinSet::new();
-    tasks.spawn(follow_roster(
+    tasks.spawn(follow_templates(
         shared.clone(),
         instances,
         served.wire().clone(),
@@ -270,8 +270,9 @@
     }
 }
 
-/// Keeps services and endpoints in step with the templates and the platform.
-async fn follow_roster(
+/// Opens services as the templates name them, and deals their slots anew as
+/// gateways come and go.
+async fn follow_templates(
     shared: Arc<Shared>,
     roster: Arc<dyn Roster>,
     wire: wire::Wire,
@@ -287,34 +288,39 @@
             _ = force.changed() => {}
         }
         for service in shared.services() {
-            let known = shared.router.desk(&service).is_some();
-            shared
-                .router
-                .add_desk(&service, || shared.open_desk(&service));
-            let Some(desk) = shared.router.desk(&service) else {
-                continue;
-            };
-            if !known {
+            if shared.router.desk(&service).is_none() {
+                let desk = shared.open_desk(&service);
+                shared.router.add_desk(&service, desk.clone());
                 helpers.spawn(prober::run(desk.clone()));
+                helpers.spawn(follow_endpoints(
+                    shared.clone(),
+                    desk.clone(),
+                    roster.clone(),
+                ));
                 if let Some(lender) = lender_of(&shared, &desk, &wire, &tally) {
                     helpers.spawn(lender.run());
                 }
             }
-            let Ok(instances) = roster.instances(&service).await else {
-                continue;
-            };
-            // An empty list is more likely the platform's trouble than the truth;
-            // endpoints that are gone show themselves by refusing connections.
-            if !instances.is_empty() {
-                let listings: Vec<Listing> = instances.iter().map(listing_of).collect();
-                desk.with(|dispatch, _| dispatch.list(&listings));
-                shared.seen.lock().insert(service.clone());
-            }
+        }
+        for desk in shared.router.desks() {
             shared.deal(&desk);
         }
     }
 }
 
+/// Keeps a service's endpoints in step with the platform's list.
+async fn follow_endpoints(shared: Arc<Shared>, desk: Arc<Desk>, roster: Arc<dyn Roster>) {
+    let pause = shared.settings.platform.refresh;
+    let follower = follow::spawn(roster, desk.name.clone(), pause);
+    let mut changes = follower.subscribe();
+    while changes.changed().await.is_ok() {
+        let listings: Vec<Listing> = follower.list().iter().map(listing_of).collect();
+        desk.with(|dispatch, _| dispatch.list(&listings));
+        shared.deal(&desk);
+        shared.seen.lock().insert(desk.name.clone());
+    }
+}
+
 fn lender_of(
     shared: &Shared,
     desk: &Arc<Desk>,
--- a/ashtiller/src/host.rs
+++ b/ashtiller/src/host.rs
@@ -52,6 +52,8 @@
     pub calling: bool,
     /// Tasks that the last report showed running, with their speed in percent.
     pub seen: BTreeMap<TaskId, u32>,
+    /// Digest of the report that `seen` was taken from; 0 for none.
+    pub digest: u64,
     /// Work that may run on it, with the number of its tasks.
     pub mix: BTreeMap<Work, u32>,
     /// Last reported load of its services, 0 to 1.
@@ -84,6 +86,7 @@
             called: None,
             calling: false,
             seen: BTreeMap::new(),
+            digest: 0,
             mix: BTreeMap::new(),
             loads: BTreeMap::new(),
             worst: 0.0,
--- a/ashtiller/src/jobs.rs
+++ b/ashtiller/src/jobs.rs
@@ -2,12 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-
-use parking_lot::Mutex;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
+use parking_lot::Mutex;
 use serde_json::json;
 use tokio::time;
 
@@ -194,8 +193,12 @@
     }
 
     async fn choose_home(&self, account: &str) -> Result<Arc<str>, Failure> {
-        let workers = self.roster.instances(&self.workers).await?;
-        let cells: BTreeSet<Arc<str>> = workers.into_iter().map(|worker| worker.zone).collect();
+        let listed = self.roster.watch(&self.workers, 0, LIMIT).await?;
+        let cells: BTreeSet<Arc<str>> = listed
+            .instances
+            .into_iter()
+            .map(|worker| worker.zone)
+            .collect();
         let none = || Failure::none("home cell", account, "the platform lists no workers");
         rendezvous::first(account, &cells).ok_or_else(none)
     }
--- a/ashtiller/src/owner.rs
+++ b/ashtiller/src/owner.rs
@@ -11,25 +11,25 @@
 
 use kameo::Actor;
 use kameo::actor::{ActorRef, Spawn};
-use kameo::message::{Context, Message};
 use tokio::sync::{oneshot, watch};
 use tokio::time;
 
-use crate::agent::{Report, Worker};
+use crate::agent::Worker;
 use crate::cell::Cell;
 use crate::clock::Clock;
-use crate::explain;
+use crate::events::{
+    Called, Cancel, Checked, HandOver, Listed, Show, Snapped, Submit, Tick, Wrote,
+};
 use crate::fact::{Body, Fact};
-use crate::failure::Failure;
 use crate::fit::Gentle;
-use crate::journal::{Appended, Journal, Opened};
+use crate::journal::{Journal, Opened};
 use crate::peer::{Submission, Verdict};
 use crate::plan::{self, Planner};
 use crate::reconcile::{self, Moment};
 use crate::record;
 use crate::roster;
 use crate::score::Score;
-use crate::session::{Change, Session, Terms};
+use crate::session::{Session, Terms};
 use crate::settings;
 
 /// How often the owner decides.
@@ -39,7 +39,7 @@
 /// A worker that does not answer is called at most this often.
 const RETRY_EVERY: Duration = Duration::from_millis(500);
 /// Facts that may wait for the log before new jobs are turned away.
-const PENDING_MAX: usize = plan::FACTS_MAX;
+pub(crate) const PENDING_MAX: usize = plan::FACTS_MAX;
 
 /// What an owner needs besides its opened cell.
 #[derive(Clone)]
@@ -181,28 +181,28 @@
     clippy::struct_excessive_bools,
     reason = "each is a call under way, or the end"
 )]
-struct Owner {
-    tools: Tools,
-    terms: Terms,
-    planner: Planner,
-    cell: Cell,
+pub(crate) struct Owner {
+    pub(crate) tools: Tools,
+    pub(crate) terms: Terms,
+    pub(crate) planner: Planner,
+    pub(crate) cell: Cell,
     /// Leases of earlier owners end by this time.
-    bound: Duration,
+    pub(crate) bound: Duration,
     /// Start of the last call that proved the ownership.
-    confirmed: Duration,
-    checking: bool,
+    pub(crate) confirmed: Duration,
+    pub(crate) checking: bool,
     /// Position of the entry that new facts go to.
-    position: u64,
-    durable: u64,
-    writing: bool,
-    wrote: Duration,
-    pending: Vec<Fact>,
-    replies: VecDeque<(u64, oneshot::Sender<Verdict>, Verdict)>,
-    since_snapshot: u32,
-    snapshotting: bool,
-    handing: bool,
-    journal: Journal,
-    standing: watch::Sender<Standing>,
+    pub(crate) position: u64,
+    pub(crate) durable: u64,
+    pub(crate) writing: bool,
+    pub(crate) wrote: Duration,
+    pub(crate) pending: Vec<Fact>,
+    pub(crate) replies: VecDeque<(u64, oneshot::Sender<Verdict>, Verdict)>,
+    pub(crate) since_snapshot: u32,
+    pub(crate) snapshotting: bool,
+    pub(crate) handing: bool,
+    pub(crate) journal: Journal,
+    pub(crate) standing: watch::Sender<Standing>,
 }
 
 impl Actor for Owner {
@@ -223,62 +223,12 @@
     }
 }
 
-struct Submit {
-    job: Submission,
-    reply: oneshot::Sender<Verdict>,
-}
-
-struct Cancel {
-    account: Arc<str>,
-    job: Arc<str>,
-    reply: oneshot::Sender<Verdict>,
-}
-
-struct Show {
-    account: Arc<str>,
-    job: Arc<str>,
-}
-
-struct Listed {
-    instances: Vec<roster::Instance>,
-}
-
-struct Tick;
-
-struct HandOver;
-
-/// An entry's fate is known.
-struct Wrote {
-    position: u64,
-    began: Duration,
-    appended: Appended,
-    last: bool,
-}
-
-/// A worker answered, or did not.
-struct Called {
-    worker: Arc<str>,
-    answer: Result<Report, Failure>,
-}
-
-/// The position of the next entry was looked at.
-struct Checked {
-    began: Duration,
-    position: u64,
-    free: Result<bool, Failure>,
-}
-
-/// A snapshot was written, or not.
-struct Snapped {
-    done: Result<Journal, Failure>,
-}
-
 impl Owner {
-    fn now(&self) -> Duration {
+    pub(crate) fn now(&self) -> Duration {
         self.tools.clock.now()
     }
 
-    fn moment(&self) -> Moment {
+    pub(crate) fn moment(&self) -> Moment {
         Moment {
             epoch: self.journal.epoch(),
             position: self.position,
@@ -287,7 +237,7 @@
         }
     }
 
-    fn step_down(&mut self, why: &'static str, actor: &ActorRef<Self>) {
+    pub(crate) fn step_down(&mut self, why: &'static str, actor: &ActorRef<Self>) {
         if self.standing.send_replace(Standing::Ended) == Standing::Owner {
             tracing::info!(cell = %self.tools.name, epoch = self.journal.epoch(), why, "cell released");
         }
@@ -295,7 +245,7 @@
     }
 
     /// Writes pending facts when no entry is under way and the pause is over.
-    fn flush(&mut self, actor: &ActorRef<Self>) {
+    pub(crate) fn flush(&mut self, actor: &ActorRef<Self>) {
         let paused = self.now() < self.wrote + self.tools.settings.commit;
         let last = self.handing && self.pending.is_empty();
         if self.writing || (!last && (self.pending.is_empty() || paused && !self.handing)) {
@@ -336,7 +286,7 @@
     }
 
     /// Answers callers whose entries are durable.
-    fn answer(&mut self) {
+    pub(crate) fn answer(&mut self) {
         while self
             .replies
             .front()
@@ -348,7 +298,7 @@
         }
     }
 
-    fn reply_later(
+    pub(crate) fn reply_later(
         &mut self,
         reply: oneshot::Sender<Verdict>,
         verdict: Verdict,
@@ -366,7 +316,7 @@
         self.answer();
     }
 
-    fn call_workers(&mut self, actor: &ActorRef<Self>) {
+    pub(crate) fn call_workers(&mut self, actor: &ActorRef<Self>) {
         let now = self.now();
         // Nothing may be renewed long after the ownership was last proved.
         let renewing = now < self.confirmed + self.tools.settings.horizon && !self.handing;
@@ -382,7 +332,7 @@
         }
     }
 
-    fn is_due(&self, name: &Arc<str>, host: &crate::host::Host, now: Duration) -> bool {
+    pub(crate) fn is_due(&self, name: &Arc<str>, host: &crate::host::Host, now: Duration) -> bool {
         let Some(called) = host.called else {
             return true;
         };
@@ -393,7 +343,7 @@
             && (news || since >= self.tools.settings.renew || silent && since >= RETRY_EVERY)
     }
 
-    fn call(&mut self, worker: &Arc<str>, renew: bool, actor: &ActorRef<Self>) {
+    pub(crate) fn call(&mut self, worker: &Arc<str>, renew: bool, actor: &ActorRef<Self>) {
         let moment = self.moment();
         let Some(sync) = reconcile::prepare(&mut self.cell, worker, &self.terms, renew, moment)
         else {
@@ -414,7 +364,7 @@
     }
 
     /// Proves the ownership while there is nothing to write.
-    fn confirm(&mut self, actor: &ActorRef<Self>) {
+    pub(crate) fn confirm(&mut self, actor: &ActorRef<Self>) {
         let now = self.now();
         if self.checking || self.writing || now < self.confirmed + CONFIRM_EVERY {
             return;
@@ -433,7 +383,7 @@
         });
     }
 
-    fn snapshot(&mut self, actor: &ActorRef<Self>) {
+    pub(crate) fn snapshot(&mut self, actor: &ActorRef<Self>) {
         let due = self.since_snapshot >= self.tools.settings.snapshot;
         let whole = self.pending.is_empty() && !self.writing;
         if self.snapshotting || !due || !whole || self.handing {
@@ -453,7 +403,7 @@
         });
     }
 
-    fn list(&mut self, instances: &[roster::Instance]) {
+    pub(crate) fn list(&mut self, instances: &[roster::Instance]) {
         let now = self.now();
         for instance in instances {
             self.cell.resize_host(&instance.name, instance.resources);
@@ -480,7 +430,7 @@
             .retain(|_, host| host.absent.is_none() || !host.tasks.is_empty());
     }
 
-    fn publish(&self) {
+    pub(crate) fn publish(&self) {
         let counts = self.cell.counts();
         self.tools.tally.publish(
             &self.tools.name,
@@ -490,169 +440,3 @@
         );
     }
 }
-
-impl Message<Tick> for Owner {
-    type Reply = ();
-
-    async fn handle(&mut self, _: Tick, context: &mut Context<Self, ()>) {
-        let actor = context.actor_ref().clone();
-        if self.pending.len() < PENDING_MAX && !self.handing {
-            let now = self.now();
-            let facts = self.planner.round(&mut self.cell, self.position, now);
-            self.pending.extend(facts);
-        }
-        self.flush(&actor);
-        self.call_workers(&actor);
-        self.confirm(&actor);
-        self.snapshot(&actor);
-        self.publish();
-    }
-}
-
-impl Message<Submit> for Owner {
-    type Reply = ();
-
-    async fn handle(&mut self, submit: Submit, context: &mut Context<Self, ()>) {
-        let Submit { job, reply } = submit;
-        if self.handing || self.pending.len() >= PENDING_MAX {
-            let _ = reply.send(Verdict::NotOwner("the cell is busy or moving".into()));
-            return;
-        }
-        let now = self.now();
-        let (verdict, fact) = plan::submit(&mut self.cell, job, self.position, now);
-        self.reply_later(reply, verdict, fact);
-        self.flush(&context.actor_ref().clone());
-    }
-}
-
-impl Message<Cancel> for Owner {
-    type Reply = ();
-
-    async fn handle(&mut self, cancel: Cancel, context: &mut Context<Self, ()>) {
-        let Cancel {
-            account,
-            job,
-            reply,
-        } = cancel;
-        if self.handing {
-            let _ = reply.send(Verdict::NotOwner("the cell is moving".into()));
-            return;
-        }
-        let now = self.now();
-        let (verdict, fact) = plan::cancel(&mut self.cell, &account, &job, self.position, now);
-        self.reply_later(reply, verdict, fact);
-        self.flush(&context.actor_ref().clone());
-    }
-}
-
-impl Message<Show> for Owner {
-    type Reply = String;
-
-    async fn handle(&mut self, show: Show, _: &mut Context<Self, String>) -> String {
-        let (name, now) = (&self.tools.name, self.now());
-        explain::show(name, &self.cell, &show.account, &show.job, &self.terms, now)
-    }
-}
-
-impl Message<Listed> for Owner {
-    type Reply = ();
-
-    async fn handle(&mut self, listed: Listed, _: &mut Context<Self, ()>) {
-        self.list(&listed.instances);
-    }
-}
-
-impl Message<HandOver> for Owner {
-    type Reply = ();
-
-    async fn handle(&mut self, _: HandOver, context: &mut Context<Self, ()>) {
-        self.handing = true;
-        self.flush(&context.actor_ref().clone());
-    }
-}
-
-impl Message<Wrote> for Owner {
-    type Reply = ();
-
-    async fn handle(&mut self, wrote: Wrote, context: &mut Context<Self, ()>) {
-        let actor = context.actor_ref().clone();
-        self.writing = false;
-        if wrote.appended == Appended::Superseded {
-            self.step_down("another owner has written", &actor);
-            return;
-        }
-        self.durable = wrote.position;
-        self.confirmed = self.confirmed.max(wrote.began);
-        self.since_snapshot += 1;
-        self.answer();
-        if wrote.last {
-            self.step_down("handed over", &actor);
-            return;
-        }
-        self.flush(&actor);
-        self.call_workers(&actor);
-    }
-}
-
-impl Message<Called> for Owner {
-    type Reply = ();
-
-    async fn handle(&mut self, called: Called, context: &mut Context<Self, ()>) {
-        let actor = context.actor_ref().clone();
-        let moment = self.moment();
-        if let Some(host) = self.cell.hosts.get_mut(&called.worker) {
-            host.calling = false;
-        }
-        let Ok(report) = called.answer else {
-            self.tools.tally.calls_failed.inc();
-            return;
-        };
-        let terms = self.terms;
-        let (change, facts) =
-            reconcile::take_report(&mut self.cell, &called.worker, &report, &terms, moment);
-        self.pending.extend(facts);
-        let taken = !matches!(change, Change::Superseded | Change::Stale);
-        if taken && report.epoch == moment.epoch {
-            let (cell, planner) = (&mut self.cell, &mut self.planner);
-            let facts = planner.observe(cell, &called.worker, &report, moment.position, moment.now);
-            self.pending.extend(facts);
-        }
-        match change {
-            Change::Superseded => self.step_down("a worker has a newer owner", &actor),
-            // The first grant follows the fence at once, so that tasks run on.
-            Change::Fenced | Change::Rebooted => self.call(&called.worker, true, &actor),
-            Change::Same | Change::Stale => {}
-        }
-        self.flush(&actor);
-    }
-}
-
-impl Message<Checked> for Owner {
-    type Reply = ();
-
-    async fn handle(&mut self, checked: Checked, context: &mut Context<Self, ()>) {
-        self.checking = false;
-        match checked.free {
-            Ok(true) => self.confirmed = self.confirmed.max(checked.began),
-            // Written since by this owner itself.
-            Ok(false) if checked.position < self.position => {}
-            Ok(false) => {
-                let actor = context.actor_ref().clone();
-                self.step_down("another owner has written", &actor);
-            }
-            Err(_) => {}
-        }
-    }
-}
-
-impl Message<Snapped> for Owner {
-    type Reply = ();
-
-    async fn handle(&mut self, snapped: Snapped, _: &mut Context<Self, ()>) {
-        self.snapshotting = false;
-        match snapped.done {
-            Ok(journal) => self.journal = journal,
-            Err(failure) => tracing::debug!(%failure, "snapshot not written"),
-        }
-    }
-}
--- a/ashtiller/src/pool.rs
+++ b/ashtiller/src/pool.rs
@@ -4,13 +4,13 @@
 //! after the whole answer was read; any other end closes it. So a late answer
 //! can never reach another request.
 
-use parking_lot::Mutex;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use hyper::client::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use parking_lot::Mutex;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{self, Instant};
--- a/ashtiller/src/reconcile.rs
+++ b/ashtiller/src/reconcile.rs
@@ -67,6 +67,7 @@
     let acks = acks.map(|ack| (ack.task.clone(), ack.attempt)).collect();
     let host = cell.hosts.get(worker)?;
     let fenced = host.session.boot().is_some();
+    let known = if fenced { host.digest } else { 0 };
     let mut commands: Vec<Command> = Vec::new();
     if fenced {
         let tasks = host.tasks.iter();
@@ -82,6 +83,7 @@
         seq,
         boot,
         until,
+        known,
         commands,
         acks,
     })
@@ -167,7 +169,10 @@
     }
     let mut facts = Vec::new();
     lose_former_life(cell, worker, report.boot, &mut facts, moment);
-    note_running(cell, worker, report);
+    let digest = cell.hosts.get(worker).map_or(0, |host| host.digest);
+    if !report.unchanged || report.digest != digest {
+        note_running(cell, worker, report);
+    }
     for ended in &report.ended {
         take_end(cell, worker, ended, &mut facts, moment);
     }
@@ -225,6 +230,7 @@
     }
     if let Some(host) = cell.hosts.get_mut(worker) {
         host.seen = seen;
+        host.digest = if report.unchanged { 0 } else { report.digest };
         host.strays = strays;
     }
 }
--- a/ashtiller/src/roster.rs
+++ b/ashtiller/src/roster.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::endpoint::Phase;
 use crate::resources::Resources;
@@ -26,8 +27,18 @@
     pub resources: Resources,
 }
 
+/// Instances of one service, and the position from which to watch on.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Listed {
+    /// Instances as last listed.
+    pub instances: Vec<Instance>,
+    /// Position to pass to the next [`Roster::watch`].
+    pub index: u64,
+}
+
 /// The list of instances.
 pub trait Roster: Send + Sync {
-    /// Instances of one service as last listed.
-    fn instances<'a>(&'a self, service: &'a str) -> Called<'a, Vec<Instance>>;
+    /// Waits until the instances of a service differ from position `index`, at most
+    /// `wait`, and reads them; position 0 reads at once.
+    fn watch<'a>(&'a self, service: &'a str, index: u64, wait: Duration) -> Called<'a, Listed>;
 }
--- a/ashtiller/src/router.rs
+++ b/ashtiller/src/router.rs
@@ -6,18 +6,16 @@
 //! not run.
 
 use std::collections::HashMap;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-
-use parking_lot::RwLock;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::http::{request, response};
 use hyper::{Request, Response, StatusCode, Uri};
+use parking_lot::RwLock;
 use rand::RngExt;
 use tokio::time;
 
@@ -29,34 +27,24 @@
 use crate::endpoint::Endpoint;
 use crate::headers;
 use crate::health::Sample;
+use crate::held::{Allowance, Held};
+use crate::intake;
 use crate::line::Ticket;
 use crate::outcome::{self, Outcome, Verdict};
 use crate::pool::Link;
 use crate::settings;
 use crate::tally::Tally;
 use crate::template::Service;
-use crate::unit;
 use crate::upload::Upload;
 
-/// Header that names the client account.
-pub const ACCOUNT: &str = "client-account";
-/// Header that sets the time limit of a request, such as `800ms`.
-pub const TIMEOUT: &str = "request-timeout";
-/// Header that makes a caller's own repeat recognisable.
-pub const KEY: &str = "idempotency-key";
 /// Header in which the gateway names the endpoint that answered.
 const ENDPOINT: HeaderName = HeaderName::from_static("ashtiller-endpoint");
-/// Longest idempotency key.
-const KEY_MAX: usize = 255;
 /// Attempts for one request.
 const ATTEMPTS_MAX: u32 = 3;
 /// Share of the time left that a first attempt of a repeatable request may take.
 const FIRST_SHARE: f64 = 0.6;
 /// When to come back after a failure that says nothing of the backlog.
 const AFTER: Duration = Duration::from_millis(500);
-/// Seed of the second half of a key's hash.
-const KEY_SEED: u64 = 0x6173_6874_696c_6c65;
-
 /// Routes callers' requests.
 pub struct Router {
     settings: settings::Gateway,
@@ -80,13 +68,6 @@
     target: Uri,
 }
 
-/// A request's body between attempts.
-enum Held {
-    Kept(Bytes),
-    Stream(Box<Incoming>),
-    Spent,
-}
-
 /// State of a request over its attempts.
 struct Course {
     attempts: u32,
@@ -106,7 +87,7 @@
 }
 
 impl Router {
-    /// A router without services; [`Router::set_desks`] brings them.
+    /// A router without services; [`Router::add_desk`] brings them.
     #[must_use]
     pub fn new(
         settings: settings::Gateway,
@@ -139,12 +120,9 @@
         self.desks.read().get(service).cloned()
     }
 
-    /// Adds a service unless it is known.
-    pub fn add_desk(&self, service: &Arc<str>, open: impl FnOnce() -> Arc<Desk>) {
-        self.desks
-            .write()
-            .entry(service.clone())
-            .or_insert_with(open);
+    /// Adds a service.
+    pub fn add_desk(&self, service: &Arc<str>, desk: Arc<Desk>) {
+        self.desks.write().insert(service.clone(), desk);
     }
 
     /// Serves one request.
@@ -175,8 +153,7 @@
     async fn try_serve(&self, request: Request<Incoming>) -> Result<Response<Download>, Verdict> {
         let (head, incoming) = request.into_parts();
         let plan = self.plan(&head).inspect_err(|_| self.tally.wrong.inc())?;
-        let mut body = self
-            .hold_body(&plan, incoming)
+        let mut body = Held::open(incoming, self.allowance(&plan))
             .await
             .inspect_err(|_| self.tally.wrong.inc())?;
         plan.desk.budget.lock().earn();
@@ -224,9 +201,9 @@
     fn plan(&self, head: &request::Parts) -> Result<Plan, Verdict> {
         headers::check(&head.method, head.version, &head.headers)?;
         let wrong = Verdict::wrong;
-        let (service, target) = split_target(&head.uri)
+        let (service, target) = intake::split_target(&head.uri)
             .ok_or_else(|| wrong(StatusCode::BAD_REQUEST, "the path names no service"))?;
-        let account = header(head, ACCOUNT).ok_or_else(|| {
+        let account = intake::header(head, intake::ACCOUNT).ok_or_else(|| {
             wrong(
                 StatusCode::FORBIDDEN,
                 "the header client-account is missing",
@@ -248,7 +225,8 @@
             let reason = "the service is not open yet";
             Verdict::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, AFTER)
         })?;
-        let timeout = read_timeout(head)?.map_or(settings.timeout, |own| own.min(settings.timeout));
+        let timeout =
+            intake::read_timeout(head)?.map_or(settings.timeout, |own| own.min(settings.timeout));
         let repeat = settings.may_repeat(head.method.as_str());
         let claim = if repeat {
             None
@@ -266,22 +244,23 @@
         })
     }
 
+    fn allowance(&self, plan: &Plan) -> Allowance {
+        let time = plan.deadline.saturating_sub(self.clock.now());
+        Allowance {
+            most: self.settings.body,
+            keep: self.settings.replay,
+            time,
+        }
+    }
+
     fn read_claim(
         &self,
         head: &request::Parts,
         account: &Arc<str>,
     ) -> Result<Option<Claim>, Verdict> {
-        let Some(value) = head.headers.get(KEY) else {
+        let Some(key) = intake::read_key(head)? else {
             return Ok(None);
         };
-        let key = value.as_bytes();
-        if key.is_empty() || key.len() > KEY_MAX || head.headers.get_all(KEY).iter().count() > 1 {
-            let reason = "Idempotency-Key needs 1 to 255 characters, once";
-            return Err(Verdict::wrong(StatusCode::BAD_REQUEST, reason));
-        }
-        let low = xxhash_rust::xxh3::xxh3_64(key);
-        let high = xxhash_rust::xxh3::xxh3_64_with_seed(key, KEY_SEED);
-        let key = u128::from(high) << 64 | u128::from(low);
         let nonce = self
             .life
             .wrapping_add(self.ids.fetch_add(1, Ordering::Relaxed));
@@ -292,25 +271,6 @@
         }))
     }
 
-    async fn hold_body(&self, plan: &Plan, body: Incoming) -> Result<Held, Verdict> {
-        let too_large = || Verdict::wrong(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
-        let size = body.size_hint();
-        if size.lower() > self.settings.body {
-            return Err(too_large());
-        }
-        if size.upper().is_none_or(|size| size > self.settings.replay) {
-            return Ok(Held::Stream(Box::new(body)));
-        }
-        let left = plan.deadline.saturating_sub(self.clock.now());
-        let late = |_| Verdict::wrong(StatusCode::REQUEST_TIMEOUT, "the body came too late");
-        let broken = |_| Verdict::wrong(StatusCode::BAD_REQUEST, "the body broke off");
-        let body = time::timeout(left, body.collect())
-            .await
-            .map_err(late)?
-            .map_err(broken)?;
-        Ok(Held::Kept(body.to_bytes()))
-    }
-
     fn may_retry(&self, plan: &Plan, course: &Course, verdict: &Verdict) -> bool {
         // A refusal of the admission is final; only what an endpoint did is retried.
         let refused = verdict.status == StatusCode::TOO_MANY_REQUESTS || course.avoid.is_none();
@@ -437,7 +397,7 @@
         } = sending;
         let request = build(plan, head, body.take(self.settings.body));
         let exchange = link.sender.try_send_request(request);
-        let answered = match time::timeout(limit, exchange).await {
+        let answered = match self.wait_answer(plan, &slot, limit, exchange).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(mut error)) => {
                 slot.judge(Sample::Bad);
@@ -466,6 +426,27 @@
         )
     }
 
+    /// Waits for an answer for `limit`, and on to the deadline while the endpoint
+    /// answers others: then the request is slow, and not the endpoint.
+    async fn wait_answer<T>(
+        &self,
+        plan: &Plan,
+        slot: &Slot,
+        limit: Duration,
+        exchange: impl Future<Output = T>,
+    ) -> Result<T, time::error::Elapsed> {
+        let began = self.clock.now();
+        let mut exchange = pin!(exchange);
+        let first = time::timeout(limit, exchange.as_mut()).await;
+        let endpoint = plan.desk.endpoint(slot.endpoint);
+        let alive = endpoint.is_some_and(|endpoint| endpoint.answered > began);
+        if first.is_ok() || !alive {
+            return first;
+        }
+        let left = plan.deadline.saturating_sub(self.clock.now());
+        time::timeout(left, exchange).await
+    }
+
     fn receive(&self, plan: &Plan, answer: Response<Incoming>, flying: Flying) -> Attempt {
         let Flying {
             mut slot,
@@ -528,32 +509,6 @@
     endpoint: Endpoint,
 }
 
-impl Held {
-    fn is_spent(&self) -> bool {
-        matches!(self, Self::Spent)
-    }
-
-    fn take(&mut self, limit: u64) -> Upload {
-        match std::mem::replace(self, Self::Spent) {
-            Self::Kept(bytes) => {
-                *self = Self::Kept(bytes.clone());
-                Upload::Kept(Full::new(bytes))
-            }
-            Self::Stream(body) => Upload::Stream {
-                body: *body,
-                left: limit,
-            },
-            Self::Spent => Upload::Kept(Full::default()),
-        }
-    }
-
-    fn give_back(&mut self, body: Upload) {
-        if let Upload::Stream { body, .. } = body {
-            *self = Self::Stream(Box::new(body));
-        }
-    }
-}
-
 fn says_not_run(head: &response::Parts) -> bool {
     let outcome = head.headers.get(outcome::HEADER);
     outcome.is_some_and(|outcome| outcome == Outcome::NotRun.name())
@@ -583,31 +538,3 @@
         _ => "5xx",
     }
 }
-
-fn header<'a>(head: &'a request::Parts, name: &str) -> Option<&'a str> {
-    head.headers.get(name)?.to_str().ok()
-}
-
-fn read_timeout(head: &request::Parts) -> Result<Option<Duration>, Verdict> {
-    let Some(text) = header(head, TIMEOUT) else {
-        return Ok(None);
-    };
-    let reason = "request-timeout needs a time such as 800ms";
-    let wrong = || Verdict::wrong(StatusCode::BAD_REQUEST, reason);
-    unit::parse_duration(text).map(Some).ok_or_else(wrong)
-}
-
-/// Splits `/service/rest?query` into the service and the endpoint's own target.
-fn split_target(uri: &Uri) -> Option<(&str, Uri)> {
-    let path = uri.path().strip_prefix('/')?;
-    let (service, rest) = path.split_once('/').unwrap_or((path, ""));
-    if service.is_empty() {
-        return None;
-    }
-    let query = uri
-        .query()
-        .map(|query| format!("?{query}"))
-        .unwrap_or_default();
-    let target = format!("/{rest}{query}").parse().ok()?;
-    Some((service, target))
-}
--- a/ashtiller/src/scheduler.rs
+++ b/ashtiller/src/scheduler.rs
@@ -4,12 +4,11 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
-
-use parking_lot::Mutex;
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
 use hyper::{Method, StatusCode};
+use parking_lot::Mutex;
 use prometheus::Registry;
 use serde_json::json;
 use tokio::task::JoinSet;
@@ -20,6 +19,7 @@
 use crate::config::{self, Config};
 use crate::consul;
 use crate::failure::Failure;
+use crate::follow;
 use crate::journal::{self, OpenError};
 use crate::members::{Member, Members};
 use crate::membership::{self, Membership};
@@ -319,6 +319,11 @@
     time::sleep(SETTLE).await;
     let mut ticks = time::interval(shared.settings.platform.refresh);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let (roster, workers) = (
+        shared.roster.clone(),
+        shared.settings.platform.workers.clone(),
+    );
+    let follower = follow::spawn(roster, workers, shared.settings.platform.refresh);
     let mut cells: BTreeMap<Arc<str>, Vec<Instance>> = BTreeMap::new();
     let mut moved: Option<Duration> = None;
     loop {
@@ -326,12 +331,9 @@
         if shared.leaving.load(Ordering::SeqCst) {
             return;
         }
-        let listed = shared
-            .roster
-            .instances(&shared.settings.platform.workers)
-            .await;
-        if let Some(workers) = listed.ok().filter(|workers| !workers.is_empty()) {
-            sort_by_cell(&mut cells, workers);
+        let workers = follower.list();
+        if !workers.is_empty() {
+            sort_by_cell(&mut cells, &workers);
         }
         forget_released(&shared);
         for (cell, workers) in &cells {
@@ -357,12 +359,15 @@
 }
 
 /// A cell that lost its last worker stays known.
-fn sort_by_cell(cells: &mut BTreeMap<Arc<str>, Vec<Instance>>, workers: Vec<Instance>) {
+fn sort_by_cell(cells: &mut BTreeMap<Arc<str>, Vec<Instance>>, workers: &[Instance]) {
     for listed in cells.values_mut() {
         listed.clear();
     }
     for worker in workers {
-        cells.entry(worker.zone.clone()).or_default().push(worker);
+        cells
+            .entry(worker.zone.clone())
+            .or_default()
+            .push(worker.clone());
     }
 }
 
--- a/ashtiller/src/settings.rs
+++ b/ashtiller/src/settings.rs
@@ -193,7 +193,7 @@
         horizon: section.duration("horizon", Some(45 * MINUTE), Duration::ZERO..=24 * HOUR),
         margin: section.duration("margin", Some(SECOND), MS..=MINUTE),
         renew: section.duration("renew", Some(3 * SECOND), 20 * MS..=5 * MINUTE),
-        commit: section.duration("commit", Some(100 * MS), MS..=10 * SECOND),
+        commit: section.duration("commit", Some(150 * MS), MS..=10 * SECOND),
         snapshot: section.count("snapshot", Some(512), 1..=100_000),
     }
 }
--- a/ashtiller/src/watch.rs
+++ b/ashtiller/src/watch.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::agent::Report;
+use crate::agent::{Report, Running};
 use crate::cell::Cell;
 use crate::evict;
 use crate::fact::TaskId;
 use crate::guard::{Act, Sight, Suspect};
 use crate::harm::{Beside, Harm, Kind};
-use crate::job::Phase;
+use crate::job::{Phase, Task};
 use crate::reconcile;
 use crate::template::Class;
 
@@ -75,41 +75,56 @@
     )
 }
 
-#[expect(clippy::cast_precision_loss, reason = "microseconds of a latency")]
+/// Services that were measured, and the batch tasks beside them: those in the report,
+/// or those of the last list when the report says that it is unchanged.
 fn sort_running(cell: &Cell, worker: &str, report: &Report) -> (Vec<Service>, Vec<Batch>) {
-    let (mut services, mut batches) = (Vec::new(), Vec::new());
-    for running in &report.running {
-        let Some(id) = reconcile::id_of(&running.task) else {
-            continue;
-        };
-        let Some((task, submission)) = cell.task(id) else {
-            continue;
-        };
-        let here = task
-            .phase
-            .place()
-            .is_some_and(|place| &*place.worker == worker);
-        let Some(job) = cell
-            .job(id.job)
-            .filter(|_| here && task.attempt == running.attempt)
-        else {
-            continue;
-        };
-        match (submission.class, running.latency, submission.target) {
-            (Class::LatencyCritical, Some(latency), Some(target)) => services.push(Service {
-                kind: job.sort,
-                ratio: latency as f64 / 1e6 / target.as_secs_f64(),
-                load: f64::from(running.load) / 100.0,
-            }),
-            (Class::Batch, _, _) => batches.push(Batch {
-                task: id,
-                kind: job.sort,
-                speed: f64::from(running.speed) / 100.0,
-            }),
-            _ => {}
-        }
-    }
-    (services, batches)
+    let services = report
+        .running
+        .iter()
+        .filter_map(|running| service(cell, worker, running));
+    let listed = report.running.iter().filter_map(|running| {
+        let id = reconcile::id_of(&running.task)?;
+        let (task, _) = cell.task(id)?;
+        (task.attempt == running.attempt).then_some((id, running.speed))
+    });
+    let host = cell.hosts.get(worker).filter(|_| report.unchanged);
+    let known = host
+        .into_iter()
+        .flat_map(|host| host.seen.iter().map(|(id, speed)| (*id, *speed)));
+    let batches = listed
+        .chain(known)
+        .filter_map(|(id, speed)| batch(cell, worker, id, speed));
+    (services.collect(), batches.collect())
+}
+
+fn is_here(task: &Task, worker: &str) -> bool {
+    task.phase
+        .place()
+        .is_some_and(|place| &*place.worker == worker)
+}
+
+#[expect(clippy::cast_precision_loss, reason = "microseconds of a latency")]
+fn service(cell: &Cell, worker: &str, running: &Running) -> Option<Service> {
+    let id = reconcile::id_of(&running.task)?;
+    let (task, submission) = cell.task(id)?;
+    let current = is_here(task, worker) && task.attempt == running.attempt;
+    let (latency, target) = running.latency.zip(submission.target).filter(|_| current)?;
+    Some(Service {
+        kind: cell.job(id.job)?.sort,
+        ratio: latency as f64 / 1e6 / target.as_secs_f64(),
+        load: f64::from(running.load) / 100.0,
+    })
+}
+
+fn batch(cell: &Cell, worker: &str, id: TaskId, speed: u32) -> Option<Batch> {
+    let (task, submission) = cell.task(id)?;
+    let counts = submission.class == Class::Batch && is_here(task, worker);
+    let kind = cell.job(id.job)?.sort;
+    counts.then(|| Batch {
+        task: id,
+        kind,
+        speed: f64::from(speed) / 100.0,
+    })
 }
 
 fn sum_kinds(batches: &[Batch]) -> Vec<Beside> {
--- a/ashtiller/src/web.rs
+++ b/ashtiller/src/web.rs
@@ -3,7 +3,6 @@
 //! One idle connection is kept for each peer. A connection on which a call was
 //! given up is closed, so that no late answer can meet a later call.
 
-use parking_lot::Mutex;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,6 +12,7 @@
 use hyper::client::conn::http1;
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time;
--- a/ashtiller/tests/fleet/worker.rs
+++ b/ashtiller/tests/fleet/worker.rs
@@ -1,6 +1,7 @@
 //! A worker as the protocol describes it, with a clock that drifts.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,6 +31,7 @@
     running: BTreeMap<Arc<str>, Attempt>,
     ended: BTreeMap<(Arc<str>, u32), Ended>,
     saved: Vec<(Arc<str>, u64)>,
+    known: u64,
 }
 
 impl Worker {
@@ -45,6 +47,7 @@
             running: BTreeMap::new(),
             ended: BTreeMap::new(),
             saved: Vec::new(),
+            known: 0,
         }
     }
 
@@ -109,6 +112,7 @@
         }
         (self.epoch, self.seq) = (sync.epoch, sync.seq);
         self.until = self.until.max(sync.until);
+        self.known = sync.known;
         for (task, attempt) in &sync.acks {
             self.ended.remove(&(task.clone(), *attempt));
         }
@@ -158,19 +162,35 @@
         self.ended.entry((task.clone(), number)).or_insert(never);
     }
 
+    fn digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        for (task, attempt) in &self.running {
+            (task, attempt.number).hash(&mut hasher);
+        }
+        hasher.finish().max(1)
+    }
+
     pub fn report(&self, now: Duration) -> Report {
-        let running = self.running.iter().map(|(task, attempt)| Running {
-            task: task.clone(),
-            attempt: attempt.number,
-            progress: attempt.progress,
-            ..Running::default()
-        });
+        let digest = self.digest();
+        let unchanged = digest == self.known;
+        let running = self
+            .running
+            .iter()
+            .filter(|_| !unchanged)
+            .map(|(task, attempt)| Running {
+                task: task.clone(),
+                attempt: attempt.number,
+                progress: attempt.progress,
+                ..Running::default()
+            });
         Report {
             boot: self.boot,
             clock: self.clock(now),
             epoch: self.epoch,
             seq: self.seq,
             lag: 0,
+            digest,
+            unchanged,
             running: running.collect(),
             ended: self.ended.values().cloned().collect(),
         }
--- a/ashtiller/tests/settings.rs
+++ b/ashtiller/tests/settings.rs
@@ -1,10 +1,11 @@
 //! Settings and templates: each case of the data files with what is said of it.
 
+use std::time::Duration;
+
 use ashtiller::mistake::Mistakes;
 use ashtiller::settings::Settings;
 use ashtiller::template::Template;
 use ashtiller::unit;
-use std::time::Duration;
 
 fn cases(text: &str) -> impl Iterator<Item = (&str, &str)> {
     text.split("=== ")
--- a/bench/src/replay/world.rs
+++ b/bench/src/replay/world.rs
@@ -326,6 +326,8 @@
             epoch: 1,
             seq: self.seq,
             lag: self.trace.lag * 1000,
+            digest: 0,
+            unchanged: false,
             running: running.collect(),
             ended: node.ended.clone(),
         }
--- a/bench/src/slopes.rs
+++ b/bench/src/slopes.rs
@@ -41,6 +41,9 @@
         [5, 14, 40],
         |size| Ok(sync_bytes(size)),
     )?;
+    show("the same, nothing changed, B by task", [5, 14, 40], |_| {
+        Ok(quiet_bytes())
+    })?;
     show("log entry of starts, B by start", [1, 10, 100], |starts| {
         entry_bytes(starts, |attempt| Fact::Placed {
             attempt,
@@ -223,6 +226,8 @@
         epoch: 1,
         seq: 1,
         lag: 0,
+        digest: u64::MAX / 3,
+        unchanged: false,
         running: running.collect(),
         ended: Vec::new(),
     }
@@ -242,6 +247,25 @@
     as_f64(serde_json_len(&sync) + serde_json_len(&report_of(tasks)) + HEADS)
 }
 
+/// A call and its answer when nothing has changed since the last.
+fn quiet_bytes() -> f64 {
+    let known = u64::MAX / 3;
+    let sync = Sync {
+        epoch: 12,
+        seq: 100_000,
+        boot: 1,
+        until: 1_234_567_890,
+        known,
+        ..Sync::default()
+    };
+    let report = Report {
+        unchanged: true,
+        running: Vec::new(),
+        ..report_of(0)
+    };
+    as_f64(serde_json_len(&sync) + serde_json_len(&report) + HEADS)
+}
+
 fn serde_json_len(value: &impl serde::Serialize) -> usize {
     serde_json::to_vec(value).map_or(0, |bytes| bytes.len())
 }
--- a/standin/src/agent.rs
+++ b/standin/src/agent.rs
@@ -8,11 +8,11 @@
 //! in the report until they are acknowledged.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
-
-use parking_lot::Mutex;
 use std::time::{Duration, Instant};
 
+use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
@@ -74,6 +74,8 @@
     pub boot: u64,
     /// End of the lease on the worker's clock, in milliseconds.
     pub until: u64,
+    /// Digest that the caller knows; 0 for none.
+    pub known: u64,
     /// Commands, in order.
     pub commands: Vec<Command>,
     /// Ended attempts that the owner has recorded.
@@ -133,6 +135,10 @@
     pub epoch: u64,
     /// Highest sequence number seen in that epoch.
     pub seq: u64,
+    /// Digest of the running attempts and their speeds.
+    pub digest: u64,
+    /// Whether the caller knows them; then they are not listed.
+    pub unchanged: bool,
     /// Running attempts.
     pub running: Vec<Running>,
     /// Attempts that ended and are not yet acknowledged.
@@ -446,22 +452,35 @@
         self.running.insert(task, running);
     }
 
-    fn report(&self, now: Instant) -> Report {
+    fn digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        for (task, attempt) in &self.running {
+            (task, attempt.number, attempt.percent).hash(&mut hasher);
+        }
+        hasher.finish().max(1)
+    }
+
+    fn report(&self, now: Instant, known: u64) -> Report {
+        let digest = self.digest();
+        let unchanged = digest == known;
+        let running = self
+            .running
+            .iter()
+            .filter(|_| !unchanged)
+            .map(|(task, attempt)| Running {
+                task: task.clone(),
+                attempt: attempt.number,
+                progress: attempt.progress(now),
+                speed: attempt.percent,
+            });
         Report {
             boot: self.boot,
             clock: self.clock(now),
             epoch: self.epoch,
             seq: self.seq,
-            running: self
-                .running
-                .iter()
-                .map(|(task, attempt)| Running {
-                    task: task.clone(),
-                    attempt: attempt.number,
-                    progress: attempt.progress(now),
-                    speed: attempt.percent,
-                })
-                .collect(),
+            digest,
+            unchanged,
+            running: running.collect(),
             ended: self.ended.values().cloned().collect(),
         }
     }
@@ -543,7 +562,7 @@
     let old = (sync.epoch, sync.seq) <= (state.epoch, state.seq);
     let other_life = sync.boot != 0 && sync.boot != state.boot;
     if old || other_life {
-        let mut answer = serve::json(&state.report(now));
+        let mut answer = serve::json(&state.report(now, sync.known));
         *answer.status_mut() = hyper::StatusCode::CONFLICT;
         return answer;
     }
@@ -553,8 +572,9 @@
     for ack in &sync.acks {
         state.ended.remove(ack);
     }
+    let known = sync.known;
     for command in sync.commands {
         state.obey(shared, command, now);
     }
-    serve::json(&state.report(now))
+    serve::json(&state.report(now, known))
 }
--- a/standin/src/endpoint.rs
+++ b/standin/src/endpoint.rs
@@ -7,11 +7,10 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-
-use parking_lot::Mutex;
 use std::time::Duration;
 
 use hyper::header::{HeaderMap, HeaderValue};
+use parking_lot::Mutex;
 use tokio::sync::Semaphore;
 use tokio::time;
 
--- a/standin/src/faults.rs
+++ b/standin/src/faults.rs
@@ -1,8 +1,8 @@
 //! Switches for the faults that the brief names.
 
-use parking_lot::Mutex;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
 /// The state of a stand-in's switches.
--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -7,12 +7,11 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
-
-use parking_lot::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use parking_lot::{Mutex, MutexGuard};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time;
@@ -23,6 +22,8 @@
 
 /// How often lapsed sessions are looked for.
 const LAPSE_EVERY: Duration = Duration::from_millis(100);
+/// How often a waiting read of the catalog looks for a change.
+const CATALOG_LOOK: Duration = Duration::from_millis(20);
 /// Longest time a watch may wait.
 const WAIT_MAX: Duration = Duration::from_mins(5);
 
@@ -76,6 +77,8 @@
     keys: Keys,
     saved: Option<Keys>,
     catalog: VecDeque<(Instant, Catalog)>,
+    /// Versions of the catalog that show no more.
+    dropped: u64,
     session: u64,
     reads: u64,
     writes: u64,
@@ -290,7 +293,7 @@
         return session(shared, call, rest);
     }
     if let Some(service) = path.strip_prefix("/v1/catalog/service/") {
-        return catalog(shared, service);
+        return catalog(shared, call, service).await;
     }
     match path {
         "/v1/txn" => txn(shared, call),
@@ -442,19 +445,47 @@
     }
 }
 
-fn catalog(shared: &Shared, service: &str) -> Answer {
+/// A waiting read of the catalog; its position is the number of the shown version.
+async fn catalog(shared: &Shared, call: &Call, service: &str) -> Answer {
+    let index: u64 = call
+        .param("index")
+        .and_then(|index| index.parse().ok())
+        .unwrap_or(0);
+    let wait = call
+        .param("wait")
+        .and_then(parse_wait)
+        .unwrap_or(WAIT_MAX)
+        .min(WAIT_MAX);
+    let until = time::Instant::now() + wait;
+    loop {
+        let (version, instances) = shown(shared, service);
+        if index == 0 || version != index || time::Instant::now() >= until {
+            let mut answer = serve::json(&instances);
+            answer
+                .headers_mut()
+                .insert("x-consul-index", version.into());
+            return answer;
+        }
+        // The list lags, so a change shows by time passing and not by an event.
+        time::sleep(CATALOG_LOOK).await;
+    }
+}
+
+/// The instances of a service that show now, and the version's number.
+fn shown(shared: &Shared, service: &str) -> (u64, Vec<Listed>) {
     let lag = *shared.lag.lock();
     let mut state = shared.lock();
     let now = Instant::now();
     while state.catalog.len() > 1 && state.catalog[1].0 + lag <= now {
         state.catalog.pop_front();
+        state.dropped += 1;
     }
-    let empty = Vec::new();
-    let shown = state.catalog.front().filter(|(at, _)| *at + lag <= now);
-    let instances = shown
-        .and_then(|(_, catalog)| catalog.get(service))
-        .unwrap_or(&empty);
-    serve::json(instances)
+    let first = state.catalog.front().filter(|(at, _)| *at + lag <= now);
+    let instances = first.and_then(|(_, catalog)| catalog.get(service)).cloned();
+    (
+        state.dropped + 1 + u64::from(first.is_some()),
+        instances.unwrap_or_default(),
+    )
 }
 
 fn replace_catalog(shared: &Shared, call: &Call) -> Answer {
