--- a/ashtiller/src/harm.rs
+++ b/ashtiller/src/harm.rs
@@ -69,6 +69,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Harm {
     terms: HashMap<Key, Estimate>,
+    /// Services that any report was about, by kind.
+    reported: Vec<bool>,
 }
 
 /// The band of a load between 0 and 1.
@@ -131,6 +133,15 @@
     /// Harm to fear: the mean with some of the doubt, never negative.
     #[must_use]
     pub fn fear(&self, service: Kind, other: Kind, load: f64, now: Duration) -> f64 {
+        // Most kinds are never measured; they are asked about most.
+        if !self
+            .reported
+            .get(service as usize)
+            .copied()
+            .unwrap_or(false)
+        {
+            return CAUTION * UNKNOWN.sqrt();
+        }
         let (mean, deviation) = self.expect(service, other, load, now);
         (mean + CAUTION * deviation).max(0.0)
     }
@@ -144,6 +155,11 @@
         ratio: f64,
         now: Duration,
     ) {
+        let place = service as usize;
+        if place >= self.reported.len() {
+            self.reported.resize(place + 1, false);
+        }
+        self.reported[place] = true;
         let band = band_of(load);
         let alone = Beside {
             kind: 0,
--- a/ashtiller/src/ledger.rs
+++ b/ashtiller/src/ledger.rs
@@ -19,7 +19,7 @@
 /// Prefix of the accounts' keys.
 pub const ACCOUNTS: &str = "ashtiller/config/account/";
 /// Changes that the head names.
-const CHANGES_MAX: usize = 64;
+const CHANGES_MAX: usize = 16;
 
 /// The newest changes.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
