--- a/ashtiller/src/command.rs
+++ b/ashtiller/src/command.rs
@@ -22,11 +22,13 @@
 use tracing_subscriber::EnvFilter;
 
 use crate::demo;
+use crate::platform;
 
 const USAGE: &str = "\
 ashtiller: a scheduler for colocated latency-critical and batch work
 
 usage:
+  ashtiller entry     [--settings FILE]        run an entry instance on the users' platform
   ashtiller gateway   --settings FILE          run a gateway until SIGTERM or SIGINT
   ashtiller scheduler --settings FILE          run a scheduler until SIGTERM or SIGINT
   ashtiller check     --settings FILE          find every mistake in a settings or template file
@@ -102,6 +104,7 @@
 fn run_command(mut args: Arguments) -> Done {
     let command = args.subcommand()?.unwrap_or_default();
     match command.as_str() {
+        "entry" => entry(args),
         "gateway" => run_role(args, Role::Gateway),
         "scheduler" => run_role(args, Role::Scheduler),
         "check" => check(args),
@@ -180,6 +183,22 @@
     Scheduler,
 }
 
+/// Runs an entry instance; its logs go to standard output.
+fn entry(mut args: Arguments) -> Done {
+    let path: Option<PathBuf> = args.opt_value_from_str("--settings")?;
+    finish(args, 0)?;
+    let filter =
+        EnvFilter::try_from_env("ASHTILLER_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
+    tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_target(false)
+        .with_env_filter(filter)
+        .with_writer(std::io::stdout)
+        .init();
+    Ok(platform::run(path)?)
+}
+
 fn run_role(mut args: Arguments, role: Role) -> Done {
     let settings = read_settings(&mut args)?;
     finish(args, 0)?;
--- a/ashtiller/src/lib.rs
+++ b/ashtiller/src/lib.rs
@@ -125,6 +125,7 @@
 pub mod watch;
 pub mod web;
 pub mod wire;
+pub mod workflow;
 
 pub use gateway::Gateway;
 pub use scheduler::Scheduler;
--- a/ashtiller/src/main.rs
+++ b/ashtiller/src/main.rs
@@ -2,6 +2,8 @@
 
 mod command;
 mod demo;
+#[path = "../../platform/mod.rs"]
+mod platform;
 
 use std::process::ExitCode;
 
--- a/ashtiller/src/schema.rs
+++ b/ashtiller/src/schema.rs
@@ -4,3 +4,8 @@
 #[rustfmt::skip]
 #[path = "peer_capnp.rs"]
 pub mod peer_capnp;
+
+#[allow(missing_docs, clippy::all, clippy::pedantic, reason = "generated")]
+#[rustfmt::skip]
+#[path = "entry_capnp.rs"]
+pub mod entry_capnp;
--- a/ashtiller/src/web.rs
+++ b/ashtiller/src/web.rs
@@ -13,6 +13,7 @@
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time;
@@ -23,6 +24,9 @@
 const ANSWER_MAX: usize = 64 << 20;
 /// Idle connections kept for one peer.
 const IDLE_MAX: usize = 4;
+/// Time after which unacknowledged bytes break a connection: no answer of a peer
+/// that is up takes so long to be acknowledged.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// An answer read as a whole.
 #[derive(Clone, Debug)]
@@ -35,6 +39,32 @@
     pub body: Bytes,
 }
 
+/// What is called.
+#[derive(Clone, Debug)]
+pub struct Call<'a> {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: &'a str,
+    /// Headers beside the host.
+    pub headers: Vec<(&'static str, String)>,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl<'a> Call<'a> {
+    /// A call without further headers.
+    #[must_use]
+    pub fn new(method: Method, target: &'a str, body: Bytes) -> Self {
+        Self {
+            method,
+            target,
+            headers: Vec::new(),
+            body,
+        }
+    }
+}
+
 struct Link {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: AbortHandle,
@@ -65,6 +95,21 @@
         target: &str,
         body: Bytes,
         limit: Duration,
+    ) -> Result<Answer, Failure> {
+        self.call_with(step, peer, Call::new(method, target, body), limit)
+            .await
+    }
+
+    /// Makes one call with headers within `limit`.
+    ///
+    /// # Errors
+    /// No connection (no effect), or no whole answer in time (unknown effect).
+    pub async fn call_with(
+        &self,
+        step: &'static str,
+        peer: SocketAddr,
+        call: Call<'_>,
+        limit: Duration,
     ) -> Result<Answer, Failure> {
         let started = time::Instant::now();
         let timed_out = |_| Failure::none(step, peer, "no connection in time");
@@ -72,7 +117,7 @@
             .await
             .map_err(timed_out)??;
         let left = limit.saturating_sub(started.elapsed());
-        let exchange = exchange(step, peer, link, method, target, body);
+        let exchange = exchange(step, peer, link, call);
         let timed_out = |_| Failure::unknown(step, peer, "no answer in time");
         let (answer, link) = time::timeout(left, exchange).await.map_err(timed_out)??;
         self.keep(peer, link);
@@ -90,6 +135,9 @@
             .await
             .map_err(|error| failed(&error))?;
         stream.set_nodelay(true).map_err(|error| failed(&error))?;
+        SockRef::from(&stream)
+            .set_tcp_user_timeout(Some(USER_TIMEOUT))
+            .map_err(|error| failed(&error))?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| failed(&error))?;
@@ -120,16 +168,18 @@
     step: &'static str,
     peer: SocketAddr,
     mut link: Link,
-    method: Method,
-    target: &str,
-    body: Bytes,
+    call: Call<'_>,
 ) -> Result<(Answer, Link), Failure> {
     let failed = |error: &dyn std::fmt::Display| Failure::unknown(step, peer, error);
-    let request = Request::builder()
-        .method(method)
-        .uri(target)
-        .header("host", peer.to_string())
-        .body(Full::new(body))
+    let mut request = Request::builder()
+        .method(call.method)
+        .uri(call.target)
+        .header("host", peer.to_string());
+    for (name, value) in call.headers {
+        request = request.header(name, value);
+    }
+    let request = request
+        .body(Full::new(call.body))
         .map_err(|error| Failure::none(step, peer, error))?;
     let response = link
         .sender
--- /dev/null
+++ b/ashtiller/src/workflow/agents.rs
@@ -0,0 +1,176 @@
+//! Workers as the owner of a log speaks with them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::store::Called;
+
+/// Which life of which worker a call is meant for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Target {
+    /// Id of the worker's life.
+    pub id: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The caller's fence: a worker ignores callers with a lower one.
+    pub fence: u64,
+}
+
+/// A task as workers know it.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Name {
+    /// Id of the job.
+    pub job: Arc<str>,
+    /// Which time of a repeated job.
+    pub time: u32,
+    /// Step.
+    pub step: u16,
+    /// Number within the step.
+    pub index: u16,
+}
+
+/// Tells a worker to start a run.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Start {
+    /// Task.
+    pub name: Name,
+    /// Number of the run.
+    pub run: u32,
+    /// The job's text for its tasks.
+    pub payload: Arc<str>,
+    /// End of the worker's lease, in milliseconds of its clock.
+    pub until: u64,
+    /// Checkpoint to begin from; empty for none.
+    pub saved: Arc<str>,
+    /// Ticket of the advisor.
+    pub ticket: Option<Arc<str>>,
+}
+
+/// Something that a worker is told to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Order {
+    /// Start a run.
+    Start(Start),
+    /// Stop a run, and never start it from now on.
+    Stop(Name, u32),
+    /// Let a run work at this share, in percent.
+    Pace(Name, u32, u32),
+}
+
+/// Why a worker did not do what it was told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Refusal {
+    /// It has heard a higher fence.
+    Fenced,
+    /// The run ended or was stopped there.
+    Old,
+    /// The lease named in the order is over on its clock.
+    Late,
+    /// It lacks the room.
+    Room,
+    /// The ticket does not hold.
+    Ticket,
+    /// It does nothing at the moment.
+    Busy,
+    /// It does not understand the order.
+    Invalid,
+}
+
+/// What a worker said to an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Said {
+    /// Done, at this reading of its clock.
+    Done(u64),
+    /// Not done.
+    Refused(Refusal),
+    /// The life that was meant is over.
+    OtherLife,
+}
+
+/// Asks a worker what runs there, and renews its lease.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Look {
+    /// End of the lease, in milliseconds of the worker's clock.
+    pub until: Option<u64>,
+    /// Ends up to this number are recorded and may be forgotten.
+    pub seen: u64,
+    /// How long the answer may wait for an end.
+    pub wait: Duration,
+}
+
+/// A run that a worker has.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Active {
+    /// Task.
+    pub name: Name,
+    /// Number of the run.
+    pub run: u32,
+    /// Newest checkpoint; empty for none.
+    pub saved: Arc<str>,
+    /// How far its work has come, in percent.
+    pub percent: u32,
+    /// Tail latency in milliseconds for a task that serves, else processors in use.
+    pub figure: Option<u64>,
+}
+
+/// How a worker says that a run ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum How {
+    /// Its work is done.
+    Done,
+    /// It failed.
+    Failed,
+    /// It was stopped.
+    Stopped,
+    /// The lease was over.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// The other members of its gang did not come.
+    Alone,
+}
+
+/// A run that ended at a worker.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Finished {
+    /// Number of the end in this life of the worker.
+    pub number: u64,
+    /// Task.
+    pub name: Name,
+    /// Number of the run.
+    pub run: u32,
+    /// How it ended.
+    pub how: How,
+    /// Newest checkpoint; empty for none.
+    pub saved: Arc<str>,
+}
+
+/// What a worker said to a look.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Looked {
+    /// What it has, at this reading of its clock.
+    Report {
+        /// Its clock in milliseconds.
+        clock: u64,
+        /// Runs that it has.
+        active: Vec<Active>,
+        /// Ends that it has not forgotten yet.
+        finished: Vec<Finished>,
+    },
+    /// It has heard a higher fence.
+    Fenced,
+    /// The life that was meant is over.
+    OtherLife,
+    /// It does nothing at the moment.
+    Busy,
+}
+
+/// Calls to workers.
+pub trait Agents: Send + Sync {
+    /// Gives an order. A failure with unknown effect may be carried out seconds later.
+    fn order<'a>(&'a self, to: &'a Target, order: &'a Order) -> Called<'a, Said>;
+
+    /// Looks at a worker.
+    fn look<'a>(&'a self, to: &'a Target, look: &'a Look) -> Called<'a, Looked>;
+}
--- /dev/null
+++ b/ashtiller/src/workflow/book.rs
@@ -0,0 +1,385 @@
+//! Every job of one log, rebuilt by replay.
+//!
+//! [`Book::apply`] is the only way to change what lasts, and it is deterministic:
+//! a snapshot and the facts after it give the same book to every owner.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::workflow::fact::{End, Fact, Outcome, Run, Task};
+use crate::workflow::job::{Job, Policy, Step};
+
+/// A run that has been placed and has not ended.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Live {
+    /// Number of the run.
+    pub number: u32,
+    /// Worker that has it.
+    pub worker: Arc<str>,
+}
+
+/// One task.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct TaskState {
+    /// Runs that may be going on.
+    pub live: Vec<Live>,
+    /// Number of the newest run.
+    pub last: u32,
+    /// Runs that failed.
+    pub failures: u32,
+    /// Whether its work is done.
+    pub done: bool,
+    /// Newest checkpoint; empty for none.
+    pub saved: Arc<str>,
+    /// Workers on which it failed.
+    pub failed_on: BTreeSet<Arc<str>>,
+}
+
+impl TaskState {
+    /// Whether it waits for a worker.
+    #[must_use]
+    pub fn waits(&self) -> bool {
+        !self.done && self.live.is_empty()
+    }
+}
+
+/// The tasks of one step, for one time of the job.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct StepState {
+    /// Tasks.
+    pub tasks: Vec<TaskState>,
+    /// Tasks that are not done.
+    pub left: u32,
+    /// Tasks that wait for a worker.
+    pub waiting: u32,
+}
+
+/// One time of a job.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Round {
+    /// Steps.
+    pub steps: Vec<StepState>,
+}
+
+impl Round {
+    fn new(job: &Job) -> Self {
+        let steps = job.steps.iter().map(|step| StepState {
+            tasks: vec![TaskState::default(); step.count as usize],
+            left: step.count,
+            waiting: step.count,
+        });
+        Self {
+            steps: steps.collect(),
+        }
+    }
+
+    fn is_done(&self) -> bool {
+        self.steps.iter().all(|step| step.left == 0)
+    }
+
+    /// Whether all steps that a step depends on are done.
+    #[must_use]
+    pub fn may_begin(&self, step: &Step) -> bool {
+        step.after
+            .iter()
+            .all(|earlier| self.steps[usize::from(*earlier)].left == 0)
+    }
+}
+
+/// One job.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct JobState {
+    /// What was submitted.
+    pub job: Arc<Job>,
+    /// How its queue treats it.
+    pub policy: Policy,
+    /// When it was accepted, in milliseconds since the Unix epoch.
+    pub accepted: u64,
+    /// Times that have begun or may begin, and are not done.
+    pub rounds: BTreeMap<u32, Round>,
+    /// Times not in `rounds`: the next that was not opened yet.
+    pub next_round: u32,
+    /// Whether a task has begun.
+    pub begun: bool,
+    /// Runs that may be going on.
+    pub live: u32,
+    /// How it ended.
+    pub outcome: Option<Outcome>,
+}
+
+impl JobState {
+    /// One task.
+    #[must_use]
+    pub fn task(&self, task: Task) -> Option<&TaskState> {
+        let round = self.rounds.get(&task.time)?;
+        let step = round.steps.get(usize::from(task.step))?;
+        step.tasks.get(usize::from(task.index))
+    }
+
+    /// The step of a task as it was submitted.
+    #[must_use]
+    pub fn step(&self, task: Task) -> Option<&Step> {
+        self.job.steps.get(usize::from(task.step))
+    }
+
+    /// Opens the times that are due at `wall` milliseconds since the Unix epoch.
+    pub fn open_rounds(&mut self, wall: u64) -> bool {
+        let mut opened = false;
+        while self.next_round < self.job.times() && self.outcome.is_none() {
+            let due = self.job.schedule.map_or(0, |it| it.due(self.next_round));
+            if due > wall {
+                break;
+            }
+            self.open_round(self.next_round);
+            opened = true;
+        }
+        opened
+    }
+
+    fn open_round(&mut self, number: u32) {
+        while self.next_round <= number {
+            self.rounds.insert(self.next_round, Round::new(&self.job));
+            self.next_round += 1;
+        }
+    }
+}
+
+/// What a fact changed beyond the book's own numbers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Effect {
+    /// Nothing more.
+    None,
+    /// The job ended in this way.
+    Ended(u32, Outcome),
+}
+
+/// Every job of one log.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Book {
+    /// Number of the next job.
+    pub next: u32,
+    /// Jobs by number.
+    pub jobs: BTreeMap<u32, JobState>,
+    #[serde(skip)]
+    names: BTreeMap<Arc<str>, u32>,
+    #[serde(skip)]
+    open: BTreeSet<u32>,
+    #[serde(skip)]
+    ended: BTreeMap<u32, Duration>,
+}
+
+impl Book {
+    /// Rebuilds what a snapshot leaves out.
+    pub fn index(&mut self, now: Duration) {
+        for (number, job) in &self.jobs {
+            self.names.insert(job.job.id.clone(), *number);
+            if job.outcome.is_none() || job.live > 0 {
+                self.open.insert(*number);
+            }
+            if job.outcome.is_some() {
+                self.ended.insert(*number, now);
+            }
+        }
+    }
+
+    /// Number of the job with this id.
+    #[must_use]
+    pub fn find(&self, id: &str) -> Option<u32> {
+        self.names.get(id).copied()
+    }
+
+    /// Jobs that are not over, or of which something may still run.
+    #[must_use]
+    pub fn open(&self) -> &BTreeSet<u32> {
+        &self.open
+    }
+
+    /// Jobs that ended before `limit`, on this owner's clock.
+    #[must_use]
+    pub fn ended_before(&self, limit: Duration) -> Vec<u32> {
+        let old = self.ended.iter().filter(|(_, at)| **at < limit);
+        old.map(|(number, _)| *number).collect()
+    }
+
+    /// One task and its job.
+    #[must_use]
+    pub fn task(&self, task: Task) -> Option<(&JobState, &TaskState)> {
+        let job = self.jobs.get(&task.job)?;
+        Some((job, job.task(task)?))
+    }
+
+    /// Whether a run may be going on.
+    #[must_use]
+    pub fn is_live(&self, run: Run) -> bool {
+        self.task(run.task)
+            .is_some_and(|(_, task)| task.live.iter().any(|live| live.number == run.number))
+    }
+
+    /// Applies one fact.
+    pub fn apply(&mut self, fact: &Fact, now: Duration) -> Effect {
+        match fact {
+            Fact::Accepted(job, policy, wall) => self.accept(job, policy, *wall),
+            Fact::Cancelled(number) => return self.close(*number, Outcome::Cancelled, now),
+            Fact::Failed(number) => return self.close(*number, Outcome::Failed, now),
+            Fact::Placed(run, worker, saved) => self.place(*run, worker, saved),
+            Fact::Ended(run, end, saved) => return self.end(*run, *end, saved, now),
+            Fact::Forgotten(number) => self.forget(*number),
+        }
+        Effect::None
+    }
+
+    fn accept(&mut self, job: &Job, policy: &Policy, wall: u64) {
+        let number = self.next;
+        self.next += 1;
+        let mut state = JobState {
+            job: Arc::new(job.clone()),
+            policy: policy.clone(),
+            accepted: wall,
+            rounds: BTreeMap::new(),
+            next_round: 0,
+            begun: false,
+            live: 0,
+            outcome: None,
+        };
+        if job.schedule.is_none() {
+            state.open_round(0);
+        }
+        self.names.insert(job.id.clone(), number);
+        self.open.insert(number);
+        self.jobs.insert(number, state);
+    }
+
+    fn place(&mut self, run: Run, worker: &Arc<str>, saved: &Arc<str>) {
+        let Some(job) = self.jobs.get_mut(&run.task.job) else {
+            return;
+        };
+        if job.next_round <= run.task.time {
+            job.open_round(run.task.time);
+        }
+        let Some(round) = job.rounds.get_mut(&run.task.time) else {
+            return;
+        };
+        let step = &mut round.steps[usize::from(run.task.step)];
+        let task = &mut step.tasks[usize::from(run.task.index)];
+        step.waiting -= u32::from(task.waits());
+        task.last = task.last.max(run.number);
+        if !saved.is_empty() {
+            task.saved = saved.clone();
+        }
+        task.live.push(Live {
+            number: run.number,
+            worker: worker.clone(),
+        });
+        job.begun = true;
+        job.live += 1;
+    }
+
+    fn end(&mut self, run: Run, end: End, saved: &Arc<str>, now: Duration) -> Effect {
+        let number = run.task.job;
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return Effect::None;
+        };
+        let gang = job.step(run.task).is_some_and(|step| step.gang);
+        let Some(round) = job.rounds.get_mut(&run.task.time) else {
+            return Effect::None;
+        };
+        let step = &mut round.steps[usize::from(run.task.step)];
+        let task = &mut step.tasks[usize::from(run.task.index)];
+        let Some(place) = task.live.iter().position(|live| live.number == run.number) else {
+            return Effect::None;
+        };
+        let live = task.live.swap_remove(place);
+        job.live -= 1;
+        if !saved.is_empty() {
+            task.saved = saved.clone();
+        }
+        match end {
+            End::Done if !task.done => {
+                task.done = true;
+                step.left -= 1;
+            }
+            End::Failed => {
+                task.failures += 1;
+                task.failed_on.insert(live.worker);
+            }
+            _ => {}
+        }
+        step.waiting += u32::from(task.waits());
+        if gang {
+            share_end(step, end, saved);
+        }
+        let over = job.outcome.is_some();
+        if round.is_done() {
+            let live = round.steps.iter().flat_map(|step| &step.tasks);
+            let quiet = live.into_iter().all(|task| task.live.is_empty());
+            if quiet {
+                job.rounds.remove(&run.task.time);
+            }
+        }
+        let open = job.rounds.values().any(|round| !round.is_done());
+        if !over && !open && job.next_round >= job.job.times() {
+            return self.close(number, Outcome::Complete, now);
+        }
+        self.settle(number);
+        Effect::None
+    }
+
+    fn close(&mut self, number: u32, outcome: Outcome, now: Duration) -> Effect {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return Effect::None;
+        };
+        if job.outcome.is_some() {
+            return Effect::None;
+        }
+        job.outcome = Some(outcome);
+        self.ended.insert(number, now);
+        self.settle(number);
+        Effect::Ended(number, outcome)
+    }
+
+    /// A job that is over and runs nothing keeps only its name and outcome.
+    fn settle(&mut self, number: u32) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        if job.outcome.is_none() || job.live > 0 {
+            return;
+        }
+        job.rounds.clear();
+        let Job { id, queue, .. } = &*job.job;
+        job.job = Arc::new(Job {
+            id: id.clone(),
+            queue: queue.clone(),
+            payload: Arc::from(""),
+            steps: Vec::new(),
+            schedule: None,
+        });
+        self.open.remove(&number);
+    }
+
+    fn forget(&mut self, number: u32) {
+        if let Some(job) = self.jobs.remove(&number) {
+            self.names.remove(&job.job.id);
+        }
+        self.open.remove(&number);
+        self.ended.remove(&number);
+    }
+}
+
+/// The end of one member of a gang counts for all: work that is done is done for
+/// each, and each begins again from the same checkpoint.
+fn share_end(step: &mut StepState, end: End, saved: &Arc<str>) {
+    for task in &mut step.tasks {
+        if end == End::Done && !task.done {
+            step.waiting -= u32::from(task.waits());
+            task.done = true;
+            step.left -= 1;
+        }
+        if !saved.is_empty() {
+            task.saved = saved.clone();
+        }
+    }
+}
--- /dev/null
+++ b/ashtiller/src/workflow/campaign.rs
@@ -0,0 +1,252 @@
+//! Who owns the log: followers hear the owner's heartbeat and replace it when it is
+//! gone. The lead key decides; what is here only says when to try.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::{self, Instant};
+
+use crate::failure::{Effect, Failure};
+use crate::workflow::fact::Lead;
+use crate::workflow::log::Seized;
+use crate::workflow::message::{Ask, Hello, Reply};
+use crate::workflow::node::Node;
+use crate::workflow::owner;
+
+/// Time between two heartbeats to the owner.
+const HELLO: Duration = Duration::from_millis(250);
+/// Time limit of one heartbeat; an instance with a share of a core may be busy.
+const HELLO_LIMIT: Duration = Duration::from_millis(700);
+/// Time between two instances that try to own the log.
+const RANK_STEP: Duration = Duration::from_millis(150);
+/// Pause before another look for an owner.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Time limit of a question who the owner is.
+const LEAD_LIMIT: Duration = Duration::from_millis(300);
+/// Age of the last contact with the store up to which a member counts as able to own.
+const FIT_AGE: u32 = 1500;
+
+/// Why a follower lost its owner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Loss {
+    /// A later owner is known.
+    Replaced,
+    /// It has ended, or says that it does not own the log.
+    Ended,
+    /// It does not answer.
+    Silent,
+}
+
+/// Follows or replaces the owner until the process ends.
+pub async fn run(node: Rc<Node>) {
+    find_lead(&node).await;
+    loop {
+        if node.owns() {
+            time::sleep(PAUSE).await;
+            continue;
+        }
+        match node.lead() {
+            Some(lead) if lead.life != node.life => {
+                let loss = follow(&node, &lead).await;
+                if loss != Loss::Replaced {
+                    tracing::warn!(owner = %lead.name, epoch = lead.epoch, ?loss, "owner lost");
+                    replace(&node, &lead, loss).await;
+                }
+            }
+            Some(lead) => replace(&node, &lead, Loss::Ended).await,
+            None => begin(&node).await,
+        }
+    }
+}
+
+/// Asks the store and others who the owner is.
+async fn find_lead(node: &Rc<Node>) {
+    match node.log.read_lead(false).await {
+        Ok(Some(lead)) => node.adopt_lead(lead),
+        Ok(None) => {}
+        Err(failure) => {
+            tracing::info!(%failure, "lead not read");
+            ask_others(node).await;
+        }
+    }
+}
+
+async fn ask_others(node: &Rc<Node>) {
+    for address in node.others() {
+        match node
+            .links
+            .ask("ask for the owner", address, &Ask::Lead, LEAD_LIMIT)
+            .await
+        {
+            Ok(Reply::Lead(Some(lead))) => node.adopt_lead(lead),
+            Ok(_) => {}
+            Err(failure) => tracing::debug!(%failure, "not told who the owner is"),
+        }
+    }
+}
+
+/// Heartbeats until the owner is lost.
+async fn follow(node: &Rc<Node>, lead: &Lead) -> Loss {
+    let mut members = 0;
+    loop {
+        if node.lead().is_none_or(|known| known.epoch != lead.epoch) {
+            return Loss::Replaced;
+        }
+        let began = Instant::now();
+        let hello = Ask::Hello(Hello {
+            member: node.as_member(),
+            config: node.config().version,
+            members,
+        });
+        match node
+            .links
+            .ask("greet owner", lead.address, &hello, HELLO_LIMIT)
+            .await
+        {
+            Ok(Reply::Welcome(welcome)) => {
+                if welcome.epoch != lead.epoch {
+                    return Loss::Ended;
+                }
+                if let Some(config) = welcome.config {
+                    node.adopt_config(std::sync::Arc::new(*config));
+                }
+                if let Some(list) = welcome.members {
+                    node.set_members(list);
+                }
+                members = welcome.digest;
+                if welcome.version < node.config().version {
+                    send_config(node, lead).await;
+                }
+            }
+            Ok(_) => return Loss::Ended,
+            Err(failure) => {
+                if let Some(loss) = judge(&failure) {
+                    return loss;
+                }
+            }
+        }
+        let mut changed = node.watch_lead();
+        let left = HELLO.saturating_sub(began.elapsed());
+        let _ = time::timeout(left, changed.changed()).await;
+    }
+}
+
+/// A broken connection may be a reset: the next heartbeat opens another. Nobody
+/// listening means that the process has ended.
+fn judge(failure: &Failure) -> Option<Loss> {
+    if failure.cause.contains("refused") {
+        return Some(Loss::Ended);
+    }
+    let silent = failure.cause.contains("in time") || failure.effect == Effect::None;
+    silent.then_some(Loss::Silent)
+}
+
+async fn send_config(node: &Rc<Node>, lead: &Lead) {
+    let config = Ask::Config(Box::new((*node.config()).clone()));
+    if let Err(failure) = node
+        .links
+        .ask("send configuration", lead.address, &config, LEAD_LIMIT)
+        .await
+    {
+        tracing::info!(%failure, "newer configuration not sent to the owner");
+    }
+}
+
+/// Place of this instance among those that could own the log.
+fn rank(node: &Node, lead: &Lead) -> u32 {
+    let members = node.members();
+    let own = &node.settings.instance.name;
+    let fit = members
+        .iter()
+        .filter(|member| member.name != lead.name && !member.leaving && member.store_age < FIT_AGE);
+    let before = fit.filter(|member| member.name < *own).count();
+    u32::try_from(before).unwrap_or(u32::MAX)
+}
+
+/// Tries to replace an owner that was lost.
+async fn replace(node: &Rc<Node>, lead: &Lead, loss: Loss) {
+    if node.is_leaving() {
+        time::sleep(PAUSE).await;
+        find_lead(node).await;
+        return;
+    }
+    let wait = RANK_STEP * rank(node, lead);
+    let mut changed = node.watch_lead();
+    if time::timeout(wait, changed.changed()).await.is_ok() {
+        return;
+    }
+    match node.log.read_lead(false).await {
+        Ok(Some(known)) if known.epoch != lead.epoch => node.adopt_lead(known),
+        Ok(_) => {
+            if loss == Loss::Silent && is_alive(node, lead).await {
+                tracing::info!(owner = %lead.name, "owner still writes; it is not replaced");
+                return;
+            }
+            seize(node, lead.epoch).await;
+        }
+        Err(failure) => {
+            tracing::info!(%failure, "lead not read");
+            ask_others(node).await;
+            time::sleep(PAUSE).await;
+        }
+    }
+}
+
+/// Whether an owner that does not answer here still writes to its log.
+async fn is_alive(node: &Rc<Node>, lead: &Lead) -> bool {
+    match node.log.is_growing().await {
+        Ok(growing) => growing,
+        Err(failure) => {
+            tracing::info!(%failure, epoch = lead.epoch, "log not read");
+            true
+        }
+    }
+}
+
+/// Nobody has ever owned the log.
+async fn begin(node: &Rc<Node>) {
+    let peers = node.settings.entry.peers;
+    let seeds = node.settings.entry.seeds.iter();
+    let place = seeds.into_iter().position(|seed| seed.ip() == peers.ip());
+    let wait = place.map_or(RANK_STEP * 4, |place| {
+        RANK_STEP * u32::try_from(place).unwrap_or(0)
+    });
+    let mut changed = node.watch_lead();
+    if time::timeout(wait, changed.changed()).await.is_ok() {
+        return;
+    }
+    match node.log.read_lead(false).await {
+        Ok(Some(lead)) => node.adopt_lead(lead),
+        Ok(None) => seize(node, 0).await,
+        Err(failure) => {
+            tracing::info!(%failure, "lead not read");
+            time::sleep(PAUSE).await;
+            ask_others(node).await;
+        }
+    }
+}
+
+/// The owner asks this instance to go on in its place.
+pub async fn take_over(node: &Rc<Node>, lead: &Lead) {
+    if node.owns() || node.is_leaving() {
+        return;
+    }
+    tracing::info!(owner = %lead.name, epoch = lead.epoch, "asked to take over");
+    seize(node, lead.epoch).await;
+}
+
+async fn seize(node: &Rc<Node>, former: u64) {
+    let mine = node.as_lead();
+    match node.log.seize(&mine, former).await {
+        Ok(Seized::Mine(epoch)) => {
+            let lead = Lead { epoch, ..mine };
+            owner::spawn(node, lead);
+        }
+        Ok(Seized::Theirs(Some(lead))) => node.adopt_lead(lead),
+        Ok(Seized::Theirs(None)) => {}
+        Err(failure) => {
+            tracing::warn!(%failure, "lead not written");
+            time::sleep(PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/ashtiller/src/workflow/core/intake.rs
@@ -0,0 +1,112 @@
+//! Jobs that come in, and questions about them.
+
+use crate::workflow::core::{Core, Effect, Now, Then, Ticket};
+use crate::workflow::fact::{Fact, Outcome};
+use crate::workflow::job::Job;
+use crate::workflow::message::{Reply, State};
+
+impl Core {
+    /// Accepts a job; the answer comes when that is durable.
+    pub fn submit(&mut self, job: Job, ticket: Ticket, now: Now) {
+        if let Some(number) = self.book.find(&job.id) {
+            let position = self.recording.get(&number).copied().unwrap_or(0);
+            self.defer(position, Then::Answer(ticket, Reply::Accepted));
+            return;
+        }
+        let reply = self.judge(&job, now);
+        if let Some(reply) = reply {
+            tracing::info!(job = %job.id, ?reply, stalled_ms = self.stalled_for(now).as_millis(), "job not taken");
+            self.effects.push(Effect::Answer(ticket, reply));
+            return;
+        }
+        let Some(queue) = self.config.queue(&job.queue) else {
+            self.effects.push(Effect::Answer(ticket, Reply::Missing));
+            return;
+        };
+        let policy = queue.policy.clone();
+        let number = self.book.next;
+        tracing::info!(job = %job.id, number, queue = %job.queue, steps = job.steps.len(),
+            position = self.position, config = self.config.version, "job accepted");
+        self.recording.insert(number, self.position);
+        self.record(Fact::Accepted(Box::new(job), policy, now.wall), now);
+        self.counts.accepted += 1;
+        self.dirty = true;
+        self.defer(self.position, Then::Answer(ticket, Reply::Accepted));
+    }
+
+    /// Why a job is not taken, if so.
+    fn judge(&self, job: &Job, now: Now) -> Option<Reply> {
+        let retry = u32::try_from(self.terms.retry.as_millis()).unwrap_or(u32::MAX);
+        if self.is_stalled(now) || self.book.open().len() >= self.terms.jobs {
+            return Some(Reply::Refused(retry));
+        }
+        if let Err(reason) = job.check() {
+            return Some(Reply::Invalid(reason.into()));
+        }
+        None
+    }
+
+    /// Cancels a job; the answer comes when that is durable.
+    pub fn cancel(&mut self, id: &str, ticket: Ticket, now: Now) {
+        let Some(number) = self.book.find(id) else {
+            tracing::info!(job = id, "cancel of an unknown job");
+            self.effects.push(Effect::Answer(ticket, Reply::Missing));
+            return;
+        };
+        if self.book.jobs[&number].outcome.is_none() {
+            tracing::info!(job = id, number, position = self.position, "job cancelled");
+            self.recording.insert(number, self.position);
+            self.record(Fact::Cancelled(number), now);
+            self.dirty = true;
+        }
+        let position = self.recording.get(&number).copied().unwrap_or(0);
+        self.defer(position, Then::Answer(ticket, Reply::Accepted));
+    }
+
+    /// How a job stands. An outcome is told only once it is durable.
+    #[must_use]
+    pub fn state(&self, id: &str) -> Reply {
+        let Some(number) = self.book.find(id) else {
+            return Reply::Missing;
+        };
+        let job = &self.book.jobs[&number];
+        let durable = !self.recording.contains_key(&number);
+        let state = match job.outcome {
+            Some(outcome) if durable => State::Over(outcome),
+            _ if job.begun => State::Running,
+            _ => State::Queued,
+        };
+        Reply::State(state)
+    }
+
+    /// How many accepted jobs of a queue have not begun.
+    #[must_use]
+    pub fn count_pending(&self, queue: &str) -> Reply {
+        let jobs = self
+            .book
+            .open()
+            .iter()
+            .map(|number| &self.book.jobs[number]);
+        let waiting = jobs.filter(|job| {
+            *job.job.queue == *queue && !job.begun && job.outcome != Some(Outcome::Cancelled)
+        });
+        Reply::Pending(waiting.count() as u64)
+    }
+
+    /// Does something once the entry at `position` is durable.
+    pub(super) fn defer(&mut self, position: u64, then: Then) {
+        if position > self.durable {
+            let place = self.after.partition_point(|(at, _)| *at <= position);
+            self.after.insert(place, (position, then));
+            return;
+        }
+        match then {
+            Then::Answer(ticket, reply) => self.effects.push(Effect::Answer(ticket, reply)),
+            Then::Acknowledge(worker, number) => {
+                if let Some(worker) = self.workers.get_mut(&worker) {
+                    worker.seen = worker.seen.max(number);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -0,0 +1,302 @@
+//! Orders and looks that go out to workers, and the answers to orders.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::failure::Failure;
+use crate::workflow::agents::{Look, Name, Order, Refusal, Said, Start};
+use crate::workflow::core::{Core, Effect, Now};
+use crate::workflow::fact::{End, Run};
+use crate::workflow::live::{Reason, Stage, Stop};
+
+/// Orders under way to one worker; more would open more connections.
+const ORDERS_MAX: u32 = 1;
+/// Pause before an unanswered order goes out again.
+const RETRY: Duration = Duration::from_millis(60);
+/// Pause before an order that the worker refused for the moment goes out again.
+const RETRY_BUSY: Duration = Duration::from_millis(250);
+/// Starts that may go unanswered before the run is given up there.
+const UNANSWERED_MAX: u32 = 4;
+/// How much later than its sending an unanswered order may be carried out.
+const LATE_MAX: Duration = Duration::from_secs(13);
+/// Pause between two looks at a worker that did not answer, growing to the second.
+const LOOK_RETRY: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(700)];
+/// Silence after which a worker is looked at more rarely.
+const SILENT: Duration = Duration::from_secs(5);
+
+impl Core {
+    /// How workers know a task.
+    pub(super) fn name_of(&self, run: Run) -> Option<Name> {
+        let job = self.book.jobs.get(&run.task.job)?;
+        Some(Name {
+            job: job.job.id.clone(),
+            time: run.task.time,
+            step: run.task.step,
+            index: run.task.index,
+        })
+    }
+
+    /// Sends the orders that are due.
+    pub(super) fn drive_orders(&mut self, now: Now) {
+        let ids: Vec<Arc<str>> = self
+            .workers
+            .values()
+            .filter(|worker| worker.fenced && worker.ordering < ORDERS_MAX)
+            .filter(|worker| !worker.runs.is_empty())
+            .map(|worker| worker.id().clone())
+            .collect();
+        for id in ids {
+            self.drive_worker(&id, now);
+        }
+    }
+
+    fn drive_worker(&mut self, id: &Arc<str>, now: Now) {
+        let runs: Vec<Run> = self.workers[id].runs.iter().copied().collect();
+        for run in runs {
+            if self.workers[id].ordering >= ORDERS_MAX {
+                return;
+            }
+            let Some(order) = self.next_order(run, id, now) else {
+                continue;
+            };
+            let Some(worker) = self.workers.get_mut(id) else {
+                return;
+            };
+            worker.ordering += 1;
+            self.counts.orders += 1;
+            if let Some(live) = self.runs.get_mut(&run) {
+                live.ordering = true;
+            }
+            let target = worker.target(self.epoch);
+            self.effects.push(Effect::Order(target, run, order));
+        }
+    }
+
+    /// The next order about a run, if one is due.
+    fn next_order(&mut self, run: Run, id: &Arc<str>, now: Now) -> Option<Order> {
+        let live = self.runs.get_mut(&run)?;
+        if live.ordering || now.at < live.retry {
+            return None;
+        }
+        if let Stage::Recorded(position) = live.stage {
+            if position > self.durable {
+                return None;
+            }
+            live.stage = Stage::Starting;
+        }
+        let (stage, stop) = (live.stage, live.stop);
+        let (pace, goal, doubt) = (live.pace, live.pace_goal, live.pace_doubt);
+        match (stop, stage) {
+            (Stop::Wanted(_), _) => Some(Order::Stop(self.name_of(run)?, run.number)),
+            (Stop::Confirmed(_), _) => None,
+            (Stop::None, Stage::Starting) => self.start_order(run, id, now),
+            (Stop::None, Stage::Started(_)) if pace != goal || doubt > now.at => {
+                Some(Order::Pace(self.name_of(run)?, run.number, goal))
+            }
+            _ => None,
+        }
+    }
+
+    fn start_order(&mut self, run: Run, id: &Arc<str>, now: Now) -> Option<Order> {
+        let renew = self.may_renew(now);
+        let name = self.name_of(run)?;
+        let (job, task) = self.book.task(run.task)?;
+        let payload = job.job.payload.clone();
+        let saved = task.saved.clone();
+        let worker = self.workers.get_mut(id)?;
+        if !renew || !worker.answers {
+            return None;
+        }
+        let until = worker.lease.grant(now.at, self.terms.lease)?;
+        Some(Order::Start(Start {
+            name,
+            run: run.number,
+            payload,
+            until,
+            saved,
+            ticket: None,
+        }))
+    }
+
+    /// Takes the answer to an order.
+    pub fn take_answer(
+        &mut self,
+        id: &str,
+        run: Run,
+        order: &Order,
+        said: Result<Said, Failure>,
+        now: Now,
+    ) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.ordering = worker.ordering.saturating_sub(1);
+        }
+        if let Ok(Said::OtherLife) = said {
+            self.lose_worker(id, "another life answered", now);
+            return;
+        }
+        if let Ok(Said::Done(clock)) = said
+            && let Some(worker) = self.workers.get_mut(id)
+        {
+            worker.lease.hear(clock, now.at);
+        }
+        let Some(live) = self.runs.get_mut(&run) else {
+            return;
+        };
+        if *live.worker != *id {
+            return;
+        }
+        live.ordering = false;
+        match order {
+            Order::Start(_) => self.take_start(run, said, now),
+            Order::Stop(..) => self.take_stop(run, &said, now),
+            Order::Pace(_, _, percent) => self.take_pace(run, *percent, &said, now),
+        }
+    }
+
+    fn take_start(&mut self, run: Run, said: Result<Said, Failure>, now: Now) {
+        let Some(live) = self.runs.get_mut(&run) else {
+            return;
+        };
+        match said {
+            Ok(Said::Done(_)) => {
+                if !matches!(live.stage, Stage::Started(_)) {
+                    live.stage = Stage::Started(now.at);
+                }
+            }
+            Ok(Said::Refused(Refusal::Late)) => live.retry = now.at,
+            Ok(Said::Refused(Refusal::Fenced)) => self.superseded = true,
+            Ok(Said::Refused(Refusal::Busy)) => {
+                live.unanswered += 1;
+                live.retry = now.at + RETRY_BUSY;
+                if live.unanswered >= UNANSWERED_MAX {
+                    live.want_stop(Reason::Refused);
+                }
+            }
+            Ok(Said::Refused(reason)) => {
+                tracing::warn!(task = %run.task, run = run.number, worker = %live.worker, ?reason, "start refused");
+                live.want_stop(Reason::Refused);
+            }
+            Ok(Said::OtherLife) => {}
+            Err(failure) => {
+                tracing::info!(task = %run.task, run = run.number, worker = %live.worker, %failure, "start unanswered");
+                live.unanswered += 1;
+                live.retry = now.at + RETRY;
+                if live.unanswered >= UNANSWERED_MAX {
+                    live.want_stop(Reason::Refused);
+                }
+            }
+        }
+    }
+
+    fn take_stop(&mut self, run: Run, said: &Result<Said, Failure>, now: Now) {
+        let Some(live) = self.runs.get_mut(&run) else {
+            return;
+        };
+        match said {
+            Ok(Said::Done(_) | Said::Refused(Refusal::Old)) => {
+                live.stop = Stop::Confirmed(now.at);
+                let id = live.worker.clone();
+                if let Some(worker) = self.workers.get_mut(&id) {
+                    worker.next_look = worker.next_look.min(now.at);
+                }
+            }
+            Ok(Said::Refused(Refusal::Fenced)) => {
+                live.retry = now.at + RETRY_BUSY;
+                self.superseded = true;
+            }
+            Ok(_) => live.retry = now.at + RETRY_BUSY,
+            Err(failure) => {
+                tracing::info!(task = %run.task, run = run.number, worker = %live.worker, %failure, "stop unanswered");
+                live.retry = now.at + RETRY;
+            }
+        }
+    }
+
+    fn take_pace(&mut self, run: Run, percent: u32, said: &Result<Said, Failure>, now: Now) {
+        let Some(live) = self.runs.get_mut(&run) else {
+            return;
+        };
+        match said {
+            Ok(Said::Done(_)) => {
+                live.pace = percent;
+                // An earlier one that was not answered may still come after this one.
+                live.retry = if live.pace_doubt > now.at {
+                    now.at + RETRY_BUSY
+                } else {
+                    Duration::ZERO
+                };
+            }
+            Ok(Said::Refused(Refusal::Fenced)) => self.superseded = true,
+            Ok(_) => live.retry = now.at + RETRY_BUSY,
+            Err(failure) => {
+                tracing::info!(task = %run.task, run = run.number, worker = %live.worker, %failure, "pace unanswered");
+                live.pace_doubt = now.at + LATE_MAX;
+                live.retry = now.at + RETRY;
+            }
+        }
+    }
+
+    /// Sends the looks that are due.
+    pub(super) fn drive_looks(&mut self, now: Now) {
+        let renew = self.may_renew(now);
+        for worker in self.workers.values_mut() {
+            if worker.looking.is_some() || now.at < worker.next_look {
+                continue;
+            }
+            let mixed = worker.serving > 0 && worker.filling > 0;
+            let wait = match (worker.fenced && worker.answers, mixed) {
+                // The clock must be known before a lease can be granted.
+                (false, _) => Duration::ZERO,
+                (true, true) => self.terms.watch,
+                (true, false) => self.terms.wait,
+            };
+            let stopping = worker.runs.iter().any(|run| {
+                let live = self.runs.get(run);
+                live.is_some_and(|live| matches!(live.stop, Stop::Confirmed(_)))
+            });
+            let wait = if stopping {
+                wait.min(Duration::from_millis(100))
+            } else {
+                wait
+            };
+            let grants = renew && worker.answers && !worker.runs.is_empty();
+            let until = if grants {
+                worker.lease.grant(now.at, self.terms.lease)
+            } else {
+                None
+            };
+            let look = Look {
+                until,
+                seen: worker.seen,
+                wait,
+            };
+            worker.looking = Some(now.at);
+            self.counts.looks += 1;
+            self.effects
+                .push(Effect::Look(worker.target(self.epoch), look));
+        }
+    }
+
+    /// A look was not answered.
+    pub(super) fn miss_look(&mut self, id: &str, now: Now) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.answers = false;
+        let silent = now.at.saturating_sub(worker.heard) > SILENT;
+        worker.next_look = now.at + LOOK_RETRY[usize::from(silent)];
+    }
+
+    /// Ends a run of which the worker says nothing any more.
+    pub(super) fn end_missing(&mut self, run: Run, begun: Duration, now: Now) {
+        let Some(live) = self.runs.get(&run) else {
+            return;
+        };
+        let end = match (live.stop, live.stage) {
+            (Stop::Confirmed(at), _) if at < begun => End::Stopped,
+            (Stop::None, Stage::Started(at)) if at < begun => End::Lost,
+            _ => return,
+        };
+        self.end_run(run, end, &Arc::from(""), now);
+    }
+}
--- /dev/null
+++ b/ashtiller/src/workflow/core/place.rs
@@ -0,0 +1,72 @@
+//! Room that runs take at workers.
+
+use std::sync::Arc;
+
+use crate::workflow::core::{Core, Now};
+use crate::workflow::fact::{Fact, Run};
+use crate::workflow::job::Sharing;
+use crate::workflow::live::{LiveRun, Stage};
+
+impl Core {
+    /// Counts a run in its worker's room.
+    pub(super) fn seat(&mut self, run: Run, id: &Arc<str>) {
+        let Some((job, _)) = self.book.task(run.task) else {
+            return;
+        };
+        let Some(step) = job.step(run.task) else {
+            return;
+        };
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.pool.restore(&step.room());
+        worker.runs.insert(run);
+        match step.sharing {
+            Sharing::Serves(_) => worker.serving += 1,
+            Sharing::Fills => {
+                worker.filling += 1;
+                worker.filled += step.needs.processors;
+            }
+            Sharing::Apart => {}
+        }
+    }
+
+    /// Gives back the room of a run.
+    pub(super) fn release(&mut self, run: Run, live: &LiveRun) {
+        let Some(job) = self.book.jobs.get(&run.task.job) else {
+            return;
+        };
+        let Some(step) = job.step(run.task) else {
+            return;
+        };
+        let Some(worker) = self.workers.get_mut(&live.worker) else {
+            return;
+        };
+        if !worker.runs.remove(&run) {
+            return;
+        }
+        worker.pool.release(&step.room());
+        match step.sharing {
+            Sharing::Serves(_) => worker.serving -= 1,
+            Sharing::Fills => {
+                worker.filling -= 1;
+                worker.filled -= step.needs.processors;
+            }
+            Sharing::Apart => {}
+        }
+    }
+
+    /// Gives a run to a worker.
+    pub(super) fn place(&mut self, run: Run, id: &Arc<str>, now: Now) {
+        let saved = self
+            .book
+            .task(run.task)
+            .map_or_else(|| Arc::from(""), |(_, task)| task.saved.clone());
+        self.counts.placed += 1;
+        let mut live = LiveRun::new(id.clone(), Stage::Recorded(self.position), now.at);
+        live.saved = saved.clone();
+        self.record(Fact::Placed(run, id.clone(), saved), now);
+        self.runs.insert(run, live);
+        self.seat(run, id);
+    }
+}
--- /dev/null
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -0,0 +1,219 @@
+//! What workers report when they are looked at.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::failure::Failure;
+use crate::workflow::agents::{Active, Finished, How, Looked, Name, Order};
+use crate::workflow::core::{Core, Effect, Now, Then};
+use crate::workflow::fact::{End, Run, Task};
+use crate::workflow::job::Sharing;
+use crate::workflow::live::{Reason, Stage, Stop};
+
+/// Time without progress after which a run counts as stalled. The platform's
+/// workers report whole percents, which tasks of up to 5.4 s gain every 54 ms.
+const STALLED: Duration = Duration::from_millis(1100);
+
+impl Core {
+    /// The run that a worker means.
+    fn run_of(&self, name: &Name, number: u32) -> Option<Run> {
+        let job = self.book.find(&name.job)?;
+        let task = Task {
+            job,
+            time: name.time,
+            step: name.step,
+            index: name.index,
+        };
+        Some(Run { task, number })
+    }
+
+    /// Takes the answer to a look.
+    pub fn take_look(&mut self, id: &str, looked: Result<Looked, Failure>, now: Now) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let Some(begun) = worker.looking.take() else {
+            return;
+        };
+        match looked {
+            Ok(Looked::Report {
+                clock,
+                active,
+                finished,
+            }) => {
+                self.greet_worker(id, clock, now);
+                self.take_finished(id, &finished, now);
+                self.take_active(id, &active, begun, now);
+                self.pace_worker(id, now);
+            }
+            Ok(Looked::OtherLife) => self.lose_worker(id, "another life answered", now),
+            Ok(Looked::Fenced) => {
+                self.superseded = true;
+                self.miss_look(id, now);
+            }
+            Ok(Looked::Busy) => self.miss_look(id, now),
+            Err(failure) => {
+                if worker.answers {
+                    tracing::info!(worker = id, %failure, runs = worker.runs.len(), "worker does not answer");
+                }
+                self.miss_look(id, now);
+            }
+        }
+    }
+
+    fn greet_worker(&mut self, id: &str, clock: u64, now: Now) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if !worker.fenced {
+            worker.fenced = true;
+            worker.lease.fence(now.at, self.terms.lease);
+            self.dirty = true;
+        }
+        let again = !worker.answers;
+        if again {
+            tracing::debug!(worker = id, "worker answers");
+            self.dirty = true;
+        }
+        worker.lease.hear(clock, now.at);
+        worker.answers = true;
+        worker.heard = now.at;
+        // The first answer tells the clock; the lease comes with the next look.
+        worker.next_look = if again {
+            now.at
+        } else {
+            now.at + self.terms.pause
+        };
+    }
+
+    fn take_finished(&mut self, id: &str, finished: &[Finished], now: Now) {
+        let mut highest = 0;
+        for end in finished {
+            highest = highest.max(end.number);
+            let run = self.run_of(&end.name, end.run);
+            let here = run.filter(|run| self.runs.get(run).is_some_and(|live| *live.worker == *id));
+            let Some(run) = here else {
+                continue;
+            };
+            let how = match end.how {
+                How::Done => End::Done,
+                How::Failed => End::Failed,
+                How::Stopped => End::Stopped,
+                How::Lapsed | How::Broken | How::Alone => End::Lost,
+            };
+            self.note_health(id, run, how, now);
+            self.end_run(run, how, &end.saved, now);
+        }
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if highest > worker.noted {
+            worker.noted = highest;
+            let worker = worker.id().clone();
+            self.defer(self.position, Then::Acknowledge(worker, highest));
+        }
+    }
+
+    /// Learns from an end whether the worker is well.
+    fn note_health(&mut self, id: &str, run: Run, end: End, now: Now) {
+        let first = self
+            .book
+            .task(run.task)
+            .is_some_and(|(_, task)| task.failures == 0);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        match end {
+            End::Done => worker.note_success(),
+            End::Failed if first && worker.note_failure(now.at) => {
+                tracing::warn!(
+                    worker = id,
+                    until_ms = worker.aside.map_or(0, |it| it.as_millis()),
+                    now_ms = now.at.as_millis(),
+                    "worker put aside: it fails what it starts"
+                );
+            }
+            _ => {}
+        }
+    }
+
+    fn take_active(&mut self, id: &str, active: &[Active], begun: Duration, now: Now) {
+        let mut present = BTreeSet::new();
+        for row in active {
+            let run = self.run_of(&row.name, row.run);
+            let ours = run.filter(|run| self.runs.get(run).is_some_and(|live| *live.worker == *id));
+            match ours {
+                Some(run) => {
+                    present.insert(run);
+                    self.note_progress(run, row, now);
+                }
+                None => self.stop_stray(id, row),
+            }
+        }
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let missing: Vec<Run> = worker.runs.difference(&present).copied().collect();
+        for run in missing {
+            self.end_missing(run, begun, now);
+        }
+    }
+
+    /// A run that the log does not place here is stopped.
+    fn stop_stray(&mut self, id: &str, row: &Active) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        tracing::warn!(worker = id, job = %row.name.job, run = row.run, "stray run is stopped");
+        let run = Run {
+            task: Task {
+                job: u32::MAX,
+                time: row.name.time,
+                step: row.name.step,
+                index: row.name.index,
+            },
+            number: row.run,
+        };
+        let order = Order::Stop(row.name.clone(), row.run);
+        self.effects
+            .push(Effect::Order(worker.target(self.epoch), run, order));
+    }
+
+    fn note_progress(&mut self, run: Run, row: &Active, now: Now) {
+        let (serves, lasting) = self.book.task(run.task).map_or((false, false), |(job, _)| {
+            let step = job.step(run.task);
+            let serves = step.is_some_and(|step| matches!(step.sharing, Sharing::Serves(_)));
+            (serves, step.is_some_and(|step| step.lasting))
+        });
+        let Some(live) = self.runs.get_mut(&run) else {
+            return;
+        };
+        if !matches!(live.stage, Stage::Started(_)) {
+            live.stage = Stage::Started(now.at);
+        }
+        if !row.saved.is_empty() {
+            live.saved = row.saved.clone();
+        }
+        if serves {
+            live.tail = row.figure;
+        }
+        if live.began.is_none() || row.percent > live.percent {
+            live.moved = now.at;
+        }
+        live.percent = row.percent;
+        live.began.get_or_insert((now.at, row.percent));
+        let stalled = now.at.saturating_sub(live.moved) > STALLED;
+        let paced = live.pace < 100 || live.pace_goal < 100;
+        if stalled && !lasting && !paced && live.stop == Stop::None && row.percent < 100 {
+            tracing::info!(task = %run.task, run = run.number, worker = %live.worker, percent = row.percent,
+                since_ms = now.at.saturating_sub(live.moved).as_millis(), "run stalls");
+            live.want_stop(Reason::Stalled);
+            let id = live.worker.clone();
+            if let Some(worker) = self.workers.get_mut(&id)
+                && worker.aside.is_none_or(|until| until < now.at)
+            {
+                worker.put_aside(now.at);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/ashtiller/src/workflow/core/roster.rs
@@ -0,0 +1,225 @@
+//! Which workers there are, and what becomes of runs whose worker goes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::workflow::config::Listed;
+use crate::workflow::core::{Core, Now};
+use crate::workflow::fact::{End, Run};
+use crate::workflow::lease;
+use crate::workflow::live::{Reason, Stage};
+use crate::workflow::worker::Worker;
+
+/// How long a worker that is not listed and runs nothing is remembered.
+const FORGET: Duration = Duration::from_secs(10);
+/// Time before the end of a draining worker by which its runs should be stopped,
+/// so that the last checkpoint is reported: a stop may take most of a second.
+const DRAIN_MARGIN: Duration = Duration::from_millis(1200);
+
+impl Core {
+    /// The platform lists a worker.
+    pub fn list_worker(&mut self, listed: Listed, now: Now) {
+        self.dirty = true;
+        self.end_former_life(&listed, now);
+        let id = listed.id.clone();
+        let bound = self.first_bound();
+        let draining = listed.draining;
+        let worker = self.workers.entry(id.clone()).or_insert_with(|| {
+            tracing::info!(worker = %id, service = %listed.service, address = %listed.address, "worker listed");
+            Worker::new(listed.clone(), bound)
+        });
+        worker.resize(listed.capacity);
+        worker.listed = listed;
+        worker.absent = None;
+        if draining && worker.draining.is_none() {
+            tracing::info!(worker = %id, left = ?worker.listed.remaining, "worker drains");
+            worker.draining = Some(now.at);
+        }
+        self.seat_adopted(&id);
+    }
+
+    /// Leases that earlier owners granted end by this time.
+    fn first_bound(&self) -> Duration {
+        self.began + self.terms.horizon + lease::stretch(self.terms.lease)
+    }
+
+    /// Counts the runs of earlier owners in a worker's room.
+    fn seat_adopted(&mut self, id: &Arc<str>) {
+        let adopted: Vec<Run> = self
+            .runs
+            .iter()
+            .filter(|(_, live)| live.worker == *id)
+            .map(|(run, _)| *run)
+            .collect();
+        for run in adopted {
+            let new = self
+                .workers
+                .get(id)
+                .is_some_and(|worker| !worker.runs.contains(&run));
+            if new {
+                self.seat(run, id);
+            }
+        }
+    }
+
+    /// A worker that is listed under a new id runs nothing of its former life.
+    fn end_former_life(&mut self, listed: &Listed, now: Now) {
+        let former: Vec<Arc<str>> = self
+            .workers
+            .values()
+            .filter(|worker| {
+                let same = listed.machine.is_some() && worker.listed.machine == listed.machine;
+                let same = same || worker.listed.address == listed.address;
+                same && *worker.id() != listed.id
+            })
+            .map(|worker| worker.id().clone())
+            .collect();
+        for id in former {
+            self.lose_worker(&id, "came back under another id", now);
+        }
+    }
+
+    /// The platform does not list a worker any more.
+    pub fn unlist_worker(&mut self, id: &str, now: Now) {
+        if let Some(worker) = self.workers.get_mut(id)
+            && worker.absent.is_none()
+        {
+            tracing::info!(worker = id, runs = worker.runs.len(), "worker not listed");
+            worker.absent = Some(now.at);
+        }
+    }
+
+    /// The platform lists exactly these workers.
+    pub fn list_all(&mut self, listed: Vec<Listed>, now: Now) {
+        let gone: Vec<Arc<str>> = self
+            .workers
+            .keys()
+            .filter(|id| !listed.iter().any(|worker| worker.id == **id))
+            .cloned()
+            .collect();
+        for id in gone {
+            self.unlist_worker(&id, now);
+        }
+        for worker in listed {
+            self.list_worker(worker, now);
+        }
+        self.ghost_workers(now);
+    }
+
+    /// Runs of an earlier owner on a worker that is not listed wait for the longest
+    /// lease that the owner may have granted.
+    fn ghost_workers(&mut self, now: Now) {
+        let bound = self.first_bound();
+        if now.at < bound {
+            return;
+        }
+        self.lose_ghosts(now);
+    }
+
+    fn lose_ghosts(&mut self, now: Now) {
+        let lost: Vec<Run> = self
+            .runs
+            .iter()
+            .filter(|(_, live)| !self.workers.contains_key(&live.worker))
+            .map(|(run, _)| *run)
+            .collect();
+        for run in lost {
+            self.end_run(run, End::Lost, &Arc::from(""), now);
+        }
+    }
+
+    /// A worker's life is over: nothing of it runs.
+    pub(super) fn lose_worker(&mut self, id: &str, cause: &str, now: Now) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let runs: Vec<Run> = worker.runs.iter().copied().collect();
+        tracing::info!(
+            worker = id,
+            cause,
+            runs = runs.len(),
+            "worker's life is over"
+        );
+        for run in runs {
+            self.end_run(run, End::Lost, &Arc::from(""), now);
+        }
+        self.workers.remove(id);
+    }
+
+    /// Runs on a worker whose lease is over for certain are lost.
+    pub(super) fn expire_leases(&mut self, now: Now) {
+        if now.at >= self.first_bound() {
+            self.lose_ghosts(now);
+        }
+        let over = self.workers.values().filter(|worker| {
+            !worker.runs.is_empty() && !worker.answers && worker.lease.bound() < now.at
+        });
+        let lost: Vec<Run> = over
+            .flat_map(|worker| worker.runs.iter().copied())
+            .collect();
+        for run in lost {
+            self.end_run(run, End::Lost, &Arc::from(""), now);
+        }
+    }
+
+    /// Forgets workers that are gone and run nothing.
+    pub(super) fn drop_absent(&mut self, now: Now) {
+        self.workers.retain(|_, worker| {
+            let gone = worker.absent.is_some_and(|since| now.at > since + FORGET);
+            !gone || !worker.runs.is_empty()
+        });
+    }
+
+    /// Moves off a draining worker what would not end in time.
+    pub(super) fn empty_draining(&mut self, now: Now) {
+        let mut moved = Vec::new();
+        for worker in self.workers.values() {
+            let Some(since) = worker.draining else {
+                continue;
+            };
+            let left = worker.listed.remaining.unwrap_or(Duration::ZERO);
+            let left = left.saturating_sub(now.at.saturating_sub(since));
+            moved.extend(worker.runs.iter().map(|run| (*run, left)));
+        }
+        for (run, left) in moved {
+            if self.outlives(run, left, now)
+                && let Some(live) = self.runs.get_mut(&run)
+            {
+                live.want_stop(Reason::Draining);
+            }
+        }
+    }
+
+    /// Whether a run will not end within `left`.
+    fn outlives(&self, run: Run, left: Duration, now: Now) -> bool {
+        let Some((job, _)) = self.book.task(run.task) else {
+            return false;
+        };
+        let (Some(step), Some(live)) = (job.step(run.task), self.runs.get(&run)) else {
+            return false;
+        };
+        if step.lasting || !matches!(live.stage, Stage::Started(_)) {
+            return true;
+        }
+        if left > DRAIN_MARGIN * 2 && step.checkpoints {
+            return false;
+        }
+        let Some(rest) = self.rest_of(run, now) else {
+            return left < step.estimate;
+        };
+        rest > left && (left < DRAIN_MARGIN || !step.checkpoints)
+    }
+
+    /// Time that a run still needs at the speed that it has shown.
+    pub(super) fn rest_of(&self, run: Run, now: Now) -> Option<Duration> {
+        let live = self.runs.get(&run)?;
+        let (began, first) = live.began?;
+        let gained = live.percent.saturating_sub(first);
+        if gained < 5 {
+            return None;
+        }
+        let spent = live.moved.saturating_sub(began);
+        let rest = spent * (100 - live.percent.min(100)) / gained;
+        Some(rest.saturating_sub(now.at.saturating_sub(live.moved)))
+    }
+}
--- /dev/null
+++ b/ashtiller/src/workflow/lease.rs
@@ -0,0 +1,60 @@
+//! The lease that an owner grants to one worker, on the worker's own clock.
+//!
+//! A lease ends at a reading of the worker's clock: the clock of its last answer,
+//! plus the time since, plus the length. A call that is carried out late extends
+//! nothing, and the owner knows on its own clock when every lease has ended.
+
+use std::time::Duration;
+
+/// Parts in a hundred by which a worker's clock may be slow; from the platform.
+const SLOW_PERCENT: u32 = 2;
+/// Allowance on top, for timers that fire late.
+const MARGIN: Duration = Duration::from_millis(150);
+
+/// One worker's lease.
+#[derive(Clone, Debug)]
+pub struct Lease {
+    stamp: Option<(u64, Duration)>,
+    bound: Duration,
+}
+
+/// Time on this clock within which a worker's clock has certainly gone on by `span`.
+#[must_use]
+pub fn stretch(span: Duration) -> Duration {
+    span * 100 / (100 - SLOW_PERCENT) + MARGIN
+}
+
+impl Lease {
+    /// A lease of which only a bound is known: earlier owners' grants end by then.
+    #[must_use]
+    pub fn new(bound: Duration) -> Self {
+        Self { stamp: None, bound }
+    }
+
+    /// Time by which every grant made so far has ended.
+    #[must_use]
+    pub fn bound(&self) -> Duration {
+        self.bound
+    }
+
+    /// The worker has heard this owner's fence for the first time: earlier owners'
+    /// grants are at most `longest` from now.
+    pub fn fence(&mut self, now: Duration, longest: Duration) {
+        self.bound = self.bound.min(now + stretch(longest));
+    }
+
+    /// Takes note of the worker's clock.
+    pub fn hear(&mut self, clock: u64, now: Duration) {
+        if self.stamp.is_none_or(|(last, _)| clock >= last) {
+            self.stamp = Some((clock, now));
+        }
+    }
+
+    /// Grants a lease of `length` from now; `None` until the worker's clock is known.
+    pub fn grant(&mut self, now: Duration, length: Duration) -> Option<u64> {
+        let (clock, at) = self.stamp?;
+        let since = now.saturating_sub(at) + length;
+        self.bound = self.bound.max(at + stretch(since));
+        Some(clock.saturating_add(u64::try_from(since.as_millis()).unwrap_or(u64::MAX)))
+    }
+}
--- /dev/null
+++ b/ashtiller/src/workflow/live.rs
@@ -0,0 +1,107 @@
+//! One run that may be going on, as the owner of a log sees it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How far the start of a run has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stage {
+    /// Waits for its record at this position to be durable.
+    Recorded(u64),
+    /// The worker has not confirmed the start.
+    Starting,
+    /// The worker confirmed at this time, or lists it.
+    Started(Duration),
+}
+
+/// How far the stop of a run has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stop {
+    /// It is to go on.
+    None,
+    /// It is to be stopped, for this reason.
+    Wanted(Reason),
+    /// The worker confirmed the stop at this time.
+    Confirmed(Duration),
+}
+
+/// Why a run is stopped.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reason {
+    /// Its job is over.
+    Over,
+    /// A copy of it has done the work.
+    Copied,
+    /// Its worker is about to leave.
+    Draining,
+    /// It makes no progress there.
+    Stalled,
+    /// The worker did not take the start.
+    Refused,
+}
+
+/// One run.
+#[derive(Clone, Debug)]
+pub struct LiveRun {
+    /// Worker.
+    pub worker: Arc<str>,
+    /// How far its start has come.
+    pub stage: Stage,
+    /// How far its stop has come.
+    pub stop: Stop,
+    /// Whether an order about it is under way.
+    pub ordering: bool,
+    /// When the next order about it may go out.
+    pub retry: Duration,
+    /// Starts that were not answered.
+    pub unanswered: u32,
+    /// When it was placed.
+    pub placed: Duration,
+    /// When it was first seen at work, with its progress then.
+    pub began: Option<(Duration, u32)>,
+    /// Progress in percent, and when it last rose.
+    pub percent: u32,
+    /// When the progress last rose.
+    pub moved: Duration,
+    /// Newest checkpoint that the worker told.
+    pub saved: Arc<str>,
+    /// Tail latency of a run that serves, in milliseconds.
+    pub tail: Option<u64>,
+    /// Share at which it was told to work.
+    pub pace: u32,
+    /// Share at which it is to work.
+    pub pace_goal: u32,
+    /// Until when an unanswered pace may still be carried out.
+    pub pace_doubt: Duration,
+}
+
+impl LiveRun {
+    /// A run that was just placed.
+    #[must_use]
+    pub fn new(worker: Arc<str>, stage: Stage, now: Duration) -> Self {
+        Self {
+            worker,
+            stage,
+            stop: Stop::None,
+            ordering: false,
+            retry: Duration::ZERO,
+            unanswered: 0,
+            placed: now,
+            began: None,
+            percent: 0,
+            moved: now,
+            saved: Arc::from(""),
+            tail: None,
+            pace: 100,
+            pace_goal: 100,
+            pace_doubt: Duration::ZERO,
+        }
+    }
+
+    /// Asks for its stop, unless that was asked before.
+    pub fn want_stop(&mut self, reason: Reason) {
+        if self.stop == Stop::None {
+            self.stop = Stop::Wanted(reason);
+        }
+    }
+}
--- /dev/null
+++ b/ashtiller/src/workflow/log.rs
@@ -0,0 +1,378 @@
+//! A log of facts in the key-value service.
+//!
+//! The lead key names the owner. Its revision is the owner's epoch: every entry is
+//! written on the condition that it still is, so a former owner writes nothing
+//! more once another has written the lead key, however late its calls arrive.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use tokio::time;
+
+use crate::failure::Failure;
+use crate::workflow::book::Book;
+use crate::workflow::fact::{Fact, Lead};
+use crate::workflow::kv::{Committed, Store, Txn};
+
+/// Pause before a call whose outcome is unknown is made again.
+const RETRY: Duration = Duration::from_millis(120);
+/// Time within which a living owner writes an entry, and some more.
+const GROWTH: Duration = Duration::from_millis(650);
+/// Entries between two snapshots.
+const SNAPSHOT_EVERY: u64 = 400;
+/// Bytes of one part of a snapshot, under the store's limit on values in base64.
+const PART: usize = 512 << 10;
+/// Keys removed by one call; the store allows 32 entries.
+const REMOVE_MAX: usize = 30;
+
+/// What the base key holds.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Base {
+    /// Entries up to this position are in the snapshot.
+    position: u64,
+    /// Number of parts of the snapshot.
+    parts: u32,
+}
+
+/// One entry.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Entry {
+    /// Life of the writer, to tell its own entries.
+    life: u64,
+    /// What happened.
+    facts: Vec<Fact>,
+}
+
+/// Why an entry was not written.
+#[derive(Clone, Debug)]
+pub enum Lost {
+    /// Another process owns the log; the entry was not written and never will be.
+    Superseded,
+}
+
+/// A log in the key-value service.
+#[derive(Clone)]
+pub struct Log {
+    store: Arc<dyn Store>,
+    prefix: Arc<str>,
+    life: u64,
+}
+
+/// A log as its new owner finds it.
+pub struct Replayed {
+    /// Every job.
+    pub book: Book,
+    /// Position of the next entry.
+    pub next: u64,
+}
+
+impl Log {
+    /// A log below `prefix`; `life` tells this process's writes.
+    #[must_use]
+    pub fn new(store: Arc<dyn Store>, prefix: &str, life: u64) -> Self {
+        Self {
+            store,
+            prefix: prefix.into(),
+            life,
+        }
+    }
+
+    fn lead_key(&self) -> String {
+        format!("{}lead", self.prefix)
+    }
+
+    fn base_key(&self) -> String {
+        format!("{}base", self.prefix)
+    }
+
+    fn entry_prefix(&self) -> String {
+        format!("{}log/", self.prefix)
+    }
+
+    fn entry_key(&self, position: u64) -> String {
+        format!("{}log/{position:012x}", self.prefix)
+    }
+
+    fn part_key(&self, position: u64, part: u32) -> String {
+        format!("{}snap/{position:012x}/{part:02x}", self.prefix)
+    }
+
+    /// Who owns the log. A stale answer may be seconds old.
+    ///
+    /// # Errors
+    /// The store did not answer, or the key cannot be read.
+    pub async fn read_lead(&self, stale: bool) -> Result<Option<Lead>, Failure> {
+        let key = self.lead_key();
+        let Some(item) = self.store.get(&key, stale).await? else {
+            return Ok(None);
+        };
+        decode_lead(&key, &item.value, item.revision).map(Some)
+    }
+
+    /// Makes `mine` the owner in place of the owner at epoch `former`, 0 for none.
+    ///
+    /// # Errors
+    /// The store did not answer; the lead may have been written.
+    pub async fn seize(&self, mine: &Lead, former: u64) -> Result<Seized, Failure> {
+        let key = self.lead_key();
+        let value =
+            postcard::to_stdvec(mine).map_err(|error| Failure::none("encode lead", &key, error))?;
+        let txn = Txn {
+            expect: vec![(key.clone(), former)],
+            put: vec![(key.clone(), value.into())],
+            remove: Vec::new(),
+        };
+        match self.store.commit(&txn).await? {
+            Committed::Done(revision) => Ok(Seized::Mine(revision)),
+            Committed::Conflict(items) => {
+                let Some(item) = items.into_iter().find(|item| *item.key == *key) else {
+                    return Ok(Seized::Theirs(None));
+                };
+                let lead = decode_lead(&key, &item.value, item.revision)?;
+                if lead.life == mine.life {
+                    return Ok(Seized::Mine(item.revision));
+                }
+                Ok(Seized::Theirs(Some(lead)))
+            }
+        }
+    }
+
+    /// Reads the whole log. Only an owner may: others could read while it grows.
+    ///
+    /// # Errors
+    /// The store did not answer, or something in the log cannot be read.
+    pub async fn replay(&self, now: Duration) -> Result<Replayed, Failure> {
+        let (mut book, base) = self.read_snapshot().await?;
+        book.index(now);
+        let prefix = self.entry_prefix();
+        let mut next = base + 1;
+        let mut after = self.entry_key(base);
+        loop {
+            let page = self.store.scan(&prefix, Some(&after)).await?;
+            for item in &page.items {
+                let entry: Entry = postcard::from_bytes(&item.value)
+                    .map_err(|error| Failure::none("decode entry", &item.key, error))?;
+                for fact in &entry.facts {
+                    book.apply(fact, now);
+                }
+                next = position_of(&item.key)? + 1;
+                after = item.key.to_string();
+            }
+            if !page.more || page.items.is_empty() {
+                return Ok(Replayed { book, next });
+            }
+        }
+    }
+
+    async fn read_snapshot(&self) -> Result<(Book, u64), Failure> {
+        let key = self.base_key();
+        let Some(item) = self.store.get(&key, false).await? else {
+            return Ok((Book::default(), 0));
+        };
+        let base: Base = postcard::from_bytes(&item.value)
+            .map_err(|error| Failure::none("decode base", &key, error))?;
+        let mut bytes = Vec::new();
+        for part in 0..base.parts {
+            let key = self.part_key(base.position, part);
+            let item = self.store.get(&key, false).await?;
+            let item =
+                item.ok_or_else(|| Failure::none("read snapshot", &key, "a part is missing"))?;
+            bytes.extend_from_slice(&item.value);
+        }
+        let book = postcard::from_bytes(&bytes)
+            .map_err(|error| Failure::none("decode snapshot", &key, error))?;
+        Ok((book, base.position))
+    }
+
+    /// Whether entries are being added; takes a moment.
+    ///
+    /// # Errors
+    /// The store did not answer.
+    pub async fn is_growing(&self) -> Result<bool, Failure> {
+        let before = self.newest().await?;
+        time::sleep(GROWTH).await;
+        Ok(self.newest().await? != before)
+    }
+
+    async fn newest(&self) -> Result<String, Failure> {
+        let prefix = self.entry_prefix();
+        let mut after = self.entry_key(0);
+        loop {
+            let page = self.store.scan(&prefix, Some(&after)).await?;
+            if let Some(last) = page.items.last() {
+                after = last.key.to_string();
+            }
+            if !page.more || page.items.is_empty() {
+                return Ok(after);
+            }
+        }
+    }
+
+    /// Encodes an entry.
+    ///
+    /// # Errors
+    /// It cannot be encoded.
+    pub fn encode(&self, facts: Vec<Fact>) -> Result<Bytes, Failure> {
+        let entry = Entry {
+            life: self.life,
+            facts,
+        };
+        postcard::to_stdvec(&entry)
+            .map(Bytes::from)
+            .map_err(|error| Failure::none("encode entry", &*self.prefix, error))
+    }
+
+    /// Writes an entry, again and again until it is known to be written or that it
+    /// never will be. The result is when the successful or first call was sent.
+    ///
+    /// # Errors
+    /// Another process owns the log.
+    pub async fn append(
+        &self,
+        epoch: u64,
+        position: u64,
+        value: Bytes,
+    ) -> Result<time::Instant, Lost> {
+        let key = self.entry_key(position);
+        let txn = Txn {
+            expect: vec![(self.lead_key(), epoch), (key.clone(), 0)],
+            put: vec![(key.clone(), value.clone())],
+            remove: Vec::new(),
+        };
+        let mut tries = 0u32;
+        loop {
+            let sent = time::Instant::now();
+            match self.store.commit(&txn).await {
+                Ok(Committed::Done(_)) => return Ok(sent),
+                Ok(Committed::Conflict(items)) => {
+                    let ours = items
+                        .iter()
+                        .any(|item| *item.key == *key && item.value == value);
+                    if ours {
+                        // An earlier try had its effect; it proves nothing about now.
+                        return self.confirm_lead(epoch, sent).await;
+                    }
+                    return Err(Lost::Superseded);
+                }
+                Err(failure) => {
+                    tries += 1;
+                    if tries == 1 {
+                        tracing::warn!(position, %failure, "entry not confirmed; it is written again");
+                    }
+                    time::sleep(RETRY).await;
+                }
+            }
+        }
+    }
+
+    /// The entry is written; whether the lead is still held is another question, and
+    /// a former owner must not act on the entry any more.
+    async fn confirm_lead(
+        &self,
+        epoch: u64,
+        mut sent: time::Instant,
+    ) -> Result<time::Instant, Lost> {
+        loop {
+            match self.read_lead(false).await {
+                Ok(Some(lead)) if lead.epoch == epoch => return Ok(sent),
+                Ok(_) => return Err(Lost::Superseded),
+                Err(failure) => {
+                    tracing::warn!(%failure, "lead not read; it is read again");
+                    time::sleep(RETRY).await;
+                    sent = time::Instant::now();
+                }
+            }
+        }
+    }
+
+    /// Whether a snapshot is due behind this position.
+    #[must_use]
+    pub fn wants_snapshot(position: u64) -> bool {
+        position.is_multiple_of(SNAPSHOT_EVERY)
+    }
+
+    /// Writes a snapshot of the state after the durable entry at `position`, then
+    /// removes the entries that it replaces.
+    ///
+    /// # Errors
+    /// A step failed; the log is still whole.
+    pub async fn compact(&self, epoch: u64, position: u64, snapshot: &[u8]) -> Result<(), Failure> {
+        let mut parts = 0;
+        for chunk in snapshot.chunks(PART) {
+            let put = vec![(
+                self.part_key(position, parts),
+                Bytes::copy_from_slice(chunk),
+            )];
+            self.commit_as_owner(epoch, put, Vec::new()).await?;
+            parts += 1;
+        }
+        let former = self.store.get(&self.base_key(), false).await?;
+        let former: Option<Base> = former.and_then(|item| postcard::from_bytes(&item.value).ok());
+        let base = postcard::to_stdvec(&Base { position, parts })
+            .map_err(|error| Failure::none("encode base", self.base_key(), error))?;
+        let put = vec![(self.base_key(), Bytes::from(base))];
+        self.commit_as_owner(epoch, put, Vec::new()).await?;
+        let first = former.as_ref().map_or(1, |base| base.position + 1);
+        let mut old: Vec<String> = (first..=position).map(|at| self.entry_key(at)).collect();
+        if let Some(base) = former {
+            old.extend((0..base.parts).map(|part| self.part_key(base.position, part)));
+        }
+        for keys in old.chunks(REMOVE_MAX) {
+            self.commit_as_owner(epoch, Vec::new(), keys.to_vec())
+                .await?;
+        }
+        tracing::info!(
+            position,
+            bytes = snapshot.len(),
+            removed = old.len(),
+            "snapshot written"
+        );
+        Ok(())
+    }
+
+    async fn commit_as_owner(
+        &self,
+        epoch: u64,
+        put: Vec<(String, Bytes)>,
+        remove: Vec<String>,
+    ) -> Result<(), Failure> {
+        let txn = Txn {
+            expect: vec![(self.lead_key(), epoch)],
+            put,
+            remove,
+        };
+        match self.store.commit(&txn).await? {
+            Committed::Done(_) => Ok(()),
+            Committed::Conflict(_) => Err(Failure::none(
+                "compact log",
+                &*self.prefix,
+                "another process owns the log",
+            )),
+        }
+    }
+}
+
+/// What became of an attempt to own a log.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Seized {
+    /// It is ours, at this epoch.
+    Mine(u64),
+    /// Another process has it.
+    Theirs(Option<Lead>),
+}
+
+fn decode_lead(key: &str, value: &[u8], revision: u64) -> Result<Lead, Failure> {
+    let lead: Lead =
+        postcard::from_bytes(value).map_err(|error| Failure::none("decode lead", key, error))?;
+    Ok(Lead {
+        epoch: revision,
+        ..lead
+    })
+}
+
+fn position_of(key: &str) -> Result<u64, Failure> {
+    let digits = key.rsplit('/').next().unwrap_or_default();
+    u64::from_str_radix(digits, 16).map_err(|error| Failure::none("read position", key, error))
+}
--- /dev/null
+++ b/ashtiller/src/workflow/mod.rs
@@ -0,0 +1,28 @@
+//! Jobs of dependent steps, run on workers by whichever entry instance owns the log.
+//!
+//! - what there is: [`job`], [`fact`], [`config`], [`terms`];
+//! - what is decided: [`book`] replays facts, [`core`] decides, [`worker`], [`lease`]
+//!   and [`live`] are its view of the fleet;
+//! - what is carried out: [`log`] writes, [`owner`] runs the state machine,
+//!   [`campaign`] decides when to own, [`node`] is the process, [`link`] its peers;
+//! - the borders: [`kv`] and [`agents`] are traits, [`follow`] reads changes.
+
+pub mod agents;
+pub mod book;
+pub mod campaign;
+pub mod config;
+pub mod core;
+pub mod fact;
+pub mod follow;
+pub mod job;
+pub mod kv;
+pub mod lease;
+pub mod link;
+pub mod live;
+pub mod log;
+pub mod message;
+pub mod node;
+pub mod owner;
+pub mod settings;
+pub mod terms;
+pub mod worker;
--- /dev/null
+++ b/ashtiller/src/workflow/node.rs
@@ -0,0 +1,426 @@
+//! One entry instance: takes clients' calls, and owns the log or follows who does.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::LocalBoxFuture;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task;
+use tokio::time::{self, Instant};
+
+use crate::failure::{Effect, Failure};
+use crate::workflow::agents::Agents;
+use crate::workflow::config::{Config, Dialect};
+use crate::workflow::fact::Lead;
+use crate::workflow::follow::{self, Seen};
+use crate::workflow::kv::{Change, Item, Store};
+use crate::workflow::link::{Answers, Links};
+use crate::workflow::log::Log;
+use crate::workflow::message::{Ask, Hello, Member, Reply, Welcome};
+use crate::workflow::owner::{self, Asked};
+use crate::workflow::settings::Settings;
+
+/// Prefix of everything that this project keeps in the store.
+const PREFIX: &str = "ashtiller/flow/";
+/// How often the store is asked for the lead, which also tells that it is there.
+const PROBE: Duration = Duration::from_millis(500);
+/// Pause between two tries to reach the owner.
+const AGAIN: Duration = Duration::from_millis(40);
+/// Silence after which a member is forgotten.
+const SILENT: Duration = Duration::from_secs(2);
+/// Time limit of one question to the owner.
+const ASK_LIMIT: Duration = Duration::from_millis(1500);
+
+/// What every part of the process shares.
+pub struct Node {
+    /// Settings.
+    pub settings: Settings,
+    /// Key-value service.
+    pub store: Arc<dyn Store>,
+    /// Workers.
+    pub agents: Arc<dyn Agents>,
+    /// Reader of what the platform keeps in the store.
+    pub dialect: Arc<dyn Dialect>,
+    /// Connections to other instances.
+    pub links: Links,
+    /// The log.
+    pub log: Log,
+    /// Random number of this process's life.
+    pub life: u64,
+    lead: watch::Sender<Option<Lead>>,
+    config: watch::Sender<Arc<Config>>,
+    members: RefCell<Vec<Member>>,
+    heard: RefCell<HashMap<Arc<str>, Instant>>,
+    owner: RefCell<Option<mpsc::Sender<Asked>>>,
+    store_seen: Cell<Option<Instant>>,
+    leaving: Cell<bool>,
+}
+
+/// What the process reaches outside.
+pub struct Outside {
+    /// Key-value service.
+    pub store: Arc<dyn Store>,
+    /// Workers.
+    pub agents: Arc<dyn Agents>,
+    /// Reader of what the platform keeps in the store.
+    pub dialect: Arc<dyn Dialect>,
+}
+
+impl Node {
+    /// A process that has not begun to act.
+    #[must_use]
+    pub fn new(settings: Settings, outside: Outside) -> Rc<Self> {
+        let life = rand::random::<u64>();
+        let Outside {
+            store,
+            agents,
+            dialect,
+        } = outside;
+        Rc::new(Self {
+            log: Log::new(store.clone(), PREFIX, life),
+            settings,
+            store,
+            agents,
+            dialect,
+            links: Links::default(),
+            life,
+            lead: watch::Sender::new(None),
+            config: watch::Sender::new(Arc::default()),
+            members: RefCell::default(),
+            heard: RefCell::default(),
+            owner: RefCell::default(),
+            store_seen: Cell::default(),
+            leaving: Cell::new(false),
+        })
+    }
+
+    /// Begins to follow the configuration, to watch the store and to campaign.
+    pub fn spawn(self: &Rc<Self>) {
+        task::spawn_local(self.clone().follow_config());
+        task::spawn_local(self.clone().probe_store());
+        task::spawn_local(crate::workflow::campaign::run(self.clone()));
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Arc<Config> {
+        self.config.borrow().clone()
+    }
+
+    /// Follows the configuration in force.
+    #[must_use]
+    pub fn watch_config(&self) -> watch::Receiver<Arc<Config>> {
+        self.config.subscribe()
+    }
+
+    /// Whether clients can be served.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.leaving.get() && self.config.borrow().version > 0
+    }
+
+    /// Whether a planned stop has begun.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    /// Begins a planned stop.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+    }
+
+    /// Puts a configuration in force, unless a newer one is.
+    pub fn adopt_config(&self, config: Arc<Config>) {
+        let version = config.version;
+        let adopted = self.config.send_if_modified(|current| {
+            let newer = config.version > current.version;
+            if newer {
+                *current = config;
+            }
+            newer
+        });
+        if adopted {
+            tracing::info!(version, "configuration in force");
+        }
+    }
+
+    /// Who owns the log, as far as is known.
+    #[must_use]
+    pub fn lead(&self) -> Option<Lead> {
+        self.lead.borrow().clone()
+    }
+
+    /// Follows who owns the log.
+    #[must_use]
+    pub fn watch_lead(&self) -> watch::Receiver<Option<Lead>> {
+        self.lead.subscribe()
+    }
+
+    /// Takes note of an owner, unless a later one is known.
+    pub fn adopt_lead(&self, lead: Lead) {
+        let adopted = self.lead.send_if_modified(|current| {
+            let newer = current
+                .as_ref()
+                .is_none_or(|known| lead.epoch > known.epoch);
+            if newer {
+                *current = Some(lead.clone());
+            }
+            newer
+        });
+        if adopted {
+            tracing::info!(owner = %lead.name, epoch = lead.epoch, "owner of the log");
+        }
+    }
+
+    /// This process as an owner, at an epoch that is not known yet.
+    #[must_use]
+    pub fn as_lead(&self) -> Lead {
+        Lead {
+            name: self.settings.instance.name.clone(),
+            address: self.settings.entry.peers,
+            life: self.life,
+            epoch: 0,
+        }
+    }
+
+    /// This process as others should see it.
+    #[must_use]
+    pub fn as_member(&self) -> Member {
+        let age = self
+            .store_seen
+            .get()
+            .map_or(u128::MAX, |at| at.elapsed().as_millis());
+        Member {
+            name: self.settings.instance.name.clone(),
+            address: self.settings.entry.peers,
+            store_age: u32::try_from(age).unwrap_or(u32::MAX),
+            leaving: self.leaving.get(),
+        }
+    }
+
+    /// The other instances, as the owner last told.
+    #[must_use]
+    pub fn members(&self) -> Vec<Member> {
+        self.members.borrow().clone()
+    }
+
+    /// Replaces the members.
+    pub fn set_members(&self, members: Vec<Member>) {
+        *self.members.borrow_mut() = members;
+    }
+
+    /// Where other instances may be reached: members first, then seeds.
+    #[must_use]
+    pub fn others(&self) -> Vec<SocketAddr> {
+        let port = self.settings.entry.peers.port();
+        let mut others: Vec<SocketAddr> = self
+            .members
+            .borrow()
+            .iter()
+            .map(|member| member.address)
+            .collect();
+        // Ports are alike on all instances; seeds name another port of theirs.
+        let seeds = self.settings.entry.seeds.iter();
+        others.extend(seeds.map(|seed| SocketAddr::new(seed.ip(), port)));
+        others.retain(|address| *address != self.settings.entry.peers);
+        let mut unique = Vec::new();
+        for address in others {
+            if !unique.contains(&address) {
+                unique.push(address);
+            }
+        }
+        unique
+    }
+
+    /// Installs or removes the queue of questions to the own log.
+    pub fn set_owner(&self, owner: Option<mpsc::Sender<Asked>>) {
+        *self.owner.borrow_mut() = owner;
+    }
+
+    /// Whether this process owns the log.
+    #[must_use]
+    pub fn owns(&self) -> bool {
+        self.owner.borrow().is_some()
+    }
+
+    /// The store has answered.
+    pub fn note_store(&self) {
+        self.store_seen.set(Some(Instant::now()));
+    }
+
+    async fn follow_config(self: Rc<Self>) {
+        let (sender, mut seen) = mpsc::channel(16);
+        let prefix = self.dialect.operator_prefix();
+        task::spawn_local(follow::follow(self.store.clone(), prefix, sender));
+        while let Some(seen) = seen.recv().await {
+            self.note_store();
+            let items = match seen {
+                Seen::All(items) => items,
+                Seen::Changes(changes) => changes.into_iter().filter_map(put_of).collect(),
+            };
+            for item in items {
+                match self.dialect.config(&item.key, &item.value) {
+                    Ok(Some(config)) => self.adopt_config(Arc::new(config)),
+                    Ok(None) => {}
+                    Err(error) => {
+                        tracing::error!(key = %item.key, revision = item.revision, %error,
+                        "configuration cannot be read; the last good one stays")
+                    }
+                }
+            }
+        }
+    }
+
+    async fn probe_store(self: Rc<Self>) {
+        let mut failed = false;
+        loop {
+            match self.log.read_lead(true).await {
+                Ok(lead) => {
+                    self.note_store();
+                    if failed {
+                        tracing::info!("store answers again");
+                    }
+                    failed = false;
+                    if let Some(lead) = lead {
+                        self.adopt_lead(lead);
+                    }
+                }
+                Err(failure) => {
+                    if !failed {
+                        tracing::warn!(%failure, "store does not answer");
+                    }
+                    failed = true;
+                }
+            }
+            time::sleep(PROBE).await;
+        }
+    }
+
+    /// Asks the owner of the log, wherever it is, and goes on until `deadline`.
+    pub async fn ask_owner(&self, ask: &Ask, deadline: Instant) -> Reply {
+        let mut doubt = false;
+        loop {
+            match self.try_owner(ask, deadline).await {
+                Ok(Reply::NotOwner) => {}
+                Ok(Reply::Unknown) => doubt = true,
+                Ok(reply) => return reply,
+                Err(failure) => {
+                    doubt |= failure.effect == Effect::Unknown;
+                    tracing::debug!(%failure, "owner not reached");
+                }
+            }
+            if Instant::now() + AGAIN >= deadline {
+                let retry = self.settings.terms.retry.as_millis();
+                return if doubt {
+                    Reply::Unknown
+                } else {
+                    Reply::Refused(u32::try_from(retry).unwrap_or(u32::MAX))
+                };
+            }
+            let mut lead = self.watch_lead();
+            let _ = time::timeout(AGAIN, lead.changed()).await;
+        }
+    }
+
+    async fn try_owner(&self, ask: &Ask, deadline: Instant) -> Result<Reply, Failure> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        if self.owns() {
+            return Ok(self.ask_here(ask.clone(), left).await);
+        }
+        let Some(lead) = self.lead().filter(|lead| lead.life != self.life) else {
+            return Ok(Reply::NotOwner);
+        };
+        self.links
+            .ask("ask owner", lead.address, ask, left.min(ASK_LIMIT))
+            .await
+    }
+
+    /// Asks the log that this process owns.
+    async fn ask_here(&self, ask: Ask, limit: Duration) -> Reply {
+        let Some(owner) = self.owner.borrow().clone() else {
+            return Reply::NotOwner;
+        };
+        let (sender, reply) = oneshot::channel();
+        if owner.try_send(Asked { ask, reply: sender }).is_err() {
+            return Reply::Refused(1000);
+        }
+        match time::timeout(limit, reply).await {
+            Ok(Ok(reply)) => reply,
+            // The owner ended before it decided, or is still at it.
+            Ok(Err(_)) | Err(_) => Reply::Unknown,
+        }
+    }
+
+    fn welcome(&self, hello: &Hello) -> Welcome {
+        let config = self.config();
+        if hello.config > config.version {
+            // The sender's own heartbeat brings it when it sees our version.
+            tracing::debug!(
+                theirs = hello.config,
+                ours = config.version,
+                "a member has a newer configuration"
+            );
+        }
+        let mut heard = self.heard.borrow_mut();
+        heard.insert(hello.member.name.clone(), Instant::now());
+        heard.retain(|_, at| at.elapsed() < SILENT);
+        let mut members = self.members();
+        members
+            .retain(|member| member.name != hello.member.name && heard.contains_key(&member.name));
+        members.push(hello.member.clone());
+        members.sort_by(|one, two| one.name.cmp(&two.name));
+        let owns = self.owns();
+        if owns {
+            self.set_members(members.clone());
+        }
+        let digest = owner::digest(&members);
+        let newer = config.version > hello.config;
+        Welcome {
+            epoch: if owns {
+                self.lead().map_or(0, |lead| lead.epoch)
+            } else {
+                0
+            },
+            version: config.version,
+            config: newer.then(|| Box::new((*config).clone())),
+            members: (digest != hello.members).then_some(members),
+            digest,
+        }
+    }
+}
+
+fn put_of(change: Change) -> Option<Item> {
+    match change {
+        Change::Put(item) => Some(item),
+        Change::Gone(_) => None,
+    }
+}
+
+impl Answers for Node {
+    fn answer(self: Rc<Self>, ask: Ask) -> LocalBoxFuture<'static, Reply> {
+        Box::pin(async move {
+            match ask {
+                Ask::Hello(hello) => Reply::Welcome(Box::new(self.welcome(&hello))),
+                Ask::Lead => Reply::Lead(self.lead()),
+                Ask::Leads(lead) => {
+                    self.adopt_lead(lead);
+                    Reply::Noted
+                }
+                Ask::Config(config) => {
+                    self.adopt_config(Arc::new(*config));
+                    Reply::Noted
+                }
+                Ask::TakeOver(lead) => {
+                    crate::workflow::campaign::take_over(&self, &lead).await;
+                    Reply::Lead(self.lead())
+                }
+                ask => self.ask_here(ask, ASK_LIMIT).await,
+            }
+        })
+    }
+}
--- /dev/null
+++ b/ashtiller/src/workflow/settings.rs
@@ -0,0 +1,145 @@
+//! The settings of an entry instance, read from an INI file.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::document::Document;
+use crate::mistake::Mistakes;
+use crate::settings::Instance;
+use crate::workflow::terms::Terms;
+
+/// Sections of a settings file.
+const SECTIONS: [&str; 4] = ["instance", "entry", "platform", "workers"];
+const MS: Duration = Duration::from_millis(1);
+const SECOND: Duration = Duration::from_secs(1);
+const MINUTE: Duration = Duration::from_mins(1);
+const HOUR: Duration = Duration::from_hours(1);
+
+/// Where an entry instance listens, and whom it knows.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// Where clients connect.
+    pub clients: SocketAddr,
+    /// Where the balancer asks for readiness.
+    pub readiness: SocketAddr,
+    /// Where other entry instances connect.
+    pub peers: SocketAddr,
+    /// Where metrics and the state dump are served.
+    pub operators: SocketAddr,
+    /// Ports of other entry instances that may be up.
+    pub seeds: Vec<SocketAddr>,
+    /// Time between SIGTERM and SIGKILL.
+    pub grace: Duration,
+}
+
+/// How to reach the platform.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Platform {
+    /// Key-value service.
+    pub store: SocketAddr,
+    /// Advisor on workers, if there is one.
+    pub advisor: Option<SocketAddr>,
+    /// Interface to machines, if there is one.
+    pub machines: Option<SocketAddr>,
+}
+
+/// Settings of one entry instance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Who and where this process is.
+    pub instance: Instance,
+    /// Where it listens.
+    pub entry: Entry,
+    /// How to reach the platform.
+    pub platform: Platform,
+    /// Times and limits towards workers.
+    pub terms: Terms,
+}
+
+impl Settings {
+    /// Reads settings from the text of an INI file; `file` is shown in mistakes.
+    ///
+    /// # Errors
+    /// Every mistake in the file at once.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Mistakes> {
+        let mut document = Document::parse(file, text)?;
+        let settings = Self {
+            instance: read_instance(&mut document),
+            entry: read_entry(&mut document),
+            platform: read_platform(&mut document),
+            terms: read_terms(&mut document),
+        };
+        document.finish(&SECTIONS)?;
+        Ok(settings)
+    }
+}
+
+fn read_instance(document: &mut Document) -> Instance {
+    let mut section = document.section("instance");
+    Instance {
+        name: section.name("name", None),
+        region: section.name("region", Some("default")),
+        zone: section.name("availability_zone", None),
+    }
+}
+
+fn read_entry(document: &mut Document) -> Entry {
+    let mut section = document.section("entry");
+    let host = section.name("host", None);
+    let ports: Vec<u16> = section
+        .words("ports", "")
+        .iter()
+        .filter_map(|port| port.parse().ok())
+        .collect();
+    if ports.len() != 2 || ports[0] >= ports[1] {
+        section.reject(
+            "ports",
+            "no range",
+            "first and last port of a range, such as 7720,7735",
+        );
+    }
+    let ip = host.parse();
+    if ip.is_err() {
+        section.reject("host", &host, "an IP number");
+    }
+    let ip = ip.unwrap_or_else(|_| std::net::IpAddr::from([127, 0, 0, 1]));
+    let first = ports.first().copied().unwrap_or_default();
+    let seeds = section.words("seeds", "");
+    Entry {
+        clients: section.address("clients", None),
+        readiness: section.address("readiness", None),
+        peers: SocketAddr::new(ip, first),
+        operators: SocketAddr::new(ip, first.saturating_add(1)),
+        seeds: seeds.iter().filter_map(|seed| seed.parse().ok()).collect(),
+        grace: section.duration("grace", Some(6 * SECOND), SECOND..=10 * MINUTE),
+    }
+}
+
+fn read_platform(document: &mut Document) -> Platform {
+    let mut section = document.section("platform");
+    let store = section.address("store", None);
+    let optional = |words: Vec<Arc<str>>| words.first().and_then(|word| word.parse().ok());
+    Platform {
+        store,
+        advisor: optional(section.words("advisor", "")),
+        machines: optional(section.words("machines", "")),
+    }
+}
+
+fn read_terms(document: &mut Document) -> Terms {
+    let mut section = document.section("workers");
+    let defaults = Terms::default();
+    Terms {
+        lease: section.duration("lease", Some(defaults.lease), SECOND..=10 * MINUTE),
+        horizon: section.duration("horizon", Some(defaults.horizon), SECOND..=HOUR),
+        wait: section.duration("wait", Some(defaults.wait), 10 * MS..=MINUTE),
+        watch: section.duration("watch", Some(defaults.watch), 10 * MS..=MINUTE),
+        pause: section.duration("pause", Some(defaults.pause), MS..=MINUTE),
+        commit: section.duration("commit", Some(defaults.commit), MS..=10 * SECOND),
+        retry: section.duration("retry", Some(defaults.retry), MS..=MINUTE),
+        keep: section.duration("keep", Some(defaults.keep), SECOND..=24 * HOUR),
+        far: f64::from(section.count("far_percent", Some(200), 100..=10_000)) / 100.0,
+        ..defaults
+    }
+}
--- /dev/null
+++ b/ashtiller/src/workflow/terms.rs
@@ -0,0 +1,67 @@
+//! Times and limits of the owner of a log.
+
+use std::time::Duration;
+
+/// Times and limits. The platform's bounds come from the settings; what is ours is
+/// explained where [`Terms::default`] sets it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Longest lease that a worker grants.
+    pub lease: Duration,
+    /// How long leases are renewed past the last proof of ownership.
+    pub horizon: Duration,
+    /// How long a look may wait for an end.
+    pub wait: Duration,
+    /// The same at a worker where runs that fill are beside runs that serve.
+    pub watch: Duration,
+    /// Pause between two looks at a worker, so that ends are reported together.
+    pub pause: Duration,
+    /// Least time between two entries.
+    pub commit: Duration,
+    /// Time after which an entry is written although nothing happened.
+    pub proof: Duration,
+    /// Time after which an entry under way counts as a sign that the store is away.
+    pub stall: Duration,
+    /// Time to come back that a client is told while the store is away.
+    pub retry: Duration,
+    /// How long an ended job is known.
+    pub keep: Duration,
+    /// Slack between clocks before a job that has a time is started, milliseconds.
+    pub clock_slack: u64,
+    /// Factor on run time away from the data's rack.
+    pub far: f64,
+    /// Jobs that are not over, at most.
+    pub jobs: usize,
+    /// How long a worker may miss in the platform's list after the store was away.
+    pub relist: Duration,
+    /// Time between a pace and its effect.
+    pub pace_delay: Duration,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_secs(6),
+            // Longer than the outages that operators report, which last 4 to 9 s.
+            horizon: Duration::from_secs(11),
+            // The longest that workers allow; a look is priced by the call.
+            wait: Duration::from_millis(2000),
+            // Reports are averages over half a second.
+            watch: Duration::from_millis(500),
+            pause: Duration::from_millis(40),
+            // Half of it is added to a job's time, and each entry is priced.
+            commit: Duration::from_millis(30),
+            proof: Duration::from_millis(500),
+            // A hundred times the store's usual answer.
+            stall: Duration::from_millis(450),
+            retry: Duration::from_secs(1),
+            keep: Duration::from_secs(150),
+            clock_slack: 50,
+            far: 2.0,
+            // Some 2 KB each, against 260 MB an instance.
+            jobs: 20_000,
+            relist: Duration::from_millis(2500),
+            pace_delay: Duration::from_millis(100),
+        }
+    }
+}
--- /dev/null
+++ b/ashtiller/src/workflow/worker.rs
@@ -0,0 +1,160 @@
+//! One worker's life, as the owner of a log sees it.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::resources::{Pool, Resources};
+use crate::workflow::agents::Target;
+use crate::workflow::config::Listed;
+use crate::workflow::fact::Run;
+use crate::workflow::lease::Lease;
+
+/// First time for which a worker that fails what it starts gets nothing; doubles.
+/// Short against the spells of some seconds that workers show.
+const QUARANTINE_FIRST: Duration = Duration::from_millis(1500);
+/// Longest such time.
+const QUARANTINE_MAX: Duration = Duration::from_secs(12);
+/// Failures without a success between them that put a worker aside.
+const FAILURES: u32 = 2;
+
+/// One worker's life.
+#[derive(Debug)]
+pub struct Worker {
+    /// What the platform says of it.
+    pub listed: Listed,
+    /// Since when the platform does not list it.
+    pub absent: Option<Duration>,
+    /// Since when it is about to leave.
+    pub draining: Option<Duration>,
+    /// Its lease.
+    pub lease: Lease,
+    /// Whether it has answered under this owner's fence.
+    pub fenced: bool,
+    /// Whether the last look at it was answered.
+    pub answers: bool,
+    /// When it last answered a look.
+    pub heard: Duration,
+    /// Whether a look is under way, and since when.
+    pub looking: Option<Duration>,
+    /// When the next look is due.
+    pub next_look: Duration,
+    /// Orders under way.
+    pub ordering: u32,
+    /// Room that runs take.
+    pub pool: Pool,
+    /// Runs that may be going on there.
+    pub runs: BTreeSet<Run>,
+    /// Ends up to this number were reported.
+    pub noted: u64,
+    /// Ends up to this number are recorded.
+    pub seen: u64,
+    /// Runs there that serve.
+    pub serving: u32,
+    /// Runs there that fill.
+    pub filling: u32,
+    /// Processors asked for by the runs that fill, in thousandths.
+    pub filled: u64,
+    /// Until when it gets no runs because it fails, stalls or is slow.
+    pub aside: Option<Duration>,
+    failures: u32,
+    quarantines: u32,
+}
+
+impl Worker {
+    /// A worker whose earlier leases end by `bound`.
+    #[must_use]
+    pub fn new(listed: Listed, bound: Duration) -> Self {
+        Self {
+            pool: Pool::new(listed.capacity),
+            draining: None,
+            listed,
+            absent: None,
+            lease: Lease::new(bound),
+            fenced: false,
+            answers: false,
+            heard: Duration::ZERO,
+            looking: None,
+            next_look: Duration::ZERO,
+            ordering: 0,
+            runs: BTreeSet::new(),
+            noted: 0,
+            seen: 0,
+            serving: 0,
+            filling: 0,
+            filled: 0,
+            aside: None,
+            failures: 0,
+            quarantines: 0,
+        }
+    }
+
+    /// How to address it, under this fence.
+    #[must_use]
+    pub fn target(&self, fence: u64) -> Target {
+        Target {
+            id: self.listed.id.clone(),
+            address: self.listed.address,
+            fence,
+        }
+    }
+
+    /// Whether it has this label.
+    #[must_use]
+    pub fn has_label(&self, label: &str) -> bool {
+        self.listed.labels.iter().any(|have| **have == *label)
+    }
+
+    /// Processors that no run asked for, in thousandths.
+    #[must_use]
+    pub fn unused(&self) -> u64 {
+        self.pool.free().processors
+    }
+
+    /// Changes what it has.
+    pub fn resize(&mut self, capacity: Resources) {
+        self.pool.resize(capacity);
+    }
+
+    /// Counts a run that failed; true when the worker is put aside for it.
+    pub fn note_failure(&mut self, now: Duration) -> bool {
+        self.failures += 1;
+        if self.failures < FAILURES || self.aside.is_some_and(|until| until > now) {
+            return false;
+        }
+        self.put_aside(now);
+        true
+    }
+
+    /// Gives it nothing for a while, longer each time until something succeeds there.
+    pub fn put_aside(&mut self, now: Duration) {
+        let doubled = QUARANTINE_FIRST * 2u32.pow(self.quarantines.min(4));
+        self.aside = Some(now + doubled.min(QUARANTINE_MAX));
+        self.quarantines += 1;
+    }
+
+    /// Counts a run that succeeded.
+    pub fn note_success(&mut self) {
+        self.failures = 0;
+        self.quarantines = 0;
+        self.aside = None;
+    }
+
+    /// Failures since the last success.
+    #[must_use]
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// Whether it is on trial: it was put aside and nothing has succeeded since.
+    #[must_use]
+    pub fn on_trial(&self) -> bool {
+        self.quarantines > 0
+    }
+
+    /// Its id.
+    #[must_use]
+    pub fn id(&self) -> &Arc<str> {
+        &self.listed.id
+    }
+}
