--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -7,12 +7,13 @@
 use crate::workflow::agents::{Active, Finished, How, Looked, Name, Order};
 use crate::workflow::core::{Core, Effect, Now, Then};
 use crate::workflow::fact::{End, Run, Task};
-use crate::workflow::job::Sharing;
 use crate::workflow::live::{Reason, Stage, Stop};
 
 /// Time without progress after which a run counts as stalled. The platform's
 /// workers report whole percents, which tasks of up to 5.4 s gain every 54 ms.
 const STALLED: Duration = Duration::from_millis(1100);
+/// The same for a run that fills.
+const STALLED_FILL: Duration = Duration::from_millis(3500);
 
 impl Core {
     /// The run that a worker means.
@@ -180,11 +181,15 @@
     }
 
     fn note_progress(&mut self, run: Run, row: &Active, now: Now) {
-        let (serves, lasting) = self.book.task(run.task).map_or((false, false), |(job, _)| {
-            let step = job.step(run.task);
-            let serves = step.is_some_and(|step| matches!(step.sharing, Sharing::Serves(_)));
-            (serves, step.is_some_and(|step| step.lasting))
-        });
+        let Some(step) = self
+            .book
+            .task(run.task)
+            .and_then(|(job, _)| job.step(run.task))
+        else {
+            return;
+        };
+        let (serves, fills) = (step.target().is_some(), step.fills());
+        let lasting = step.lasting;
         let Some(live) = self.runs.get_mut(&run) else {
             return;
         };
@@ -204,9 +209,14 @@
         }
         live.percent = row.percent;
         live.began.get_or_insert((now.at, row.percent));
-        let stalled = now.at.saturating_sub(live.moved) > STALLED;
-        let paced = live.pace < 100 || live.pace_goal < 100;
-        if stalled && !lasting && !paced && live.stop == Stop::None && row.percent < 100 {
+        if live.pace < 100 || live.pace_goal < 100 {
+            // Slow by order: its clock begins when it may work in full.
+            live.moved = now.at;
+        }
+        // What fills may find no processors unused for a while.
+        let limit = if fills { STALLED_FILL } else { STALLED };
+        let stalled = now.at.saturating_sub(live.moved) > limit;
+        if stalled && !lasting && live.stop == Stop::None && row.percent < 100 {
             tracing::info!(task = %run.task, run = run.number, worker = %live.worker, percent = row.percent,
                 since_ms = now.at.saturating_sub(live.moved).as_millis(), "run stalls");
             live.want_stop(Reason::Stalled);
