Learn factors of pairs with their variance, and keep them for a later owner

Cause: the correction of factors had a fixed rate, so noise of loads (0.17) moved them all the time, and a new owner began without any. Diagonal filter instead; lessons go into the log every 3 s (some 3 KB).

--- a/ashtiller/src/workflow/book.rs
+++ b/ashtiller/src/workflow/book.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::workflow::fact::{End, Fact, Outcome, Run, Task};
+use crate::workflow::interference::Lesson;
 use crate::workflow::job::{Job, Policy, Step};
 
 /// A run that has been placed and has not ended.
@@ -163,6 +164,8 @@
     pub next: u32,
     /// Jobs by number.
     pub jobs: BTreeMap<u32, JobState>,
+    /// What was learned about images that disturb each other.
+    pub lessons: Vec<Lesson>,
     #[serde(skip)]
     names: BTreeMap<Arc<str>, u32>,
     #[serde(skip)]
@@ -227,6 +230,7 @@
             Fact::Placed(run, worker, saved) => self.place(*run, worker, saved),
             Fact::Ended(run, end, saved) => return self.end(*run, *end, saved, now),
             Fact::Forgotten(number) => self.forget(*number),
+            Fact::Learned(lessons) => self.lessons.clone_from(lessons),
         }
         Effect::None
     }
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -105,6 +105,7 @@
     returned: Option<Duration>,
     effects: Vec<Effect>,
     interference: Interference,
+    taught: Duration,
     counts: Counts,
 }
 
@@ -134,8 +135,10 @@
             returned: None,
             effects: Vec::new(),
             interference: Interference::default(),
+            taught: now.at,
             counts: Counts::default(),
         };
+        core.interference.import(&core.book.lessons);
         core.adopt_runs(now);
         core
     }
@@ -308,6 +311,7 @@
             self.plan(now);
         }
         self.forget_ended(now);
+        self.keep_lessons(now);
         if self.pending.is_empty() && since < self.terms.proof {
             return;
         }
@@ -330,6 +334,18 @@
         }
     }
 
+    /// Keeps what was learned, for a later owner.
+    fn keep_lessons(&mut self, now: Now) {
+        if now.at < self.taught + self.terms.teach {
+            return;
+        }
+        self.taught = now.at;
+        let lessons = self.interference.export();
+        if !lessons.is_empty() {
+            self.record(Fact::Learned(lessons), now);
+        }
+    }
+
     /// Applies a fact and puts it into the next entry.
     fn record(&mut self, fact: Fact, now: Now) {
         let effect = self.book.apply(&fact, now.at);
--- a/ashtiller/src/workflow/fact.rs
+++ b/ashtiller/src/workflow/fact.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::workflow::interference::Lesson;
 use crate::workflow::job::{Job, Policy};
 
 /// One task of a job.
@@ -80,6 +81,8 @@
     Failed(u32),
     /// An ended job is forgotten.
     Forgotten(u32),
+    /// What was learned about images that disturb each other.
+    Learned(Vec<Lesson>),
 }
 
 /// The process that owns a log, as its lead key says.
--- a/ashtiller/src/workflow/interference.rs
+++ b/ashtiller/src/workflow/interference.rs
@@ -9,6 +9,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 /// Tail without load as a share of the target. The platform's services have targets
 /// of five times it; its reports alone beside no fill begin there.
 const IDLE_TAIL: f64 = 0.2;
@@ -18,15 +20,18 @@
 /// mean of such reports on both sites.
 const LOAD_FIRST: f64 = 0.47;
 /// Factor that is assumed of a pair without reports; the mean of fitted pairs is 0.34.
-const FACTOR_FIRST: f64 = 0.4;
+const FACTOR_FIRST: f64 = 0.34;
 /// Bounds of a factor.
 const FACTOR: [f64; 2] = [0.05, 3.0];
-/// Share of an error by which the first report corrects, and the one that stays.
-const RATE: [f64; 2] = [0.35, 0.03];
-/// Reports after which the rate of correction has halved.
-const RATE_HALVES: f64 = 12.0;
-/// Keeps the correction by a small fill small.
-const SMALL: f64 = 0.02;
+/// Variance of a factor without reports; fitted pairs spread by 0.25.
+const SPREAD_FIRST: f64 = 0.0625;
+/// Variance of a report around what is known. Loads swing by 0.17, but half as much
+/// was not worse in trials and learns sooner.
+const NOISE: f64 = 0.01;
+/// Variance that a factor gains with each report, since pairs change.
+const DRIFT: f64 = 2e-5;
+/// Share of an error by which a report corrects the load of an image.
+const LOAD_RATE: f64 = 0.02;
 
 /// A run that fills, beside a run that serves.
 #[derive(Clone, Debug)]
@@ -40,14 +45,19 @@
 #[derive(Clone, Copy, Debug)]
 struct Factor {
     value: f64,
-    reports: f64,
+    variance: f64,
 }
 
+const FIRST: Factor = Factor {
+    value: FACTOR_FIRST,
+    variance: SPREAD_FIRST,
+};
+
 /// What was learned about pairs of images.
 #[derive(Clone, Debug, Default)]
 pub struct Interference {
     factors: BTreeMap<(Arc<str>, Arc<str>), Factor>,
-    loads: BTreeMap<Arc<str>, Factor>,
+    loads: BTreeMap<Arc<str>, f64>,
 }
 
 /// Share of use that a tail tells, as a share of its target.
@@ -74,7 +84,7 @@
     /// Share of use by the own load of an image.
     #[must_use]
     pub fn load(&self, serves: &Arc<str>) -> f64 {
-        self.loads.get(serves).map_or(LOAD_FIRST, |load| load.value)
+        self.loads.get(serves).copied().unwrap_or(LOAD_FIRST)
     }
 
     /// What fills beside an image adds to its share of use.
@@ -89,29 +99,64 @@
     /// Learns from a report: the share of use of an image beside these fills.
     pub fn learn(&mut self, serves: &Arc<str>, used: f64, beside: &[Beside]) {
         if beside.is_empty() {
-            let load = self.loads.entry(serves.clone()).or_insert(Factor {
-                value: LOAD_FIRST,
-                reports: 0.0,
-            });
-            load.value += rate(load.reports) * (used - load.value);
-            load.reports += 1.0;
+            let load = self.loads.entry(serves.clone()).or_insert(LOAD_FIRST);
+            *load += LOAD_RATE * (used - *load);
             return;
         }
         let error = used - self.load(serves) - self.pressure(serves, beside);
-        let squares: f64 = beside.iter().map(|fill| fill.share * fill.share).sum();
+        let known = |fill: &Beside| {
+            let key = (serves.clone(), fill.image.clone());
+            self.factors.get(&key).map_or(FIRST, |factor| *factor)
+        };
+        let spread: f64 = beside
+            .iter()
+            .map(|fill| fill.share * fill.share * known(fill).variance)
+            .sum::<f64>()
+            + NOISE;
         for fill in beside {
             let key = (serves.clone(), fill.image.clone());
-            let factor = self.factors.entry(key).or_insert(Factor {
-                value: FACTOR_FIRST,
-                reports: 0.0,
-            });
-            let step = rate(factor.reports) * error * fill.share / (squares + SMALL);
-            factor.value = (factor.value + step).clamp(FACTOR[0], FACTOR[1]);
-            factor.reports += fill.share / (fill.share + SMALL);
+            let factor = self.factors.entry(key).or_insert(FIRST);
+            let gain = factor.variance * fill.share / spread;
+            factor.value = (factor.value + gain * error).clamp(FACTOR[0], FACTOR[1]);
+            factor.variance =
+                (factor.variance * (1.0 - gain * fill.share) + DRIFT).min(SPREAD_FIRST);
+        }
+    }
+
+    /// What was learned, to be kept for a later owner.
+    #[must_use]
+    pub fn export(&self) -> Vec<Lesson> {
+        let pairs = self.factors.iter().map(|((serves, fills), factor)| Lesson {
+            serves: serves.clone(),
+            fills: fills.clone(),
+            factor: factor.value,
+            variance: factor.variance,
+        });
+        pairs.collect()
+    }
+
+    /// Takes over what an earlier owner learned.
+    pub fn import(&mut self, lessons: &[Lesson]) {
+        for lesson in lessons {
+            let factor = Factor {
+                value: lesson.factor,
+                variance: lesson.variance,
+            };
+            self.factors
+                .insert((lesson.serves.clone(), lesson.fills.clone()), factor);
         }
     }
 }
 
-fn rate(reports: f64) -> f64 {
-    RATE[1] + (RATE[0] - RATE[1]) / (1.0 + reports / RATE_HALVES)
+/// What was learned about one pair of images.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Lesson {
+    /// Image that serves.
+    pub serves: Arc<str>,
+    /// Image that fills.
+    pub fills: Arc<str>,
+    /// Share of use that it adds for each share of processors.
+    pub factor: f64,
+    /// Variance of that.
+    pub variance: f64,
 }
--- a/ashtiller/src/workflow/terms.rs
+++ b/ashtiller/src/workflow/terms.rs
@@ -38,6 +38,8 @@
     pub pace_delay: Duration,
     /// Time over which workers average what they report.
     pub report: Duration,
+    /// How often what was learned is kept.
+    pub teach: Duration,
 }
 
 impl Default for Terms {
@@ -65,6 +67,8 @@
             relist: Duration::from_millis(2500),
             pace_delay: Duration::from_millis(100),
             report: Duration::from_millis(500),
+            // Some 3 KB each time; pairs are learned within tens of seconds.
+            teach: Duration::from_secs(3),
         }
     }
 }
