--- a/ashtiller/src/workflow/campaign.rs
+++ b/ashtiller/src/workflow/campaign.rs
@@ -19,6 +19,9 @@
 const HELLO_LIMIT: Duration = Duration::from_millis(700);
 /// Time between two instances that try to own the log.
 const RANK_STEP: Duration = Duration::from_millis(150);
+/// Time for a new owner to learn that it is one, when answers of the store are lost
+/// or slow.
+const BEGIN: Duration = Duration::from_millis(1500);
 /// Pause before another look for an owner.
 const PAUSE: Duration = Duration::from_millis(100);
 /// Time limit of a question who the owner is.
@@ -53,7 +56,9 @@
                     replace(&node, &lead, loss).await;
                 }
             }
-            Some(lead) => replace(&node, &lead, Loss::Ended).await,
+            // A write of the lead key whose answer was lost has made this process the
+            // owner.
+            Some(lead) => owner::spawn(&node, lead),
             None => begin(&node).await,
         }
     }
@@ -88,6 +93,7 @@
 /// Heartbeats until the owner is lost.
 async fn follow(node: &Rc<Node>, lead: &Lead) -> Loss {
     let mut members = 0;
+    let mut patience = Instant::now() + BEGIN;
     loop {
         if node.lead().is_none_or(|known| known.epoch != lead.epoch) {
             return Loss::Replaced;
@@ -104,7 +110,9 @@
             .await
         {
             Ok(Reply::Welcome(welcome)) => {
-                if welcome.epoch != lead.epoch {
+                if welcome.epoch == lead.epoch {
+                    patience = Instant::now();
+                } else if welcome.life != lead.life || Instant::now() >= patience {
                     return Loss::Ended;
                 }
                 if let Some(config) = welcome.config {
@@ -245,8 +253,8 @@
         Ok(Seized::Theirs(Some(lead))) => node.adopt_lead(lead),
         Ok(Seized::Theirs(None)) => {}
         Err(failure) => {
-            tracing::warn!(%failure, "lead not written");
-            time::sleep(PAUSE).await;
+            tracing::warn!(%failure, "lead not confirmed");
+            find_lead(node).await;
         }
     }
 }
--- a/ashtiller/src/workflow/core/intake.rs
+++ b/ashtiller/src/workflow/core/intake.rs
@@ -21,26 +21,61 @@
             self.effects.push(Effect::Answer(ticket, reply));
             return;
         }
-        let Some(queue) = self.config.queue(&job.queue) else {
-            self.effects.push(Effect::Answer(ticket, Reply::Missing));
+        let known = self.arrivals.iter_mut().find(|(other, _)| other.id == job.id);
+        if let Some((_, tickets)) = known {
+            tickets.push(ticket);
+        } else {
+            self.arrivals.push((job, vec![ticket]));
+        }
+    }
+
+    /// Records the jobs that came since the last entry.
+    pub(super) fn take_arrivals(&mut self, now: Now) {
+        for (job, tickets) in std::mem::take(&mut self.arrivals) {
+            let Some(queue) = self.config.queue(&job.queue) else {
+                for ticket in tickets {
+                    self.effects.push(Effect::Answer(ticket, Reply::Missing));
+                }
+                continue;
+            };
+            let policy = queue.policy.clone();
+            let number = self.book.next;
+            tracing::info!(job = %job.id, number, queue = %job.queue, steps = %Shape(&job),
+                position = self.position, config = self.config.version, "job accepted");
+            self.recording.insert(number, self.position);
+            self.record(Fact::Accepted(Box::new(job), policy, now.wall), now);
+            self.counts.accepted += 1;
+            self.dirty = true;
+            for ticket in tickets {
+                self.defer(self.position, Then::Answer(ticket, Reply::Accepted));
+            }
+        }
+    }
+
+    /// While the store is away, jobs that are not in an entry are refused: none of
+    /// them was written anywhere.
+    pub(super) fn refuse_arrivals(&mut self, now: Now) {
+        if self.arrivals.is_empty() || !self.is_stalled(now) {
             return;
-        };
-        let policy = queue.policy.clone();
-        let number = self.book.next;
-        tracing::info!(job = %job.id, number, queue = %job.queue, steps = %Shape(&job),
-            position = self.position, config = self.config.version, "job accepted");
-        self.recording.insert(number, self.position);
-        self.record(Fact::Accepted(Box::new(job), policy, now.wall), now);
-        self.counts.accepted += 1;
-        self.dirty = true;
-        self.defer(self.position, Then::Answer(ticket, Reply::Accepted));
+        }
+        let refused = self.refusal();
+        for (job, tickets) in std::mem::take(&mut self.arrivals) {
+            tracing::info!(job = %job.id, stalled_ms = self.stalled_for(now).as_millis(), "job refused: the store is away");
+            for ticket in tickets {
+                self.effects.push(Effect::Answer(ticket, refused.clone()));
+            }
+        }
+    }
+
+    fn refusal(&self) -> Reply {
+        let retry = self.terms.retry.as_millis();
+        Reply::Refused(u32::try_from(retry).unwrap_or(u32::MAX))
     }
 
     /// Why a job is not taken, if so.
     fn judge(&self, job: &Job, now: Now) -> Option<Reply> {
-        let retry = u32::try_from(self.terms.retry.as_millis()).unwrap_or(u32::MAX);
         if self.is_stalled(now) || self.book.open().len() >= self.terms.jobs {
-            return Some(Reply::Refused(retry));
+            return Some(self.refusal());
         }
         if let Err(reason) = job.check() {
             return Some(Reply::Invalid(reason.into()));
@@ -50,6 +85,9 @@
 
     /// Cancels a job; the answer comes when that is durable.
     pub fn cancel(&mut self, id: &str, ticket: Ticket, now: Now) {
+        if self.arrivals.iter().any(|(job, _)| *job.id == *id) {
+            self.take_arrivals(now);
+        }
         let Some(number) = self.book.find(id) else {
             tracing::info!(job = id, "cancel of an unknown job");
             self.effects.push(Effect::Answer(ticket, Reply::Missing));
@@ -69,7 +107,8 @@
     #[must_use]
     pub fn state(&self, id: &str) -> Reply {
         let Some(number) = self.book.find(id) else {
-            return Reply::Missing;
+            let coming = self.arrivals.iter().any(|(job, _)| *job.id == *id);
+            return if coming { Reply::State(State::Queued) } else { Reply::Missing };
         };
         let job = &self.book.jobs[&number];
         let durable = !self.recording.contains_key(&number);
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -21,6 +21,7 @@
 use crate::workflow::config::Config;
 use crate::workflow::fact::{End, Fact, Outcome, Run};
 use crate::workflow::interference::Interference;
+use crate::workflow::job::Job;
 use crate::workflow::live::{LiveRun, Reason, Stage};
 use crate::workflow::message::Reply;
 use crate::workflow::terms::Terms;
@@ -91,6 +92,7 @@
     workers: BTreeMap<Arc<str>, Worker>,
     runs: BTreeMap<Run, LiveRun>,
     config: Arc<Config>,
+    arrivals: Vec<(Job, Vec<Ticket>)>,
     pending: Vec<Fact>,
     position: u64,
     in_flight: Option<(u64, Duration)>,
@@ -121,6 +123,7 @@
             workers: BTreeMap::new(),
             runs: BTreeMap::new(),
             config: Arc::default(),
+            arrivals: Vec::new(),
             pending: Vec::new(),
             position,
             in_flight: None,
@@ -284,6 +287,7 @@
         self.drop_absent(now);
         self.empty_draining(now);
         self.open_rounds(now);
+        self.refuse_arrivals(now);
         self.append(now);
         self.drive_orders(now);
         self.drive_looks(now);
@@ -306,6 +310,7 @@
         if self.in_flight.is_some() || since < self.terms.commit {
             return;
         }
+        self.take_arrivals(now);
         if self.dirty {
             self.dirty = false;
             self.plan(now);
--- a/ashtiller/src/workflow/message.rs
+++ b/ashtiller/src/workflow/message.rs
@@ -18,6 +18,8 @@
     pub address: SocketAddr,
     /// Milliseconds since it last reached the store.
     pub store_age: u32,
+    /// Milliseconds that the store took to answer then.
+    pub store_took: u32,
     /// Whether it is about to stop.
     pub leaving: bool,
 }
@@ -61,6 +63,8 @@
 pub struct Welcome {
     /// Whether the answering process owns the log at this epoch; 0 if it does not.
     pub epoch: u64,
+    /// Life of the answering process.
+    pub life: u64,
     /// Configuration, where the asker's is older.
     pub config: Option<Box<Config>>,
     /// Version of the answering process's configuration.
--- a/ashtiller/src/workflow/node.rs
+++ b/ashtiller/src/workflow/node.rs
@@ -57,6 +57,7 @@
     heard: RefCell<HashMap<Arc<str>, Instant>>,
     owner: RefCell<Option<mpsc::Sender<Asked>>>,
     store_seen: Cell<Option<Instant>>,
+    store_took: Cell<Duration>,
     leaving: Cell<bool>,
 }
 
@@ -94,6 +95,7 @@
             heard: RefCell::default(),
             owner: RefCell::default(),
             store_seen: Cell::default(),
+            store_took: Cell::default(),
             leaving: Cell::new(false),
         })
     }
@@ -199,6 +201,7 @@
             name: self.settings.instance.name.clone(),
             address: self.settings.entry.peers,
             store_age: u32::try_from(age).unwrap_or(u32::MAX),
+            store_took: u32::try_from(self.store_took.get().as_millis()).unwrap_or(u32::MAX),
             leaving: self.leaving.get(),
         }
     }
@@ -279,8 +282,10 @@
     async fn probe_store(self: Rc<Self>) {
         let mut failed = false;
         loop {
+            let began = Instant::now();
             match self.log.read_lead(true).await {
                 Ok(lead) => {
+                    self.store_took.set(began.elapsed());
                     self.note_store();
                     if failed {
                         tracing::info!("store answers again");
@@ -386,6 +391,7 @@
             } else {
                 0
             },
+            life: self.life,
             version: config.version,
             config: newer.then(|| Box::new((*config).clone())),
             members: (digest != hello.members).then_some(members),
--- a/ashtiller/src/workflow/owner.rs
+++ b/ashtiller/src/workflow/owner.rs
@@ -17,7 +17,7 @@
 use crate::workflow::fact::{Lead, Run};
 use crate::workflow::follow::{self, Seen};
 use crate::workflow::kv::Change;
-use crate::workflow::log::{Log, Lost};
+use crate::workflow::log::{Log, Lost, Replayed};
 use crate::workflow::message::{Ask, Member, Reply};
 use crate::workflow::node::Node;
 
@@ -34,6 +34,8 @@
 const HAND_OVER: Duration = Duration::from_millis(800);
 /// Time limit of asking another instance to take over.
 const TAKE_OVER_LIMIT: Duration = Duration::from_millis(1000);
+/// Answers of the store above this, in milliseconds, say that it is slow for all.
+const SLOW: u32 = 150;
 /// Age that a member's last heartbeat may have.
 const HELLO_AGE: Duration = Duration::from_millis(300);
 /// Pause between two tries to hand over.
@@ -83,8 +85,12 @@
     let start = Instant::now();
     announce(&node, &lead);
     let replayed = loop {
-        match node.log.replay(Duration::ZERO).await {
-            Ok(replayed) => break replayed,
+        match replay(&node, &lead).await {
+            Ok(Some(replayed)) => break replayed,
+            Ok(None) => {
+                node.set_owner(None);
+                return;
+            }
             Err(failure) => {
                 tracing::warn!(%failure, "log not read; it is read again");
                 time::sleep(TICK * 5).await;
@@ -137,6 +143,17 @@
     owner.refuse_waiting();
 }
 
+/// Reads the log, unless it has another owner by now.
+async fn replay(node: &Rc<Node>, lead: &Lead) -> Result<Option<Replayed>, Failure> {
+    if let Some(known) = node.log.read_lead(false).await?
+        && known.epoch != lead.epoch
+    {
+        node.adopt_lead(known);
+        return Ok(None);
+    }
+    node.log.replay(Duration::ZERO).await.map(Some)
+}
+
 fn now_since(start: Instant) -> Now {
     let wall = SystemTime::now()
         .duration_since(UNIX_EPOCH)
@@ -431,7 +448,8 @@
             .iter()
             .filter(|member| member.name != *own && !member.leaving)
             .min_by_key(|member| member.store_age)
-            .filter(|member| member.store_age < limit);
+            .filter(|member| member.store_age < limit)
+            .filter(|member| leaving || member.store_took < SLOW);
         let Some(heir) = fit.cloned() else {
             return;
         };
