--- /dev/null
+++ b/ashtiller/src/workflow/advisor.rs
@@ -0,0 +1,20 @@
+//! The service that knows which workers may run a step.
+
+use std::sync::Arc;
+
+use crate::store::Called;
+
+/// Rows of a worker's id and the ticket to start the step there.
+pub type Tickets = Vec<(Arc<str>, Arc<str>)>;
+
+/// Questions to the advisor.
+pub trait Advisor: Send + Sync {
+    /// Asks which of these workers may run a step of one time of a job.
+    fn advise<'a>(
+        &'a self,
+        job: &'a str,
+        time: u32,
+        step: u16,
+        workers: &'a [Arc<str>],
+    ) -> Called<'a, Tickets>;
+}
--- a/ashtiller/src/workflow/book.rs
+++ b/ashtiller/src/workflow/book.rs
@@ -171,6 +171,8 @@
     #[serde(skip)]
     open: BTreeSet<u32>,
     #[serde(skip)]
+    scheduled: BTreeSet<u32>,
+    #[serde(skip)]
     ended: BTreeMap<u32, Duration>,
 }
 
@@ -184,6 +186,8 @@
             }
             if job.outcome.is_some() {
                 self.ended.insert(*number, now);
+            } else if job.job.schedule.is_some() {
+                self.scheduled.insert(*number);
             }
         }
     }
@@ -200,6 +204,18 @@
         &self.open
     }
 
+    /// Opens the times of jobs that are due at `wall` milliseconds since the Unix epoch;
+    /// true when there were any.
+    pub fn open_rounds(&mut self, wall: u64) -> bool {
+        let mut opened = false;
+        for number in &self.scheduled {
+            if let Some(job) = self.jobs.get_mut(number) {
+                opened |= job.open_rounds(wall);
+            }
+        }
+        opened
+    }
+
     /// Jobs that ended before `limit`, on this owner's clock.
     #[must_use]
     pub fn ended_before(&self, limit: Duration) -> Vec<u32> {
@@ -250,6 +266,8 @@
         };
         if job.schedule.is_none() {
             state.open_round(0);
+        } else {
+            self.scheduled.insert(number);
         }
         self.names.insert(job.id.clone(), number);
         self.open.insert(number);
@@ -339,6 +357,7 @@
             return Effect::None;
         }
         job.outcome = Some(outcome);
+        self.scheduled.remove(&number);
         self.ended.insert(number, now);
         self.settle(number);
         Effect::Ended(number, outcome)
--- /dev/null
+++ b/ashtiller/src/workflow/core/advice.rs
@@ -0,0 +1,147 @@
+//! Which workers the advisor lets run a step, and the tickets for them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::failure::Failure;
+use crate::workflow::core::fleet::{Candidate, Wish};
+use crate::workflow::core::{Core, Effect, Now};
+use crate::workflow::fact::Task;
+use crate::workflow::job::Advice;
+
+/// Workers named in one question. The platform allows 100 and its users count 30.
+const NAMED_MAX: usize = 30;
+/// Workers named for each task that waits: some of them will not do.
+const NAMED_EACH: usize = 4;
+/// Questions under way; the advisor takes one at a time and refuses at 32.
+const ASKED_MAX: usize = 4;
+/// Time before the end of a ticket at which it is not used any more: a start may be
+/// sent again.
+const TICKET_MARGIN: Duration = Duration::from_millis(600);
+/// Pause after a question that was not answered.
+const RETRY: Duration = Duration::from_millis(250);
+
+/// A step of one time of a job.
+pub type StepKey = (u32, u32, u16);
+
+/// What is known about a step.
+#[derive(Clone, Debug, Default)]
+pub struct Advised {
+    /// Workers that may run it.
+    good: BTreeMap<Arc<str>, (Arc<str>, Duration)>,
+    /// Workers that may not, for good.
+    bad: BTreeSet<Arc<str>>,
+    /// Workers that are asked for now.
+    asked: BTreeSet<Arc<str>>,
+    retry: Duration,
+}
+
+impl Core {
+    /// Tickets that hold for a step.
+    pub(super) fn tickets(&self, task: Task, now: Now) -> BTreeMap<Arc<str>, Arc<str>> {
+        let Some(advised) = self.advised.get(&(task.job, task.time, task.step)) else {
+            return BTreeMap::new();
+        };
+        let holds = advised
+            .good
+            .iter()
+            .filter(|(_, (_, until))| *until > now.at + TICKET_MARGIN);
+        holds
+            .map(|(id, (ticket, _))| (id.clone(), ticket.clone()))
+            .collect()
+    }
+
+    /// Asks for the likely workers of a step, unless enough is known or asked.
+    pub(super) fn ask_advice(
+        &mut self,
+        task: Task,
+        tasks: usize,
+        fleet: &[Candidate],
+        wish: &Wish<'_>,
+        now: Now,
+    ) {
+        let asking = self
+            .advised
+            .values()
+            .filter(|advised| !advised.asked.is_empty())
+            .count();
+        let key = (task.job, task.time, task.step);
+        let advised = self.advised.entry(key).or_default();
+        if !advised.asked.is_empty() || asking >= ASKED_MAX || now.at < advised.retry {
+            return;
+        }
+        let (bad, good) = (advised.bad.clone(), advised.good.clone());
+        let fresh = |id: &Arc<str>| {
+            good.get(id)
+                .is_some_and(|(_, until)| *until > now.at + TICKET_MARGIN)
+        };
+        let open = Wish {
+            advised: None,
+            failed_on: BTreeSet::new(),
+            spread: BTreeMap::new(),
+            ..*wish
+        };
+        let mut likely: Vec<&Candidate> = fleet
+            .iter()
+            .filter(|candidate| !bad.contains(&candidate.id) && !fresh(&candidate.id))
+            .filter(|candidate| self.suits(candidate, &open))
+            .collect();
+        // Known to be good, then roomy.
+        likely.sort_by_key(|candidate| {
+            let known = good.contains_key(&candidate.id);
+            (!known, std::cmp::Reverse(candidate.free.processors))
+        });
+        likely.truncate(NAMED_MAX.min(tasks * NAMED_EACH).max(1));
+        let workers: Vec<Arc<str>> = likely
+            .iter()
+            .map(|candidate| candidate.id.clone())
+            .collect();
+        let Some(job) = self.book.jobs.get(&task.job) else {
+            return;
+        };
+        if workers.is_empty() {
+            return;
+        }
+        let id = job.job.id.clone();
+        if let Some(advised) = self.advised.get_mut(&key) {
+            advised.asked.extend(workers.iter().cloned());
+        }
+        self.effects.push(Effect::Advise(id, key, workers, now.at));
+    }
+
+    /// Takes the advisor's answer to a question of `asked_at`.
+    pub fn take_advice(
+        &mut self,
+        key: StepKey,
+        asked_at: Duration,
+        answer: Result<Vec<(Arc<str>, Arc<str>)>, Failure>,
+        now: Now,
+    ) {
+        let valid = self.book.jobs.get(&key.0).and_then(|job| job.policy.advice);
+        let Some(advised) = self.advised.get_mut(&key) else {
+            return;
+        };
+        let asked = std::mem::take(&mut advised.asked);
+        let Some(Advice { valid, .. }) = valid else {
+            self.advised.remove(&key);
+            return;
+        };
+        match answer {
+            Ok(good) => {
+                advised.bad.extend(asked);
+                for (id, ticket) in good {
+                    advised.bad.remove(&id);
+                    // The advisor's clock began no later than it was asked.
+                    advised.good.insert(id, (ticket, asked_at + valid));
+                }
+                self.dirty = true;
+            }
+            Err(failure) => {
+                tracing::info!(job = key.0, step = key.2, %failure, "advisor did not answer");
+                advised.retry = now.at + RETRY;
+                self.dirty = true;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/ashtiller/src/workflow/core/fleet.rs
@@ -0,0 +1,287 @@
+//! The workers that may get something now, summed up once for each round of placing.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::resources::Resources;
+use crate::workflow::core::{Core, Now};
+use crate::workflow::fact::Task;
+use crate::workflow::interference::{Beside, Image, Interference};
+use crate::workflow::job::Step;
+use crate::workflow::live::Share;
+use crate::workflow::worker::Worker;
+
+/// Share of use that a service should keep when a fill is placed beside it: loads rise
+/// by 0.1 in a second.
+const GOAL: f64 = 0.70;
+/// Cost of one unit of use beyond that, in units of a run's slowdown: a service over
+/// its target loses four times what it earns.
+const HARM_COST: f64 = 20.0;
+/// Part of a fill's pressure that costs although no service is near its target.
+const MILD_COST: f64 = 0.2;
+/// Cost of processors that are already asked for by fills, as a share of the unused.
+const CROWD_COST: f64 = 0.1;
+/// Cost above which a run that fills waits rather than disturbs.
+const FILL_MAX: f64 = 1.6;
+/// Least share of a worker's processors that counts as unused.
+const UNUSED_MIN: f64 = 0.02;
+/// Cost of one failure on a worker since the last success, in shares of a worker.
+const FAILURE_COST: f64 = 1.0;
+/// Cost of a worker on which the task failed before.
+const AGAIN_COST: f64 = 4.0;
+/// Cost of a run that fills on a worker, for a run that serves.
+const FILL_COST: f64 = 0.5;
+/// Cost of a run that serves on a worker, for a run of another image that serves.
+const OTHER_COST: f64 = 2.0;
+/// Worth of runs of the same image on a worker, for a run that serves.
+const SAME_WORTH: f64 = 1.0;
+/// Worth of a worker's fullness for a run that neither serves nor fills.
+const PACK_COST: f64 = 0.3;
+
+/// A worker that may get something now.
+#[derive(Clone, Debug)]
+pub(super) struct Candidate {
+    pub id: Arc<str>,
+    pub service: Arc<str>,
+    pub free: Resources,
+    whole: Resources,
+    failures: u32,
+    /// Whether it may get one run only, to show that it works again.
+    trial: bool,
+    /// What serves there, with its share of use.
+    serving: Vec<(Image, f64)>,
+    /// Processors that runs use which do not fill, and those that fills ask for.
+    busy: f64,
+    filled: f64,
+    filling: u32,
+}
+
+/// What a task wants of its worker.
+pub(super) struct Wish<'a> {
+    pub service: &'a Arc<str>,
+    pub step: &'a Step,
+    pub share: Share,
+    pub room: Resources,
+    /// Workers on which it failed before.
+    pub failed_on: BTreeSet<Arc<str>>,
+    /// Runs of the same step on each worker.
+    pub spread: BTreeMap<Arc<str>, u32>,
+    /// Workers that the advisor lets run it, where one is asked.
+    pub advised: Option<&'a BTreeMap<Arc<str>, Arc<str>>>,
+}
+
+impl Core {
+    /// Sums up the workers that may get something now.
+    pub(super) fn build_fleet(&self, now: Now) -> Vec<Candidate> {
+        let open = self
+            .workers
+            .values()
+            .filter(|worker| self.is_open(worker, now));
+        open.map(|worker| self.sum_up(worker)).collect()
+    }
+
+    /// Whether a worker may get something now.
+    fn is_open(&self, worker: &Worker, now: Now) -> bool {
+        let aside = worker.aside.is_some_and(|until| until > now.at);
+        let tried = worker.on_trial() && !worker.runs.is_empty();
+        worker.fenced
+            && worker.answers
+            && worker.draining.is_none()
+            && !aside
+            && !tried
+            && !worker.held
+            && worker.absent.is_none_or(|since| self.is_just_back(since))
+    }
+
+    /// After the store was away, workers may be listed again a little later.
+    fn is_just_back(&self, since: Duration) -> bool {
+        self.returned.is_some_and(|back| {
+            since < back + self.terms.relist && since + self.terms.relist > back
+        })
+    }
+
+    fn sum_up(&self, worker: &Worker) -> Candidate {
+        let mut candidate = Candidate {
+            id: worker.id().clone(),
+            service: worker.listed.service.clone(),
+            free: worker.pool.free(),
+            whole: *worker.pool.whole(),
+            failures: worker.failures(),
+            trial: worker.on_trial(),
+            serving: Vec::new(),
+            busy: 0.0,
+            filled: 0.0,
+            filling: worker.filling,
+        };
+        let mut beside = Vec::new();
+        let whole = candidate.processors();
+        for live in worker.runs.iter().filter_map(|run| self.runs.get(run)) {
+            match live.share {
+                Share::Apart => candidate.busy += live.asked,
+                Share::Serves(..) => {}
+                Share::Fills(image) => {
+                    candidate.filled += live.asked;
+                    let share = live.asked / whole;
+                    beside.push(Beside { image, share });
+                }
+            }
+        }
+        for live in worker.runs.iter().filter_map(|run| self.runs.get(run)) {
+            if let Share::Serves(image, _) = live.share {
+                let usual = self.interference.load(image);
+                let own = live.load.map_or(usual, |load| load.max(usual));
+                candidate.busy += live.asked * own;
+                let used = own + self.interference.pressure(image, &beside);
+                candidate.serving.push((image, used));
+            }
+        }
+        candidate
+    }
+
+    /// Finds the best worker for a task.
+    pub(super) fn choose(&self, fleet: &[Candidate], wish: &Wish<'_>) -> Option<usize> {
+        let mut best: Option<(f64, usize)> = None;
+        for (place, candidate) in fleet.iter().enumerate() {
+            if !self.suits(candidate, wish) {
+                continue;
+            }
+            let mut cost = candidate.cost(wish, &self.interference);
+            if matches!(wish.share, Share::Fills(_)) && cost > FILL_MAX {
+                continue;
+            }
+            if wish
+                .step
+                .rack
+                .as_ref()
+                .is_some_and(|rack| !self.has_label(candidate, rack))
+            {
+                cost += self.terms.far;
+            }
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, place));
+            }
+        }
+        best.map(|(_, place)| place)
+    }
+
+    fn has_label(&self, candidate: &Candidate, label: &str) -> bool {
+        self.workers
+            .get(&candidate.id)
+            .is_some_and(|worker| worker.has_label(label))
+    }
+
+    /// Whether a worker may run a task at all.
+    pub(super) fn suits(&self, candidate: &Candidate, wish: &Wish<'_>) -> bool {
+        let step = wish.step;
+        candidate.service == *wish.service
+            && wish.room.fits(&candidate.free)
+            && step
+                .label
+                .as_ref()
+                .is_none_or(|label| self.has_label(candidate, label))
+            && (step.spread == 0
+                || wish.spread.get(&candidate.id).copied().unwrap_or(0) < step.spread)
+            && wish
+                .advised
+                .is_none_or(|good| good.contains_key(&candidate.id))
+    }
+}
+
+impl Candidate {
+    fn processors(&self) -> f64 {
+        #[expect(clippy::cast_precision_loss, reason = "thousandths of processors")]
+        let whole = self.whole.processors as f64;
+        whole.max(1.0)
+    }
+
+    /// What placing a run here costs, for comparison among workers.
+    fn cost(&self, wish: &Wish<'_>, known: &Interference) -> f64 {
+        let mut cost = FAILURE_COST * f64::from(self.failures);
+        if wish.failed_on.contains(&self.id) {
+            cost += AGAIN_COST;
+        }
+        let used = self
+            .whole
+            .minus(&self.free)
+            .plus(&wish.room)
+            .share_of(&self.whole);
+        match wish.share {
+            Share::Fills(image) => cost += self.fill_cost(image, asked(wish.step), known),
+            // Services of one image on a worker bear the same fills; full workers leave
+            // others free.
+            Share::Serves(image, _) => {
+                let same = self
+                    .serving
+                    .iter()
+                    .filter(|(other, _)| *other == image)
+                    .count();
+                let others = u32::try_from(self.serving.len() - same).unwrap_or(u32::MAX);
+                cost += FILL_COST * f64::from(self.filling.min(4));
+                cost += OTHER_COST * f64::from(others) - used;
+                cost -= if same > 0 { SAME_WORTH } else { 0.0 };
+            }
+            Share::Apart => cost -= PACK_COST * used,
+        }
+        cost
+    }
+
+    /// What a run that fills would add to the services here, beyond what they can bear,
+    /// and how little it would get.
+    fn fill_cost(&self, image: Image, asked: f64, known: &Interference) -> f64 {
+        let share = asked / self.processors();
+        let mut harm = 0.0;
+        for (serves, used) in &self.serving {
+            let more = known.factor(*serves, image) * share;
+            harm += (used + more - GOAL).max(0.0) + MILD_COST * more;
+        }
+        let unused = (self.processors() - self.busy).max(self.processors() * UNUSED_MIN);
+        let crowd = (self.filled + asked) / unused;
+        HARM_COST * harm + (crowd - 1.0).max(0.0) + CROWD_COST * crowd
+    }
+
+    /// Counts a run that was placed here; false when it may get no more.
+    pub(super) fn take(&mut self, wish: &Wish<'_>, known: &Interference) -> bool {
+        self.free = self.free.minus(&wish.room);
+        let asked = asked(wish.step);
+        match wish.share {
+            Share::Apart => self.busy += asked,
+            Share::Serves(image, _) => {
+                let own = known.load(image);
+                self.busy += asked * own;
+                self.serving.push((image, own));
+            }
+            Share::Fills(image) => {
+                self.filled += asked;
+                self.filling += 1;
+                let share = asked / self.processors();
+                for (serves, used) in &mut self.serving {
+                    *used += known.factor(*serves, image) * share;
+                }
+            }
+        }
+        !self.trial
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "thousandths of processors")]
+fn asked(step: &Step) -> f64 {
+    step.needs.processors as f64
+}
+
+/// Runs of a step on each worker, where that is bounded.
+pub(super) fn count_spread(core: &Core, task: Task) -> BTreeMap<Arc<str>, u32> {
+    let mut counts = BTreeMap::new();
+    let Some((job, _)) = core.book.task(task) else {
+        return counts;
+    };
+    let Some(round) = job.rounds.get(&task.time) else {
+        return counts;
+    };
+    for state in &round.steps[usize::from(task.step)].tasks {
+        for live in &state.live {
+            *counts.entry(live.worker.clone()).or_insert(0) += 1;
+        }
+    }
+    counts
+}
--- a/ashtiller/src/workflow/core/intake.rs
+++ b/ashtiller/src/workflow/core/intake.rs
@@ -21,7 +21,10 @@
             self.effects.push(Effect::Answer(ticket, reply));
             return;
         }
-        let known = self.arrivals.iter_mut().find(|(other, _)| other.id == job.id);
+        let known = self
+            .arrivals
+            .iter_mut()
+            .find(|(other, _)| other.id == job.id);
         if let Some((_, tickets)) = known {
             tickets.push(ticket);
         } else {
@@ -108,7 +111,11 @@
     pub fn state(&self, id: &str) -> Reply {
         let Some(number) = self.book.find(id) else {
             let coming = self.arrivals.iter().any(|(job, _)| *job.id == *id);
-            return if coming { Reply::State(State::Queued) } else { Reply::Missing };
+            return if coming {
+                Reply::State(State::Queued)
+            } else {
+                Reply::Missing
+            };
         };
         let job = &self.book.jobs[&number];
         let durable = !self.recording.contains_key(&number);
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -4,6 +4,8 @@
 //! are applied as soon as they are decided and grouped into entries of the log;
 //! what depends on a fact waits in [`Core::after`] until its entry is durable.
 
+pub mod advice;
+mod fleet;
 mod intake;
 mod orders;
 mod pacing;
@@ -12,17 +14,18 @@
 mod reports;
 mod roster;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::workflow::agents::{Look, Order, Target};
 use crate::workflow::book::{self, Book};
 use crate::workflow::config::Config;
-use crate::workflow::fact::{End, Fact, Outcome, Run};
+use crate::workflow::core::advice::{Advised, StepKey};
+use crate::workflow::fact::{End, Fact, Outcome, Run, Task};
 use crate::workflow::interference::Interference;
-use crate::workflow::job::Job;
-use crate::workflow::live::{LiveRun, Reason, Stage};
+use crate::workflow::job::{Job, Sharing, Step};
+use crate::workflow::live::{LiveRun, Reason, Share, Stage};
 use crate::workflow::message::Reply;
 use crate::workflow::terms::Terms;
 use crate::workflow::worker::Worker;
@@ -49,6 +52,8 @@
     Order(Target, Run, Order),
     /// Look at a worker.
     Look(Target, Look),
+    /// Ask the advisor which of these workers may run a step of the job with this id.
+    Advise(Arc<str>, StepKey, Vec<Arc<str>>, Duration),
     /// Answer who waits.
     Answer(Ticket, Reply),
 }
@@ -101,11 +106,13 @@
     proof: Duration,
     after: VecDeque<(u64, Then)>,
     recording: BTreeMap<u32, u64>,
+    recorded: BTreeSet<Arc<str>>,
     dirty: bool,
     superseded: bool,
     began: Duration,
     returned: Option<Duration>,
     effects: Vec<Effect>,
+    advised: BTreeMap<StepKey, Advised>,
     interference: Interference,
     taught: Duration,
     counts: Counts,
@@ -132,11 +139,13 @@
             proof: now.at,
             after: VecDeque::new(),
             recording: BTreeMap::new(),
+            recorded: BTreeSet::new(),
             dirty: true,
             superseded: false,
             began: now.at,
             returned: None,
             effects: Vec::new(),
+            advised: BTreeMap::new(),
             interference: Interference::default(),
             taught: now.at,
             counts: Counts::default(),
@@ -148,14 +157,16 @@
 
     fn adopt_runs(&mut self, now: Now) {
         let mut over = Vec::new();
-        for number in self.book.open() {
-            let job = &self.book.jobs[number];
+        for (number, job) in &self.book.jobs {
+            if !self.book.open().contains(number) {
+                continue;
+            }
             for (time, round) in &job.rounds {
                 for (step, state) in (0..).zip(&round.steps) {
                     for (index, task) in (0..).zip(&state.tasks) {
                         for live in &task.live {
                             let run = Run {
-                                task: crate::workflow::fact::Task {
+                                task: Task {
                                     job: *number,
                                     time: *time,
                                     step,
@@ -163,8 +174,15 @@
                                 },
                                 number: live.number,
                             };
-                            let mut adopted =
-                                LiveRun::new(live.worker.clone(), Stage::Starting, now.at);
+                            let asked = &job.job.steps[usize::from(step)];
+                            let (share, processors) = share_of(&mut self.interference, asked);
+                            let mut adopted = LiveRun::new(
+                                live.worker.clone(),
+                                Stage::Starting,
+                                share,
+                                processors,
+                                now.at,
+                            );
                             adopted.saved = task.saved.clone();
                             self.runs.insert(run, adopted);
                         }
@@ -263,6 +281,11 @@
             self.returned = Some(now.at);
         }
         self.durable = self.durable.max(position);
+        for id in std::mem::take(&mut self.recorded) {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.work = Duration::ZERO;
+            }
+        }
         self.proof = self.proof.max(sent);
         self.in_flight = None;
         self.recording.retain(|_, at| *at > position);
@@ -296,13 +319,7 @@
 
     fn open_rounds(&mut self, now: Now) {
         let wall = now.wall.saturating_sub(self.terms.clock_slack);
-        for number in self.book.open().clone() {
-            if let Some(job) = self.book.jobs.get_mut(&number)
-                && job.job.schedule.is_some()
-            {
-                self.dirty |= job.open_rounds(wall);
-            }
-        }
+        self.dirty |= self.book.open_rounds(wall);
     }
 
     fn append(&mut self, now: Now) {
@@ -365,13 +382,42 @@
         if let Some(job) = self.book.jobs.get(&number) {
             tracing::info!(job = %job.job.id, ?outcome, position = self.position, "job ended");
         }
+        self.advised.retain(|key, _| key.0 != number);
         self.stop_job(number, Reason::Over);
     }
 
+    /// Runs of a job that may be going on.
+    fn runs_of(&self, number: u32) -> Vec<Run> {
+        let from = Run {
+            task: Task {
+                job: number,
+                time: 0,
+                step: 0,
+                index: 0,
+            },
+            number: 0,
+        };
+        let runs = self
+            .runs
+            .range(from..)
+            .take_while(|(run, _)| run.task.job == number);
+        runs.map(|(run, _)| *run).collect()
+    }
+
     fn stop_job(&mut self, number: u32, reason: Reason) {
-        let runs = self.runs.iter_mut();
-        for (_, live) in runs.filter(|(run, _)| run.task.job == number) {
-            live.want_stop(reason);
+        for run in self.runs_of(number) {
+            self.want_stop(run, reason);
+        }
+    }
+
+    /// Asks for the stop of a run.
+    fn want_stop(&mut self, run: Run, reason: Reason) {
+        let Some(live) = self.runs.get_mut(&run) else {
+            return;
+        };
+        live.want_stop(reason);
+        if let Some(worker) = self.workers.get_mut(&live.worker) {
+            worker.work = Duration::ZERO;
         }
     }
 
@@ -435,20 +481,33 @@
     }
 
     fn stop_siblings(&mut self, run: Run, reason: Reason) {
-        for (other, live) in &mut self.runs {
+        for other in self.runs_of(run.task.job) {
             if other.task == run.task {
-                live.want_stop(reason);
+                self.want_stop(other, reason);
             }
         }
     }
 
     fn stop_gang(&mut self, run: Run) {
-        for (other, live) in &mut self.runs {
-            let same = (other.task.job, other.task.time, other.task.step)
-                == (run.task.job, run.task.time, run.task.step);
-            if same && other.number == run.number {
-                live.want_stop(Reason::Over);
+        let step = |run: Run| (run.task.time, run.task.step, run.number);
+        for other in self.runs_of(run.task.job) {
+            if step(other) == step(run) {
+                self.want_stop(other, Reason::Over);
             }
         }
     }
 }
+
+/// How runs of a step share their worker, and the processors that they ask for.
+fn share_of(interference: &mut Interference, step: &Step) -> (Share, f64) {
+    let unnamed = Arc::from("");
+    let image = interference.number(step.image.as_ref().unwrap_or(&unnamed));
+    let share = match step.sharing {
+        Sharing::Apart => Share::Apart,
+        Sharing::Serves(target) => Share::Serves(image, target.as_secs_f64() * 1000.0),
+        Sharing::Fills => Share::Fills(image),
+    };
+    #[expect(clippy::cast_precision_loss, reason = "thousandths of processors")]
+    let processors = step.needs.processors as f64;
+    (share, processors)
+}
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -42,7 +42,7 @@
             .workers
             .values()
             .filter(|worker| worker.fenced && worker.ordering < ORDERS_MAX)
-            .filter(|worker| !worker.runs.is_empty())
+            .filter(|worker| !worker.runs.is_empty() && worker.work <= now.at)
             .map(|worker| worker.id().clone())
             .collect();
         for id in ids {
@@ -52,6 +52,17 @@
 
     fn drive_worker(&mut self, id: &Arc<str>, now: Now) {
         let runs: Vec<Run> = self.workers[id].runs.iter().copied().collect();
+        // Until an event says otherwise, or a pause is over, there is nothing to do.
+        let pauses = runs
+            .iter()
+            .filter_map(|run| self.runs.get(run).map(|live| live.retry));
+        let next = pauses
+            .filter(|retry| *retry > now.at)
+            .min()
+            .unwrap_or(Duration::MAX);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.work = next;
+        }
         for run in runs {
             if self.workers[id].ordering >= ORDERS_MAX {
                 return;
@@ -103,6 +114,7 @@
         let (job, task) = self.book.task(run.task)?;
         let payload = job.job.payload.clone();
         let saved = task.saved.clone();
+        let ticket = self.runs.get(&run).and_then(|live| live.ticket.clone());
         let worker = self.workers.get_mut(id)?;
         if !renew || !worker.answers {
             return None;
@@ -114,7 +126,7 @@
             payload,
             until,
             saved,
-            ticket: None,
+            ticket,
         }))
     }
 
@@ -129,6 +141,7 @@
     ) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.ordering = worker.ordering.saturating_sub(1);
+            worker.work = Duration::ZERO;
         }
         if let Ok(Said::OtherLife) = said {
             self.lose_worker(id, "another life answered", now);
@@ -154,6 +167,7 @@
     }
 
     fn take_start(&mut self, run: Run, said: Result<Said, Failure>, now: Now) {
+        let mut refused = false;
         let Some(live) = self.runs.get_mut(&run) else {
             return;
         };
@@ -169,12 +183,12 @@
                 live.unanswered += 1;
                 live.retry = now.at + RETRY_BUSY;
                 if live.unanswered >= UNANSWERED_MAX {
-                    live.want_stop(Reason::Refused);
+                    refused = true;
                 }
             }
             Ok(Said::Refused(reason)) => {
                 tracing::warn!(task = %run.task, run = run.number, worker = %live.worker, ?reason, "start refused");
-                live.want_stop(Reason::Refused);
+                refused = true;
             }
             Ok(Said::OtherLife) => {}
             Err(failure) => {
@@ -182,10 +196,13 @@
                 live.unanswered += 1;
                 live.retry = now.at + RETRY;
                 if live.unanswered >= UNANSWERED_MAX {
-                    live.want_stop(Reason::Refused);
+                    refused = true;
                 }
             }
         }
+        if refused {
+            self.want_stop(run, Reason::Refused);
+        }
     }
 
     fn take_stop(&mut self, run: Run, said: &Result<Said, Failure>, now: Now) {
--- a/ashtiller/src/workflow/core/pacing.rs
+++ b/ashtiller/src/workflow/core/pacing.rs
@@ -1,12 +1,11 @@
 //! Relief for runs that serve, from runs that fill beside them.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use crate::workflow::core::{Core, Now};
 use crate::workflow::fact::Run;
-use crate::workflow::interference::{self, Beside};
-use crate::workflow::live::Stop;
+use crate::workflow::interference::{self, Beside, Image};
+use crate::workflow::live::{Share, Stop};
 use crate::workflow::worker::Worker;
 
 /// Share of use up to which what fills may bring a service: its tail is at 0.93 of
@@ -20,8 +19,6 @@
 /// Time over the target after which all that fills beside it stands still; the
 /// platform allows 4 s, and an order may go unanswered.
 const STILL_AFTER: Duration = Duration::from_millis(1500);
-/// Share of use that a service should keep free when a fill is placed beside it.
-const GOAL: f64 = 0.70;
 /// Least change of a pace that is worth an order, in percent.
 const STEP: u32 = 12;
 
@@ -31,14 +28,23 @@
 
 /// A run that serves, as its worker last reported it.
 struct Service {
-    image: Arc<str>,
+    run: Run,
+    image: Image,
     used: f64,
     tail: f64,
 }
 
+/// A run that fills, with the share of its worker that it would use in full and the
+/// part of it that it is to get.
+struct Fill {
+    run: Run,
+    image: Image,
+    full: f64,
+    part: f64,
+}
+
 impl Core {
-    /// Learns from a worker's report, slows what fills beside a run that is near its
-    /// target, and lets it go faster when all that serves is well under.
+    /// Learns from a worker's report and sets the pace of what fills there.
     pub(super) fn pace_worker(&mut self, id: &str, now: Now) {
         let Some(worker) = self.workers.get(id) else {
             return;
@@ -52,7 +58,11 @@
         if fresh {
             for service in &services {
                 self.interference
-                    .learn(&service.image, service.used, &beside);
+                    .learn(service.image, service.used, &beside);
+                let own = service.used - self.interference.pressure(service.image, &beside);
+                if let Some(live) = self.runs.get_mut(&service.run) {
+                    live.load = Some(own.clamp(0.0, 1.0));
+                }
             }
         }
         if beside.is_empty() {
@@ -71,19 +81,21 @@
             .over
             .map_or(Duration::ZERO, |since| now.at.saturating_sub(since));
         if fresh || services.is_empty() {
-            self.choose_paces(id, &services, over, now);
+            self.choose_paces(id, &services, &beside, over, now);
         }
     }
 
     fn services_of(&self, worker: &Worker) -> Vec<Service> {
         let served = worker.runs.iter().filter_map(|run| {
-            let (job, _) = self.book.task(run.task)?;
-            let step = job.step(run.task)?;
-            let target = step.target()?;
-            let tail = Duration::from_millis(self.runs.get(run)?.tail.filter(|tail| *tail > 0)?);
-            let tail = tail.as_secs_f64() / target.as_secs_f64().max(0.001);
+            let live = self.runs.get(run)?;
+            let Share::Serves(image, target) = live.share else {
+                return None;
+            };
+            #[expect(clippy::cast_precision_loss, reason = "milliseconds of a tail")]
+            let tail = live.tail.filter(|tail| *tail > 0)? as f64 / target.max(1.0);
             Some(Service {
-                image: step.image.clone().unwrap_or_default(),
+                run: *run,
+                image,
                 used: interference::use_of(tail),
                 tail,
             })
@@ -91,80 +103,78 @@
         served.collect()
     }
 
-    fn fill_runs(&self, worker: &Worker) -> Vec<(Run, Beside)> {
-        let whole = processors(worker.pool.whole().processors);
+    fn fills_of(&self, worker: &Worker) -> Vec<Beside> {
+        let whole = whole_of(worker);
         let fills = worker.runs.iter().filter_map(|run| {
-            let (job, _) = self.book.task(run.task)?;
-            let step = job.step(run.task).filter(|step| step.fills())?;
             let live = self.runs.get(run)?;
-            let asked = processors(step.needs.processors) * f64::from(live.pace) / 100.0;
-            let beside = Beside {
-                image: step.image.clone().unwrap_or_default(),
-                share: asked / whole.max(1.0),
+            let Share::Fills(image) = live.share else {
+                return None;
             };
-            Some((*run, beside))
+            let share = live.asked * f64::from(live.pace) / 100.0 / whole;
+            Some(Beside { image, share })
         });
         fills.collect()
     }
 
-    fn fills_of(&self, worker: &Worker) -> Vec<Beside> {
-        self.fill_runs(worker)
-            .into_iter()
-            .map(|(_, beside)| beside)
-            .collect()
-    }
-
     /// Chooses the pace of each fill anew: all work in full, less what the services
     /// cannot bear by what is known of the pairs, the most harmful first.
-    fn choose_paces(&mut self, id: &str, services: &[Service], over: Duration, now: Now) {
+    fn choose_paces(
+        &mut self,
+        id: &str,
+        services: &[Service],
+        beside: &[Beside],
+        over: Duration,
+        now: Now,
+    ) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
         let limit = limit_after(over);
-        let fills = self.fill_runs(worker);
-        let present: Vec<Beside> = fills.iter().map(|(_, beside)| beside.clone()).collect();
-        let whole = processors(worker.pool.whole().processors).max(1.0);
-        let mut loads: Vec<f64> = Vec::new();
+        let whole = whole_of(worker);
+        let fills = worker.runs.iter().filter_map(|run| {
+            let live = self.runs.get(run)?;
+            let Share::Fills(image) = live.share else {
+                return None;
+            };
+            Some(Fill {
+                run: *run,
+                image,
+                full: live.asked / whole,
+                part: 1.0,
+            })
+        });
+        let mut fills: Vec<Fill> = fills.collect();
         for service in services {
-            let own = service.used - self.interference.pressure(&service.image, &present);
-            loads.push(own.clamp(0.0, 1.0));
+            let own = service.used - self.interference.pressure(service.image, beside);
+            self.relieve(service.image, limit - own.clamp(0.0, 1.0), &mut fills);
+        }
+        let still = over > STILL_AFTER;
+        for fill in fills {
+            let goal = if still { 0 } else { percent(fill.part * 100.0) };
+            self.set_pace(fill.run, goal, now);
         }
-        let mut plan: Vec<(Run, Arc<str>, f64, f64)> = fills
+    }
+
+    /// Takes from the fills what a service cannot bear beyond `room`.
+    fn relieve(&self, serves: Image, room: f64, fills: &mut [Fill]) {
+        let factor = |fill: &Fill| self.interference.factor(serves, fill.image);
+        let pressure: f64 = fills
             .iter()
-            .map(|(run, beside)| {
-                let step = self
-                    .book
-                    .task(run.task)
-                    .and_then(|(job, _)| job.step(run.task));
-                let full = step.map_or(0.0, |step| processors(step.needs.processors)) / whole;
-                (*run, beside.image.clone(), full, 1.0)
-            })
-            .collect();
-        for (service, own) in services.iter().zip(&loads) {
-            let used = |plan: &[(Run, Arc<str>, f64, f64)]| {
-                let added = plan.iter().map(|(_, image, full, pace)| {
-                    self.interference.factor(&service.image, image) * full * pace
-                });
-                own + added.sum::<f64>()
-            };
-            let mut excess = used(&plan) - limit;
-            let mut order: Vec<usize> = (0..plan.len()).collect();
-            let factor = |at: &usize| self.interference.factor(&service.image, &plan[*at].1);
-            order.sort_by(|one, two| factor(two).total_cmp(&factor(one)));
-            for at in order {
-                if excess <= 0.0 {
-                    break;
-                }
-                let harm = self.interference.factor(&service.image, &plan[at].1) * plan[at].2;
-                let cut = (excess / harm.max(1e-6)).min(plan[at].3);
-                plan[at].3 -= cut;
-                excess -= cut * harm;
-            }
+            .map(|fill| factor(fill) * fill.full * fill.part)
+            .sum();
+        let mut excess = pressure - room;
+        if excess <= 0.0 {
+            return;
         }
-        let still = over > STILL_AFTER;
-        for (run, _, _, pace) in plan {
-            let goal = if still { 0 } else { percent(pace * 100.0) };
-            self.set_pace(run, goal, now);
+        fills.sort_by(|one, two| factor(two).total_cmp(&factor(one)));
+        for fill in fills {
+            let harm = (factor(fill) * fill.full).max(1e-6);
+            let cut = (excess / harm).min(fill.part);
+            fill.part -= cut;
+            excess -= cut * harm;
+            if excess <= 0.0 {
+                return;
+            }
         }
     }
 
@@ -179,80 +189,18 @@
         }
         tracing::debug!(task = %run.task, run = run.number, worker = %live.worker, from = live.pace_goal, to = goal, "pace changed");
         live.pace_goal = goal;
-        let id = live.worker.clone();
-        if let Some(worker) = self.workers.get_mut(&id) {
+        if let Some(worker) = self.workers.get_mut(&live.worker) {
             // Reports are averages over half a second: older ones say nothing of it.
             worker.settled = now.at + delay + self.terms.report / 2;
+            worker.work = Duration::ZERO;
         }
     }
-
-    /// What a run that fills would add to the services of a worker, beyond what they
-    /// can bear, and the share of its processors that it would get.
-    pub(super) fn fill_cost(&self, worker: &Worker, image: &Arc<str>, needs: u64) -> f64 {
-        let whole = processors(worker.pool.whole().processors).max(1.0);
-        let share = processors(needs) / whole;
-        let mut beside = self.fills_of(worker);
-        beside.push(Beside {
-            image: image.clone(),
-            share,
-        });
-        let mut harm = 0.0;
-        let mut loads = 0.0;
-        for run in &worker.runs {
-            let Some((job, _)) = self.book.task(run.task) else {
-                continue;
-            };
-            let Some(step) = job.step(run.task) else {
-                continue;
-            };
-            match step.target() {
-                Some(target) => {
-                    let serves = step.image.clone().unwrap_or_default();
-                    let own = self.own_load(*run, &serves, target, &beside);
-                    let used = own + self.interference.pressure(&serves, &beside);
-                    harm += (used - GOAL).max(0.0)
-                        + self.interference.factor(&serves, image) * share * 0.2;
-                    loads += processors(step.needs.processors) * own;
-                }
-                None if !step.fills() => loads += processors(step.needs.processors),
-                None => {}
-            }
-        }
-        let free = (whole - loads).max(whole * 0.02);
-        let crowd = (processors(worker.filled) + processors(needs)) / free;
-        harm * HARM_COST + (crowd - 1.0).max(0.0) + crowd * 0.1
-    }
-
-    /// Share of use of a service by its own load: the larger of its image's usual one
-    /// and what its last report leaves unexplained.
-    fn own_load(&self, run: Run, image: &Arc<str>, target: Duration, beside: &[Beside]) -> f64 {
-        let usual = self.interference.load(image);
-        let tail = self
-            .runs
-            .get(&run)
-            .and_then(|live| live.tail)
-            .filter(|tail| *tail > 0);
-        let Some(tail) = tail else {
-            return usual;
-        };
-        let tail = Duration::from_millis(tail).as_secs_f64() / target.as_secs_f64().max(0.001);
-        let present = &beside[..beside.len().saturating_sub(1)];
-        let left = interference::use_of(tail) - self.interference.pressure(image, present);
-        // Loads swing by half within some seconds.
-        usual.max(left.clamp(0.0, 1.0))
-    }
 }
 
-/// Cost of one unit of use beyond a service's goal, in units of a run's slowdown: a
-/// service over its target loses four times what it earns.
-const HARM_COST: f64 = 20.0;
-
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "a share needs no more than 52 bits"
-)]
-fn processors(thousandths: u64) -> f64 {
-    thousandths as f64
+fn whole_of(worker: &Worker) -> f64 {
+    #[expect(clippy::cast_precision_loss, reason = "thousandths of processors")]
+    let whole = worker.pool.whole().processors as f64;
+    whole.max(1.0)
 }
 
 #[expect(
--- a/ashtiller/src/workflow/core/place.rs
+++ b/ashtiller/src/workflow/core/place.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::workflow::core::{Core, Now};
+use crate::workflow::core::{Core, Now, share_of};
 use crate::workflow::fact::{Fact, Run};
 use crate::workflow::job::Sharing;
 use crate::workflow::live::{LiveRun, Stage};
@@ -57,16 +57,23 @@
     }
 
     /// Gives a run to a worker.
-    pub(super) fn place(&mut self, run: Run, id: &Arc<str>, now: Now) {
-        let saved = self
-            .book
-            .task(run.task)
-            .map_or_else(|| Arc::from(""), |(_, task)| task.saved.clone());
+    pub(super) fn place(&mut self, run: Run, id: &Arc<str>, ticket: Option<Arc<str>>, now: Now) {
+        let Some((job, task)) = self.book.task(run.task) else {
+            return;
+        };
+        let Some(step) = job.step(run.task) else {
+            return;
+        };
+        let saved = task.saved.clone();
+        let (share, processors) = share_of(&mut self.interference, step);
         self.counts.placed += 1;
-        let mut live = LiveRun::new(id.clone(), Stage::Recorded(self.position), now.at);
+        let stage = Stage::Recorded(self.position);
+        let mut live = LiveRun::new(id.clone(), stage, share, processors, now.at);
         live.saved = saved.clone();
+        live.ticket = ticket;
         self.record(Fact::Placed(run, id.clone(), saved), now);
         self.runs.insert(run, live);
+        self.recorded.insert(id.clone());
         self.seat(run, id);
     }
 }
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -77,6 +77,9 @@
             self.dirty = true;
         }
         worker.lease.hear(clock, now.at);
+        if again {
+            worker.work = Duration::ZERO;
+        }
         worker.answers = true;
         worker.heard = now.at;
         // The first answer tells the clock; the lease comes with the next look.
@@ -219,8 +222,8 @@
         if stalled && !lasting && live.stop == Stop::None && row.percent < 100 {
             tracing::info!(task = %run.task, run = run.number, worker = %live.worker, percent = row.percent,
                 since_ms = now.at.saturating_sub(live.moved).as_millis(), "run stalls");
-            live.want_stop(Reason::Stalled);
             let id = live.worker.clone();
+            self.want_stop(run, Reason::Stalled);
             if let Some(worker) = self.workers.get_mut(&id)
                 && worker.aside.is_none_or(|until| until < now.at)
             {
--- a/ashtiller/src/workflow/core/roster.rs
+++ b/ashtiller/src/workflow/core/roster.rs
@@ -182,10 +182,8 @@
             moved.extend(worker.runs.iter().map(|run| (*run, left)));
         }
         for (run, left) in moved {
-            if self.outlives(run, left, now)
-                && let Some(live) = self.runs.get_mut(&run)
-            {
-                live.want_stop(Reason::Draining);
+            if self.outlives(run, left, now) {
+                self.want_stop(run, Reason::Draining);
             }
         }
     }
--- a/ashtiller/src/workflow/interference.rs
+++ b/ashtiller/src/workflow/interference.rs
@@ -6,7 +6,7 @@
 //! pair of images. So a reported tail tells `u`, and the factors of all fills beside
 //! it are corrected by what they fail to explain.
 
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -34,10 +34,10 @@
 const LOAD_RATE: f64 = 0.02;
 
 /// A run that fills, beside a run that serves.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Beside {
     /// Image.
-    pub image: Arc<str>,
+    pub image: Image,
     /// Share of the worker's processors that it uses.
     pub share: f64,
 }
@@ -53,11 +53,17 @@
     variance: SPREAD_FIRST,
 };
 
+/// An image, by its number in this process.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Image(u32);
+
 /// What was learned about pairs of images.
 #[derive(Clone, Debug, Default)]
 pub struct Interference {
-    factors: BTreeMap<(Arc<str>, Arc<str>), Factor>,
-    loads: BTreeMap<Arc<str>, f64>,
+    names: Vec<Arc<str>>,
+    numbers: HashMap<Arc<str>, Image>,
+    factors: HashMap<(u32, u32), Factor>,
+    loads: HashMap<u32, f64>,
 }
 
 /// Share of use that a tail tells, as a share of its target.
@@ -73,66 +79,82 @@
 }
 
 impl Interference {
+    /// Number of an image.
+    pub fn number(&mut self, name: &Arc<str>) -> Image {
+        if let Some(image) = self.numbers.get(name) {
+            return *image;
+        }
+        let image = Image(u32::try_from(self.names.len()).unwrap_or(u32::MAX));
+        self.names.push(name.clone());
+        self.numbers.insert(name.clone(), image);
+        image
+    }
+
     /// Factor of a pair.
     #[must_use]
-    pub fn factor(&self, serves: &Arc<str>, fills: &Arc<str>) -> f64 {
+    pub fn factor(&self, serves: Image, fills: Image) -> f64 {
+        self.known(serves, fills).value
+    }
+
+    fn known(&self, serves: Image, fills: Image) -> Factor {
         self.factors
-            .get(&(serves.clone(), fills.clone()))
-            .map_or(FACTOR_FIRST, |factor| factor.value)
+            .get(&(serves.0, fills.0))
+            .copied()
+            .unwrap_or(FIRST)
     }
 
     /// Share of use by the own load of an image.
     #[must_use]
-    pub fn load(&self, serves: &Arc<str>) -> f64 {
-        self.loads.get(serves).copied().unwrap_or(LOAD_FIRST)
+    pub fn load(&self, serves: Image) -> f64 {
+        self.loads.get(&serves.0).copied().unwrap_or(LOAD_FIRST)
     }
 
     /// What fills beside an image adds to its share of use.
     #[must_use]
-    pub fn pressure(&self, serves: &Arc<str>, beside: &[Beside]) -> f64 {
-        beside
-            .iter()
-            .map(|fill| self.factor(serves, &fill.image) * fill.share)
-            .sum()
+    pub fn pressure(&self, serves: Image, beside: &[Beside]) -> f64 {
+        let each = |fill: &Beside| self.factor(serves, fill.image) * fill.share;
+        beside.iter().map(each).sum()
     }
 
     /// Learns from a report: the share of use of an image beside these fills.
-    pub fn learn(&mut self, serves: &Arc<str>, used: f64, beside: &[Beside]) {
+    pub fn learn(&mut self, serves: Image, used: f64, beside: &[Beside]) {
         if beside.is_empty() {
-            let load = self.loads.entry(serves.clone()).or_insert(LOAD_FIRST);
+            let load = self.loads.entry(serves.0).or_insert(LOAD_FIRST);
             *load += LOAD_RATE * (used - *load);
             return;
         }
         let error = used - self.load(serves) - self.pressure(serves, beside);
-        let known = |fill: &Beside| {
-            let key = (serves.clone(), fill.image.clone());
-            self.factors.get(&key).map_or(FIRST, |factor| *factor)
-        };
-        let spread: f64 = beside
-            .iter()
-            .map(|fill| fill.share * fill.share * known(fill).variance)
-            .sum::<f64>()
-            + NOISE;
+        let each =
+            |fill: &Beside| fill.share * fill.share * self.known(serves, fill.image).variance;
+        let spread = beside.iter().map(each).sum::<f64>() + NOISE;
         for fill in beside {
-            let key = (serves.clone(), fill.image.clone());
-            let factor = self.factors.entry(key).or_insert(FIRST);
+            let factor = self
+                .factors
+                .entry((serves.0, fill.image.0))
+                .or_insert(FIRST);
             let gain = factor.variance * fill.share / spread;
             factor.value = (factor.value + gain * error).clamp(FACTOR[0], FACTOR[1]);
-            factor.variance =
-                (factor.variance * (1.0 - gain * fill.share) + DRIFT).min(SPREAD_FIRST);
+            let left = factor.variance * (1.0 - gain * fill.share);
+            factor.variance = (left + DRIFT).min(SPREAD_FIRST);
         }
     }
 
     /// What was learned, to be kept for a later owner.
     #[must_use]
     pub fn export(&self) -> Vec<Lesson> {
-        let pairs = self.factors.iter().map(|((serves, fills), factor)| Lesson {
-            serves: serves.clone(),
-            fills: fills.clone(),
-            factor: factor.value,
-            variance: factor.variance,
-        });
-        pairs.collect()
+        let name = |number: u32| self.names[number as usize].clone();
+        let mut lessons: Vec<Lesson> = self
+            .factors
+            .iter()
+            .map(|((serves, fills), factor)| Lesson {
+                serves: name(*serves),
+                fills: name(*fills),
+                factor: factor.value,
+                variance: factor.variance,
+            })
+            .collect();
+        lessons.sort_by(|one, two| (&one.serves, &one.fills).cmp(&(&two.serves, &two.fills)));
+        lessons
     }
 
     /// Takes over what an earlier owner learned.
@@ -142,8 +164,8 @@
                 value: lesson.factor,
                 variance: lesson.variance,
             };
-            self.factors
-                .insert((lesson.serves.clone(), lesson.fills.clone()), factor);
+            let (serves, fills) = (self.number(&lesson.serves), self.number(&lesson.fills));
+            self.factors.insert((serves.0, fills.0), factor);
         }
     }
 }
--- a/ashtiller/src/workflow/live.rs
+++ b/ashtiller/src/workflow/live.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::workflow::interference::Image;
+
 /// How far the start of a run has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Stage {
@@ -40,11 +42,24 @@
     Refused,
 }
 
+/// How a run shares its worker.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Share {
+    /// It keeps to what it asked for.
+    Apart,
+    /// It serves, with this latency target in milliseconds.
+    Serves(Image, f64),
+    /// It fills.
+    Fills(Image),
+}
+
 /// One run.
 #[derive(Clone, Debug)]
 pub struct LiveRun {
     /// Worker.
     pub worker: Arc<str>,
+    /// How it shares its worker.
+    pub share: Share,
     /// How far its start has come.
     pub stage: Stage,
     /// How far its stop has come.
@@ -69,10 +84,16 @@
     pub tail: Option<u64>,
     /// Processors in use by a run that does not serve, as last reported.
     pub used: Option<u64>,
+    /// Its own load as a share of use, for a run that serves.
+    pub load: Option<f64>,
+    /// Ticket of the advisor, where one is asked.
+    pub ticket: Option<Arc<str>>,
     /// Share at which it was told to work.
     pub pace: u32,
     /// Share at which it is to work.
     pub pace_goal: u32,
+    /// Processors that it asked for, in thousandths.
+    pub asked: f64,
     /// Until when an unanswered pace may still be carried out.
     pub pace_doubt: Duration,
 }
@@ -80,9 +101,11 @@
 impl LiveRun {
     /// A run that was just placed.
     #[must_use]
-    pub fn new(worker: Arc<str>, stage: Stage, now: Duration) -> Self {
+    pub fn new(worker: Arc<str>, stage: Stage, share: Share, asked: f64, now: Duration) -> Self {
         Self {
             worker,
+            share,
+            asked,
             stage,
             stop: Stop::None,
             ordering: false,
@@ -95,6 +118,8 @@
             saved: Arc::from(""),
             tail: None,
             used: None,
+            load: None,
+            ticket: None,
             pace: 100,
             pace_goal: 100,
             pace_doubt: Duration::ZERO,
--- a/ashtiller/src/workflow/mod.rs
+++ b/ashtiller/src/workflow/mod.rs
@@ -5,8 +5,9 @@
 //!   and [`live`] are its view of the fleet;
 //! - what is carried out: [`log`] writes, [`owner`] runs the state machine,
 //!   [`campaign`] decides when to own, [`node`] is the process, [`link`] its peers;
-//! - the borders: [`kv`] and [`agents`] are traits, [`follow`] reads changes.
+//! - the borders: [`kv`], [`agents`] and [`advisor`] are traits, [`follow`] reads changes.
 
+pub mod advisor;
 pub mod agents;
 pub mod book;
 pub mod campaign;
--- a/ashtiller/src/workflow/node.rs
+++ b/ashtiller/src/workflow/node.rs
@@ -13,6 +13,7 @@
 use tokio::time::{self, Instant};
 
 use crate::failure::{Effect, Failure};
+use crate::workflow::advisor::Advisor;
 use crate::workflow::agents::Agents;
 use crate::workflow::config::{Config, Dialect};
 use crate::workflow::fact::Lead;
@@ -43,6 +44,8 @@
     pub store: Arc<dyn Store>,
     /// Workers.
     pub agents: Arc<dyn Agents>,
+    /// Advisor on workers, if there is one.
+    pub advisor: Option<Arc<dyn Advisor>>,
     /// Reader of what the platform keeps in the store.
     pub dialect: Arc<dyn Dialect>,
     /// Connections to other instances.
@@ -67,6 +70,8 @@
     pub store: Arc<dyn Store>,
     /// Workers.
     pub agents: Arc<dyn Agents>,
+    /// Advisor on workers, if there is one.
+    pub advisor: Option<Arc<dyn Advisor>>,
     /// Reader of what the platform keeps in the store.
     pub dialect: Arc<dyn Dialect>,
 }
@@ -79,6 +84,7 @@
         let Outside {
             store,
             agents,
+            advisor,
             dialect,
         } = outside;
         Rc::new(Self {
@@ -86,6 +92,7 @@
             settings,
             store,
             agents,
+            advisor,
             dialect,
             links: Links::default(),
             life,
--- a/ashtiller/src/workflow/owner.rs
+++ b/ashtiller/src/workflow/owner.rs
@@ -12,7 +12,9 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::failure::Failure;
+use crate::workflow::advisor::Tickets;
 use crate::workflow::agents::{Looked, Order, Said};
+use crate::workflow::core::advice::StepKey;
 use crate::workflow::core::{Core, Effect, Now, Ticket};
 use crate::workflow::fact::{Lead, Run};
 use crate::workflow::follow::{self, Seen};
@@ -57,6 +59,7 @@
     Answered(Arc<str>, Run, Order, Result<Said, Failure>),
     Appended(u64, Result<Instant, Lost>),
     Workers(Seen),
+    Advised(StepKey, Duration, Result<Tickets, Failure>),
     HandedOver(bool),
 }
 
@@ -279,6 +282,9 @@
                 self.over = true;
             }
             Input::Workers(seen) => self.take_workers(seen, now),
+            Input::Advised(key, asked_at, answer) => {
+                self.core.take_advice(key, asked_at, answer, now);
+            }
             Input::HandedOver(done) => self.over |= done,
         }
     }
@@ -371,6 +377,16 @@
                         .await;
                 });
             }
+            Effect::Advise(job, key, workers, asked_at) => {
+                let (advisor, sender) = (self.node.advisor.clone(), self.sender.clone());
+                task::spawn_local(async move {
+                    let answer = match advisor {
+                        Some(advisor) => advisor.advise(&job, key.1, key.2, &workers).await,
+                        None => Err(Failure::none("ask advisor", &job, "the settings name none")),
+                    };
+                    let _ = sender.send(Input::Advised(key, asked_at, answer)).await;
+                });
+            }
             Effect::Look(target, look) => {
                 let (agents, sender) = (self.node.agents.clone(), self.sender.clone());
                 task::spawn_local(async move {
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -41,6 +41,8 @@
     pub next_look: Duration,
     /// Orders under way.
     pub ordering: u32,
+    /// When there may be an order for it.
+    pub work: Duration,
     /// Room that runs take.
     pub pool: Pool,
     /// Runs that may be going on there.
@@ -59,6 +61,8 @@
     pub over: Option<Duration>,
     /// When reports show the paces that were last set.
     pub settled: Duration,
+    /// Whether it is emptied for a move or an upkeep.
+    pub held: bool,
     /// Until when it gets no runs because it fails, stalls or is slow.
     pub aside: Option<Duration>,
     failures: u32,
@@ -81,12 +85,14 @@
             looking: None,
             next_look: Duration::ZERO,
             ordering: 0,
+            work: Duration::ZERO,
             runs: BTreeSet::new(),
             noted: 0,
             seen: 0,
             serving: 0,
             filling: 0,
             filled: 0,
+            held: false,
             over: None,
             settled: Duration::ZERO,
             aside: None,
