Look for runs on unknown workers once; poll at most each 2 ms; bigger instances own

It runs once, when the longest lease of an earlier owner is over. Ruled out: JSON and HTTP (under 10 %).

--- a/ashtiller/src/workflow/campaign.rs
+++ b/ashtiller/src/workflow/campaign.rs
@@ -1,6 +1,7 @@
 //! Who owns the log: followers hear the owner's heartbeat and replace it when it is
 //! gone. The lead key decides; what is here only says when to try.
 
+use std::cmp::Reverse;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -167,7 +168,9 @@
     let fit = members
         .iter()
         .filter(|member| member.name != lead.name && !member.leaving && member.store_age < FIT_AGE);
-    let before = fit.filter(|member| member.name < *own).count();
+    let mine = (Reverse(node.settings.entry.processors), own.clone());
+    let before = fit.filter(|member| (Reverse(member.processors), member.name.clone()) < mine);
+    let before = before.count();
     u32::try_from(before).unwrap_or(u32::MAX)
 }
 
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -30,6 +30,9 @@
 use crate::workflow::terms::Terms;
 use crate::workflow::worker::Worker;
 
+/// Time between two looks through all workers for what is over.
+const SWEEP: Duration = Duration::from_millis(20);
+
 /// Time on both clocks.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Now {
@@ -108,6 +111,8 @@
     recording: BTreeMap<u32, u64>,
     recorded: BTreeSet<Arc<str>>,
     dirty: bool,
+    ghosts: bool,
+    swept: Duration,
     superseded: bool,
     began: Duration,
     returned: Option<Duration>,
@@ -141,6 +146,8 @@
             recording: BTreeMap::new(),
             recorded: BTreeSet::new(),
             dirty: true,
+            ghosts: true,
+            swept: now.at,
             superseded: false,
             began: now.at,
             returned: None,
@@ -306,10 +313,13 @@
 
     /// Does what is due and returns what is to be done outside.
     pub fn poll(&mut self, now: Now) -> Vec<Effect> {
-        self.expire_leases(now);
-        self.drop_absent(now);
-        self.empty_draining(now);
-        self.open_rounds(now);
+        if now.at >= self.swept + SWEEP {
+            self.swept = now.at;
+            self.expire_leases(now);
+            self.drop_absent(now);
+            self.empty_draining(now);
+            self.open_rounds(now);
+        }
         self.refuse_arrivals(now);
         self.append(now);
         self.drive_orders(now);
--- a/ashtiller/src/workflow/core/roster.rs
+++ b/ashtiller/src/workflow/core/roster.rs
@@ -103,19 +103,10 @@
         for worker in listed {
             self.list_worker(worker, now);
         }
-        self.ghost_workers(now);
-    }
-
-    /// Runs of an earlier owner on a worker that is not listed wait for the longest
-    /// lease that the owner may have granted.
-    fn ghost_workers(&mut self, now: Now) {
-        let bound = self.first_bound();
-        if now.at < bound {
-            return;
-        }
-        self.lose_ghosts(now);
     }
 
+    /// Runs of an earlier owner on workers that were never listed since waited for the
+    /// longest lease that the owner may have granted.
     fn lose_ghosts(&mut self, now: Now) {
         let lost: Vec<Run> = self
             .runs
@@ -148,7 +139,8 @@
 
     /// Runs on a worker whose lease is over for certain are lost.
     pub(super) fn expire_leases(&mut self, now: Now) {
-        if now.at >= self.first_bound() {
+        if self.ghosts && now.at >= self.first_bound() {
+            self.ghosts = false;
             self.lose_ghosts(now);
         }
         let over = self.workers.values().filter(|worker| {
--- a/ashtiller/src/workflow/message.rs
+++ b/ashtiller/src/workflow/message.rs
@@ -22,6 +22,8 @@
     pub store_took: u32,
     /// Whether it is about to stop.
     pub leaving: bool,
+    /// Processors that it has, in thousandths.
+    pub processors: u64,
 }
 
 /// A heartbeat.
--- a/ashtiller/src/workflow/node.rs
+++ b/ashtiller/src/workflow/node.rs
@@ -210,6 +210,7 @@
             store_age: u32::try_from(age).unwrap_or(u32::MAX),
             store_took: u32::try_from(self.store_took.get().as_millis()).unwrap_or(u32::MAX),
             leaving: self.leaving.get(),
+            processors: self.settings.entry.processors,
         }
     }
 
--- a/ashtiller/src/workflow/owner.rs
+++ b/ashtiller/src/workflow/owner.rs
@@ -1,5 +1,6 @@
 //! Carries out what the owner of a log decides.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::hash::Hasher;
 use std::rc::Rc;
@@ -29,6 +30,8 @@
 const RESULTS: usize = 4096;
 /// Longest time between two steps of the state machine.
 const TICK: Duration = Duration::from_millis(20);
+/// Least time between two polls of the state machine; a task runs for some 2 s.
+const POLL: Duration = Duration::from_millis(2);
 /// Inputs taken before the state machine is polled.
 const BATCH: usize = 128;
 /// Time without the store after which the log is handed to an instance that has it:
@@ -205,6 +208,7 @@
         self.core.set_config(config.borrow_and_update().clone());
         let mut tick = time::interval(TICK);
         tick.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        let mut polled = Instant::now();
         while !self.over {
             tokio::select! {
                 biased;
@@ -215,6 +219,12 @@
             if config.has_changed().unwrap_or(false) {
                 self.core.set_config(config.borrow_and_update().clone());
             }
+            // What comes at the same time is decided together.
+            if polled.elapsed() < POLL {
+                time::sleep_until(polled + POLL).await;
+                self.take_waiting();
+            }
+            polled = Instant::now();
             let now = self.now();
             for effect in self.core.poll(now) {
                 self.carry_out(effect);
@@ -228,6 +238,15 @@
         }
     }
 
+    fn take_waiting(&mut self) {
+        if let Ok(input) = self.inputs.try_recv() {
+            self.take_inputs(Some(input));
+        }
+        if let Ok(asked) = self.asked.try_recv() {
+            self.take_asked(Some(asked));
+        }
+    }
+
     fn now(&self) -> Now {
         now_since(self.start)
     }
@@ -463,9 +482,9 @@
         let fit = members
             .iter()
             .filter(|member| member.name != *own && !member.leaving)
-            .min_by_key(|member| member.store_age)
             .filter(|member| member.store_age < limit)
-            .filter(|member| leaving || member.store_took < SLOW);
+            .filter(|member| leaving || member.store_took < SLOW)
+            .min_by_key(|member| (Reverse(member.processors), member.store_age));
         let Some(heir) = fit.cloned() else {
             return;
         };
--- a/ashtiller/src/workflow/settings.rs
+++ b/ashtiller/src/workflow/settings.rs
@@ -29,6 +29,8 @@
     pub operators: SocketAddr,
     /// Ports of other entry instances that may be up.
     pub seeds: Vec<SocketAddr>,
+    /// Processors that it has, in thousandths; bigger instances own first.
+    pub processors: u64,
     /// Time between SIGTERM and SIGKILL.
     pub grace: Duration,
 }
@@ -112,6 +114,7 @@
         peers: SocketAddr::new(ip, first),
         operators: SocketAddr::new(ip, first.saturating_add(1)),
         seeds: seeds.iter().filter_map(|seed| seed.parse().ok()).collect(),
+        processors: section.processors("processors", Some(1000)),
         grace: section.duration("grace", Some(6 * SECOND), SECOND..=10 * MINUTE),
     }
 }
