Log without blocking, serve metrics and a dump, carry out waves of upkeep

Lines wait in a bounded queue for a thread that writes them in larger pieces; drops are counted. Histograms for calls, orders, commits and take-overs, counters of what the owner did; both at the operators' address, with the state dump.

Waves: workers are emptied where their steps can miss them, machines go a few at a time under one holder, progress lies in the log.

--- a/ashtiller/src/command.rs
+++ b/ashtiller/src/command.rs
@@ -10,6 +10,7 @@
 use ashtiller::apply::{self, Applied};
 use ashtiller::consul;
 use ashtiller::gateway;
+use ashtiller::logs;
 use ashtiller::mistake::Mistakes;
 use ashtiller::scheduler;
 use ashtiller::settings::Settings;
@@ -187,16 +188,8 @@
 fn entry(mut args: Arguments) -> Done {
     let path: Option<PathBuf> = args.opt_value_from_str("--settings")?;
     finish(args, 0)?;
-    let filter =
-        EnvFilter::try_from_env("ASHTILLER_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
-    tracing_subscriber::fmt()
-        .json()
-        .flatten_event(true)
-        .with_target(false)
-        .with_env_filter(filter)
-        .with_writer(std::io::stdout)
-        .init();
-    Ok(platform::run(path)?)
+    let logs = logs::open("info");
+    Ok(platform::run(path, logs.dropped())?)
 }
 
 fn run_role(mut args: Arguments, role: Role) -> Done {
--- a/ashtiller/src/lib.rs
+++ b/ashtiller/src/lib.rs
@@ -93,6 +93,7 @@
 pub mod lender;
 pub mod line;
 mod loans;
+pub mod logs;
 pub mod members;
 pub mod membership;
 pub mod meter;
--- a/ashtiller/src/workflow/agents.rs
+++ b/ashtiller/src/workflow/agents.rs
@@ -58,6 +58,18 @@
     Pace(Name, u32, u32),
 }
 
+impl Order {
+    /// What it is, in one word.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Start(_) => "start",
+            Self::Stop(..) => "stop",
+            Self::Pace(..) => "pace",
+        }
+    }
+}
+
 /// Why a worker did not do what it was told.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Refusal {
--- a/ashtiller/src/workflow/book.rs
+++ b/ashtiller/src/workflow/book.rs
@@ -166,6 +166,10 @@
     pub jobs: BTreeMap<u32, JobState>,
     /// What was learned about images that disturb each other.
     pub lessons: Vec<Lesson>,
+    /// Machines that have had their upkeep, by wave.
+    pub upkept: BTreeSet<(u64, Arc<str>)>,
+    /// Waves of upkeep that are over.
+    pub waves_over: BTreeSet<u64>,
     #[serde(skip)]
     names: BTreeMap<Arc<str>, u32>,
     #[serde(skip)]
@@ -246,6 +250,13 @@
             Fact::Placed(run, worker, saved) => self.place(*run, worker, saved),
             Fact::Ended(run, end, saved) => return self.end(*run, *end, saved, now),
             Fact::Forgotten(number) => self.forget(*number),
+            Fact::Upkept(wave, machine) => {
+                self.upkept.insert((*wave, machine.clone()));
+            }
+            Fact::WaveOver(wave) => {
+                self.waves_over.insert(*wave);
+                self.upkept.retain(|(other, _)| other != wave);
+            }
             Fact::Learned(lessons) => self.lessons.clone_from(lessons),
         }
         Effect::None
--- a/ashtiller/src/workflow/campaign.rs
+++ b/ashtiller/src/workflow/campaign.rs
@@ -3,6 +3,7 @@
 
 use std::cmp::Reverse;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::{self, Instant};
@@ -117,7 +118,7 @@
                     return Loss::Ended;
                 }
                 if let Some(config) = welcome.config {
-                    node.adopt_config(std::sync::Arc::new(*config));
+                    node.adopt_config(&Arc::new(*config));
                 }
                 if let Some(list) = welcome.members {
                     node.set_members(list);
--- a/ashtiller/src/workflow/config.rs
+++ b/ashtiller/src/workflow/config.rs
@@ -5,10 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::resources::Resources;
 use crate::workflow::job::Policy;
+use crate::workflow::machines::Wave;
 
 /// A queue of jobs, found by the host and path of a client's call.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -91,6 +93,17 @@
     pub remaining: Option<Duration>,
 }
 
+/// One of the operators' entries.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Operated {
+    /// The configuration.
+    Config(Config),
+    /// A wave of upkeep.
+    Wave(Wave),
+    /// Something that concerns nobody here.
+    Other,
+}
+
 /// Decodes what the platform keeps in the store.
 pub trait Dialect: Send + Sync {
     /// Prefix of the workers' entries.
@@ -105,9 +118,12 @@
     /// Prefix of the operators' entries.
     fn operator_prefix(&self) -> &'static str;
 
-    /// Decodes the configuration; `None` for another of the operators' entries.
+    /// Decodes one of the operators' entries.
     ///
     /// # Errors
     /// What cannot be read in it.
-    fn config(&self, key: &str, value: &[u8]) -> anyhow::Result<Option<Config>>;
+    fn operated(&self, key: &str, value: &[u8]) -> anyhow::Result<Operated>;
+
+    /// Key and value by which operators are told whether a wave is over.
+    fn wave_status(&self, number: u64, over: bool) -> (String, Bytes);
 }
--- a/ashtiller/src/workflow/core/advice.rs
+++ b/ashtiller/src/workflow/core/advice.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::failure::Failure;
+use crate::workflow::advisor::Tickets;
 use crate::workflow::core::fleet::{Candidate, Wish};
 use crate::workflow::core::{Core, Effect, Now};
 use crate::workflow::fact::Task;
@@ -115,7 +116,7 @@
         &mut self,
         key: StepKey,
         asked_at: Duration,
-        answer: Result<Vec<(Arc<str>, Arc<str>)>, Failure>,
+        answer: Result<Tickets, Failure>,
         now: Now,
     ) {
         let valid = self.book.jobs.get(&key.0).and_then(|job| job.policy.advice);
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -13,6 +13,7 @@
 mod plan;
 mod reports;
 mod roster;
+pub mod upkeep;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -22,10 +23,12 @@
 use crate::workflow::book::{self, Book};
 use crate::workflow::config::Config;
 use crate::workflow::core::advice::{Advised, StepKey};
+use crate::workflow::core::upkeep::Going;
 use crate::workflow::fact::{End, Fact, Outcome, Run, Task};
 use crate::workflow::interference::Interference;
 use crate::workflow::job::{Job, Sharing, Step};
 use crate::workflow::live::{LiveRun, Reason, Share, Stage};
+use crate::workflow::machines::Duty;
 use crate::workflow::message::Reply;
 use crate::workflow::terms::Terms;
 use crate::workflow::worker::Worker;
@@ -33,6 +36,9 @@
 /// Time between two looks through all workers for what is over.
 const SWEEP: Duration = Duration::from_millis(20);
 
+/// Jobs shown in a dump.
+const DUMPED: usize = 100;
+
 /// Time on both clocks.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Now {
@@ -57,6 +63,8 @@
     Look(Target, Look),
     /// Ask the advisor which of these workers may run a step of the job with this id.
     Advise(Arc<str>, StepKey, Vec<Arc<str>>, Duration),
+    /// Give a machine an order.
+    Duty(Arc<str>, Duty),
     /// Answer who waits.
     Answer(Ticket, Reply),
 }
@@ -118,6 +126,7 @@
     returned: Option<Duration>,
     effects: Vec<Effect>,
     advised: BTreeMap<StepKey, Advised>,
+    waves: BTreeMap<u64, Going>,
     interference: Interference,
     taught: Duration,
     counts: Counts,
@@ -153,6 +162,7 @@
             returned: None,
             effects: Vec::new(),
             advised: BTreeMap::new(),
+            waves: BTreeMap::new(),
             interference: Interference::default(),
             taught: now.at,
             counts: Counts::default(),
@@ -225,6 +235,40 @@
         &self.book
     }
 
+    /// The state in short, for operators; at most some 100 jobs and all workers.
+    #[must_use]
+    pub fn dump(&self, now: Now) -> serde_json::Value {
+        let open = self.book.open().iter().take(DUMPED);
+        let jobs = open.map(|number| {
+            let job = &self.book.jobs[number];
+            let waiting: u32 = job
+                .rounds
+                .values()
+                .flat_map(|round| &round.steps)
+                .map(|step| step.waiting)
+                .sum();
+            serde_json::json!({
+                "id": &*job.job.id, "number": number, "queue": &*job.job.queue,
+                "live": job.live, "waiting": waiting, "outcome": format!("{:?}", job.outcome),
+            })
+        });
+        let workers = self.workers.values().map(|worker| {
+            serde_json::json!({
+                "id": &**worker.id(), "runs": worker.runs.len(), "answers": worker.answers,
+                "silent_ms": u64::try_from(now.at.saturating_sub(worker.heard).as_millis()).unwrap_or(u64::MAX),
+                "draining": worker.draining.is_some(), "listed": worker.absent.is_none(),
+                "aside": worker.aside.is_some_and(|until| until > now.at),
+                "free": worker.pool.free().to_string(),
+            })
+        });
+        serde_json::json!({
+            "epoch": self.epoch, "durable": self.durable, "position": self.position,
+            "stalled_ms": u64::try_from(self.stalled_for(now).as_millis()).unwrap_or(u64::MAX),
+            "open_jobs": self.book.open().len(), "runs": self.runs.len(),
+            "jobs": jobs.collect::<Vec<_>>(), "workers": workers.collect::<Vec<_>>(),
+        })
+    }
+
     /// Workers by id, for a dump.
     #[must_use]
     pub fn workers(&self) -> &BTreeMap<Arc<str>, Worker> {
@@ -249,6 +293,12 @@
         self.stalled_for(now) > self.terms.stall
     }
 
+    /// Whether all that was decided is durable.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.pending.is_empty() && self.in_flight.is_none()
+    }
+
     /// Whether a worker has heard a later owner.
     #[must_use]
     pub fn is_superseded(&self) -> bool {
@@ -319,6 +369,7 @@
             self.drop_absent(now);
             self.empty_draining(now);
             self.open_rounds(now);
+            self.drive_waves(now);
         }
         self.refuse_arrivals(now);
         self.append(now);
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -99,7 +99,6 @@
         let (pace, goal, doubt) = (live.pace, live.pace_goal, live.pace_doubt);
         match (stop, stage) {
             (Stop::Wanted(_), _) => Some(Order::Stop(self.name_of(run)?, run.number)),
-            (Stop::Confirmed(_), _) => None,
             (Stop::None, Stage::Starting) => self.start_order(run, id, now),
             (Stop::None, Stage::Started(_)) if pace != goal || doubt > now.at => {
                 Some(Order::Pace(self.name_of(run)?, run.number, goal))
--- /dev/null
+++ b/ashtiller/src/workflow/core/upkeep.rs
@@ -0,0 +1,274 @@
+//! Waves of upkeep: workers are emptied, then their machines go, a few at a time.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::failure::Failure;
+use crate::workflow::core::{Core, Effect, Now};
+use crate::workflow::fact::{Fact, Run, Task};
+use crate::workflow::live::{Reason, Stage, Stop};
+use crate::workflow::machines::{Done, Duty, Wave};
+
+/// Time after which a machine that no worker was ever seen of counts as gone.
+const UNKNOWN: Duration = Duration::from_secs(8);
+/// Pause before an order to a machine is given again.
+const RETRY: Duration = Duration::from_millis(400);
+/// Part of a machine's share of the wave's time after which its runs are stopped.
+const PATIENCE: f64 = 0.35;
+/// Longest time that a worker is emptied by waiting for its runs to end.
+const EMPTY_MAX: Duration = Duration::from_secs(6);
+
+/// How far the upkeep of one machine has come.
+#[derive(Clone, Debug, PartialEq)]
+enum Step {
+    /// Its worker gets nothing new, since then.
+    Emptying(Duration),
+    /// The order is under way.
+    Ordered,
+    /// The order was not taken; it is given again then.
+    Again(Duration),
+    /// It is away; this life of its worker is over.
+    Away(Option<Arc<str>>),
+}
+
+/// A wave that is not over.
+#[derive(Clone, Debug)]
+pub struct Going {
+    wave: Wave,
+    seen: Duration,
+    steps: BTreeMap<Arc<str>, Step>,
+}
+
+impl Core {
+    /// An operator asks for a wave.
+    pub fn set_wave(&mut self, wave: Wave, now: Now) {
+        if self.book.waves_over.contains(&wave.number) {
+            return;
+        }
+        let going = self.waves.entry(wave.number);
+        going.or_insert_with(|| {
+            tracing::info!(
+                wave = wave.number,
+                machines = wave.machines.len(),
+                most = wave.most,
+                "wave of upkeep"
+            );
+            Going {
+                wave,
+                seen: now.at,
+                steps: BTreeMap::new(),
+            }
+        });
+    }
+
+    /// Waves that an operator asked for and that are not over, with those that are.
+    #[must_use]
+    pub fn wave_states(&self) -> BTreeMap<u64, bool> {
+        let over = self.book.waves_over.iter().map(|number| (*number, true));
+        let going = self.waves.keys().map(|number| (*number, false));
+        over.chain(going).collect()
+    }
+
+    /// Goes on with the waves, once earlier owners' orders are too old to mix with.
+    pub(super) fn drive_waves(&mut self, now: Now) {
+        // A former owner that has not learned of this one may order for half a turn.
+        if now.at < self.began + self.terms.turn * 2 {
+            return;
+        }
+        for number in self.waves.keys().copied().collect::<Vec<u64>>() {
+            let Some(mut going) = self.waves.remove(&number) else {
+                continue;
+            };
+            self.drive_wave(&mut going, now);
+            if self.is_over(&going, now) {
+                tracing::info!(wave = number, "wave of upkeep is over");
+                self.record(Fact::WaveOver(number), now);
+            } else {
+                self.waves.insert(number, going);
+            }
+        }
+    }
+
+    fn worker_of(&self, machine: &str) -> Option<Arc<str>> {
+        let mut lives = self.workers.values().filter(|worker| {
+            worker.listed.machine.as_deref() == Some(machine) && worker.absent.is_none()
+        });
+        lives.next().map(|worker| worker.id().clone())
+    }
+
+    fn is_upkept(&self, number: u64, machine: &Arc<str>) -> bool {
+        self.book.upkept.contains(&(number, machine.clone()))
+    }
+
+    fn is_over(&self, going: &Going, now: Now) -> bool {
+        going.wave.machines.iter().all(|machine| {
+            let gone = self.worker_of(machine).is_none() && now.at > going.seen + UNKNOWN;
+            self.is_upkept(going.wave.number, machine)
+                || (gone && !going.steps.contains_key(machine))
+        })
+    }
+
+    fn drive_wave(&mut self, going: &mut Going, now: Now) {
+        for machine in going.wave.machines.clone() {
+            if let Some(step) = going.steps.get(&machine).cloned() {
+                self.drive_machine(going, &machine, step, now);
+            }
+        }
+        let room = going.wave.most as usize;
+        for machine in going.wave.machines.clone() {
+            let busy = going.steps.len();
+            if busy >= room {
+                return;
+            }
+            let done = self.is_upkept(going.wave.number, &machine);
+            if done || going.steps.contains_key(&machine) {
+                continue;
+            }
+            let Some(id) = self.worker_of(&machine) else {
+                continue;
+            };
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.held = true;
+            }
+            going.steps.insert(machine, Step::Emptying(now.at));
+        }
+    }
+
+    fn drive_machine(&mut self, going: &mut Going, machine: &Arc<str>, step: Step, now: Now) {
+        match step {
+            Step::Emptying(since) => {
+                let Some(id) = self.worker_of(machine) else {
+                    going.steps.remove(machine);
+                    return;
+                };
+                let turns = going
+                    .wave
+                    .machines
+                    .len()
+                    .div_ceil(going.wave.most.max(1) as usize);
+                let share = going.wave.duration / u32::try_from(turns.max(1)).unwrap_or(u32::MAX);
+                let patience = share.mul_f64(PATIENCE).min(EMPTY_MAX);
+                if self.empty_worker(&id, now.at > since + patience, now) {
+                    self.order_upkeep(going, machine, now);
+                }
+            }
+            Step::Again(at) if now.at >= at => self.order_upkeep(going, machine, now),
+            Step::Away(former) => {
+                let back = self
+                    .worker_of(machine)
+                    .filter(|id| Some(id) != former.as_ref());
+                if back.is_some() {
+                    going.steps.remove(machine);
+                }
+            }
+            Step::Again(_) | Step::Ordered => {}
+        }
+    }
+
+    fn order_upkeep(&mut self, going: &mut Going, machine: &Arc<str>, now: Now) {
+        if !self.may_renew(now) || now.at.saturating_sub(self.proof) > self.terms.turn / 2 {
+            return;
+        }
+        going.steps.insert(machine.clone(), Step::Ordered);
+        let duty = Duty::Upkeep(going.wave.number);
+        self.effects.push(Effect::Duty(machine.clone(), duty));
+    }
+
+    /// Takes the answer to an order to a machine.
+    pub fn take_duty(
+        &mut self,
+        machine: &Arc<str>,
+        duty: &Duty,
+        done: Result<Done, Failure>,
+        now: Now,
+    ) {
+        let Duty::Upkeep(number) = duty else {
+            return;
+        };
+        let former = self.worker_of(machine);
+        let Some(mut going) = self.waves.remove(number) else {
+            return;
+        };
+        match done {
+            Ok(Done::Yes) => {
+                tracing::info!(wave = number, %machine, "machine has its upkeep");
+                going
+                    .steps
+                    .insert(machine.clone(), Step::Away(former.clone()));
+                self.record(Fact::Upkept(*number, machine.clone()), now);
+                if let Some(id) = former {
+                    self.lose_worker(&id, "its machine has its upkeep", now);
+                }
+            }
+            Ok(Done::Busy) => {
+                going
+                    .steps
+                    .insert(machine.clone(), Step::Again(now.at + RETRY));
+            }
+            Ok(Done::Fenced) => self.superseded = true,
+            Ok(Done::Never) => {
+                tracing::warn!(wave = number, %machine, "machine does not take the upkeep");
+                going.steps.remove(machine);
+                self.record(Fact::Upkept(*number, machine.clone()), now);
+            }
+            Err(failure) => {
+                tracing::info!(wave = number, %machine, %failure, "upkeep not confirmed");
+                going
+                    .steps
+                    .insert(machine.clone(), Step::Again(now.at + RETRY));
+            }
+        }
+        self.waves.insert(*number, going);
+    }
+
+    /// Empties a worker: waits for what ends by itself, and stops the rest where its
+    /// step can miss it. True when nothing runs there.
+    fn empty_worker(&mut self, id: &Arc<str>, urge: bool, now: Now) -> bool {
+        let Some(worker) = self.workers.get(id) else {
+            return true;
+        };
+        let runs: Vec<Run> = worker.runs.iter().copied().collect();
+        for run in &runs {
+            let Some((job, _)) = self.book.task(run.task) else {
+                continue;
+            };
+            let step = job.step(run.task);
+            let lasting = step.is_some_and(|step| step.lasting);
+            let most = step.and_then(|step| step.may_miss);
+            let spared = most.is_none_or(|most| self.count_away(*run, now) < most);
+            if (lasting || urge) && spared {
+                self.want_stop(*run, Reason::Upkeep);
+            }
+        }
+        runs.is_empty()
+    }
+
+    /// Other tasks of a run's step that are not at work.
+    fn count_away(&self, run: Run, now: Now) -> u32 {
+        let Some((job, _)) = self.book.task(run.task) else {
+            return 0;
+        };
+        let Some(round) = job.rounds.get(&run.task.time) else {
+            return 0;
+        };
+        let tasks = &round.steps[usize::from(run.task.step)].tasks;
+        let mut away = 0;
+        for (index, state) in (0..).zip(tasks) {
+            let task = Task { index, ..run.task };
+            let at_work = state.live.iter().any(|live| {
+                let run = Run {
+                    task,
+                    number: live.number,
+                };
+                self.runs.get(&run).is_some_and(|live| {
+                    matches!(live.stage, Stage::Started(at) if at < now.at)
+                        && live.stop == Stop::None
+                        && live.percent >= 100
+                })
+            });
+            away += u32::from(task != run.task && !at_work);
+        }
+        away
+    }
+}
--- a/ashtiller/src/workflow/fact.rs
+++ b/ashtiller/src/workflow/fact.rs
@@ -81,6 +81,10 @@
     Failed(u32),
     /// An ended job is forgotten.
     Forgotten(u32),
+    /// A machine has had its upkeep in a wave.
+    Upkept(u64, Arc<str>),
+    /// All machines of a wave have had theirs.
+    WaveOver(u64),
     /// What was learned about images that disturb each other.
     Learned(Vec<Lesson>),
 }
--- a/ashtiller/src/workflow/job.rs
+++ b/ashtiller/src/workflow/job.rs
@@ -27,6 +27,10 @@
 }
 
 /// Some like tasks of a job.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a choice of the client's"
+)]
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Step {
     /// Number of tasks.
--- a/ashtiller/src/workflow/live.rs
+++ b/ashtiller/src/workflow/live.rs
@@ -36,6 +36,8 @@
     Copied,
     /// Its worker is about to leave.
     Draining,
+    /// Its machine is to have its upkeep.
+    Upkeep,
     /// It makes no progress there.
     Stalled,
     /// The worker did not take the start.
--- /dev/null
+++ b/ashtiller/src/workflow/metrics.rs
@@ -0,0 +1,140 @@
+//! Counters and histograms of an entry instance.
+
+use std::time::Duration;
+
+use prometheus::{Histogram, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry};
+
+use crate::workflow::core::Counts;
+use crate::workflow::message::Reply;
+
+/// Bounds of the histograms in seconds: from a call within a zone to a client's wait.
+const BOUNDS: [f64; 12] = [
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0,
+];
+
+/// Counters and histograms of one process.
+pub struct Metrics {
+    registry: Registry,
+    calls: HistogramVec,
+    answers: IntCounterVec,
+    orders: HistogramVec,
+    commits: Histogram,
+    takeovers: Histogram,
+    events: IntCounterVec,
+}
+
+fn opts(name: &str, help: &str) -> Opts {
+    Opts::new(name, help)
+        .namespace("ashtiller")
+        .subsystem("entry")
+}
+
+fn histogram(name: &str, help: &str) -> HistogramOpts {
+    HistogramOpts::from(opts(name, help)).buckets(BOUNDS.to_vec())
+}
+
+impl Metrics {
+    /// Metrics in a registry of their own.
+    ///
+    /// # Errors
+    /// Two of them have one name.
+    pub fn open() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let metrics = Self {
+            calls: HistogramVec::new(
+                histogram("call_seconds", "time to answer a client"),
+                &["call"],
+            )?,
+            answers: IntCounterVec::new(
+                opts("answers", "answers to clients"),
+                &["call", "answer"],
+            )?,
+            orders: HistogramVec::new(
+                histogram("order_seconds", "time of a worker's answer"),
+                &["order"],
+            )?,
+            commits: Histogram::with_opts(histogram(
+                "commit_seconds",
+                "time to make an entry durable",
+            ))?,
+            takeovers: Histogram::with_opts(histogram(
+                "takeover_seconds",
+                "time from owning the log to its replay",
+            ))?,
+            events: IntCounterVec::new(
+                opts("events", "what the owner of the log did"),
+                &["event"],
+            )?,
+            registry,
+        };
+        let all: [Box<dyn prometheus::core::Collector>; 6] = [
+            Box::new(metrics.calls.clone()),
+            Box::new(metrics.answers.clone()),
+            Box::new(metrics.orders.clone()),
+            Box::new(metrics.commits.clone()),
+            Box::new(metrics.takeovers.clone()),
+            Box::new(metrics.events.clone()),
+        ];
+        for collector in all {
+            metrics.registry.register(collector)?;
+        }
+        Ok(metrics)
+    }
+
+    /// The registry, for operators.
+    #[must_use]
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// A client's call was answered.
+    pub fn note_call(&self, call: &str, reply: &Reply, took: Duration) {
+        let answer = match reply {
+            Reply::Accepted => "accepted",
+            Reply::State(_) | Reply::Pending(_) => "told",
+            Reply::Missing => "missing",
+            Reply::Refused(_) => "refused",
+            Reply::Invalid(_) => "invalid",
+            _ => "unknown",
+        };
+        self.calls
+            .with_label_values(&[call])
+            .observe(took.as_secs_f64());
+        self.answers.with_label_values(&[call, answer]).inc();
+    }
+
+    /// A worker answered, or did not in time.
+    pub fn note_order(&self, order: &str, took: Duration) {
+        self.orders
+            .with_label_values(&[order])
+            .observe(took.as_secs_f64());
+    }
+
+    /// An entry became durable.
+    pub fn note_commit(&self, took: Duration) {
+        self.commits.observe(took.as_secs_f64());
+    }
+
+    /// This process took over the log.
+    pub fn note_takeover(&self, took: Duration) {
+        self.takeovers.observe(took.as_secs_f64());
+    }
+
+    /// Counts of the state machine, which only rise while this process owns the log.
+    pub fn note_counts(&self, before: &Counts, now: &Counts) {
+        let changes = [
+            ("accepted", now.accepted - before.accepted),
+            ("placed", now.placed - before.placed),
+            ("done", now.done - before.done),
+            ("failed", now.failed - before.failed),
+            ("stopped", now.stopped - before.stopped),
+            ("lost", now.lost - before.lost),
+            ("looks", now.looks - before.looks),
+            ("orders", now.orders - before.orders),
+            ("entries", now.entries - before.entries),
+        ];
+        for (event, change) in changes {
+            self.events.with_label_values(&[event]).inc_by(change);
+        }
+    }
+}
--- a/ashtiller/src/workflow/node.rs
+++ b/ashtiller/src/workflow/node.rs
@@ -1,7 +1,7 @@
 //! One entry instance: takes clients' calls, and owns the log or follows who does.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,13 +15,15 @@
 use crate::failure::{Effect, Failure};
 use crate::workflow::advisor::Advisor;
 use crate::workflow::agents::Agents;
-use crate::workflow::config::{Config, Dialect};
+use crate::workflow::config::{Config, Dialect, Operated};
 use crate::workflow::fact::Lead;
 use crate::workflow::follow::{self, Seen};
 use crate::workflow::kv::{Change, Item, Store};
 use crate::workflow::link::{Answers, Links};
 use crate::workflow::log::Log;
+use crate::workflow::machines::{Machines, Wave};
 use crate::workflow::message::{Ask, Hello, Member, Reply, Welcome};
+use crate::workflow::metrics::Metrics;
 use crate::workflow::owner::{self, Asked};
 use crate::workflow::settings::Settings;
 
@@ -46,22 +48,28 @@
     pub agents: Arc<dyn Agents>,
     /// Advisor on workers, if there is one.
     pub advisor: Option<Arc<dyn Advisor>>,
+    /// Machines, if there is an interface to them.
+    pub machines: Option<Arc<dyn Machines>>,
     /// Reader of what the platform keeps in the store.
     pub dialect: Arc<dyn Dialect>,
     /// Connections to other instances.
     pub links: Links,
+    /// Counters and histograms.
+    pub metrics: Metrics,
     /// The log.
     pub log: Log,
     /// Random number of this process's life.
     pub life: u64,
     lead: watch::Sender<Option<Lead>>,
     config: watch::Sender<Arc<Config>>,
+    waves: watch::Sender<BTreeMap<u64, Wave>>,
     members: RefCell<Vec<Member>>,
     heard: RefCell<HashMap<Arc<str>, Instant>>,
     owner: RefCell<Option<mpsc::Sender<Asked>>>,
     store_seen: Cell<Option<Instant>>,
     store_took: Cell<Duration>,
     leaving: Cell<bool>,
+    dump: watch::Sender<Arc<str>>,
 }
 
 /// What the process reaches outside.
@@ -72,6 +80,8 @@
     pub agents: Arc<dyn Agents>,
     /// Advisor on workers, if there is one.
     pub advisor: Option<Arc<dyn Advisor>>,
+    /// Machines, if there is an interface to them.
+    pub machines: Option<Arc<dyn Machines>>,
     /// Reader of what the platform keeps in the store.
     pub dialect: Arc<dyn Dialect>,
 }
@@ -79,32 +89,40 @@
 impl Node {
     /// A process that has not begun to act.
     #[must_use]
-    pub fn new(settings: Settings, outside: Outside) -> Rc<Self> {
+    ///
+    /// # Errors
+    /// The metrics cannot be registered.
+    pub fn open(settings: Settings, outside: Outside) -> anyhow::Result<Rc<Self>> {
         let life = rand::random::<u64>();
         let Outside {
             store,
             agents,
             advisor,
+            machines,
             dialect,
         } = outside;
-        Rc::new(Self {
+        Ok(Rc::new(Self {
+            metrics: Metrics::open()?,
             log: Log::new(store.clone(), PREFIX, life),
             settings,
             store,
             agents,
             advisor,
+            machines,
             dialect,
             links: Links::default(),
             life,
             lead: watch::Sender::new(None),
             config: watch::Sender::new(Arc::default()),
+            waves: watch::Sender::new(BTreeMap::new()),
             members: RefCell::default(),
             heard: RefCell::default(),
             owner: RefCell::default(),
             store_seen: Cell::default(),
             store_took: Cell::default(),
             leaving: Cell::new(false),
-        })
+            dump: watch::Sender::new(Arc::from("{}")),
+        }))
     }
 
     /// Begins to follow the configuration, to watch the store and to campaign.
@@ -132,6 +150,34 @@
         !self.leaving.get() && self.config.borrow().version > 0
     }
 
+    /// The state of the log as its owner here last showed it.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        let lead = self.lead();
+        let config = self.config();
+        let owned: serde_json::Value =
+            serde_json::from_str(&self.dump.borrow()).unwrap_or(serde_json::Value::Null);
+        serde_json::json!({
+            "instance": &*self.settings.instance.name,
+            "life": self.life,
+            "leaving": self.leaving.get(),
+            "configuration": config.version,
+            "queues": config.queues.len(),
+            "lead": lead.as_ref().map(|lead| serde_json::json!({
+                "name": &*lead.name, "epoch": lead.epoch, "address": lead.address.to_string(),
+            })),
+            "owns": self.owns(),
+            "store_age_ms": self.as_member().store_age,
+            "members": self.members().iter().map(|member| &*member.name).collect::<Vec<&str>>(),
+            "owned": owned,
+        })
+    }
+
+    /// Shows the state of the log that this process owns.
+    pub fn show_owned(&self, dump: &serde_json::Value) {
+        self.dump.send_replace(dump.to_string().into());
+    }
+
     /// Whether a planned stop has begun.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
@@ -144,12 +190,12 @@
     }
 
     /// Puts a configuration in force, unless a newer one is.
-    pub fn adopt_config(&self, config: Arc<Config>) {
+    pub fn adopt_config(&self, config: &Arc<Config>) {
         let version = config.version;
         let adopted = self.config.send_if_modified(|current| {
             let newer = config.version > current.version;
             if newer {
-                *current = config;
+                *current = config.clone();
             }
             newer
         });
@@ -158,6 +204,18 @@
         }
     }
 
+    fn adopt_wave(&self, wave: Wave) {
+        self.waves.send_modify(|waves| {
+            waves.insert(wave.number, wave);
+        });
+    }
+
+    /// Follows the waves of upkeep that operators ask for.
+    #[must_use]
+    pub fn watch_waves(&self) -> watch::Receiver<BTreeMap<u64, Wave>> {
+        self.waves.subscribe()
+    }
+
     /// Who owns the log, as far as is known.
     #[must_use]
     pub fn lead(&self) -> Option<Lead> {
@@ -275,12 +333,13 @@
                 Seen::Changes(changes) => changes.into_iter().filter_map(put_of).collect(),
             };
             for item in items {
-                match self.dialect.config(&item.key, &item.value) {
-                    Ok(Some(config)) => self.adopt_config(Arc::new(config)),
-                    Ok(None) => {}
+                match self.dialect.operated(&item.key, &item.value) {
+                    Ok(Operated::Config(config)) => self.adopt_config(&Arc::new(config)),
+                    Ok(Operated::Wave(wave)) => self.adopt_wave(wave),
+                    Ok(Operated::Other) => {}
                     Err(error) => {
                         tracing::error!(key = %item.key, revision = item.revision, %error,
-                        "configuration cannot be read; the last good one stays")
+                            "configuration cannot be read; the last good one stays");
                     }
                 }
             }
@@ -426,7 +485,7 @@
                     Reply::Noted
                 }
                 Ask::Config(config) => {
-                    self.adopt_config(Arc::new(*config));
+                    self.adopt_config(&Arc::new(*config));
                     Reply::Noted
                 }
                 Ask::TakeOver(lead) => {
--- a/ashtiller/src/workflow/owner.rs
+++ b/ashtiller/src/workflow/owner.rs
@@ -1,7 +1,7 @@
 //! Carries out what the owner of a log decides.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::hash::Hasher;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -16,11 +16,12 @@
 use crate::workflow::advisor::Tickets;
 use crate::workflow::agents::{Looked, Order, Said};
 use crate::workflow::core::advice::StepKey;
-use crate::workflow::core::{Core, Effect, Now, Ticket};
+use crate::workflow::core::{Core, Counts, Effect, Now, Ticket};
 use crate::workflow::fact::{Lead, Run};
 use crate::workflow::follow::{self, Seen};
-use crate::workflow::kv::Change;
+use crate::workflow::kv::{Change, Txn};
 use crate::workflow::log::{Log, Lost, Replayed};
+use crate::workflow::machines::{Done, Duty, Holder};
 use crate::workflow::message::{Ask, Member, Reply};
 use crate::workflow::node::Node;
 
@@ -32,13 +33,15 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Least time between two polls of the state machine; a task runs for some 2 s.
 const POLL: Duration = Duration::from_millis(2);
+/// How often counters and the dump follow the state machine.
+const SHOW: Duration = Duration::from_secs(2);
 /// Inputs taken before the state machine is polled.
 const BATCH: usize = 128;
 /// Time without the store after which the log is handed to an instance that has it:
 /// above the slowest answers that were seen, 0.35 s.
 const HAND_OVER: Duration = Duration::from_millis(800);
 /// Time limit of asking another instance to take over.
-const TAKE_OVER_LIMIT: Duration = Duration::from_millis(1000);
+const TAKE_OVER_LIMIT: Duration = Duration::from_secs(1);
 /// Answers of the store above this, in milliseconds, say that it is slow for all.
 const SLOW: u32 = 150;
 /// Age that a member's last heartbeat may have.
@@ -63,6 +66,8 @@
     Appended(u64, Result<Instant, Lost>),
     Workers(Seen),
     Advised(StepKey, Duration, Result<Tickets, Failure>),
+    Duty(Arc<str>, Duty, Result<Done, Failure>),
+    Told(u64, bool, bool),
     HandedOver(bool),
 }
 
@@ -107,6 +112,7 @@
             }
         }
     };
+    node.metrics.note_takeover(start.elapsed());
     tracing::info!(
         epoch = lead.epoch,
         next = replayed.next,
@@ -136,6 +142,9 @@
         next_ticket: 0,
         snapshot: None,
         handing: None,
+        told: BTreeSet::new(),
+        counted: Counts::default(),
+        shown: Instant::now(),
         over: false,
     };
     owner.serve().await;
@@ -198,12 +207,17 @@
     next_ticket: u64,
     snapshot: Option<(u64, Vec<u8>)>,
     handing: Option<Instant>,
+    told: BTreeSet<(u64, bool)>,
+    counted: Counts,
+    shown: Instant,
     over: bool,
 }
 
 impl Owner {
     async fn serve(&mut self) {
         self.follow_workers();
+        let mut waves = self.node.watch_waves();
+        waves.mark_changed();
         let mut config = self.node.watch_config();
         self.core.set_config(config.borrow_and_update().clone());
         let mut tick = time::interval(TICK);
@@ -226,10 +240,17 @@
             }
             polled = Instant::now();
             let now = self.now();
+            if waves.has_changed().unwrap_or(false) {
+                for wave in waves.borrow_and_update().values() {
+                    self.core.set_wave(wave.clone(), now);
+                }
+            }
+            self.tell_waves();
             for effect in self.core.poll(now) {
                 self.carry_out(effect);
             }
             self.consider_hand_over(now);
+            self.show(now);
             self.over |= self.core.is_superseded();
             self.over |= self
                 .node
@@ -288,6 +309,7 @@
             }
             Input::Appended(position, Ok(sent)) => {
                 self.node.note_store();
+                self.node.metrics.note_commit(sent.elapsed());
                 let sent = sent.saturating_duration_since(self.start);
                 self.core.note_durable(position, sent, now);
                 self.compact(position);
@@ -301,6 +323,12 @@
                 self.over = true;
             }
             Input::Workers(seen) => self.take_workers(seen, now),
+            Input::Duty(machine, duty, done) => self.core.take_duty(&machine, &duty, done, now),
+            Input::Told(number, over, told) => {
+                if !told {
+                    self.told.remove(&(number, over));
+                }
+            }
             Input::Advised(key, asked_at, answer) => {
                 self.core.take_advice(key, asked_at, answer, now);
             }
@@ -388,9 +416,11 @@
             }
             Effect::Append(position, facts) => self.append(position, facts),
             Effect::Order(target, run, order) => {
-                let (agents, sender) = (self.node.agents.clone(), self.sender.clone());
+                let (node, sender) = (self.node.clone(), self.sender.clone());
                 task::spawn_local(async move {
-                    let said = agents.order(&target, &order).await;
+                    let began = Instant::now();
+                    let said = node.agents.order(&target, &order).await;
+                    node.metrics.note_order(order.kind(), began.elapsed());
                     let _ = sender
                         .send(Input::Answered(target.id, run, order, said))
                         .await;
@@ -406,6 +436,24 @@
                     let _ = sender.send(Input::Advised(key, asked_at, answer)).await;
                 });
             }
+            Effect::Duty(machine, duty) => {
+                let holder = Holder {
+                    name: self.lead.name.clone(),
+                    fence: self.lead.epoch,
+                };
+                let (machines, sender) = (self.node.machines.clone(), self.sender.clone());
+                task::spawn_local(async move {
+                    let done = match machines {
+                        Some(machines) => machines.order(&holder, &machine, &duty).await,
+                        None => Err(Failure::none(
+                            "order machine",
+                            &machine,
+                            "the settings name no interface",
+                        )),
+                    };
+                    let _ = sender.send(Input::Duty(machine, duty, done)).await;
+                });
+            }
             Effect::Look(target, look) => {
                 let (agents, sender) = (self.node.agents.clone(), self.sender.clone());
                 task::spawn_local(async move {
@@ -416,6 +464,46 @@
         }
     }
 
+    /// Counts what was done, and shows the state for a dump.
+    fn show(&mut self, now: Now) {
+        if self.shown.elapsed() < SHOW {
+            return;
+        }
+        self.shown = Instant::now();
+        let counts = self.core.counts();
+        self.node.metrics.note_counts(&self.counted, &counts);
+        self.counted = counts;
+        self.node.show_owned(&self.core.dump(now));
+    }
+
+    /// Tells operators how the waves stand, each state once.
+    fn tell_waves(&mut self) {
+        let states = self.core.wave_states();
+        for (number, over) in states {
+            let durable = !over || self.core.is_settled();
+            if !durable || !self.told.insert((number, over)) {
+                continue;
+            }
+            let (key, value) = self.node.dialect.wave_status(number, over);
+            let (store, sender) = (self.node.store.clone(), self.sender.clone());
+            task::spawn_local(async move {
+                let txn = Txn {
+                    put: vec![(key, value)],
+                    ..Txn::default()
+                };
+                let told = match store.commit(&txn).await {
+                    Ok(_) => true,
+                    Err(failure) => {
+                        tracing::warn!(wave = number, %failure, "operators not told of the wave");
+                        time::sleep(HAND_OVER_PAUSE).await;
+                        false
+                    }
+                };
+                let _ = sender.send(Input::Told(number, over, told)).await;
+            });
+        }
+    }
+
     fn append(&mut self, position: u64, facts: Vec<crate::workflow::fact::Fact>) {
         if Log::wants_snapshot(position) {
             match postcard::to_stdvec(self.core.book()) {
@@ -476,7 +564,7 @@
         let limit = if leaving {
             FIT_AGE
         } else {
-            u32::try_from((stalled - HELLO_AGE).as_millis()).unwrap_or(FIT_AGE)
+            u32::try_from(stalled.saturating_sub(HELLO_AGE).as_millis()).unwrap_or(FIT_AGE)
         };
         let members = self.node.members();
         let fit = members
--- a/ashtiller/src/workflow/settings.rs
+++ b/ashtiller/src/workflow/settings.rs
@@ -112,7 +112,7 @@
         clients: section.address("clients", None),
         readiness: section.address("readiness", None),
         peers: SocketAddr::new(ip, first),
-        operators: SocketAddr::new(ip, first.saturating_add(1)),
+        operators: section.address("operators", Some(SocketAddr::from(([127, 0, 0, 1], 9464)))),
         seeds: seeds.iter().filter_map(|seed| seed.parse().ok()).collect(),
         processors: section.processors("processors", Some(1000)),
         grace: section.duration("grace", Some(6 * SECOND), SECOND..=10 * MINUTE),
@@ -143,6 +143,7 @@
         retry: section.duration("retry", Some(defaults.retry), MS..=MINUTE),
         keep: section.duration("keep", Some(defaults.keep), SECOND..=24 * HOUR),
         far: f64::from(section.count("far_percent", Some(200), 100..=10_000)) / 100.0,
+        turn: section.duration("turn", Some(defaults.turn), 10 * MS..=HOUR),
         ..defaults
     }
 }
--- a/ashtiller/src/workflow/terms.rs
+++ b/ashtiller/src/workflow/terms.rs
@@ -40,6 +40,8 @@
     pub report: Duration,
     /// How often what was learned is kept.
     pub teach: Duration,
+    /// Time between orders of two owners to one machine.
+    pub turn: Duration,
 }
 
 impl Default for Terms {
@@ -49,7 +51,7 @@
             // Longer than the outages that operators report, which last 4 to 9 s.
             horizon: Duration::from_secs(11),
             // The longest that workers allow; a look is priced by the call.
-            wait: Duration::from_millis(2000),
+            wait: Duration::from_secs(2),
             // Reports are averages over half a second.
             watch: Duration::from_millis(500),
             pause: Duration::from_millis(40),
@@ -69,6 +71,7 @@
             report: Duration::from_millis(500),
             // Some 3 KB each time; pairs are learned within tens of seconds.
             teach: Duration::from_secs(3),
+            turn: Duration::from_secs(4),
         }
     }
 }
