Let larger instances own the log

Ruled out: the store (it answered in 5 ms). The lead key names the processors of the largest member; smaller instances wait longer, an owner hands over to a larger one in a calm moment, and a new owner may be silent for 1.5 s.

--- a/ashtiller/src/workflow/campaign.rs
+++ b/ashtiller/src/workflow/campaign.rs
@@ -24,6 +24,10 @@
 /// Time for a new owner to learn that it is one, when answers of the store are lost
 /// or slow.
 const BEGIN: Duration = Duration::from_millis(1500);
+/// An instance is larger than another when its processors are at least this ratio.
+pub const LARGER_BY: (u64, u64) = (3, 2);
+/// Time by which instances that are smaller than the largest known one wait longer.
+const SMALL_WAIT: Duration = Duration::from_millis(500);
 /// Pause before another look for an owner.
 const PAUSE: Duration = Duration::from_millis(100);
 /// Time limit of a question who the owner is.
@@ -130,7 +134,10 @@
             }
             Ok(_) => return Loss::Ended,
             Err(failure) => {
-                if let Some(loss) = judge(&failure) {
+                let begins = Instant::now() < patience;
+                if let Some(loss) = judge(&failure)
+                    && !(begins && loss == Loss::Silent)
+                {
                     return loss;
                 }
             }
@@ -182,7 +189,8 @@
         find_lead(node).await;
         return;
     }
-    let wait = RANK_STEP * rank(node, lead);
+    let small = node.settings.entry.processors * LARGER_BY.0 < lead.largest * LARGER_BY.1;
+    let wait = RANK_STEP * rank(node, lead) + if small { SMALL_WAIT } else { Duration::ZERO };
     let mut changed = node.watch_lead();
     if time::timeout(wait, changed.changed()).await.is_ok() {
         return;
--- a/ashtiller/src/workflow/fact.rs
+++ b/ashtiller/src/workflow/fact.rs
@@ -98,6 +98,8 @@
     pub address: std::net::SocketAddr,
     /// Random number of the process's life.
     pub life: u64,
+    /// Processors of the largest instance that it knew, in thousandths.
+    pub largest: u64,
     /// Revision of the lead key, which fences earlier owners; 0 until it is known.
     #[serde(default)]
     pub epoch: u64,
--- a/ashtiller/src/workflow/node.rs
+++ b/ashtiller/src/workflow/node.rs
@@ -251,10 +251,18 @@
             name: self.settings.instance.name.clone(),
             address: self.settings.entry.peers,
             life: self.life,
+            largest: self.largest(),
             epoch: 0,
         }
     }
 
+    /// Processors of the largest instance that is known, in thousandths.
+    fn largest(&self) -> u64 {
+        let members = self.members.borrow();
+        let others = members.iter().map(|member| member.processors);
+        others.fold(self.settings.entry.processors, u64::max)
+    }
+
     /// This process as others should see it.
     #[must_use]
     pub fn as_member(&self) -> Member {
--- a/ashtiller/src/workflow/owner.rs
+++ b/ashtiller/src/workflow/owner.rs
@@ -15,6 +15,7 @@
 use crate::failure::Failure;
 use crate::workflow::advisor::Tickets;
 use crate::workflow::agents::{Looked, Order, Said};
+use crate::workflow::campaign;
 use crate::workflow::core::advice::StepKey;
 use crate::workflow::core::{Core, Counts, Effect, Now, Ticket};
 use crate::workflow::fact::{Lead, Run};
@@ -40,6 +41,10 @@
 /// Time without the store after which the log is handed to an instance that has it:
 /// above the slowest answers that were seen, 0.35 s.
 const HAND_OVER: Duration = Duration::from_millis(800);
+/// Time after which an owner looks for a larger instance, so that members are known.
+const SETTLE: Duration = Duration::from_millis(1200);
+/// Wait of an entry up to which the store answers well.
+const CALM: Duration = Duration::from_millis(100);
 /// Time limit of asking another instance to take over.
 const TAKE_OVER_LIMIT: Duration = Duration::from_secs(1);
 /// Answers of the store above this, in milliseconds, say that it is slow for all.
@@ -550,7 +555,8 @@
     fn consider_hand_over(&mut self, now: Now) {
         let stalled = self.core.stalled_for(now);
         let leaving = self.node.is_leaving();
-        if stalled < HAND_OVER && !leaving {
+        let small = self.is_small(now);
+        if stalled < HAND_OVER && !leaving && !small {
             return;
         }
         if self
@@ -561,7 +567,7 @@
         }
         let own = &self.node.settings.instance.name;
         // Only contact with the store after this instance lost it says anything.
-        let limit = if leaving {
+        let limit = if leaving || small {
             FIT_AGE
         } else {
             u32::try_from(stalled.saturating_sub(HELLO_AGE).as_millis()).unwrap_or(FIT_AGE)
@@ -572,6 +578,7 @@
             .filter(|member| member.name != *own && !member.leaving)
             .filter(|member| member.store_age < limit)
             .filter(|member| leaving || member.store_took < SLOW)
+            .filter(|member| !small || self.is_larger(member))
             .min_by_key(|member| (Reverse(member.processors), member.store_age));
         let Some(heir) = fit.cloned() else {
             return;
@@ -602,6 +609,22 @@
         });
     }
 
+    fn is_larger(&self, member: &Member) -> bool {
+        let own = self.node.settings.entry.processors;
+        member.processors * campaign::LARGER_BY.1 >= own * campaign::LARGER_BY.0
+    }
+
+    /// Whether a larger instance should own instead, at a calm moment.
+    fn is_small(&self, now: Now) -> bool {
+        now.at > SETTLE
+            && self.core.stalled_for(now) < CALM
+            && self
+                .node
+                .members()
+                .iter()
+                .any(|member| self.is_larger(member))
+    }
+
     /// Entries that were not confirmed may have been written.
     fn refuse_waiting(&mut self) {
         for (_, reply) in self.waiting.drain() {
