--- a/ashtiller/src/workflow/campaign.rs
+++ b/ashtiller/src/workflow/campaign.rs
@@ -73,7 +73,7 @@
 /// Asks the store and others who the owner is.
 async fn find_lead(node: &Rc<Node>) {
     match node.log.read_lead(false).await {
-        Ok(Some(lead)) => node.adopt_lead(lead),
+        Ok(Some(lead)) => node.adopt_lead(&lead),
         Ok(None) => {}
         Err(failure) => {
             tracing::info!(%failure, "lead not read");
@@ -89,7 +89,7 @@
             .ask("ask for the owner", address, &Ask::Lead, LEAD_LIMIT)
             .await
         {
-            Ok(Reply::Lead(Some(lead))) => node.adopt_lead(lead),
+            Ok(Reply::Lead(Some(lead))) => node.adopt_lead(&lead),
             Ok(_) => {}
             Err(failure) => tracing::debug!(%failure, "not told who the owner is"),
         }
@@ -196,7 +196,7 @@
         return;
     }
     match node.log.read_lead(false).await {
-        Ok(Some(known)) if known.epoch != lead.epoch => node.adopt_lead(known),
+        Ok(Some(known)) if known.epoch != lead.epoch => node.adopt_lead(&known),
         Ok(_) => {
             if loss == Loss::Silent && is_alive(node, lead).await {
                 tracing::info!(owner = %lead.name, "owner still writes; it is not replaced");
@@ -236,7 +236,7 @@
         return;
     }
     match node.log.read_lead(false).await {
-        Ok(Some(lead)) => node.adopt_lead(lead),
+        Ok(Some(lead)) => node.adopt_lead(&lead),
         Ok(None) => seize(node, 0).await,
         Err(failure) => {
             tracing::info!(%failure, "lead not read");
@@ -262,7 +262,7 @@
             let lead = Lead { epoch, ..mine };
             owner::spawn(node, lead);
         }
-        Ok(Seized::Theirs(Some(lead))) => node.adopt_lead(lead),
+        Ok(Seized::Theirs(Some(lead))) => node.adopt_lead(&lead),
         Ok(Seized::Theirs(None)) => {}
         Err(failure) => {
             tracing::warn!(%failure, "lead not confirmed");
--- a/ashtiller/src/workflow/node.rs
+++ b/ashtiller/src/workflow/node.rs
@@ -88,7 +88,6 @@
 
 impl Node {
     /// A process that has not begun to act.
-    #[must_use]
     ///
     /// # Errors
     /// The metrics cannot be registered.
@@ -229,7 +228,7 @@
     }
 
     /// Takes note of an owner, unless a later one is known.
-    pub fn adopt_lead(&self, lead: Lead) {
+    pub fn adopt_lead(&self, lead: &Lead) {
         let adopted = self.lead.send_if_modified(|current| {
             let newer = current
                 .as_ref()
@@ -367,7 +366,7 @@
                     }
                     failed = false;
                     if let Some(lead) = lead {
-                        self.adopt_lead(lead);
+                        self.adopt_lead(&lead);
                     }
                 }
                 Err(failure) => {
@@ -489,7 +488,7 @@
                 Ask::Hello(hello) => Reply::Welcome(Box::new(self.welcome(&hello))),
                 Ask::Lead => Reply::Lead(self.lead()),
                 Ask::Leads(lead) => {
-                    self.adopt_lead(lead);
+                    self.adopt_lead(&lead);
                     Reply::Noted
                 }
                 Ask::Config(config) => {
--- a/ashtiller/src/workflow/owner.rs
+++ b/ashtiller/src/workflow/owner.rs
@@ -93,7 +93,7 @@
 pub fn spawn(node: &Rc<Node>, lead: Lead) {
     let (sender, asked) = mpsc::channel(QUEUE);
     node.set_owner(Some(sender));
-    node.adopt_lead(lead.clone());
+    node.adopt_lead(&lead);
     task::spawn_local(run(node.clone(), lead, asked));
 }
 
@@ -168,7 +168,7 @@
     if let Some(known) = node.log.read_lead(false).await?
         && known.epoch != lead.epoch
     {
-        node.adopt_lead(known);
+        node.adopt_lead(&known);
         return Ok(None);
     }
     node.log.replay(Duration::ZERO).await.map(Some)
@@ -596,7 +596,7 @@
             {
                 Ok(Reply::Lead(Some(next))) => {
                     let newer = next.epoch > lead.epoch;
-                    node.adopt_lead(next);
+                    node.adopt_lead(&next);
                     newer
                 }
                 Ok(_) => false,
--- /dev/null
+++ b/ashtiller/tests/decisions.rs
@@ -0,0 +1,669 @@
+//! Single decisions of the workflow plane, case by case.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashtiller::resources::Resources;
+use ashtiller::workflow::agents::{Active, Finished, How, Looked, Name, Order, Said};
+use ashtiller::workflow::book::Book;
+use ashtiller::workflow::config::{Config, Listed, Queue};
+use ashtiller::workflow::core::{Core, Effect, Now, Ticket};
+use ashtiller::workflow::fact::{End, Fact, Outcome, Run, Task};
+use ashtiller::workflow::interference::{Beside, Interference};
+use ashtiller::workflow::job::{Advice, Job, Policy, Schedule, Sharing, Step};
+use ashtiller::workflow::lease::{self, Lease};
+use ashtiller::workflow::machines::{Done, Duty, Wave};
+use ashtiller::workflow::message::{Reply, State};
+use ashtiller::workflow::terms::Terms;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn policy() -> Policy {
+    Policy {
+        service: "fleet".into(),
+        priority: 0,
+        attempts: 2,
+        extension: 2.0,
+        target: 250 * MS,
+        advice: None,
+    }
+}
+
+fn step(count: u32) -> Step {
+    Step {
+        count,
+        needs: Resources {
+            processors: 1000,
+            memory: 1 << 30,
+            accelerators: 0,
+        },
+        estimate: 500 * MS,
+        ..Step::default()
+    }
+}
+
+fn job(id: &str, steps: Vec<Step>) -> Job {
+    Job {
+        id: id.into(),
+        queue: "jobs/q/".into(),
+        payload: "".into(),
+        steps,
+        schedule: None,
+    }
+}
+
+fn listed(number: u16) -> Listed {
+    Listed {
+        id: format!("w{number}").into(),
+        machine: Some(format!("m{number}").into()),
+        service: "fleet".into(),
+        address: ([10, 0, 0, 1], number + 1).into(),
+        zone: "bern".into(),
+        capacity: Resources {
+            processors: 4000,
+            memory: 8 << 30,
+            accelerators: 0,
+        },
+        labels: vec!["a".into(), format!("r{}", number / 2).into()],
+        draining: false,
+        remaining: None,
+    }
+}
+
+/// A core whose store answers at once, and what it wants done.
+struct Driver {
+    core: Core,
+    now: Now,
+    ticket: u64,
+    orders: Vec<(Arc<str>, Run, Order)>,
+    answers: Vec<(Ticket, Reply)>,
+    asked: Vec<Vec<Arc<str>>>,
+    duties: Vec<(Arc<str>, Duty)>,
+    facts: Vec<Fact>,
+    /// Whether entries become durable.
+    store: bool,
+}
+
+impl Driver {
+    fn new(workers: u16, policy: Policy) -> Self {
+        let now = Now {
+            at: Duration::from_mins(10),
+            wall: 1_000_000,
+        };
+        let mut core = Core::new(Terms::default(), 5, Book::default(), 1, now);
+        core.set_config(Arc::new(Config {
+            version: 1,
+            queues: vec![Queue {
+                host: "jobs".into(),
+                prefix: "/q/".into(),
+                policy,
+            }],
+            ..Config::default()
+        }));
+        core.list_all((0..workers).map(listed).collect(), now);
+        let mut driver = Self {
+            core,
+            now,
+            ticket: 0,
+            orders: Vec::new(),
+            answers: Vec::new(),
+            asked: Vec::new(),
+            duties: Vec::new(),
+            facts: Vec::new(),
+            store: true,
+        };
+        driver.pass(100 * MS);
+        driver
+    }
+
+    /// Lets time pass; workers answer looks with nothing, and take every order.
+    fn pass(&mut self, span: Duration) {
+        let end = self.now.at + span;
+        while self.now.at < end {
+            self.now.at += 5 * MS;
+            self.now.wall += 5;
+            for effect in self.core.poll(self.now) {
+                self.carry_out(effect);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Append(position, facts) => {
+                self.facts.extend(facts);
+                if self.store {
+                    self.core.note_durable(position, self.now.at, self.now);
+                }
+            }
+            Effect::Order(target, run, order) => {
+                let said = Ok(Said::Done(self.clock()));
+                self.core
+                    .take_answer(&target.id, run, &order, said, self.now);
+                self.orders.push((target.id, run, order));
+            }
+            Effect::Look(target, _) => self.report(&target.id, Vec::new(), Vec::new()),
+            Effect::Answer(ticket, reply) => self.answers.push((ticket, reply)),
+            Effect::Advise(_, key, workers, at) => {
+                let good = workers
+                    .iter()
+                    .take(1)
+                    .map(|id| (id.clone(), Arc::from("t")));
+                let good = good.collect();
+                self.asked.push(workers);
+                self.core.take_advice(key, at, Ok(good), self.now);
+            }
+            Effect::Duty(machine, duty) => {
+                self.core
+                    .take_duty(&machine, &duty, Ok(Done::Yes), self.now);
+                self.duties.push((machine, duty));
+            }
+        }
+    }
+
+    fn clock(&self) -> u64 {
+        u64::try_from(self.now.at.as_millis()).unwrap()
+    }
+
+    fn report(&mut self, id: &str, mut active: Vec<Active>, finished: Vec<Finished>) {
+        // What was started there goes on, unless it is among the finished.
+        for (worker, run, order) in &self.orders {
+            if let Order::Start(start) = order
+                && **worker == *id
+                && !finished.iter().any(|end| end.name == start.name)
+                && self.core.book().is_live(*run)
+                && !active.iter().any(|row| row.name == start.name)
+            {
+                active.push(Active {
+                    name: start.name.clone(),
+                    run: start.run,
+                    saved: "".into(),
+                    percent: u32::try_from(self.now.at.as_millis() % 100).unwrap(),
+                    figure: None,
+                });
+            }
+        }
+        let looked = Looked::Report {
+            clock: self.clock(),
+            active,
+            finished,
+        };
+        self.core.take_look(id, Ok(looked), self.now);
+    }
+
+    fn submit(&mut self, job: Job) -> Ticket {
+        self.ticket += 1;
+        let ticket = Ticket(self.ticket);
+        self.core.submit(job, ticket, self.now);
+        ticket
+    }
+
+    fn starts(&self) -> Vec<(Arc<str>, Run)> {
+        let starts = self
+            .orders
+            .iter()
+            .filter(|(_, _, order)| matches!(order, Order::Start(_)));
+        starts.map(|(id, run, _)| (id.clone(), *run)).collect()
+    }
+
+    /// The next look at a worker shows that this run ended.
+    fn end(&mut self, id: &Arc<str>, run: Run, how: How, number: u64) {
+        let name = self.name(run);
+        for _ in 0..1000 {
+            self.now.at += 5 * MS;
+            let mut rest = Vec::new();
+            let mut looked = false;
+            for effect in self.core.poll(self.now) {
+                match effect {
+                    Effect::Look(target, _) if target.id == *id => looked = true,
+                    other => rest.push(other),
+                }
+            }
+            if looked {
+                let finished = vec![Finished {
+                    number,
+                    name: name.clone(),
+                    run: run.number,
+                    how,
+                    saved: "".into(),
+                }];
+                self.report(id, Vec::new(), finished);
+            }
+            for effect in rest {
+                self.carry_out(effect);
+            }
+            if looked {
+                return;
+            }
+        }
+        panic!("{id} was not looked at");
+    }
+
+    fn name(&self, run: Run) -> Name {
+        let job = &self.core.book().jobs[&run.task.job];
+        Name {
+            job: job.job.id.clone(),
+            time: run.task.time,
+            step: run.task.step,
+            index: run.task.index,
+        }
+    }
+}
+
+#[test]
+fn a_job_is_checked_before_it_is_taken() {
+    let after = |steps: Vec<u16>| Step {
+        after: steps,
+        ..step(1)
+    };
+    let cases: [(&str, Vec<Step>, bool); 6] = [
+        ("one step", vec![step(1)], true),
+        ("a chain", vec![step(1), after(vec![0])], true),
+        ("no step", Vec::new(), false),
+        ("no task", vec![step(0)], false),
+        ("on itself", vec![after(vec![0])], false),
+        ("too many tasks", vec![step(9_000), step(9_000)], false),
+    ];
+    for (name, steps, good) in cases {
+        assert_eq!(job("1", steps).check().is_ok(), good, "{name}");
+    }
+}
+
+#[test]
+fn chains_are_the_longest_way_to_the_end() {
+    let mut steps = vec![step(1), step(1), step(1)];
+    steps[1].after = vec![0];
+    steps[1].estimate = 2000 * MS;
+    steps[2].after = vec![0];
+    let chains = job("1", steps).chains();
+    assert_eq!(chains, [2500 * MS, 2000 * MS, 500 * MS]);
+}
+
+#[test]
+fn the_longest_prefix_finds_the_queue() {
+    let queue = |prefix: &str| Queue {
+        host: "h".into(),
+        prefix: prefix.into(),
+        policy: policy(),
+    };
+    let config = Config {
+        queues: vec![queue("/a/"), queue("/a/b/")],
+        ..Config::default()
+    };
+    let found = |host, path| {
+        config
+            .find(host, path)
+            .map(|queue| queue.prefix.to_string())
+    };
+    assert_eq!(found("h", "/a/b/1").as_deref(), Some("/a/b/"));
+    assert_eq!(found("h", "/a/c").as_deref(), Some("/a/"));
+    assert_eq!(found("other", "/a/c"), None);
+    assert_eq!(found("h", "/c"), None);
+}
+
+#[test]
+fn a_lease_ends_on_the_slowest_clock() {
+    let start = Duration::from_secs(100);
+    let mut lease = Lease::new(start);
+    assert_eq!(lease.grant(start, Duration::from_secs(6)), None);
+    lease.hear(50_000, start);
+    assert_eq!(
+        lease.grant(start + 500 * MS, Duration::from_secs(6)),
+        Some(56_500)
+    );
+    assert_eq!(lease.bound(), start + lease::stretch(6500 * MS));
+    // An answer that is overtaken by a later one says nothing.
+    lease.hear(49_000, start + Duration::from_secs(1));
+    assert_eq!(
+        lease.grant(start + Duration::from_secs(1), Duration::ZERO),
+        Some(51_000)
+    );
+}
+
+#[test]
+fn harm_is_learned_by_pair() {
+    let mut known = Interference::default();
+    let serves = known.number(&"serves".into());
+    let (heavy, mild) = (known.number(&"heavy".into()), known.number(&"mild".into()));
+    for round in 0..600u32 {
+        // Loads swing around 0.47.
+        let load = 0.47 + f64::from(round % 7) * 0.05 - 0.15;
+        let beside = |image| [Beside { image, share: 0.3 }];
+        known.learn(serves, load + 0.3 * 0.9, &beside(heavy));
+        known.learn(serves, load + 0.3 * 0.1, &beside(mild));
+    }
+    assert!(
+        (known.factor(serves, heavy) - 0.9).abs() < 0.15,
+        "{}",
+        known.factor(serves, heavy)
+    );
+    assert!(
+        (known.factor(serves, mild) - 0.1).abs() < 0.15,
+        "{}",
+        known.factor(serves, mild)
+    );
+    let mut later = Interference::default();
+    later.import(&known.export());
+    assert_eq!(later.export(), known.export());
+}
+
+#[test]
+fn a_book_is_the_same_from_a_snapshot() {
+    let task = Task {
+        job: 0,
+        time: 0,
+        step: 0,
+        index: 0,
+    };
+    let run = Run { task, number: 1 };
+    let facts = [
+        Fact::Accepted(Box::new(job("1", vec![step(2)])), policy(), 7),
+        Fact::Placed(run, "w0".into(), "".into()),
+        Fact::Ended(run, End::Done, "".into()),
+        Fact::Accepted(Box::new(job("2", vec![step(1)])), policy(), 8),
+        Fact::Cancelled(1),
+    ];
+    let mut whole = Book::default();
+    for fact in &facts {
+        whole.apply(fact, MS);
+    }
+    for cut in 0..facts.len() {
+        let mut first = Book::default();
+        for fact in &facts[..cut] {
+            first.apply(fact, MS);
+        }
+        let bytes = postcard::to_stdvec(&first).unwrap();
+        let mut book: Book = postcard::from_bytes(&bytes).unwrap();
+        book.index(MS);
+        for fact in &facts[cut..] {
+            book.apply(fact, MS);
+        }
+        assert_eq!(
+            postcard::to_stdvec(&book).unwrap(),
+            postcard::to_stdvec(&whole).unwrap(),
+            "cut {cut}"
+        );
+        assert_eq!(book.open(), whole.open(), "cut {cut}");
+    }
+    assert_eq!(whole.jobs[&1].outcome, Some(Outcome::Cancelled));
+}
+
+#[test]
+fn an_accepted_job_is_answered_when_it_is_durable() {
+    let mut driver = Driver::new(2, policy());
+    let ticket = driver.submit(job("1", vec![step(2)]));
+    assert!(driver.answers.is_empty());
+    driver.pass(100 * MS);
+    assert_eq!(driver.answers, [(ticket, Reply::Accepted)]);
+    assert_eq!(driver.starts().len(), 2);
+    // The same id again is the same job.
+    let again = driver.submit(job("1", vec![step(2)]));
+    driver.pass(100 * MS);
+    assert_eq!(driver.answers[1], (again, Reply::Accepted));
+    assert_eq!(driver.starts().len(), 2);
+}
+
+#[test]
+fn nothing_starts_before_its_record_is_durable() {
+    let mut driver = Driver::new(2, policy());
+    driver.store = false;
+    driver.submit(job("1", vec![step(2)]));
+    driver.pass(300 * MS);
+    assert!(driver.starts().is_empty());
+    assert!(driver.answers.is_empty());
+}
+
+#[test]
+fn jobs_are_refused_at_once_while_the_store_is_away() {
+    let mut driver = Driver::new(2, policy());
+    driver.store = false;
+    driver.pass(Duration::from_secs(2));
+    let ticket = driver.submit(job("1", vec![step(1)]));
+    driver.pass(10 * MS);
+    assert_eq!(driver.answers, [(ticket, Reply::Refused(1000))]);
+    let known = driver
+        .facts
+        .iter()
+        .any(|fact| matches!(fact, Fact::Accepted(..)));
+    assert!(!known, "a refused job is nowhere");
+    assert_eq!(driver.core.state("1"), Reply::Missing);
+}
+
+#[test]
+fn a_step_waits_for_those_it_depends_on() {
+    let mut driver = Driver::new(2, policy());
+    let second = Step {
+        after: vec![0],
+        ..step(1)
+    };
+    driver.submit(job("1", vec![step(1), second]));
+    driver.pass(200 * MS);
+    let starts = driver.starts();
+    assert_eq!(starts.len(), 1);
+    let (id, run) = starts[0].clone();
+    driver.end(&id, run, How::Done, 1);
+    driver.pass(200 * MS);
+    let starts = driver.starts();
+    assert_eq!(starts.len(), 2);
+    assert_eq!(starts[1].1.task.step, 1);
+    let (id, run) = starts[1].clone();
+    driver.end(&id, run, How::Done, 2);
+    driver.pass(200 * MS);
+    assert_eq!(
+        driver.core.state("1"),
+        Reply::State(State::Over(Outcome::Complete))
+    );
+}
+
+#[test]
+fn a_task_that_fails_too_often_ends_its_job() {
+    let mut driver = Driver::new(2, policy());
+    driver.submit(job("1", vec![step(1)]));
+    for attempt in 1..=2 {
+        driver.pass(300 * MS);
+        let (id, run) = driver.starts().last().unwrap().clone();
+        assert_eq!(run.number, attempt);
+        driver.end(&id, run, How::Failed, u64::from(attempt));
+    }
+    driver.pass(200 * MS);
+    assert_eq!(
+        driver.core.state("1"),
+        Reply::State(State::Over(Outcome::Failed))
+    );
+    assert_eq!(driver.starts().len(), 2);
+}
+
+#[test]
+fn a_retry_avoids_the_worker_on_which_it_failed() {
+    let mut driver = Driver::new(3, policy());
+    driver.submit(job("1", vec![step(1)]));
+    driver.pass(200 * MS);
+    let (first, run) = driver.starts()[0].clone();
+    driver.end(&first, run, How::Failed, 1);
+    driver.pass(200 * MS);
+    assert_ne!(driver.starts()[1].0, first);
+}
+
+#[test]
+fn a_gang_starts_whole_and_under_one_number() {
+    let mut driver = Driver::new(4, policy());
+    let gang = Step {
+        gang: true,
+        one_rack: true,
+        ..step(6)
+    };
+    driver.submit(job("1", vec![gang]));
+    driver.pass(300 * MS);
+    let starts = driver.starts();
+    assert_eq!(starts.len(), 6);
+    assert!(starts.iter().all(|(_, run)| run.number == 1));
+    // Two workers of four processors make a rack.
+    let racks: BTreeSet<u32> = starts
+        .iter()
+        .map(|(id, _)| id[1..].parse::<u32>().unwrap() / 2)
+        .collect();
+    assert_eq!(racks.len(), 1);
+}
+
+#[test]
+fn a_gang_that_does_not_fit_starts_nothing() {
+    let mut driver = Driver::new(2, policy());
+    let gang = Step {
+        gang: true,
+        ..step(9)
+    };
+    driver.submit(job("1", vec![gang]));
+    driver.pass(300 * MS);
+    assert!(driver.starts().is_empty());
+}
+
+#[test]
+fn spread_and_labels_bound_where_tasks_go() {
+    let mut driver = Driver::new(4, policy());
+    let spread = Step {
+        spread: 1,
+        ..step(4)
+    };
+    driver.submit(job("1", vec![spread]));
+    driver.pass(300 * MS);
+    let workers: BTreeSet<Arc<str>> = driver.starts().into_iter().map(|(id, _)| id).collect();
+    assert_eq!(workers.len(), 4);
+    let labelled = Step {
+        label: Some("r1".into()),
+        ..step(2)
+    };
+    driver.submit(job("2", vec![labelled]));
+    driver.pass(300 * MS);
+    let starts = driver.starts();
+    let late = &starts[4..];
+    assert_eq!(late.len(), 2);
+    assert!(late.iter().all(|(id, _)| matches!(&**id, "w2" | "w3")));
+}
+
+#[test]
+fn a_repeated_job_starts_at_its_times() {
+    let mut driver = Driver::new(2, policy());
+    let mut repeated = job("1", vec![step(1)]);
+    repeated.schedule = Some(Schedule {
+        first: driver.now.wall + 1000,
+        interval: 1000,
+        times: 2,
+    });
+    driver.submit(repeated);
+    driver.pass(900 * MS);
+    assert!(driver.starts().is_empty());
+    driver.pass(400 * MS);
+    assert_eq!(driver.starts().len(), 1);
+    driver.pass(1000 * MS);
+    let times: Vec<u32> = driver
+        .starts()
+        .iter()
+        .map(|(_, run)| run.task.time)
+        .collect();
+    assert_eq!(times, [0, 1]);
+}
+
+#[test]
+fn a_lost_worker_gives_its_runs_back_after_its_lease() {
+    let mut driver = Driver::new(2, policy());
+    driver.submit(job("1", vec![step(1)]));
+    driver.pass(200 * MS);
+    let (id, _) = driver.starts()[0].clone();
+    let number: u16 = id[1..].parse().unwrap();
+    // The same machine under another id: the former life is over.
+    let back = Listed {
+        id: "w9".into(),
+        ..listed(number)
+    };
+    driver.core.list_worker(back, driver.now);
+    driver.pass(200 * MS);
+    let starts = driver.starts();
+    assert_eq!(starts.len(), 2);
+    assert_eq!(starts[1].1.number, 2);
+}
+
+#[test]
+fn lasting_tasks_leave_a_draining_worker() {
+    let mut driver = Driver::new(2, policy());
+    let lasting = Step {
+        lasting: true,
+        sharing: Sharing::Serves(50 * MS),
+        ..step(1)
+    };
+    driver.submit(job("1", vec![lasting]));
+    driver.pass(200 * MS);
+    let (id, run) = driver.starts()[0].clone();
+    let number: u16 = id[1..].parse().unwrap();
+    driver.core.list_worker(
+        Listed {
+            draining: true,
+            remaining: Some(Duration::from_secs(3)),
+            ..listed(number)
+        },
+        driver.now,
+    );
+    driver.pass(100 * MS);
+    let stopped = driver
+        .orders
+        .iter()
+        .any(|(_, at, order)| *at == run && matches!(order, Order::Stop(..)));
+    assert!(stopped);
+    driver.end(&id, run, How::Stopped, 1);
+    driver.pass(300 * MS);
+    let starts = driver.starts();
+    assert_eq!(starts.len(), 2);
+    assert_ne!(starts[1].0, id);
+}
+
+#[test]
+fn the_advisor_is_asked_for_likely_workers_only() {
+    let advised = Policy {
+        advice: Some(Advice {
+            decide: 5 * MS,
+            each: MS,
+            valid: Duration::from_secs(3),
+        }),
+        ..policy()
+    };
+    let mut driver = Driver::new(20, advised);
+    driver.submit(job("1", vec![step(2)]));
+    driver.pass(300 * MS);
+    assert_eq!(driver.asked.len(), 1);
+    assert!(driver.asked[0].len() <= 8, "{}", driver.asked[0].len());
+    let tickets: Vec<bool> = driver
+        .orders
+        .iter()
+        .map(|(_, _, order)| matches!(order, Order::Start(start) if start.ticket.is_some()))
+        .collect();
+    assert_eq!(tickets, [true, true]);
+}
+
+#[test]
+fn a_wave_goes_a_few_machines_at_a_time() {
+    let mut driver = Driver::new(4, policy());
+    driver.core.set_wave(
+        Wave {
+            number: 3,
+            machines: (0..4).map(|number| format!("m{number}").into()).collect(),
+            duration: Duration::from_secs(30),
+            most: 1,
+        },
+        driver.now,
+    );
+    driver.pass(Duration::from_secs(10));
+    assert_eq!(driver.duties.len(), 1);
+    for round in 1..4u16 {
+        let (machine, duty) = driver.duties.last().unwrap().clone();
+        assert_eq!(duty, Duty::Upkeep(3));
+        let number: u16 = machine[1..].parse().unwrap();
+        let back = Listed {
+            id: format!("w{}", 100 + round).into(),
+            ..listed(number)
+        };
+        driver.core.list_worker(back, driver.now);
+        driver.pass(Duration::from_secs(3));
+        assert_eq!(driver.duties.len(), usize::from(round) + 1);
+    }
+    assert_eq!(driver.core.wave_states().get(&3), Some(&true));
+}
--- /dev/null
+++ b/ashtiller/tests/workflow.rs
@@ -0,0 +1,142 @@
+//! The owner of a log under faults, in virtual time and from seeds.
+
+mod world;
+
+use std::time::Duration;
+
+use ashtiller::resources::Resources;
+use ashtiller::workflow::job::{Job, Step};
+
+use world::worker::Weakness;
+use world::{Faults, World};
+
+/// Seeds in a usual run; `ASHTILLER_SEEDS` asks for more by hand.
+const SEEDS: u64 = 40;
+
+fn seeds() -> u64 {
+    let asked = std::env::var("ASHTILLER_SEEDS").ok();
+    asked.and_then(|seeds| seeds.parse().ok()).unwrap_or(SEEDS)
+}
+
+const ROUGH: Faults = Faults {
+    lost: 8,
+    late: 60,
+    owners: true,
+    workers: true,
+    store: true,
+    weak: Weakness {
+        fences: false,
+        leases: false,
+    },
+};
+
+fn step(count: u32, processors: u64, after: Vec<u16>) -> Step {
+    Step {
+        count,
+        needs: Resources {
+            processors,
+            memory: 1 << 30,
+            accelerators: 0,
+        },
+        estimate: Duration::from_millis(800),
+        after,
+        ..Step::default()
+    }
+}
+
+fn job(number: u32, world: &mut World) -> Job {
+    let first = step(
+        1 + world.draw(5),
+        500 + 500 * u64::from(world.draw(4)),
+        Vec::new(),
+    );
+    let mut steps = vec![first];
+    if world.draw(2) == 0 {
+        steps.push(step(1 + world.draw(4), 1000, vec![0]));
+    }
+    if steps.len() == 2 && world.draw(2) == 0 {
+        steps.push(step(2, 1500, vec![0, 1]));
+    }
+    Job {
+        id: format!("{number:016x}").into(),
+        queue: "jobs/q/".into(),
+        payload: "sweep".into(),
+        steps,
+        schedule: None,
+    }
+}
+
+/// A rough spell with jobs coming in, then a calm one.
+fn play(seed: u64, faults: Faults) -> World {
+    let mut world = World::new(seed, faults);
+    for number in 0..24 {
+        let job = job(number, &mut world);
+        // Every fourth job outlasts a lease.
+        let length = if number % 4 == 0 { 9000 } else { 700 };
+        world.submit(job, Duration::from_millis(length));
+        world.run(Duration::from_millis(400), true);
+    }
+    world.run(Duration::from_secs(4), true);
+    world.heal();
+    for _ in 0..6 {
+        world.run(Duration::from_secs(5), false);
+        world.resend();
+    }
+    world.run(Duration::from_secs(50), false);
+    world
+}
+
+#[test]
+fn jobs_survive_owners_workers_and_the_store() {
+    let mut takeovers = 0;
+    let mut starts = 0;
+    for seed in 0..seeds() {
+        let world = play(seed, ROUGH);
+        assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+        assert_eq!(world.accepted(), 24, "seed {seed}");
+        let open = world.unfinished();
+        assert!(open.is_empty(), "seed {seed}: unfinished {open:?}");
+        takeovers += world.takeovers;
+        starts += world.starts;
+    }
+    // The exploration reaches what it is for.
+    assert!(takeovers > seeds() * 2, "{takeovers} owners");
+    assert!(starts > seeds() * 60, "{starts} starts");
+}
+
+#[test]
+fn a_calm_world_starts_each_task_once() {
+    let calm = Faults {
+        lost: 0,
+        late: 0,
+        owners: false,
+        workers: false,
+        store: false,
+        weak: Weakness::default(),
+    };
+    let mut world = World::new(7, calm);
+    for number in 0..10 {
+        let job = job(number, &mut world);
+        world.submit(job, Duration::from_millis(700));
+        world.run(Duration::from_millis(300), false);
+    }
+    world.run(Duration::from_secs(12), false);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert!(world.unfinished().is_empty());
+    assert_eq!(world.unnoted(), 0, "ends that nobody acknowledged");
+}
+
+/// Whether some seed breaks a rule when a safeguard is missing.
+fn is_seen(weak: Weakness) -> bool {
+    let faults = Faults { weak, ..ROUGH };
+    (0..60).any(|seed| !play(seed, faults).broken.is_empty())
+}
+
+#[test]
+fn the_check_sees_workers_that_ignore_leases() {
+    let weak = Weakness {
+        fences: false,
+        leases: true,
+    };
+    assert!(is_seen(weak));
+}
--- /dev/null
+++ b/ashtiller/tests/world/mod.rs
@@ -0,0 +1,563 @@
+//! Owners, a log and workers in virtual time, with faults drawn from a seed.
+
+pub mod worker;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashtiller::failure::Failure;
+use ashtiller::resources::Resources;
+use ashtiller::workflow::agents::{Look, Looked, Name, Order, Said, Target};
+use ashtiller::workflow::book::Book;
+use ashtiller::workflow::config::{Config, Listed, Queue};
+use ashtiller::workflow::core::{Core, Effect, Now, Ticket};
+use ashtiller::workflow::fact::{Fact, Run};
+use ashtiller::workflow::job::{Job, Policy};
+use ashtiller::workflow::message::{Reply, State};
+use ashtiller::workflow::terms::Terms;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+use worker::{Weakness, Worker};
+
+const MS: Duration = Duration::from_millis(1);
+/// Time between two steps of the owners.
+const STEP: Duration = Duration::from_millis(5);
+/// Time limit of an order.
+const ORDER_LIMIT: Duration = Duration::from_millis(350);
+/// First time of every world, so that no sum is below nothing.
+const START: Duration = Duration::from_mins(1);
+
+/// How much goes wrong.
+#[derive(Clone, Copy, Debug)]
+pub struct Faults {
+    /// Percent of orders and looks whose answer is lost.
+    pub lost: u32,
+    /// Percent of lost orders that are carried out seconds later.
+    pub late: u32,
+    /// Whether owners are replaced, and go on until they learn of it.
+    pub owners: bool,
+    /// Whether workers die or are cut off.
+    pub workers: bool,
+    /// Whether the store is slow at times.
+    pub store: bool,
+    /// Safeguards of workers that are switched off.
+    pub weak: Weakness,
+}
+
+/// Something that happens at a time.
+enum Event {
+    Append(u64, u64, Vec<Fact>),
+    Durable(usize, u64, Duration),
+    Carry(usize, u64, Target, Run, Order, bool),
+    Ordered(usize, Arc<str>, Run, Order, Option<Said>),
+    See(usize, Target, Look),
+    Looked(usize, Arc<str>, Option<Looked>),
+}
+
+/// The whole world.
+pub struct World {
+    rng: Pcg64,
+    faults: Faults,
+    now: Duration,
+    events: BTreeMap<(Duration, u64), Event>,
+    order: BinaryHeap<Reverse<(Duration, u64)>>,
+    number: u64,
+    entries: Vec<Vec<Fact>>,
+    epoch: u64,
+    owners: Vec<Option<Core>>,
+    newest: usize,
+    workers: BTreeMap<Arc<str>, Worker>,
+    cut: BTreeSet<Arc<str>>,
+    lengths: BTreeMap<Arc<str>, Vec<Duration>>,
+    jobs: BTreeMap<Arc<str>, Job>,
+    done: BTreeSet<Name>,
+    accepted: BTreeSet<Arc<str>>,
+    tickets: BTreeMap<u64, Arc<str>>,
+    config: Arc<Config>,
+    /// Rules that were broken, in words.
+    pub broken: Vec<String>,
+    /// Runs that began.
+    pub starts: u64,
+    /// Owners that there were.
+    pub takeovers: u64,
+}
+
+fn policy() -> Policy {
+    Policy {
+        service: "fleet".into(),
+        priority: 0,
+        attempts: 5,
+        extension: 2.0,
+        target: Duration::from_millis(250),
+        advice: None,
+    }
+}
+
+fn capacity() -> Resources {
+    Resources {
+        processors: 8000,
+        memory: 16 << 30,
+        accelerators: 0,
+    }
+}
+
+impl World {
+    pub fn new(seed: u64, faults: Faults) -> Self {
+        let config = Config {
+            version: 1,
+            queues: vec![Queue {
+                host: "jobs".into(),
+                prefix: "/q/".into(),
+                policy: policy(),
+            }],
+            ..Config::default()
+        };
+        let mut world = Self {
+            rng: Pcg64::seed_from_u64(seed),
+            faults,
+            now: START,
+            events: BTreeMap::new(),
+            order: BinaryHeap::new(),
+            number: 0,
+            entries: Vec::new(),
+            epoch: 0,
+            owners: Vec::new(),
+            newest: 0,
+            workers: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            lengths: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            done: BTreeSet::new(),
+            accepted: BTreeSet::new(),
+            tickets: BTreeMap::new(),
+            config: Arc::new(config),
+            broken: Vec::new(),
+            starts: 0,
+            takeovers: 0,
+        };
+        for number in 0..6 {
+            world.add_worker(&format!("w{number}"));
+        }
+        world.take_over();
+        world
+    }
+
+    fn add_worker(&mut self, id: &str) {
+        let pace = self.rng.random_range(98..=100);
+        let worker = Worker::new(id, capacity(), pace, self.faults.weak);
+        self.workers.insert(worker.id.clone(), worker);
+        let listed = listing(id);
+        let now = self.clock();
+        for core in self.owners.iter_mut().flatten() {
+            core.list_worker(listed.clone(), now);
+        }
+    }
+
+    fn clock(&self) -> Now {
+        Now {
+            at: self.now,
+            wall: u64::try_from(self.now.as_millis()).unwrap(),
+        }
+    }
+
+    fn at(&mut self, after: Duration, event: Event) {
+        self.number += 1;
+        let key = (self.now + after, self.number);
+        self.events.insert(key, event);
+        self.order.push(Reverse(key));
+    }
+
+    fn millis(&mut self, from: u64, to: u64) -> Duration {
+        MS * u32::try_from(self.rng.random_range(from..=to)).unwrap()
+    }
+
+    fn percent(&mut self, percent: u32) -> bool {
+        self.rng.random_range(0..100) < percent
+    }
+
+    /// A new owner replays the log; the former one goes on until it learns of it.
+    pub fn take_over(&mut self) {
+        self.epoch += 1;
+        self.takeovers += 1;
+        let mut book = Book::default();
+        for facts in &self.entries {
+            for fact in facts {
+                book.apply(fact, self.now);
+            }
+        }
+        let next = self.entries.len() as u64 + 1;
+        let now = self.clock();
+        let mut core = Core::new(Terms::default(), self.epoch, book, next, now);
+        core.set_config(self.config.clone());
+        core.list_all(self.workers.keys().map(|id| listing(id)).collect(), now);
+        self.owners.push(Some(core));
+        self.newest = self.owners.len() - 1;
+    }
+
+    /// The newest owner dies at once.
+    pub fn kill_owner(&mut self) {
+        let newest = self.newest;
+        self.owners[newest] = None;
+    }
+
+    /// Submits a job, whose tasks take about `length`.
+    pub fn submit(&mut self, job: Job, length: Duration) {
+        let tasks: u32 = job.steps.iter().map(|step| step.count).sum();
+        let lengths = (0..tasks).map(|_| length.mul_f64(self.rng.random_range(0.6..1.4)));
+        let lengths = lengths.collect();
+        self.lengths.insert(job.id.clone(), lengths);
+        self.jobs.insert(job.id.clone(), job.clone());
+        self.send(job);
+    }
+
+    fn send(&mut self, job: Job) {
+        let now = self.clock();
+        self.number += 1;
+        self.tickets.insert(self.number, job.id.clone());
+        let ticket = Ticket(self.number);
+        if let Some(core) = &mut self.owners[self.newest] {
+            core.submit(job, ticket, now);
+        }
+    }
+
+    /// Sends every job again that was not accepted.
+    pub fn resend(&mut self) {
+        let missing = self
+            .jobs
+            .values()
+            .filter(|job| !self.accepted.contains(&job.id));
+        for job in missing.cloned().collect::<Vec<Job>>() {
+            self.send(job);
+        }
+    }
+
+    /// Lets `span` pass, with faults if `rough`.
+    pub fn run(&mut self, span: Duration, rough: bool) {
+        let end = self.now + span;
+        while self.now < end && self.broken.is_empty() {
+            self.now += STEP;
+            self.deliver();
+            if rough {
+                self.disturb();
+            }
+            self.check();
+            self.poll();
+        }
+    }
+
+    fn disturb(&mut self) {
+        // Each about once in some seconds of 200 steps.
+        if self.faults.owners && self.rng.random_range(0..700) == 0 {
+            if self.percent(50) {
+                self.kill_owner();
+            }
+            self.take_over();
+            self.resend();
+        }
+        if self.faults.workers && self.rng.random_range(0..600) == 0 {
+            let id = self.any_worker();
+            if !self.cut.remove(&id) {
+                self.cut.insert(id);
+            }
+        }
+        if self.faults.workers && self.rng.random_range(0..1500) == 0 {
+            let id = self.any_worker();
+            self.workers.remove(&id);
+            self.cut.remove(&id);
+            let now = self.clock();
+            for core in self.owners.iter_mut().flatten() {
+                core.unlist_worker(&id, now);
+            }
+            let fresh = format!("w{}", self.number);
+            self.add_worker(&fresh);
+        }
+    }
+
+    fn any_worker(&mut self) -> Arc<str> {
+        let place = self.rng.random_range(0..self.workers.len());
+        self.workers.keys().nth(place).unwrap().clone()
+    }
+
+    /// Ends all faults.
+    pub fn heal(&mut self) {
+        self.cut.clear();
+        self.faults = Faults {
+            lost: 0,
+            late: 0,
+            owners: false,
+            workers: false,
+            store: false,
+            weak: self.faults.weak,
+        };
+        if self.owners[self.newest].is_none() {
+            self.take_over();
+        }
+        self.resend();
+    }
+
+    fn poll(&mut self) {
+        let now = self.clock();
+        for place in 0..self.owners.len() {
+            let Some(core) = &mut self.owners[place] else {
+                continue;
+            };
+            let effects = core.poll(now);
+            let superseded = core.is_superseded();
+            for effect in effects {
+                self.carry_out(place, effect);
+            }
+            if superseded {
+                self.owners[place] = None;
+            }
+        }
+    }
+
+    fn carry_out(&mut self, place: usize, effect: Effect) {
+        match effect {
+            Effect::Append(position, facts) => {
+                let slow = self.faults.store && self.percent(3);
+                let delay = if slow {
+                    self.millis(300, 4000)
+                } else {
+                    self.millis(2, 8)
+                };
+                let epoch = self.owners[place].as_ref().map_or(0, Core::epoch);
+                let sent = self.now;
+                self.at(delay, Event::Append(position, epoch, facts));
+                let answer = delay + self.millis(1, 5);
+                self.at(answer, Event::Durable(place, position, sent));
+            }
+            Effect::Order(target, run, order) => self.send_order(place, target, run, order),
+            Effect::Look(target, look) => {
+                if self.percent(self.faults.lost / 2) {
+                    let wait = look.wait + ORDER_LIMIT;
+                    self.at(wait, Event::Looked(place, target.id, None));
+                } else {
+                    let delay = self.millis(1, 4);
+                    self.at(delay, Event::See(place, target, look));
+                }
+            }
+            Effect::Answer(ticket, reply) => {
+                if reply == Reply::Accepted
+                    && let Some(id) = self.tickets.remove(&ticket.0)
+                {
+                    self.accepted.insert(id);
+                }
+            }
+            Effect::Advise(..) | Effect::Duty(..) => {}
+        }
+    }
+
+    fn send_order(&mut self, place: usize, target: Target, run: Run, order: Order) {
+        let lost = self.percent(self.faults.lost);
+        let delay = if lost && self.percent(self.faults.late) {
+            self.millis(2000, 12_000)
+        } else {
+            self.millis(1, 4)
+        };
+        let id = target.id.clone();
+        if lost {
+            self.at(
+                ORDER_LIMIT,
+                Event::Ordered(place, id, run, order.clone(), None),
+            );
+        }
+        let fence = target.fence;
+        self.at(delay, Event::Carry(place, fence, target, run, order, !lost));
+    }
+
+    fn deliver(&mut self) {
+        while let Some(Reverse(key)) = self.order.peek().copied() {
+            if key.0 > self.now {
+                return;
+            }
+            self.order.pop();
+            if let Some(event) = self.events.remove(&key) {
+                self.happen(event);
+            }
+        }
+    }
+
+    fn happen(&mut self, event: Event) {
+        let now = self.clock();
+        match event {
+            Event::Append(position, epoch, facts) => {
+                let next = self.entries.len() as u64 + 1;
+                if epoch == self.epoch && position == next {
+                    self.entries.push(facts);
+                }
+            }
+            Event::Durable(place, position, sent) => {
+                let Some(core) = &mut self.owners[place] else {
+                    return;
+                };
+                // Written by this owner, or by nobody because another took over first.
+                let written = core.epoch() == self.epoch || self.entries.len() as u64 >= position;
+                if written && core.epoch() == self.epoch {
+                    core.note_durable(position, sent, now);
+                } else {
+                    self.owners[place] = None;
+                }
+            }
+            Event::Carry(place, fence, target, run, order, answers) => {
+                let said = self.carry(fence, &target.id, &order);
+                if answers {
+                    let delay = self.millis(1, 4);
+                    let event = Event::Ordered(place, target.id, run, order, said);
+                    let delay = if said.is_none() { ORDER_LIMIT } else { delay };
+                    self.at(delay, event);
+                }
+            }
+            Event::Ordered(place, id, run, order, said) => {
+                if let Some(core) = &mut self.owners[place] {
+                    let said = said.ok_or_else(|| Failure::unknown("order", &id, "no answer"));
+                    core.take_answer(&id, run, &order, said, now);
+                }
+            }
+            Event::See(place, target, look) => {
+                let looked = self.see(&target, &look);
+                let delay = if looked.is_none() {
+                    ORDER_LIMIT
+                } else {
+                    self.millis(1, 4)
+                };
+                self.at(delay, Event::Looked(place, target.id, looked));
+            }
+            Event::Looked(place, id, looked) => {
+                if let Some(core) = &mut self.owners[place] {
+                    let looked = looked.ok_or_else(|| Failure::unknown("look", &id, "no answer"));
+                    core.take_look(&id, looked, now);
+                }
+            }
+        }
+    }
+
+    fn see(&mut self, target: &Target, look: &Look) -> Option<Looked> {
+        if self.cut.contains(&target.id) {
+            return None;
+        }
+        let worker = self.workers.get_mut(&target.id)?;
+        Some(worker.look(target.fence, look, self.now))
+    }
+
+    fn carry(&mut self, fence: u64, id: &Arc<str>, order: &Order) -> Option<Said> {
+        if self.cut.contains(id) {
+            return None;
+        }
+        let (needs, length) = self.shape(order);
+        let worker = self.workers.get_mut(id)?;
+        let before = worker.runs.len();
+        let said = worker.order(fence, order, needs, length, self.now);
+        if worker.runs.len() > before
+            && let Order::Start(start) = order
+        {
+            self.starts += 1;
+            self.check_start(&start.name.clone());
+        }
+        Some(said)
+    }
+
+    fn shape(&self, order: &Order) -> (Resources, Duration) {
+        let Order::Start(start) = order else {
+            return (Resources::default(), Duration::ZERO);
+        };
+        let job = &self.jobs[&start.name.job];
+        let before = job.steps[..usize::from(start.name.step)].iter();
+        let first: u32 = before.map(|step| step.count).sum();
+        let place = first as usize + usize::from(start.name.index);
+        let needs = job.steps[usize::from(start.name.step)].room();
+        (needs, self.lengths[&start.name.job][place])
+    }
+
+    /// A start must come after what its step depends on, and not after its own end.
+    fn check_start(&mut self, name: &Name) {
+        let job = &self.jobs[&name.job];
+        let step = &job.steps[usize::from(name.step)];
+        for earlier in &step.after {
+            let count = job.steps[usize::from(*earlier)].count;
+            for index in 0..u16::try_from(count).unwrap() {
+                let task = Name {
+                    step: *earlier,
+                    index,
+                    ..name.clone()
+                };
+                if !self.done.contains(&task) {
+                    self.broken
+                        .push(format!("{name:?} began before {task:?} was done"));
+                }
+            }
+        }
+    }
+
+    /// No task runs twice, no worker has more than it can hold, and what is
+    /// acknowledged is in the log.
+    fn check(&mut self) {
+        let now = self.now;
+        let mut seen: BTreeMap<Name, Arc<str>> = BTreeMap::new();
+        let mut broken = Vec::new();
+        for worker in self.workers.values_mut() {
+            for (name, _) in worker.advance(now) {
+                self.done.insert(name);
+            }
+            for (name, _) in worker.runs.keys() {
+                if let Some(other) = seen.insert(name.clone(), worker.id.clone()) {
+                    broken.push(format!(
+                        "{name:?} runs on {other} and {} at {now:?}",
+                        worker.id
+                    ));
+                }
+            }
+            if !worker.used().fits(&worker.capacity) {
+                broken.push(format!("{} holds {}", worker.id, worker.used()));
+            }
+        }
+        self.broken.append(&mut broken);
+    }
+
+    /// Jobs that were accepted and are not complete for the newest owner.
+    pub fn unfinished(&self) -> Vec<Arc<str>> {
+        let core = self.owners[self.newest].as_ref().expect("an owner");
+        let complete = Reply::State(State::Over(ashtiller::workflow::fact::Outcome::Complete));
+        let open = self.accepted.iter().filter(|id| core.state(id) != complete);
+        open.cloned().collect()
+    }
+
+    /// Jobs that were accepted.
+    pub fn accepted(&self) -> usize {
+        self.accepted.len()
+    }
+
+    /// Ends that workers listed and that were not acknowledged.
+    pub fn unnoted(&self) -> u64 {
+        let open = self
+            .workers
+            .values()
+            .map(|worker| worker.newest() - worker.seen());
+        open.sum()
+    }
+
+    /// A random number below `limit`.
+    pub fn draw(&mut self, limit: u32) -> u32 {
+        self.rng.random_range(0..limit)
+    }
+}
+
+fn listing(id: &str) -> Listed {
+    let number: u16 = id[1..]
+        .parse::<u64>()
+        .map_or(0, |number| u16::try_from(number % 50_000).unwrap());
+    Listed {
+        id: id.into(),
+        machine: Some(format!("m-{id}").into()),
+        service: "fleet".into(),
+        address: ([10, 0, 0, 1], 1 + number).into(),
+        zone: "bern".into(),
+        capacity: capacity(),
+        labels: vec!["a".into()],
+        draining: false,
+        remaining: None,
+    }
+}
--- /dev/null
+++ b/ashtiller/tests/world/worker.rs
@@ -0,0 +1,206 @@
+//! A worker in virtual time.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashtiller::resources::Resources;
+use ashtiller::workflow::agents::{
+    Active, Finished, How, Look, Looked, Name, Order, Refusal, Said, Start,
+};
+
+/// Which safeguards of workers are switched off, to see the checks fail.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Weakness {
+    /// Lower fences are obeyed.
+    pub fences: bool,
+    /// Runs outlive their lease.
+    pub leases: bool,
+}
+
+/// A run that a worker has.
+#[derive(Clone, Debug)]
+pub struct Running {
+    began: Duration,
+    length: Duration,
+    needs: Resources,
+}
+
+/// One worker's life.
+pub struct Worker {
+    pub id: Arc<str>,
+    pub capacity: Resources,
+    pub runs: BTreeMap<(Name, u32), Running>,
+    /// Ends by number, with how far they were acknowledged.
+    finished: Vec<Finished>,
+    next: u64,
+    seen: u64,
+    fence: u64,
+    until: u64,
+    /// Newest run of each task that was stopped or ended here.
+    past: BTreeMap<Name, u32>,
+    /// Share of true time that its clock shows, in percent.
+    pace: u32,
+    weak: Weakness,
+}
+
+impl Worker {
+    pub fn new(id: &str, capacity: Resources, pace: u32, weak: Weakness) -> Self {
+        Self {
+            id: id.into(),
+            capacity,
+            runs: BTreeMap::new(),
+            finished: Vec::new(),
+            next: 1,
+            seen: 0,
+            fence: 0,
+            until: 0,
+            past: BTreeMap::new(),
+            pace,
+            weak,
+        }
+    }
+
+    fn clock(&self, now: Duration) -> u64 {
+        u64::try_from(now.as_millis()).unwrap() * u64::from(self.pace) / 100 + 1000
+    }
+
+    fn end(&mut self, key: &(Name, u32), how: How) {
+        self.runs.remove(key);
+        let past = self.past.entry(key.0.clone()).or_default();
+        *past = (*past).max(key.1);
+        self.finished.push(Finished {
+            number: self.next,
+            name: key.0.clone(),
+            run: key.1,
+            how,
+            saved: Arc::from(""),
+        });
+        self.next += 1;
+    }
+
+    /// Lets time pass: work ends, and so does a lease.
+    pub fn advance(&mut self, now: Duration) -> Vec<(Name, u32)> {
+        let due = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.began + run.length <= now);
+        let due: Vec<(Name, u32)> = due.map(|(key, _)| key.clone()).collect();
+        for key in &due {
+            self.end(key, How::Done);
+        }
+        if self.clock(now) >= self.until && !self.weak.leases {
+            let rest: Vec<(Name, u32)> = self.runs.keys().cloned().collect();
+            for key in rest {
+                self.end(&key, How::Lapsed);
+            }
+        }
+        due
+    }
+
+    fn is_fenced(&mut self, fence: u64) -> bool {
+        if fence < self.fence {
+            return !self.weak.fences;
+        }
+        self.fence = fence;
+        false
+    }
+
+    /// What it asked for in use, by all runs.
+    pub fn used(&self) -> Resources {
+        self.runs
+            .values()
+            .fold(Resources::default(), |sum, run| sum.plus(&run.needs))
+    }
+
+    /// Carries out an order; a start tells what the task needs and how long it takes.
+    pub fn order(
+        &mut self,
+        fence: u64,
+        order: &Order,
+        needs: Resources,
+        length: Duration,
+        now: Duration,
+    ) -> Said {
+        if self.is_fenced(fence) {
+            return Said::Refused(Refusal::Fenced);
+        }
+        match order {
+            Order::Start(start) => self.start(start, needs, length, now),
+            Order::Stop(name, run) => {
+                let key = (name.clone(), *run);
+                if self.runs.contains_key(&key) {
+                    self.end(&key, How::Stopped);
+                }
+                let past = self.past.entry(name.clone()).or_default();
+                *past = (*past).max(*run);
+                Said::Done(self.clock(now))
+            }
+            Order::Pace(..) => Said::Done(self.clock(now)),
+        }
+    }
+
+    fn start(&mut self, start: &Start, needs: Resources, length: Duration, now: Duration) -> Said {
+        self.until = self.until.max(start.until);
+        let key = (start.name.clone(), start.run);
+        if self.runs.contains_key(&key) {
+            return Said::Done(self.clock(now));
+        }
+        if self
+            .past
+            .get(&start.name)
+            .is_some_and(|past| start.run <= *past)
+        {
+            return Said::Refused(Refusal::Old);
+        }
+        if start.until <= self.clock(now) {
+            return Said::Refused(Refusal::Late);
+        }
+        let running = Running {
+            began: now,
+            length,
+            needs,
+        };
+        self.runs.insert(key, running);
+        Said::Done(self.clock(now))
+    }
+
+    /// Answers a look.
+    pub fn look(&mut self, fence: u64, look: &Look, now: Duration) -> Looked {
+        if self.is_fenced(fence) {
+            return Looked::Fenced;
+        }
+        self.until = self.until.max(look.until.unwrap_or(0));
+        self.seen = self.seen.max(look.seen);
+        let seen = self.seen;
+        self.finished.retain(|end| end.number > seen);
+        let active = self.runs.iter().map(|((name, run), running)| Active {
+            name: name.clone(),
+            run: *run,
+            saved: Arc::from(""),
+            percent: percent_of(running, now),
+            figure: None,
+        });
+        Looked::Report {
+            clock: self.clock(now),
+            active: active.collect(),
+            finished: self.finished.clone(),
+        }
+    }
+
+    /// Ends acknowledged so far.
+    pub fn seen(&self) -> u64 {
+        self.seen
+    }
+
+    /// Number of the newest end.
+    pub fn newest(&self) -> u64 {
+        self.next - 1
+    }
+}
+
+fn percent_of(running: &Running, now: Duration) -> u32 {
+    let spent = now.saturating_sub(running.began).as_millis();
+    let whole = running.length.as_millis().max(1);
+    u32::try_from((spent * 100 / whole).min(100)).unwrap()
+}
