--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -36,6 +36,8 @@
 /// Time between two looks through all workers for what is over.
 const SWEEP: Duration = Duration::from_millis(20);
 
+/// Time after which what waits is looked at again although nothing happened.
+const REPLAN: Duration = Duration::from_millis(200);
 /// Jobs shown in a dump.
 const DUMPED: usize = 100;
 
@@ -119,6 +121,7 @@
     recording: BTreeMap<u32, u64>,
     recorded: BTreeSet<Arc<str>>,
     dirty: bool,
+    planned: Duration,
     ghosts: bool,
     swept: Duration,
     superseded: bool,
@@ -155,6 +158,7 @@
             recording: BTreeMap::new(),
             recorded: BTreeSet::new(),
             dirty: true,
+            planned: now.at,
             ghosts: true,
             swept: now.at,
             superseded: false,
@@ -389,8 +393,10 @@
             return;
         }
         self.take_arrivals(now);
-        if self.dirty {
+        // Workers are let back, and services calm down, without an event.
+        if self.dirty || now.at >= self.planned + REPLAN {
             self.dirty = false;
+            self.planned = now.at;
             self.plan(now);
         }
         self.forget_ended(now);
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -14,6 +14,8 @@
 const STALLED: Duration = Duration::from_millis(1100);
 /// The same for a run that fills.
 const STALLED_FILL: Duration = Duration::from_millis(3500);
+/// Percent at which a lasting task is at work.
+const AT_WORK: u32 = 100;
 
 impl Core {
     /// The run that a worker means.
@@ -124,6 +126,12 @@
             .book
             .task(run.task)
             .is_some_and(|(_, task)| task.failures == 0);
+        // A lasting task that was at work has failed by itself.
+        let earned = self
+            .runs
+            .get(&run)
+            .is_some_and(|live| live.percent >= AT_WORK);
+        let first = first && !earned;
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -210,6 +218,7 @@
         if live.began.is_none() || row.percent > live.percent {
             live.moved = now.at;
         }
+        let begins = lasting && live.percent < AT_WORK && row.percent >= AT_WORK;
         live.percent = row.percent;
         live.began.get_or_insert((now.at, row.percent));
         if live.pace < 100 || live.pace_goal < 100 {
@@ -219,6 +228,14 @@
         // What fills may find no processors unused for a while.
         let limit = if fills { STALLED_FILL } else { STALLED };
         let stalled = now.at.saturating_sub(live.moved) > limit;
+        if begins {
+            let id = live.worker.clone();
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.note_success();
+                self.dirty = true;
+            }
+            return;
+        }
         if stalled && !lasting && live.stop == Stop::None && row.percent < 100 {
             tracing::info!(task = %run.task, run = run.number, worker = %live.worker, percent = row.percent,
                 since_ms = now.at.saturating_sub(live.moved).as_millis(), "run stalls");
--- a/ashtiller/tests/decisions.rs
+++ b/ashtiller/tests/decisions.rs
@@ -81,6 +81,8 @@
     asked: Vec<Vec<Arc<str>>>,
     duties: Vec<(Arc<str>, Duty)>,
     facts: Vec<Fact>,
+    /// Rows that a look shows in place of the usual ones.
+    at_work: Vec<Active>,
     /// Whether entries become durable.
     store: bool,
 }
@@ -111,6 +113,7 @@
             asked: Vec::new(),
             duties: Vec::new(),
             facts: Vec::new(),
+            at_work: Vec::new(),
             store: true,
         };
         driver.pass(100 * MS);
@@ -143,7 +146,10 @@
                     .take_answer(&target.id, run, &order, said, self.now);
                 self.orders.push((target.id, run, order));
             }
-            Effect::Look(target, _) => self.report(&target.id, Vec::new(), Vec::new()),
+            Effect::Look(target, _) => {
+                let rows = self.at_work.clone();
+                self.report(&target.id, rows, Vec::new());
+            }
             Effect::Answer(ticket, reply) => self.answers.push((ticket, reply)),
             Effect::Advise(_, key, workers, at) => {
                 let good = workers
@@ -667,3 +673,41 @@
     }
     assert_eq!(driver.core.wave_states().get(&3), Some(&true));
 }
+
+#[test]
+fn a_worker_on_trial_is_trusted_again_when_a_lasting_task_is_at_work() {
+    let once = Policy {
+        attempts: 1,
+        ..policy()
+    };
+    let mut driver = Driver::new(1, once);
+    driver.submit(job("1", vec![step(1)]));
+    driver.submit(job("2", vec![step(1)]));
+    driver.pass(200 * MS);
+    let starts = driver.starts();
+    for (number, (id, run)) in (1..).zip(starts) {
+        driver.end(&id, run, How::Failed, number);
+    }
+    // The worker is put aside, then tried with one run.
+    let lasting = Step {
+        lasting: true,
+        ..step(1)
+    };
+    driver.submit(job("3", vec![lasting]));
+    driver.pass(Duration::from_secs(4));
+    let tried: Vec<Run> = driver.starts()[2..].iter().map(|(_, run)| *run).collect();
+    assert_eq!(tried.len(), 1, "one run on trial");
+    driver.submit(job("4", vec![step(1)]));
+    driver.pass(Duration::from_secs(4));
+    assert_eq!(driver.starts().len(), 3, "nothing beside the trial");
+    let at_work = Active {
+        name: driver.name(tried[0]),
+        run: tried[0].number,
+        saved: "".into(),
+        percent: 100,
+        figure: None,
+    };
+    driver.at_work.push(at_work);
+    driver.pass(Duration::from_secs(4));
+    assert_eq!(driver.starts().len(), 4, "the others follow");
+}
--- a/ashtiller/tests/world/mod.rs
+++ b/ashtiller/tests/world/mod.rs
@@ -1,5 +1,6 @@
 //! Owners, a log and workers in virtual time, with faults drawn from a seed.
 
+#[path = "../../../platform/standin/worker.rs"]
 pub mod worker;
 
 use std::cmp::Reverse;
--- /dev/null
+++ b/soak/src/lib.rs
@@ -0,0 +1,15 @@
+//! A randomized soak: real entry processes on loopback, the platform's stand-ins,
+//! and faults from outside that follow from a seed.
+//!
+//! [`world::run`] plays one seed and returns what was broken. Each entry reaches the
+//! store through a proxy of its own that can delay, silence or reset it; entries are
+//! killed, frozen, stopped and started again by signals to processes that this
+//! program started; workers die, come back under other ids, or are cut off.
+
+pub mod client;
+pub mod entry;
+pub mod proxy;
+pub mod world;
+
+#[path = "../../platform/standin/mod.rs"]
+pub mod standin;
