--- a/ashtiller/src/workflow/core/upkeep.rs
+++ b/ashtiller/src/workflow/core/upkeep.rs
@@ -235,7 +235,7 @@
             };
             let step = job.step(run.task);
             let lasting = step.is_some_and(|step| step.lasting);
-            let most = step.and_then(|step| step.may_miss);
+            let most = step.and_then(|step| step.away_max);
             let spared = most.is_none_or(|most| self.count_away(*run, now) < most);
             if (lasting || urge) && spared {
                 self.want_stop(*run, Reason::Upkeep);
--- a/ashtiller/src/workflow/job.rs
+++ b/ashtiller/src/workflow/job.rs
@@ -62,7 +62,7 @@
     /// How its tasks share a worker.
     pub sharing: Sharing,
     /// Tasks that may be away at once by this system's doing.
-    pub may_miss: Option<u32>,
+    pub away_max: Option<u32>,
 }
 
 impl Step {
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -14,7 +14,6 @@
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
-use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio::time::{self, Instant};
@@ -23,6 +22,7 @@
 use crate::entry::{Entry, Place};
 use crate::proxy::{Path, Proxy};
 use crate::standin::agent::{Agent, Shapes};
+use crate::standin::job::{wire_job, wire_step};
 use crate::standin::store::{Mode, Store};
 
 /// Time between two looks at all workers.
@@ -155,13 +155,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let store = Store::spawn(listener);
-        store.put(
-            "op/config",
-            &json!({"version": 1,
-            "routes": [{"name": "r", "host": "jobs.example", "prefix": "/q/", "service": "fleet",
-                "max_attempts": 3, "extension": 2.0, "target_latency_ms": 500}],
-            "services": [{"name": "fleet", "enforces_capacity": true}]}),
-        );
+        store.put_config("jobs.example", "/q/");
         // The kernel gives a range that nobody listens on at the moment.
         let port = TcpListener::bind("127.0.0.10:0")
             .await?
@@ -205,10 +199,7 @@
         let id = format!("life-{}", self.lives);
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let agent = Agent::spawn(listener, &id, room(), self.shapes.clone(), self.start)?;
-        let entry = json!({"service": "fleet", "address": agent.address.to_string(), "zone": "bern",
-            "state": "ready", "machine": format!("m{number}"), "labels": ["a", "r0"],
-            "capacity": {"cpu": 8000, "mem_mb": 16384, "gpu": 0}});
-        self.store.put(&format!("servers/{id}"), &entry);
+        self.store.put_worker(&id, number, agent.address);
         self.fleet.lock().insert(number, agent);
         Ok(())
     }
@@ -304,7 +295,7 @@
                 let gone = self.fleet.lock().remove(&worker);
                 if let Some(gone) = gone {
                     let id = gone.worker.lock().id.clone();
-                    self.store.remove(&format!("servers/{id}"));
+                    self.store.remove_worker(&id);
                 }
                 self.add_worker(worker).await?;
             }
@@ -356,12 +347,11 @@
                 .lock()
                 .insert((id.clone(), step), (needs, Duration::from_millis(length)));
         }
-        let step = |after: Vec<u16>| json!({"count": count, "cpu": 1000, "mem_mb": 1024, "estimate_ms": length, "depends_on": after});
-        let mut steps = vec![step(Vec::new())];
+        let mut steps = vec![wire_step(count, length, &[])];
         if second == 1 {
-            steps.push(step(vec![0]));
+            steps.push(wire_step(count, length, &[0]));
         }
-        let body = json!({"spec": "soak", "steps": steps}).to_string();
+        let body = wire_job(&steps);
         let addresses: Vec<_> = self.entries.iter().map(|entry| entry.clients).collect();
         let first = self.rng.random_range(0..addresses.len());
         let seen = self.seen.clone();
