Know loads by job and where they go; let late fills and lasting tasks stand back

Cause: tasks of one job have one load (their reports correlate at 0.84, others at 0.03), yet each service's load was taken as its image's mean or its own last report, so swings of 0.17 were taken for harm by fills and paces followed the load by 0.6 s. Reports of a job's tasks now tell level and slope; factors are learned against the job's level, paces look 0.6 s ahead. Lasting tasks wait behind short ones of their priority; fills of late jobs give way first.

--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -28,6 +28,7 @@
 use crate::workflow::interference::Interference;
 use crate::workflow::job::{Job, Sharing, Step};
 use crate::workflow::live::{LiveRun, Reason, Share, Stage};
+use crate::workflow::load::Track;
 use crate::workflow::machines::Duty;
 use crate::workflow::message::Reply;
 use crate::workflow::terms::Terms;
@@ -130,6 +131,7 @@
     effects: Vec<Effect>,
     advised: BTreeMap<StepKey, Advised>,
     waves: BTreeMap<u64, Going>,
+    tracks: BTreeMap<u32, Track>,
     interference: Interference,
     taught: Duration,
     counts: Counts,
@@ -167,6 +169,7 @@
             effects: Vec::new(),
             advised: BTreeMap::new(),
             waves: BTreeMap::new(),
+            tracks: BTreeMap::new(),
             interference: Interference::default(),
             taught: now.at,
             counts: Counts::default(),
@@ -450,6 +453,7 @@
             tracing::info!(job = %job.job.id, ?outcome, position = self.position, "job ended");
         }
         self.advised.retain(|key, _| key.0 != number);
+        self.tracks.remove(&number);
         self.stop_job(number, Reason::Over);
     }
 
--- a/ashtiller/src/workflow/core/pacing.rs
+++ b/ashtiller/src/workflow/core/pacing.rs
@@ -19,6 +19,9 @@
 /// Time over the target after which all that fills beside it stands still; the
 /// platform allows 4 s, and an order may go unanswered.
 const STILL_AFTER: Duration = Duration::from_millis(1500);
+/// Seconds by which paces look ahead: half of what a report averages, the time until
+/// an order works, and half of the time until the next report.
+const AHEAD: f64 = 0.6;
 /// Least change of a pace that is worth an order, in percent.
 const STEP: u32 = 12;
 
@@ -41,6 +44,8 @@
     image: Image,
     full: f64,
     part: f64,
+    /// How late its job is: 0 in time, 1 late, 2 too late to earn anything.
+    late: u8,
 }
 
 impl Core {
@@ -56,14 +61,7 @@
         let beside = self.fills_of(worker);
         let fresh = worker.settled < now.at;
         if fresh {
-            for service in &services {
-                self.interference
-                    .learn(service.image, service.used, &beside);
-                let own = service.used - self.interference.pressure(service.image, &beside);
-                if let Some(live) = self.runs.get_mut(&service.run) {
-                    live.load = Some(own.clamp(0.0, 1.0));
-                }
-            }
+            self.learn(&services, &beside, now);
         }
         if beside.is_empty() {
             return;
@@ -85,6 +83,22 @@
         }
     }
 
+    /// Learns about loads and pairs from what services reported beside these fills.
+    fn learn(&mut self, services: &[Service], beside: &[Beside], now: Now) {
+        for service in services {
+            let track = self.tracks.entry(service.run.task.job).or_default();
+            let load = track.trend(now.at).map(|trend| trend.level);
+            self.interference
+                .learn(service.image, service.used, load, beside);
+            let pressure = self.interference.pressure(service.image, beside);
+            let own = (service.used - pressure).clamp(0.0, 1.0);
+            track.note(own, pressure, now.at);
+            if let Some(live) = self.runs.get_mut(&service.run) {
+                live.load = Some(own);
+            }
+        }
+    }
+
     fn services_of(&self, worker: &Worker) -> Vec<Service> {
         let served = worker.runs.iter().filter_map(|run| {
             let live = self.runs.get(run)?;
@@ -141,12 +155,18 @@
                 image,
                 full: live.asked / whole,
                 part: 1.0,
+                late: self.lateness_of(run.task, now),
             })
         });
         let mut fills: Vec<Fill> = fills.collect();
         for service in services {
             let own = service.used - self.interference.pressure(service.image, beside);
-            self.relieve(service.image, limit - own.clamp(0.0, 1.0), &mut fills);
+            let track = self.tracks.get(&service.run.task.job);
+            let slope = track
+                .and_then(|track| track.trend(now.at))
+                .map_or(0.0, |trend| trend.slope);
+            let expected = own.clamp(0.0, 1.0) + slope * AHEAD;
+            self.relieve(service.image, limit - expected, &mut fills);
         }
         let still = over > STILL_AFTER;
         for fill in fills {
@@ -166,7 +186,12 @@
         if excess <= 0.0 {
             return;
         }
-        fills.sort_by(|one, two| factor(two).total_cmp(&factor(one)));
+        // What is late gives way first, then what is most harmful.
+        fills.sort_by(|one, two| {
+            two.late
+                .cmp(&one.late)
+                .then(factor(two).total_cmp(&factor(one)))
+        });
         for fill in fills {
             let harm = (factor(fill) * fill.full).max(1e-6);
             let cut = (excess / harm).min(fill.part);
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -254,11 +254,30 @@
             .collect()
     }
 
+    /// How late the job of a task is already: 0 in time, 1 late, 2 too late to earn.
+    pub(super) fn lateness_of(&self, task: Task, now: Now) -> u8 {
+        let Some(job) = self.book.jobs.get(&task.job) else {
+            return 0;
+        };
+        let (due, objective) = objective_of(job, task.time);
+        lateness(due, objective, Duration::ZERO, now).0
+    }
+
     fn next_run(&self, task: Task) -> u32 {
         self.book.task(task).map_or(1, |(_, state)| state.last + 1)
     }
 }
 
+/// When a job is due, and the time within which it is on time.
+fn objective_of(job: &JobState, time: u32) -> (u64, Duration) {
+    let due = job.job.schedule.map_or(job.accepted, |it| it.due(time));
+    let longest = job.job.chains().into_iter().max().unwrap_or_default();
+    (
+        due,
+        longest.mul_f64(job.policy.extension) + job.policy.target,
+    )
+}
+
 fn collect_round(
     found: &mut Vec<Waiting>,
     number: u32,
@@ -271,9 +290,7 @@
         return;
     }
     let chains = job.job.chains();
-    let due = job.job.schedule.map_or(job.accepted, |it| it.due(time));
-    let longest = chains.iter().max().copied().unwrap_or_default();
-    let objective = longest.mul_f64(job.policy.extension) + job.policy.target;
+    let (due, objective) = objective_of(job, time);
     for (step, (state, chain)) in (0..).zip(round.steps.iter().zip(&chains)) {
         let asked: &Step = &job.job.steps[usize::from(step)];
         if state.waiting == 0 || !round.may_begin(asked) {
@@ -281,10 +298,11 @@
         }
         let (late, slack) = lateness(due, objective, *chain, now);
         let urgency = Urgency {
-            // A lasting task earns for as long as it runs.
+            // A lasting task earns for as long as it runs, whenever it begins; a short one
+            // of the same priority soon gives its room back.
             late: if asked.lasting { 0 } else { late },
             priority: job.policy.priority,
-            slack,
+            slack: if asked.lasting { i64::MAX } else { slack },
         };
         found.push(Waiting {
             urgency,
--- a/ashtiller/src/workflow/interference.rs
+++ b/ashtiller/src/workflow/interference.rs
@@ -28,6 +28,8 @@
 /// Variance of a report around what is known. Loads swing by 0.17, but half as much
 /// was not worse in trials and learns sooner.
 const NOISE: f64 = 0.01;
+/// The same where the load is known from the job's other tasks.
+const NOISE_KNOWN: f64 = 0.005;
 /// Variance that a factor gains with each report, since pairs change.
 const DRIFT: f64 = 2e-5;
 /// Share of an error by which a report corrects the load of an image.
@@ -116,17 +118,20 @@
         beside.iter().map(each).sum()
     }
 
-    /// Learns from a report: the share of use of an image beside these fills.
-    pub fn learn(&mut self, serves: Image, used: f64, beside: &[Beside]) {
+    /// Learns from a report: the share of use of an image beside these fills, and its
+    /// own load where that is known from elsewhere.
+    pub fn learn(&mut self, serves: Image, used: f64, load: Option<f64>, beside: &[Beside]) {
         if beside.is_empty() {
             let load = self.loads.entry(serves.0).or_insert(LOAD_FIRST);
             *load += LOAD_RATE * (used - *load);
             return;
         }
-        let error = used - self.load(serves) - self.pressure(serves, beside);
+        let noise = if load.is_some() { NOISE_KNOWN } else { NOISE };
+        let load = load.unwrap_or_else(|| self.load(serves));
+        let error = used - load - self.pressure(serves, beside);
         let each =
             |fill: &Beside| fill.share * fill.share * self.known(serves, fill.image).variance;
-        let spread = beside.iter().map(each).sum::<f64>() + NOISE;
+        let spread = beside.iter().map(each).sum::<f64>() + noise;
         for fill in beside {
             let factor = self
                 .factors
--- a/ashtiller/src/workflow/mod.rs
+++ b/ashtiller/src/workflow/mod.rs
@@ -21,6 +21,7 @@
 pub mod lease;
 pub mod link;
 pub mod live;
+pub mod load;
 pub mod log;
 pub mod machines;
 pub mod message;
--- a/ashtiller/tests/decisions.rs
+++ b/ashtiller/tests/decisions.rs
@@ -336,8 +336,8 @@
         // Loads swing around 0.47.
         let load = 0.47 + f64::from(round % 7) * 0.05 - 0.15;
         let beside = |image| [Beside { image, share: 0.3 }];
-        known.learn(serves, load + 0.3 * 0.9, &beside(heavy));
-        known.learn(serves, load + 0.3 * 0.1, &beside(mild));
+        known.learn(serves, load + 0.3 * 0.9, None, &beside(heavy));
+        known.learn(serves, load + 0.3 * 0.1, None, &beside(mild));
     }
     assert!(
         (known.factor(serves, heavy) - 0.9).abs() < 0.15,
