--- a/ashtiller/src/command.rs
+++ b/ashtiller/src/command.rs
@@ -16,6 +16,7 @@
 use ashtiller::settings::Settings;
 use ashtiller::template::Template;
 use ashtiller::web;
+use ashtiller::workflow;
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
 use pico_args::Arguments;
@@ -233,6 +234,8 @@
     // Only a template has an account; only settings have an instance.
     if text.lines().any(|line| line.trim() == "[account]") {
         Template::parse(&name, &text)?;
+    } else if text.lines().any(|line| line.trim() == "[entry]") {
+        workflow::settings::Settings::parse(&name, &text)?;
     } else {
         Settings::parse(&name, &text)?;
     }
--- a/ashtiller/tests/settings.rs
+++ b/ashtiller/tests/settings.rs
@@ -72,3 +72,28 @@
     assert_eq!(unit::show_duration(Duration::from_mins(2)), "2min");
     assert_eq!(unit::show_size(64 << 20), "64MiB");
 }
+
+#[test]
+fn the_sample_of_an_entry_on_the_platform_has_no_mistakes() {
+    let text = include_str!("../../samples/platform-entry.ini");
+    let settings =
+        ashtiller::workflow::settings::Settings::parse("sample", text).expect("no mistakes");
+    assert_eq!(settings.entry.peers.to_string(), "127.0.0.11:7720");
+    assert_eq!(settings.entry.processors, 250);
+    assert!(settings.platform.advisor.is_none());
+}
+
+#[test]
+fn mistakes_of_an_entry_are_all_named_at_once() {
+    let text = "[instance]\nname = edge-1\navailability_zone = bern\n[entry]\nhost = here\n\
+        clients = 127.0.0.1:1\nreadiness = x\nports = 9,3\n[platform]\nstore = 127.0.0.1:2\n\
+        [workers]\nlease = 6\nspeed = 1\n";
+    let mistakes =
+        ashtiller::workflow::settings::Settings::parse("bad.ini", text).expect_err("mistakes");
+    let keys: Vec<&str> = mistakes
+        .0
+        .iter()
+        .map(|mistake| mistake.key.as_str())
+        .collect();
+    assert_eq!(keys, ["ports", "host", "readiness", "lease", "speed"]);
+}
