Start a copy where the step allows it and the run's worker says nothing

Cause: such a task waited for the worker's lease, up to 6 or 10 s, although its step allows copies. Test seen red without the copies being placed (it does not compile without them; with collect_silent empty it finds one start).

--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -53,7 +53,8 @@
     /// Places what waits and fits.
     pub(super) fn plan(&mut self, now: Now) {
         let mut waiting = self.collect_waiting(now);
-        if waiting.is_empty() {
+        let silent = self.collect_silent();
+        if waiting.is_empty() && silent.is_empty() {
             return;
         }
         waiting.sort_unstable();
@@ -64,6 +65,63 @@
         for entry in waiting {
             self.plan_step(entry, &mut placing, now);
         }
+        for task in silent {
+            self.place_copy(task, &mut placing, now);
+        }
+    }
+
+    /// Tasks that may have copies and whose only run is on a worker that says nothing.
+    fn collect_silent(&self) -> Vec<Task> {
+        let silent = self
+            .workers
+            .values()
+            .filter(|worker| worker.fenced && !worker.answers);
+        let runs = silent.flat_map(|worker| worker.runs.iter());
+        let copied = runs.filter(|run| {
+            self.book.task(run.task).is_some_and(|(job, task)| {
+                let copies = job
+                    .step(run.task)
+                    .is_some_and(|step| step.copies && !step.gang);
+                copies && job.outcome.is_none() && !task.done && task.live.len() == 1
+            })
+        });
+        copied.map(|run| run.task).collect()
+    }
+
+    /// Starts a copy rather than wait for the lease of a worker that says nothing.
+    fn place_copy(&mut self, task: Task, placing: &mut Placing, now: Now) {
+        let Some((job, state)) = self.book.task(task) else {
+            return;
+        };
+        if job.policy.advice.is_some() {
+            return;
+        }
+        let (service, spec, failed_on) = (
+            job.policy.service.clone(),
+            job.job.clone(),
+            state.failed_on.clone(),
+        );
+        let step = &spec.steps[usize::from(task.step)];
+        let (share, _) = share_of(&mut self.interference, step);
+        let wish = Wish {
+            service: &service,
+            step,
+            share,
+            room: step.room(),
+            failed_on,
+            spread: fleet::count_spread(self, task),
+            advised: None,
+        };
+        let Some(place) = self.choose(&placing.fleet, &wish) else {
+            return;
+        };
+        let id = placing.fleet[place].id.clone();
+        if !placing.fleet[place].take(&wish, &self.interference) {
+            placing.fleet.swap_remove(place);
+        }
+        let number = self.next_run(task);
+        tracing::info!(%task, run = number, worker = %id, "copy of a run whose worker does not answer");
+        self.place(Run { task, number }, &id, None, now);
     }
 
     fn collect_waiting(&self, now: Now) -> Vec<Waiting> {
--- a/ashtiller/tests/decisions.rs
+++ b/ashtiller/tests/decisions.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashtiller::failure::Failure;
 use ashtiller::resources::Resources;
 use ashtiller::workflow::agents::{Active, Finished, How, Looked, Name, Order, Said};
 use ashtiller::workflow::book::Book;
@@ -81,6 +82,8 @@
     asked: Vec<Vec<Arc<str>>>,
     duties: Vec<(Arc<str>, Duty)>,
     facts: Vec<Fact>,
+    /// A worker that answers no look.
+    silent: Option<Arc<str>>,
     /// Rows that a look shows in place of the usual ones.
     at_work: Vec<Active>,
     /// Whether entries become durable.
@@ -113,6 +116,7 @@
             asked: Vec::new(),
             duties: Vec::new(),
             facts: Vec::new(),
+            silent: None,
             at_work: Vec::new(),
             store: true,
         };
@@ -146,6 +150,10 @@
                     .take_answer(&target.id, run, &order, said, self.now);
                 self.orders.push((target.id, run, order));
             }
+            Effect::Look(target, _) if Some(&target.id) == self.silent.as_ref() => {
+                let nothing = Failure::unknown("look", &target.id, "no answer");
+                self.core.take_look(&target.id, Err(nothing), self.now);
+            }
             Effect::Look(target, _) => {
                 let rows = self.at_work.clone();
                 self.report(&target.id, rows, Vec::new());
@@ -711,3 +719,18 @@
     driver.pass(Duration::from_secs(4));
     assert_eq!(driver.starts().len(), 4, "the others follow");
 }
+
+#[test]
+fn a_copy_starts_where_the_step_allows_it_and_the_worker_says_nothing() {
+    for (copies, starts) in [(true, 2), (false, 1)] {
+        let mut driver = Driver::new(2, policy());
+        driver.submit(job("1", vec![Step { copies, ..step(1) }]));
+        driver.pass(200 * MS);
+        let (id, _) = driver.starts()[0].clone();
+        driver.silent = Some(id.clone());
+        driver.pass(Duration::from_secs(4));
+        let placed = driver.starts();
+        assert_eq!(placed.len(), starts, "copies {copies}");
+        assert!(placed.iter().skip(1).all(|(other, _)| *other != id));
+    }
+}
