Group the library's modules by what they serve

79 files lay in one folder. They lie in request, task, interference, agreed, net and base now, beside workflow; lib.rs is the map and keeps their names, so that nothing else changes.

--- /dev/null
+++ b/ashtiller/src/agreed/mod.rs
@@ -0,0 +1,12 @@
+//! What operators ask for and all processes agree on.
+
+pub mod apply;
+pub mod config;
+pub mod document;
+pub mod ledger;
+pub mod members;
+pub mod membership;
+pub mod mistake;
+pub mod settings;
+pub mod template;
+pub mod unit;
--- a/ashtiller/src/lib.rs
+++ b/ashtiller/src/lib.rs
@@ -40,94 +40,49 @@
 //! # Ok::<(), std::net::AddrParseError>(())
 //! ```
 //!
-//! The modules, in the order in which to read them:
+//! On the users' platform all of it is one process, [`workflow`], that owns or follows a
+//! log of jobs made of dependent steps.
 //!
-//! - requests: [`dispatch`], [`line`], [`balance`], [`slots`], [`health`] decide;
+//! The modules, by folder, in the order in which to read them:
+//!
+//! - [`workflow`]: jobs of steps, decided in [`workflow::core`];
+//! - [`request`]: [`dispatch`], [`mod@line`], [`balance`], [`slots`], [`health`] decide;
 //!   [`front`], [`router`], [`desk`], [`pool`], [`claims`], [`lender`], [`prober`]
 //!   carry out;
-//! - tasks: [`fact`], [`cell`], [`plan`], [`evict`], [`session`], [`reconcile`]
+//! - [`task`]: [`fact`], [`cell`], [`plan`], [`evict`], [`session`], [`reconcile`]
 //!   decide; [`journal`], [`owner`], [`agent`] carry out;
-//! - harm between tasks: [`harm`], [`guard`], [`watch`], [`fit`];
-//! - what is agreed: [`ledger`], [`config`], [`apply`], [`members`], [`membership`];
-//! - the edges: [`store`], [`roster`], [`consul`], [`peer`], [`wire`], [`ops`].
+//! - [`interference`]: [`harm`], [`guard`], [`watch`], [`fit`];
+//! - [`agreed`]: [`ledger`], [`config`], [`apply`], [`members`], [`membership`];
+//! - [`net`], the edges: [`store`], [`roster`], [`consul`], [`peer`], [`wire`], [`ops`].
 
-pub mod agent;
-pub mod apply;
-pub mod backlog;
-pub mod balance;
-pub mod budget;
-pub mod calls;
-pub mod cell;
-pub mod claims;
-pub mod clock;
-pub mod codec;
-pub mod config;
-pub mod consul;
-pub mod counters;
-pub mod desk;
-pub mod dispatch;
-pub mod document;
-pub mod download;
-pub mod endpoint;
-mod events;
-pub mod evict;
-pub mod explain;
-pub mod fact;
-pub mod failure;
-pub mod fit;
-pub mod follow;
-pub mod front;
-pub mod gateway;
-pub mod guard;
-pub mod harm;
-pub mod headers;
-pub mod health;
-pub mod held;
-pub mod host;
-pub mod hosted;
-pub mod intake;
-pub mod job;
-pub mod jobs;
-pub mod journal;
-pub mod ledger;
-pub mod lender;
-pub mod line;
-mod loans;
-pub mod logs;
-pub mod members;
-pub mod membership;
-pub mod meter;
-pub mod mistake;
-pub mod ops;
-pub mod outcome;
-pub mod owner;
-pub mod peer;
-pub mod plan;
-pub mod pool;
-pub mod prober;
-pub mod reconcile;
-pub mod record;
-pub mod remote;
-pub mod rendezvous;
-pub mod resources;
-pub mod roster;
-pub mod router;
-pub mod scheduler;
-pub mod schema;
-pub mod score;
-pub mod session;
-pub mod settings;
-pub mod slots;
-pub mod store;
-pub mod tally;
-pub mod template;
-pub mod unit;
-pub mod upload;
-pub mod watch;
-pub mod web;
-pub mod wire;
+pub mod agreed;
+pub mod base;
+pub mod interference;
+pub mod net;
+pub mod request;
+pub mod task;
 pub mod workflow;
 
+// Modules are named by what they are, wherever their folder is.
+pub use agreed::{
+    apply, config, document, ledger, members, membership, mistake, settings, template, unit,
+};
+pub use base::{clock, counters, failure, logs, rendezvous, resources};
+pub use interference::{fit, guard, harm, watch};
+pub use net::{
+    calls, codec, consul, follow, hosted, meter, ops, peer, remote, roster, schema, store, web,
+    wire,
+};
+pub use request::{
+    balance, budget, claims, desk, dispatch, download, endpoint, front, gateway, headers, health,
+    held, intake, lender, line, outcome, pool, prober, router, slots, tally, upload,
+};
+pub(crate) use task::events;
+pub use task::{
+    agent, backlog, cell, evict, explain, fact, host, job, jobs, journal, owner, plan, reconcile,
+    record, scheduler, score, session,
+};
+
 pub use gateway::Gateway;
 pub use scheduler::Scheduler;
 pub use settings::Settings;
--- /dev/null
+++ b/ashtiller/src/task/mod.rs
@@ -0,0 +1,20 @@
+//! Tasks on workers in cells with one owner each: the scheduler role.
+
+pub mod agent;
+pub mod backlog;
+pub mod cell;
+pub(crate) mod events;
+pub mod evict;
+pub mod explain;
+pub mod fact;
+pub mod host;
+pub mod job;
+pub mod jobs;
+pub mod journal;
+pub mod owner;
+pub mod plan;
+pub mod reconcile;
+pub mod record;
+pub mod scheduler;
+pub mod score;
+pub mod session;
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Events come in through methods; [`Core::poll`] returns what to do next. Facts
 //! are applied as soon as they are decided and grouped into entries of the log;
-//! what depends on a fact waits in [`Core::after`] until its entry is durable.
+//! what depends on a fact waits in a queue until its entry is durable.
 
 pub mod advice;
 mod fleet;
