Place lasting tasks first among their priority; split large files

Ruled out: the owner (no change after 21 s) and trials (no line of one).

owner, core, node and book are split by what their parts do; nothing else changes there.

--- /dev/null
+++ b/ashtiller/src/workflow/core/dump.rs
@@ -0,0 +1,42 @@
+//! The state of the owner of a log, for operators.
+
+use crate::workflow::core::{Core, Now};
+
+/// Jobs shown in a dump.
+const DUMPED: usize = 100;
+
+impl Core {
+    /// The state in short, for operators; at most some 100 jobs and all workers.
+    #[must_use]
+    pub fn dump(&self, now: Now) -> serde_json::Value {
+        let open = self.book.open().iter().take(DUMPED);
+        let jobs = open.map(|number| {
+            let job = &self.book.jobs[number];
+            let waiting: u32 = job
+                .rounds
+                .values()
+                .flat_map(|round| &round.steps)
+                .map(|step| step.waiting)
+                .sum();
+            serde_json::json!({
+                "id": &*job.job.id, "number": number, "queue": &*job.job.queue,
+                "live": job.live, "waiting": waiting, "outcome": format!("{:?}", job.outcome),
+            })
+        });
+        let workers = self.workers.values().map(|worker| {
+            serde_json::json!({
+                "id": &**worker.id(), "runs": worker.runs.len(), "answers": worker.answers,
+                "silent_ms": u64::try_from(now.at.saturating_sub(worker.heard).as_millis()).unwrap_or(u64::MAX),
+                "draining": worker.draining.is_some(), "listed": worker.absent.is_none(),
+                "aside": worker.aside.is_some_and(|until| until > now.at),
+                "free": worker.pool.free().to_string(),
+            })
+        });
+        serde_json::json!({
+            "epoch": self.epoch, "durable": self.durable, "position": self.position,
+            "stalled_ms": u64::try_from(self.stalled_for(now).as_millis()).unwrap_or(u64::MAX),
+            "open_jobs": self.book.open().len(), "runs": self.runs.len(),
+            "jobs": jobs.collect::<Vec<_>>(), "workers": workers.collect::<Vec<_>>(),
+        })
+    }
+}
--- /dev/null
+++ b/ashtiller/src/workflow/core/entries.rs
@@ -0,0 +1,104 @@
+//! Entries of the log: what goes in, and what waits for them.
+
+use std::time::Duration;
+
+use crate::workflow::book;
+use crate::workflow::core::{Core, Effect, Now, Then};
+use crate::workflow::fact::Fact;
+
+/// Time after which what waits is looked at again although nothing happened.
+const REPLAN: Duration = Duration::from_millis(200);
+
+impl Core {
+    /// The entry at `position`, first sent at `sent`, is durable.
+    pub fn note_durable(&mut self, position: u64, sent: Duration, now: Now) {
+        if self.is_stalled(now) {
+            tracing::info!(
+                position,
+                waited_ms = self.stalled_for(now).as_millis(),
+                "store answers again"
+            );
+            self.returned = Some(now.at);
+        }
+        self.durable = self.durable.max(position);
+        for id in std::mem::take(&mut self.recorded) {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.work = Duration::ZERO;
+            }
+        }
+        self.proof = self.proof.max(sent);
+        self.in_flight = None;
+        self.recording.retain(|_, at| *at > position);
+        while self.after.front().is_some_and(|(at, _)| *at <= position) {
+            let Some((_, then)) = self.after.pop_front() else {
+                break;
+            };
+            match then {
+                Then::Answer(ticket, reply) => self.effects.push(Effect::Answer(ticket, reply)),
+                Then::Acknowledge(worker, number) => {
+                    if let Some(worker) = self.workers.get_mut(&worker) {
+                        worker.seen = worker.seen.max(number);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn append(&mut self, now: Now) {
+        let since = now.at.saturating_sub(self.appended);
+        if self.in_flight.is_some() || since < self.terms.commit {
+            return;
+        }
+        self.take_arrivals(now);
+        // Workers are let back, and services calm down, without an event.
+        if self.dirty || now.at >= self.planned + REPLAN {
+            self.dirty = false;
+            self.planned = now.at;
+            self.plan(now);
+        }
+        self.forget_ended(now);
+        self.keep_lessons(now);
+        if self.pending.is_empty() && since < self.terms.proof {
+            return;
+        }
+        let facts = std::mem::take(&mut self.pending);
+        self.counts.entries += 1;
+        self.effects.push(Effect::Append(self.position, facts));
+        self.in_flight = Some((self.position, now.at));
+        self.appended = now.at;
+        self.position += 1;
+    }
+
+    pub(super) fn forget_ended(&mut self, now: Now) {
+        let Some(limit) = now.at.checked_sub(self.terms.keep) else {
+            return;
+        };
+        for number in self.book.ended_before(limit) {
+            if self.book.jobs.get(&number).is_some_and(|job| job.live == 0) {
+                self.record(Fact::Forgotten(number), now);
+            }
+        }
+    }
+
+    /// Keeps what was learned, for a later owner.
+    pub(super) fn keep_lessons(&mut self, now: Now) {
+        if now.at < self.taught + self.terms.teach {
+            return;
+        }
+        self.taught = now.at;
+        let lessons = self.interference.export();
+        if !lessons.is_empty() {
+            self.record(Fact::Learned(lessons), now);
+        }
+    }
+
+    /// Applies a fact and puts it into the next entry.
+    pub(super) fn record(&mut self, fact: Fact, now: Now) {
+        let effect = self.book.apply(&fact, now.at);
+        self.pending.push(fact);
+        if let book::Effect::Ended(number, outcome) = effect {
+            self.recording.insert(number, self.position);
+            self.close_job(number, outcome);
+        }
+    }
+}
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use crate::resources::Resources;
-use crate::workflow::book::{JobState, Round};
 use crate::workflow::core::fleet::{self, Candidate, Wish};
 use crate::workflow::core::{Core, Now, share_of};
 use crate::workflow::fact::{Run, Task};
 use crate::workflow::job::Step;
 use crate::workflow::live::Share;
+use crate::workflow::state::{JobState, Round};
 
 /// Objective within which a job that is late still earns something, as a factor.
 const LATE: u32 = 3;
@@ -356,11 +356,11 @@
         }
         let (late, slack) = lateness(due, objective, *chain, now);
         let urgency = Urgency {
-            // A lasting task earns for as long as it runs, whenever it begins; a short one
-            // of the same priority soon gives its room back.
+            // A lasting task earns for as long as it runs. It stands first among its
+            // priority, for a large one would never find room behind short ones.
             late: if asked.lasting { 0 } else { late },
             priority: job.policy.priority,
-            slack: if asked.lasting { i64::MAX } else { slack },
+            slack: if asked.lasting { i64::MIN } else { slack },
         };
         found.push(Waiting {
             urgency,
--- /dev/null
+++ b/ashtiller/src/workflow/core/runs.rs
@@ -0,0 +1,121 @@
+//! Ends and stops of runs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::workflow::core::{Core, Now};
+use crate::workflow::fact::{End, Fact, Run, Task};
+use crate::workflow::live::Reason;
+
+impl Core {
+    /// Runs of a job that may be going on.
+    pub(super) fn runs_of(&self, number: u32) -> Vec<Run> {
+        let from = Run {
+            task: Task {
+                job: number,
+                time: 0,
+                step: 0,
+                index: 0,
+            },
+            number: 0,
+        };
+        let runs = self
+            .runs
+            .range(from..)
+            .take_while(|(run, _)| run.task.job == number);
+        runs.map(|(run, _)| *run).collect()
+    }
+
+    pub(super) fn stop_job(&mut self, number: u32, reason: Reason) {
+        for run in self.runs_of(number) {
+            self.want_stop(run, reason);
+        }
+    }
+
+    /// Asks for the stop of a run.
+    pub(super) fn want_stop(&mut self, run: Run, reason: Reason) {
+        let Some(live) = self.runs.get_mut(&run) else {
+            return;
+        };
+        live.want_stop(reason);
+        if let Some(worker) = self.workers.get_mut(&live.worker) {
+            worker.work = Duration::ZERO;
+        }
+    }
+
+    /// A run has ended.
+    pub(super) fn end_run(&mut self, run: Run, end: End, saved: &Arc<str>, now: Now) {
+        let Some(live) = self.runs.remove(&run) else {
+            return;
+        };
+        self.release(run, &live);
+        match end {
+            End::Done => self.counts.done += 1,
+            End::Failed => self.counts.failed += 1,
+            End::Stopped => self.counts.stopped += 1,
+            End::Lost => self.counts.lost += 1,
+        }
+        let saved = if saved.is_empty() { &live.saved } else { saved };
+        let age = now.at.saturating_sub(live.placed).as_millis();
+        if end != End::Done
+            && let Some(job) = self.book.jobs.get(&run.task.job)
+        {
+            tracing::info!(job = %job.job.id, task = %run.task, run = run.number,
+                worker = %live.worker, ?end, age_ms = age, stop = ?live.stop, percent = live.percent, "run ended");
+        }
+        self.record(Fact::Ended(run, end, saved.clone()), now);
+        self.dirty = true;
+        if end == End::Failed {
+            self.judge_failure(run, now);
+        }
+        if end == End::Done {
+            self.stop_siblings(run, Reason::Copied);
+        }
+        if self.is_gang(run) {
+            self.stop_gang(run);
+        }
+    }
+
+    /// Gives a job up when one of its tasks has failed too often.
+    pub(super) fn judge_failure(&mut self, run: Run, now: Now) {
+        let Some((job, task)) = self.book.task(run.task) else {
+            return;
+        };
+        let gang = job.step(run.task).is_some_and(|step| step.gang);
+        let failures = if gang {
+            let round = &job.rounds[&run.task.time];
+            let tasks = &round.steps[usize::from(run.task.step)].tasks;
+            tasks.iter().map(|task| task.failures).sum()
+        } else {
+            task.failures
+        };
+        let lasting = job.step(run.task).is_some_and(|step| step.lasting);
+        if failures >= job.policy.attempts && !lasting && job.outcome.is_none() {
+            tracing::info!(job = %job.job.id, task = %run.task, failures, "job given up");
+            self.record(Fact::Failed(run.task.job), now);
+        }
+    }
+
+    pub(super) fn is_gang(&self, run: Run) -> bool {
+        self.book
+            .task(run.task)
+            .is_some_and(|(job, _)| job.step(run.task).is_some_and(|step| step.gang))
+    }
+
+    pub(super) fn stop_siblings(&mut self, run: Run, reason: Reason) {
+        for other in self.runs_of(run.task.job) {
+            if other.task == run.task {
+                self.want_stop(other, reason);
+            }
+        }
+    }
+
+    pub(super) fn stop_gang(&mut self, run: Run) {
+        let step = |run: Run| (run.task.time, run.task.step, run.number);
+        for other in self.runs_of(run.task.job) {
+            if step(other) == step(run) {
+                self.want_stop(other, Reason::Over);
+            }
+        }
+    }
+}
--- a/ashtiller/src/workflow/mod.rs
+++ b/ashtiller/src/workflow/mod.rs
@@ -1,7 +1,7 @@
 //! Jobs of dependent steps, run on workers by whichever entry instance owns the log.
 //!
 //! - what there is: [`job`], [`fact`], [`config`], [`terms`];
-//! - what is decided: [`book`] replays facts, [`core`] decides, [`worker`], [`lease`]
+//! - what is decided: [`book`] replays facts into [`state`], [`core`] decides, [`worker`], [`lease`]
 //!   and [`live`] are its view of the fleet;
 //! - what is carried out: [`log`] writes, [`owner`] runs the state machine,
 //!   [`campaign`] decides when to own, [`node`] is the process, [`link`] its peers;
@@ -29,5 +29,6 @@
 pub mod node;
 pub mod owner;
 pub mod settings;
+pub mod state;
 pub mod terms;
 pub mod worker;
--- /dev/null
+++ b/ashtiller/src/workflow/node/answer.rs
@@ -0,0 +1,82 @@
+//! Answers to other instances.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::LocalBoxFuture;
+use tokio::time::Instant;
+
+use crate::workflow::campaign;
+use crate::workflow::link::Answers;
+use crate::workflow::message::{Ask, Hello, Reply, Welcome};
+use crate::workflow::node::Node;
+use crate::workflow::node::ask::ASK_LIMIT;
+use crate::workflow::owner;
+
+/// Silence after which a member is forgotten.
+const SILENT: Duration = Duration::from_secs(2);
+
+impl Node {
+    fn welcome(&self, hello: &Hello) -> Welcome {
+        let config = self.config();
+        if hello.config > config.version {
+            // The sender's own heartbeat brings it when it sees our version.
+            tracing::debug!(
+                theirs = hello.config,
+                ours = config.version,
+                "a member has a newer configuration"
+            );
+        }
+        let mut heard = self.heard.borrow_mut();
+        heard.insert(hello.member.name.clone(), Instant::now());
+        heard.retain(|_, at| at.elapsed() < SILENT);
+        let mut members = self.members();
+        members
+            .retain(|member| member.name != hello.member.name && heard.contains_key(&member.name));
+        members.push(hello.member.clone());
+        members.sort_by(|one, two| one.name.cmp(&two.name));
+        let owns = self.owns();
+        if owns {
+            self.set_members(members.clone());
+        }
+        let digest = owner::digest(&members);
+        let newer = config.version > hello.config;
+        Welcome {
+            epoch: if owns {
+                self.lead().map_or(0, |lead| lead.epoch)
+            } else {
+                0
+            },
+            life: self.life,
+            version: config.version,
+            config: newer.then(|| Box::new((*config).clone())),
+            members: (digest != hello.members).then_some(members),
+            digest,
+        }
+    }
+}
+
+impl Answers for Node {
+    fn answer(self: Rc<Self>, ask: Ask) -> LocalBoxFuture<'static, Reply> {
+        Box::pin(async move {
+            match ask {
+                Ask::Hello(hello) => Reply::Welcome(Box::new(self.welcome(&hello))),
+                Ask::Lead => Reply::Lead(self.lead()),
+                Ask::Leads(lead) => {
+                    self.adopt_lead(&lead);
+                    Reply::Noted
+                }
+                Ask::Config(config) => {
+                    self.adopt_config(&Arc::new(*config));
+                    Reply::Noted
+                }
+                Ask::TakeOver(lead) => {
+                    campaign::take_over(&self, &lead).await;
+                    Reply::Lead(self.lead())
+                }
+                ask => self.ask_here(ask, ASK_LIMIT).await,
+            }
+        })
+    }
+}
--- /dev/null
+++ b/ashtiller/src/workflow/node/ask.rs
@@ -0,0 +1,73 @@
+//! Questions to whoever owns the log.
+
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use tokio::time::{self, Instant};
+
+use crate::failure::{Effect, Failure};
+use crate::workflow::message::{Ask, Reply};
+use crate::workflow::node::Node;
+use crate::workflow::owner::Asked;
+
+/// Pause between two tries to reach the owner.
+const AGAIN: Duration = Duration::from_millis(40);
+/// Time limit of one question to the owner.
+pub(super) const ASK_LIMIT: Duration = Duration::from_millis(1500);
+
+impl Node {
+    /// Asks the owner of the log, wherever it is, and goes on until `deadline`.
+    pub async fn ask_owner(&self, ask: &Ask, deadline: Instant) -> Reply {
+        let mut doubt = false;
+        loop {
+            match self.try_owner(ask, deadline).await {
+                Ok(Reply::NotOwner) => {}
+                Ok(Reply::Unknown) => doubt = true,
+                Ok(reply) => return reply,
+                Err(failure) => {
+                    doubt |= failure.effect == Effect::Unknown;
+                    tracing::debug!(%failure, "owner not reached");
+                }
+            }
+            if Instant::now() + AGAIN >= deadline {
+                let retry = self.settings.terms.retry.as_millis();
+                return if doubt {
+                    Reply::Unknown
+                } else {
+                    Reply::Refused(u32::try_from(retry).unwrap_or(u32::MAX))
+                };
+            }
+            let mut lead = self.watch_lead();
+            let _ = time::timeout(AGAIN, lead.changed()).await;
+        }
+    }
+
+    async fn try_owner(&self, ask: &Ask, deadline: Instant) -> Result<Reply, Failure> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        if self.owns() {
+            return Ok(self.ask_here(ask.clone(), left).await);
+        }
+        let Some(lead) = self.lead().filter(|lead| lead.life != self.life) else {
+            return Ok(Reply::NotOwner);
+        };
+        self.links
+            .ask("ask owner", lead.address, ask, left.min(ASK_LIMIT))
+            .await
+    }
+
+    /// Asks the log that this process owns.
+    pub(super) async fn ask_here(&self, ask: Ask, limit: Duration) -> Reply {
+        let Some(owner) = self.owner.borrow().clone() else {
+            return Reply::NotOwner;
+        };
+        let (sender, reply) = oneshot::channel();
+        if owner.try_send(Asked { ask, reply: sender }).is_err() {
+            return Reply::Refused(1000);
+        }
+        match time::timeout(limit, reply).await {
+            Ok(Ok(reply)) => reply,
+            // The owner ended before it decided, or is still at it.
+            Ok(Err(_)) | Err(_) => Reply::Unknown,
+        }
+    }
+}
--- a/ashtiller/src/workflow/node.rs
+++ b/ashtiller/src/workflow/node/mod.rs
@@ -1,5 +1,8 @@
 //! One entry instance: takes clients' calls, and owns the log or follows who does.
 
+mod answer;
+mod ask;
+
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -7,36 +10,28 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::LocalBoxFuture;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::task;
 use tokio::time::{self, Instant};
 
-use crate::failure::{Effect, Failure};
 use crate::workflow::advisor::Advisor;
 use crate::workflow::agents::Agents;
 use crate::workflow::config::{Config, Dialect, Operated};
 use crate::workflow::fact::Lead;
 use crate::workflow::follow::{self, Seen};
 use crate::workflow::kv::{Change, Item, Store};
-use crate::workflow::link::{Answers, Links};
+use crate::workflow::link::Links;
 use crate::workflow::log::Log;
 use crate::workflow::machines::{Machines, Wave};
-use crate::workflow::message::{Ask, Hello, Member, Reply, Welcome};
+use crate::workflow::message::Member;
 use crate::workflow::metrics::Metrics;
-use crate::workflow::owner::{self, Asked};
+use crate::workflow::owner::Asked;
 use crate::workflow::settings::Settings;
 
 /// Prefix of everything that this project keeps in the store.
 const PREFIX: &str = "ashtiller/flow/";
 /// How often the store is asked for the lead, which also tells that it is there.
 const PROBE: Duration = Duration::from_millis(500);
-/// Pause between two tries to reach the owner.
-const AGAIN: Duration = Duration::from_millis(40);
-/// Silence after which a member is forgotten.
-const SILENT: Duration = Duration::from_secs(2);
-/// Time limit of one question to the owner.
-const ASK_LIMIT: Duration = Duration::from_millis(1500);
 
 /// What every part of the process shares.
 pub struct Node {
@@ -379,99 +374,6 @@
             time::sleep(PROBE).await;
         }
     }
-
-    /// Asks the owner of the log, wherever it is, and goes on until `deadline`.
-    pub async fn ask_owner(&self, ask: &Ask, deadline: Instant) -> Reply {
-        let mut doubt = false;
-        loop {
-            match self.try_owner(ask, deadline).await {
-                Ok(Reply::NotOwner) => {}
-                Ok(Reply::Unknown) => doubt = true,
-                Ok(reply) => return reply,
-                Err(failure) => {
-                    doubt |= failure.effect == Effect::Unknown;
-                    tracing::debug!(%failure, "owner not reached");
-                }
-            }
-            if Instant::now() + AGAIN >= deadline {
-                let retry = self.settings.terms.retry.as_millis();
-                return if doubt {
-                    Reply::Unknown
-                } else {
-                    Reply::Refused(u32::try_from(retry).unwrap_or(u32::MAX))
-                };
-            }
-            let mut lead = self.watch_lead();
-            let _ = time::timeout(AGAIN, lead.changed()).await;
-        }
-    }
-
-    async fn try_owner(&self, ask: &Ask, deadline: Instant) -> Result<Reply, Failure> {
-        let left = deadline.saturating_duration_since(Instant::now());
-        if self.owns() {
-            return Ok(self.ask_here(ask.clone(), left).await);
-        }
-        let Some(lead) = self.lead().filter(|lead| lead.life != self.life) else {
-            return Ok(Reply::NotOwner);
-        };
-        self.links
-            .ask("ask owner", lead.address, ask, left.min(ASK_LIMIT))
-            .await
-    }
-
-    /// Asks the log that this process owns.
-    async fn ask_here(&self, ask: Ask, limit: Duration) -> Reply {
-        let Some(owner) = self.owner.borrow().clone() else {
-            return Reply::NotOwner;
-        };
-        let (sender, reply) = oneshot::channel();
-        if owner.try_send(Asked { ask, reply: sender }).is_err() {
-            return Reply::Refused(1000);
-        }
-        match time::timeout(limit, reply).await {
-            Ok(Ok(reply)) => reply,
-            // The owner ended before it decided, or is still at it.
-            Ok(Err(_)) | Err(_) => Reply::Unknown,
-        }
-    }
-
-    fn welcome(&self, hello: &Hello) -> Welcome {
-        let config = self.config();
-        if hello.config > config.version {
-            // The sender's own heartbeat brings it when it sees our version.
-            tracing::debug!(
-                theirs = hello.config,
-                ours = config.version,
-                "a member has a newer configuration"
-            );
-        }
-        let mut heard = self.heard.borrow_mut();
-        heard.insert(hello.member.name.clone(), Instant::now());
-        heard.retain(|_, at| at.elapsed() < SILENT);
-        let mut members = self.members();
-        members
-            .retain(|member| member.name != hello.member.name && heard.contains_key(&member.name));
-        members.push(hello.member.clone());
-        members.sort_by(|one, two| one.name.cmp(&two.name));
-        let owns = self.owns();
-        if owns {
-            self.set_members(members.clone());
-        }
-        let digest = owner::digest(&members);
-        let newer = config.version > hello.config;
-        Welcome {
-            epoch: if owns {
-                self.lead().map_or(0, |lead| lead.epoch)
-            } else {
-                0
-            },
-            life: self.life,
-            version: config.version,
-            config: newer.then(|| Box::new((*config).clone())),
-            members: (digest != hello.members).then_some(members),
-            digest,
-        }
-    }
 }
 
 fn put_of(change: Change) -> Option<Item> {
@@ -480,27 +382,3 @@
         Change::Gone(_) => None,
     }
 }
-
-impl Answers for Node {
-    fn answer(self: Rc<Self>, ask: Ask) -> LocalBoxFuture<'static, Reply> {
-        Box::pin(async move {
-            match ask {
-                Ask::Hello(hello) => Reply::Welcome(Box::new(self.welcome(&hello))),
-                Ask::Lead => Reply::Lead(self.lead()),
-                Ask::Leads(lead) => {
-                    self.adopt_lead(&lead);
-                    Reply::Noted
-                }
-                Ask::Config(config) => {
-                    self.adopt_config(&Arc::new(*config));
-                    Reply::Noted
-                }
-                Ask::TakeOver(lead) => {
-                    crate::workflow::campaign::take_over(&self, &lead).await;
-                    Reply::Lead(self.lead())
-                }
-                ask => self.ask_here(ask, ASK_LIMIT).await,
-            }
-        })
-    }
-}
--- /dev/null
+++ b/ashtiller/src/workflow/owner/carry.rs
@@ -0,0 +1,140 @@
+//! Carries out what the state machine wants done outside.
+
+use tokio::task;
+use tokio::time::{self, Instant};
+
+use crate::failure::Failure;
+use crate::workflow::core::Effect;
+use crate::workflow::fact::Fact;
+use crate::workflow::kv::Txn;
+use crate::workflow::log::Log;
+use crate::workflow::machines::Holder;
+use crate::workflow::owner::{HAND_OVER_PAUSE, Input, Owner};
+
+impl Owner {
+    pub(super) fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Answer(ticket, reply) => {
+                if let Some(waiting) = self.waiting.remove(&ticket) {
+                    let _ = waiting.send(reply);
+                }
+            }
+            Effect::Append(position, facts) => self.append(position, facts),
+            Effect::Order(target, run, order) => {
+                let (node, sender) = (self.node.clone(), self.sender.clone());
+                task::spawn_local(async move {
+                    let began = Instant::now();
+                    let said = node.agents.order(&target, &order).await;
+                    node.metrics.note_order(order.kind(), began.elapsed());
+                    let _ = sender
+                        .send(Input::Answered(target.id, run, order, said))
+                        .await;
+                });
+            }
+            Effect::Advise(job, key, workers, asked_at) => {
+                let (advisor, sender) = (self.node.advisor.clone(), self.sender.clone());
+                task::spawn_local(async move {
+                    let answer = match advisor {
+                        Some(advisor) => advisor.advise(&job, key.1, key.2, &workers).await,
+                        None => Err(Failure::none("ask advisor", &job, "the settings name none")),
+                    };
+                    let _ = sender.send(Input::Advised(key, asked_at, answer)).await;
+                });
+            }
+            Effect::Duty(machine, duty) => {
+                let holder = Holder {
+                    name: self.lead.name.clone(),
+                    fence: self.lead.epoch,
+                };
+                let (machines, sender) = (self.node.machines.clone(), self.sender.clone());
+                task::spawn_local(async move {
+                    let done = match machines {
+                        Some(machines) => machines.order(&holder, &machine, &duty).await,
+                        None => Err(Failure::none(
+                            "order machine",
+                            &machine,
+                            "the settings name no interface",
+                        )),
+                    };
+                    let _ = sender.send(Input::Duty(machine, duty, done)).await;
+                });
+            }
+            Effect::Look(target, look) => {
+                let (agents, sender) = (self.node.agents.clone(), self.sender.clone());
+                task::spawn_local(async move {
+                    let looked = agents.look(&target, &look).await;
+                    let _ = sender.send(Input::Looked(target.id, looked)).await;
+                });
+            }
+        }
+    }
+
+    pub(super) fn append(&mut self, position: u64, facts: Vec<Fact>) {
+        if Log::wants_snapshot(position) {
+            match postcard::to_stdvec(self.core.book()) {
+                Ok(bytes) => self.snapshot = Some((position, bytes)),
+                Err(error) => tracing::error!(%error, "snapshot not encoded"),
+            }
+        }
+        let value = match self.node.log.encode(facts) {
+            Ok(value) => value,
+            Err(failure) => {
+                tracing::error!(%failure, "entry not encoded; the log is given up");
+                self.over = true;
+                return;
+            }
+        };
+        let (log, epoch, sender) = (self.node.log.clone(), self.lead.epoch, self.sender.clone());
+        task::spawn_local(async move {
+            tokio::select! {
+                written = log.append(epoch, position, value) => {
+                    let _ = sender.send(Input::Appended(position, written)).await;
+                }
+                () = sender.closed() => {}
+            }
+        });
+    }
+
+    pub(super) fn compact(&mut self, position: u64) {
+        if self.snapshot.as_ref().is_none_or(|(at, _)| *at != position) {
+            return;
+        }
+        let Some((position, bytes)) = self.snapshot.take() else {
+            return;
+        };
+        let (log, epoch) = (self.node.log.clone(), self.lead.epoch);
+        task::spawn_local(async move {
+            if let Err(failure) = log.compact(epoch, position, &bytes).await {
+                tracing::warn!(position, %failure, "log not compacted");
+            }
+        });
+    }
+
+    /// Tells operators how the waves stand, each state once.
+    pub(super) fn tell_waves(&mut self) {
+        let states = self.core.wave_states();
+        for (number, over) in states {
+            let durable = !over || self.core.is_settled();
+            if !durable || !self.told.insert((number, over)) {
+                continue;
+            }
+            let (key, value) = self.node.dialect.wave_status(number, over);
+            let (store, sender) = (self.node.store.clone(), self.sender.clone());
+            task::spawn_local(async move {
+                let txn = Txn {
+                    put: vec![(key, value)],
+                    ..Txn::default()
+                };
+                let told = match store.commit(&txn).await {
+                    Ok(_) => true,
+                    Err(failure) => {
+                        tracing::warn!(wave = number, %failure, "operators not told of the wave");
+                        time::sleep(HAND_OVER_PAUSE).await;
+                        false
+                    }
+                };
+                let _ = sender.send(Input::Told(number, over, told)).await;
+            });
+        }
+    }
+}
--- /dev/null
+++ b/ashtiller/src/workflow/owner/inputs.rs
@@ -0,0 +1,134 @@
+//! Takes what comes back from outside, and questions.
+
+use crate::workflow::core::{Now, Ticket};
+use crate::workflow::follow::Seen;
+use crate::workflow::kv::Change;
+use crate::workflow::log::Lost;
+use crate::workflow::message::{Ask, Reply};
+use crate::workflow::owner::{Asked, Input, Owner};
+
+/// Inputs taken before the state machine is polled.
+const BATCH: usize = 128;
+
+impl Owner {
+    pub(super) fn take_inputs(&mut self, first: Option<Input>) {
+        let mut next = first;
+        for _ in 0..BATCH {
+            let Some(input) = next else {
+                return;
+            };
+            self.take_input(input);
+            next = self.inputs.try_recv().ok();
+        }
+        if let Some(input) = next {
+            self.take_input(input);
+        }
+    }
+
+    pub(super) fn take_input(&mut self, input: Input) {
+        let now = self.now();
+        match input {
+            Input::Looked(worker, looked) => self.core.take_look(&worker, looked, now),
+            Input::Answered(worker, run, order, said) => {
+                self.core.take_answer(&worker, run, &order, said, now);
+            }
+            Input::Appended(position, Ok(sent)) => {
+                self.node.note_store();
+                self.node.metrics.note_commit(sent.elapsed());
+                let sent = sent.saturating_duration_since(self.start);
+                self.core.note_durable(position, sent, now);
+                self.compact(position);
+            }
+            Input::Appended(position, Err(Lost::Superseded)) => {
+                tracing::warn!(
+                    position,
+                    epoch = self.lead.epoch,
+                    "superseded; the entry is not written"
+                );
+                self.over = true;
+            }
+            Input::Workers(seen) => self.take_workers(seen, now),
+            Input::Duty(machine, duty, done) => self.core.take_duty(&machine, &duty, done, now),
+            Input::Told(number, over, told) => {
+                if !told {
+                    self.told.remove(&(number, over));
+                }
+            }
+            Input::Advised(key, asked_at, answer) => {
+                self.core.take_advice(key, asked_at, answer, now);
+            }
+            Input::HandedOver(done) => self.over |= done,
+        }
+    }
+
+    pub(super) fn take_workers(&mut self, seen: Seen, now: Now) {
+        self.node.note_store();
+        let dialect = self.node.dialect.clone();
+        let read = |key: &str, value: &[u8]| match dialect.worker(key, value) {
+            Ok(listed) => Some(listed),
+            Err(error) => {
+                tracing::error!(key, %error, "worker's entry cannot be read");
+                None
+            }
+        };
+        match seen {
+            Seen::All(items) => {
+                let listed = items.iter().filter_map(|item| read(&item.key, &item.value));
+                self.core.list_all(listed.collect(), now);
+            }
+            Seen::Changes(changes) => {
+                for change in changes {
+                    match change {
+                        Change::Put(item) => {
+                            if let Some(listed) = read(&item.key, &item.value) {
+                                self.core.list_worker(listed, now);
+                            }
+                        }
+                        Change::Gone(key) => {
+                            let id = key.strip_prefix(dialect.worker_prefix());
+                            self.core.unlist_worker(id.unwrap_or(&key), now);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn take_asked(&mut self, first: Option<Asked>) {
+        let mut next = first;
+        for _ in 0..BATCH {
+            let Some(asked) = next else {
+                return;
+            };
+            self.answer(asked);
+            next = self.asked.try_recv().ok();
+        }
+        if let Some(asked) = next {
+            self.answer(asked);
+        }
+    }
+
+    pub(super) fn answer(&mut self, asked: Asked) {
+        let Asked { ask, reply } = asked;
+        let now = self.now();
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        let said = match ask {
+            Ask::State(id) => self.core.state(&id),
+            Ask::Pending(queue) => self.core.count_pending(&queue),
+            Ask::Submit(job) => {
+                self.waiting.insert(ticket, reply);
+                self.core.submit(*job, ticket, now);
+                return;
+            }
+            Ask::Cancel(id) => {
+                self.waiting.insert(ticket, reply);
+                self.core.cancel(&id, ticket, now);
+                return;
+            }
+            _ => Reply::NotOwner,
+        };
+        // The asker may have given up.
+        let _ = reply.send(said);
+    }
+}
--- /dev/null
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -0,0 +1,303 @@
+//! Carries out what the owner of a log decides.
+
+mod carry;
+mod hand_over;
+mod inputs;
+
+use std::collections::{BTreeSet, HashMap};
+use std::hash::Hasher;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tokio::sync::{mpsc, oneshot};
+use tokio::task;
+use tokio::time::{self, Instant};
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::failure::Failure;
+use crate::workflow::advisor::Tickets;
+use crate::workflow::agents::{Looked, Order, Said};
+use crate::workflow::core::advice::StepKey;
+use crate::workflow::core::{Core, Counts, Now, Ticket};
+use crate::workflow::fact::{Lead, Run};
+use crate::workflow::follow::{self, Seen};
+use crate::workflow::log::{Lost, Replayed};
+use crate::workflow::machines::{Done, Duty};
+use crate::workflow::message::{Ask, Member, Reply};
+use crate::workflow::node::Node;
+
+/// Questions that may wait for the owner.
+const QUEUE: usize = 2048;
+/// Results that may wait for the owner; each worker has a look and an order under way.
+const RESULTS: usize = 4096;
+/// Longest time between two steps of the state machine.
+const TICK: Duration = Duration::from_millis(20);
+/// Least time between two polls of the state machine; a task runs for some 2 s.
+const POLL: Duration = Duration::from_millis(2);
+/// How often counters and the dump follow the state machine.
+const SHOW: Duration = Duration::from_secs(2);
+/// Time limit of asking another instance to take over.
+const TAKE_OVER_LIMIT: Duration = Duration::from_secs(1);
+/// Pause between two tries to hand over.
+const HAND_OVER_PAUSE: Duration = Duration::from_millis(500);
+/// Age of the last contact with the store up to which a member may get the log.
+const FIT_AGE: u32 = 1500;
+
+/// A question to the owner and where its answer goes.
+pub struct Asked {
+    /// Question.
+    pub ask: Ask,
+    /// Where the answer goes.
+    pub reply: oneshot::Sender<Reply>,
+}
+
+/// What comes back from outside.
+enum Input {
+    Looked(Arc<str>, Result<Looked, Failure>),
+    Answered(Arc<str>, Run, Order, Result<Said, Failure>),
+    Appended(u64, Result<Instant, Lost>),
+    Workers(Seen),
+    Advised(StepKey, Duration, Result<Tickets, Failure>),
+    Duty(Arc<str>, Duty, Result<Done, Failure>),
+    Told(u64, bool, bool),
+    HandedOver(bool),
+}
+
+/// Digest of a list of members, without what changes all the time.
+#[must_use]
+pub fn digest(members: &[Member]) -> u64 {
+    let mut hash = Xxh3::new();
+    for member in members {
+        hash.write(member.name.as_bytes());
+        hash.write_u16(member.address.port());
+        hash.write(member.address.ip().to_string().as_bytes());
+        hash.write_u8(u8::from(member.leaving || member.store_age >= FIT_AGE));
+    }
+    hash.finish()
+}
+
+/// Begins to own the log as `lead`.
+pub fn spawn(node: &Rc<Node>, lead: Lead) {
+    let (sender, asked) = mpsc::channel(QUEUE);
+    node.set_owner(Some(sender));
+    node.adopt_lead(&lead);
+    task::spawn_local(run(node.clone(), lead, asked));
+}
+
+async fn run(node: Rc<Node>, lead: Lead, asked: mpsc::Receiver<Asked>) {
+    let start = Instant::now();
+    announce(&node, &lead);
+    let replayed = loop {
+        match replay(&node, &lead).await {
+            Ok(Some(replayed)) => break replayed,
+            Ok(None) => {
+                node.set_owner(None);
+                return;
+            }
+            Err(failure) => {
+                tracing::warn!(%failure, "log not read; it is read again");
+                time::sleep(TICK * 5).await;
+                if node.lead().is_none_or(|known| known.epoch != lead.epoch) {
+                    node.set_owner(None);
+                    return;
+                }
+            }
+        }
+    };
+    node.metrics.note_takeover(start.elapsed());
+    tracing::info!(
+        epoch = lead.epoch,
+        next = replayed.next,
+        jobs = replayed.book.jobs.len(),
+        open = replayed.book.open().len(),
+        took_ms = start.elapsed().as_millis(),
+        "log replayed"
+    );
+    let (sender, inputs) = mpsc::channel(RESULTS);
+    let now = now_since(start);
+    let core = Core::new(
+        node.settings.terms,
+        lead.epoch,
+        replayed.book,
+        replayed.next,
+        now,
+    );
+    let mut owner = Owner {
+        node: node.clone(),
+        lead,
+        core,
+        start,
+        asked,
+        inputs,
+        sender,
+        waiting: HashMap::new(),
+        next_ticket: 0,
+        snapshot: None,
+        handing: None,
+        told: BTreeSet::new(),
+        counted: Counts::default(),
+        shown: Instant::now(),
+        over: false,
+    };
+    owner.serve().await;
+    let counts = owner.core.counts();
+    tracing::warn!(
+        epoch = owner.lead.epoch,
+        ?counts,
+        "no longer the owner of the log"
+    );
+    node.set_owner(None);
+    owner.refuse_waiting();
+}
+
+/// Reads the log, unless it has another owner by now.
+async fn replay(node: &Rc<Node>, lead: &Lead) -> Result<Option<Replayed>, Failure> {
+    if let Some(known) = node.log.read_lead(false).await?
+        && known.epoch != lead.epoch
+    {
+        node.adopt_lead(&known);
+        return Ok(None);
+    }
+    node.log.replay(Duration::ZERO).await.map(Some)
+}
+
+fn now_since(start: Instant) -> Now {
+    let wall = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Now {
+        at: start.elapsed(),
+        wall: u64::try_from(wall.as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
+fn announce(node: &Rc<Node>, lead: &Lead) {
+    for address in node.others() {
+        let (node, lead) = (node.clone(), lead.clone());
+        task::spawn_local(async move {
+            let ask = Ask::Leads(lead);
+            if let Err(failure) = node
+                .links
+                .ask("announce", address, &ask, TAKE_OVER_LIMIT)
+                .await
+            {
+                tracing::debug!(%failure, "not told of the new owner");
+            }
+        });
+    }
+}
+
+struct Owner {
+    node: Rc<Node>,
+    lead: Lead,
+    core: Core,
+    start: Instant,
+    asked: mpsc::Receiver<Asked>,
+    inputs: mpsc::Receiver<Input>,
+    sender: mpsc::Sender<Input>,
+    waiting: HashMap<Ticket, oneshot::Sender<Reply>>,
+    next_ticket: u64,
+    snapshot: Option<(u64, Vec<u8>)>,
+    handing: Option<Instant>,
+    told: BTreeSet<(u64, bool)>,
+    counted: Counts,
+    shown: Instant,
+    over: bool,
+}
+
+impl Owner {
+    async fn serve(&mut self) {
+        self.follow_workers();
+        let mut waves = self.node.watch_waves();
+        waves.mark_changed();
+        let mut config = self.node.watch_config();
+        self.core.set_config(config.borrow_and_update().clone());
+        let mut tick = time::interval(TICK);
+        tick.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        let mut polled = Instant::now();
+        while !self.over {
+            tokio::select! {
+                biased;
+                input = self.inputs.recv() => self.take_inputs(input),
+                asked = self.asked.recv() => self.take_asked(asked),
+                _ = tick.tick() => {}
+            }
+            if config.has_changed().unwrap_or(false) {
+                self.core.set_config(config.borrow_and_update().clone());
+            }
+            // What comes at the same time is decided together.
+            if polled.elapsed() < POLL {
+                time::sleep_until(polled + POLL).await;
+                self.take_waiting();
+            }
+            polled = Instant::now();
+            let now = self.now();
+            if waves.has_changed().unwrap_or(false) {
+                for wave in waves.borrow_and_update().values() {
+                    self.core.set_wave(wave.clone(), now);
+                }
+            }
+            self.tell_waves();
+            for effect in self.core.poll(now) {
+                self.carry_out(effect);
+            }
+            self.consider_hand_over(now);
+            self.show(now);
+            self.over |= self.core.is_superseded();
+            self.over |= self
+                .node
+                .lead()
+                .is_none_or(|lead| lead.epoch != self.lead.epoch);
+        }
+    }
+
+    fn take_waiting(&mut self) {
+        if let Ok(input) = self.inputs.try_recv() {
+            self.take_inputs(Some(input));
+        }
+        if let Ok(asked) = self.asked.try_recv() {
+            self.take_asked(Some(asked));
+        }
+    }
+
+    fn now(&self) -> Now {
+        now_since(self.start)
+    }
+
+    fn follow_workers(&self) {
+        let (sender, mut seen) = mpsc::channel(16);
+        let prefix = self.node.dialect.worker_prefix();
+        task::spawn_local(follow::follow(self.node.store.clone(), prefix, sender));
+        let inputs = self.sender.clone();
+        task::spawn_local(async move {
+            while let Some(seen) = seen.recv().await {
+                if inputs.send(Input::Workers(seen)).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+
+    /// Counts what was done, and shows the state for a dump.
+    fn show(&mut self, now: Now) {
+        if self.shown.elapsed() < SHOW {
+            return;
+        }
+        self.shown = Instant::now();
+        let counts = self.core.counts();
+        self.node.metrics.note_counts(&self.counted, &counts);
+        self.counted = counts;
+        self.node.show_owned(&self.core.dump(now));
+    }
+
+    /// Entries that were not confirmed may have been written.
+    fn refuse_waiting(&mut self) {
+        for (_, reply) in self.waiting.drain() {
+            let _ = reply.send(Reply::Unknown);
+        }
+        while let Ok(asked) = self.asked.try_recv() {
+            let _ = asked.reply.send(Reply::NotOwner);
+        }
+    }
+}
--- a/ashtiller/tests/decisions.rs
+++ b/ashtiller/tests/decisions.rs
@@ -734,3 +734,27 @@
         assert!(placed.iter().skip(1).all(|(other, _)| *other != id));
     }
 }
+
+#[test]
+fn a_large_lasting_task_is_not_kept_waiting_by_short_ones() {
+    let mut driver = Driver::new(1, policy());
+    let large = Step {
+        lasting: true,
+        needs: Resources {
+            processors: 3000,
+            ..step(1).needs
+        },
+        ..step(1)
+    };
+    // All come in one round; the worker has four processors.
+    driver.submit(job("1", vec![step(4)]));
+    driver.submit(job("2", vec![large]));
+    driver.pass(200 * MS);
+    let jobs: Vec<u32> = driver
+        .starts()
+        .iter()
+        .map(|(_, run)| run.task.job)
+        .collect();
+    assert_eq!(jobs.iter().filter(|job| **job == 1).count(), 1, "{jobs:?}");
+    assert_eq!(jobs.iter().filter(|job| **job == 0).count(), 1, "{jobs:?}");
+}
