--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -115,7 +115,7 @@
     let checks = world.spawn_checks();
     let faults = world.disturb().await?;
     world.heal()?;
-    let open = world.finish().await;
+    let open = world.finish().await?;
     checks.abort();
     fs::write(
         world.plan.folder.join("schedule.txt"),
@@ -322,8 +322,15 @@
         for agent in self.fleet.lock().values() {
             *agent.cut.lock() = false;
         }
-        for entry in &mut self.entries {
+        for entry in &self.entries {
             entry.signal(Signal::SIGCONT)?;
+        }
+        self.start_ended()
+    }
+
+    /// Starts the entries that have ended.
+    fn start_ended(&mut self) -> anyhow::Result<()> {
+        for entry in &mut self.entries {
             if entry.has_ended()? {
                 entry.launch()?;
             }
@@ -370,7 +377,7 @@
     }
 
     /// Waits for every accepted job to end; those that did not are returned.
-    async fn finish(&mut self) -> Vec<Arc<str>> {
+    async fn finish(&mut self) -> anyhow::Result<Vec<Arc<str>>> {
         let end = Instant::now() + FINISH;
         loop {
             let accepted: Vec<Arc<str>> = self.seen.lock().accepted.iter().cloned().collect();
@@ -386,8 +393,10 @@
                 }
             }
             if open.is_empty() || Instant::now() >= end {
-                return open;
+                return Ok(open);
             }
+            // One that was told to stop may end only now.
+            self.start_ended()?;
             time::sleep(Duration::from_millis(500)).await;
         }
     }
