--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -79,6 +79,10 @@
 
 /// Begins to own the log as `lead`.
 pub fn spawn(node: &Rc<Node>, lead: Lead) {
+    // Two tries to own may both find that the lead is this process.
+    if node.owns() {
+        return;
+    }
     let (sender, asked) = mpsc::channel(QUEUE);
     node.set_owner(Some(sender));
     node.adopt_lead(&lead);
