Do not start a copy of a task that is done

Cause: where a step allows copies, the log may hold a copy that its owner never started when the first run ends.

Change: a new owner stops runs of tasks that are done. Adoption moves to its own file; the driver of the decision tests too, so that take-over cases share it.

--- /dev/null
+++ b/ashtiller/src/workflow/core/adopt.rs
@@ -0,0 +1,87 @@
+//! Runs that a new owner finds in the log.
+
+use std::sync::Arc;
+
+use crate::workflow::core::{Core, Now, share_of};
+use crate::workflow::fact::{Run, Task};
+use crate::workflow::job::Step;
+use crate::workflow::live::{LiveRun, Reason, Stage};
+use crate::workflow::state::JobState;
+
+/// A run in the log, with what is to become of it.
+struct Found {
+    run: Run,
+    worker: Arc<str>,
+    saved: Arc<str>,
+    /// Why it is not to go on, if so.
+    over: Option<Reason>,
+}
+
+impl Core {
+    /// Takes over the runs that may be going on. Whether they were ever started is not
+    /// known, so they are ordered again, but for those that nobody needs any more.
+    pub(super) fn adopt_runs(&mut self, now: Now) {
+        let open = self.book.open();
+        let jobs = open.iter().map(|number| (*number, &self.book.jobs[number]));
+        let found: Vec<Found> = jobs
+            .flat_map(|(number, job)| find_runs(number, job))
+            .collect();
+        for Found {
+            run,
+            worker,
+            saved,
+            over,
+        } in found
+        {
+            let Some(step) = self.step_of(run) else {
+                continue;
+            };
+            let (share, processors) = share_of(&mut self.interference, &step);
+            let mut live = LiveRun::new(worker, Stage::Starting, share, processors, now.at);
+            live.saved = saved;
+            if let Some(reason) = over {
+                live.want_stop(reason);
+            }
+            self.runs.insert(run, live);
+        }
+    }
+
+    fn step_of(&self, run: Run) -> Option<Step> {
+        let job = self.book.jobs.get(&run.task.job)?;
+        job.step(run.task).cloned()
+    }
+}
+
+/// The runs of a job that have no recorded end.
+fn find_runs(number: u32, job: &JobState) -> Vec<Found> {
+    let mut found = Vec::new();
+    for (time, round) in &job.rounds {
+        for (step, state) in (0..).zip(&round.steps) {
+            for (index, task) in (0..).zip(&state.tasks) {
+                let place = Task {
+                    job: number,
+                    time: *time,
+                    step,
+                    index,
+                };
+                // A copy of a task that is done may never have been started, and must
+                // not be now.
+                let over = match (job.outcome, task.done) {
+                    (Some(_), _) => Some(Reason::Over),
+                    (None, true) => Some(Reason::Copied),
+                    (None, false) => None,
+                };
+                found.extend(task.live.iter().map(|live| Found {
+                    run: Run {
+                        task: place,
+                        number: live.number,
+                    },
+                    worker: live.worker.clone(),
+                    saved: task.saved.clone(),
+                    over,
+                }));
+            }
+        }
+    }
+    found
+}
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -4,6 +4,7 @@
 //! are applied as soon as they are decided and grouped into entries of the log;
 //! what depends on a fact waits in a queue until its entry is durable.
 
+mod adopt;
 pub mod advice;
 mod dump;
 mod entries;
@@ -27,10 +28,10 @@
 use crate::workflow::config::Config;
 use crate::workflow::core::advice::{Advised, StepKey};
 use crate::workflow::core::upkeep::Going;
-use crate::workflow::fact::{Fact, Outcome, Run, Task};
+use crate::workflow::fact::{Fact, Outcome, Run};
 use crate::workflow::interference::Interference;
 use crate::workflow::job::{Job, Sharing, Step};
-use crate::workflow::live::{LiveRun, Reason, Share, Stage};
+use crate::workflow::live::{LiveRun, Reason, Share};
 use crate::workflow::load::Track;
 use crate::workflow::machines::Duty;
 use crate::workflow::message::Reply;
@@ -177,49 +178,6 @@
         core
     }
 
-    fn adopt_runs(&mut self, now: Now) {
-        let mut over = Vec::new();
-        for (number, job) in &self.book.jobs {
-            if !self.book.open().contains(number) {
-                continue;
-            }
-            for (time, round) in &job.rounds {
-                for (step, state) in (0..).zip(&round.steps) {
-                    for (index, task) in (0..).zip(&state.tasks) {
-                        for live in &task.live {
-                            let run = Run {
-                                task: Task {
-                                    job: *number,
-                                    time: *time,
-                                    step,
-                                    index,
-                                },
-                                number: live.number,
-                            };
-                            let asked = &job.job.steps[usize::from(step)];
-                            let (share, processors) = share_of(&mut self.interference, asked);
-                            let mut adopted = LiveRun::new(
-                                live.worker.clone(),
-                                Stage::Starting,
-                                share,
-                                processors,
-                                now.at,
-                            );
-                            adopted.saved = task.saved.clone();
-                            self.runs.insert(run, adopted);
-                        }
-                    }
-                }
-            }
-            if job.outcome.is_some() {
-                over.push(*number);
-            }
-        }
-        for number in over {
-            self.stop_job(number, Reason::Over);
-        }
-    }
-
     /// Puts a configuration in force, unless a newer one is.
     pub fn set_config(&mut self, config: Arc<Config>) {
         if config.version > self.config.version || self.config.queues.is_empty() {
--- /dev/null
+++ b/ashtiller/tests/owner/driver.rs
@@ -0,0 +1,272 @@
+//! The owner of a log as a state machine, with a store and workers that answer at once.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashtiller::failure::Failure;
+use ashtiller::resources::Resources;
+use ashtiller::workflow::agents::{Active, Finished, How, Looked, Name, Order, Said};
+use ashtiller::workflow::book::Book;
+use ashtiller::workflow::config::{Config, Listed, Queue};
+use ashtiller::workflow::core::{Core, Effect, Now, Ticket};
+use ashtiller::workflow::fact::{Fact, Run};
+use ashtiller::workflow::job::{Job, Policy, Step};
+use ashtiller::workflow::machines::{Done, Duty};
+use ashtiller::workflow::message::Reply;
+use ashtiller::workflow::terms::Terms;
+
+pub const MS: Duration = Duration::from_millis(1);
+
+pub fn policy() -> Policy {
+    Policy {
+        service: "fleet".into(),
+        priority: 0,
+        attempts: 2,
+        extension: 2.0,
+        target: 250 * MS,
+        advice: None,
+    }
+}
+
+pub fn step(count: u32) -> Step {
+    Step {
+        count,
+        needs: Resources {
+            processors: 1000,
+            memory: 1 << 30,
+            accelerators: 0,
+        },
+        estimate: 500 * MS,
+        ..Step::default()
+    }
+}
+
+pub fn job(id: &str, steps: Vec<Step>) -> Job {
+    Job {
+        id: id.into(),
+        queue: "jobs/q/".into(),
+        payload: "".into(),
+        steps,
+        schedule: None,
+    }
+}
+
+pub fn listed(number: u16) -> Listed {
+    Listed {
+        id: format!("w{number}").into(),
+        machine: Some(format!("m{number}").into()),
+        service: "fleet".into(),
+        address: ([10, 0, 0, 1], number + 1).into(),
+        zone: "bern".into(),
+        capacity: Resources {
+            processors: 4000,
+            memory: 8 << 30,
+            accelerators: 0,
+        },
+        labels: vec!["a".into(), format!("r{}", number / 2).into()],
+        draining: false,
+        remaining: None,
+    }
+}
+
+/// A core whose store answers at once, and what it wants done.
+pub struct Driver {
+    pub core: Core,
+    pub now: Now,
+    pub ticket: u64,
+    pub orders: Vec<(Arc<str>, Run, Order)>,
+    pub answers: Vec<(Ticket, Reply)>,
+    pub asked: Vec<Vec<Arc<str>>>,
+    pub duties: Vec<(Arc<str>, Duty)>,
+    pub facts: Vec<Fact>,
+    /// A worker that answers no look.
+    pub silent: Option<Arc<str>>,
+    /// Rows that a look shows in place of the usual ones.
+    pub at_work: Vec<Active>,
+    /// Whether entries become durable.
+    pub store: bool,
+}
+
+impl Driver {
+    pub fn new(workers: u16, policy: Policy) -> Self {
+        Self::replay(&[], workers, policy)
+    }
+
+    /// A new owner of a log that holds these facts.
+    pub fn replay(facts: &[Fact], workers: u16, policy: Policy) -> Self {
+        let now = Now {
+            at: Duration::from_mins(10),
+            wall: 1_000_000,
+        };
+        let mut book = Book::default();
+        for fact in facts {
+            book.apply(fact, now.at);
+        }
+        let mut core = Core::new(Terms::default(), 5, book, 1, now);
+        core.set_config(Arc::new(Config {
+            version: 1,
+            queues: vec![Queue {
+                host: "jobs".into(),
+                prefix: "/q/".into(),
+                policy,
+            }],
+            ..Config::default()
+        }));
+        core.list_all((0..workers).map(listed).collect(), now);
+        let mut driver = Self {
+            core,
+            now,
+            ticket: 0,
+            orders: Vec::new(),
+            answers: Vec::new(),
+            asked: Vec::new(),
+            duties: Vec::new(),
+            facts: Vec::new(),
+            silent: None,
+            at_work: Vec::new(),
+            store: true,
+        };
+        driver.pass(100 * MS);
+        driver
+    }
+
+    /// Lets time pass; workers answer looks with nothing, and take every order.
+    pub fn pass(&mut self, span: Duration) {
+        let end = self.now.at + span;
+        while self.now.at < end {
+            self.now.at += 5 * MS;
+            self.now.wall += 5;
+            for effect in self.core.poll(self.now) {
+                self.carry_out(effect);
+            }
+        }
+    }
+
+    pub fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Append(position, facts) => {
+                self.facts.extend(facts);
+                if self.store {
+                    self.core.note_durable(position, self.now.at, self.now);
+                }
+            }
+            Effect::Order(target, run, order) => {
+                let said = Ok(Said::Done(self.clock()));
+                self.core
+                    .take_answer(&target.id, run, &order, said, self.now);
+                self.orders.push((target.id, run, order));
+            }
+            Effect::Look(target, _) if Some(&target.id) == self.silent.as_ref() => {
+                let nothing = Failure::unknown("look", &target.id, "no answer");
+                self.core.take_look(&target.id, Err(nothing), self.now);
+            }
+            Effect::Look(target, _) => {
+                let rows = self.at_work.clone();
+                self.report(&target.id, rows, Vec::new());
+            }
+            Effect::Answer(ticket, reply) => self.answers.push((ticket, reply)),
+            Effect::Advise(_, key, workers, at) => {
+                let good = workers
+                    .iter()
+                    .take(1)
+                    .map(|id| (id.clone(), Arc::from("t")));
+                let good = good.collect();
+                self.asked.push(workers);
+                self.core.take_advice(key, at, Ok(good), self.now);
+            }
+            Effect::Duty(machine, duty) => {
+                self.core
+                    .take_duty(&machine, &duty, Ok(Done::Yes), self.now);
+                self.duties.push((machine, duty));
+            }
+        }
+    }
+
+    pub fn clock(&self) -> u64 {
+        u64::try_from(self.now.at.as_millis()).unwrap()
+    }
+
+    pub fn report(&mut self, id: &str, mut active: Vec<Active>, finished: Vec<Finished>) {
+        // What was started there goes on, unless it is among the finished.
+        for (worker, run, order) in &self.orders {
+            if let Order::Start(start) = order
+                && **worker == *id
+                && !finished.iter().any(|end| end.name == start.name)
+                && self.core.book().is_live(*run)
+                && !active.iter().any(|row| row.name == start.name)
+            {
+                active.push(Active {
+                    name: start.name.clone(),
+                    run: start.run,
+                    saved: "".into(),
+                    percent: u32::try_from(self.now.at.as_millis() % 100).unwrap(),
+                    figure: None,
+                });
+            }
+        }
+        let looked = Looked::Report {
+            clock: self.clock(),
+            active,
+            finished,
+        };
+        self.core.take_look(id, Ok(looked), self.now);
+    }
+
+    pub fn submit(&mut self, job: Job) -> Ticket {
+        self.ticket += 1;
+        let ticket = Ticket(self.ticket);
+        self.core.submit(job, ticket, self.now);
+        ticket
+    }
+
+    pub fn starts(&self) -> Vec<(Arc<str>, Run)> {
+        let starts = self
+            .orders
+            .iter()
+            .filter(|(_, _, order)| matches!(order, Order::Start(_)));
+        starts.map(|(id, run, _)| (id.clone(), *run)).collect()
+    }
+
+    /// The next look at a worker shows that this run ended.
+    pub fn end(&mut self, id: &Arc<str>, run: Run, how: How, number: u64) {
+        let name = self.name(run);
+        for _ in 0..1000 {
+            self.now.at += 5 * MS;
+            let mut rest = Vec::new();
+            let mut looked = false;
+            for effect in self.core.poll(self.now) {
+                match effect {
+                    Effect::Look(target, _) if target.id == *id => looked = true,
+                    other => rest.push(other),
+                }
+            }
+            if looked {
+                let finished = vec![Finished {
+                    number,
+                    name: name.clone(),
+                    run: run.number,
+                    how,
+                    saved: "".into(),
+                }];
+                self.report(id, Vec::new(), finished);
+            }
+            for effect in rest {
+                self.carry_out(effect);
+            }
+            if looked {
+                return;
+            }
+        }
+        panic!("{id} was not looked at");
+    }
+
+    pub fn name(&self, run: Run) -> Name {
+        let job = &self.core.book().jobs[&run.task.job];
+        Name {
+            job: job.job.id.clone(),
+            time: run.task.time,
+            step: run.task.step,
+            index: run.task.index,
+        }
+    }
+}
--- /dev/null
+++ b/ashtiller/tests/owner/main.rs
@@ -0,0 +1,5 @@
+//! The owner of a log as a state machine: its single decisions, case by case.
+
+mod decisions;
+mod driver;
+mod takeover;
