Empty workers that leave without a word; take those still missing as gone

Their services ran on until the worker died and then waited for its lease, up to 10 s where leases are that long; a service must be back 9 s after its last run. Found beside it by the new tests: a worker whose entry lapsed while the store was away got new work for good, not for 2.5 s after the store's return; and a list in the order of keys could end the newer of two lives of one worker, and with it runs that went on.

Change: a worker that answers but is not listed is emptied after 0.5 s, its services only as their step may miss them, since it may be cut off and well. Leases are at most 6 s.

--- a/ashtiller/src/workflow/core/fleet.rs
+++ b/ashtiller/src/workflow/core/fleet.rs
@@ -91,13 +91,17 @@
             && !aside
             && !tried
             && !worker.held
-            && worker.absent.is_none_or(|since| self.is_just_back(since))
+            && worker
+                .absent
+                .is_none_or(|since| self.is_just_back(since, now))
     }
 
-    /// After the store was away, workers may be listed again a little later.
-    fn is_just_back(&self, since: Duration) -> bool {
+    /// Whether a worker that is missing since then may be listed again: its entry may have
+    /// lapsed while the store was away, which came back a moment ago.
+    pub(super) fn is_just_back(&self, since: Duration, now: Now) -> bool {
         self.returned.is_some_and(|back| {
-            since < back + self.terms.relist && since + self.terms.relist > back
+            let until = back + self.terms.relist;
+            now.at < until && since < until && since + self.terms.relist > back
         })
     }
 
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -262,7 +262,7 @@
             self.swept = now.at;
             self.expire_leases(now);
             self.drop_absent(now);
-            self.empty_draining(now);
+            self.empty_leaving(now);
             self.open_rounds(now);
             self.drive_waves(now);
         }
--- a/ashtiller/src/workflow/core/roster.rs
+++ b/ashtiller/src/workflow/core/roster.rs
@@ -15,6 +15,18 @@
 /// Time before the end of a draining worker by which its runs should be stopped,
 /// so that the last checkpoint is reported: a stop may take most of a second.
 const DRAIN_MARGIN: Duration = Duration::from_millis(1200);
+/// Time for which a worker must be missing in the platform's list before it counts as
+/// about to leave: an outage of the store is noticed within it.
+const UNLISTED_MIN: Duration = Duration::from_millis(500);
+
+/// A worker that is about to leave.
+struct Leaving {
+    since: Duration,
+    /// Time that was left then, at least.
+    left: Duration,
+    /// Whether it said so.
+    told: bool,
+}
 
 impl Core {
     /// The platform lists a worker.
@@ -162,24 +174,44 @@
         });
     }
 
-    /// Moves off a draining worker what would not end in time.
-    pub(super) fn empty_draining(&mut self, now: Now) {
+    /// Moves off workers that are about to leave what would not end in time.
+    pub(super) fn empty_leaving(&mut self, now: Now) {
         let mut moved = Vec::new();
         for worker in self.workers.values() {
-            let Some(since) = worker.draining else {
+            let Some(Leaving { since, left, told }) = self.leaving(worker, now) else {
                 continue;
             };
-            let left = worker.listed.remaining.unwrap_or(Duration::ZERO);
             let left = left.saturating_sub(now.at.saturating_sub(since));
-            moved.extend(worker.runs.iter().map(|run| (*run, left)));
+            moved.extend(worker.runs.iter().map(|run| (*run, left, told)));
         }
-        for (run, left) in moved {
-            if self.outlives(run, left, now) {
+        for (run, left, told) in moved {
+            // One that says nothing may be cut off and well, so its services go one by one.
+            if self.outlives(run, left, now) && (told || self.may_be_away(run, now)) {
                 self.want_stop(run, Reason::Draining);
             }
         }
     }
 
+    /// Whether a worker is about to leave. Some say that they drain; some just take
+    /// their entry back, and go on for as long.
+    fn leaving(&self, worker: &Worker, now: Now) -> Option<Leaving> {
+        if let Some(since) = worker.draining {
+            let left = worker.listed.remaining.unwrap_or(Duration::ZERO);
+            return Some(Leaving {
+                since,
+                left,
+                told: true,
+            });
+        }
+        let since = worker.absent?;
+        let known = now.at >= since + UNLISTED_MIN && !self.is_stalled(now);
+        (known && worker.answers && !self.is_just_back(since, now)).then_some(Leaving {
+            since,
+            left: self.terms.drain,
+            told: false,
+        })
+    }
+
     /// Whether a run will not end within `left`.
     fn outlives(&self, run: Run, left: Duration, now: Now) -> bool {
         let Some((job, _)) = self.book.task(run.task) else {
--- a/ashtiller/src/workflow/core/upkeep.rs
+++ b/ashtiller/src/workflow/core/upkeep.rs
@@ -235,15 +235,20 @@
             };
             let step = job.step(run.task);
             let lasting = step.is_some_and(|step| step.lasting);
-            let most = step.and_then(|step| step.away_max);
-            let spared = most.is_none_or(|most| self.count_away(*run, now) < most);
-            if (lasting || urge) && spared {
+            if (lasting || urge) && self.may_be_away(*run, now) {
                 self.want_stop(*run, Reason::Upkeep);
             }
         }
         runs.is_empty()
     }
 
+    /// Whether a run's step can miss it besides those that are away.
+    pub(super) fn may_be_away(&self, run: Run, now: Now) -> bool {
+        let job = self.book.jobs.get(&run.task.job);
+        let most = job.and_then(|job| job.step(run.task)?.away_max);
+        most.is_none_or(|most| self.count_away(run, now) < most)
+    }
+
     /// Other tasks of a run's step that are not at work.
     fn count_away(&self, run: Run, now: Now) -> u32 {
         let Some((job, _)) = self.book.task(run.task) else {
--- a/ashtiller/src/workflow/follow.rs
+++ b/ashtiller/src/workflow/follow.rs
@@ -18,7 +18,7 @@
 /// What was seen below a prefix.
 #[derive(Clone, Debug)]
 pub enum Seen {
-    /// All that stands there.
+    /// All that stands there, what changed last at the end.
     All(Vec<Item>),
     /// What changed.
     Changes(Vec<Change>),
@@ -79,6 +79,7 @@
     let mut items = first.items;
     let mut more = first.more;
     while more {
+        // Pages are in the order of keys.
         let Some(last) = items.last().map(|item| item.key.clone()) else {
             break;
         };
@@ -86,5 +87,7 @@
         more = page.more && !page.items.is_empty();
         items.extend(page.items);
     }
+    // As a watch would have told it: of two lives of one worker the newer comes last.
+    items.sort_by_key(|item| item.revision);
     Ok((items, at))
 }
--- a/ashtiller/src/workflow/settings.rs
+++ b/ashtiller/src/workflow/settings.rs
@@ -7,7 +7,7 @@
 use crate::document::Document;
 use crate::mistake::Mistakes;
 use crate::settings::Instance;
-use crate::workflow::terms::Terms;
+use crate::workflow::terms::{LEASE_MAX, Terms};
 
 /// Sections of a settings file.
 const SECTIONS: [&str; 4] = ["instance", "entry", "platform", "workers"];
@@ -133,8 +133,9 @@
 fn read_terms(document: &mut Document) -> Terms {
     let mut section = document.section("workers");
     let defaults = Terms::default();
+    let longest = section.duration("lease", Some(defaults.lease), SECOND..=10 * MINUTE);
     Terms {
-        lease: section.duration("lease", Some(defaults.lease), SECOND..=10 * MINUTE),
+        lease: longest.min(LEASE_MAX),
         horizon: section.duration("horizon", Some(defaults.horizon), SECOND..=HOUR),
         wait: section.duration("wait", Some(defaults.wait), 10 * MS..=MINUTE),
         watch: section.duration("watch", Some(defaults.watch), 10 * MS..=MINUTE),
@@ -143,6 +144,7 @@
         retry: section.duration("retry", Some(defaults.retry), MS..=MINUTE),
         keep: section.duration("keep", Some(defaults.keep), SECOND..=24 * HOUR),
         far: f64::from(section.count("far_percent", Some(200), 100..=10_000)) / 100.0,
+        drain: section.duration("drain", Some(defaults.drain), MS..=MINUTE),
         turn: section.duration("turn", Some(defaults.turn), 10 * MS..=HOUR),
         ..defaults
     }
--- a/ashtiller/src/workflow/terms.rs
+++ b/ashtiller/src/workflow/terms.rs
@@ -2,6 +2,10 @@
 
 use std::time::Duration;
 
+/// Longest lease that is of use: a service whose worker has gone without a word starts
+/// elsewhere when the lease is over, which the platform wants within some 9 s.
+pub const LEASE_MAX: Duration = Duration::from_secs(6);
+
 /// Times and limits. The platform's bounds come from the settings; what is ours is
 /// explained where [`Terms::default`] sets it.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -40,6 +44,8 @@
     pub report: Duration,
     /// How often what was learned is kept.
     pub teach: Duration,
+    /// Least time for which a worker goes on after it was told to leave.
+    pub drain: Duration,
     /// Time between orders of two owners to one machine.
     pub turn: Duration,
 }
@@ -47,7 +53,7 @@
 impl Default for Terms {
     fn default() -> Self {
         Self {
-            lease: Duration::from_secs(6),
+            lease: LEASE_MAX,
             // Longer than the outages that operators report, which last 4 to 9 s.
             horizon: Duration::from_secs(11),
             // The longest that workers allow; a look is priced by the call.
@@ -71,6 +77,8 @@
             report: Duration::from_millis(500),
             // Some 3 KB each time; pairs are learned within tens of seconds.
             teach: Duration::from_secs(3),
+            // What the platform's sheets name for both sites.
+            drain: Duration::from_secs(2),
             turn: Duration::from_secs(4),
         }
     }
--- a/ashtiller/tests/owner/decisions.rs
+++ b/ashtiller/tests/owner/decisions.rs
@@ -467,7 +467,7 @@
         percent: 100,
         figure: None,
     };
-    driver.at_work.push(at_work);
+    driver.at_work.push((driver.starts()[2].0.clone(), at_work));
     driver.pass(Duration::from_secs(4));
     assert_eq!(driver.starts().len(), 4, "the others follow");
 }
--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -1,5 +1,6 @@
 //! The owner of a log as a state machine, with a store and workers that answer at once.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -81,10 +82,12 @@
     pub facts: Vec<Fact>,
     /// A worker that answers no look.
     pub silent: Option<Arc<str>>,
-    /// Rows that a look shows in place of the usual ones.
-    pub at_work: Vec<Active>,
+    /// Rows that a look at a worker shows in place of the usual ones.
+    pub at_work: Vec<(Arc<str>, Active)>,
     /// Whether entries become durable.
     pub store: bool,
+    /// Position of the entry that is not durable.
+    waiting: Option<u64>,
 }
 
 impl Driver {
@@ -125,6 +128,7 @@
             silent: None,
             at_work: Vec::new(),
             store: true,
+            waiting: None,
         };
         driver.pass(100 * MS);
         driver
@@ -148,12 +152,17 @@
                 self.facts.extend(facts);
                 if self.store {
                     self.core.note_durable(position, self.now.at, self.now);
+                } else {
+                    self.waiting = Some(position);
                 }
             }
             Effect::Order(target, run, order) => {
                 let said = Ok(Said::Done(self.clock()));
                 self.core
                     .take_answer(&target.id, run, &order, said, self.now);
+                if let Order::Stop(name, _) = &order {
+                    self.at_work.retain(|(_, row)| row.name != *name);
+                }
                 self.orders.push((target.id, run, order));
             }
             Effect::Look(target, _) if Some(&target.id) == self.silent.as_ref() => {
@@ -161,7 +170,8 @@
                 self.core.take_look(&target.id, Err(nothing), self.now);
             }
             Effect::Look(target, _) => {
-                let rows = self.at_work.clone();
+                let rows = self.at_work.iter().filter(|(id, _)| *id == target.id);
+                let rows = rows.map(|(_, row)| row.clone()).collect();
                 self.report(&target.id, rows, Vec::new());
             }
             Effect::Answer(ticket, reply) => self.answers.push((ticket, reply)),
@@ -182,17 +192,26 @@
         }
     }
 
+    /// The store answers again, the entry under way first.
+    pub fn come_back(&mut self) {
+        self.store = true;
+        if let Some(position) = self.waiting.take() {
+            self.core.note_durable(position, self.now.at, self.now);
+        }
+    }
+
     pub fn clock(&self) -> u64 {
         u64::try_from(self.now.at.as_millis()).unwrap()
     }
 
     pub fn report(&mut self, id: &str, mut active: Vec<Active>, finished: Vec<Finished>) {
-        // What was started there goes on, unless it is among the finished.
+        // What was started there goes on, unless it was stopped or is among the finished.
         for (worker, run, order) in &self.orders {
             if let Order::Start(start) = order
                 && **worker == *id
                 && !finished.iter().any(|end| end.name == start.name)
                 && self.core.book().is_live(*run)
+                && !self.is_stopped(*run)
                 && !active.iter().any(|row| row.name == start.name)
             {
                 active.push(Active {
@@ -212,6 +231,18 @@
         self.core.take_look(id, Ok(looked), self.now);
     }
 
+    fn is_stopped(&self, run: Run) -> bool {
+        let mut orders = self.orders.iter();
+        orders.any(|(_, at, order)| *at == run && matches!(order, Order::Stop(..)))
+    }
+
+    /// Runs that were told to stop.
+    pub fn stops(&self) -> BTreeSet<Run> {
+        let orders = self.orders.iter();
+        let stops = orders.filter(|(_, _, order)| matches!(order, Order::Stop(..)));
+        stops.map(|(_, run, _)| *run).collect()
+    }
+
     pub fn submit(&mut self, job: Job) -> Ticket {
         self.ticket += 1;
         let ticket = Ticket(self.ticket);
--- /dev/null
+++ b/ashtiller/tests/owner/leaving.rs
@@ -0,0 +1,91 @@
+//! Workers that leave without saying so: their entry goes, and they work on for a while.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashtiller::workflow::agents::Active;
+use ashtiller::workflow::config::Listed;
+use ashtiller::workflow::fact::Run;
+use ashtiller::workflow::job::{Sharing, Step};
+
+use crate::driver::{Driver, MS, job, listed, policy, step};
+
+/// A driver on which both tasks of a service are at work, on workers of their own.
+fn serving(away_max: Option<u32>) -> (Driver, Vec<(Arc<str>, Run)>) {
+    let mut driver = Driver::new(4, policy());
+    let service = Step {
+        lasting: true,
+        sharing: Sharing::Serves(50 * MS),
+        spread: 1,
+        away_max,
+        ..step(2)
+    };
+    driver.submit(job("1", vec![service]));
+    driver.pass(200 * MS);
+    let starts = driver.starts();
+    for (id, run) in &starts {
+        let at_work = Active {
+            name: driver.name(*run),
+            run: run.number,
+            saved: "".into(),
+            percent: 100,
+            figure: None,
+        };
+        driver.at_work.push((id.clone(), at_work));
+    }
+    driver.pass(200 * MS);
+    (driver, starts)
+}
+
+#[test]
+fn a_service_leaves_a_worker_whose_entry_went() {
+    let (mut driver, starts) = serving(None);
+    let (id, run) = starts[0].clone();
+    driver.core.unlist_worker(&id, driver.now);
+    driver.pass(1500 * MS);
+    assert_eq!(driver.stops().len(), 1);
+    assert!(driver.stops().contains(&run));
+    let placed = driver.starts();
+    assert_eq!(placed.len(), 3);
+    assert_ne!(placed[2].0, id);
+}
+
+/// They may be cut off from the store only, and well.
+#[test]
+fn services_leave_workers_without_entries_as_their_step_allows() {
+    for (away_max, expected) in [(Some(0), 0), (Some(1), 1), (None, 2)] {
+        let (mut driver, starts) = serving(away_max);
+        for (id, _) in &starts {
+            driver.core.unlist_worker(id, driver.now);
+        }
+        driver.pass(1500 * MS);
+        assert_eq!(driver.stops().len(), expected, "may miss {away_max:?}");
+    }
+}
+
+#[test]
+fn nothing_leaves_a_worker_whose_entry_lapsed_while_the_store_was_away() {
+    let (mut driver, starts) = serving(None);
+    driver.store = false;
+    driver.pass(Duration::from_secs(3));
+    driver.core.unlist_worker(&starts[0].0, driver.now);
+    driver.pass(200 * MS);
+    driver.come_back();
+    driver.pass(2000 * MS);
+    assert_eq!(driver.stops().len(), 0, "it may be listed again");
+    driver.pass(2000 * MS);
+    assert_eq!(driver.stops().len(), 1, "it is gone for good");
+}
+
+/// Two lives of one worker are listed for a moment after a restart.
+#[test]
+fn the_newer_of_two_lives_stays() {
+    let mut driver = Driver::new(1, policy());
+    let newer = Listed {
+        id: "a-newer-life".into(),
+        ..listed(0)
+    };
+    driver.core.list_all(vec![listed(0), newer], driver.now);
+    let lives: Vec<Arc<str>> = driver.core.workers().keys().cloned().collect();
+    assert_eq!(lives, ["a-newer-life".into()]);
+}
--- /dev/null
+++ b/ashtiller/tests/owner/listing.rs
@@ -0,0 +1,59 @@
+//! Lists of what stands in the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashtiller::failure::Failure;
+use ashtiller::store::Called;
+use ashtiller::workflow::follow::{self, Seen};
+use ashtiller::workflow::kv::{Committed, Item, Page, Store, Txn, Watched};
+use tokio::sync::mpsc;
+
+/// A store of three items on two pages, which never change.
+struct Pages;
+
+fn item(key: &str, revision: u64) -> Item {
+    Item {
+        key: key.into(),
+        value: bytes::Bytes::new(),
+        revision,
+    }
+}
+
+impl Store for Pages {
+    fn get<'a>(&'a self, key: &'a str, _: bool) -> Called<'a, Option<Item>> {
+        Box::pin(async move { Err(Failure::none("read", key, "not asked for")) })
+    }
+
+    fn scan<'a>(&'a self, _: &'a str, after: Option<&'a str>) -> Called<'a, Page> {
+        let (items, more) = match after {
+            None => (vec![item("servers/a", 9), item("servers/b", 3)], true),
+            Some("servers/b") => (vec![item("servers/c", 5)], false),
+            Some(_) => (Vec::new(), false),
+        };
+        Box::pin(async move { Ok(Page { items, more, at: 9 }) })
+    }
+
+    fn watch<'a>(&'a self, _: &'a str, at: u64, _: Duration) -> Called<'a, Watched> {
+        Box::pin(async move {
+            std::future::pending::<()>().await;
+            Ok(Watched::Changes(Vec::new(), at))
+        })
+    }
+
+    fn commit<'a>(&'a self, _: &'a Txn) -> Called<'a, Committed> {
+        Box::pin(async { Err(Failure::none("write", "store", "not asked for")) })
+    }
+}
+
+#[tokio::test]
+async fn what_changed_last_is_listed_last() {
+    let (sender, mut seen) = mpsc::channel(1);
+    let following = tokio::spawn(follow::follow(Arc::new(Pages), "servers/", sender));
+    let Some(Seen::All(items)) = seen.recv().await else {
+        panic!("no list");
+    };
+    let keys: Vec<&str> = items.iter().map(|item| &*item.key).collect();
+    assert_eq!(keys, ["servers/b", "servers/c", "servers/a"]);
+    following.abort();
+}
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -2,4 +2,6 @@
 
 mod decisions;
 mod driver;
+mod leaving;
+mod listing;
 mod takeover;
