--- a/ashtiller/src/workflow/core/fleet.rs
+++ b/ashtiller/src/workflow/core/fleet.rs
@@ -1,6 +1,6 @@
 //! The workers that may get something now, summed up once for each round of placing.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -43,6 +43,10 @@
 /// Worth of a worker's fullness for a run that neither serves nor fills.
 const PACK_COST: f64 = 0.3;
 
+/// Workers summed up earlier, until something changes there: in one round of placing
+/// a tenth of a large fleet has changed.
+pub(super) type Summaries = HashMap<Arc<str>, Candidate>;
+
 /// A worker that may get something now.
 #[derive(Clone, Debug)]
 pub(super) struct Candidate {
@@ -77,12 +81,21 @@
 
 impl Core {
     /// Sums up the workers that may get something now.
-    pub(super) fn build_fleet(&self, now: Now) -> Vec<Candidate> {
+    pub(super) fn build_fleet(&mut self, now: Now) -> Vec<Candidate> {
+        let mut summaries = std::mem::take(&mut self.summaries);
         let open = self
             .workers
             .values()
             .filter(|worker| self.is_open(worker, now));
-        open.map(|worker| self.sum_up(worker)).collect()
+        let fleet = open.map(|worker| {
+            let known = summaries
+                .entry(worker.id().clone())
+                .or_insert_with(|| self.sum_up(worker));
+            known.clone()
+        });
+        let fleet = fleet.collect();
+        self.summaries = summaries;
+        fleet
     }
 
     /// Whether a worker may get something now.
@@ -182,8 +195,8 @@
     /// Whether a worker may run a task at all.
     pub(super) fn suits(&self, candidate: &Candidate, wish: &Wish<'_>) -> bool {
         let step = wish.step;
-        candidate.service == *wish.service
-            && wish.room.fits(&candidate.free)
+        wish.room.fits(&candidate.free)
+            && is_same(&candidate.service, wish.service)
             && step
                 .label
                 .as_ref()
@@ -276,6 +289,11 @@
     }
 }
 
+/// Whether two names are the same; those of one service are mostly one string.
+fn is_same(one: &Arc<str>, other: &Arc<str>) -> bool {
+    Arc::ptr_eq(one, other) || one == other
+}
+
 #[expect(clippy::cast_precision_loss, reason = "thousandths of processors")]
 fn asked(step: &Step) -> f64 {
     step.needs.processors as f64
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -132,6 +132,8 @@
     waves: BTreeMap<u64, Going>,
     tracks: BTreeMap<u32, Track>,
     interference: Interference,
+    summaries: fleet::Summaries,
+    services: BTreeSet<Arc<str>>,
     taught: Duration,
     counts: Counts,
 }
@@ -170,6 +172,8 @@
             waves: BTreeMap::new(),
             tracks: BTreeMap::new(),
             interference: Interference::default(),
+            summaries: fleet::Summaries::default(),
+            services: BTreeSet::new(),
             taught: now.at,
             counts: Counts::default(),
         };
--- a/ashtiller/src/workflow/core/pacing.rs
+++ b/ashtiller/src/workflow/core/pacing.rs
@@ -161,7 +161,7 @@
         let mut fills: Vec<Fill> = fills.collect();
         for service in services {
             let own = service.used - self.interference.pressure(service.image, beside);
-            let track = self.tracks.get(&service.run.task.job);
+            let track = self.tracks.get_mut(&service.run.task.job);
             let slope = track
                 .and_then(|track| track.trend(now.at))
                 .map_or(0.0, |trend| trend.slope);
--- a/ashtiller/src/workflow/core/place.rs
+++ b/ashtiller/src/workflow/core/place.rs
@@ -16,6 +16,7 @@
         let Some(step) = job.step(run.task) else {
             return;
         };
+        self.summaries.remove(id);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -39,6 +40,7 @@
         let Some(step) = job.step(run.task) else {
             return;
         };
+        self.summaries.remove(&live.worker);
         let Some(worker) = self.workers.get_mut(&live.worker) else {
             return;
         };
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -140,9 +140,9 @@
 
     fn plan_step(&mut self, entry: Waiting, placing: &mut Placing, now: Now) {
         let job = &self.book.jobs[&entry.job];
-        let service = job.policy.service.clone();
+        let (service, spec) = (job.policy.service.clone(), job.job.clone());
         let advice = job.policy.advice.is_some();
-        let spec = job.job.clone();
+        let service = self.share_name(&service);
         let step = &spec.steps[usize::from(entry.step)];
         let (share, _) = share_of(&mut self.interference, step);
         let room = step.room();
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -48,6 +48,7 @@
                 self.take_finished(id, &finished, now);
                 self.take_active(id, &active, begun, now);
                 self.pace_worker(id, now);
+                self.summaries.remove(id);
             }
             Ok(Looked::OtherLife) => self.lose_worker(id, "another life answered", now),
             Ok(Looked::Fenced) => {
--- a/ashtiller/src/workflow/core/roster.rs
+++ b/ashtiller/src/workflow/core/roster.rs
@@ -30,12 +30,14 @@
 
 impl Core {
     /// The platform lists a worker.
-    pub fn list_worker(&mut self, listed: Listed, now: Now) {
+    pub fn list_worker(&mut self, mut listed: Listed, now: Now) {
+        listed.service = self.share_name(&listed.service);
         self.dirty = true;
         self.end_former_life(&listed, now);
         let id = listed.id.clone();
         let bound = self.first_bound();
         let draining = listed.draining;
+        self.summaries.remove(&id);
         let worker = self.workers.entry(id.clone()).or_insert_with(|| {
             tracing::info!(worker = %id, service = %listed.service, address = %listed.address, "worker listed");
             Worker::new(listed.clone(), bound)
@@ -147,6 +149,16 @@
             self.end_run(run, End::Lost, &Arc::from(""), now);
         }
         self.workers.remove(id);
+        self.summaries.remove(id);
+    }
+
+    /// One string for each name of a service.
+    pub(super) fn share_name(&mut self, name: &Arc<str>) -> Arc<str> {
+        if let Some(known) = self.services.get(name) {
+            return known.clone();
+        }
+        self.services.insert(name.clone());
+        name.clone()
     }
 
     /// Runs on a worker whose lease is over for certain are lost.
--- a/ashtiller/src/workflow/interference.rs
+++ b/ashtiller/src/workflow/interference.rs
@@ -44,7 +44,7 @@
     pub share: f64,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 struct Factor {
     value: f64,
     variance: f64,
@@ -64,8 +64,10 @@
 pub struct Interference {
     names: Vec<Arc<str>>,
     numbers: HashMap<Arc<str>, Image>,
-    factors: HashMap<(u32, u32), Factor>,
-    loads: HashMap<u32, f64>,
+    /// By the numbers of the image that serves and of that which fills.
+    factors: Vec<Vec<Factor>>,
+    /// By the number of the image that serves.
+    loads: Vec<f64>,
 }
 
 /// Share of use that a tail tells, as a share of its target.
@@ -80,6 +82,15 @@
     1.0 - IDLE_TAIL
 }
 
+/// What a table holds for an image, with `first` for those that it lacks.
+fn grow<T: Clone>(table: &mut Vec<T>, image: Image, first: T) -> &mut T {
+    let place = image.0 as usize;
+    if table.len() <= place {
+        table.resize(place + 1, first);
+    }
+    &mut table[place]
+}
+
 impl Interference {
     /// Number of an image.
     pub fn number(&mut self, name: &Arc<str>) -> Image {
@@ -99,16 +110,23 @@
     }
 
     fn known(&self, serves: Image, fills: Image) -> Factor {
-        self.factors
-            .get(&(serves.0, fills.0))
-            .copied()
-            .unwrap_or(FIRST)
+        let row = self.factors.get(serves.0 as usize);
+        let known = row.and_then(|row| row.get(fills.0 as usize));
+        known.copied().unwrap_or(FIRST)
+    }
+
+    fn factor_mut(&mut self, serves: Image, fills: Image) -> &mut Factor {
+        let row = grow(&mut self.factors, serves, Vec::new());
+        grow(row, fills, FIRST)
     }
 
     /// Share of use by the own load of an image.
     #[must_use]
     pub fn load(&self, serves: Image) -> f64 {
-        self.loads.get(&serves.0).copied().unwrap_or(LOAD_FIRST)
+        self.loads
+            .get(serves.0 as usize)
+            .copied()
+            .unwrap_or(LOAD_FIRST)
     }
 
     /// What fills beside an image adds to its share of use.
@@ -122,7 +140,7 @@
     /// own load where that is known from elsewhere.
     pub fn learn(&mut self, serves: Image, used: f64, load: Option<f64>, beside: &[Beside]) {
         if beside.is_empty() {
-            let load = self.loads.entry(serves.0).or_insert(LOAD_FIRST);
+            let load = grow(&mut self.loads, serves, LOAD_FIRST);
             *load += LOAD_RATE * (used - *load);
             return;
         }
@@ -133,10 +151,7 @@
             |fill: &Beside| fill.share * fill.share * self.known(serves, fill.image).variance;
         let spread = beside.iter().map(each).sum::<f64>() + noise;
         for fill in beside {
-            let factor = self
-                .factors
-                .entry((serves.0, fill.image.0))
-                .or_insert(FIRST);
+            let factor = self.factor_mut(serves, fill.image);
             let gain = factor.variance * fill.share / spread;
             factor.value = (factor.value + gain * error).clamp(FACTOR[0], FACTOR[1]);
             let left = factor.variance * (1.0 - gain * fill.share);
@@ -147,13 +162,16 @@
     /// What was learned, to be kept for a later owner.
     #[must_use]
     pub fn export(&self) -> Vec<Lesson> {
-        let name = |number: u32| self.names[number as usize].clone();
-        let mut lessons: Vec<Lesson> = self
-            .factors
-            .iter()
-            .map(|((serves, fills), factor)| Lesson {
-                serves: name(*serves),
-                fills: name(*fills),
+        let rows = self.names.iter().zip(&self.factors);
+        let pairs = rows.flat_map(|(serves, row)| {
+            let pairs = self.names.iter().zip(row);
+            pairs.map(move |(fills, factor)| (serves, fills, factor))
+        });
+        let learned = pairs.filter(|(_, _, factor)| **factor != FIRST);
+        let mut lessons: Vec<Lesson> = learned
+            .map(|(serves, fills, factor)| Lesson {
+                serves: serves.clone(),
+                fills: fills.clone(),
                 factor: factor.value,
                 variance: factor.variance,
             })
@@ -170,7 +188,7 @@
                 variance: lesson.variance,
             };
             let (serves, fills) = (self.number(&lesson.serves), self.number(&lesson.fills));
-            self.factors.insert((serves.0, fills.0), factor);
+            *self.factor_mut(serves, fills) = factor;
         }
     }
 }
--- a/ashtiller/src/workflow/load.rs
+++ b/ashtiller/src/workflow/load.rs
@@ -12,6 +12,9 @@
 const DOUBT: f64 = 0.06;
 /// Weight of reports from which a level is known, and that from which a slope is.
 const ENOUGH: [f64; 2] = [1.5, 4.0];
+/// Time for which a trend that was worked out is used: a look at a worker each half
+/// second asks for it twice for each of its services.
+const FRESH: Duration = Duration::from_millis(60);
 /// Fastest change in a second that is believed.
 const SLOPE_MAX: f64 = 0.12;
 
@@ -19,6 +22,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Track {
     reports: VecDeque<(Duration, f64, f64)>,
+    /// What was worked out last, and when.
+    known: Option<(Duration, Option<Trend>)>,
 }
 
 /// Where a load is, and its change in a second.
@@ -46,8 +51,18 @@
     }
 
     /// Level and slope at `now`; `None` when too little is known.
-    #[must_use]
-    pub fn trend(&self, now: Duration) -> Option<Trend> {
+    pub fn trend(&mut self, now: Duration) -> Option<Trend> {
+        if let Some((at, known)) = self.known
+            && now < at + FRESH
+        {
+            return known;
+        }
+        let trend = self.work_out(now);
+        self.known = Some((now, trend));
+        trend
+    }
+
+    fn work_out(&self, now: Duration) -> Option<Trend> {
         let recent = self.reports.iter().filter(|(at, _, _)| *at + WINDOW >= now);
         let (mut weight, mut age, mut level) = (0.0, 0.0, 0.0);
         for (at, share, counts) in recent.clone() {
