--- /dev/null
+++ b/ashtiller/tests/owner/jobs.rs
@@ -0,0 +1,118 @@
+//! What becomes of jobs: taken, refused, run step by step, repeated, given up.
+
+use std::time::Duration;
+
+use ashtiller::workflow::agents::How;
+use ashtiller::workflow::fact::{Fact, Outcome};
+use ashtiller::workflow::job::{Schedule, Step};
+use ashtiller::workflow::message::{Reply, State};
+
+use crate::driver::{Driver, MS, job, policy, step};
+
+#[test]
+fn an_accepted_job_is_answered_when_it_is_durable() {
+    let mut driver = Driver::new(2, policy());
+    let ticket = driver.submit(job("1", vec![step(2)]));
+    assert!(driver.answers.is_empty());
+    driver.pass(100 * MS);
+    assert_eq!(driver.answers, [(ticket, Reply::Accepted)]);
+    assert_eq!(driver.starts().len(), 2);
+    // The same id again is the same job.
+    let again = driver.submit(job("1", vec![step(2)]));
+    driver.pass(100 * MS);
+    assert_eq!(driver.answers[1], (again, Reply::Accepted));
+    assert_eq!(driver.starts().len(), 2);
+}
+
+#[test]
+fn nothing_starts_before_its_record_is_durable() {
+    let mut driver = Driver::new(2, policy());
+    driver.store = false;
+    driver.submit(job("1", vec![step(2)]));
+    driver.pass(300 * MS);
+    assert!(driver.starts().is_empty());
+    assert!(driver.answers.is_empty());
+}
+
+#[test]
+fn jobs_are_refused_at_once_while_the_store_is_away() {
+    let mut driver = Driver::new(2, policy());
+    driver.store = false;
+    driver.pass(Duration::from_secs(2));
+    let ticket = driver.submit(job("1", vec![step(1)]));
+    driver.pass(10 * MS);
+    assert_eq!(driver.answers, [(ticket, Reply::Refused(1000))]);
+    let known = driver
+        .facts
+        .iter()
+        .any(|fact| matches!(fact, Fact::Accepted(..)));
+    assert!(!known, "a refused job is nowhere");
+    assert_eq!(driver.core.state("1"), Reply::Missing);
+}
+
+#[test]
+fn a_step_waits_for_those_it_depends_on() {
+    let mut driver = Driver::new(2, policy());
+    let second = Step {
+        after: vec![0],
+        ..step(1)
+    };
+    driver.submit(job("1", vec![step(1), second]));
+    driver.pass(200 * MS);
+    let starts = driver.starts();
+    assert_eq!(starts.len(), 1);
+    let (id, run) = starts[0].clone();
+    driver.end(&id, run, How::Done, 1);
+    driver.pass(200 * MS);
+    let starts = driver.starts();
+    assert_eq!(starts.len(), 2);
+    assert_eq!(starts[1].1.task.step, 1);
+    let (id, run) = starts[1].clone();
+    driver.end(&id, run, How::Done, 2);
+    driver.pass(200 * MS);
+    assert_eq!(
+        driver.core.state("1"),
+        Reply::State(State::Over(Outcome::Complete))
+    );
+}
+
+#[test]
+fn a_task_that_fails_too_often_ends_its_job() {
+    let mut driver = Driver::new(2, policy());
+    driver.submit(job("1", vec![step(1)]));
+    for attempt in 1..=2 {
+        driver.pass(300 * MS);
+        let (id, run) = driver.starts().last().unwrap().clone();
+        assert_eq!(run.number, attempt);
+        driver.end(&id, run, How::Failed, u64::from(attempt));
+    }
+    driver.pass(200 * MS);
+    assert_eq!(
+        driver.core.state("1"),
+        Reply::State(State::Over(Outcome::Failed))
+    );
+    assert_eq!(driver.starts().len(), 2);
+}
+
+#[test]
+fn a_repeated_job_starts_at_its_times() {
+    let mut driver = Driver::new(2, policy());
+    let mut repeated = job("1", vec![step(1)]);
+    repeated.schedule = Some(Schedule {
+        first: driver.now.wall + 1000,
+        interval: 1000,
+        times: 2,
+    });
+    driver.submit(repeated);
+    driver.pass(900 * MS);
+    assert!(driver.starts().is_empty());
+    driver.pass(400 * MS);
+    assert_eq!(driver.starts().len(), 1);
+    driver.pass(1000 * MS);
+    let times: Vec<u32> = driver
+        .starts()
+        .iter()
+        .map(|(_, run)| run.task.time)
+        .collect();
+    assert_eq!(times, [0, 1]);
+}
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -1,7 +1,10 @@
 //! The owner of a log as a state machine: its single decisions, case by case.
 
-mod decisions;
 mod driver;
+mod jobs;
 mod leaving;
 mod listing;
+mod parts;
+mod placing;
 mod takeover;
+mod workers;
--- /dev/null
+++ b/ashtiller/tests/owner/parts.rs
@@ -0,0 +1,150 @@
+//! Jobs, books, leases and lessons, each by itself.
+
+use std::time::Duration;
+
+use ashtiller::workflow::book::Book;
+use ashtiller::workflow::config::{Config, Queue};
+use ashtiller::workflow::fact::{End, Fact, Outcome, Run, Task};
+use ashtiller::workflow::interference::{Beside, Interference};
+use ashtiller::workflow::job::Step;
+use ashtiller::workflow::lease::{self, Lease};
+
+use crate::driver::{MS, job, policy, step};
+
+#[test]
+fn a_job_is_checked_before_it_is_taken() {
+    let after = |steps: Vec<u16>| Step {
+        after: steps,
+        ..step(1)
+    };
+    let cases: [(&str, Vec<Step>, bool); 6] = [
+        ("one step", vec![step(1)], true),
+        ("a chain", vec![step(1), after(vec![0])], true),
+        ("no step", Vec::new(), false),
+        ("no task", vec![step(0)], false),
+        ("on itself", vec![after(vec![0])], false),
+        ("too many tasks", vec![step(9_000), step(9_000)], false),
+    ];
+    for (name, steps, good) in cases {
+        assert_eq!(job("1", steps).check().is_ok(), good, "{name}");
+    }
+}
+
+#[test]
+fn chains_are_the_longest_way_to_the_end() {
+    let mut steps = vec![step(1), step(1), step(1)];
+    steps[1].after = vec![0];
+    steps[1].estimate = 2000 * MS;
+    steps[2].after = vec![0];
+    let chains = job("1", steps).chains();
+    assert_eq!(chains, [2500 * MS, 2000 * MS, 500 * MS]);
+}
+
+#[test]
+fn the_longest_prefix_finds_the_queue() {
+    let queue = |prefix: &str| Queue {
+        host: "h".into(),
+        prefix: prefix.into(),
+        policy: policy(),
+    };
+    let config = Config {
+        queues: vec![queue("/a/"), queue("/a/b/")],
+        ..Config::default()
+    };
+    let found = |host, path| {
+        config
+            .find(host, path)
+            .map(|queue| queue.prefix.to_string())
+    };
+    assert_eq!(found("h", "/a/b/1").as_deref(), Some("/a/b/"));
+    assert_eq!(found("h", "/a/c").as_deref(), Some("/a/"));
+    assert_eq!(found("other", "/a/c"), None);
+    assert_eq!(found("h", "/c"), None);
+}
+
+#[test]
+fn a_lease_ends_on_the_slowest_clock() {
+    let start = Duration::from_secs(100);
+    let mut lease = Lease::new(start);
+    assert_eq!(lease.grant(start, Duration::from_secs(6)), None);
+    lease.hear(50_000, start);
+    assert_eq!(
+        lease.grant(start + 500 * MS, Duration::from_secs(6)),
+        Some(56_500)
+    );
+    assert_eq!(lease.bound(), start + lease::stretch(6500 * MS));
+    // An answer that is overtaken by a later one says nothing.
+    lease.hear(49_000, start + Duration::from_secs(1));
+    assert_eq!(
+        lease.grant(start + Duration::from_secs(1), Duration::ZERO),
+        Some(51_000)
+    );
+}
+
+#[test]
+fn harm_is_learned_by_pair() {
+    let mut known = Interference::default();
+    let serves = known.number(&"serves".into());
+    let (heavy, mild) = (known.number(&"heavy".into()), known.number(&"mild".into()));
+    for round in 0..600u32 {
+        // Loads swing around 0.47.
+        let load = 0.47 + f64::from(round % 7) * 0.05 - 0.15;
+        let beside = |image| [Beside { image, share: 0.3 }];
+        known.learn(serves, load + 0.3 * 0.9, None, &beside(heavy));
+        known.learn(serves, load + 0.3 * 0.1, None, &beside(mild));
+    }
+    assert!(
+        (known.factor(serves, heavy) - 0.9).abs() < 0.15,
+        "{}",
+        known.factor(serves, heavy)
+    );
+    assert!(
+        (known.factor(serves, mild) - 0.1).abs() < 0.15,
+        "{}",
+        known.factor(serves, mild)
+    );
+    let mut later = Interference::default();
+    later.import(&known.export());
+    assert_eq!(later.export(), known.export());
+}
+
+#[test]
+fn a_book_is_the_same_from_a_snapshot() {
+    let task = Task {
+        job: 0,
+        time: 0,
+        step: 0,
+        index: 0,
+    };
+    let run = Run { task, number: 1 };
+    let facts = [
+        Fact::Accepted(Box::new(job("1", vec![step(2)])), policy(), 7),
+        Fact::Placed(run, "w0".into(), "".into()),
+        Fact::Ended(run, End::Done, "".into()),
+        Fact::Accepted(Box::new(job("2", vec![step(1)])), policy(), 8),
+        Fact::Cancelled(1),
+    ];
+    let mut whole = Book::default();
+    for fact in &facts {
+        whole.apply(fact, MS);
+    }
+    for cut in 0..facts.len() {
+        let mut first = Book::default();
+        for fact in &facts[..cut] {
+            first.apply(fact, MS);
+        }
+        let bytes = postcard::to_stdvec(&first).unwrap();
+        let mut book: Book = postcard::from_bytes(&bytes).unwrap();
+        book.index(MS);
+        for fact in &facts[cut..] {
+            book.apply(fact, MS);
+        }
+        assert_eq!(
+            postcard::to_stdvec(&book).unwrap(),
+            postcard::to_stdvec(&whole).unwrap(),
+            "cut {cut}"
+        );
+        assert_eq!(book.open(), whole.open(), "cut {cut}");
+    }
+    assert_eq!(whole.jobs[&1].outcome, Some(Outcome::Cancelled));
+}
