Look at a silent owner's log while its heartbeat is late

Cause: an owner that says nothing (frozen, cut off, without power) was doubted after 700 ms, and only then was its log watched for 650 ms. And each look read the log from its beginning, on instances with 10 Mbit/s.

Ruled out: a shorter limit of heartbeats, since an owner with a quarter of a core is late at times.

Change: a heartbeat that is unanswered for 250 ms has the log looked at, behind the newest position that the owner told; whether it grew is known when the limit is over.

Test a_log_that_was_seen_a_while_ago_is_judged_at_once.

--- a/ashtiller/src/workflow/campaign.rs
+++ b/ashtiller/src/workflow/campaign.rs
@@ -2,6 +2,8 @@
 //! gone. The lead key decides; what is here only says when to try.
 
 use std::cmp::Reverse;
+use std::convert::Infallible;
+use std::future;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +12,7 @@
 
 use crate::failure::{Effect, Failure};
 use crate::workflow::fact::Lead;
-use crate::workflow::log::Seized;
+use crate::workflow::log::{Seized, Sight};
 use crate::workflow::message::{Ask, Hello, Reply};
 use crate::workflow::node::Node;
 use crate::workflow::owner;
@@ -19,6 +21,9 @@
 const HELLO: Duration = Duration::from_millis(250);
 /// Time limit of one heartbeat; an instance with a share of a core may be busy.
 const HELLO_LIMIT: Duration = Duration::from_millis(700);
+/// Time after which an owner that has not answered a heartbeat is doubted: its log is
+/// looked at, so that it is known when the time limit is over whether it still writes.
+const DOUBT: Duration = Duration::from_millis(250);
 /// Time between two instances that try to own the log.
 const RANK_STEP: Duration = Duration::from_millis(150);
 /// Time for a new owner to learn that it is one, when answers of the store are lost
@@ -42,8 +47,8 @@
     Replaced,
     /// It has ended, or says that it does not own the log.
     Ended,
-    /// It does not answer.
-    Silent,
+    /// It does not answer; its log as it was when that was first doubted.
+    Silent(Option<Sight>),
 }
 
 /// Follows or replaces the owner until the process ends.
@@ -110,12 +115,10 @@
             config: node.config().version,
             members,
         });
-        match node
-            .links
-            .ask("greet owner", lead.address, &hello, HELLO_LIMIT)
-            .await
-        {
+        let (answer, sight) = greet(node, lead, &hello).await;
+        match answer {
             Ok(Reply::Welcome(welcome)) => {
+                node.note_position(welcome.position);
                 if welcome.epoch == lead.epoch {
                     patience = Instant::now();
                 } else if welcome.life != lead.life || Instant::now() >= patience {
@@ -135,8 +138,8 @@
             Ok(_) => return Loss::Ended,
             Err(failure) => {
                 let begins = Instant::now() < patience;
-                if let Some(loss) = judge(&failure)
-                    && !(begins && loss == Loss::Silent)
+                if let Some(loss) = judge(&failure, sight)
+                    && !(begins && matches!(loss, Loss::Silent(_)))
                 {
                     return loss;
                 }
@@ -148,14 +151,42 @@
     }
 }
 
+/// One heartbeat, with the log as it was when the answer was late.
+async fn greet(
+    node: &Rc<Node>,
+    lead: &Lead,
+    hello: &Ask,
+) -> (Result<Reply, Failure>, Option<Sight>) {
+    let answer = node
+        .links
+        .ask("greet owner", lead.address, hello, HELLO_LIMIT);
+    tokio::pin!(answer);
+    if let Ok(answer) = time::timeout(DOUBT, &mut answer).await {
+        return (answer, None);
+    }
+    let mut sight = None;
+    let look = async {
+        match node.log.sight(node.position()).await {
+            Ok(seen) => sight = Some(seen),
+            Err(failure) => tracing::info!(%failure, "log not read"),
+        }
+        future::pending::<Infallible>().await
+    };
+    let answer = tokio::select! {
+        answer = &mut answer => answer,
+        never = look => match never {},
+    };
+    (answer, sight)
+}
+
 /// A broken connection may be a reset: the next heartbeat opens another. Nobody
 /// listening means that the process has ended.
-fn judge(failure: &Failure) -> Option<Loss> {
+fn judge(failure: &Failure, sight: Option<Sight>) -> Option<Loss> {
     if failure.cause.contains("refused") {
         return Some(Loss::Ended);
     }
     let silent = failure.cause.contains("in time") || failure.effect == Effect::None;
-    silent.then_some(Loss::Silent)
+    silent.then_some(Loss::Silent(sight))
 }
 
 async fn send_config(node: &Rc<Node>, lead: &Lead) {
@@ -198,7 +229,9 @@
     match node.log.read_lead(false).await {
         Ok(Some(known)) if known.epoch != lead.epoch => node.adopt_lead(&known),
         Ok(_) => {
-            if loss == Loss::Silent && is_alive(node, lead).await {
+            if let Loss::Silent(sight) = loss
+                && is_alive(node, lead, sight).await
+            {
                 tracing::info!(owner = %lead.name, "owner still writes; it is not replaced");
                 return;
             }
@@ -213,8 +246,15 @@
 }
 
 /// Whether an owner that does not answer here still writes to its log.
-async fn is_alive(node: &Rc<Node>, lead: &Lead) -> bool {
-    match node.log.is_growing().await {
+async fn is_alive(node: &Rc<Node>, lead: &Lead, sight: Option<Sight>) -> bool {
+    let grown = async {
+        let since = match sight {
+            Some(sight) => sight,
+            None => node.log.sight(node.position()).await?,
+        };
+        node.log.has_grown(since).await
+    };
+    match grown.await {
         Ok(growing) => growing,
         Err(failure) => {
             tracing::info!(%failure, epoch = lead.epoch, "log not read");
--- a/ashtiller/src/workflow/log.rs
+++ b/ashtiller/src/workflow/log.rs
@@ -45,6 +45,13 @@
     facts: Vec<Fact>,
 }
 
+/// The newest entry as it was seen at a time.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Sight {
+    newest: u64,
+    at: time::Instant,
+}
+
 /// Why an entry was not written.
 #[derive(Clone, Debug)]
 pub enum Lost {
@@ -186,30 +193,38 @@
         Ok((book, base.position))
     }
 
-    /// Whether entries are being added; takes a moment.
+    /// Position of the newest entry, looked for behind an earlier one.
     ///
     /// # Errors
     /// The store did not answer.
-    pub async fn is_growing(&self) -> Result<bool, Failure> {
-        let before = self.newest().await?;
-        time::sleep(GROWTH).await;
-        Ok(self.newest().await? != before)
-    }
-
-    async fn newest(&self) -> Result<String, Failure> {
+    pub async fn sight(&self, behind: u64) -> Result<Sight, Failure> {
+        let at = time::Instant::now();
         let prefix = self.entry_prefix();
-        let mut after = self.entry_key(0);
+        let mut newest = behind;
         loop {
-            let page = self.store.scan(&prefix, Some(&after)).await?;
+            let page = self
+                .store
+                .scan(&prefix, Some(&self.entry_key(newest)))
+                .await?;
             if let Some(last) = page.items.last() {
-                after = last.key.to_string();
+                newest = position_of(&last.key)?;
             }
             if !page.more || page.items.is_empty() {
-                return Ok(after);
+                return Ok(Sight { newest, at });
             }
         }
     }
 
+    /// Whether entries were added since an earlier sight; waits for as long as a living
+    /// owner would need to add one.
+    ///
+    /// # Errors
+    /// The store did not answer.
+    pub async fn has_grown(&self, since: Sight) -> Result<bool, Failure> {
+        time::sleep_until(since.at + GROWTH).await;
+        Ok(self.sight(since.newest).await?.newest != since.newest)
+    }
+
     /// Encodes an entry.
     ///
     /// # Errors
--- a/ashtiller/src/workflow/message.rs
+++ b/ashtiller/src/workflow/message.rs
@@ -75,6 +75,8 @@
     pub members: Option<Vec<Member>>,
     /// Digest of the members.
     pub digest: u64,
+    /// Position of the newest durable entry, where the process owns the log.
+    pub position: u64,
 }
 
 /// How a job stands.
--- a/ashtiller/src/workflow/node/answer.rs
+++ b/ashtiller/src/workflow/node/answer.rs
@@ -53,6 +53,7 @@
             config: newer.then(|| Box::new((*config).clone())),
             members: (digest != hello.members).then_some(members),
             digest,
+            position: self.position(),
         }
     }
 }
--- a/ashtiller/src/workflow/node/mod.rs
+++ b/ashtiller/src/workflow/node/mod.rs
@@ -63,6 +63,7 @@
     owner: RefCell<Option<mpsc::Sender<Asked>>>,
     store_seen: Cell<Option<Instant>>,
     store_took: Cell<Duration>,
+    position: Cell<u64>,
     leaving: Cell<bool>,
     dump: watch::Sender<Arc<str>>,
 }
@@ -114,6 +115,7 @@
             owner: RefCell::default(),
             store_seen: Cell::default(),
             store_took: Cell::default(),
+            position: Cell::default(),
             leaving: Cell::new(false),
             dump: watch::Sender::new(Arc::from("{}")),
         }))
@@ -324,6 +326,17 @@
         self.store_seen.set(Some(Instant::now()));
     }
 
+    /// Position of the newest entry that this process knows to be durable.
+    #[must_use]
+    pub fn position(&self) -> u64 {
+        self.position.get()
+    }
+
+    /// Takes note of a durable entry.
+    pub fn note_position(&self, position: u64) {
+        self.position.set(self.position.get().max(position));
+    }
+
     async fn follow_config(self: Rc<Self>) {
         let (sender, mut seen) = mpsc::channel(16);
         let prefix = self.dialect.operator_prefix();
--- a/ashtiller/src/workflow/owner/inputs.rs
+++ b/ashtiller/src/workflow/owner/inputs.rs
@@ -34,6 +34,7 @@
             }
             Input::Appended(position, Ok(sent)) => {
                 self.node.note_store();
+                self.node.note_position(position);
                 self.node.metrics.note_commit(sent.elapsed());
                 let sent = sent.saturating_duration_since(self.start);
                 self.core.note_durable(position, sent, now);
--- /dev/null
+++ b/ashtiller/tests/owner/growth.rs
@@ -0,0 +1,60 @@
+//! Whether an owner that does not answer still writes to its log.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use ashtiller::failure::Failure;
+use ashtiller::store::Called;
+use ashtiller::workflow::kv::{Committed, Item, Page, Store, Txn, Watched};
+use ashtiller::workflow::log::Log;
+use tokio::time::{self, Instant};
+
+/// A log of so many entries.
+struct Entries(AtomicU64);
+
+impl Store for Entries {
+    fn get<'a>(&'a self, key: &'a str, _: bool) -> Called<'a, Option<Item>> {
+        Box::pin(async move { Err(Failure::none("read", key, "not asked for")) })
+    }
+
+    fn scan<'a>(&'a self, prefix: &'a str, after: Option<&'a str>) -> Called<'a, Page> {
+        let after = after.unwrap_or_default().to_owned();
+        let keys = (1..=self.0.load(Ordering::Relaxed)).map(move |at| format!("{prefix}{at:012x}"));
+        let items = keys.filter(|key| **key > *after).map(|key| Item {
+            key: key.into(),
+            value: bytes::Bytes::new(),
+            revision: 1,
+        });
+        let page = Page {
+            items: items.collect(),
+            more: false,
+            at: 1,
+        };
+        Box::pin(async move { Ok(page) })
+    }
+
+    fn watch<'a>(&'a self, key: &'a str, _: u64, _: Duration) -> Called<'a, Watched> {
+        Box::pin(async move { Err(Failure::none("watch", key, "not asked for")) })
+    }
+
+    fn commit<'a>(&'a self, _: &'a Txn) -> Called<'a, Committed> {
+        Box::pin(async { Err(Failure::none("write", "store", "not asked for")) })
+    }
+}
+
+/// A follower doubts an owner before it gives it up; the time between counts.
+#[tokio::test]
+async fn a_log_that_was_seen_a_while_ago_is_judged_at_once() {
+    time::pause();
+    for (added, expected) in [(0, false), (1, true)] {
+        let entries = Arc::new(Entries(AtomicU64::new(7)));
+        let log = Log::new(entries.clone(), "flow/", 1);
+        let sight = log.sight(5).await.expect("sight");
+        time::advance(Duration::from_millis(700)).await;
+        entries.0.fetch_add(added, Ordering::Relaxed);
+        let asked = Instant::now();
+        assert_eq!(log.has_grown(sight).await.expect("answer"), expected);
+        assert!(asked.elapsed() < Duration::from_millis(5), "waited again");
+    }
+}
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -1,6 +1,7 @@
 //! The owner of a log as a state machine: its single decisions, case by case.
 
 mod driver;
+mod growth;
 mod jobs;
 mod leaving;
 mod listing;
