Let the explorer of owners and workers place copies, and see starts after an end

Half of the first steps allow copies now, and a prompt start more than a second after the task's end is in the log breaks the test.

--- a/ashtiller/tests/workflow.rs
+++ b/ashtiller/tests/workflow.rs
@@ -45,11 +45,12 @@
 }
 
 fn job(number: u32, world: &mut World) -> Job {
-    let first = step(
+    let mut first = step(
         1 + world.draw(5),
         500 + 500 * u64::from(world.draw(4)),
         Vec::new(),
     );
+    first.copies = world.draw(2) == 0;
     let mut steps = vec![first];
     if world.draw(2) == 0 {
         steps.push(step(1 + world.draw(4), 1000, vec![0]));
--- a/ashtiller/tests/world/mod.rs
+++ b/ashtiller/tests/world/mod.rs
@@ -14,7 +14,7 @@
 use ashtiller::workflow::book::Book;
 use ashtiller::workflow::config::{Config, Listed, Queue};
 use ashtiller::workflow::core::{Core, Effect, Now, Ticket};
-use ashtiller::workflow::fact::{Fact, Run};
+use ashtiller::workflow::fact::{End, Fact, Run};
 use ashtiller::workflow::job::{Job, Policy};
 use ashtiller::workflow::message::{Reply, State};
 use ashtiller::workflow::terms::Terms;
@@ -28,6 +28,8 @@
 const STEP: Duration = Duration::from_millis(5);
 /// Time limit of an order.
 const ORDER_LIMIT: Duration = Duration::from_millis(350);
+/// Time after which an owner knows of an end that is in the log.
+const AFTER_END: Duration = Duration::from_secs(1);
 /// First time of every world, so that no sum is below nothing.
 const START: Duration = Duration::from_mins(1);
 
@@ -75,6 +77,10 @@
     lengths: BTreeMap<Arc<str>, Vec<Duration>>,
     jobs: BTreeMap<Arc<str>, Job>,
     done: BTreeSet<Name>,
+    /// Jobs by their number in the log.
+    numbers: Vec<Arc<str>>,
+    /// Tasks whose end is in the log, since when.
+    recorded: BTreeMap<Name, Duration>,
     accepted: BTreeSet<Arc<str>>,
     tickets: BTreeMap<u64, Arc<str>>,
     config: Arc<Config>,
@@ -132,6 +138,8 @@
             lengths: BTreeMap::new(),
             jobs: BTreeMap::new(),
             done: BTreeSet::new(),
+            numbers: Vec::new(),
+            recorded: BTreeMap::new(),
             accepted: BTreeSet::new(),
             tickets: BTreeMap::new(),
             config: Arc::new(config),
@@ -388,6 +396,7 @@
             Event::Append(position, epoch, facts) => {
                 let next = self.entries.len() as u64 + 1;
                 if epoch == self.epoch && position == next {
+                    self.note_ends(&facts);
                     self.entries.push(facts);
                 }
             }
@@ -404,7 +413,7 @@
                 }
             }
             Event::Carry(place, fence, target, run, order, answers) => {
-                let said = self.carry(fence, &target.id, &order);
+                let said = self.carry(fence, &target.id, &order, answers);
                 if answers {
                     let delay = self.millis(1, 4);
                     let event = Event::Ordered(place, target.id, run, order, said);
@@ -444,7 +453,7 @@
         Some(worker.look(target.fence, look, self.now))
     }
 
-    fn carry(&mut self, fence: u64, id: &Arc<str>, order: &Order) -> Option<Said> {
+    fn carry(&mut self, fence: u64, id: &Arc<str>, order: &Order, prompt: bool) -> Option<Said> {
         if self.cut.contains(id) {
             return None;
         }
@@ -456,7 +465,7 @@
             && let Order::Start(start) = order
         {
             self.starts += 1;
-            self.check_start(&start.name.clone());
+            self.check_start(&start.name.clone(), prompt);
         }
         Some(said)
     }
@@ -473,8 +482,33 @@
         (needs, self.lengths[&start.name.job][place])
     }
 
-    /// A start must come after what its step depends on, and not after its own end.
-    fn check_start(&mut self, name: &Name) {
+    /// Takes note of the tasks that the log says are done.
+    fn note_ends(&mut self, facts: &[Fact]) {
+        for fact in facts {
+            match fact {
+                Fact::Accepted(job, ..) => self.numbers.push(job.id.clone()),
+                Fact::Ended(run, End::Done, _) => {
+                    let name = Name {
+                        job: self.numbers[run.task.job as usize].clone(),
+                        time: run.task.time,
+                        step: run.task.step,
+                        index: run.task.index,
+                    };
+                    self.recorded.entry(name).or_insert(self.now);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// A start must come after what its step depends on, and no prompt one when the task
+    /// has been done for a while.
+    fn check_start(&mut self, name: &Name, prompt: bool) {
+        let since = self.recorded.get(name).copied();
+        if prompt && since.is_some_and(|since| self.now > since + AFTER_END) {
+            self.broken
+                .push(format!("{name:?} began again after its end"));
+        }
         let job = &self.jobs[&name.job];
         let step = &job.steps[usize::from(name.step)];
         for earlier in &step.after {
@@ -504,7 +538,10 @@
                 self.done.insert(name);
             }
             for (name, _) in worker.runs.keys() {
-                if let Some(other) = seen.insert(name.clone(), worker.id.clone()) {
+                let copies = self.jobs[&name.job].steps[usize::from(name.step)].copies;
+                if let Some(other) = seen.insert(name.clone(), worker.id.clone())
+                    && !copies
+                {
                     broken.push(format!(
                         "{name:?} runs on {other} and {} at {now:?}",
                         worker.id
