Log what moves off a worker that leaves; read an instance's settings in one place

A run that is moved is a decision: its line has the run, the time left, and whether the worker said that it leaves. The section [instance] was read alike in two files.

--- a/ashtiller/src/agreed/settings.rs
+++ b/ashtiller/src/agreed/settings.rs
@@ -141,7 +141,8 @@
     }
 }
 
-fn read_instance(document: &mut Document) -> Instance {
+/// Who and where a process is, whatever its role.
+pub(crate) fn read_instance(document: &mut Document) -> Instance {
     let mut section = document.section("instance");
     Instance {
         name: section.name("name", None),
--- a/ashtiller/src/workflow/core/roster.rs
+++ b/ashtiller/src/workflow/core/roster.rs
@@ -7,7 +7,7 @@
 use crate::workflow::core::{Core, Now};
 use crate::workflow::fact::{End, Run};
 use crate::workflow::lease;
-use crate::workflow::live::{Reason, Stage};
+use crate::workflow::live::{Reason, Stage, Stop};
 use crate::workflow::worker::Worker;
 
 /// How long a worker that is not listed and runs nothing is remembered.
@@ -198,7 +198,12 @@
         }
         for (run, left, told) in moved {
             // One that says nothing may be cut off and well, so its services go one by one.
-            if self.outlives(run, left, now) && (told || self.may_be_away(run, now)) {
+            if self.is_stopping(run) || !self.outlives(run, left, now) {
+                continue;
+            }
+            if told || self.may_be_away(run, now) {
+                tracing::info!(task = %run.task, run = run.number, told, left_ms = left.as_millis(),
+                    "run moves off a worker that leaves");
                 self.want_stop(run, Reason::Draining);
             }
         }
@@ -224,6 +229,11 @@
         })
     }
 
+    fn is_stopping(&self, run: Run) -> bool {
+        let live = self.runs.get(&run);
+        live.is_none_or(|live| live.stop != Stop::None)
+    }
+
     /// Whether a run will not end within `left`.
     fn outlives(&self, run: Run, left: Duration, now: Now) -> bool {
         let Some((job, _)) = self.book.task(run.task) else {
--- a/ashtiller/src/workflow/settings.rs
+++ b/ashtiller/src/workflow/settings.rs
@@ -6,7 +6,7 @@
 
 use crate::document::Document;
 use crate::mistake::Mistakes;
-use crate::settings::Instance;
+use crate::settings::{self, Instance};
 use crate::workflow::terms::{LEASE_MAX, Terms};
 
 /// Sections of a settings file.
@@ -66,23 +66,14 @@
     /// Every mistake in the file at once.
     pub fn parse(file: &str, text: &str) -> Result<Self, Mistakes> {
         let mut document = Document::parse(file, text)?;
-        let settings = Self {
-            instance: read_instance(&mut document),
+        let read = Self {
+            instance: settings::read_instance(&mut document),
             entry: read_entry(&mut document),
             platform: read_platform(&mut document),
             terms: read_terms(&mut document),
         };
         document.finish(&SECTIONS)?;
-        Ok(settings)
-    }
-}
-
-fn read_instance(document: &mut Document) -> Instance {
-    let mut section = document.section("instance");
-    Instance {
-        name: section.name("name", None),
-        region: section.name("region", Some("default")),
-        zone: section.name("availability_zone", None),
+        Ok(read)
     }
 }
 
