Do not ask a worker again at once for ends that are not in the log yet

Cause: a look does not wait where the worker has ends that were not acknowledged, so until they are in the log the worker was asked every 40 ms: 25 looks a second and worker while the store is away, and one or two for nothing after each end.

Change: after such a look the next one comes when the ends are in the log, or after 300 ms. What is done when an entry is durable stands in one place now.

--- a/ashtiller/src/workflow/core/entries.rs
+++ b/ashtiller/src/workflow/core/entries.rs
@@ -33,14 +33,37 @@
             let Some((_, then)) = self.after.pop_front() else {
                 break;
             };
-            match then {
-                Then::Answer(ticket, reply) => self.effects.push(Effect::Answer(ticket, reply)),
-                Then::Acknowledge(worker, number) => {
-                    if let Some(worker) = self.workers.get_mut(&worker) {
-                        worker.seen = worker.seen.max(number);
-                    }
-                }
-            }
+            self.finish(then, now);
+        }
+    }
+
+    /// Does something once the entry at `position` is durable.
+    pub(super) fn defer(&mut self, position: u64, then: Then, now: Now) {
+        if position <= self.durable {
+            self.finish(then, now);
+            return;
+        }
+        let place = self.after.partition_point(|(at, _)| *at <= position);
+        self.after.insert(place, (position, then));
+    }
+
+    fn finish(&mut self, then: Then, now: Now) {
+        match then {
+            Then::Answer(ticket, reply) => self.effects.push(Effect::Answer(ticket, reply)),
+            Then::Acknowledge(worker, number) => self.acknowledge(&worker, number, now),
+        }
+    }
+
+    /// Ends of a worker up to this number are in the log.
+    fn acknowledge(&mut self, id: &str, number: u64, now: Now) {
+        let pause = self.terms.pause;
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.seen = worker.seen.max(number);
+        if worker.seen == worker.noted && worker.answers {
+            let next = now.at.max(worker.heard + pause);
+            worker.next_look = worker.next_look.min(next);
         }
     }
 
--- a/ashtiller/src/workflow/core/intake.rs
+++ b/ashtiller/src/workflow/core/intake.rs
@@ -12,7 +12,7 @@
     pub fn submit(&mut self, job: Job, ticket: Ticket, now: Now) {
         if let Some(number) = self.book.find(&job.id) {
             let position = self.recording.get(&number).copied().unwrap_or(0);
-            self.defer(position, Then::Answer(ticket, Reply::Accepted));
+            self.defer(position, Then::Answer(ticket, Reply::Accepted), now);
             return;
         }
         let reply = self.judge(&job, now);
@@ -50,7 +50,7 @@
             self.counts.accepted += 1;
             self.dirty = true;
             for ticket in tickets {
-                self.defer(self.position, Then::Answer(ticket, Reply::Accepted));
+                self.defer(self.position, Then::Answer(ticket, Reply::Accepted), now);
             }
         }
     }
@@ -103,7 +103,7 @@
             self.dirty = true;
         }
         let position = self.recording.get(&number).copied().unwrap_or(0);
-        self.defer(position, Then::Answer(ticket, Reply::Accepted));
+        self.defer(position, Then::Answer(ticket, Reply::Accepted), now);
     }
 
     /// How a job stands. An outcome is told only once it is durable.
@@ -140,23 +140,6 @@
         });
         Reply::Pending(waiting.count() as u64)
     }
-
-    /// Does something once the entry at `position` is durable.
-    pub(super) fn defer(&mut self, position: u64, then: Then) {
-        if position > self.durable {
-            let place = self.after.partition_point(|(at, _)| *at <= position);
-            self.after.insert(place, (position, then));
-            return;
-        }
-        match then {
-            Then::Answer(ticket, reply) => self.effects.push(Effect::Answer(ticket, reply)),
-            Then::Acknowledge(worker, number) => {
-                if let Some(worker) = self.workers.get_mut(&worker) {
-                    worker.seen = worker.seen.max(number);
-                }
-            }
-        }
-    }
 }
 
 /// A job's steps in a few words, for logs.
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -14,6 +14,9 @@
 const STALLED: Duration = Duration::from_millis(1100);
 /// The same for a run that fills.
 const STALLED_FILL: Duration = Duration::from_millis(3500);
+/// Pause after a look whose ends are not in the log yet, unless they get there earlier:
+/// what the other runs there report may wait for a tenth of what the platform allows.
+const UNNOTED: Duration = Duration::from_millis(300);
 /// Percent at which a lasting task is at work.
 const AT_WORK: u32 = 100;
 
@@ -114,10 +117,14 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        if highest > worker.seen {
+            // It would list these ends again at once; the next look acknowledges them.
+            worker.next_look = worker.next_look.max(now.at + UNNOTED);
+        }
         if highest > worker.noted {
             worker.noted = highest;
             let worker = worker.id().clone();
-            self.defer(self.position, Then::Acknowledge(worker, highest));
+            self.defer(self.position, Then::Acknowledge(worker, highest), now);
         }
     }
 
--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -84,6 +84,8 @@
     pub silent: Option<Arc<str>>,
     /// Rows that a look at a worker shows in place of the usual ones.
     pub at_work: Vec<(Arc<str>, Active)>,
+    /// Ends that each look shows.
+    pub listed_ends: Vec<Finished>,
     /// Whether entries become durable.
     pub store: bool,
     /// Position of the entry that is not durable.
@@ -127,6 +129,7 @@
             facts: Vec::new(),
             silent: None,
             at_work: Vec::new(),
+            listed_ends: Vec::new(),
             store: true,
             waiting: None,
         };
@@ -172,7 +175,8 @@
             Effect::Look(target, _) => {
                 let rows = self.at_work.iter().filter(|(id, _)| *id == target.id);
                 let rows = rows.map(|(_, row)| row.clone()).collect();
-                self.report(&target.id, rows, Vec::new());
+                let ends = self.listed_ends.clone();
+                self.report(&target.id, rows, ends);
             }
             Effect::Answer(ticket, reply) => self.answers.push((ticket, reply)),
             Effect::Advise(_, key, workers, at) => {
@@ -258,9 +262,19 @@
         starts.map(|(id, run, _)| (id.clone(), *run)).collect()
     }
 
+    /// A list of one end.
+    pub fn ends(&self, run: Run, how: How, number: u64) -> Vec<Finished> {
+        vec![Finished {
+            number,
+            name: self.name(run),
+            run: run.number,
+            how,
+            saved: "".into(),
+        }]
+    }
+
     /// The next look at a worker shows that this run ended.
     pub fn end(&mut self, id: &Arc<str>, run: Run, how: How, number: u64) {
-        let name = self.name(run);
         for _ in 0..1000 {
             self.now.at += 5 * MS;
             let mut rest = Vec::new();
@@ -272,13 +286,7 @@
                 }
             }
             if looked {
-                let finished = vec![Finished {
-                    number,
-                    name: name.clone(),
-                    run: run.number,
-                    how,
-                    saved: "".into(),
-                }];
+                let finished = self.ends(run, how, number);
                 self.report(id, Vec::new(), finished);
             }
             for effect in rest {
--- a/ashtiller/tests/owner/workers.rs
+++ b/ashtiller/tests/owner/workers.rs
@@ -128,3 +128,27 @@
     driver.pass(Duration::from_secs(4));
     assert_eq!(driver.starts().len(), 4, "the others follow");
 }
+
+/// It would list the same end again at once, each time.
+#[test]
+fn a_worker_is_not_asked_again_and_again_while_its_end_is_not_in_the_log() {
+    let mut driver = Driver::new(1, policy());
+    driver.submit(job("1", vec![step(2)]));
+    driver.pass(200 * MS);
+    let (id, run) = driver.starts()[0].clone();
+    driver.store = false;
+    let before = driver.core.counts().looks;
+    driver.end(&id, run, How::Done, 1);
+    driver.listed_ends = driver.ends(run, How::Done, 1);
+    driver.pass(3000 * MS);
+    let looks = driver.core.counts().looks - before;
+    assert!((6..=14).contains(&looks), "{looks} looks in 3 s");
+    driver.come_back();
+    driver.listed_ends.clear();
+    let before = driver.core.counts().looks;
+    driver.pass(100 * MS);
+    assert!(
+        driver.core.counts().looks > before,
+        "it is acknowledged at once"
+    );
+}
