--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -14,8 +14,9 @@
 const STALLED: Duration = Duration::from_millis(1100);
 /// The same for a run that fills.
 const STALLED_FILL: Duration = Duration::from_millis(3500);
-/// Pause after a look whose ends are not in the log yet, unless they get there earlier:
-/// what the other runs there report may wait for a tenth of what the platform allows.
+/// Pause after a look whose ends are not in the log yet, unless they get there earlier.
+/// Reports of what else runs there are older by as much; a service over its target must
+/// have relief within 4 s.
 const UNNOTED: Duration = Duration::from_millis(300);
 /// Percent at which a lasting task is at work.
 const AT_WORK: u32 = 100;
--- a/ashtiller/src/workflow/core/roster.rs
+++ b/ashtiller/src/workflow/core/roster.rs
@@ -180,10 +180,15 @@
 
     /// Forgets workers that are gone and run nothing.
     pub(super) fn drop_absent(&mut self, now: Now) {
-        self.workers.retain(|_, worker| {
-            let gone = worker.absent.is_some_and(|since| now.at > since + FORGET);
-            !gone || !worker.runs.is_empty()
+        let gone = self.workers.values().filter(|worker| {
+            let absent = worker.absent;
+            worker.runs.is_empty() && absent.is_some_and(|since| now.at > since + FORGET)
         });
+        let gone: Vec<Arc<str>> = gone.map(|worker| worker.id().clone()).collect();
+        for id in gone {
+            self.workers.remove(&id);
+            self.summaries.remove(&id);
+        }
     }
 
     /// Moves off workers that are about to leave what would not end in time.
