Give each soak loopback addresses of its own

Ruled out: a fault of the program, which never started. Change: a soak takes a network of loopback addresses, marked by a listener for as long as it runs, and the next one if it is taken; ports are fixed and below the range of outgoing connections. The seeds that entries are told now are ports that peers may have; before they were one below.

--- a/soak/src/entry.rs
+++ b/soak/src/entry.rs
@@ -9,6 +9,8 @@
 use nix::sys::signal::{self, Signal};
 use nix::unistd::Pid;
 
+use crate::network::Network;
+
 /// An entry and where its files lie.
 pub struct Entry {
     /// Where clients connect.
@@ -19,6 +21,10 @@
     child: Option<Child>,
 }
 
+/// Ports among which an entry picks one for its peers, counted from its first.
+const PEERS: u16 = 4;
+const PEERS_LAST: u16 = 9;
+
 /// What an entry needs to know.
 pub struct Place<'a> {
     /// Folder for settings and logs.
@@ -27,8 +33,8 @@
     pub program: &'a Path,
     /// Number of the entry; it listens on a loopback address of its own.
     pub number: u8,
-    /// First of its ports.
-    pub port: u16,
+    /// Addresses of this soak's entries.
+    pub network: &'a Network,
     /// Its way to the store.
     pub store: SocketAddr,
     /// Number of entries.
@@ -44,30 +50,31 @@
         let Place {
             folder,
             number,
-            port,
+            network,
             store,
             ..
         } = place;
-        let ip = |number: u8| format!("127.0.0.{}", 10 + number);
+        let own = |offset| network.entry(*number, offset);
         let seeds: Vec<String> = (0..place.entries)
-            .map(|other| format!("{}:{}", ip(other), port + 3))
+            .map(|other| network.entry(other, PEERS).to_string())
             .collect();
-        let own = ip(*number);
         let text = format!(
             "[instance]\nname = entry-{number}\nregion = soak\navailability_zone = bern\n\
-             [entry]\nhost = {own}\nclients = {own}:{port}\nreadiness = {own}:{}\n\
-             operators = {own}:{}\nports = {},{}\nseeds = {}\ngrace = 4s\n\
+             [entry]\nhost = {}\nclients = {}\nreadiness = {}\n\
+             operators = {}\nports = {},{}\nseeds = {}\ngrace = 4s\n\
              [platform]\nstore = {store}\n[workers]\nlease = 4s\nhorizon = 5s\n",
-            port + 1,
-            port + 2,
-            port + 4,
-            port + 9,
+            own(0).ip(),
+            own(0),
+            own(1),
+            own(2),
+            own(PEERS).port(),
+            own(PEERS_LAST).port(),
             seeds.join(","),
         );
         let settings = folder.join(format!("entry-{number}.ini"));
         fs::write(&settings, text).context("write settings")?;
         let mut entry = Self {
-            clients: format!("{own}:{port}").parse()?,
+            clients: own(0),
             settings,
             log: folder.join(format!("entry-{number}.log")),
             program: place.program.to_owned(),
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod client;
 pub mod entry;
+pub mod network;
 pub mod proxy;
 pub mod world;
 
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -20,6 +20,7 @@
 
 use crate::client;
 use crate::entry::{Entry, Place};
+use crate::network::Network;
 use crate::proxy::{Path, Proxy};
 use crate::standin::agent::{Agent, Shapes};
 use crate::standin::job::{wire_job, wire_step};
@@ -92,6 +93,7 @@
 
 struct World {
     plan: Plan,
+    network: Network,
     rng: Pcg64,
     store: Store,
     proxies: Vec<Proxy>,
@@ -156,13 +158,9 @@
         let address = listener.local_addr()?;
         let store = Store::spawn(listener);
         store.put_config("jobs.example", "/q/");
-        // The kernel gives a range that nobody listens on at the moment.
-        let port = TcpListener::bind("127.0.0.10:0")
-            .await?
-            .local_addr()?
-            .port();
-        let port = port.clamp(20_000, 60_000);
+        let network = Network::take(std::process::id()).await?;
         let mut world = Self {
+            network,
             rng: Pcg64::seed_from_u64(plan.seed),
             store,
             proxies: Vec::new(),
@@ -184,7 +182,7 @@
                 folder: &world.plan.folder,
                 program: &world.plan.program,
                 number,
-                port,
+                network: &world.network,
                 store: proxy.address,
                 entries: world.plan.entries,
             };
