Keep what services can bear as headroom: target over tail, by image

Hypothesis: batch work starves where targets or loads differ from the first sites, because a tail is read as a share of use by an idle tail of a fifth of the target, and that share is compared with fixed limits. Ruled out: too little room (a model of the same loads leaves more headroom than batch work asks for). Change: a service's headroom is its target over its tail, which falls in a straight line with all loads whatever the idle tail is; it is kept as a share of the image's usual one, learned from reports without fills and kept for the next owner.

--- a/ashtiller/src/workflow/core/fleet.rs
+++ b/ashtiller/src/workflow/core/fleet.rs
@@ -12,22 +12,23 @@
 use crate::workflow::live::Share;
 use crate::workflow::worker::Worker;
 
-/// Share of use that a service should keep when a fill is placed beside it: loads rise
-/// by 0.1 in a second.
-const GOAL: f64 = 0.70;
-/// Cost of one unit of use beyond that, in units of a run's slowdown: a service over
-/// its target loses four times what it earns.
-const HARM_COST: f64 = 20.0;
-/// Part of a fill's pressure that costs although no service is near its target.
-const MILD_COST: f64 = 0.2;
+/// Headroom above its target that a service should keep when a fill is placed beside it.
+const GOAL: f64 = 0.19;
+/// Cost of headroom below that, in units of a run's slowdown.
+const HARM_COST: f64 = 10.6;
+/// Cost of the headroom that a fill takes from services that have enough of it.
+const MILD_COST: f64 = 2.1;
+/// Cost above which a run that fills waits rather than disturbs.
+const FILL_MAX: f64 = 1.6;
 /// Cost of processors that are already asked for by fills, as a share of the unused.
 const CROWD_COST: f64 = 0.1;
 /// Processors that fills may ask for on a worker, as a share of the unused ones. Beyond it
 /// all of them slow down and none ends sooner: means over seeds were lower at 0.9 and
 /// without a bound, and alike at 1.4.
 const CROWD_MAX: f64 = 1.2;
-/// Cost above which a run that fills waits rather than disturbs.
-const FILL_MAX: f64 = 1.6;
+/// Share of the processors that a service asked for which it leaves unused at its usual
+/// headroom.
+const IDLE_SHARE: f64 = 0.53;
 /// Least share of a worker's processors that counts as unused.
 const UNUSED_MIN: f64 = 0.02;
 /// Cost of one failure on a worker since the last success, in shares of a worker.
@@ -57,7 +58,7 @@
     failures: u32,
     /// Whether it may get one run only, to show that it works again.
     trial: bool,
-    /// What serves there, with its share of use.
+    /// What serves there, with the headroom that fills may still take.
     serving: Vec<(Image, f64)>,
     /// Processors that runs use which do not fill, and those that fills ask for.
     busy: f64,
@@ -150,11 +151,11 @@
         }
         for live in worker.runs.iter().filter_map(|run| self.runs.get(run)) {
             if let Share::Serves(image, _) = live.share {
-                let usual = self.interference.load(image);
-                let own = live.load.map_or(usual, |load| load.max(usual));
-                candidate.busy += live.asked * own;
-                let used = own + self.interference.pressure(image, &beside);
-                candidate.serving.push((image, used));
+                let own = live.headroom.map_or(1.0, |own| own.min(1.0));
+                candidate.busy += live.asked * (1.0 - IDLE_SHARE * own);
+                let taken = self.interference.pressure(image, &beside);
+                let spare = own - taken - self.interference.floor(image);
+                candidate.serving.push((image, spare));
             }
         }
         candidate
@@ -168,7 +169,7 @@
                 continue;
             }
             let mut cost = candidate.cost(wish, &self.interference);
-            if matches!(wish.share, Share::Fills(_)) && cost > FILL_MAX {
+            if cost.is_infinite() {
                 continue;
             }
             if wish
@@ -258,11 +259,12 @@
             return f64::INFINITY;
         }
         let mut harm = 0.0;
-        for (serves, used) in &self.serving {
-            let more = known.factor(*serves, image) * share;
-            harm += (used + more - GOAL).max(0.0) + MILD_COST * more;
+        for (serves, spare) in &self.serving {
+            let takes = known.factor(*serves, image) * share;
+            harm += HARM_COST * (takes + GOAL - spare).max(0.0) + MILD_COST * takes;
         }
-        HARM_COST * harm + (crowd - 1.0).max(0.0) + CROWD_COST * crowd
+        let cost = harm + (crowd - 1.0).max(0.0) + CROWD_COST * crowd;
+        if cost > FILL_MAX { f64::INFINITY } else { cost }
     }
 
     /// Counts a run that was placed here; false when it may get no more.
@@ -272,16 +274,15 @@
         match wish.share {
             Share::Apart => self.busy += asked,
             Share::Serves(image, _) => {
-                let own = known.load(image);
-                self.busy += asked * own;
-                self.serving.push((image, own));
+                self.busy += asked * (1.0 - IDLE_SHARE);
+                self.serving.push((image, 1.0 - known.floor(image)));
             }
             Share::Fills(image) => {
                 self.filled += asked;
                 self.filling += 1;
                 let share = asked / self.processors();
-                for (serves, used) in &mut self.serving {
-                    *used += known.factor(*serves, image) * share;
+                for (serves, spare) in &mut self.serving {
+                    *spare -= known.factor(*serves, image) * share;
                 }
             }
         }
--- a/ashtiller/src/workflow/core/pacing.rs
+++ b/ashtiller/src/workflow/core/pacing.rs
@@ -4,16 +4,13 @@
 
 use crate::workflow::core::{Core, Now};
 use crate::workflow::fact::Run;
-use crate::workflow::interference::{self, Beside, Image};
+use crate::workflow::interference::{Beside, Image};
 use crate::workflow::live::{Share, Stop};
 use crate::workflow::worker::Worker;
 
-/// Share of use up to which what fills may bring a service: its tail is at its target.
-/// Means over seeds were lower at 0.77 and 0.785, and not higher at 0.82.
-const LIMIT: f64 = 0.80;
-/// Lower limit for a service that has been over its target for a while: what is known
-/// of its pairs is too little.
-const LIMIT_OVER: f64 = 0.62;
+/// Headroom that is kept of a service that has been over its target for a while, above
+/// what it has at its target: what is known of its pairs is too little.
+const KEPT_OVER: f64 = 0.34;
 /// Time over the target after which the lower limit holds.
 const OVER_SOON: Duration = Duration::from_millis(600);
 /// Time over the target after which all that fills beside it stands still; the
@@ -25,16 +22,17 @@
 /// Least change of a pace that is worth an order, in percent.
 const STEP: u32 = 12;
 
-fn limit_after(over: Duration) -> f64 {
-    if over > OVER_SOON { LIMIT_OVER } else { LIMIT }
+/// Headroom to keep above the target, for services over it for so long.
+fn kept_after(over: Duration) -> f64 {
+    if over > OVER_SOON { KEPT_OVER } else { 0.0 }
 }
 
 /// A run that serves, as its worker last reported it.
 struct Service {
     run: Run,
     image: Image,
-    used: f64,
-    tail: f64,
+    /// How many times faster than its target it answers.
+    times: f64,
 }
 
 /// A run that fills, with the share of its worker that it would use in full and the
@@ -66,7 +64,7 @@
         if beside.is_empty() {
             return;
         }
-        let over = services.iter().any(|service| service.tail > 1.0);
+        let over = services.iter().any(|service| service.times < 1.0);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -83,18 +81,18 @@
         }
     }
 
-    /// Learns about loads and pairs from what services reported beside these fills.
+    /// Learns about headrooms and pairs from what services reported beside these fills.
     fn learn(&mut self, services: &[Service], beside: &[Beside], now: Now) {
         for service in services {
             let track = self.tracks.entry(service.run.task.job).or_default();
-            let load = track.trend(now.at).map(|trend| trend.level);
+            let own = track.trend(now.at).map(|trend| trend.level);
             self.interference
-                .learn(service.image, service.used, load, beside);
+                .learn(service.image, service.times, own, beside);
             let pressure = self.interference.pressure(service.image, beside);
-            let own = (service.used - pressure).clamp(0.0, 1.0);
+            let own = self.interference.headroom(service.image, service.times) + pressure;
             track.note(own, pressure, now.at);
             if let Some(live) = self.runs.get_mut(&service.run) {
-                live.load = Some(own);
+                live.headroom = Some(own);
             }
         }
     }
@@ -106,12 +104,11 @@
                 return None;
             };
             #[expect(clippy::cast_precision_loss, reason = "milliseconds of a tail")]
-            let tail = live.tail.filter(|tail| *tail > 0)? as f64 / target.max(1.0);
+            let tail = live.tail.filter(|tail| *tail > 0)? as f64;
             Some(Service {
                 run: *run,
                 image,
-                used: interference::use_of(tail),
-                tail,
+                times: target.max(1.0) / tail,
             })
         });
         served.collect()
@@ -143,7 +140,7 @@
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        let limit = limit_after(over);
+        let kept = kept_after(over);
         let whole = whole_of(worker);
         let fills = worker.runs.iter().filter_map(|run| {
             let live = self.runs.get(run)?;
@@ -160,13 +157,15 @@
         });
         let mut fills: Vec<Fill> = fills.collect();
         for service in services {
-            let own = service.used - self.interference.pressure(service.image, beside);
+            let pressure = self.interference.pressure(service.image, beside);
+            let own = self.interference.headroom(service.image, service.times) + pressure;
             let track = self.tracks.get_mut(&service.run.task.job);
             let slope = track
                 .and_then(|track| track.trend(now.at))
                 .map_or(0.0, |trend| trend.slope);
-            let expected = own.clamp(0.0, 1.0) + slope * AHEAD;
-            self.relieve(service.image, limit - expected, &mut fills);
+            let expected = own + slope * AHEAD;
+            let room = expected - self.interference.floor(service.image) - kept;
+            self.relieve(service.image, room, &mut fills);
         }
         let still = over > STILL_AFTER;
         for fill in fills {
--- a/ashtiller/src/workflow/interference.rs
+++ b/ashtiller/src/workflow/interference.rs
@@ -1,39 +1,38 @@
 //! How much runs that fill disturb runs that serve, learned from workers' reports.
 //!
-//! A service whose tail latency is `t` without load answers at `t / (1 - u)` when it
-//! is used to the share `u`. What fills beside it adds to `u` in proportion to the
-//! share of the worker's processors that it uses, by a factor that belongs to the
-//! pair of images. So a reported tail tells `u`, and the factors of all fills beside
-//! it are corrected by what they fail to explain.
+//! A service's headroom is its latency target over its tail latency: 1 at the target,
+//! and falling in a straight line with what the service is used to, by its own load and
+//! by what fills beside it. Headrooms are kept as shares of the image's usual one
+//! without fills, so that nothing depends on how far targets lie above idle tails. A fill
+//! takes a share of it in proportion to the share of the worker's processors that it
+//! uses, by a factor that belongs to the pair of images; a report corrects the factors
+//! of all fills beside the service by what they fail to explain.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
-/// Tail without load as a share of the target. The platform's services have targets
-/// of five times it; its reports alone beside no fill begin there.
-const IDLE_TAIL: f64 = 0.2;
-/// Largest share of use that a report can tell.
-const USE_MAX: f64 = 0.97;
-/// Share of use by its own load that is assumed of an image without reports; the
-/// mean of such reports on both sites.
-const LOAD_FIRST: f64 = 0.47;
-/// Factor that is assumed of a pair without reports; the mean of fitted pairs is 0.34.
-const FACTOR_FIRST: f64 = 0.34;
+/// Usual headroom that is assumed of an image until its first report.
+const USUAL_FIRST: f64 = 2.65;
+/// Least usual headroom; a service that is always over its target has no room to share.
+const USUAL_MIN: f64 = 0.2;
+/// Factor that is assumed of a pair without reports; the mean of fitted pairs is 0.64.
+const FACTOR_FIRST: f64 = 0.64;
 /// Bounds of a factor.
-const FACTOR: [f64; 2] = [0.05, 3.0];
-/// Variance of a factor without reports; fitted pairs spread by 0.25.
-const SPREAD_FIRST: f64 = 0.0625;
-/// Variance of a report around what is known. Loads swing by 0.17, but half as much
+const FACTOR: [f64; 2] = [0.09, 6.0];
+/// Variance of a factor without reports; fitted pairs spread by 0.47.
+const SPREAD_FIRST: f64 = 0.2225;
+/// Variance of a report around what is known. Loads swing by a third, but half as much
 /// was not worse in trials and learns sooner.
-const NOISE: f64 = 0.01;
+const NOISE: f64 = 0.036;
 /// The same where the load is known from the job's other tasks.
-const NOISE_KNOWN: f64 = 0.005;
+const NOISE_KNOWN: f64 = 0.018;
 /// Variance that a factor gains with each report, since pairs change.
-const DRIFT: f64 = 2e-5;
-/// Share of an error by which a report corrects the load of an image.
-const LOAD_RATE: f64 = 0.02;
+const DRIFT: f64 = 7e-5;
+/// Share of an error by which a report corrects the usual headroom of an image, at least;
+/// the first reports count alike.
+const USUAL_RATE: f64 = 0.02;
 
 /// A run that fills, beside a run that serves.
 #[derive(Clone, Copy, Debug)]
@@ -55,6 +54,18 @@
     variance: SPREAD_FIRST,
 };
 
+/// Usual headroom of an image without fills, and from how many reports.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Usual {
+    value: f64,
+    reports: u32,
+}
+
+const UNSEEN: Usual = Usual {
+    value: USUAL_FIRST,
+    reports: 0,
+};
+
 /// An image, by its number in this process.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Image(u32);
@@ -67,19 +78,7 @@
     /// By the numbers of the image that serves and of that which fills.
     factors: Vec<Vec<Factor>>,
     /// By the number of the image that serves.
-    loads: Vec<f64>,
-}
-
-/// Share of use that a tail tells, as a share of its target.
-#[must_use]
-pub fn use_of(tail: f64) -> f64 {
-    (1.0 - IDLE_TAIL / tail.max(IDLE_TAIL)).min(USE_MAX)
-}
-
-/// Share of use at which a tail is at its target.
-#[must_use]
-pub fn use_limit() -> f64 {
-    1.0 - IDLE_TAIL
+    usual: Vec<Usual>,
 }
 
 /// What a table holds for an image, with `first` for those that it lacks.
@@ -120,33 +119,53 @@
         grow(row, fills, FIRST)
     }
 
-    /// Share of use by the own load of an image.
-    #[must_use]
-    pub fn load(&self, serves: Image) -> f64 {
-        self.loads
+    fn usual(&self, serves: Image) -> Usual {
+        self.usual
             .get(serves.0 as usize)
             .copied()
-            .unwrap_or(LOAD_FIRST)
+            .unwrap_or(UNSEEN)
     }
 
-    /// What fills beside an image adds to its share of use.
+    /// Headroom of an image that answers this many times faster than its target, as a
+    /// share of its usual one.
+    #[must_use]
+    pub fn headroom(&self, serves: Image, times: f64) -> f64 {
+        times / self.usual(serves).value
+    }
+
+    /// Headroom of an image at its target, as a share of its usual one.
+    #[must_use]
+    pub fn floor(&self, serves: Image) -> f64 {
+        1.0 / self.usual(serves).value
+    }
+
+    /// What fills beside an image take of its headroom.
     #[must_use]
     pub fn pressure(&self, serves: Image, beside: &[Beside]) -> f64 {
         let each = |fill: &Beside| self.factor(serves, fill.image) * fill.share;
         beside.iter().map(each).sum()
     }
 
-    /// Learns from a report: the share of use of an image beside these fills, and its
-    /// own load where that is known from elsewhere.
-    pub fn learn(&mut self, serves: Image, used: f64, load: Option<f64>, beside: &[Beside]) {
+    /// Learns how many times faster than its target an image answers without fills.
+    fn learn_usual(&mut self, serves: Image, times: f64) {
+        let usual = grow(&mut self.usual, serves, UNSEEN);
+        usual.reports = usual.reports.saturating_add(1);
+        let rate = USUAL_RATE;
+        usual.value += rate * (times - usual.value);
+        usual.value = usual.value.max(USUAL_MIN);
+    }
+
+    /// Learns from a report: how many times faster than its target an image answers
+    /// beside these fills, and its headroom without them where that is known from
+    /// elsewhere.
+    pub fn learn(&mut self, serves: Image, times: f64, own: Option<f64>, beside: &[Beside]) {
         if beside.is_empty() {
-            let load = grow(&mut self.loads, serves, LOAD_FIRST);
-            *load += LOAD_RATE * (used - *load);
+            self.learn_usual(serves, times);
             return;
         }
-        let noise = if load.is_some() { NOISE_KNOWN } else { NOISE };
-        let load = load.unwrap_or_else(|| self.load(serves));
-        let error = used - load - self.pressure(serves, beside);
+        let noise = if own.is_some() { NOISE_KNOWN } else { NOISE };
+        let expected = own.unwrap_or(1.0) - self.pressure(serves, beside);
+        let error = expected - self.headroom(serves, times);
         let each =
             |fill: &Beside| fill.share * fill.share * self.known(serves, fill.image).variance;
         let spread = beside.iter().map(each).sum::<f64>() + noise;
@@ -168,14 +187,21 @@
             pairs.map(move |(fills, factor)| (serves, fills, factor))
         });
         let learned = pairs.filter(|(_, _, factor)| **factor != FIRST);
-        let mut lessons: Vec<Lesson> = learned
-            .map(|(serves, fills, factor)| Lesson {
-                serves: serves.clone(),
-                fills: fills.clone(),
-                factor: factor.value,
-                variance: factor.variance,
-            })
-            .collect();
+        let pairs = learned.map(|(serves, fills, factor)| Lesson {
+            serves: serves.clone(),
+            fills: fills.clone(),
+            factor: factor.value,
+            variance: factor.variance,
+        });
+        let alone = self.names.iter().zip(&self.usual);
+        let seen = alone.filter(|(_, usual)| usual.reports > 0);
+        let alone = seen.map(|(serves, usual)| Lesson {
+            serves: serves.clone(),
+            fills: Arc::from(""),
+            factor: usual.value,
+            variance: 1.0 / f64::from(usual.reports),
+        });
+        let mut lessons: Vec<Lesson> = pairs.chain(alone).collect();
         lessons.sort_by(|one, two| (&one.serves, &one.fills).cmp(&(&two.serves, &two.fills)));
         lessons
     }
@@ -183,25 +209,44 @@
     /// Takes over what an earlier owner learned.
     pub fn import(&mut self, lessons: &[Lesson]) {
         for lesson in lessons {
-            let factor = Factor {
+            let serves = self.number(&lesson.serves);
+            if lesson.fills.is_empty() {
+                *grow(&mut self.usual, serves, UNSEEN) = lesson.usual();
+                continue;
+            }
+            let fills = self.number(&lesson.fills);
+            *self.factor_mut(serves, fills) = Factor {
                 value: lesson.factor,
                 variance: lesson.variance,
             };
-            let (serves, fills) = (self.number(&lesson.serves), self.number(&lesson.fills));
-            *self.factor_mut(serves, fills) = factor;
         }
     }
 }
 
-/// What was learned about one pair of images.
+/// What was learned about one pair of images, or about one image by itself.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Lesson {
     /// Image that serves.
     pub serves: Arc<str>,
-    /// Image that fills.
+    /// Image that fills; empty for a lesson about the image that serves by itself.
     pub fills: Arc<str>,
-    /// Share of use that it adds for each share of processors.
+    /// Share of its headroom that a fill takes for each share of processors; by itself,
+    /// the usual headroom: target over tail.
     pub factor: f64,
-    /// Variance of that.
+    /// Variance of that; by itself, one over the number of reports.
     pub variance: f64,
 }
+
+impl Lesson {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a count, which was a u32"
+    )]
+    fn usual(&self) -> Usual {
+        Usual {
+            value: self.factor.max(USUAL_MIN),
+            reports: (1.0 / self.variance.max(1e-9)).round() as u32,
+        }
+    }
+}
--- a/ashtiller/src/workflow/live.rs
+++ b/ashtiller/src/workflow/live.rs
@@ -86,8 +86,9 @@
     pub tail: Option<u64>,
     /// Processors in use by a run that does not serve, as last reported.
     pub used: Option<u64>,
-    /// Its own load as a share of use, for a run that serves.
-    pub load: Option<f64>,
+    /// Its headroom without fills, as a share of its image's usual one, for a run that
+    /// serves.
+    pub headroom: Option<f64>,
     /// Ticket of the advisor, where one is asked.
     pub ticket: Option<Arc<str>>,
     /// Share at which it was told to work.
@@ -120,7 +121,7 @@
             saved: Arc::from(""),
             tail: None,
             used: None,
-            load: None,
+            headroom: None,
             ticket: None,
             pace: 100,
             pace_goal: 100,
--- a/ashtiller/src/workflow/load.rs
+++ b/ashtiller/src/workflow/load.rs
@@ -1,7 +1,7 @@
-//! The own load of one job's services over time.
+//! The headroom of one job's services over time, without what fills beside them.
 //!
 //! Tasks of one job serve the same users, so their loads rise and fall together; the
-//! reports of all of them tell where the load is and where it goes.
+//! reports of all of them tell where the headroom is and where it goes.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -9,14 +9,14 @@
 /// Reports that are older say nothing: loads swing within 14 to 20 s on the platform.
 const WINDOW: Duration = Duration::from_millis(2200);
 /// Pressure by fills at which a report counts half: what is known of it may be wrong.
-const DOUBT: f64 = 0.06;
+const DOUBT: f64 = 0.113;
 /// Weight of reports from which a level is known, and that from which a slope is.
 const ENOUGH: [f64; 2] = [1.5, 4.0];
 /// Time for which a trend that was worked out is used: a look at a worker each half
 /// second asks for it twice for each of its services.
 const FRESH: Duration = Duration::from_millis(60);
 /// Fastest change in a second that is believed.
-const SLOPE_MAX: f64 = 0.12;
+const SLOPE_MAX: f64 = 0.226;
 
 /// Reports of one job's services.
 #[derive(Clone, Debug, Default)]
@@ -26,17 +26,17 @@
     known: Option<(Duration, Option<Trend>)>,
 }
 
-/// Where a load is, and its change in a second.
+/// Where a headroom is, and its change in a second.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Trend {
-    /// Share of use.
+    /// Share of the image's usual headroom.
     pub level: f64,
     /// Change in a second.
     pub slope: f64,
 }
 
 impl Track {
-    /// Takes a report: the share of use that fills with this pressure leave to the load.
+    /// Takes a report: the headroom that would be there without fills of this pressure.
     pub fn note(&mut self, share: f64, pressure: f64, now: Duration) {
         let doubt = pressure / DOUBT;
         let weight = 1.0 / (1.0 + doubt * doubt);
