Place lasting steps after short ones that can be on time

Hypothesis: short steps wait behind lasting ones of their priority for ever where a worker holds few of them; a lasting task loses little by standing behind them.

--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -421,7 +421,7 @@
             // priority, for a large one would never find room behind short ones.
             late: if asked.lasting { 0 } else { late },
             priority: job.policy.priority,
-            slack: if asked.lasting { i64::MIN } else { slack },
+            slack: if asked.lasting { i64::MAX } else { slack },
         };
         found.push(Waiting {
             urgency,
