Log the bounds of a job's steps when it is accepted

Why a step finds no room depends on how its tasks are to be spread and how many may be away, which the line of an accepted job did not tell.

--- a/ashtiller/src/workflow/core/intake.rs
+++ b/ashtiller/src/workflow/core/intake.rs
@@ -4,7 +4,7 @@
 
 use crate::workflow::core::{Core, Effect, Now, Then, Ticket};
 use crate::workflow::fact::{Fact, Outcome};
-use crate::workflow::job::{Job, Sharing};
+use crate::workflow::job::{Job, Sharing, Step};
 use crate::workflow::message::{Reply, State};
 
 impl Core {
@@ -156,14 +156,30 @@
             let lasting = if step.lasting { " lasting" } else { "" };
             write!(
                 f,
-                "[{}x{}m/{}MiB {}ms{kind}{lasting} after {:?}]",
+                "[{}x{}m/{}MiB {}ms{kind}{lasting}{} after {:?}]",
                 step.count,
                 step.needs.processors,
                 step.needs.memory >> 20,
                 step.estimate.as_millis(),
+                Bounds(step),
                 step.after
             )?;
         }
         Ok(())
     }
 }
+
+/// A step's bounds on where its tasks go and how many may be away, where it has some.
+struct Bounds<'a>(&'a Step);
+
+impl fmt::Display for Bounds<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.0.spread > 0 {
+            write!(f, " spread {}", self.0.spread)?;
+        }
+        if let Some(most) = self.0.away_max {
+            write!(f, " away {most}")?;
+        }
+        Ok(())
+    }
+}
