--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -419,7 +419,7 @@
         let urgency = Urgency {
             // A lasting task earns for as long as it runs. It stands first among its
             // priority, for a large one would never find room behind short ones.
-            late: if asked.lasting { 0 } else { late },
+            late: if asked.lasting { 1 } else { late },
             priority: job.policy.priority,
             slack: if asked.lasting { i64::MAX } else { slack },
         };
