Place lasting steps after all short ones; first when there was room all along

Ruled out: room in one round after the other for 1.5 s (never seen so, no change). Test: tests/owner/room.rs.

--- a/ashtiller/src/workflow/core/fleet.rs
+++ b/ashtiller/src/workflow/core/fleet.rs
@@ -199,8 +199,7 @@
     /// Whether a worker may run a task at all.
     pub(super) fn suits(&self, candidate: &Candidate, wish: &Wish<'_>) -> bool {
         let step = wish.step;
-        wish.room.fits(&candidate.free)
-            && is_same(&candidate.service, wish.service)
+        candidate.has_room(wish.service, &wish.room)
             && step
                 .label
                 .as_ref()
@@ -214,6 +213,11 @@
 }
 
 impl Candidate {
+    /// Whether a task that wants this much of a service's worker fits here.
+    pub fn has_room(&self, service: &Arc<str>, room: &Resources) -> bool {
+        room.fits(&self.free) && is_same(&self.service, service)
+    }
+
     fn processors(&self) -> f64 {
         #[expect(clippy::cast_precision_loss, reason = "thousandths of processors")]
         let whole = self.whole.processors as f64;
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -133,6 +133,8 @@
     tracks: BTreeMap<u32, Track>,
     interference: Interference,
     summaries: fleet::Summaries,
+    /// Lasting steps that wait although there was room, by job, time and step.
+    passed_over: BTreeMap<(u32, u32, u16), plan::PassedOver>,
     services: BTreeSet<Arc<str>>,
     taught: Duration,
     counts: Counts,
@@ -173,6 +175,7 @@
             tracks: BTreeMap::new(),
             interference: Interference::default(),
             summaries: fleet::Summaries::default(),
+            passed_over: BTreeMap::new(),
             services: BTreeSet::new(),
             taught: now.at,
             counts: Counts::default(),
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -15,6 +15,12 @@
 /// Objective within which a job that is late still earns something, as a factor.
 const LATE: u32 = 3;
 
+/// Time for which there may be room for a lasting step while short ones are placed first.
+/// The platform asks for its start within 3 s.
+const PASSED_OVER: Duration = Duration::from_millis(1500);
+/// Time without room after which that begins anew; room that a short run leaves is taken
+/// again within a tenth of a second.
+const ROOM_GAP: Duration = Duration::from_millis(400);
 /// Time for which a run that fills is slowed down before it moves: one stuck task makes
 /// its whole job late. Batch work earned 0.98 of its worth with moves and 0.92 without
 /// (means over seeds of days of high load); 0.4 s and 1 s were alike.
@@ -40,6 +46,14 @@
     step: u16,
 }
 
+/// Since when there was room for a lasting step that others were placed before, and when
+/// there was last.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PassedOver {
+    since: Duration,
+    last: Duration,
+}
+
 /// One round of placing.
 struct Placing {
     fleet: Vec<Candidate>,
@@ -65,11 +79,12 @@
         if waiting.is_empty() && silent.is_empty() && crowded.is_empty() {
             return;
         }
-        waiting.sort_unstable();
         let mut placing = Placing {
             fleet: self.build_fleet(now),
             refused: Vec::new(),
         };
+        self.hasten_lasting(&mut waiting, &placing.fleet, now);
+        waiting.sort_unstable();
         for entry in waiting {
             self.plan_step(entry, &mut placing, now);
         }
@@ -81,6 +96,43 @@
         }
     }
 
+    /// A lasting step for which there has been room all along stands first: what is
+    /// placed before it takes that room again and again.
+    fn hasten_lasting(&mut self, waiting: &mut [Waiting], fleet: &[Candidate], now: Now) {
+        let mut passed_over = std::mem::take(&mut self.passed_over);
+        passed_over.retain(|_, passed| now.at < passed.last + ROOM_GAP);
+        for entry in waiting {
+            if !self.is_lasting(entry) || !self.has_room(entry, fleet) {
+                continue;
+            }
+            let passed = passed_over
+                .entry((entry.job, entry.time, entry.step))
+                .or_insert(PassedOver {
+                    since: now.at,
+                    last: now.at,
+                });
+            passed.last = now.at;
+            if now.at >= passed.since + PASSED_OVER {
+                entry.urgency.late = 0;
+                entry.urgency.slack = i64::MIN;
+            }
+        }
+        self.passed_over = passed_over;
+    }
+
+    fn is_lasting(&self, entry: &Waiting) -> bool {
+        self.book.jobs[&entry.job].job.steps[usize::from(entry.step)].lasting
+    }
+
+    /// Whether some worker has room for a task of a step.
+    fn has_room(&self, entry: &Waiting, fleet: &[Candidate]) -> bool {
+        let job = &self.book.jobs[&entry.job];
+        let room = job.job.steps[usize::from(entry.step)].room();
+        fleet
+            .iter()
+            .any(|candidate| candidate.has_room(&job.policy.service, &room))
+    }
+
     /// Runs that fill and stand still for the services beside them.
     fn collect_crowded(&self, now: Now) -> Vec<Run> {
         let crowded = self.runs.iter().filter(|(_, live)| {
@@ -417,9 +469,7 @@
         }
         let (late, slack) = lateness(due, objective, *chain, now);
         let urgency = Urgency {
-            // A lasting task earns for as long as it runs. It stands first among its
-            // priority, for a large one would never find room behind short ones.
-            late: if asked.lasting { 1 } else { late },
+            late: if asked.lasting { 2 } else { late },
             priority: job.policy.priority,
             slack: if asked.lasting { i64::MAX } else { slack },
         };
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -7,6 +7,7 @@
 mod listing;
 mod parts;
 mod placing;
+mod room;
 mod sharing;
 mod takeover;
 mod workers;
--- /dev/null
+++ b/ashtiller/tests/owner/room.rs
@@ -0,0 +1,92 @@
+//! Who gets the room, among short and lasting steps.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashtiller::resources::Resources;
+use ashtiller::workflow::agents::How;
+use ashtiller::workflow::fact::Run;
+use ashtiller::workflow::job::Step;
+
+use crate::driver::{Driver, MS, job, policy, step};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn whole_worker() -> Step {
+    Step {
+        needs: Resources {
+            processors: 4000,
+            memory: 1 << 20,
+            accelerators: 0,
+        },
+        ..step(1)
+    }
+}
+
+fn lasting() -> Step {
+    Step {
+        lasting: true,
+        ..whole_worker()
+    }
+}
+
+/// The newest start, with the id of its job.
+fn newest(driver: &Driver) -> (Arc<str>, Run, Arc<str>) {
+    let (id, run) = driver.starts().last().expect("a start").clone();
+    let job = driver.core.book().jobs[&run.task.job].job.id.clone();
+    (id, run, job)
+}
+
+#[test]
+fn a_short_job_does_not_wait_behind_lasting_ones() {
+    let mut driver = Driver::new(1, policy());
+    driver.submit(job("first", vec![whole_worker()]));
+    driver.pass(SECOND);
+    let (id, run, _) = newest(&driver);
+    for number in 0..5 {
+        driver.submit(job(&format!("lasts-{number}"), vec![lasting()]));
+    }
+    driver.pass(100 * MS);
+    driver.submit(job("short", vec![whole_worker()]));
+    driver.pass(100 * MS);
+    driver.end(&id, run, How::Done, 1);
+    driver.pass(300 * MS);
+    assert_eq!(&*newest(&driver).2, "short");
+}
+
+#[test]
+fn a_short_job_that_is_late_still_ends_before_lasting_ones_begin() {
+    let mut driver = Driver::new(1, policy());
+    driver.submit(job("first", vec![whole_worker()]));
+    driver.pass(SECOND);
+    let (id, run, _) = newest(&driver);
+    driver.submit(job("short", vec![whole_worker()]));
+    driver.submit(job("lasts", vec![lasting()]));
+    // Three times its objective has long passed.
+    driver.pass(20 * SECOND);
+    driver.end(&id, run, How::Done, 1);
+    driver.pass(300 * MS);
+    assert_eq!(&*newest(&driver).2, "short");
+}
+
+#[test]
+fn a_lasting_task_starts_in_time_beside_a_stream_of_short_jobs() {
+    let mut driver = Driver::new(1, policy());
+    driver.submit(job("short-0", vec![whole_worker()]));
+    driver.submit(job("short-1", vec![whole_worker()]));
+    driver.pass(SECOND);
+    driver.submit(job("lasts", vec![lasting()]));
+    let began = driver.now.at;
+    for number in 2..40 {
+        let (id, run, running) = newest(&driver);
+        if &*running == "lasts" {
+            break;
+        }
+        driver.submit(job(&format!("short-{number}"), vec![whole_worker()]));
+        driver.end(&id, run, How::Done, number);
+        driver.pass(200 * MS);
+    }
+    assert_eq!(&*newest(&driver).2, "lasts");
+    let waited = driver.now.at - began;
+    assert!(waited < 3 * SECOND, "{waited:?}");
+}
