--- a/ashtiller/src/workflow/core/advice.rs
+++ b/ashtiller/src/workflow/core/advice.rs
@@ -79,6 +79,7 @@
         };
         let open = Wish {
             advised: None,
+            barred: None,
             failed_on: BTreeSet::new(),
             spread: BTreeMap::new(),
             ..*wish
--- a/ashtiller/src/workflow/core/fleet.rs
+++ b/ashtiller/src/workflow/core/fleet.rs
@@ -81,6 +81,8 @@
     pub spread: BTreeMap<Arc<str>, u32>,
     /// Workers that the advisor lets run it, where one is asked.
     pub advised: Option<&'a BTreeMap<Arc<str>, Arc<str>>>,
+    /// A worker that is kept for another task.
+    pub barred: Option<Arc<str>>,
 }
 
 impl Core {
@@ -200,6 +202,7 @@
     pub(super) fn suits(&self, candidate: &Candidate, wish: &Wish<'_>) -> bool {
         let step = wish.step;
         candidate.has_room(wish.service, &wish.room)
+            && wish.barred.as_ref() != Some(&candidate.id)
             && step
                 .label
                 .as_ref()
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -134,7 +134,8 @@
     interference: Interference,
     summaries: fleet::Summaries,
     /// Lasting steps that wait although there was room, by job, time and step.
-    passed_over: BTreeMap<(u32, u32, u16), plan::PassedOver>,
+    passed_over: BTreeMap<StepKey, plan::PassedOver>,
+    reserved: Option<plan::Reserved>,
     services: BTreeSet<Arc<str>>,
     taught: Duration,
     counts: Counts,
@@ -176,6 +177,7 @@
             interference: Interference::default(),
             summaries: fleet::Summaries::default(),
             passed_over: BTreeMap::new(),
+            reserved: None,
             services: BTreeSet::new(),
             taught: now.at,
             counts: Counts::default(),
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -6,6 +6,7 @@
 
 use crate::resources::Resources;
 use crate::workflow::core::fleet::{self, Candidate, Wish};
+use crate::workflow::core::advice::StepKey;
 use crate::workflow::core::{Core, Now, share_of};
 use crate::workflow::fact::{Run, Task};
 use crate::workflow::job::Step;
@@ -17,10 +18,14 @@
 
 /// Time for which there may be room for a lasting step while short ones are placed first.
 /// The platform asks for its start within 3 s.
-const PASSED_OVER: Duration = Duration::from_millis(1500);
+const PASSED_OVER: Duration = Duration::from_millis(1200);
 /// Time without room after which that begins anew; room that a short run leaves is taken
 /// again within a tenth of a second.
-const ROOM_GAP: Duration = Duration::from_millis(400);
+const ROOM_GAP: Duration = Duration::from_millis(1000);
+/// Time without room after which a lasting step gets a worker to itself.
+const BLOCKED: Duration = Duration::from_millis(4000);
+/// Longest time for which a worker is kept; the short runs there end sooner.
+const RESERVED_MAX: Duration = Duration::from_secs(4);
 /// Time for which a run that fills is slowed down before it moves: one stuck task makes
 /// its whole job late. Batch work earned 0.98 of its worth with moves and 0.92 without
 /// (means over seeds of days of high load); 0.4 s and 1 s were alike.
@@ -46,19 +51,65 @@
     step: u16,
 }
 
-/// Since when there was room for a lasting step that others were placed before, and when
-/// there was last.
+impl Waiting {
+    fn key(&self) -> StepKey {
+        (self.job, self.time, self.step)
+    }
+}
+
+/// How long a lasting step has waited.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PassedOver {
-    since: Duration,
+    /// When it was first seen to wait.
+    began: Duration,
+    /// Since when there has been room for it, but for short gaps.
+    since: Option<Duration>,
+    /// When there was room last.
     last: Duration,
 }
 
+impl PassedOver {
+    fn new(now: Duration) -> Self {
+        Self {
+            began: now,
+            since: None,
+            last: now,
+        }
+    }
+
+    fn note(&mut self, has_room: bool, now: Duration) {
+        if has_room {
+            self.last = now;
+            self.since.get_or_insert(now);
+        } else if now >= self.last + ROOM_GAP {
+            self.since = None;
+        }
+    }
+
+    fn is_overdue(&self, now: Duration) -> bool {
+        self.since.is_some_and(|since| now >= since + PASSED_OVER)
+    }
+
+    fn is_blocked(&self, now: Duration) -> bool {
+        self.since.is_none() && now >= self.began + BLOCKED
+    }
+}
+
+/// A worker that is kept for a lasting step.
+#[derive(Clone, Debug)]
+pub(super) struct Reserved {
+    step: StepKey,
+    worker: Arc<str>,
+    since: Duration,
+}
+
 /// One round of placing.
 struct Placing {
     fleet: Vec<Candidate>,
     /// Least rooms for which there was no worker.
     refused: Vec<(Arc<str>, Share, Resources)>,
+    /// Worker that gets no short runs until a lasting one has room there.
+    reserved: Option<Arc<str>>,
 }
 
 impl Placing {
@@ -82,8 +133,9 @@
         let mut placing = Placing {
             fleet: self.build_fleet(now),
             refused: Vec::new(),
+            reserved: None,
         };
-        self.hasten_lasting(&mut waiting, &placing.fleet, now);
+        self.hasten_lasting(&mut waiting, &mut placing, now);
         waiting.sort_unstable();
         for entry in waiting {
             self.plan_step(entry, &mut placing, now);
@@ -97,27 +149,89 @@
     }
 
     /// A lasting step for which there has been room all along stands first: what is
-    /// placed before it takes that room again and again.
-    fn hasten_lasting(&mut self, waiting: &mut [Waiting], fleet: &[Candidate], now: Now) {
+    /// placed before it takes that room again and again. The one that waits longest
+    /// without room gets a worker to itself until there is.
+    fn hasten_lasting(&mut self, waiting: &mut [Waiting], placing: &mut Placing, now: Now) {
         let mut passed_over = std::mem::take(&mut self.passed_over);
-        passed_over.retain(|_, passed| now.at < passed.last + ROOM_GAP);
-        for entry in waiting {
-            if !self.is_lasting(entry) || !self.has_room(entry, fleet) {
-                continue;
-            }
+        let keys: BTreeSet<StepKey> = waiting.iter().map(Waiting::key).collect();
+        passed_over.retain(|key, _| keys.contains(key));
+        for entry in waiting.iter_mut().filter(|entry| self.is_lasting(entry)) {
             let passed = passed_over
-                .entry((entry.job, entry.time, entry.step))
-                .or_insert(PassedOver {
-                    since: now.at,
-                    last: now.at,
-                });
-            passed.last = now.at;
-            if now.at >= passed.since + PASSED_OVER {
+                .entry(entry.key())
+                .or_insert(PassedOver::new(now.at));
+            passed.note(self.has_room(entry, &placing.fleet), now.at);
+            if passed.is_overdue(now.at) {
                 entry.urgency.late = 0;
                 entry.urgency.slack = i64::MIN;
             }
         }
         self.passed_over = passed_over;
+        placing.reserved = self.reserve(waiting, &placing.fleet, now);
+    }
+
+    /// Keeps a worker for the lasting step that has waited longest without room.
+    fn reserve(
+        &mut self,
+        waiting: &mut [Waiting],
+        fleet: &[Candidate],
+        now: Now,
+    ) -> Option<Arc<str>> {
+        if let Some(kept) = self.reserved.take()
+            && now.at < kept.since + RESERVED_MAX
+            && let Some(entry) = waiting.iter_mut().find(|entry| entry.key() == kept.step)
+        {
+            let candidate = fleet.iter().find(|candidate| candidate.id == kept.worker);
+            if candidate.is_some_and(|it| self.fits_step(entry, it)) {
+                entry.urgency.late = 0;
+                entry.urgency.slack = i64::MIN;
+            }
+            let worker = kept.worker.clone();
+            self.reserved = Some(kept);
+            return Some(worker);
+        }
+        let longest = waiting
+            .iter()
+            .filter_map(|entry| Some((self.passed_over.get(&entry.key())?, entry)))
+            .filter(|(passed, _)| passed.is_blocked(now.at))
+            .min_by_key(|(passed, _)| passed.began);
+        let (_, entry) = longest?;
+        let worker = self.find_emptying(entry)?;
+        tracing::debug!(job = entry.job, %worker, "worker kept for a lasting task");
+        self.reserved = Some(Reserved {
+            step: entry.key(),
+            worker: worker.clone(),
+            since: now.at,
+        });
+        Some(worker)
+    }
+
+    fn fits_step(&self, entry: &Waiting, candidate: &Candidate) -> bool {
+        let job = &self.book.jobs[&entry.job];
+        let room = job.job.steps[usize::from(entry.step)].room();
+        candidate.has_room(&job.policy.service, &room)
+    }
+
+    /// The worker on which short runs leave room soonest for a task of a step.
+    fn find_emptying(&self, entry: &Waiting) -> Option<Arc<str>> {
+        let job = &self.book.jobs[&entry.job];
+        let room = job.job.steps[usize::from(entry.step)].room();
+        let open = self
+            .workers
+            .values()
+            .filter(|worker| worker.listed.service == job.policy.service && worker.answers);
+        let emptying = open.filter_map(|worker| {
+            let mut free = worker.pool.free();
+            let mut short = 0;
+            for run in &worker.runs {
+                let step = self.book.task(run.task).and_then(|(job, _)| job.step(run.task));
+                if let Some(step) = step.filter(|step| !step.lasting && !step.fills()) {
+                    free = free.plus(&step.room());
+                    short += 1;
+                }
+            }
+            room.fits(&free).then_some((short, worker.id()))
+        });
+        emptying.min().map(|(_, id)| id.clone())
     }
 
     fn is_lasting(&self, entry: &Waiting) -> bool {
@@ -126,11 +240,9 @@
 
     /// Whether some worker has room for a task of a step.
     fn has_room(&self, entry: &Waiting, fleet: &[Candidate]) -> bool {
-        let job = &self.book.jobs[&entry.job];
-        let room = job.job.steps[usize::from(entry.step)].room();
         fleet
             .iter()
-            .any(|candidate| candidate.has_room(&job.policy.service, &room))
+            .any(|candidate| self.fits_step(entry, candidate))
     }
 
     /// Runs that fill and stand still for the services beside them.
@@ -165,6 +277,7 @@
             failed_on: state.failed_on.clone(),
             spread: BTreeMap::new(),
             advised: None,
+            barred: None,
         };
         if placing.is_hopeless(&service, live.share, &wish.room) {
             return;
@@ -224,6 +337,7 @@
             failed_on,
             spread: fleet::count_spread(self, task),
             advised: None,
+            barred: None,
         };
         let Some(place) = self.choose(&placing.fleet, &wish) else {
             return;
@@ -275,6 +389,7 @@
             failed_on: BTreeSet::new(),
             spread: BTreeMap::new(),
             advised: tickets.as_ref(),
+            barred: placing.reserved.clone().filter(|_| !step.lasting && !step.fills()),
         };
         if step.gang {
             if !self.plan_gang(&tasks, &wish, placing, now) && advice {
