--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use crate::resources::Resources;
-use crate::workflow::core::fleet::{self, Candidate, Wish};
 use crate::workflow::core::advice::StepKey;
+use crate::workflow::core::fleet::{self, Candidate, Wish};
 use crate::workflow::core::{Core, Now, share_of};
 use crate::workflow::fact::{Run, Task};
 use crate::workflow::job::Step;
@@ -55,6 +55,12 @@
     fn key(&self) -> StepKey {
         (self.job, self.time, self.step)
     }
+
+    /// Puts it first among its priority.
+    fn hasten(&mut self) {
+        self.urgency.late = 0;
+        self.urgency.slack = i64::MIN;
+    }
 }
 
 /// How long a lasting step has waited.
@@ -148,21 +154,21 @@
         }
     }
 
-    /// A lasting step for which there has been room all along stands first: what is
-    /// placed before it takes that room again and again. The one that waits longest
-    /// without room gets a worker to itself until there is.
+    /// A lasting step stands first when it begins to wait, and when there has been room for
+    /// it all along: what is placed before it takes that room again and again. The one that
+    /// waits longest without room gets a worker to itself until there is.
     fn hasten_lasting(&mut self, waiting: &mut [Waiting], placing: &mut Placing, now: Now) {
         let mut passed_over = std::mem::take(&mut self.passed_over);
         let keys: BTreeSet<StepKey> = waiting.iter().map(Waiting::key).collect();
         passed_over.retain(|key, _| keys.contains(key));
         for entry in waiting.iter_mut().filter(|entry| self.is_lasting(entry)) {
+            let new = !passed_over.contains_key(&entry.key());
             let passed = passed_over
                 .entry(entry.key())
                 .or_insert(PassedOver::new(now.at));
             passed.note(self.has_room(entry, &placing.fleet), now.at);
-            if passed.is_overdue(now.at) {
-                entry.urgency.late = 0;
-                entry.urgency.slack = i64::MIN;
+            if new || passed.is_overdue(now.at) {
+                entry.hasten();
             }
         }
         self.passed_over = passed_over;
@@ -182,8 +188,7 @@
         {
             let candidate = fleet.iter().find(|candidate| candidate.id == kept.worker);
             if candidate.is_some_and(|it| self.fits_step(entry, it)) {
-                entry.urgency.late = 0;
-                entry.urgency.slack = i64::MIN;
+                entry.hasten();
             }
             let worker = kept.worker.clone();
             self.reserved = Some(kept);
@@ -223,7 +228,10 @@
             let mut free = worker.pool.free();
             let mut short = 0;
             for run in &worker.runs {
-                let step = self.book.task(run.task).and_then(|(job, _)| job.step(run.task));
+                let step = self
+                    .book
+                    .task(run.task)
+                    .and_then(|(job, _)| job.step(run.task));
                 if let Some(step) = step.filter(|step| !step.lasting && !step.fills()) {
                     free = free.plus(&step.room());
                     short += 1;
@@ -389,7 +397,10 @@
             failed_on: BTreeSet::new(),
             spread: BTreeMap::new(),
             advised: tickets.as_ref(),
-            barred: placing.reserved.clone().filter(|_| !step.lasting && !step.fills()),
+            barred: placing
+                .reserved
+                .clone()
+                .filter(|_| !step.lasting && !step.fills()),
         };
         if step.gang {
             if !self.plan_gang(&tasks, &wish, placing, now) && advice {
