--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -21,9 +21,9 @@
 const PASSED_OVER: Duration = Duration::from_millis(1200);
 /// Time without room after which that begins anew; room that a short run leaves is taken
 /// again within a tenth of a second.
-const ROOM_GAP: Duration = Duration::from_millis(1000);
+const ROOM_GAP: Duration = Duration::from_secs(1);
 /// Time without room after which a lasting step gets a worker to itself.
-const BLOCKED: Duration = Duration::from_millis(4000);
+const BLOCKED: Duration = Duration::from_secs(4);
 /// Longest time for which a worker is kept; the short runs there end sooner.
 const RESERVED_MAX: Duration = Duration::from_secs(4);
 /// Time for which a run that fills is slowed down before it moves: one stuck task makes
