Tell where the time of jobs went; let mechanisms be switched off

The log could not say why a job was late. Each job's last line now tells how long it had no room, waited for workers' answers, worked and was paced (of each step the longest, added up), and `job_seconds` has the same as histograms. Test: tests/owner/room.rs, the wait for room is told.

--- a/ashtiller/src/workflow/core/fleet.rs
+++ b/ashtiller/src/workflow/core/fleet.rs
@@ -10,6 +10,7 @@
 use crate::workflow::interference::{Beside, Image, Interference};
 use crate::workflow::job::Step;
 use crate::workflow::live::Share;
+use crate::workflow::switches::Switches;
 use crate::workflow::worker::Worker;
 
 /// Share of the room between its usual headroom and its target that a service should
@@ -173,7 +174,7 @@
             if !self.suits(candidate, wish) {
                 continue;
             }
-            let mut cost = candidate.cost(wish, &self.interference);
+            let mut cost = candidate.cost(wish, &self.interference, self.terms.switches);
             if cost.is_infinite() {
                 continue;
             }
@@ -228,7 +229,7 @@
     }
 
     /// What placing a run here costs, for comparison among workers.
-    fn cost(&self, wish: &Wish<'_>, known: &Interference) -> f64 {
+    fn cost(&self, wish: &Wish<'_>, known: &Interference, on: Switches) -> f64 {
         let mut cost = FAILURE_COST * f64::from(self.failures);
         if wish.failed_on.contains(&self.id) {
             cost += AGAIN_COST;
@@ -239,7 +240,7 @@
             .plus(&wish.room)
             .share_of(&self.whole);
         match wish.share {
-            Share::Fills(image) => cost += self.fill_cost(image, asked(wish.step), known),
+            Share::Fills(image) => cost += self.fill_cost(image, asked(wish.step), known, on),
             // Services of one image on a worker bear the same fills; full workers leave
             // others free.
             Share::Serves(image, _) => {
@@ -250,8 +251,11 @@
                     .count();
                 let others = u32::try_from(self.serving.len() - same).unwrap_or(u32::MAX);
                 cost += FILL_COST * f64::from(self.filling.min(4));
-                cost += OTHER_COST * f64::from(others) - used;
-                cost -= if same > 0 { SAME_WORTH } else { 0.0 };
+                cost -= used;
+                if on.group_images {
+                    cost += OTHER_COST * f64::from(others);
+                    cost -= if same > 0 { SAME_WORTH } else { 0.0 };
+                }
             }
             Share::Apart => cost -= PACK_COST * used,
         }
@@ -260,18 +264,19 @@
 
     /// What a run that fills would add to the services here, beyond what they can bear,
     /// and how little it would get.
-    fn fill_cost(&self, image: Image, asked: f64, known: &Interference) -> f64 {
+    fn fill_cost(&self, image: Image, asked: f64, known: &Interference, on: Switches) -> f64 {
         let share = asked / self.processors();
         let unused = (self.processors() - self.busy).max(self.processors() * UNUSED_MIN);
         let crowd = (self.filled + asked) / unused;
         // One that asks for more than any worker leaves unused runs alone.
-        if crowd > CROWD_MAX && self.filling > 0 {
+        if on.bound_fills && crowd > CROWD_MAX && self.filling > 0 {
             return f64::INFINITY;
         }
+        let goal = if on.keep_headroom { GOAL } else { 0.0 };
         let mut harm = 0.0;
         for (serves, spare) in &self.serving {
             let takes = known.factor(*serves, image) * share;
-            let kept = GOAL * (1.0 - known.floor(*serves)).max(0.0);
+            let kept = goal * (1.0 - known.floor(*serves)).max(0.0);
             harm += HARM_COST * (takes + kept - spare).max(0.0) + MILD_COST * takes;
         }
         let cost = harm + (crowd - 1.0).max(0.0) + CROWD_COST * crowd;
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -17,6 +17,7 @@
 mod reports;
 mod roster;
 mod runs;
+pub mod times;
 pub mod upkeep;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -137,6 +138,9 @@
     passed_over: BTreeMap<StepKey, plan::PassedOver>,
     reserved: Option<plan::Reserved>,
     services: BTreeSet<Arc<str>>,
+    ledger: times::Ledger,
+    /// Times of jobs that ended, until they are counted.
+    ended: Vec<times::Times>,
     taught: Duration,
     counts: Counts,
 }
@@ -179,6 +183,8 @@
             passed_over: BTreeMap::new(),
             reserved: None,
             services: BTreeSet::new(),
+            ledger: times::Ledger::default(),
+            ended: Vec::new(),
             taught: now.at,
             counts: Counts::default(),
         };
@@ -288,8 +294,11 @@
     }
 
     pub(super) fn close_job(&mut self, number: u32, outcome: Outcome) {
+        let times = self.time_job(number);
         if let Some(job) = self.book.jobs.get(&number) {
-            tracing::info!(job = %job.job.id, ?outcome, position = self.position, "job ended");
+            tracing::info!(job = %job.job.id, ?outcome, position = self.position,
+                room_ms = times.room.as_millis(), answer_ms = times.answer.as_millis(),
+                work_ms = times.work.as_millis(), paced_ms = times.paced.as_millis(), "job ended");
         }
         self.advised.retain(|key, _| key.0 != number);
         self.tracks.remove(&number);
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -234,7 +234,7 @@
         };
         match said {
             Ok(Said::Done(_)) => {
-                live.pace = percent;
+                live.set_pace(percent, now.at);
                 // An earlier one that was not answered may still come after this one.
                 live.retry = if live.pace_doubt > now.at {
                     now.at + RETRY_BUSY
--- a/ashtiller/src/workflow/core/pacing.rs
+++ b/ashtiller/src/workflow/core/pacing.rs
@@ -63,7 +63,7 @@
         if fresh {
             self.learn(&services, &beside, now);
         }
-        if beside.is_empty() {
+        if beside.is_empty() || !self.terms.switches.pace_fills {
             return;
         }
         let over = services.iter().any(|service| service.times < 1.0);
@@ -161,7 +161,9 @@
         for service in services {
             let pressure = self.interference.pressure(service.image, beside);
             let own = self.interference.headroom(service.image, service.times) + pressure;
+            let follow = self.terms.switches.follow_slopes;
             let track = self.tracks.get_mut(&service.run.task.job);
+            let track = track.filter(|_| follow);
             let slope = track
                 .and_then(|track| track.trend(now.at))
                 .map_or(0.0, |trend| trend.slope);
--- a/ashtiller/src/workflow/core/place.rs
+++ b/ashtiller/src/workflow/core/place.rs
@@ -69,6 +69,7 @@
         let saved = task.saved.clone();
         let (share, processors) = share_of(&mut self.interference, step);
         self.counts.placed += 1;
+        self.time_place(run, now.at);
         let stage = Stage::Recorded(self.position);
         let mut live = LiveRun::new(id.clone(), stage, share, processors, now.at);
         live.saved = saved.clone();
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -33,6 +33,9 @@
 /// Progress up to which a run that keeps no checkpoints moves, in percent.
 const LOSS_MAX: u32 = 20;
 
+/// Class of what is too late to earn anything.
+const TOO_LATE: u8 = 2;
+
 /// How urgent a step is: jobs that can be on time first, then by priority, then by
 /// the time that is left to begin.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -131,20 +134,32 @@
     /// Places what waits and fits.
     pub(super) fn plan(&mut self, now: Now) {
         let mut waiting = self.collect_waiting(now);
+        if !self.terms.switches.short_first {
+            let lasting = waiting.iter_mut().filter(|entry| self.is_lasting(entry));
+            lasting.for_each(Waiting::hasten);
+        }
         let silent = self.collect_silent();
         let crowded = self.collect_crowded(now);
         if waiting.is_empty() && silent.is_empty() && crowded.is_empty() {
             return;
         }
+        for entry in &waiting {
+            self.ledger.note_ready(entry.key(), now.at);
+        }
         let mut placing = Placing {
             fleet: self.build_fleet(now),
             refused: Vec::new(),
             reserved: None,
         };
-        self.hasten_lasting(&mut waiting, &mut placing, now);
+        if self.terms.switches.room_in_time {
+            self.hasten_lasting(&mut waiting, &mut placing, now);
+        }
         waiting.sort_unstable();
         for entry in waiting {
             self.plan_step(entry, &mut placing, now);
+            if self.waiting_tasks(entry).is_empty() {
+                self.ledger.note_placed(entry.key());
+            }
         }
         for task in silent {
             self.place_copy(task, &mut placing, now);
@@ -255,6 +270,9 @@
 
     /// Runs that fill and stand still for the services beside them.
     fn collect_crowded(&self, now: Now) -> Vec<Run> {
+        if !self.terms.switches.move_fills {
+            return Vec::new();
+        }
         let crowded = self.runs.iter().filter(|(_, live)| {
             live.stop == Stop::None && live.slow.is_some_and(|since| now.at >= since + CROWDED)
         });
@@ -595,7 +613,7 @@
         }
         let (late, slack) = lateness(due, objective, *chain, now);
         let urgency = Urgency {
-            late: if asked.lasting { 2 } else { late },
+            late: if asked.lasting { TOO_LATE } else { late },
             priority: job.policy.priority,
             slack: if asked.lasting { i64::MAX } else { slack },
         };
@@ -617,7 +635,7 @@
     let class = match (slack >= 0, last >= 0) {
         (true, _) => 0,
         (false, true) => 1,
-        (false, false) => 2,
+        (false, false) => TOO_LATE,
     };
     (class, slack)
 }
--- /dev/null
+++ b/ashtiller/src/workflow/core/times.rs
@@ -0,0 +1,128 @@
+//! Where the time of each job went.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::workflow::core::Core;
+use crate::workflow::core::advice::StepKey;
+use crate::workflow::fact::Run;
+use crate::workflow::live::{LiveRun, Stage};
+
+/// Times of one step: of each kind the longest among its tasks.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Times {
+    /// Without a worker, although nothing that it depends on was left.
+    pub room: Duration,
+    /// From being placed to the worker's confirmation.
+    pub answer: Duration,
+    /// At work.
+    pub work: Duration,
+    /// Part of that which its pace took.
+    pub paced: Duration,
+}
+
+impl Times {
+    fn widen(&mut self, other: Self) {
+        self.room = self.room.max(other.room);
+        self.answer = self.answer.max(other.answer);
+        self.work = self.work.max(other.work);
+        self.paced = self.paced.max(other.paced);
+    }
+
+    fn add(&mut self, other: Self) {
+        self.room += other.room;
+        self.answer += other.answer;
+        self.work += other.work;
+        self.paced += other.paced;
+    }
+}
+
+/// Times of the steps of open jobs, on this owner's clock.
+#[derive(Debug, Default)]
+pub(super) struct Ledger {
+    ready: BTreeMap<StepKey, Duration>,
+    steps: BTreeMap<StepKey, Times>,
+}
+
+impl Ledger {
+    /// A step has tasks that could start.
+    pub fn note_ready(&mut self, step: StepKey, now: Duration) {
+        self.ready.entry(step).or_insert(now);
+    }
+
+    /// Every task of a step has a worker.
+    pub fn note_placed(&mut self, step: StepKey) {
+        self.ready.remove(&step);
+    }
+
+    fn note(&mut self, step: StepKey, times: Times) {
+        self.steps.entry(step).or_default().widen(times);
+    }
+
+    /// The times of a job, step after step, which is then forgotten.
+    fn close(&mut self, job: u32) -> Times {
+        let keys = (job, 0, 0)..=(job, u32::MAX, u16::MAX);
+        let steps: Vec<StepKey> = self
+            .steps
+            .range(keys.clone())
+            .map(|(key, _)| *key)
+            .collect();
+        let mut sum = Times::default();
+        for step in steps {
+            sum.add(self.steps.remove(&step).unwrap_or_default());
+        }
+        let ready: Vec<StepKey> = self.ready.range(keys).map(|(key, _)| *key).collect();
+        for step in ready {
+            self.ready.remove(&step);
+        }
+        sum
+    }
+}
+
+fn step_of(run: Run) -> StepKey {
+    (run.task.job, run.task.time, run.task.step)
+}
+
+impl Core {
+    /// A task gets a worker now.
+    pub(super) fn time_place(&mut self, run: Run, now: Duration) {
+        let step = step_of(run);
+        let Some(since) = self.ledger.ready.get(&step) else {
+            return;
+        };
+        let room = now.saturating_sub(*since);
+        self.ledger.note(
+            step,
+            Times {
+                room,
+                ..Times::default()
+            },
+        );
+    }
+
+    /// A run has ended.
+    pub(super) fn time_end(&mut self, run: Run, live: &LiveRun, now: Duration) {
+        let Stage::Started(at) = live.stage else {
+            return;
+        };
+        let times = Times {
+            room: Duration::ZERO,
+            answer: at.saturating_sub(live.placed),
+            work: now.saturating_sub(at),
+            paced: live.paced + live.paced_since(now),
+        };
+        self.ledger.note(step_of(run), times);
+    }
+
+    /// The times of a job that has ended, for its line in the log and the histograms.
+    pub(super) fn time_job(&mut self, job: u32) -> Times {
+        let times = self.ledger.close(job);
+        self.ended.push(times);
+        times
+    }
+
+    /// The times of the jobs that have ended since this was asked last.
+    pub fn take_times(&mut self) -> Vec<Times> {
+        std::mem::take(&mut self.ended)
+    }
+}
--- a/ashtiller/src/workflow/live.rs
+++ b/ashtiller/src/workflow/live.rs
@@ -99,6 +99,10 @@
     pub pace_goal: u32,
     /// Since when it is to work at a small share only.
     pub slow: Option<Duration>,
+    /// When its pace was last set.
+    pub paced_at: Duration,
+    /// Time that the paces before that took from it.
+    pub paced: Duration,
     /// Processors that it asked for, in thousandths.
     pub asked: f64,
     /// Until when an unanswered pace may still be carried out.
@@ -130,10 +134,25 @@
             pace: 100,
             pace_goal: 100,
             slow: None,
+            paced_at: now,
+            paced: Duration::ZERO,
             pace_doubt: Duration::ZERO,
         }
     }
 
+    /// Time that its pace took from it since it was last set.
+    #[must_use]
+    pub fn paced_since(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.paced_at) * (100 - self.pace.min(100)) / 100
+    }
+
+    /// Notes that it works at another share from now on.
+    pub fn set_pace(&mut self, percent: u32, now: Duration) {
+        self.paced += self.paced_since(now);
+        self.paced_at = now;
+        self.pace = percent;
+    }
+
     /// Asks for its stop, unless that was asked before.
     pub fn want_stop(&mut self, reason: Reason) {
         if self.stop == Stop::None {
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -5,6 +5,7 @@
 use prometheus::{Histogram, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry};
 
 use crate::workflow::core::Counts;
+use crate::workflow::core::times::Times;
 use crate::workflow::message::Reply;
 
 /// Bounds of the histograms in seconds: from a call within a zone to a client's wait.
@@ -20,6 +21,7 @@
     orders: HistogramVec,
     commits: Histogram,
     takeovers: Histogram,
+    times: HistogramVec,
     events: IntCounterVec,
 }
 
@@ -61,18 +63,23 @@
                 "takeover_seconds",
                 "time from owning the log to its replay",
             ))?,
+            times: HistogramVec::new(
+                histogram("job_seconds", "where the time of jobs that ended went"),
+                &["part"],
+            )?,
             events: IntCounterVec::new(
                 opts("events", "what the owner of the log did"),
                 &["event"],
             )?,
             registry,
         };
-        let all: [Box<dyn prometheus::core::Collector>; 6] = [
+        let all: [Box<dyn prometheus::core::Collector>; 7] = [
             Box::new(metrics.calls.clone()),
             Box::new(metrics.answers.clone()),
             Box::new(metrics.orders.clone()),
             Box::new(metrics.commits.clone()),
             Box::new(metrics.takeovers.clone()),
+            Box::new(metrics.times.clone()),
             Box::new(metrics.events.clone()),
         ];
         for collector in all {
@@ -120,6 +127,21 @@
         self.takeovers.observe(took.as_secs_f64());
     }
 
+    /// A job has ended, and its time went there.
+    pub fn note_times(&self, times: &Times) {
+        let parts = [
+            ("room", times.room),
+            ("answer", times.answer),
+            ("work", times.work),
+            ("paced", times.paced),
+        ];
+        for (part, took) in parts {
+            self.times
+                .with_label_values(&[part])
+                .observe(took.as_secs_f64());
+        }
+    }
+
     /// Counts of the state machine, which only rise while this process owns the log.
     pub fn note_counts(&self, before: &Counts, now: &Counts) {
         let changes = [
--- a/ashtiller/src/workflow/mod.rs
+++ b/ashtiller/src/workflow/mod.rs
@@ -30,5 +30,6 @@
 pub mod owner;
 pub mod settings;
 pub mod state;
+pub mod switches;
 pub mod terms;
 pub mod worker;
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -291,6 +291,9 @@
         self.shown = Instant::now();
         let counts = self.core.counts();
         self.node.metrics.note_counts(&self.counted, &counts);
+        for times in self.core.take_times() {
+            self.node.metrics.note_times(&times);
+        }
         self.counted = counts;
         self.node.show_owned(&self.core.dump(now));
     }
--- a/ashtiller/src/workflow/settings.rs
+++ b/ashtiller/src/workflow/settings.rs
@@ -7,10 +7,11 @@
 use crate::document::Document;
 use crate::mistake::Mistakes;
 use crate::settings::{self, Instance};
+use crate::workflow::switches::Switches;
 use crate::workflow::terms::{LEASE_MAX, Terms};
 
 /// Sections of a settings file.
-const SECTIONS: [&str; 4] = ["instance", "entry", "platform", "workers"];
+const SECTIONS: [&str; 5] = ["instance", "entry", "platform", "workers", "policy"];
 const MS: Duration = Duration::from_millis(1);
 const SECOND: Duration = Duration::from_secs(1);
 const MINUTE: Duration = Duration::from_mins(1);
@@ -137,6 +138,22 @@
         far: f64::from(section.count("far_percent", Some(200), 100..=10_000)) / 100.0,
         drain: section.duration("drain", Some(defaults.drain), MS..=MINUTE),
         turn: section.duration("turn", Some(defaults.turn), 10 * MS..=HOUR),
+        switches: read_switches(document),
         ..defaults
     }
 }
+
+fn read_switches(document: &mut Document) -> Switches {
+    let mut section = document.section("policy");
+    let on = Switches::default();
+    Switches {
+        short_first: section.flag("short_first", Some(on.short_first)),
+        room_in_time: section.flag("room_in_time", Some(on.room_in_time)),
+        move_fills: section.flag("move_fills", Some(on.move_fills)),
+        pace_fills: section.flag("pace_fills", Some(on.pace_fills)),
+        group_images: section.flag("group_images", Some(on.group_images)),
+        bound_fills: section.flag("bound_fills", Some(on.bound_fills)),
+        keep_headroom: section.flag("keep_headroom", Some(on.keep_headroom)),
+        follow_slopes: section.flag("follow_slopes", Some(on.follow_slopes)),
+    }
+}
--- a/ashtiller/src/workflow/terms.rs
+++ b/ashtiller/src/workflow/terms.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::workflow::switches::Switches;
+
 /// Longest lease that is of use: a service whose worker has gone without a word starts
 /// elsewhere when the lease is over, which the platform wants within some 9 s.
 pub const LEASE_MAX: Duration = Duration::from_secs(6);
@@ -48,6 +50,8 @@
     pub drain: Duration,
     /// Time between orders of two owners to one machine.
     pub turn: Duration,
+    /// Mechanisms of the policy that are on.
+    pub switches: Switches,
 }
 
 impl Default for Terms {
@@ -80,6 +84,7 @@
             // What the platform's sheets name for both sites.
             drain: Duration::from_secs(2),
             turn: Duration::from_secs(4),
+            switches: Switches::default(),
         }
     }
 }
--- a/ashtiller/tests/owner/room.rs
+++ b/ashtiller/tests/owner/room.rs
@@ -115,3 +115,24 @@
     }
     assert_eq!(&*newest(&driver).2, "lasts");
 }
+
+#[test]
+fn the_wait_for_room_is_told_when_a_job_ends() {
+    let mut driver = Driver::new(1, policy());
+    driver.submit(job("first", vec![whole_worker()]));
+    driver.pass(SECOND);
+    let (id, run, _) = newest(&driver);
+    driver.submit(job("second", vec![whole_worker()]));
+    driver.pass(SECOND);
+    driver.end(&id, run, How::Done, 1);
+    driver.pass(300 * MS);
+    let (id, run, _) = newest(&driver);
+    driver.end(&id, run, How::Done, 2);
+    driver.pass(300 * MS);
+    let times = driver.core.take_times();
+    assert_eq!(times.len(), 2);
+    assert!(times[0].room < 100 * MS, "{times:?}");
+    assert!(times[1].room >= SECOND, "{times:?}");
+    assert!(times[0].work >= SECOND, "{times:?}");
+    assert!(driver.core.take_times().is_empty());
+}
