Count fills for the part of a report in which they worked

Cause: a report averages half a second, fills come and go within it (some three on a worker, 1.7 s each), and what was learned of a pair took each as there all along or not at all: in the new test a fill that takes 0.8 of a service's headroom was learned as 0.14. Ruled out: noise of the reports (the test has none). Change: the share of a fill counts for the part of the report that it worked in, also after its end. Test: tests/owner/sharing.rs, red before (0.14), green after.

--- a/ashtiller/src/workflow/core/pacing.rs
+++ b/ashtiller/src/workflow/core/pacing.rs
@@ -5,7 +5,7 @@
 use crate::workflow::core::{Core, Now};
 use crate::workflow::fact::Run;
 use crate::workflow::interference::{Beside, Image};
-use crate::workflow::live::{Share, Stop};
+use crate::workflow::live::{LiveRun, Share, Stage, Stop};
 use crate::workflow::worker::Worker;
 
 /// Headroom that is kept of a service that has been over its target for a while, above
@@ -58,7 +58,7 @@
             return;
         }
         let services = self.services_of(worker);
-        let beside = self.fills_of(worker);
+        let beside = self.fills_of(worker, now);
         let fresh = worker.settled < now.at;
         if fresh {
             self.learn(&services, &beside, now);
@@ -116,17 +116,43 @@
         served.collect()
     }
 
-    fn fills_of(&self, worker: &Worker) -> Vec<Beside> {
+    /// What filled there over the time that a report averages: fills begin and end within
+    /// it more often than not.
+    fn fills_of(&self, worker: &Worker, now: Now) -> Vec<Beside> {
         let whole = whole_of(worker);
+        let span = self.terms.report.as_secs_f64();
+        let since = |at: Duration| now.at.saturating_sub(at).as_secs_f64() / span;
         let fills = worker.runs.iter().filter_map(|run| {
             let live = self.runs.get(run)?;
-            let Share::Fills(image) = live.share else {
+            let (Share::Fills(image), Stage::Started(at)) = (live.share, live.stage) else {
                 return None;
             };
             let share = live.asked * f64::from(live.pace) / 100.0 / whole;
+            let share = share * since(at).min(1.0);
             Some(Beside { image, share })
         });
-        fills.collect()
+        let left = worker.left.iter().filter_map(|(image, share, at)| {
+            let share = share * (1.0 - since(*at));
+            (share > 0.0).then_some(Beside {
+                image: *image,
+                share,
+            })
+        });
+        fills.chain(left).collect()
+    }
+
+    /// Notes a fill that has ended, for the reports that still show it.
+    pub(super) fn note_left(&mut self, live: &LiveRun, now: Now) {
+        let (Share::Fills(image), Stage::Started(_)) = (live.share, live.stage) else {
+            return;
+        };
+        let report = self.terms.report;
+        let Some(worker) = self.workers.get_mut(&live.worker) else {
+            return;
+        };
+        let share = live.asked * f64::from(live.pace) / 100.0 / whole_of(worker);
+        worker.left.retain(|(_, _, at)| now.at < *at + report);
+        worker.left.push((image, share, now.at));
     }
 
     /// Chooses the pace of each fill anew: all work in full, less what the services
--- a/ashtiller/src/workflow/core/runs.rs
+++ b/ashtiller/src/workflow/core/runs.rs
@@ -49,6 +49,7 @@
             return;
         };
         self.release(run, &live);
+        self.note_left(&live, now);
         self.time_end(run, &live, now.at);
         match end {
             End::Done => self.counts.done += 1,
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -8,6 +8,7 @@
 use crate::workflow::agents::Target;
 use crate::workflow::config::Listed;
 use crate::workflow::fact::Run;
+use crate::workflow::interference::Image;
 use crate::workflow::lease::Lease;
 
 /// First time for which a worker that fails what it starts gets nothing; doubles.
@@ -57,6 +58,9 @@
     pub filling: u32,
     /// Processors asked for by the runs that fill, in thousandths.
     pub filled: u64,
+    /// Runs that filled and have ended not long ago: their image, the share of the worker's
+    /// processors that they used, and when they ended.
+    pub left: Vec<(Image, f64, Duration)>,
     /// Since when a run there that serves is over its target.
     pub over: Option<Duration>,
     /// When reports show the paces that were last set.
@@ -93,6 +97,7 @@
             filling: 0,
             filled: 0,
             held: false,
+            left: Vec::new(),
             over: None,
             settled: Duration::ZERO,
             aside: None,
--- a/ashtiller/tests/owner/sharing.rs
+++ b/ashtiller/tests/owner/sharing.rs
@@ -5,7 +5,7 @@
 
 use ashtiller::resources::Resources;
 use ashtiller::workflow::agents::{Active, How, Order};
-use ashtiller::workflow::fact::Run;
+use ashtiller::workflow::fact::{Fact, Run};
 use ashtiller::workflow::job::{Sharing, Step};
 
 use crate::driver::{Driver, MS, job, policy, step};
@@ -124,3 +124,54 @@
     assert_eq!(driver.starts().len(), 2);
     assert!(driver.stops().is_empty());
 }
+
+/// Part of the last half second in which a span lies that began at `from`.
+fn part_of_report(from: Duration, to: Duration, now: Duration) -> f64 {
+    let start = from.max(now.saturating_sub(500 * MS));
+    to.min(now).saturating_sub(start).as_secs_f64() / 0.5
+}
+
+#[test]
+fn fills_that_come_and_go_within_a_report_teach_what_they_do() {
+    let mut driver = Driver::new(1, policy());
+    driver.submit(job("1", vec![service(1, 500 * MS)]));
+    driver.pass(SECOND);
+    let services = driver.starts();
+    // Alone it answers in 200 ms; a fill on the whole worker takes 0.8 of its headroom.
+    set_tails(&mut driver, &services, 200);
+    driver.pass(10 * SECOND);
+    let mut spans: Vec<(Duration, Duration)> = Vec::new();
+    for number in 0..120_u64 {
+        driver.submit(job(&format!("f{number}"), vec![fill(1, 2000)]));
+        let began = driver.now.at + 40 * MS;
+        let ends = began + 600 * MS;
+        spans.push((began, ends));
+        while driver.now.at < ends {
+            let now = driver.now.at;
+            let parts = spans.iter().rev().take(3);
+            let worked: f64 = parts
+                .map(|(from, to)| part_of_report(*from, *to, now))
+                .sum();
+            let headroom = 1.0 - 0.8 * 0.5 * worked;
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "milliseconds of a tail"
+            )]
+            let tail = (200.0 / headroom).round() as u64;
+            set_tails(&mut driver, &services, tail);
+            driver.pass(20 * MS);
+        }
+        let (id, run) = driver.starts().last().expect("a start").clone();
+        driver.end(&id, run, How::Done, number + 1);
+        driver.pass(300 * MS);
+    }
+    let lessons = driver.facts.iter().rev().find_map(|fact| match fact {
+        Fact::Learned(lessons) => Some(lessons.clone()),
+        _ => None,
+    });
+    let lessons = lessons.expect("lessons");
+    let pair = lessons.iter().find(|lesson| &*lesson.fills == "fills");
+    let factor = pair.expect("a lesson about the pair").factor;
+    assert!((factor - 0.8).abs() < 0.15, "{factor}");
+}
