--- a/ashtiller/src/workflow/core/fleet.rs
+++ b/ashtiller/src/workflow/core/fleet.rs
@@ -17,7 +17,7 @@
 /// keep when a fill is placed beside it, since loads rise within seconds. Means over seeds:
 /// services at work 0.91 and batch 0.96 of their worth at 0.15, 0.92 and 0.94 at 0.3, 0.89
 /// and 0.96 at none.
-const GOAL: f64 = 0.15;
+const GOAL: f64 = 0.2;
 /// Cost of headroom below that, in units of a run's slowdown.
 const HARM_COST: f64 = 10.6;
 /// Cost of the headroom that a fill takes from services that have enough of it.
