Let services fall a little below their targets for a moment before fills are paced

Change: for a service that has not been over its target for long, paces keep to 0.3 of its usual room below the target.

--- a/ashtiller/src/workflow/core/pacing.rs
+++ b/ashtiller/src/workflow/core/pacing.rs
@@ -10,7 +10,10 @@
 
 /// Headroom that is kept of a service that has been over its target for a while, above
 /// what it has at its target: what is known of its pairs is too little.
-const KEPT_OVER: f64 = 0.34;
+const KEPT_OVER: f64 = 0.55;
+/// The same of one that has not been: fills end within two seconds, and what a service
+/// loses in a moment is less than they do.
+const KEPT_FIRST: f64 = -0.3;
 /// Time over the target after which the lower limit holds.
 const OVER_SOON: Duration = Duration::from_millis(600);
 /// Time over the target after which all that fills beside it stands still; the
@@ -26,7 +29,7 @@
 
 /// Headroom to keep above the target, for services over it for so long.
 fn kept_after(over: Duration) -> f64 {
-    if over > OVER_SOON { KEPT_OVER } else { 0.0 }
+    if over > OVER_SOON { KEPT_OVER } else { KEPT_FIRST }
 }
 
 /// A run that serves, as its worker last reported it.
@@ -194,7 +197,8 @@
                 .and_then(|track| track.trend(now.at))
                 .map_or(0.0, |trend| trend.slope);
             let expected = own + slope * AHEAD;
-            let room = expected - self.interference.floor(service.image) - kept;
+            let floor = self.interference.floor(service.image);
+            let room = expected - floor - kept * (1.0 - floor).max(0.0);
             self.relieve(service.image, room, &mut fills);
         }
         let still = over > STILL_AFTER;
