Count the time over a target from the last report under it

Ruled out: lost orders (the fill was told to stop). Change: a service may have been over its target since the last report that said otherwise, or since fills began there; limits of 0.9 and 1.8 s of that in place of 0.6 and 1.5 s.

--- a/ashtiller/src/workflow/core/pacing.rs
+++ b/ashtiller/src/workflow/core/pacing.rs
@@ -15,10 +15,10 @@
 /// loses in a moment is less than they do.
 const KEPT_FIRST: f64 = -0.3;
 /// Time over the target after which the lower limit holds.
-const OVER_SOON: Duration = Duration::from_millis(600);
+const OVER_SOON: Duration = Duration::from_millis(900);
 /// Time over the target after which all that fills beside it stands still; the
 /// platform allows 4 s, and an order may go unanswered.
-const STILL_AFTER: Duration = Duration::from_millis(1500);
+const STILL_AFTER: Duration = Duration::from_millis(1800);
 /// Seconds by which paces look ahead: half of what a report averages, and the time
 /// until an order works. Means over seeds were lower at 0.6 and 0.9.
 const AHEAD: f64 = 0.35;
@@ -29,7 +29,11 @@
 
 /// Headroom to keep above the target, for services over it for so long.
 fn kept_after(over: Duration) -> f64 {
-    if over > OVER_SOON { KEPT_OVER } else { KEPT_FIRST }
+    if over > OVER_SOON {
+        KEPT_OVER
+    } else {
+        KEPT_FIRST
+    }
 }
 
 /// A run that serves, as its worker last reported it.
@@ -70,14 +74,16 @@
             return;
         }
         let over = services.iter().any(|service| service.times < 1.0);
+        let earliest = self.filled_since(id, now);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        worker.over = if over {
-            worker.over.or(Some(now.at))
+        if over {
+            worker.over.get_or_insert(earliest);
         } else {
-            None
-        };
+            worker.over = None;
+            worker.calm = now.at;
+        }
         let over = worker
             .over
             .map_or(Duration::ZERO, |since| now.at.saturating_sub(since));
@@ -86,6 +92,19 @@
         }
     }
 
+    /// Since when fills may have brought a service of a worker over its target: reports
+    /// before it said otherwise, or nothing filled there.
+    fn filled_since(&self, id: &str, now: Now) -> Duration {
+        let Some(worker) = self.workers.get(id) else {
+            return now.at;
+        };
+        let filled = worker.runs.iter().filter_map(|run| {
+            let live = self.runs.get(run)?;
+            matches!(live.share, Share::Fills(_)).then_some(live.placed)
+        });
+        filled.min().unwrap_or(now.at).max(worker.calm)
+    }
+
     /// Learns about headrooms and pairs from what services reported beside these fills.
     fn learn(&mut self, services: &[Service], beside: &[Beside], now: Now) {
         for service in services {
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -63,6 +63,8 @@
     pub left: Vec<(Image, f64, Duration)>,
     /// Since when a run there that serves is over its target.
     pub over: Option<Duration>,
+    /// When a report last showed no run there over its target.
+    pub calm: Duration,
     /// When reports show the paces that were last set.
     pub settled: Duration,
     /// Whether it is emptied for a move or an upkeep.
@@ -99,6 +101,7 @@
             held: false,
             left: Vec::new(),
             over: None,
+            calm: Duration::ZERO,
             settled: Duration::ZERO,
             aside: None,
             failures: 0,
--- a/ashtiller/tests/owner/sharing.rs
+++ b/ashtiller/tests/owner/sharing.rs
@@ -125,6 +125,34 @@
     assert!(driver.stops().is_empty());
 }
 
+#[test]
+fn a_fill_stands_still_in_time_although_the_first_report_comes_late() {
+    // A look may have gone out just before, and wait for 2 s.
+    for offset in (0..2000).step_by(200) {
+        let mut driver = Driver::new(1, policy());
+        driver.submit(job("1", vec![service(1, 50 * MS)]));
+        driver.pass(SECOND);
+        let services = driver.starts();
+        set_tails(&mut driver, &services, 18);
+        driver.patient = true;
+        driver.pass(10 * SECOND + offset * MS);
+        driver.submit(job("2", vec![fill(1, 1000)]));
+        driver.pass(100 * MS);
+        assert_eq!(driver.starts().len(), 2);
+        let began = driver.now.at;
+        set_tails(&mut driver, &services, 60);
+        let stands_still = |driver: &Driver| {
+            let mut orders = driver.orders.iter();
+            orders.any(|(_, _, order)| matches!(order, Order::Pace(_, _, 0)))
+        };
+        while !stands_still(&driver) && driver.now.at < began + 10 * SECOND {
+            driver.pass(50 * MS);
+        }
+        let took = driver.now.at.saturating_sub(began);
+        assert!(took < 3 * SECOND, "offset {offset}: {took:?}");
+    }
+}
+
 /// Part of the last half second in which a span lies that began at `from`.
 fn part_of_report(from: Duration, to: Duration, now: Duration) -> f64 {
     let start = from.max(now.saturating_sub(500 * MS));
