Let the oldest step that is too late to earn go first now and then

Cause: what is too late stands behind all that comes in time, so under lasting overload it never ends; large tasks first of all, since small ones take each piece of room. Change: every 2 s the oldest such step goes first, and gets a worker to itself where none has room. Test: tests/owner/room.rs, no job starves while newer ones keep coming, red before.

--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -137,6 +137,8 @@
     /// Lasting steps that wait although there was room, by job, time and step.
     passed_over: BTreeMap<StepKey, plan::PassedOver>,
     reserved: Option<plan::Reserved>,
+    /// When a step that is too late last went first.
+    rescued: Duration,
     services: BTreeSet<Arc<str>>,
     ledger: times::Ledger,
     /// Times of jobs that ended, until they are counted.
@@ -182,6 +184,7 @@
             summaries: fleet::Summaries::default(),
             passed_over: BTreeMap::new(),
             reserved: None,
+            rescued: now.at,
             services: BTreeSet::new(),
             ledger: times::Ledger::default(),
             ended: Vec::new(),
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -24,6 +24,9 @@
 const ROOM_GAP: Duration = Duration::from_secs(1);
 /// Time without room after which a lasting step gets a worker to itself.
 const BLOCKED: Duration = Duration::from_secs(4);
+/// Time between two steps that are too late to earn and go first all the same; one of
+/// some ten tasks, which leaves nearly all room to those in time.
+const RESCUE_PAUSE: Duration = Duration::from_secs(2);
 /// Longest time for which a worker is kept; the short runs there end sooner.
 const RESERVED_MAX: Duration = Duration::from_secs(4);
 /// Time for which a run that fills is slowed down before it moves: one stuck task makes
@@ -119,6 +122,8 @@
     refused: Vec<(Arc<str>, Share, Resources)>,
     /// Worker that gets no short runs until a lasting one has room there.
     reserved: Option<Arc<str>>,
+    /// A step that is too late and goes first in this round.
+    rescued: Option<StepKey>,
 }
 
 impl Placing {
@@ -150,9 +155,11 @@
             fleet: self.build_fleet(now),
             refused: Vec::new(),
             reserved: None,
+            rescued: None,
         };
         if self.terms.switches.room_in_time {
             self.hasten_lasting(&mut waiting, &mut placing, now);
+            self.rescue_oldest(&mut waiting, &mut placing, now);
         }
         waiting.sort_unstable();
         for entry in waiting {
@@ -257,6 +264,25 @@
         emptying.min().map(|(_, id)| id.clone())
     }
 
+    /// The oldest short step that is too late to earn anything goes first now and then, so
+    /// that it still ends while newer ones keep coming.
+    fn rescue_oldest(&mut self, waiting: &mut [Waiting], placing: &mut Placing, now: Now) {
+        if now.at < self.rescued + RESCUE_PAUSE {
+            return;
+        }
+        let late = waiting
+            .iter_mut()
+            .filter(|entry| entry.urgency.late == TOO_LATE && !self.is_lasting(entry));
+        let Some(oldest) = late.min_by_key(|entry| (entry.job, entry.time)) else {
+            return;
+        };
+        oldest.hasten();
+        placing.rescued = Some(oldest.key());
+        if placing.reserved.is_none() && !self.has_room(oldest, &placing.fleet) {
+            placing.reserved = self.find_emptying(oldest);
+        }
+    }
+
     fn is_lasting(&self, entry: &Waiting) -> bool {
         self.book.jobs[&entry.job].job.steps[usize::from(entry.step)].lasting
     }
@@ -407,6 +433,7 @@
             return;
         };
         let tickets = advice.then(|| self.tickets(first, now));
+        let rescued = placing.rescued == Some(entry.key());
         let mut wish = Wish {
             service: &service,
             step,
@@ -418,7 +445,7 @@
             barred: placing
                 .reserved
                 .clone()
-                .filter(|_| !step.lasting && !step.fills()),
+                .filter(|_| !step.lasting && !step.fills() && !rescued),
         };
         if step.gang {
             if !self.plan_gang(&tasks, &wish, placing, now) && advice {
@@ -460,6 +487,9 @@
                 .as_ref()
                 .and_then(|tickets| tickets.get(&id).cloned());
             self.place(run, &id, ticket, now);
+            if rescued {
+                self.rescued = now.at;
+            }
         }
     }
 
--- a/ashtiller/src/workflow/switches.rs
+++ b/ashtiller/src/workflow/switches.rs
@@ -9,7 +9,8 @@
 pub struct Switches {
     /// Short steps are placed before lasting ones of their priority.
     pub short_first: bool,
-    /// A lasting step goes first when others were placed before it for too long.
+    /// A lasting step, and the oldest one that is too late to earn, go first when others
+    /// were placed before them for too long.
     pub room_in_time: bool,
     /// Runs that fill move off workers where they are slowed down.
     pub move_fills: bool,
--- a/ashtiller/tests/owner/room.rs
+++ b/ashtiller/tests/owner/room.rs
@@ -136,3 +136,37 @@
     assert!(times[0].work >= SECOND, "{times:?}");
     assert!(driver.core.take_times().is_empty());
 }
+
+#[test]
+fn no_job_starves_while_newer_ones_keep_coming() {
+    // Twice the work that the workers can do and more; sizes drawn by a rule.
+    for seed in 1..=4_u64 {
+        let mut driver = Driver::new(2, policy());
+        let mut ended = 0;
+        let mut draw = seed;
+        for round in 0..120 {
+            for number in 0..8 {
+                draw = draw
+                    .wrapping_mul(6_364_136_223_846_793_005)
+                    .wrapping_add(seed);
+                let needs = Resources {
+                    processors: 1000 + (draw >> 33) % 3000,
+                    ..step(1).needs
+                };
+                driver.submit(job(
+                    &format!("{round}-{number}"),
+                    vec![Step { needs, ..step(1) }],
+                ));
+            }
+            driver.pass(150 * MS);
+            let starts = driver.starts();
+            for (id, run) in &starts[ended..] {
+                driver.end(id, *run, How::Done, run.task.job.into());
+            }
+            ended = starts.len();
+        }
+        let book = driver.core.book();
+        let oldest = book.open().iter().next().copied().unwrap_or(book.next);
+        assert!(oldest > 10, "seed {seed}: {oldest} of {} waits", book.next);
+    }
+}
