--- a/ashtiller/tests/settings.rs
+++ b/ashtiller/tests/settings.rs
@@ -97,3 +97,16 @@
         .collect();
     assert_eq!(keys, ["ports", "host", "readiness", "lease", "speed"]);
 }
+
+#[test]
+fn mechanisms_of_the_policy_can_be_switched_off() {
+    let sample = include_str!("../../samples/platform-entry.ini");
+    let parse = |text: &str| ashtiller::workflow::settings::Settings::parse("sample", text);
+    assert!(parse(sample).expect("no mistakes").terms.switches.move_fills);
+    let off = sample.replace("move_fills = yes", "move_fills = no");
+    assert!(!parse(&off).expect("no mistakes").terms.switches.move_fills);
+    let bad = sample.replace("move_fills = yes", "move_fills = maybe\nmove_all = yes");
+    let mistakes = parse(&bad).expect_err("mistakes");
+    let keys: Vec<&str> = mistakes.0.iter().map(|it| it.key.as_str()).collect();
+    assert_eq!(keys, ["move_fills", "move_all"]);
+}
