--- a/ashtiller/tests/settings.rs
+++ b/ashtiller/tests/settings.rs
@@ -102,7 +102,13 @@
 fn mechanisms_of_the_policy_can_be_switched_off() {
     let sample = include_str!("../../samples/platform-entry.ini");
     let parse = |text: &str| ashtiller::workflow::settings::Settings::parse("sample", text);
-    assert!(parse(sample).expect("no mistakes").terms.switches.move_fills);
+    assert!(
+        parse(sample)
+            .expect("no mistakes")
+            .terms
+            .switches
+            .move_fills
+    );
     let off = sample.replace("move_fills = yes", "move_fills = no");
     assert!(!parse(&off).expect("no mistakes").terms.switches.move_fills);
     let bad = sample.replace("move_fills = yes", "move_fills = maybe\nmove_all = yes");
