Say why lasting tasks wait, and which workers may get runs

Cause: while a lasting task did not run, no line, figure or dump said what it waited for: "placed, never ordered", "waiting, passed over" and "believed alive" could not be told apart from the record. Change: one value says why a worker gets nothing (gate), used for placing, dump and metrics; a lasting step that waits longer than 3 s is told with its wait, what it asks for, workers by gate, how many have room, and the worker that is kept; gauges of waiting tasks, the longest wait and workers by gate.

--- a/ashtiller/src/workflow/core/dump.rs
+++ b/ashtiller/src/workflow/core/dump.rs
@@ -2,7 +2,7 @@
 
 use crate::workflow::core::{Core, Now};
 
-/// Jobs shown in a dump.
+/// Jobs shown in a dump, and steps that wait.
 const DUMPED: usize = 100;
 
 impl Core {
@@ -28,7 +28,7 @@
                 "id": &**worker.id(), "runs": worker.runs.len(), "answers": worker.answers,
                 "silent_ms": u64::try_from(now.at.saturating_sub(worker.heard).as_millis()).unwrap_or(u64::MAX),
                 "draining": worker.draining.is_some(), "listed": worker.absent.is_none(),
-                "aside": worker.aside.is_some_and(|until| until > now.at),
+                "gate": self.gate(worker, now).name(),
                 "free": worker.pool.free().to_string(),
             })
         });
@@ -36,6 +36,7 @@
             "epoch": self.epoch, "durable": self.durable, "position": self.position,
             "stalled_ms": u64::try_from(self.stalled_for(now).as_millis()).unwrap_or(u64::MAX),
             "open_jobs": self.book.open().len(), "runs": self.runs.len(),
+            "waiting": self.dump_waits(DUMPED, now), "kept": self.kept_worker(),
             "jobs": jobs.collect::<Vec<_>>(), "workers": workers.collect::<Vec<_>>(),
         })
     }
--- a/ashtiller/src/workflow/core/fleet.rs
+++ b/ashtiller/src/workflow/core/fleet.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::resources::Resources;
+use crate::workflow::core::gate::Gate;
 use crate::workflow::core::{Core, Now};
 use crate::workflow::fact::Task;
 use crate::workflow::interference::{Beside, Image, Interference};
@@ -108,18 +109,8 @@
     }
 
     /// Whether a worker may get something now.
-    fn is_open(&self, worker: &Worker, now: Now) -> bool {
-        let aside = worker.aside.is_some_and(|until| until > now.at);
-        let tried = worker.on_trial() && !worker.runs.is_empty();
-        worker.fenced
-            && worker.answers
-            && worker.draining.is_none()
-            && !aside
-            && !tried
-            && !worker.held
-            && worker
-                .absent
-                .is_none_or(|since| self.is_just_back(since, now))
+    pub(super) fn is_open(&self, worker: &Worker, now: Now) -> bool {
+        self.gate(worker, now) == Gate::Open
     }
 
     /// Whether a worker that is missing since then may be listed again: its entry may have
--- /dev/null
+++ b/ashtiller/src/workflow/core/gate.rs
@@ -0,0 +1,95 @@
+//! Whether a worker may get runs, and if not, why.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use crate::workflow::core::{Core, Now};
+use crate::workflow::worker::Worker;
+
+/// Whether a worker may get runs.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Gate {
+    /// It may.
+    Open,
+    /// It has not answered under this owner's fence.
+    Unfenced,
+    /// Its last look was not answered.
+    Silent,
+    /// It is about to leave.
+    Draining,
+    /// It fails, stalls or is slow.
+    Aside,
+    /// It was put aside and has a run to show that it works again.
+    Trial,
+    /// It is emptied for a move or an upkeep.
+    Held,
+    /// The platform does not list it.
+    Unlisted,
+}
+
+impl Gate {
+    /// Its name in logs, metrics and dumps.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Open => "open",
+            Self::Unfenced => "unfenced",
+            Self::Silent => "silent",
+            Self::Draining => "draining",
+            Self::Aside => "aside",
+            Self::Trial => "trial",
+            Self::Held => "held",
+            Self::Unlisted => "unlisted",
+        }
+    }
+}
+
+/// Workers by gate, as text: `open 40, trial 2`.
+pub(super) struct Gates(BTreeMap<Gate, u32>);
+
+impl fmt::Display for Gates {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut comma = "";
+        for (gate, count) in &self.0 {
+            write!(f, "{comma}{} {count}", gate.name())?;
+            comma = ", ";
+        }
+        Ok(())
+    }
+}
+
+impl Core {
+    /// Whether a worker may get runs now.
+    pub(super) fn gate(&self, worker: &Worker, now: Now) -> Gate {
+        let aside = worker.aside.is_some_and(|until| until > now.at);
+        let unlisted = worker
+            .absent
+            .is_some_and(|since| !self.is_just_back(since, now));
+        match () {
+            () if !worker.fenced => Gate::Unfenced,
+            () if !worker.answers => Gate::Silent,
+            () if worker.draining.is_some() => Gate::Draining,
+            () if unlisted => Gate::Unlisted,
+            () if worker.held => Gate::Held,
+            () if aside => Gate::Aside,
+            () if worker.on_trial() && !worker.runs.is_empty() => Gate::Trial,
+            () => Gate::Open,
+        }
+    }
+
+    /// Workers of one service, or of all, by gate.
+    pub(super) fn count_gates(&self, service: Option<&str>, now: Now) -> Gates {
+        let mut gates = BTreeMap::new();
+        let asked = |worker: &&Worker| service.is_none_or(|name| *worker.listed.service == *name);
+        for worker in self.workers.values().filter(asked) {
+            *gates.entry(self.gate(worker, now)).or_insert(0) += 1;
+        }
+        Gates(gates)
+    }
+
+    /// Workers by gate, for metrics.
+    #[must_use]
+    pub fn worker_gates(&self, now: Now) -> BTreeMap<Gate, u32> {
+        self.count_gates(None, now).0
+    }
+}
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -9,6 +9,7 @@
 mod dump;
 mod entries;
 mod fleet;
+pub mod gate;
 mod intake;
 mod moves;
 mod order;
@@ -22,6 +23,7 @@
 mod runs;
 pub mod times;
 pub mod upkeep;
+pub mod waits;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -140,6 +142,8 @@
     /// Lasting steps that wait although there was room, by job, time and step.
     passed_over: BTreeMap<StepKey, room::PassedOver>,
     reserved: Option<room::Reserved>,
+    /// When it was last said of a step that it waits.
+    told: BTreeMap<StepKey, Duration>,
     /// When a step that is too late last went first.
     rescued: Duration,
     services: BTreeSet<Arc<str>>,
@@ -187,6 +191,7 @@
             summaries: fleet::Summaries::default(),
             passed_over: BTreeMap::new(),
             reserved: None,
+            told: BTreeMap::new(),
             rescued: now.at,
             services: BTreeSet::new(),
             ledger: times::Ledger::default(),
@@ -308,6 +313,7 @@
         }
         self.advised.retain(|key, _| key.0 != number);
         self.tracks.remove(&number);
+        self.told.retain(|key, _| key.0 != number);
         self.stop_job(number, Reason::Over);
     }
 }
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -62,6 +62,9 @@
             self.plan_step(entry, &mut placing, now);
             if self.waiting_tasks(entry).is_empty() {
                 self.ledger.note_placed(entry.key());
+                self.told.remove(&entry.key());
+            } else {
+                self.tell_wait(entry, &placing, now);
             }
         }
         for task in silent {
--- a/ashtiller/src/workflow/core/room.rs
+++ b/ashtiller/src/workflow/core/room.rs
@@ -186,6 +186,11 @@
         emptying.min().map(|(_, id)| id.clone())
     }
 
+    /// The worker that is kept for a lasting step.
+    pub(super) fn kept_worker(&self) -> Option<&str> {
+        self.reserved.as_ref().map(|kept| &*kept.worker)
+    }
+
     pub(super) fn is_lasting(&self, entry: &Waiting) -> bool {
         self.book.jobs[&entry.job].job.steps[usize::from(entry.step)].lasting
     }
--- a/ashtiller/src/workflow/core/times.rs
+++ b/ashtiller/src/workflow/core/times.rs
@@ -55,6 +55,11 @@
         self.ready.remove(&step);
     }
 
+    /// Since when a step has tasks that could start.
+    pub fn ready_since(&self, step: StepKey) -> Option<Duration> {
+        self.ready.get(&step).copied()
+    }
+
     fn note(&mut self, step: StepKey, times: Times) {
         self.steps.entry(step).or_default().widen(times);
     }
--- /dev/null
+++ b/ashtiller/src/workflow/core/waits.rs
@@ -0,0 +1,76 @@
+//! Which steps wait for workers, since when, and what stands in their way.
+
+use std::time::Duration;
+
+use crate::workflow::core::order::Waiting;
+use crate::workflow::core::plan::Placing;
+use crate::workflow::core::{Core, Now};
+
+/// Wait of a lasting step that is worth a line: within it the platform asks for its start.
+const TOLD_FIRST: Duration = Duration::from_secs(3);
+/// Time between two lines about one step that waits.
+const TOLD_AGAIN: Duration = Duration::from_secs(5);
+
+/// Tasks of one kind that wait.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Waits {
+    /// Tasks without a run.
+    pub tasks: u32,
+    /// Longest time for which a step with such tasks has waited.
+    pub longest: Duration,
+}
+
+impl Core {
+    /// Says why a lasting step waits, when it has waited for long.
+    pub(super) fn tell_wait(&mut self, entry: Waiting, placing: &Placing, now: Now) {
+        let since = self.ledger.ready_since(entry.key()).unwrap_or(now.at);
+        let due = self
+            .told
+            .get(&entry.key())
+            .map_or(since + TOLD_FIRST, |at| *at + TOLD_AGAIN);
+        if now.at < due || !self.is_lasting(&entry) {
+            return;
+        }
+        self.told.insert(entry.key(), now.at);
+        let job = &self.book.jobs[&entry.job];
+        let service = &job.policy.service;
+        let step = &job.job.steps[usize::from(entry.step)];
+        let rooms = placing.fleet.iter().filter(|it| it.service == *service);
+        let fitting = rooms.clone().filter(|it| step.room().fits(&it.free));
+        let freest = rooms.max_by_key(|it| it.free.processors);
+        tracing::info!(job = %job.job.id, number = entry.job, time = entry.time, step = entry.step,
+            tasks = self.waiting_tasks(entry).len(), waited_ms = now.at.saturating_sub(since).as_millis(),
+            asks = %step.room(), workers = %self.count_gates(Some(service), now), with_room = fitting.count(),
+            freest = %freest.map_or_else(String::new, |it| it.free.to_string()),
+            kept = self.kept_worker().unwrap_or_default(), "lasting task waits");
+    }
+
+    /// Tasks that wait: those of lasting steps, and the others.
+    #[must_use]
+    pub fn sum_waits(&self, now: Now) -> [(&'static str, Waits); 2] {
+        let mut kinds = [("lasting", Waits::default()), ("short", Waits::default())];
+        for entry in self.collect_waiting(now) {
+            let waits = &mut kinds[usize::from(!self.is_lasting(&entry))].1;
+            let since = self.ledger.ready_since(entry.key()).unwrap_or(now.at);
+            waits.tasks += u32::try_from(self.waiting_tasks(entry).len()).unwrap_or(u32::MAX);
+            waits.longest = waits.longest.max(now.at.saturating_sub(since));
+        }
+        kinds
+    }
+
+    /// The steps that have waited longest, for a dump.
+    pub(super) fn dump_waits(&self, most: usize, now: Now) -> Vec<serde_json::Value> {
+        let since = |entry: &Waiting| self.ledger.ready_since(entry.key()).unwrap_or(now.at);
+        let mut waiting = self.collect_waiting(now);
+        waiting.sort_by_key(since);
+        let longest = waiting.iter().take(most).map(|entry| {
+            let waited = now.at.saturating_sub(since(entry)).as_millis();
+            serde_json::json!({
+                "job": &*self.book.jobs[&entry.job].job.id, "time": entry.time, "step": entry.step,
+                "tasks": self.waiting_tasks(*entry).len(), "lasting": self.is_lasting(entry),
+                "waited_ms": u64::try_from(waited).unwrap_or(u64::MAX),
+            })
+        });
+        longest.collect()
+    }
+}
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -1,11 +1,16 @@
 //! Counters and histograms of an entry instance.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use prometheus::{Histogram, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry};
+use prometheus::{
+    GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
+};
 
 use crate::workflow::core::Counts;
+use crate::workflow::core::gate::Gate;
 use crate::workflow::core::times::Times;
+use crate::workflow::core::waits::Waits;
 use crate::workflow::message::Reply;
 
 /// Bounds of the histograms in seconds: from a call within a zone to a client's wait.
@@ -23,6 +28,9 @@
     takeovers: Histogram,
     times: HistogramVec,
     events: IntCounterVec,
+    waiting: IntGaugeVec,
+    waited: GaugeVec,
+    workers: IntGaugeVec,
 }
 
 fn opts(name: &str, help: &str) -> Opts {
@@ -71,9 +79,24 @@
                 opts("events", "what the owner of the log did"),
                 &["event"],
             )?,
+            waiting: IntGaugeVec::new(
+                opts("waiting_tasks", "tasks that wait for a worker"),
+                &["kind"],
+            )?,
+            waited: GaugeVec::new(
+                opts("waiting_seconds", "longest wait of a step for workers"),
+                &["kind"],
+            )?,
+            workers: IntGaugeVec::new(
+                opts(
+                    "workers",
+                    "workers that may get runs, and why others may not",
+                ),
+                &["gate"],
+            )?,
             registry,
         };
-        let all: [Box<dyn prometheus::core::Collector>; 7] = [
+        let all: [Box<dyn prometheus::core::Collector>; 10] = [
             Box::new(metrics.calls.clone()),
             Box::new(metrics.answers.clone()),
             Box::new(metrics.orders.clone()),
@@ -81,6 +104,9 @@
             Box::new(metrics.takeovers.clone()),
             Box::new(metrics.times.clone()),
             Box::new(metrics.events.clone()),
+            Box::new(metrics.waiting.clone()),
+            Box::new(metrics.waited.clone()),
+            Box::new(metrics.workers.clone()),
         ];
         for collector in all {
             metrics.registry.register(collector)?;
@@ -142,6 +168,28 @@
         }
     }
 
+    /// What waits for workers, and which workers may get it, as the owner sees them.
+    pub fn note_waits(&self, waits: &[(&str, Waits)], gates: &BTreeMap<Gate, u32>) {
+        for (kind, waits) in waits {
+            let tasks = self.waiting.with_label_values(&[*kind]);
+            tasks.set(waits.tasks.into());
+            let longest = self.waited.with_label_values(&[*kind]);
+            longest.set(waits.longest.as_secs_f64());
+        }
+        self.workers.reset();
+        for (gate, count) in gates {
+            let workers = self.workers.with_label_values(&[gate.name()]);
+            workers.set((*count).into());
+        }
+    }
+
+    /// This process does not own the log any more.
+    pub fn forget_waits(&self) {
+        self.waiting.reset();
+        self.waited.reset();
+        self.workers.reset();
+    }
+
     /// Counts of the state machine, which only rise while this process owns the log.
     pub fn note_counts(&self, before: &Counts, now: &Counts) {
         let changes = [
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -152,6 +152,7 @@
         "no longer the owner of the log"
     );
     node.set_owner(None);
+    node.metrics.forget_waits();
     owner.refuse_waiting();
 }
 
@@ -295,6 +296,10 @@
             self.node.metrics.note_times(&times);
         }
         self.counted = counts;
+        let gates = self.core.worker_gates(now);
+        self.node
+            .metrics
+            .note_waits(&self.core.sum_waits(now), &gates);
         self.node.show_owned(&self.core.dump(now));
     }
 
