Let a worker beside lasting tasks have its trial

Cause: a worker that was put aside may have one run until something succeeds there, and counted as busy with it while anything ran there. Lasting tasks that were at work before never end and are no news, so nothing was ever tried: the worker was shut for good. Class: a state that only an event can leave which the state itself prevents. Change: a trial is a run placed since the worker was last put aside, and for no longer than the longest quarantine (12 s), so that a run which never ends cannot hold it either. Ruled out: counting lasting tasks at work as a success (a worker that fails short tasks would be trusted while it fails them).

--- a/ashtiller/src/workflow/core/gate.rs
+++ b/ashtiller/src/workflow/core/gate.rs
@@ -72,11 +72,17 @@
             () if unlisted => Gate::Unlisted,
             () if worker.held => Gate::Held,
             () if aside => Gate::Aside,
-            () if worker.on_trial() && !worker.runs.is_empty() => Gate::Trial,
+            () if self.is_tried(worker, now) => Gate::Trial,
             () => Gate::Open,
         }
     }
 
+    /// Whether a run shows whether a worker that was put aside works again.
+    fn is_tried(&self, worker: &Worker, now: Now) -> bool {
+        let mut runs = worker.runs.iter().filter_map(|run| self.runs.get(run));
+        worker.on_trial() && runs.any(|live| worker.is_trial(live.placed, now.at))
+    }
+
     /// Workers of one service, or of all, by gate.
     pub(super) fn count_gates(&self, service: Option<&str>, now: Now) -> Gates {
         let mut gates = BTreeMap::new();
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -16,6 +16,9 @@
 const QUARANTINE_FIRST: Duration = Duration::from_millis(1500);
 /// Longest such time.
 const QUARANTINE_MAX: Duration = Duration::from_secs(12);
+/// Time by which a run on trial has said what it can: one that neither ends nor fails for
+/// as long as a worker is ever put aside must not keep it shut.
+const TRIAL_MAX: Duration = QUARANTINE_MAX;
 /// Failures without a success between them that put a worker aside.
 const FAILURES: u32 = 2;
 
@@ -73,6 +76,8 @@
     pub aside: Option<Duration>,
     failures: u32,
     quarantines: u32,
+    /// When it was last put aside.
+    shut: Duration,
 }
 
 impl Worker {
@@ -106,6 +111,7 @@
             aside: None,
             failures: 0,
             quarantines: 0,
+            shut: Duration::ZERO,
         }
     }
 
@@ -151,6 +157,7 @@
         let doubled = QUARANTINE_FIRST * 2u32.pow(self.quarantines.min(4));
         self.aside = Some(now + doubled.min(QUARANTINE_MAX));
         self.quarantines += 1;
+        self.shut = now;
     }
 
     /// Counts a run that succeeded.
@@ -172,6 +179,14 @@
         self.quarantines > 0
     }
 
+    /// Whether a run that was placed there at this time is its trial, and not over.
+    ///
+    /// What ran there before says nothing new, and lasting runs among it never end.
+    #[must_use]
+    pub fn is_trial(&self, placed: Duration, now: Duration) -> bool {
+        self.on_trial() && placed >= self.shut && now < placed + TRIAL_MAX
+    }
+
     /// Its id.
     #[must_use]
     pub fn id(&self) -> &Arc<str> {
