--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -3,6 +3,7 @@
 mod driver;
 mod growth;
 mod jobs;
+mod kept;
 mod leaving;
 mod listing;
 mod parts;
--- a/ashtiller/tests/owner/trial.rs
+++ b/ashtiller/tests/owner/trial.rs
@@ -27,14 +27,14 @@
 /// Time within which a lasting task starts where there is room.
 const START: Duration = Duration::from_secs(3);
 
-fn lasting(processors: u64) -> Step {
+pub fn lasting(processors: u64) -> Step {
     Step {
         lasting: true,
         ..short(processors)
     }
 }
 
-fn short(processors: u64) -> Step {
+pub fn short(processors: u64) -> Step {
     Step {
         needs: Resources {
             processors,
@@ -45,7 +45,7 @@
     }
 }
 
-fn starts_of(driver: &Driver, id: &str) -> Vec<(Arc<str>, Run)> {
+pub fn starts_of(driver: &Driver, id: &str) -> Vec<(Arc<str>, Run)> {
     let book = driver.core.book();
     let mut starts = driver.starts();
     starts.retain(|(_, run)| {
