Keep a worker that can help, and count only room that a step may take

Cause: the worker kept for a lasting task was sought by room alone, so one that drains, fails or is on trial was kept, and kept again every 4 s; room on a worker without the step's label or with as many of its tasks as it may have counted as room, so that nothing was kept. Change: candidates are the workers that may get runs; label and spread are asked in one place for placing, for room and for keeping; a kept worker that is shut is let go at once.

--- a/ashtiller/src/workflow/core/fleet.rs
+++ b/ashtiller/src/workflow/core/fleet.rs
@@ -55,6 +55,9 @@
 /// a tenth of a large fleet has changed.
 pub(super) type Summaries = HashMap<Arc<str>, Candidate>;
 
+/// Runs of one step on each worker.
+pub(super) type Spread = BTreeMap<Arc<str>, u32>;
+
 /// A worker that may get something now.
 #[derive(Clone, Debug)]
 pub(super) struct Candidate {
@@ -82,7 +85,7 @@
     /// Workers on which it failed before.
     pub failed_on: BTreeSet<Arc<str>>,
     /// Runs of the same step on each worker.
-    pub spread: BTreeMap<Arc<str>, u32>,
+    pub spread: Spread,
     /// Workers that the advisor lets run it, where one is asked.
     pub advised: Option<&'a BTreeMap<Arc<str>, Arc<str>>>,
     /// A worker that is kept for another task.
@@ -175,7 +178,7 @@
                 .step
                 .rack
                 .as_ref()
-                .is_some_and(|rack| !self.has_label(candidate, rack))
+                .is_some_and(|rack| !self.has_label(&candidate.id, rack))
             {
                 cost += self.terms.far;
             }
@@ -186,27 +189,30 @@
         best.map(|(_, place)| place)
     }
 
-    fn has_label(&self, candidate: &Candidate, label: &str) -> bool {
+    fn has_label(&self, id: &Arc<str>, label: &str) -> bool {
         self.workers
-            .get(&candidate.id)
+            .get(id)
             .is_some_and(|worker| worker.has_label(label))
     }
 
     /// Whether a worker may run a task at all.
     pub(super) fn suits(&self, candidate: &Candidate, wish: &Wish<'_>) -> bool {
-        let step = wish.step;
         candidate.has_room(wish.service, &wish.room)
             && wish.barred.as_ref() != Some(&candidate.id)
-            && step
-                .label
-                .as_ref()
-                .is_none_or(|label| self.has_label(candidate, label))
-            && (step.spread == 0
-                || wish.spread.get(&candidate.id).copied().unwrap_or(0) < step.spread)
+            && self.admits(&candidate.id, wish.step, &wish.spread)
             && wish
                 .advised
                 .is_none_or(|good| good.contains_key(&candidate.id))
     }
+
+    /// Whether a step may have one more task on a worker, whatever room there is.
+    pub(super) fn admits(&self, id: &Arc<str>, step: &Step, spread: &Spread) -> bool {
+        let labelled = step
+            .label
+            .as_ref()
+            .is_none_or(|label| self.has_label(id, label));
+        labelled && (step.spread == 0 || spread.get(id).copied().unwrap_or(0) < step.spread)
+    }
 }
 
 impl Candidate {
@@ -310,7 +316,7 @@
 }
 
 /// Runs of a step on each worker, where that is bounded.
-pub(super) fn count_spread(core: &Core, task: Task) -> BTreeMap<Arc<str>, u32> {
+pub(super) fn count_spread(core: &Core, task: Task) -> Spread {
     let mut counts = BTreeMap::new();
     let Some((job, _)) = core.book.task(task) else {
         return counts;
--- a/ashtiller/src/workflow/core/room.rs
+++ b/ashtiller/src/workflow/core/room.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use crate::workflow::core::advice::StepKey;
-use crate::workflow::core::fleet::Candidate;
+use crate::workflow::core::fleet::{self, Candidate, Spread};
 use crate::workflow::core::order::{TOO_LATE, Waiting};
 use crate::workflow::core::plan::Placing;
 use crate::workflow::core::{Core, Now};
+use crate::workflow::fact::Task;
 
 /// Time for which there may be room for a lasting step while short ones are placed first.
 /// The platform asks for its start within 3 s.
@@ -111,9 +112,9 @@
         if let Some(kept) = self.reserved.take()
             && now.at < kept.since + RESERVED_MAX
             && let Some(entry) = waiting.iter_mut().find(|entry| entry.key() == kept.step)
+            && let Some(candidate) = fleet.iter().find(|it| it.id == kept.worker)
         {
-            let candidate = fleet.iter().find(|candidate| candidate.id == kept.worker);
-            if candidate.is_some_and(|it| self.fits_step(entry, it)) {
+            if self.fits_step(entry, candidate) {
                 entry.hasten();
             }
             let worker = kept.worker.clone();
@@ -126,7 +127,7 @@
             .filter(|(passed, _)| passed.is_blocked(now.at))
             .min_by_key(|(passed, _)| passed.began);
         let (_, entry) = longest?;
-        let worker = self.find_emptying(entry)?;
+        let worker = self.find_emptying(entry, fleet)?;
         tracing::debug!(job = entry.job, %worker, "worker kept for a lasting task");
         self.reserved = Some(Reserved {
             step: entry.key(),
@@ -156,18 +157,21 @@
         oldest.hasten();
         placing.rescued = Some(oldest.key());
         if placing.reserved.is_none() && !self.has_room(oldest, &placing.fleet) {
-            placing.reserved = self.find_emptying(oldest);
+            placing.reserved = self.find_emptying(oldest, &placing.fleet);
         }
     }
 
-    /// The worker on which short runs leave room soonest for a task of a step.
-    fn find_emptying(&self, entry: &Waiting) -> Option<Arc<str>> {
+    /// The worker on which short runs leave room soonest for a task of a step: one that
+    /// gets nothing, or none of this step, would be kept in vain.
+    fn find_emptying(&self, entry: &Waiting, fleet: &[Candidate]) -> Option<Arc<str>> {
         let job = &self.book.jobs[&entry.job];
-        let room = job.job.steps[usize::from(entry.step)].room();
-        let open = self
-            .workers
-            .values()
-            .filter(|worker| worker.listed.service == job.policy.service && worker.answers);
+        let step = &job.job.steps[usize::from(entry.step)];
+        let room = step.room();
+        let spread = self.spread_of(entry);
+        let open = fleet
+            .iter()
+            .filter(|it| it.service == job.policy.service && self.admits(&it.id, step, &spread))
+            .filter_map(|it| self.workers.get(&it.id));
         let emptying = open.filter_map(|worker| {
             let mut free = worker.pool.free();
             let mut short = 0;
@@ -195,16 +199,34 @@
         self.book.jobs[&entry.job].job.steps[usize::from(entry.step)].lasting
     }
 
-    fn fits_step(&self, entry: &Waiting, candidate: &Candidate) -> bool {
-        let job = &self.book.jobs[&entry.job];
-        let room = job.job.steps[usize::from(entry.step)].room();
-        candidate.has_room(&job.policy.service, &room)
+    /// Runs of a waiting step on each worker, where that is bounded.
+    fn spread_of(&self, entry: &Waiting) -> Spread {
+        let step = &self.book.jobs[&entry.job].job.steps[usize::from(entry.step)];
+        if step.spread == 0 {
+            return Spread::new();
+        }
+        let (job, time, step) = entry.key();
+        let first = Task {
+            job,
+            time,
+            step,
+            index: 0,
+        };
+        fleet::count_spread(self, first)
     }
 
-    /// Whether some worker has room for a task of a step.
+    pub(super) fn fits_step(&self, entry: &Waiting, candidate: &Candidate) -> bool {
+        self.has_room(entry, std::slice::from_ref(candidate))
+    }
+
+    /// Whether some worker has room for a task of a step, and may have it.
     fn has_room(&self, entry: &Waiting, fleet: &[Candidate]) -> bool {
-        fleet
-            .iter()
-            .any(|candidate| self.fits_step(entry, candidate))
+        let job = &self.book.jobs[&entry.job];
+        let step = &job.job.steps[usize::from(entry.step)];
+        let (room, spread) = (step.room(), self.spread_of(entry));
+        fleet.iter().any(|candidate| {
+            candidate.has_room(&job.policy.service, &room)
+                && self.admits(&candidate.id, step, &spread)
+        })
     }
 }
--- a/ashtiller/src/workflow/core/waits.rs
+++ b/ashtiller/src/workflow/core/waits.rs
@@ -36,7 +36,7 @@
         let service = &job.policy.service;
         let step = &job.job.steps[usize::from(entry.step)];
         let rooms = placing.fleet.iter().filter(|it| it.service == *service);
-        let fitting = rooms.clone().filter(|it| step.room().fits(&it.free));
+        let fitting = rooms.clone().filter(|it| self.fits_step(&entry, it));
         let freest = rooms.max_by_key(|it| it.free.processors);
         tracing::info!(job = %job.job.id, number = entry.job, time = entry.time, step = entry.step,
             tasks = self.waiting_tasks(entry).len(), waited_ms = now.at.saturating_sub(since).as_millis(),
