A test, red: a step that can have no worker stops others from getting one kept

Cause, read in reserve: the step that has waited longest without room is chosen first, then a worker is sought for it; where none can be emptied for it, nobody gets one.

--- a/ashtiller/tests/owner/kept.rs
+++ b/ashtiller/tests/owner/kept.rs
@@ -22,6 +22,20 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// Small tasks end one after the other, so that no more than one processor is free at a
+/// time, until a job has this many starts or 8 s have gone.
+fn pass_small(driver: &mut Driver, id: &str, starts: usize) {
+    let end = driver.now.at + 8 * SECOND;
+    for number in 0.. {
+        if driver.now.at >= end || starts_of(driver, id).len() >= starts {
+            return;
+        }
+        let (worker, run) = starts_of(driver, "small")[number].clone();
+        driver.end(&worker, run, How::Done, number as u64 + 1);
+        driver.pass(200 * MS);
+    }
+}
+
 /// Short tasks of one processor fill a worker; another is about to leave.
 fn stream_beside(leaving: Listed, wants: Step) -> Driver {
     let mut driver = Driver::new(1, policy());
@@ -33,15 +47,7 @@
     driver.submit(job("small", vec![Step { count: 60, ..small }]));
     driver.pass(SECOND);
     driver.submit(job("lasts", vec![wants]));
-    let began = driver.now.at;
-    let mut ended = 0;
-    while driver.now.at < began + 8 * SECOND && starts_of(&driver, "lasts").is_empty() {
-        // One after the other ends, so that no more than one processor is free at a time.
-        let (worker, run) = driver.starts()[ended].clone();
-        ended += 1;
-        driver.end(&worker, run, How::Done, ended as u64);
-        driver.pass(200 * MS);
-    }
+    pass_small(&mut driver, "lasts", 1);
     driver
 }
 
@@ -94,14 +100,26 @@
     driver.submit(job("small", vec![Step { count: 60, ..small }]));
     driver.pass(SECOND);
     driver.submit(job("lasts", vec![wants]));
-    let began = driver.now.at;
-    let mut ended = 0;
-    while driver.now.at < began + 8 * SECOND && starts_of(&driver, "lasts").len() < 2 {
-        let small = starts_of(&driver, "small");
-        let (worker, run) = small[ended].clone();
-        ended += 1;
-        driver.end(&worker, run, How::Done, ended as u64);
-        driver.pass(200 * MS);
-    }
+    pass_small(&mut driver, "lasts", 2);
     assert_eq!(starts_of(&driver, "lasts").len(), 2);
 }
+
+#[test]
+fn a_step_that_no_worker_can_make_room_for_does_not_stop_others() {
+    let mut driver = Driver::new(1, policy());
+    driver.submit(job("stays", vec![lasting(1000)]));
+    driver.pass(SECOND);
+    // Beside the one that stays there is never room for this.
+    driver.submit(job("whole", vec![lasting(4000)]));
+    driver.submit(job(
+        "small",
+        vec![Step {
+            count: 60,
+            ..short(1000)
+        }],
+    ));
+    driver.pass(SECOND);
+    driver.submit(job("lasts", vec![lasting(3000)]));
+    pass_small(&mut driver, "lasts", 1);
+    assert_eq!(starts_of(&driver, "lasts").len(), 1);
+}
