Keep a worker for the first waiting step that can have one

Cause: only the step that has waited longest without room was asked for a worker to keep. Change: blocked steps in the order of their wait, the first for which a worker can be emptied.

--- a/ashtiller/src/workflow/core/room.rs
+++ b/ashtiller/src/workflow/core/room.rs
@@ -62,8 +62,9 @@
         self.since.is_some_and(|since| now >= since + PASSED_OVER)
     }
 
-    fn is_blocked(&self, now: Duration) -> bool {
-        self.since.is_none() && now >= self.began + BLOCKED
+    /// When it was first seen to wait, if it has waited for long and there is no room.
+    fn blocked(&self, now: Duration) -> Option<Duration> {
+        (self.since.is_none() && now >= self.began + BLOCKED).then_some(self.began)
     }
 }
 
@@ -78,7 +79,7 @@
 impl Core {
     /// A lasting step stands first when it begins to wait, and when there has been room for
     /// it all along: what is placed before it takes that room again and again. The one that
-    /// waits longest without room gets a worker to itself until there is.
+    /// waits longest without room, and for which a worker can be emptied, gets one to itself.
     pub(super) fn hasten_lasting(
         &mut self,
         waiting: &mut [Waiting],
@@ -121,13 +122,15 @@
             self.reserved = Some(kept);
             return Some(worker);
         }
-        let longest = waiting
-            .iter()
-            .filter_map(|entry| Some((self.passed_over.get(&entry.key())?, entry)))
-            .filter(|(passed, _)| passed.is_blocked(now.at))
-            .min_by_key(|(passed, _)| passed.began);
-        let (_, entry) = longest?;
-        let worker = self.find_emptying(entry, fleet)?;
+        let blocked = waiting.iter().filter_map(|entry| {
+            Some((self.passed_over.get(&entry.key())?.blocked(now.at)?, entry))
+        });
+        let mut blocked: Vec<(Duration, &Waiting)> = blocked.collect();
+        blocked.sort_unstable();
+        // One for which no worker can be emptied must not stop the others.
+        let (entry, worker) = blocked
+            .into_iter()
+            .find_map(|(_, entry)| Some((entry, self.find_emptying(entry, fleet)?)))?;
         tracing::debug!(job = entry.job, %worker, "worker kept for a lasting task");
         self.reserved = Some(Reserved {
             step: entry.key(),
