Distrust all idle links to a peer when one gave no answer in time

Cause: after a call without an answer only its own link was dropped, and the next call took the newest of the other kept ones. Connections go silent together, so up to four calls in a row waited for their whole limit.

Ruled out: TCP_USER_TIMEOUT, since a silent peer may still acknowledge; making the call again in the client, since it may have had its effect; dropping only links opened before the call began, since one opened while it waited may have been silenced with it.

Change: a time-out drops every idle link to that peer, so the next call opens a new one. A counter of silent links, and one log line when a peer's links go silent and one when it answers again, each with the age of the last answer.

Conclusion: one silence costs one call's limit for each call that was under way, and no more.

--- a/ashtiller/src/net/web.rs
+++ b/ashtiller/src/net/web.rs
@@ -1,10 +1,13 @@
 //! A small HTTP/1.1 client for calls whose bodies are short and read whole.
 //!
-//! One idle connection is kept for each peer. A connection on which a call was
-//! given up is closed, so that no late answer can meet a later call.
+//! A few idle connections are kept for each peer. A connection on which a call was
+//! given up is closed, so that no late answer can meet a later call. Connections go
+//! silent together: when a call got no answer in time, no idle connection to its peer
+//! is used again.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::LazyLock;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,10 +16,11 @@
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use prometheus::IntCounter;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use crate::failure::Failure;
 
@@ -28,6 +32,22 @@
 /// that is up takes so long to be acknowledged.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Connections of this process on which a call got no answer in time.
+static SILENT: LazyLock<IntCounter> = LazyLock::new(|| {
+    IntCounter::new(
+        "ashtiller_web_silent_links",
+        "connections on which a call got no answer in time",
+    )
+    .expect("a name and a help text")
+});
+
+/// Counts the connections on which a call got no answer in time, of all clients of this
+/// process.
+#[must_use]
+pub fn silent_links() -> IntCounter {
+    SILENT.clone()
+}
+
 /// An answer read as a whole.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -68,6 +88,8 @@
 struct Link {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    /// When it last answered, or was opened.
+    answered: Instant,
 }
 
 impl Drop for Link {
@@ -76,10 +98,18 @@
     }
 }
 
+/// Connections to one peer.
+#[derive(Default)]
+struct Links {
+    idle: Vec<Link>,
+    /// When the connection that went silent had last answered, until one answers again.
+    silent: Option<Instant>,
+}
+
 /// A client with a few idle connections.
 #[derive(Default)]
 pub struct Client {
-    idle: Mutex<HashMap<SocketAddr, Vec<Link>>>,
+    links: Mutex<HashMap<SocketAddr, Links>>,
 }
 
 impl Client {
@@ -111,15 +141,19 @@
         call: Call<'_>,
         limit: Duration,
     ) -> Result<Answer, Failure> {
-        let started = time::Instant::now();
+        let started = Instant::now();
         let timed_out = |_| Failure::none(step, peer, "no connection in time");
         let link = time::timeout(limit, self.connect(step, peer))
             .await
             .map_err(timed_out)??;
         let left = limit.saturating_sub(started.elapsed());
+        let answered = link.answered;
         let exchange = exchange(step, peer, link, call);
-        let timed_out = |_| Failure::unknown(step, peer, "no answer in time");
-        let (answer, link) = time::timeout(left, exchange).await.map_err(timed_out)??;
+        let Ok(done) = time::timeout(left, exchange).await else {
+            self.distrust(step, peer, answered);
+            return Err(Failure::unknown(step, peer, "no answer in time"));
+        };
+        let (answer, link) = done?;
         self.keep(peer, link);
         Ok(answer)
     }
@@ -148,18 +182,40 @@
         Ok(Link {
             sender,
             driver: driver.abort_handle(),
+            answered: Instant::now(),
         })
     }
 
     fn take(&self, peer: SocketAddr) -> Option<Link> {
-        self.idle.lock().get_mut(&peer)?.pop()
+        self.links.lock().get_mut(&peer)?.idle.pop()
+    }
+
+    /// Keeps a connection that has answered.
+    fn keep(&self, peer: SocketAddr, mut link: Link) {
+        link.answered = Instant::now();
+        let mut all = self.links.lock();
+        let links = all.entry(peer).or_default();
+        if let Some(since) = links.silent.take() {
+            let age = since.elapsed().as_millis();
+            tracing::info!(%peer, age_ms = age, "peer answers again");
+        }
+        if links.idle.len() < IDLE_MAX {
+            links.idle.push(link);
+        }
     }
 
-    fn keep(&self, peer: SocketAddr, link: Link) {
-        let mut idle = self.idle.lock();
-        let links = idle.entry(peer).or_default();
-        if links.len() < IDLE_MAX {
-            links.push(link);
+    /// Drops all idle connections to a peer after one of them, which had last answered
+    /// at `answered`, gave no answer in time: what silenced it may have silenced them,
+    /// and trying each in turn would cost a call's limit each time.
+    fn distrust(&self, step: &'static str, peer: SocketAddr, answered: Instant) {
+        SILENT.inc();
+        let mut all = self.links.lock();
+        let links = all.entry(peer).or_default();
+        let idle = std::mem::take(&mut links.idle);
+        if links.silent.is_none() {
+            links.silent = Some(answered);
+            let age = answered.elapsed().as_millis();
+            tracing::info!(step, %peer, age_ms = age, dropped = idle.len(), "link is silent");
         }
     }
 }
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -4,6 +4,7 @@
 
 use prometheus::{Histogram, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry};
 
+use crate::web;
 use crate::workflow::core::Counts;
 use crate::workflow::core::times::Times;
 use crate::workflow::message::Reply;
@@ -73,7 +74,7 @@
             )?,
             registry,
         };
-        let all: [Box<dyn prometheus::core::Collector>; 7] = [
+        let all: [Box<dyn prometheus::core::Collector>; 8] = [
             Box::new(metrics.calls.clone()),
             Box::new(metrics.answers.clone()),
             Box::new(metrics.orders.clone()),
@@ -81,6 +82,7 @@
             Box::new(metrics.takeovers.clone()),
             Box::new(metrics.times.clone()),
             Box::new(metrics.events.clone()),
+            Box::new(web::silent_links()),
         ];
         for collector in all {
             metrics.registry.register(collector)?;
