Let who follows the store say how long a watch waits

Prepares a shorter wait for the instance that owns the log; every watch still waits 10 s. What is seen has named fields, so that its age can be added. The test of listings follows the call; it checks the same.

--- a/ashtiller/src/workflow/follow.rs
+++ b/ashtiller/src/workflow/follow.rs
@@ -3,15 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time;
 
 use crate::failure::Failure;
 use crate::workflow::kv::{Change, Item, Store, Watched};
 
-/// Longest wait of one watch; the platform allows 30 s. Shorter, so that a watch that
-/// a silent store has forgotten is noticed.
-const WAIT: Duration = Duration::from_secs(10);
+/// Wait of one watch where news also comes another way; the platform allows 30 s.
+/// Shorter, so that a watch that a silent store has forgotten is noticed.
+pub const LONG_WAIT: Duration = Duration::from_secs(10);
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(250);
 
@@ -19,13 +19,25 @@
 #[derive(Clone, Debug)]
 pub enum Seen {
     /// All that stands there, what changed last at the end.
-    All(Vec<Item>),
+    All {
+        /// Items.
+        items: Vec<Item>,
+    },
     /// What changed.
-    Changes(Vec<Change>),
+    Changes {
+        /// Changes in order.
+        changes: Vec<Change>,
+    },
 }
 
-/// Sends what stands below `prefix`, then each change, until the receiver is gone.
-pub async fn follow(store: Arc<dyn Store>, prefix: &'static str, seen: mpsc::Sender<Seen>) {
+/// Sends what stands below `prefix`, then each change, until the receiver is gone. One
+/// watch waits for as long as `patience` says.
+pub async fn follow(
+    store: Arc<dyn Store>,
+    prefix: &'static str,
+    patience: watch::Receiver<Duration>,
+    seen: mpsc::Sender<Seen>,
+) {
     loop {
         let (items, mut at) = match list(&*store, prefix).await {
             Ok(listed) => listed,
@@ -35,12 +47,13 @@
                 continue;
             }
         };
-        if seen.send(Seen::All(items)).await.is_err() {
+        if seen.send(Seen::All { items }).await.is_err() {
             return;
         }
         let mut failed = false;
         loop {
-            match store.watch(prefix, at, WAIT).await {
+            let wait = *patience.borrow();
+            match store.watch(prefix, at, wait).await {
                 Ok(Watched::Changes(changes, next)) => {
                     at = next;
                     if failed {
@@ -48,7 +61,7 @@
                         // Entries may have lapsed or come back unseen.
                         break;
                     }
-                    if !changes.is_empty() && seen.send(Seen::Changes(changes)).await.is_err() {
+                    if !changes.is_empty() && seen.send(Seen::Changes { changes }).await.is_err() {
                         return;
                     }
                 }
--- a/ashtiller/src/workflow/node/mod.rs
+++ b/ashtiller/src/workflow/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod ask;
+mod news;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -12,14 +13,14 @@
 
 use tokio::sync::{mpsc, watch};
 use tokio::task;
-use tokio::time::{self, Instant};
+use tokio::time::Instant;
 
 use crate::workflow::advisor::Advisor;
 use crate::workflow::agents::Agents;
-use crate::workflow::config::{Config, Dialect, Operated};
+use crate::workflow::config::{Config, Dialect};
 use crate::workflow::fact::Lead;
-use crate::workflow::follow::{self, Seen};
-use crate::workflow::kv::{Change, Item, Store};
+use crate::workflow::follow;
+use crate::workflow::kv::Store;
 use crate::workflow::link::Links;
 use crate::workflow::log::Log;
 use crate::workflow::machines::{Machines, Wave};
@@ -30,8 +31,6 @@
 
 /// Prefix of everything that this project keeps in the store.
 const PREFIX: &str = "ashtiller/flow/";
-/// How often the store is asked for the lead, which also tells that it is there.
-const PROBE: Duration = Duration::from_millis(500);
 
 /// What every part of the process shares.
 pub struct Node {
@@ -61,6 +60,7 @@
     members: RefCell<Vec<Member>>,
     heard: RefCell<HashMap<Arc<str>, Instant>>,
     owner: RefCell<Option<mpsc::Sender<Asked>>>,
+    patience: watch::Sender<Duration>,
     store_seen: Cell<Option<Instant>>,
     store_took: Cell<Duration>,
     position: Cell<u64>,
@@ -113,6 +113,7 @@
             members: RefCell::default(),
             heard: RefCell::default(),
             owner: RefCell::default(),
+            patience: watch::Sender::new(follow::LONG_WAIT),
             store_seen: Cell::default(),
             store_took: Cell::default(),
             position: Cell::default(),
@@ -321,6 +322,12 @@
         self.owner.borrow().is_some()
     }
 
+    /// Follows how long one watch of the store may wait.
+    #[must_use]
+    pub fn watch_patience(&self) -> watch::Receiver<Duration> {
+        self.patience.subscribe()
+    }
+
     /// The store has answered.
     pub fn note_store(&self) {
         self.store_seen.set(Some(Instant::now()));
@@ -336,62 +343,4 @@
     pub fn note_position(&self, position: u64) {
         self.position.set(self.position.get().max(position));
     }
-
-    async fn follow_config(self: Rc<Self>) {
-        let (sender, mut seen) = mpsc::channel(16);
-        let prefix = self.dialect.operator_prefix();
-        task::spawn_local(follow::follow(self.store.clone(), prefix, sender));
-        while let Some(seen) = seen.recv().await {
-            self.note_store();
-            let items = match seen {
-                Seen::All(items) => items,
-                Seen::Changes(changes) => changes.into_iter().filter_map(put_of).collect(),
-            };
-            for item in items {
-                match self.dialect.operated(&item.key, &item.value) {
-                    Ok(Operated::Config(config)) => self.adopt_config(&Arc::new(config)),
-                    Ok(Operated::Wave(wave)) => self.adopt_wave(wave),
-                    Ok(Operated::Other) => {}
-                    Err(error) => {
-                        tracing::error!(key = %item.key, revision = item.revision, %error,
-                            "configuration cannot be read; the last good one stays");
-                    }
-                }
-            }
-        }
-    }
-
-    async fn probe_store(self: Rc<Self>) {
-        let mut failed = false;
-        loop {
-            let began = Instant::now();
-            match self.log.read_lead(true).await {
-                Ok(lead) => {
-                    self.store_took.set(began.elapsed());
-                    self.note_store();
-                    if failed {
-                        tracing::info!("store answers again");
-                    }
-                    failed = false;
-                    if let Some(lead) = lead {
-                        self.adopt_lead(&lead);
-                    }
-                }
-                Err(failure) => {
-                    if !failed {
-                        tracing::warn!(%failure, "store does not answer");
-                    }
-                    failed = true;
-                }
-            }
-            time::sleep(PROBE).await;
-        }
-    }
-}
-
-fn put_of(change: Change) -> Option<Item> {
-    match change {
-        Change::Put(item) => Some(item),
-        Change::Gone(_) => None,
-    }
 }
--- /dev/null
+++ b/ashtiller/src/workflow/node/news.rs
@@ -0,0 +1,82 @@
+//! What the store tells every instance: the configuration, and who owns the log.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::task;
+use tokio::time::{self, Instant};
+
+use crate::workflow::config::Operated;
+use crate::workflow::follow::{self, Seen};
+use crate::workflow::kv::{Change, Item};
+use crate::workflow::node::Node;
+
+/// How often the store is asked for the lead, which also tells that it is there.
+const PROBE: Duration = Duration::from_millis(500);
+
+impl Node {
+    pub(super) async fn follow_config(self: Rc<Self>) {
+        let (sender, mut seen) = mpsc::channel(16);
+        let prefix = self.dialect.operator_prefix();
+        task::spawn_local(follow::follow(
+            self.store.clone(),
+            prefix,
+            self.watch_patience(),
+            sender,
+        ));
+        while let Some(seen) = seen.recv().await {
+            self.note_store();
+            let items = match seen {
+                Seen::All { items } => items,
+                Seen::Changes { changes } => changes.into_iter().filter_map(put_of).collect(),
+            };
+            for item in items {
+                match self.dialect.operated(&item.key, &item.value) {
+                    Ok(Operated::Config(config)) => self.adopt_config(&Arc::new(config)),
+                    Ok(Operated::Wave(wave)) => self.adopt_wave(wave),
+                    Ok(Operated::Other) => {}
+                    Err(error) => {
+                        tracing::error!(key = %item.key, revision = item.revision, %error,
+                            "configuration cannot be read; the last good one stays");
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) async fn probe_store(self: Rc<Self>) {
+        let mut failed = false;
+        loop {
+            let began = Instant::now();
+            match self.log.read_lead(true).await {
+                Ok(lead) => {
+                    self.store_took.set(began.elapsed());
+                    self.note_store();
+                    if failed {
+                        tracing::info!("store answers again");
+                    }
+                    failed = false;
+                    if let Some(lead) = lead {
+                        self.adopt_lead(&lead);
+                    }
+                }
+                Err(failure) => {
+                    if !failed {
+                        tracing::warn!(%failure, "store does not answer");
+                    }
+                    failed = true;
+                }
+            }
+            time::sleep(PROBE).await;
+        }
+    }
+}
+
+fn put_of(change: Change) -> Option<Item> {
+    match change {
+        Change::Put(item) => Some(item),
+        Change::Gone(_) => None,
+    }
+}
--- a/ashtiller/src/workflow/owner/inputs.rs
+++ b/ashtiller/src/workflow/owner/inputs.rs
@@ -73,11 +73,11 @@
             }
         };
         match seen {
-            Seen::All(items) => {
+            Seen::All { items } => {
                 let listed = items.iter().filter_map(|item| read(&item.key, &item.value));
                 self.core.list_all(listed.collect(), now);
             }
-            Seen::Changes(changes) => {
+            Seen::Changes { changes } => {
                 for change in changes {
                     match change {
                         Change::Put(item) => {
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -272,7 +272,8 @@
     fn follow_workers(&self) {
         let (sender, mut seen) = mpsc::channel(16);
         let prefix = self.node.dialect.worker_prefix();
-        task::spawn_local(follow::follow(self.node.store.clone(), prefix, sender));
+        let (store, patience) = (self.node.store.clone(), self.node.watch_patience());
+        task::spawn_local(follow::follow(store, prefix, patience, sender));
         let inputs = self.sender.clone();
         task::spawn_local(async move {
             while let Some(seen) = seen.recv().await {
--- a/ashtiller/tests/owner/listing.rs
+++ b/ashtiller/tests/owner/listing.rs
@@ -7,7 +7,7 @@
 use ashtiller::store::Called;
 use ashtiller::workflow::follow::{self, Seen};
 use ashtiller::workflow::kv::{Committed, Item, Page, Store, Txn, Watched};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// A store of three items on two pages, which never change.
 struct Pages;
@@ -49,8 +49,10 @@
 #[tokio::test]
 async fn what_changed_last_is_listed_last() {
     let (sender, mut seen) = mpsc::channel(1);
-    let following = tokio::spawn(follow::follow(Arc::new(Pages), "servers/", sender));
-    let Some(Seen::All(items)) = seen.recv().await else {
+    let (_patience, patience) = watch::channel(follow::LONG_WAIT);
+    let follow = follow::follow(Arc::new(Pages), "servers/", patience, sender);
+    let following = tokio::spawn(follow);
+    let Some(Seen::All { items, .. }) = seen.recv().await else {
         panic!("no list");
     };
     let keys: Vec<&str> = items.iter().map(|item| &*item.key).collect();
