--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -10,4 +10,5 @@
 mod room;
 mod sharing;
 mod takeover;
+mod watching;
 mod workers;
