Replace a silent watch by a new list, within half of the drain bound and slack

Cause: a watch waited 10 s and was given up 1.5 s later, then was tried again on the next kept link; the list was read again only when a watch answered. An answer without changes was dropped, so nobody knew how old the list was.

Ruled out: retrying the watch, since entries may have changed unseen and the link is as likely silent; a short wait on every instance, since the owner's heartbeat answers bring others the configuration and each watch is priced.

Change: where this process owns the log a watch waits for half of the drain bound (at most half of the 2 s for a configuration), 1 s by default, and is given up 0.4 s later, above the store's slow answers. Then the list is read at once; a call that was refused at once still leaves 250 ms to the next. A long watch gives way to a short one when ownership begins. Each answer carries as of when what was seen is whole: a list when it was asked for; a watch when it was asked for, or when its wait was over if nothing changed. The next wait is what is left of the last, so a proof is never older than a wait and the answer's way. The owner's state machine keeps that instant (note_listing).

Derived, not measured: two watches of an owner cost some 2 calls a second in place of 0.2.

Conclusion: if only connections fall silent, the list is known to be whole as of at most 1.4 s and one list over a new connection ago.

--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -112,6 +112,8 @@
     epoch: u64,
     book: Book,
     workers: BTreeMap<Arc<str>, Worker>,
+    /// No change of the platform's list of workers before this is missing.
+    listed_at: Duration,
     runs: BTreeMap<Run, LiveRun>,
     config: Arc<Config>,
     arrivals: Vec<(Job, Vec<Ticket>)>,
@@ -160,6 +162,7 @@
             epoch,
             book,
             workers: BTreeMap::new(),
+            listed_at: now.at,
             runs: BTreeMap::new(),
             config: Arc::default(),
             arrivals: Vec::new(),
--- a/ashtiller/src/workflow/core/roster.rs
+++ b/ashtiller/src/workflow/core/roster.rs
@@ -119,6 +119,17 @@
         }
     }
 
+    /// What the platform lists is known as of this time, on this owner's clock.
+    pub fn note_listing(&mut self, as_of: Duration) {
+        self.listed_at = self.listed_at.max(as_of);
+    }
+
+    /// As of when the platform's list of workers is known.
+    #[must_use]
+    pub fn listed_at(&self) -> Duration {
+        self.listed_at
+    }
+
     /// Runs of an earlier owner on workers that were never listed since waited for the
     /// longest lease that the owner may have granted.
     fn lose_ghosts(&mut self, now: Now) {
--- a/ashtiller/src/workflow/node/mod.rs
+++ b/ashtiller/src/workflow/node/mod.rs
@@ -311,8 +311,13 @@
         unique
     }
 
-    /// Installs or removes the queue of questions to the own log.
+    /// Installs or removes the queue of questions to the own log. While this process owns
+    /// the log nobody else brings it news, so its watches wait for a short time only.
     pub fn set_owner(&self, owner: Option<mpsc::Sender<Asked>>) {
+        self.patience.send_replace(match owner {
+            Some(_) => follow::short_wait(self.settings.terms.drain),
+            None => follow::LONG_WAIT,
+        });
         *self.owner.borrow_mut() = owner;
     }
 
--- a/ashtiller/src/workflow/node/news.rs
+++ b/ashtiller/src/workflow/node/news.rs
@@ -29,8 +29,8 @@
         while let Some(seen) = seen.recv().await {
             self.note_store();
             let items = match seen {
-                Seen::All { items } => items,
-                Seen::Changes { changes } => changes.into_iter().filter_map(put_of).collect(),
+                Seen::All { items, .. } => items,
+                Seen::Changes { changes, .. } => changes.into_iter().filter_map(put_of).collect(),
             };
             for item in items {
                 match self.dialect.operated(&item.key, &item.value) {
--- a/ashtiller/src/workflow/owner/inputs.rs
+++ b/ashtiller/src/workflow/owner/inputs.rs
@@ -72,12 +72,13 @@
                 None
             }
         };
-        match seen {
-            Seen::All { items } => {
+        let as_of = match seen {
+            Seen::All { items, as_of } => {
                 let listed = items.iter().filter_map(|item| read(&item.key, &item.value));
                 self.core.list_all(listed.collect(), now);
+                as_of
             }
-            Seen::Changes { changes } => {
+            Seen::Changes { changes, as_of } => {
                 for change in changes {
                     match change {
                         Change::Put(item) => {
@@ -91,8 +92,11 @@
                         }
                     }
                 }
+                as_of
             }
-        }
+        };
+        let as_of = as_of.saturating_duration_since(self.start);
+        self.core.note_listing(as_of);
     }
 
     pub(super) fn take_asked(&mut self, first: Option<Asked>) {
--- a/ashtiller/tests/owner/watching.rs
+++ b/ashtiller/tests/owner/watching.rs
@@ -6,7 +6,7 @@
 use ashtiller::failure::Failure;
 use ashtiller::store::Called;
 use ashtiller::workflow::follow::{self, Seen};
-use ashtiller::workflow::kv::{Committed, Item, Page, Store, Txn, Watched};
+use ashtiller::workflow::kv::{Change, Committed, Item, Page, Store, Txn, Watched};
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{self, Instant};
@@ -25,6 +25,8 @@
     Silent,
     /// It is answered when its wait is over.
     Quiet,
+    /// A change is answered after this time.
+    Changed(Duration),
 }
 
 /// A store whose lists are empty and whose watches end as told, the last fate for ever.
@@ -68,6 +70,11 @@
                     time::sleep(wait).await;
                     Ok(Watched::Changes(Vec::new(), at))
                 }
+                Fate::Changed(after) => {
+                    time::sleep(after).await;
+                    let gone = Change::Gone("servers/a".into());
+                    Ok(Watched::Changes(vec![gone], at + 1))
+                }
             }
         })
     }
@@ -139,3 +146,30 @@
     following.next().await;
     assert!(owned.elapsed() <= WAIT, "{:?}", owned.elapsed());
 }
+
+/// Symptom: what was believed could be taken for fresher than it was.
+///
+/// Sequence: a watch is answered with a change half a second after it was asked for, and
+/// the next one says that nothing changed.
+///
+/// Cause: an answer tells what stood when the store sent it, which is only known to be
+/// after it was asked for, and after its wait if nothing changed.
+///
+/// Figure: with the whole wait for the second watch the proof was 1.5 s old when the next
+/// came; with what is left of the first wait, 1 s.
+#[tokio::test(start_paused = true)]
+async fn what_was_seen_is_proved_fresh_within_one_wait() {
+    let fates = [Fate::Changed(WAIT / 2), Fate::Quiet];
+    let began = Instant::now();
+    let mut following = Following::open(Told::open(&fates), WAIT);
+    following.list().await;
+    let Seen::Changes { changes, as_of } = following.next().await else {
+        panic!("no change");
+    };
+    assert_eq!((changes.len(), as_of), (1, began));
+    let Seen::Changes { changes, as_of } = following.next().await else {
+        panic!("no answer");
+    };
+    assert_eq!((changes.len(), as_of), (0, began + WAIT));
+    assert_eq!(began.elapsed(), WAIT);
+}
