--- a/ashtiller/tests/silence.rs
+++ b/ashtiller/tests/silence.rs
@@ -41,17 +41,17 @@
     async fn bind() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("port");
         let address = listener.local_addr().expect("address");
-        let open = Manner {
+        let manner = watch::Sender::new(Manner {
             open: true,
             silent: 0,
-        };
-        let (manner, opened) = (watch::Sender::new(open), Arc::new(AtomicUsize::new(0)));
+        });
+        let opened = Arc::new(AtomicUsize::new(0));
         let heard = watch::Sender::new(0);
-        let (told, count, hears) = (manner.subscribe(), opened.clone(), heard.clone());
+        let (told, count, reads) = (manner.subscribe(), opened.clone(), heard.clone());
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let number = count.fetch_add(1, Ordering::Relaxed);
-                tokio::spawn(answer(stream, number, told.clone(), hears.clone()));
+                tokio::spawn(answer(stream, number, told.clone(), reads.clone()));
             }
         });
         Self {
