--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -7,6 +7,7 @@
     GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
 };
 
+use crate::web;
 use crate::workflow::core::Counts;
 use crate::workflow::core::gate::Gate;
 use crate::workflow::core::times::Times;
@@ -96,7 +97,7 @@
             )?,
             registry,
         };
-        let all: [Box<dyn prometheus::core::Collector>; 10] = [
+        let all: Vec<Box<dyn prometheus::core::Collector>> = vec![
             Box::new(metrics.calls.clone()),
             Box::new(metrics.answers.clone()),
             Box::new(metrics.orders.clone()),
@@ -107,6 +108,7 @@
             Box::new(metrics.waiting.clone()),
             Box::new(metrics.waited.clone()),
             Box::new(metrics.workers.clone()),
+            Box::new(web::silent_links()),
         ];
         for collector in all {
             metrics.registry.register(collector)?;
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -12,4 +12,5 @@
 mod sharing;
 mod takeover;
 mod trial;
+mod watching;
 mod workers;
