Let links between instances open over any stream

Cause: links opened TCP connections themselves, so that nothing about them could be played in virtual time. The change: a trait that dials, TCP by default; one connection is answered by a function of its own. Nothing else changes; sockets of links are split by tokio's general split, which locks.

--- a/ashtiller/src/net/calls.rs
+++ b/ashtiller/src/net/calls.rs
@@ -9,6 +9,7 @@
 
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::{mpsc, oneshot};
@@ -40,13 +41,22 @@
 }
 
 /// A connection as the library sees it.
-pub type Network = twoparty::VatNetwork<Compat<Meter<OwnedReadHalf>>>;
+pub type Network<R = OwnedReadHalf> = twoparty::VatNetwork<Compat<Meter<R>>>;
 
 /// One connection, counted and without delay.
 pub fn network_of(stream: TcpStream, side: Side, bytes: &Arc<meter::Bytes>) -> Network {
     // A delayed small message would cost more than the saved packet.
     let _ = stream.set_nodelay(true);
     let (reader, writer) = stream.into_split();
+    network_over(reader, writer, side, bytes)
+}
+
+/// One connection over any pair of streams, counted.
+pub fn network_over<R, W>(reader: R, writer: W, side: Side, bytes: &Arc<meter::Bytes>) -> Network<R>
+where
+    R: AsyncRead + Unpin + 'static,
+    W: AsyncWrite + Unpin + 'static,
+{
     let reader = Meter::new(reader, bytes.clone()).compat();
     let writer = Meter::new(writer, bytes.clone()).compat_write();
     twoparty::VatNetwork::new(reader, writer, side, capnp::message::ReaderOptions::new())
--- a/ashtiller/src/workflow/link.rs
+++ b/ashtiller/src/workflow/link.rs
@@ -11,6 +11,7 @@
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use futures_util::future::LocalBoxFuture;
 use socket2::SockRef;
+use tokio::io::{self, AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task;
 use tokio::time;
@@ -28,6 +29,30 @@
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// A stream of bytes to another instance and back.
+pub trait Stream: AsyncRead + AsyncWrite + Unpin {}
+
+impl<S: AsyncRead + AsyncWrite + Unpin> Stream for S {}
+
+/// Opens connections.
+pub trait Dial {
+    /// Connects to the instance at `address`.
+    fn dial(&self, address: SocketAddr) -> LocalBoxFuture<'_, io::Result<Box<dyn Stream>>>;
+}
+
+/// Connections over TCP.
+struct Tcp;
+
+impl Dial for Tcp {
+    fn dial(&self, address: SocketAddr) -> LocalBoxFuture<'_, io::Result<Box<dyn Stream>>> {
+        Box::pin(async move {
+            let stream = TcpStream::connect(address).await?;
+            prepare(&stream);
+            Ok(Box::new(stream) as Box<dyn Stream>)
+        })
+    }
+}
+
 /// Answers questions of other instances.
 pub trait Answers {
     /// Answers one question.
@@ -64,16 +89,28 @@
             time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        set_timeout(&stream);
-        let client: entry::Client = capnp_rpc::new_client(Hosted {
-            answers: answers.clone(),
-        });
-        let network = calls::network_of(stream, Side::Server, &bytes);
-        task::spawn_local(RpcSystem::new(Box::new(network), Some(client.client)));
+        prepare(&stream);
+        host(stream, answers.clone(), &bytes);
     }
 }
 
-fn set_timeout(stream: &TcpStream) {
+/// Answers another instance on one connection.
+pub fn host<A: Answers + 'static>(
+    stream: impl Stream + 'static,
+    answers: Rc<A>,
+    bytes: &Arc<meter::Bytes>,
+) {
+    let client: entry::Client = capnp_rpc::new_client(Hosted { answers });
+    let (reader, writer) = io::split(stream);
+    let network = calls::network_over(reader, writer, Side::Server, bytes);
+    task::spawn_local(RpcSystem::new(Box::new(network), Some(client.client)));
+}
+
+fn prepare(stream: &TcpStream) {
+    // A delayed small message would cost more than the saved packet.
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "small messages may be delayed");
+    }
     if let Err(error) = SockRef::from(stream).set_tcp_user_timeout(Some(USER_TIMEOUT)) {
         tracing::debug!(%error, "no limit on unacknowledged bytes");
     }
@@ -87,14 +124,31 @@
 }
 
 /// Connections to other instances.
-#[derive(Default)]
 pub struct Links {
+    dial: Rc<dyn Dial>,
     open: RefCell<HashMap<SocketAddr, Link>>,
     next: Cell<u64>,
     bytes: Arc<meter::Bytes>,
 }
 
+impl Default for Links {
+    fn default() -> Self {
+        Self::over(Rc::new(Tcp))
+    }
+}
+
 impl Links {
+    /// No connections yet; `dial` opens them.
+    #[must_use]
+    pub fn over(dial: Rc<dyn Dial>) -> Self {
+        Self {
+            dial,
+            open: RefCell::default(),
+            next: Cell::default(),
+            bytes: Arc::default(),
+        }
+    }
+
     /// Asks the instance at `address`, which may take `limit` to answer.
     ///
     /// # Errors
@@ -127,12 +181,12 @@
         if let Some(link) = self.open.borrow().get(&address) {
             return Ok(link.clone());
         }
-        let stream = time::timeout(CONNECT, TcpStream::connect(address))
+        let stream = time::timeout(CONNECT, self.dial.dial(address))
             .await
             .map_err(|_| Failure::none(step, address, "no connection in time"))?
             .map_err(|error| Failure::none(step, address, error))?;
-        set_timeout(&stream);
-        let network = calls::network_of(stream, Side::Client, &self.bytes);
+        let (reader, writer) = io::split(stream);
+        let network = calls::network_over(reader, writer, Side::Client, &self.bytes);
         let mut system = RpcSystem::new(Box::new(network), None);
         let client: entry::Client = system.bootstrap(Side::Server);
         task::spawn_local(system);
