Show what a silent link between instances does

Two tests that fail: calls that are under way on one silent connection each wait for their own limit (1,500 ms each), and one heartbeat without an answer within 700 ms counts as loss of an owner that answers on any new connection (3 looks for another owner in 3 s, no further heartbeat to it).

--- /dev/null
+++ b/ashtiller/tests/links/main.rs
@@ -0,0 +1,125 @@
+//! Connections between entry instances that go silent for good, in virtual time.
+
+mod follower;
+mod net;
+mod peer;
+
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use ashtiller::failure::Effect;
+use ashtiller::workflow::link::Links;
+use ashtiller::workflow::message::{Ask, Reply, State};
+use futures_util::future;
+use net::Net;
+use peer::{ADDRESS, Peer};
+use tokio::task::LocalSet;
+use tokio::time::{self, Instant};
+
+const MS: Duration = Duration::from_millis(1);
+/// Time limit of a client's call to the owner.
+const LIMIT: Duration = Duration::from_millis(1500);
+/// Time by which a silent connection must be known: what is left of 3 s must do for two
+/// more tries of anything that was under way.
+const NOTICED: Duration = Duration::from_millis(700);
+
+fn state() -> Ask {
+    Ask::State("00000000000000a1".into())
+}
+
+/// Three calls are sent on a connection that has gone silent; new connections work. Each
+/// waited for its own limit (all three failed after 1,500 ms), because only the
+/// end of a call said anything about its connection.
+#[tokio::test(start_paused = true)]
+async fn calls_on_a_silent_link_fail_together() {
+    let played = async {
+        let net = Rc::new(Net::default());
+        net.host(ADDRESS, Rc::new(Peer::default()));
+        let links = Links::over(net.clone());
+        let met = links.ask("meet", ADDRESS, &Ask::Lead, LIMIT).await;
+        assert!(met.is_ok(), "{met:?}");
+        time::sleep(MS * 5000).await;
+        net.strike();
+        let struck = Instant::now();
+        let ask = state();
+        let calls = (0..3).map(|_| links.ask("ask", ADDRESS, &ask, LIMIT));
+        for failed in future::join_all(calls).await {
+            let failure = failed.expect_err("the connection is silent");
+            assert_eq!(failure.effect, Effect::Unknown, "{failure}");
+        }
+        let took = struck.elapsed();
+        assert!(took <= NOTICED, "noticed after {took:?}");
+        let again = links.ask("ask", ADDRESS, &ask, LIMIT).await;
+        assert_eq!(again.ok(), Some(Reply::State(State::Queued)));
+        assert_eq!(net.opened(), 2);
+    };
+    LocalSet::new().run_until(played).await;
+}
+
+/// A peer that takes its time over one call, and answers others, keeps its connection.
+#[tokio::test(start_paused = true)]
+async fn a_slow_answer_is_no_silent_link() {
+    let played = async {
+        let net = Rc::new(Net::default());
+        let peer = Rc::new(Peer::default());
+        peer.takes.set(MS * 1300);
+        net.host(ADDRESS, peer);
+        let links = Links::over(net.clone());
+        let ask = state();
+        let calls = (0..3).map(|_| links.ask("ask", ADDRESS, &ask, LIMIT));
+        for answer in future::join_all(calls).await {
+            assert_eq!(answer.ok(), Some(Reply::State(State::Queued)));
+        }
+    };
+    LocalSet::new().run_until(played).await;
+}
+
+/// The connection to a living owner goes silent. The heartbeat on it had no answer in
+/// 700 ms, which counted as a silent owner: its follower read the lead to replace it (3
+/// reads that must not be stale), and never tried another connection.
+#[tokio::test(start_paused = true)]
+async fn a_silent_link_is_no_lost_owner() {
+    let played = async {
+        let (net, peer) = (Rc::new(Net::default()), Rc::new(Peer::default()));
+        let (node, store) = follower::open(&net, &peer).await;
+        let reads = store.reads.load(Ordering::Relaxed);
+        net.strike();
+        let struck = Instant::now();
+        time::sleep(MS * 3000).await;
+        let next = peer
+            .greeted
+            .borrow()
+            .iter()
+            .find(|at| **at > struck)
+            .copied();
+        let next = next.map(|at| at - struck);
+        println!("next heartbeat after {next:?}");
+        assert_eq!(
+            store.reads.load(Ordering::Relaxed),
+            reads,
+            "looked for an owner"
+        );
+        assert!(next.is_some_and(|next| next <= NOTICED), "{next:?}");
+        assert!(!node.owns());
+    };
+    LocalSet::new().run_until(played).await;
+}
+
+/// An owner that is really silent is replaced as soon as before.
+#[tokio::test(start_paused = true)]
+async fn a_silent_owner_is_still_replaced() {
+    let played = async {
+        let (net, peer) = (Rc::new(Net::default()), Rc::new(Peer::default()));
+        let (node, _store) = follower::open(&net, &peer).await;
+        let last = *peer.greeted.borrow().last().expect("a heartbeat");
+        peer.frozen.set(true);
+        while !node.owns() && last.elapsed() < MS * 5000 {
+            time::sleep(MS).await;
+        }
+        let took = last.elapsed();
+        println!("replaced {took:?} after its last answer");
+        assert!(took <= MS * 1400, "{took:?}");
+    };
+    LocalSet::new().run_until(played).await;
+}
--- /dev/null
+++ b/ashtiller/tests/links/peer.rs
@@ -0,0 +1,80 @@
+//! An instance that answers as a test says.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ashtiller::workflow::fact::Lead;
+use ashtiller::workflow::link::Answers;
+use ashtiller::workflow::message::{Ask, Reply, State, Welcome};
+use futures_util::future::LocalBoxFuture;
+use tokio::time::{self, Instant};
+
+/// Where it listens.
+pub const ADDRESS: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 7820);
+
+/// Owner of the log.
+#[derive(Default)]
+pub struct Peer {
+    /// Whether it answers nothing.
+    pub frozen: Cell<bool>,
+    /// Time that it needs for a call of a client.
+    pub takes: Cell<Duration>,
+    /// Answers to clients' calls in turn; then the job is queued.
+    pub replies: RefCell<VecDeque<Reply>>,
+    /// When heartbeats came.
+    pub greeted: RefCell<Vec<Instant>>,
+    /// Clients' calls that came.
+    pub asked: Cell<usize>,
+}
+
+impl Peer {
+    /// It as the owner at the first revision of the store.
+    pub fn as_lead() -> Lead {
+        Lead {
+            name: "owner".into(),
+            address: ADDRESS,
+            life: 7,
+            largest: 1000,
+            epoch: 1,
+        }
+    }
+
+    fn welcome(&self) -> Reply {
+        self.greeted.borrow_mut().push(Instant::now());
+        let lead = Self::as_lead();
+        Reply::Welcome(Box::new(Welcome {
+            epoch: lead.epoch,
+            life: lead.life,
+            version: 1,
+            ..Welcome::default()
+        }))
+    }
+
+    async fn serve(&self) -> Reply {
+        self.asked.set(self.asked.get() + 1);
+        let reply = self.replies.borrow_mut().pop_front();
+        time::sleep(self.takes.get()).await;
+        reply.unwrap_or(Reply::State(State::Queued))
+    }
+}
+
+impl Answers for Peer {
+    fn answer(self: Rc<Self>, ask: Ask) -> LocalBoxFuture<'static, Reply> {
+        Box::pin(async move {
+            if self.frozen.get() {
+                return future::pending().await;
+            }
+            match ask {
+                Ask::Hello(_) => self.welcome(),
+                Ask::Lead => Reply::Lead(Some(Self::as_lead())),
+                Ask::Leads(_) | Ask::Config(_) => Reply::Noted,
+                _ => self.serve().await,
+            }
+        })
+    }
+}
