Show two refusals of jobs that may run

Two tests that fail: a refusal is passed on although the same call was sent to the same owner before with unknown effect (Refused in place of Unknown), and a job that came and is not recorded yet is judged anew when it is asked for again (Refused, then the first call Accepted). A silent connection makes both likelier, as its calls are asked again.

--- a/ashtiller/tests/links/main.rs
+++ b/ashtiller/tests/links/main.rs
@@ -135,3 +135,30 @@
     };
     LocalSet::new().run_until(played).await;
 }
+
+/// A call reaches the owner, its connection goes silent before the answer, and the owner
+/// refuses the same call when it is asked again. The client heard the refusal, which says
+/// that its job never runs, although the first call may still be carried out.
+#[tokio::test(start_paused = true)]
+async fn a_refusal_after_a_lost_answer_is_no_answer() {
+    let played = async {
+        let (net, peer) = (Rc::new(Net::default()), Rc::new(Peer::default()));
+        let (node, _store) = follower::open(&net, &peer).await;
+        peer.takes.set(MS * 20);
+        let refused = vec![Reply::Refused(1000); 1000];
+        peer.replies.borrow_mut().push_back(Reply::Accepted);
+        peer.replies.borrow_mut().extend(refused);
+        let ask = state();
+        let asked = node.ask_owner(&ask, Instant::now() + MS * 2700);
+        let strike = async {
+            while peer.asked.get() == 0 {
+                time::sleep(MS).await;
+            }
+            net.strike();
+        };
+        let (reply, ()) = future::join(asked, strike).await;
+        assert!(peer.asked.get() > 1);
+        assert_eq!(reply, Reply::Unknown);
+    };
+    LocalSet::new().run_until(played).await;
+}
--- a/ashtiller/tests/owner/jobs.rs
+++ b/ashtiller/tests/owner/jobs.rs
@@ -50,6 +50,26 @@
     assert_eq!(driver.core.state("1"), Reply::Missing);
 }
 
+/// The same job is asked for twice, just before and just after the store counts as away;
+/// then the store answers. The second call was refused, which says that the job never
+/// runs, while the first was recorded: what waits to be recorded was looked at last.
+#[test]
+fn a_job_that_waits_to_be_recorded_is_not_refused() {
+    let mut driver = Driver::new(2, policy());
+    driver.store = false;
+    driver.submit(job("1", vec![step(1)]));
+    driver.pass(100 * MS);
+    let first = driver.submit(job("2", vec![step(1)]));
+    driver.now.at += 400 * MS;
+    let again = driver.submit(job("2", vec![step(1)]));
+    driver.come_back();
+    driver.pass(100 * MS);
+    for ticket in [first, again] {
+        let answer = (ticket, Reply::Accepted);
+        assert!(driver.answers.contains(&answer), "{:?}", driver.answers);
+    }
+}
+
 #[test]
 fn a_step_waits_for_those_it_depends_on() {
     let mut driver = Driver::new(2, policy());
