Refuse a job only when no earlier call for it can run

Cause: an owner's refusal was passed on although the same call had been sent to the same owner before with unknown effect; and the owner judged a job that had come and was not recorded yet anew when it was asked for again. A refusal says that the job never runs.

Ruled out: to distrust every refusal after an unknown call. A later owner has read the whole log and the earlier owner writes no more, so its refusal holds; without this, calls during a take-over would end unknown more often.

The change: a refusal by the owner that an unknown call went to is asked again until the caller's time is over, and then is unknown; a job that waits to be recorded is looked for first, and shares the answer.

--- a/ashtiller/src/workflow/core/intake.rs
+++ b/ashtiller/src/workflow/core/intake.rs
@@ -15,21 +15,18 @@
             self.defer(position, Then::Answer(ticket, Reply::Accepted), now);
             return;
         }
-        let reply = self.judge(&job, now);
-        if let Some(reply) = reply {
+        // Asked for again, it shares the fate of the first call.
+        let mut coming = self.arrivals.iter_mut();
+        if let Some((_, tickets)) = coming.find(|(other, _)| other.id == job.id) {
+            tickets.push(ticket);
+            return;
+        }
+        if let Some(reply) = self.judge(&job, now) {
             tracing::info!(job = %job.id, ?reply, stalled_ms = self.stalled_for(now).as_millis(), "job not taken");
             self.effects.push(Effect::Answer(ticket, reply));
             return;
         }
-        let known = self
-            .arrivals
-            .iter_mut()
-            .find(|(other, _)| other.id == job.id);
-        if let Some((_, tickets)) = known {
-            tickets.push(ticket);
-        } else {
-            self.arrivals.push((job, vec![ticket]));
-        }
+        self.arrivals.push((job, vec![ticket]));
     }
 
     /// Records the jobs that came since the last entry.
--- a/ashtiller/src/workflow/node/ask.rs
+++ b/ashtiller/src/workflow/node/ask.rs
@@ -18,20 +18,27 @@
 impl Node {
     /// Asks the owner of the log, wherever it is, and goes on until `deadline`.
     pub async fn ask_owner(&self, ask: &Ask, deadline: Instant) -> Reply {
-        let mut doubt = false;
+        // Epoch of the last owner that may have done it.
+        let mut doubt = None;
         loop {
+            let epoch = self.lead().map_or(0, |lead| lead.epoch);
             match self.try_owner(ask, deadline).await {
                 Ok(Reply::NotOwner) => {}
-                Ok(Reply::Unknown) => doubt = true,
+                Ok(Reply::Unknown) => doubt = Some(epoch),
+                // The earlier call may yet reach the same owner; a later owner has the
+                // whole log, and its refusal holds.
+                Ok(Reply::Refused(_)) if doubt == Some(epoch) => {}
                 Ok(reply) => return reply,
                 Err(failure) => {
-                    doubt |= failure.effect == Effect::Unknown;
+                    if failure.effect == Effect::Unknown {
+                        doubt = Some(epoch);
+                    }
                     tracing::debug!(%failure, "owner not reached");
                 }
             }
             if Instant::now() + AGAIN >= deadline {
                 let retry = self.settings.terms.retry.as_millis();
-                return if doubt {
+                return if doubt.is_some() {
                     Reply::Unknown
                 } else {
                     Reply::Refused(u32::try_from(retry).unwrap_or(u32::MAX))
