Show what silent clients' connections keep

Two tests that fail, each after its cap of 30 s: a submission whose body stays away is under way for good, and a balancer's connection that is silent before its question is kept for good.

--- a/ashtiller/tests/links/main.rs
+++ b/ashtiller/tests/links/main.rs
@@ -1,6 +1,14 @@
-//! Connections between entry instances that go silent for good, in virtual time.
+//! Connections between entry instances, and from clients, that go silent for good, in virtual time.
 
+mod clients;
+#[path = "../../../platform/dialect.rs"]
+#[allow(dead_code, reason = "jobs are read with a part of it")]
+mod dialect;
 mod follower;
+#[path = "../../../platform/front.rs"]
+mod front;
+#[path = "../../../platform/job.rs"]
+mod job;
 mod net;
 mod peer;
 
