--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use prometheus::{
-    GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
+    GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGaugeVec, Opts,
+    Registry,
 };
 
 use crate::web;
@@ -32,6 +33,7 @@
     waiting: IntGaugeVec,
     waited: GaugeVec,
     workers: IntGaugeVec,
+    silent: IntCounter,
 }
 
 fn opts(name: &str, help: &str) -> Opts {
@@ -95,6 +97,10 @@
                 ),
                 &["gate"],
             )?,
+            silent: IntCounter::with_opts(opts(
+                "silent_links",
+                "connections to peers that went silent while new ones worked",
+            ))?,
             registry,
         };
         let all: Vec<Box<dyn prometheus::core::Collector>> = vec![
@@ -109,6 +115,7 @@
             Box::new(metrics.waited.clone()),
             Box::new(metrics.workers.clone()),
             Box::new(web::silent_links()),
+            Box::new(metrics.silent.clone()),
         ];
         for collector in all {
             metrics.registry.register(collector)?;
@@ -122,6 +129,12 @@
         &self.registry
     }
 
+    /// Counter of connections to peers that went silent while new ones worked.
+    #[must_use]
+    pub fn silent_links(&self) -> IntCounter {
+        self.silent.clone()
+    }
+
     /// A client's call was answered.
     pub fn note_call(&self, call: &str, reply: &Reply, took: Duration) {
         let answer = match reply {
