Tests that fail: runs start and are placed by an old list of workers

The core is told as of when its list of workers is whole and shows its age in the dump; nothing depends on it yet. Seen red: with a list of 1.7 s ago a start goes out (1, expected 0), and a run is placed 2 s after the list (1, expected 0).

--- a/ashtiller/src/workflow/core/dump.rs
+++ b/ashtiller/src/workflow/core/dump.rs
@@ -35,6 +35,7 @@
         serde_json::json!({
             "epoch": self.epoch, "durable": self.durable, "position": self.position,
             "stalled_ms": u64::try_from(self.stalled_for(now).as_millis()).unwrap_or(u64::MAX),
+            "list_age_ms": u64::try_from(self.list_age(now).as_millis()).unwrap_or(u64::MAX),
             "open_jobs": self.book.open().len(), "runs": self.runs.len(),
             "jobs": jobs.collect::<Vec<_>>(), "workers": workers.collect::<Vec<_>>(),
         })
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -131,6 +131,8 @@
     superseded: bool,
     began: Duration,
     returned: Option<Duration>,
+    /// As of when the list of workers was last known to be whole.
+    listed_at: Duration,
     effects: Vec<Effect>,
     advised: BTreeMap<StepKey, Advised>,
     waves: BTreeMap<u64, Going>,
@@ -179,6 +181,7 @@
             superseded: false,
             began: now.at,
             returned: None,
+            listed_at: Duration::ZERO,
             effects: Vec::new(),
             advised: BTreeMap::new(),
             waves: BTreeMap::new(),
--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -92,6 +92,10 @@
     looks: Vec<(Duration, Arc<str>)>,
     /// Whether entries become durable.
     pub store: bool,
+    /// Whether news of workers comes.
+    pub news: bool,
+    /// Whether orders get lost.
+    pub deaf: bool,
     /// Position of the entry that is not durable.
     waiting: Option<u64>,
 }
@@ -137,6 +141,8 @@
             patient: false,
             looks: Vec::new(),
             store: true,
+            news: true,
+            deaf: false,
             waiting: None,
         };
         driver.pass(100 * MS);
@@ -147,15 +153,23 @@
     pub fn pass(&mut self, span: Duration) {
         let end = self.now.at + span;
         while self.now.at < end {
-            self.now.at += 5 * MS;
             self.now.wall += 5;
-            for effect in self.core.poll(self.now) {
+            for effect in self.poll() {
                 self.carry_out(effect);
             }
             self.answer_looks();
         }
     }
 
+    /// Polls the core 5 ms later; while news comes, its list is whole as of then.
+    fn poll(&mut self) -> Vec<Effect> {
+        self.now.at += 5 * MS;
+        if self.news {
+            self.core.note_listing(self.now.at);
+        }
+        self.core.poll(self.now)
+    }
+
     fn answer_looks(&mut self) {
         let looks = std::mem::take(&mut self.looks);
         for (until, id) in looks {
@@ -185,6 +199,12 @@
                     self.waiting = Some(position);
                 }
             }
+            Effect::Order(target, run, order) if self.deaf => {
+                let nothing = Failure::unknown("order", &target.id, "no answer");
+                self.core
+                    .take_answer(&target.id, run, &order, Err(nothing), self.now);
+                self.orders.push((target.id, run, order));
+            }
             Effect::Order(target, run, order) => {
                 let said = Ok(Said::Done(self.clock()));
                 self.core
@@ -300,10 +320,9 @@
     /// The next look at a worker shows that this run ended.
     pub fn end(&mut self, id: &Arc<str>, run: Run, how: How, number: u64) {
         for _ in 0..1000 {
-            self.now.at += 5 * MS;
             let mut rest = Vec::new();
             let mut looked = false;
-            for effect in self.core.poll(self.now) {
+            for effect in self.poll() {
                 match effect {
                     Effect::Look(target, _) if target.id == *id => looked = true,
                     other => rest.push(other),
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -5,6 +5,7 @@
 mod jobs;
 mod leaving;
 mod listing;
+mod news;
 mod parts;
 mod placing;
 mod room;
