Start and place nothing by a list of workers that is old

Cause: a start was ordered by whatever the last list said. Between the list and the order lie the silence of a watch, the record's way through the store and retries, none of which was bounded. Change: the owner holds placing and starts while the age of its list plus the time limit of an order reaches the drain bound, and goes on by itself once the list is new; one line each when holding begins and ends. Placing pauses too: a run placed meanwhile would wait on a worker that may leave, and cost a stop, a look and an entry to get off again. Runs, renewals, looks and stops go on. Ruled out: a bound on the age at placing alone; a record may wait for the store for longer than that.

--- a/ashtiller/src/workflow/agents.rs
+++ b/ashtiller/src/workflow/agents.rs
@@ -6,6 +6,10 @@
 
 use crate::store::Called;
 
+/// Time limit of an order, a hundred times the way to another zone. By then it was carried
+/// out, or its caller was told that it may not have been.
+pub const ORDER_LIMIT: Duration = Duration::from_millis(350);
+
 /// Which life of which worker a call is meant for.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Target {
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -9,6 +9,7 @@
 mod dump;
 mod entries;
 mod fleet;
+mod hold;
 mod intake;
 mod moves;
 mod order;
@@ -133,6 +134,8 @@
     returned: Option<Duration>,
     /// As of when the list of workers was last known to be whole.
     listed_at: Duration,
+    /// Since when starts wait.
+    held: Option<Duration>,
     effects: Vec<Effect>,
     advised: BTreeMap<StepKey, Advised>,
     waves: BTreeMap<u64, Going>,
@@ -182,6 +185,7 @@
             began: now.at,
             returned: None,
             listed_at: Duration::ZERO,
+            held: None,
             effects: Vec::new(),
             advised: BTreeMap::new(),
             waves: BTreeMap::new(),
@@ -290,6 +294,7 @@
             self.open_rounds(now);
             self.drive_waves(now);
         }
+        self.resume_starts(now);
         self.refuse_arrivals(now);
         self.append(now);
         self.drive_orders(now);
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -108,17 +108,25 @@
     }
 
     fn start_order(&mut self, run: Run, id: &Arc<str>, now: Now) -> Option<Order> {
+        // What was decided by an older list may be wrong by now, however it was decided.
+        if !self.may_start(now) {
+            self.hold_starts(now);
+            return None;
+        }
         let renew = self.may_renew(now);
         let name = self.name_of(run)?;
         let (job, task) = self.book.task(run.task)?;
         let payload = job.job.payload.clone();
         let saved = task.saved.clone();
         let ticket = self.runs.get(&run).and_then(|live| live.ticket.clone());
+        let list_age = self.list_age(now);
         let worker = self.workers.get_mut(id)?;
         if !renew || !worker.answers {
             return None;
         }
         let until = worker.lease.grant(now.at, self.terms.lease)?;
+        tracing::debug!(task = %run.task, run = run.number, worker = %id,
+            list_age_ms = list_age.as_millis(), "start is ordered");
         Some(Order::Start(Start {
             name,
             run: run.number,
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -47,6 +47,11 @@
         for entry in &waiting {
             self.ledger.note_ready(entry.key(), now.at);
         }
+        // What was placed now would pile up on workers that may be leaving.
+        if !self.may_start(now) {
+            self.hold_starts(now);
+            return;
+        }
         let mut placing = Placing {
             fleet: self.build_fleet(now),
             refused: Vec::new(),
--- a/ashtiller/src/workflow/core/roster.rs
+++ b/ashtiller/src/workflow/core/roster.rs
@@ -52,16 +52,6 @@
         self.seat_adopted(&id);
     }
 
-    /// The list of workers is whole as of then: it holds all that the store took earlier.
-    pub fn note_listing(&mut self, as_of: Duration) {
-        self.listed_at = self.listed_at.max(as_of);
-    }
-
-    /// How long ago the list of workers was last known to be whole.
-    pub(super) fn list_age(&self, now: Now) -> Duration {
-        now.at.saturating_sub(self.listed_at)
-    }
-
     /// Leases that earlier owners granted end by this time.
     fn first_bound(&self) -> Duration {
         self.began + self.terms.horizon + lease::stretch(self.terms.lease)
--- a/ashtiller/tests/world/mod.rs
+++ b/ashtiller/tests/world/mod.rs
@@ -10,7 +10,7 @@
 
 use ashtiller::failure::Failure;
 use ashtiller::resources::Resources;
-use ashtiller::workflow::agents::{Look, Looked, Name, Order, Said, Target};
+use ashtiller::workflow::agents::{Look, Looked, Name, ORDER_LIMIT, Order, Said, Target};
 use ashtiller::workflow::book::Book;
 use ashtiller::workflow::config::{Config, Listed, Queue};
 use ashtiller::workflow::core::{Core, Effect, Now, Ticket};
@@ -26,8 +26,6 @@
 const MS: Duration = Duration::from_millis(1);
 /// Time between two steps of the owners.
 const STEP: Duration = Duration::from_millis(5);
-/// Time limit of an order.
-const ORDER_LIMIT: Duration = Duration::from_millis(350);
 /// Time after which an owner knows of an end that is in the log.
 const AFTER_END: Duration = Duration::from_secs(1);
 /// First time of every world, so that no sum is below nothing.
@@ -313,6 +311,7 @@
             let Some(core) = &mut self.owners[place] else {
                 continue;
             };
+            core.note_listing(now.at);
             let effects = core.poll(now);
             let superseded = core.is_superseded();
             for effect in effects {
