Tests that fail: an order does not ask whether its worker drains or is listed

Seen red: a start goes to the worker in six of eight polls after the word when its record becomes durable then, in twelve of sixteen when it is a retry, and to a worker that the newest list lacks. The driver's orders to one worker may get lost, in place of a fourth flag.

--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -94,8 +94,8 @@
     pub store: bool,
     /// Whether news of workers comes.
     pub news: bool,
-    /// Whether orders get lost.
-    pub deaf: bool,
+    /// A worker whose orders get lost.
+    pub deaf: Option<Arc<str>>,
     /// Position of the entry that is not durable.
     waiting: Option<u64>,
 }
@@ -142,7 +142,7 @@
             looks: Vec::new(),
             store: true,
             news: true,
-            deaf: false,
+            deaf: None,
             waiting: None,
         };
         driver.pass(100 * MS);
@@ -199,7 +199,7 @@
                     self.waiting = Some(position);
                 }
             }
-            Effect::Order(target, run, order) if self.deaf => {
+            Effect::Order(target, run, order) if Some(&target.id) == self.deaf.as_ref() => {
                 let nothing = Failure::unknown("order", &target.id, "no answer");
                 self.core
                     .take_answer(&target.id, run, &order, Err(nothing), self.now);
@@ -257,6 +257,7 @@
         for (worker, run, order) in &self.orders {
             if let Order::Start(start) = order
                 && **worker == *id
+                && self.deaf.as_ref() != Some(worker)
                 && !finished.iter().any(|end| end.name == start.name)
                 && self.core.book().is_live(*run)
                 && !self.is_stopped(*run)
--- a/ashtiller/tests/owner/news.rs
+++ b/ashtiller/tests/owner/news.rs
@@ -3,9 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ashtiller::workflow::fact::Fact;
+use ashtiller::workflow::config::Listed;
+use ashtiller::workflow::core::Ticket;
+use ashtiller::workflow::fact::{Fact, Run, Task};
+use ashtiller::workflow::job::Step;
 
-use crate::driver::{Driver, MS, job, policy, step};
+use crate::driver::{Driver, MS, job, listed, policy, step};
 
 fn placed(driver: &Driver) -> usize {
     let facts = driver.facts.iter();
@@ -20,11 +23,31 @@
     driver.store = false;
     driver.submit(job("1", vec![step(1)]));
     driver.pass(100 * MS);
+    let worker = placed_on(&driver);
+    (driver, worker)
+}
+
+/// The worker of the first run that was placed.
+fn placed_on(driver: &Driver) -> Arc<str> {
     let worker = driver.facts.iter().find_map(|fact| match fact {
         Fact::Placed(_, worker, _) => Some(worker.clone()),
         _ => None,
     });
-    (driver, worker.expect("a run was placed"))
+    worker.expect("a run was placed")
+}
+
+/// A worker's entry, by which it drains.
+fn drains(id: &str) -> Listed {
+    Listed {
+        draining: true,
+        remaining: Some(Duration::from_secs(3)),
+        ..listed(id[1..].parse().unwrap())
+    }
+}
+
+fn starts_at(driver: &Driver, id: &str) -> usize {
+    let starts = driver.starts();
+    starts.iter().filter(|(worker, _)| **worker == *id).count()
 }
 
 /// A run starts on a worker that drains, over two seconds after the store knew. The run is
@@ -77,8 +100,67 @@
     assert_eq!(driver.core.counts().lost, 0);
     assert_eq!(driver.stops().len(), 0);
     driver.ticket += 1;
-    let ticket = ashtiller::workflow::core::Ticket(driver.ticket);
-    driver.core.cancel("1", ticket, driver.now);
+    driver.core.cancel("1", Ticket(driver.ticket), driver.now);
     driver.pass(100 * MS);
     assert_eq!(driver.stops().len(), 1);
 }
+
+/// A run starts on a worker that said long ago that it leaves. The run's record becomes
+/// durable, or its retry is due, in the poll that takes the word, and what empties workers
+/// looks at them every 20 ms only. Orders did not ask whether their worker leaves: in three
+/// polls of four a start came after the word.
+#[test]
+fn no_start_is_ordered_once_its_worker_drains() {
+    for offset in 0..8 {
+        let (mut driver, worker) = recording(2);
+        driver.pass(offset * 5 * MS);
+        driver.core.list_worker(drains(&worker), driver.now);
+        driver.come_back();
+        driver.pass(Duration::from_secs(1));
+        assert_eq!(starts_at(&driver, &worker), 0, "recorded, {offset}");
+        assert_eq!(driver.starts().len(), 1, "it starts elsewhere");
+    }
+    for offset in 0..16 {
+        let mut driver = Driver::new(1, policy());
+        driver.deaf = Some("w0".into());
+        driver.pass(offset * 5 * MS);
+        driver.submit(job("1", vec![step(1)]));
+        while driver.starts().is_empty() {
+            driver.pass(5 * MS);
+        }
+        // The start goes out again after 60 ms.
+        driver.pass(55 * MS);
+        let before = driver.starts().len();
+        assert!(before > 0, "a start went out, {offset}");
+        driver.core.list_worker(drains("w0"), driver.now);
+        driver.pass(Duration::from_secs(1));
+        assert_eq!(driver.starts().len(), before, "again, {offset}");
+    }
+}
+
+/// A run starts on a worker whose entry went. The worker drains and leaves while history
+/// is dropped; the next list lacks it, and the word that it leaves is never seen. Orders
+/// did not ask whether their worker is listed, and a run that was never at work was kept
+/// on it for the sake of what its step may miss: one start went there.
+#[test]
+fn no_start_is_ordered_while_its_worker_is_not_listed() {
+    let lasting = Step {
+        lasting: true,
+        away_max: Some(0),
+        ..step(1)
+    };
+    for wanted in [step(1), lasting] {
+        let mut driver = Driver::new(2, policy());
+        driver.store = false;
+        driver.submit(job("1", vec![wanted]));
+        driver.pass(100 * MS);
+        let rest: Vec<Listed> = (0..2).map(listed).collect();
+        let worker = placed_on(&driver);
+        let rest = rest.into_iter().filter(|other| other.id != worker);
+        driver.core.list_all(rest.collect(), driver.now);
+        driver.come_back();
+        driver.pass(Duration::from_secs(2));
+        assert_eq!(starts_at(&driver, &worker), 0);
+        assert_eq!(driver.starts().len(), 1, "it starts elsewhere");
+    }
+}
