Order no start at a worker that drains or is not listed

Cause: whether a worker leaves was asked when a run was placed and, every 20 ms, by what empties workers. An order between the two, a retry among them, went out after the word, however long the store had it. Change: start_order asks what placing asks. A run that never began leaves an unlisted worker whatever its step may miss, as it would wait there for good; a start that waited goes out when its worker is listed again. Ruled out by tests, or shown by them to have the same cause: an owner that takes over (red before, in the work tree), an older entry told by a watch after a list by pages (red before; the word itself stuck), workers that are missing after the store was away, copies and gangs (green before). By reading: workers are never read stale (only Store::get can be); a life that came back under an address or machine is another worker, and an order names the life that it is for.

--- a/ashtiller/src/workflow/core/fleet.rs
+++ b/ashtiller/src/workflow/core/fleet.rs
@@ -113,10 +113,15 @@
         let tried = worker.on_trial() && !worker.runs.is_empty();
         worker.fenced
             && worker.answers
-            && worker.draining.is_none()
             && !aside
             && !tried
             && !worker.held
+            && self.stays(worker, now)
+    }
+
+    /// Whether a worker may start something, by what the platform lists of it.
+    pub(super) fn stays(&self, worker: &Worker, now: Now) -> bool {
+        worker.draining.is_none()
             && worker
                 .absent
                 .is_none_or(|since| self.is_just_back(since, now))
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -120,6 +120,10 @@
         let saved = task.saved.clone();
         let ticket = self.runs.get(&run).and_then(|live| live.ticket.clone());
         let list_age = self.list_age(now);
+        // It may have left since the run was placed, or since a start that got no answer.
+        if !self.stays(self.workers.get(id)?, now) {
+            return None;
+        }
         let worker = self.workers.get_mut(id)?;
         if !renew || !worker.answers {
             return None;
--- a/ashtiller/src/workflow/core/roster.rs
+++ b/ashtiller/src/workflow/core/roster.rs
@@ -45,6 +45,8 @@
         worker.resize(listed.capacity);
         worker.listed = listed;
         worker.absent = None;
+        // Starts may have waited for it to be listed again.
+        worker.work = Duration::ZERO;
         if draining && worker.draining.is_none() {
             tracing::info!(worker = %id, left = ?worker.listed.remaining, "worker drains");
             worker.draining = Some(now.at);
@@ -206,7 +208,8 @@
             if self.is_stopping(run) || !self.outlives(run, left, now) {
                 continue;
             }
-            if told || self.may_be_away(run, now) {
+            // One that never began is missed already, and does not begin here any more.
+            if told || !self.has_begun(run) || self.may_be_away(run, now) {
                 tracing::info!(task = %run.task, run = run.number, told, left_ms = left.as_millis(),
                     "run moves off a worker that leaves");
                 self.want_stop(run, Reason::Draining);
@@ -239,15 +242,20 @@
         live.is_none_or(|live| live.stop != Stop::None)
     }
 
+    fn has_begun(&self, run: Run) -> bool {
+        let live = self.runs.get(&run);
+        live.is_some_and(|live| matches!(live.stage, Stage::Started(_)))
+    }
+
     /// Whether a run will not end within `left`.
     fn outlives(&self, run: Run, left: Duration, now: Now) -> bool {
         let Some((job, _)) = self.book.task(run.task) else {
             return false;
         };
-        let (Some(step), Some(live)) = (job.step(run.task), self.runs.get(&run)) else {
+        let Some(step) = job.step(run.task) else {
             return false;
         };
-        if step.lasting || !matches!(live.stage, Stage::Started(_)) {
+        if step.lasting || !self.has_begun(run) {
             return true;
         }
         if left > DRAIN_MARGIN * 2 && step.checkpoints {
--- a/ashtiller/tests/owner/news.rs
+++ b/ashtiller/tests/owner/news.rs
@@ -164,3 +164,94 @@
         assert_eq!(driver.starts().len(), 1, "it starts elsewhere");
     }
 }
+
+#[test]
+fn a_start_goes_out_when_its_worker_is_listed_again() {
+    let (mut driver, worker) = recording(1);
+    driver.core.unlist_worker(&worker, driver.now);
+    driver.come_back();
+    driver.pass(200 * MS);
+    driver.core.list_worker(listed(0), driver.now);
+    driver.pass(20 * MS);
+    assert_eq!(starts_at(&driver, &worker), 1);
+}
+
+/// Pages of a list are no snapshot: a watch from the first may tell what a later one had
+/// replaced.
+#[test]
+fn an_older_entry_does_not_take_the_word_back() {
+    let (mut driver, worker) = recording(1);
+    driver.core.list_all(vec![drains(&worker)], driver.now);
+    driver.core.list_worker(listed(0), driver.now);
+    driver.come_back();
+    driver.pass(Duration::from_secs(1));
+    assert!(driver.starts().is_empty());
+}
+
+/// The log has a run on a worker; whether the former owner started it is not known.
+#[test]
+fn a_new_owner_starts_nothing_on_workers_that_drain_or_are_not_listed() {
+    let task = Task {
+        job: 0,
+        time: 0,
+        step: 0,
+        index: 0,
+    };
+    let facts = [
+        Fact::Accepted(Box::new(job("1", vec![step(1)])), policy(), 1_000_000),
+        Fact::Placed(Run { task, number: 1 }, "w0".into(), Arc::from("")),
+    ];
+    for offset in 0..8 {
+        let mut driver = Driver::replay(&facts, 0, policy());
+        driver.pass(offset * 5 * MS);
+        driver.core.list_worker(listed(1), driver.now);
+        driver.pass(offset * 5 * MS);
+        driver.core.list_worker(drains("w0"), driver.now);
+        driver.pass(Duration::from_secs(1));
+        assert_eq!(starts_at(&driver, "w0"), 0, "{offset}");
+        assert_eq!(starts_at(&driver, "w1"), 1, "it starts elsewhere");
+    }
+}
+
+/// The store was away, and entries lapsed meanwhile: a worker that is missing gets runs
+/// for 2.5 s. One that is not listed by then has gone.
+#[test]
+fn no_start_is_ordered_when_a_missing_worker_has_not_come_back() {
+    for offset in 0..8 {
+        let mut driver = Driver::new(1, policy());
+        driver.store = false;
+        driver.pass(Duration::from_secs(1));
+        driver.core.unlist_worker("w0", driver.now);
+        driver.come_back();
+        driver.deaf = Some("w0".into());
+        driver.pass((2400 + 5 * offset) * MS);
+        driver.submit(job("1", vec![step(1)]));
+        driver.pass((95 - 5 * offset) * MS);
+        let before = driver.starts().len();
+        assert!(before > 0, "it may be back, {offset}");
+        driver.pass(Duration::from_secs(1));
+        assert_eq!(driver.starts().len(), before, "{offset}");
+    }
+}
+
+#[test]
+fn copies_and_gangs_do_not_go_to_workers_that_drain() {
+    let copied = Step {
+        copies: true,
+        ..step(1)
+    };
+    let gang = Step {
+        gang: true,
+        ..step(6)
+    };
+    let mut driver = Driver::new(2, policy());
+    driver.submit(job("1", vec![copied]));
+    driver.pass(200 * MS);
+    let (first, _) = driver.starts()[0].clone();
+    let other = if *first == *"w0" { "w1" } else { "w0" };
+    driver.core.list_worker(drains(other), driver.now);
+    driver.silent = Some(first);
+    driver.submit(job("2", vec![gang]));
+    driver.pass(Duration::from_secs(2));
+    assert_eq!(driver.starts().len(), 1);
+}
