--- a/ashtiller/tests/owner/takeover.rs
+++ b/ashtiller/tests/owner/takeover.rs
@@ -1,11 +1,12 @@
 //! What a new owner makes of the log that it finds.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use ashtiller::workflow::fact::{End, Fact, Run, Task};
 use ashtiller::workflow::job::Step;
 
-use crate::driver::{Driver, MS, job, policy, step};
+use crate::driver::{Driver, MS, job, listed, policy, step};
 
 fn run(number: u32) -> Run {
     let task = Task {
@@ -44,3 +45,26 @@
     );
     assert!(!driver.core.book().is_live(run(2)), "its stop is recorded");
 }
+
+/// A run that an owner took over is never started, though its worker answers and the store
+/// is back. The store went away as the owner began, for longer than ownership holds; the
+/// worker first answered then, and its start was held. Nothing looked at held starts again
+/// when ownership was proved: none came in the 10 s after it.
+#[test]
+fn a_start_that_waits_for_proof_of_ownership_goes_out_with_it() {
+    let facts = [
+        Fact::Accepted(Box::new(job("1", vec![step(1)])), policy(), 1_000_000),
+        placed(1, "w0"),
+    ];
+    let mut driver = Driver::replay(&facts, 0, policy());
+    driver.store = false;
+    driver.silent = Some("w0".into());
+    driver.core.list_worker(listed(0), driver.now);
+    driver.pass(Duration::from_secs(12));
+    driver.silent = None;
+    driver.pass(Duration::from_secs(2));
+    assert!(driver.starts().is_empty(), "ownership is in doubt");
+    driver.come_back();
+    driver.pass(Duration::from_secs(10));
+    assert_eq!(driver.starts(), [("w0".into(), run(1))]);
+}
