Go on with starts once ownership is proved again

Cause: a start that waits because ownership is in doubt set its worker's next work to never, and the proof that ended the doubt woke only workers with a new record. The run stayed placed and was never started. Change: such starts are held and resumed like those that wait for a new list; the lines say the age of both. Ruled out: a worker that does not answer; its next answer wakes its work.

--- a/ashtiller/src/workflow/core/hold.rs
+++ b/ashtiller/src/workflow/core/hold.rs
@@ -1,5 +1,5 @@
-//! Starts wait while the owner's list of workers is old: one of them may have said
-//! meanwhile that it leaves.
+//! Starts wait while the owner's list of workers is old, as one of them may have said
+//! meanwhile that it leaves, and while its ownership is in doubt.
 
 use std::time::Duration;
 
@@ -17,9 +17,14 @@
         now.at.saturating_sub(self.listed_at)
     }
 
-    /// Whether runs may start. A worker that said right after the list that it leaves still
-    /// takes them for `drain`, and an order is carried out within its limit.
+    /// Whether runs may start.
     pub(super) fn may_start(&self, now: Now) -> bool {
+        self.may_renew(now) && self.is_list_new(now)
+    }
+
+    /// Whether a worker that said right after the list that it leaves still takes starts,
+    /// which it does for `drain`, when an order of now has reached its time limit.
+    fn is_list_new(&self, now: Now) -> bool {
         self.list_age(now) + ORDER_LIMIT < self.terms.drain
     }
 
@@ -31,7 +36,8 @@
         self.held = Some(now.at);
         tracing::info!(
             list_age_ms = self.list_age(now).as_millis(),
-            "starts wait: the list of workers is old"
+            proof_age_ms = self.proof_age(now).as_millis(),
+            "starts wait: the list of workers is old, or ownership in doubt"
         );
     }
 
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -279,9 +279,14 @@
         answers.collect()
     }
 
+    /// How long ago ownership was proved.
+    fn proof_age(&self, now: Now) -> Duration {
+        now.at.saturating_sub(self.proof)
+    }
+
     /// Whether leases may still be renewed: ownership was proved not long ago.
     fn may_renew(&self, now: Now) -> bool {
-        now.at.saturating_sub(self.proof) < self.terms.horizon
+        self.proof_age(now) < self.terms.horizon
     }
 
     /// Does what is due and returns what is to be done outside.
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -113,7 +113,6 @@
             self.hold_starts(now);
             return None;
         }
-        let renew = self.may_renew(now);
         let name = self.name_of(run)?;
         let (job, task) = self.book.task(run.task)?;
         let payload = job.job.payload.clone();
@@ -125,7 +124,8 @@
             return None;
         }
         let worker = self.workers.get_mut(id)?;
-        if !renew || !worker.answers {
+        // Its next answer wakes what waits here.
+        if !worker.answers {
             return None;
         }
         let until = worker.lease.grant(now.at, self.terms.lease)?;
--- a/ashtiller/src/workflow/core/upkeep.rs
+++ b/ashtiller/src/workflow/core/upkeep.rs
@@ -167,7 +167,7 @@
     }
 
     fn order_upkeep(&mut self, going: &mut Going, machine: &Arc<str>, now: Now) {
-        if !self.may_renew(now) || now.at.saturating_sub(self.proof) > self.terms.turn / 2 {
+        if !self.may_renew(now) || self.proof_age(now) > self.terms.turn / 2 {
             return;
         }
         going.steps.insert(machine.clone(), Step::Ordered);
