Explore workers that drain while owners hear late of it

Workers say that they drain and leave 2 to 6 s later; owners hear nothing of workers for 0.5 to 6 s at times, and then the changes, or only a list where history is gone. No start that was not late itself may begin over 2 s after the word.

--- a/ashtiller/tests/workflow.rs
+++ b/ashtiller/tests/workflow.rs
@@ -24,6 +24,7 @@
     owners: true,
     workers: true,
     store: true,
+    quiet: 400,
     weak: Weakness {
         fences: false,
         leases: false,
@@ -113,6 +114,7 @@
         owners: false,
         workers: false,
         store: false,
+        quiet: 0,
         weak: Weakness::default(),
     };
     let mut world = World::new(7, calm);
--- a/ashtiller/tests/world/mod.rs
+++ b/ashtiller/tests/world/mod.rs
@@ -1,5 +1,6 @@
 //! Owners, a log and workers in virtual time, with faults drawn from a seed.
 
+mod news;
 #[path = "../../../platform/standin/worker.rs"]
 pub mod worker;
 
@@ -21,6 +22,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
+use news::{Channel, News};
 use worker::{Weakness, Worker};
 
 const MS: Duration = Duration::from_millis(1);
@@ -44,6 +46,9 @@
     pub workers: bool,
     /// Whether the store is slow at times.
     pub store: bool,
+    /// Steps between two workers that drain, and between two spells in which an owner hears
+    /// nothing of workers; none at 0.
+    pub quiet: u32,
     /// Safeguards of workers that are switched off.
     pub weak: Weakness,
 }
@@ -56,6 +61,7 @@
     Ordered(usize, Arc<str>, Run, Order, Option<Said>),
     See(usize, Target, Look),
     Looked(usize, Arc<str>, Option<Looked>),
+    Leave(Arc<str>),
 }
 
 /// The whole world.
@@ -69,6 +75,9 @@
     entries: Vec<Vec<Fact>>,
     epoch: u64,
     owners: Vec<Option<Core>>,
+    news: News,
+    /// How each owner hears of workers.
+    channels: Vec<Channel>,
     newest: usize,
     workers: BTreeMap<Arc<str>, Worker>,
     cut: BTreeSet<Arc<str>>,
@@ -130,6 +139,8 @@
             entries: Vec::new(),
             epoch: 0,
             owners: Vec::new(),
+            news: News::default(),
+            channels: Vec::new(),
             newest: 0,
             workers: BTreeMap::new(),
             cut: BTreeSet::new(),
@@ -156,11 +167,7 @@
         let pace = self.rng.random_range(98..=100);
         let worker = Worker::new(id, capacity(), pace, self.faults.weak);
         self.workers.insert(worker.id.clone(), worker);
-        let listed = listing(id);
-        let now = self.clock();
-        for core in self.owners.iter_mut().flatten() {
-            core.list_worker(listed.clone(), now);
-        }
+        self.news.put(listing(id));
     }
 
     fn clock(&self) -> Now {
@@ -199,7 +206,7 @@
         let now = self.clock();
         let mut core = Core::new(Terms::default(), self.epoch, book, next, now);
         core.set_config(self.config.clone());
-        core.list_all(self.workers.keys().map(|id| listing(id)).collect(), now);
+        self.channels.push(self.news.list(&mut core, now));
         self.owners.push(Some(core));
         self.newest = self.owners.len() - 1;
     }
@@ -272,15 +279,39 @@
         }
         if self.faults.workers && self.rng.random_range(0..1500) == 0 {
             let id = self.any_worker();
-            self.workers.remove(&id);
-            self.cut.remove(&id);
-            let now = self.clock();
-            for core in self.owners.iter_mut().flatten() {
-                core.unlist_worker(&id, now);
+            self.replace_worker(&id);
+        }
+        if self.faults.quiet > 0 && self.rng.random_range(0..self.faults.quiet) == 0 {
+            let id = self.any_worker();
+            if self.news.drain(&id, self.now) {
+                let stay = self.millis(2000, 6000);
+                self.at(stay, Event::Leave(id));
             }
-            let fresh = format!("w{}", self.number);
-            self.add_worker(&fresh);
         }
+        if self.faults.quiet > 0 && self.rng.random_range(0..self.faults.quiet) == 0 {
+            self.silence();
+        }
+    }
+
+    /// Some owner hears nothing of workers for a while, mostly longer than they drain.
+    fn silence(&mut self) {
+        let place = self.rng.random_range(0..self.owners.len());
+        let span = self.millis(500, 6000);
+        let compacted = self.percent(30);
+        let channel = &mut self.channels[place];
+        channel.silent = self.now + span;
+        channel.compacted = compacted;
+    }
+
+    /// A worker's life is over, and another begins.
+    fn replace_worker(&mut self, id: &Arc<str>) {
+        if self.workers.remove(id).is_none() {
+            return;
+        }
+        self.cut.remove(id);
+        self.news.remove(id);
+        let fresh = format!("w{}", self.number);
+        self.add_worker(&fresh);
     }
 
     fn any_worker(&mut self) -> Arc<str> {
@@ -291,12 +322,16 @@
     /// Ends all faults.
     pub fn heal(&mut self) {
         self.cut.clear();
+        for channel in &mut self.channels {
+            channel.silent = Duration::ZERO;
+        }
         self.faults = Faults {
             lost: 0,
             late: 0,
             owners: false,
             workers: false,
             store: false,
+            quiet: 0,
             weak: self.faults.weak,
         };
         if self.owners[self.newest].is_none() {
@@ -311,7 +346,7 @@
             let Some(core) = &mut self.owners[place] else {
                 continue;
             };
-            core.note_listing(now.at);
+            self.channels[place] = self.news.tell(self.channels[place], core, now);
             let effects = core.poll(now);
             let superseded = core.is_superseded();
             for effect in effects {
@@ -441,6 +476,7 @@
                     core.take_look(&id, looked, now);
                 }
             }
+            Event::Leave(id) => self.replace_worker(&id),
         }
     }
 
@@ -464,6 +500,11 @@
             && let Order::Start(start) = order
         {
             self.starts += 1;
+            if prompt && self.news.is_over(id, self.now) {
+                let name = &start.name;
+                self.broken
+                    .push(format!("{name:?} began on {id}, which drains"));
+            }
             self.check_start(&start.name.clone(), prompt);
         }
         Some(said)
