--- a/ashtiller/src/workflow/core/fleet.rs
+++ b/ashtiller/src/workflow/core/fleet.rs
@@ -112,10 +112,18 @@
     }
 
     /// Whether a worker may get something now.
-    pub(super) fn is_open(&self, worker: &Worker, now: Now) -> bool {
+    fn is_open(&self, worker: &Worker, now: Now) -> bool {
         self.gate(worker, now) == Gate::Open
     }
 
+    /// Whether a worker may start something, by what the platform lists of it.
+    pub(super) fn stays(&self, worker: &Worker, now: Now) -> bool {
+        worker.draining.is_none()
+            && worker
+                .absent
+                .is_none_or(|since| self.is_just_back(since, now))
+    }
+
     /// Whether a worker that is missing since then may be listed again: its entry may have
     /// lapsed while the store was away, which came back a moment ago.
     pub(super) fn is_just_back(&self, since: Duration, now: Now) -> bool {
--- a/ashtiller/src/workflow/core/gate.rs
+++ b/ashtiller/src/workflow/core/gate.rs
@@ -62,14 +62,11 @@
     /// Whether a worker may get runs now.
     pub(super) fn gate(&self, worker: &Worker, now: Now) -> Gate {
         let aside = worker.aside.is_some_and(|until| until > now.at);
-        let unlisted = worker
-            .absent
-            .is_some_and(|since| !self.is_just_back(since, now));
         match () {
             () if !worker.fenced => Gate::Unfenced,
             () if !worker.answers => Gate::Silent,
             () if worker.draining.is_some() => Gate::Draining,
-            () if unlisted => Gate::Unlisted,
+            () if !self.stays(worker, now) => Gate::Unlisted,
             () if worker.held => Gate::Held,
             () if aside => Gate::Aside,
             () if self.is_tried(worker, now) => Gate::Trial,
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -10,6 +10,7 @@
 mod entries;
 mod fleet;
 pub mod gate;
+mod hold;
 mod intake;
 mod moves;
 mod order;
@@ -114,8 +115,6 @@
     epoch: u64,
     book: Book,
     workers: BTreeMap<Arc<str>, Worker>,
-    /// No change of the platform's list of workers before this is missing.
-    listed_at: Duration,
     runs: BTreeMap<Run, LiveRun>,
     config: Arc<Config>,
     arrivals: Vec<(Job, Vec<Ticket>)>,
@@ -135,6 +134,10 @@
     superseded: bool,
     began: Duration,
     returned: Option<Duration>,
+    /// As of when the list of workers was last known to be whole.
+    listed_at: Duration,
+    /// Since when starts wait.
+    held: Option<Duration>,
     effects: Vec<Effect>,
     advised: BTreeMap<StepKey, Advised>,
     waves: BTreeMap<u64, Going>,
@@ -166,7 +169,6 @@
             epoch,
             book,
             workers: BTreeMap::new(),
-            listed_at: now.at,
             runs: BTreeMap::new(),
             config: Arc::default(),
             arrivals: Vec::new(),
@@ -186,6 +188,8 @@
             superseded: false,
             began: now.at,
             returned: None,
+            listed_at: Duration::ZERO,
+            held: None,
             effects: Vec::new(),
             advised: BTreeMap::new(),
             waves: BTreeMap::new(),
@@ -280,9 +284,14 @@
         answers.collect()
     }
 
+    /// How long ago ownership was proved.
+    fn proof_age(&self, now: Now) -> Duration {
+        now.at.saturating_sub(self.proof)
+    }
+
     /// Whether leases may still be renewed: ownership was proved not long ago.
     fn may_renew(&self, now: Now) -> bool {
-        now.at.saturating_sub(self.proof) < self.terms.horizon
+        self.proof_age(now) < self.terms.horizon
     }
 
     /// Does what is due and returns what is to be done outside.
@@ -295,6 +304,7 @@
             self.open_rounds(now);
             self.drive_waves(now);
         }
+        self.resume_starts(now);
         self.refuse_arrivals(now);
         self.append(now);
         self.drive_orders(now);
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -6,6 +6,7 @@
 mod kept;
 mod leaving;
 mod listing;
+mod news;
 mod parts;
 mod placing;
 mod room;
--- /dev/null
+++ b/ashtiller/tests/owner/news.rs
@@ -0,0 +1,257 @@
+//! How old the news of workers may be when a run starts.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashtiller::workflow::config::Listed;
+use ashtiller::workflow::core::Ticket;
+use ashtiller::workflow::fact::{Fact, Run, Task};
+use ashtiller::workflow::job::Step;
+
+use crate::driver::{Driver, MS, job, listed, policy, step};
+
+fn placed(driver: &Driver) -> usize {
+    let facts = driver.facts.iter();
+    facts
+        .filter(|fact| matches!(fact, Fact::Placed(..)))
+        .count()
+}
+
+/// A driver that has placed one run, whose record waits for the store, and its worker.
+fn recording(workers: u16) -> (Driver, Arc<str>) {
+    let mut driver = Driver::new(workers, policy());
+    driver.store = false;
+    driver.submit(job("1", vec![step(1)]));
+    driver.pass(100 * MS);
+    let worker = placed_on(&driver);
+    (driver, worker)
+}
+
+/// The worker of the first run that was placed.
+fn placed_on(driver: &Driver) -> Arc<str> {
+    let worker = driver.facts.iter().find_map(|fact| match fact {
+        Fact::Placed(_, worker, _) => Some(worker.clone()),
+        _ => None,
+    });
+    worker.expect("a run was placed")
+}
+
+/// A worker's entry, by which it drains.
+fn drains(id: &str) -> Listed {
+    Listed {
+        draining: true,
+        remaining: Some(Duration::from_secs(3)),
+        ..listed(id[1..].parse().unwrap())
+    }
+}
+
+fn starts_at(driver: &Driver, id: &str) -> usize {
+    let starts = driver.starts();
+    starts.iter().filter(|(worker, _)| **worker == *id).count()
+}
+
+/// A run starts on a worker that drains, over two seconds after the store knew. The run is
+/// placed, the channel of the watch goes silent, the worker drains, and the record of the
+/// run becomes durable. Nothing asked at the order how old the list of workers was. With
+/// the list of 2 s ago, and 0.35 s for the order, the start came 2.35 s after the word.
+#[test]
+fn a_start_waits_while_the_list_of_workers_is_old() {
+    for (age, started) in [(1600, 1), (1700, 0)] {
+        let (mut driver, _) = recording(2);
+        driver.news = false;
+        driver.pass(age * MS);
+        driver.come_back();
+        driver.pass(20 * MS);
+        assert_eq!(driver.starts().len(), started, "list of {age} ms ago");
+        driver.pass(Duration::from_secs(1));
+        assert_eq!(
+            driver.starts().len(),
+            started,
+            "list of {age} ms ago, and 1 s"
+        );
+        driver.news = true;
+        driver.pass(20 * MS);
+        assert_eq!(driver.starts().len(), 1, "with a new list");
+    }
+}
+
+/// Runs pile up on workers that may be leaving. The channel of the watch goes silent while
+/// jobs come in. Placing did not ask how old the list was: a run was placed 2 s after it.
+#[test]
+fn nothing_is_placed_while_the_list_of_workers_is_old() {
+    let mut driver = Driver::new(2, policy());
+    driver.news = false;
+    driver.pass(Duration::from_secs(2));
+    driver.submit(job("1", vec![step(1)]));
+    driver.pass(Duration::from_secs(1));
+    assert_eq!(placed(&driver), 0);
+    driver.news = true;
+    driver.pass(100 * MS);
+    assert_eq!(driver.starts().len(), 1);
+}
+
+#[test]
+fn runs_go_on_and_are_stopped_while_the_list_of_workers_is_old() {
+    let mut driver = Driver::new(2, policy());
+    driver.submit(job("1", vec![step(1)]));
+    driver.pass(200 * MS);
+    driver.news = false;
+    driver.pass(Duration::from_secs(15));
+    assert_eq!(driver.core.counts().lost, 0);
+    assert_eq!(driver.stops().len(), 0);
+    driver.ticket += 1;
+    driver.core.cancel("1", Ticket(driver.ticket), driver.now);
+    driver.pass(100 * MS);
+    assert_eq!(driver.stops().len(), 1);
+}
+
+/// A run starts on a worker that said long ago that it leaves. The run's record becomes
+/// durable, or its retry is due, in the poll that takes the word, and what empties workers
+/// looks at them every 20 ms only. Orders did not ask whether their worker leaves: in three
+/// polls of four a start came after the word.
+#[test]
+fn no_start_is_ordered_once_its_worker_drains() {
+    for offset in 0..8 {
+        let (mut driver, worker) = recording(2);
+        driver.pass(offset * 5 * MS);
+        driver.core.list_worker(drains(&worker), driver.now);
+        driver.come_back();
+        driver.pass(Duration::from_secs(1));
+        assert_eq!(starts_at(&driver, &worker), 0, "recorded, {offset}");
+        assert_eq!(driver.starts().len(), 1, "it starts elsewhere");
+    }
+    for offset in 0..16 {
+        let mut driver = Driver::new(1, policy());
+        driver.deaf = Some("w0".into());
+        driver.pass(offset * 5 * MS);
+        driver.submit(job("1", vec![step(1)]));
+        while driver.starts().is_empty() {
+            driver.pass(5 * MS);
+        }
+        // The start goes out again after 60 ms.
+        driver.pass(55 * MS);
+        let before = driver.starts().len();
+        assert!(before > 0, "a start went out, {offset}");
+        driver.core.list_worker(drains("w0"), driver.now);
+        driver.pass(Duration::from_secs(1));
+        assert_eq!(driver.starts().len(), before, "again, {offset}");
+    }
+}
+
+/// A run starts on a worker whose entry went. The worker drains and leaves while history
+/// is dropped; the next list lacks it, and the word that it leaves is never seen. Orders
+/// did not ask whether their worker is listed, and a run that was never at work was kept
+/// on it for the sake of what its step may miss: one start went there.
+#[test]
+fn no_start_is_ordered_while_its_worker_is_not_listed() {
+    let lasting = Step {
+        lasting: true,
+        away_max: Some(0),
+        ..step(1)
+    };
+    for wanted in [step(1), lasting] {
+        let mut driver = Driver::new(2, policy());
+        driver.store = false;
+        driver.submit(job("1", vec![wanted]));
+        driver.pass(100 * MS);
+        let rest: Vec<Listed> = (0..2).map(listed).collect();
+        let worker = placed_on(&driver);
+        let rest = rest.into_iter().filter(|other| other.id != worker);
+        driver.core.list_all(rest.collect(), driver.now);
+        driver.come_back();
+        driver.pass(Duration::from_secs(2));
+        assert_eq!(starts_at(&driver, &worker), 0);
+        assert_eq!(driver.starts().len(), 1, "it starts elsewhere");
+    }
+}
+
+#[test]
+fn a_start_goes_out_when_its_worker_is_listed_again() {
+    let (mut driver, worker) = recording(1);
+    driver.core.unlist_worker(&worker, driver.now);
+    driver.come_back();
+    driver.pass(200 * MS);
+    driver.core.list_worker(listed(0), driver.now);
+    driver.pass(20 * MS);
+    assert_eq!(starts_at(&driver, &worker), 1);
+}
+
+/// Pages of a list are no snapshot: a watch from the first may tell what a later one had
+/// replaced.
+#[test]
+fn an_older_entry_does_not_take_the_word_back() {
+    let (mut driver, worker) = recording(1);
+    driver.core.list_all(vec![drains(&worker)], driver.now);
+    driver.core.list_worker(listed(0), driver.now);
+    driver.come_back();
+    driver.pass(Duration::from_secs(1));
+    assert!(driver.starts().is_empty());
+}
+
+/// The log has a run on a worker; whether the former owner started it is not known.
+#[test]
+fn a_new_owner_starts_nothing_on_workers_that_drain_or_are_not_listed() {
+    let task = Task {
+        job: 0,
+        time: 0,
+        step: 0,
+        index: 0,
+    };
+    let facts = [
+        Fact::Accepted(Box::new(job("1", vec![step(1)])), policy(), 1_000_000),
+        Fact::Placed(Run { task, number: 1 }, "w0".into(), Arc::from("")),
+    ];
+    for offset in 0..8 {
+        let mut driver = Driver::replay(&facts, 0, policy());
+        driver.pass(offset * 5 * MS);
+        driver.core.list_worker(listed(1), driver.now);
+        driver.pass(offset * 5 * MS);
+        driver.core.list_worker(drains("w0"), driver.now);
+        driver.pass(Duration::from_secs(1));
+        assert_eq!(starts_at(&driver, "w0"), 0, "{offset}");
+        assert_eq!(starts_at(&driver, "w1"), 1, "it starts elsewhere");
+    }
+}
+
+/// The store was away, and entries lapsed meanwhile: a worker that is missing gets runs
+/// for 2.5 s. One that is not listed by then has gone.
+#[test]
+fn no_start_is_ordered_when_a_missing_worker_has_not_come_back() {
+    for offset in 0..8 {
+        let mut driver = Driver::new(1, policy());
+        driver.store = false;
+        driver.pass(Duration::from_secs(1));
+        driver.core.unlist_worker("w0", driver.now);
+        driver.come_back();
+        driver.deaf = Some("w0".into());
+        driver.pass((2400 + 5 * offset) * MS);
+        driver.submit(job("1", vec![step(1)]));
+        driver.pass((95 - 5 * offset) * MS);
+        let before = driver.starts().len();
+        assert!(before > 0, "it may be back, {offset}");
+        driver.pass(Duration::from_secs(1));
+        assert_eq!(driver.starts().len(), before, "{offset}");
+    }
+}
+
+#[test]
+fn copies_and_gangs_do_not_go_to_workers_that_drain() {
+    let copied = Step {
+        copies: true,
+        ..step(1)
+    };
+    let gang = Step {
+        gang: true,
+        ..step(6)
+    };
+    let mut driver = Driver::new(2, policy());
+    driver.submit(job("1", vec![copied]));
+    driver.pass(200 * MS);
+    let (first, _) = driver.starts()[0].clone();
+    let other = if *first == *"w0" { "w1" } else { "w0" };
+    driver.core.list_worker(drains(other), driver.now);
+    driver.silent = Some(first);
+    driver.submit(job("2", vec![gang]));
+    driver.pass(Duration::from_secs(2));
+    assert_eq!(driver.starts().len(), 1);
+}
