Soak: connections fall silent for good; drains and configurations are checked in time

Cause: the soak could not play connections that pass nothing and are not reset while new ones work, and it checked no promise with a bound in time. It shows a real fault: a watch on a silent connection to the store is waited for up to 11.5 s (10 s and 1.5 s of slack, workflow/follow.rs), so that an owner starts tasks on a worker long after its word that it leaves, and no entry has a new configuration in force.

Change: the proxy silences the connections that are open at a moment; what their ends send is read and dropped, and neither learns that the other closes. There is a proxy between each entry and the store, in front of each worker and of each entry's port for clients; the connections of a worker that dies now close with its proxy. Entries call each other at the address on which they listen, so no proxy fits between them without a new setting.

Drawn from a seed of their own, before the seed is played: silences of single links and of all at once, drains, configurations and kills beside them, in series and with calms between. Draws now go by the number of the step, not by the clock, so a seed draws the same each time.

Checked each 10 ms: no run that began over 2 s after the store took its worker's word that it leaves, ordered by an entry in touch; at each entry each 0.2 s: no 404 for a queue whose configuration was taken over 2 s before. In touch: 3 s without a fault on the entry, its links or the store; a silence of a worker's links counts against all entries, as any of them may have called it. Half a second is added to each bound for a busy machine.

--- /dev/null
+++ b/soak/src/jobs.rs
@@ -0,0 +1,82 @@
+//! Jobs of clients: handed in while faults go on, and awaited after them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashtiller::resources::Resources;
+use hyper::Method;
+use rand::RngExt;
+use tokio::time::{self, Instant};
+
+use crate::client;
+use crate::standin::job::{wire_job, wire_step};
+use crate::world::World;
+
+/// Time for all accepted jobs to end once the faults are over: several leases.
+const FINISH: Duration = Duration::from_mins(2);
+
+impl World {
+    /// A client hands a job in, again and again until it gets a clear answer.
+    pub fn submit(&mut self, number: u32) {
+        let id: Arc<str> = format!("{:08x}{number:08x}", self.plan.seed).into();
+        let count = self.rng.random_range(1..4u32);
+        let length = self.rng.random_range(100..1500u64);
+        let second = self.rng.random_range(0..2u16);
+        for step in 0..=second {
+            let needs = Resources {
+                processors: 1000,
+                memory: 1 << 30,
+                accelerators: 0,
+            };
+            self.shapes
+                .lock()
+                .insert((id.clone(), step), (needs, Duration::from_millis(length)));
+        }
+        let mut steps = vec![wire_step(count, length, &[])];
+        if second == 1 {
+            steps.push(wire_step(count, length, &[0]));
+        }
+        let body = wire_job(&steps);
+        let addresses: Vec<_> = self.sites.iter().map(|site| site.clients.address).collect();
+        let first = self.rng.random_range(0..addresses.len());
+        let seen = self.checks.seen.clone();
+        tokio::spawn(async move {
+            for attempt in 0..12 {
+                let to = addresses[(first + attempt) % addresses.len()];
+                let answer =
+                    client::call(to, Method::POST, &format!("/q/{id}"), body.clone()).await;
+                let status = answer.map(|(status, _)| status).ok();
+                if seen.lock().take_answer(&id, status) {
+                    return;
+                }
+                time::sleep(Duration::from_millis(400)).await;
+            }
+        });
+    }
+
+    /// Waits for every accepted job to end; those that did not are returned.
+    pub async fn finish(&mut self) -> anyhow::Result<Vec<Arc<str>>> {
+        let end = Instant::now() + FINISH;
+        loop {
+            let accepted: Vec<Arc<str>> =
+                self.checks.seen.lock().accepted.iter().cloned().collect();
+            let mut open = Vec::new();
+            for id in accepted {
+                let to = self.sites[0].entry.clients;
+                let answer =
+                    client::call(to, Method::GET, &format!("/q/{id}"), String::new()).await;
+                let complete =
+                    answer.is_ok_and(|(_, body)| body.as_ref() == br#"{"state":"complete"}"#);
+                if !complete {
+                    open.push(id);
+                }
+            }
+            if open.is_empty() || Instant::now() >= end {
+                return Ok(open);
+            }
+            // One that was told to stop may end only now.
+            self.start_ended()?;
+            time::sleep(Duration::from_millis(500)).await;
+        }
+    }
+}
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -4,12 +4,19 @@
 //! [`world::run`] plays one seed and returns what was broken. Each entry reaches the
 //! store through a proxy of its own that can delay, silence or reset it; entries are
 //! killed, frozen, stopped and started again by signals to processes that this
-//! program started; workers die, come back under other ids, or are cut off.
+//! program started; workers die, come back under other ids, or are cut off. Workers and
+//! clients' ports have a proxy as well, so that open connections can fall silent for
+//! good. Entries call each other without one: they listen where they say that they are.
 
+pub mod checks;
 pub mod client;
 pub mod entry;
+mod faults;
+mod jobs;
 pub mod network;
 pub mod proxy;
+pub mod schedule;
+pub mod touch;
 pub mod world;
 
 #[path = "../../platform/standin/mod.rs"]
--- /dev/null
+++ b/soak/tests/schedule.rs
@@ -0,0 +1,44 @@
+//! What a seed draws.
+
+use std::time::Duration;
+
+use soak::schedule::{self, Event, Links, Sort};
+
+const SPAN: Duration = Duration::from_secs(12);
+
+#[test]
+fn a_seed_draws_the_same_each_time() {
+    for seed in 0..20 {
+        let one = schedule::draw(seed, SPAN, 3, 6);
+        assert_eq!(one, schedule::draw(seed, SPAN, 3, 6));
+        assert_eq!(one.is_empty(), schedule::sort_of(seed) == Sort::Others);
+        assert!(one.is_sorted_by_key(|(at, _)| *at));
+    }
+}
+
+#[test]
+fn seeds_draw_each_kind() {
+    let drawn: Vec<Event> = (0..50)
+        .flat_map(|seed| schedule::draw(seed, SPAN, 3, 6))
+        .map(|(_, event)| event)
+        .collect();
+    let has = |wanted: fn(&Event) -> bool| drawn.iter().any(wanted);
+    assert!(has(|event| matches!(
+        event,
+        Event::Silence(Links::Store(_))
+    )));
+    assert!(has(|event| *event == Event::Silence(Links::Owner)));
+    assert!(has(|event| matches!(
+        event,
+        Event::Silence(Links::Worker(_))
+    )));
+    assert!(has(|event| matches!(
+        event,
+        Event::Silence(Links::Clients(_))
+    )));
+    assert!(has(|event| *event == Event::Silence(Links::All)));
+    assert!(has(|event| matches!(event, Event::Drain(_))));
+    assert!(has(|event| matches!(event, Event::Leave(_))));
+    assert!(has(|event| *event == Event::Configure));
+    assert!(has(|event| matches!(event, Event::Kill(_))));
+}
