Soak: clients keep their connections, so that those can fall silent

Cause: clients made one call a connection, so a silence of their links struck only calls that were under way. Change: a client keeps one connection an address until a call on it fails.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -12,7 +12,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{self, Instant};
 
-use crate::client;
+use crate::client::Client;
 use crate::proxy::Proxy;
 use crate::standin::agent::Agent;
 use crate::standin::store::Store;
@@ -90,6 +90,8 @@
     pub store: Store,
     /// The workers.
     pub fleet: Fleet,
+    /// Makes the calls of clients.
+    pub client: Arc<Client>,
     /// What was seen.
     pub seen: Arc<Mutex<Seen>>,
     /// Which entries are in touch.
@@ -197,7 +199,10 @@
                 continue;
             }
             let path = name_prefix(version);
-            let answer = client::call(address, Method::GET, &path, String::new()).await;
+            let answer = self
+                .client
+                .call(address, Method::GET, &path, String::new())
+                .await;
             if answer.is_ok_and(|(status, _)| status == StatusCode::NOT_FOUND) {
                 missed = version;
                 let text = format!(
--- a/soak/src/jobs.rs
+++ b/soak/src/jobs.rs
@@ -8,7 +8,6 @@
 use rand::RngExt;
 use tokio::time::{self, Instant};
 
-use crate::client;
 use crate::standin::job::{wire_job, wire_step};
 use crate::world::World;
 
@@ -39,12 +38,13 @@
         let body = wire_job(&steps);
         let addresses: Vec<_> = self.sites.iter().map(|site| site.clients.address).collect();
         let first = self.rng.random_range(0..addresses.len());
-        let seen = self.checks.seen.clone();
+        let (client, seen) = (self.checks.client.clone(), self.checks.seen.clone());
         tokio::spawn(async move {
             for attempt in 0..12 {
                 let to = addresses[(first + attempt) % addresses.len()];
-                let answer =
-                    client::call(to, Method::POST, &format!("/q/{id}"), body.clone()).await;
+                let answer = client
+                    .call(to, Method::POST, &format!("/q/{id}"), body.clone())
+                    .await;
                 let status = answer.map(|(status, _)| status).ok();
                 if seen.lock().take_answer(&id, status) {
                     return;
@@ -63,8 +63,11 @@
             let mut open = Vec::new();
             for id in accepted {
                 let to = self.sites[0].entry.clients;
-                let answer =
-                    client::call(to, Method::GET, &format!("/q/{id}"), String::new()).await;
+                let answer = self
+                    .checks
+                    .client
+                    .call(to, Method::GET, &format!("/q/{id}"), String::new())
+                    .await;
                 let complete =
                     answer.is_ok_and(|(_, body)| body.as_ref() == br#"{"state":"complete"}"#);
                 if !complete {
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -16,7 +16,6 @@
 use tokio::time::{self, Instant};
 
 use crate::checks::{self, Checks, Fleet, Member, Seen};
-use crate::client;
 use crate::entry::{Entry, Place};
 use crate::network::Network;
 use crate::proxy::Proxy;
@@ -138,6 +137,7 @@
             start: Instant::now(),
             store: Store::spawn(listener),
             fleet: Fleet::default(),
+            client: Arc::default(),
             seen: Arc::default(),
             touch: Arc::new(Mutex::new(Touch::new(plan.entries.into()))),
             configs: Arc::default(),
@@ -215,8 +215,11 @@
         let end = Instant::now() + BEGIN;
         let entry = self.sites[0].entry.clients;
         while Instant::now() < end {
-            if let Ok((StatusCode::OK, _)) =
-                client::call(entry, Method::GET, "/q/", String::new()).await
+            if let Ok((StatusCode::OK, _)) = self
+                .checks
+                .client
+                .call(entry, Method::GET, "/q/", String::new())
+                .await
             {
                 return Ok(());
             }
