--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -6,7 +6,9 @@
 
 use ashtiller::failure::Failure;
 use ashtiller::resources::Resources;
-use ashtiller::workflow::agents::{Active, Finished, How, Looked, Name, Order, Said};
+use ashtiller::workflow::agents::{
+    Active, Finished, How, Looked, Name, Order, Refusal, Said, Target,
+};
 use ashtiller::workflow::book::Book;
 use ashtiller::workflow::config::{Config, Listed, Queue};
 use ashtiller::workflow::core::{Core, Effect, Now, Ticket};
@@ -77,9 +79,13 @@
     pub ticket: u64,
     pub orders: Vec<(Arc<str>, Run, Order)>,
     pub answers: Vec<(Ticket, Reply)>,
+    /// Starts that were refused.
+    pub refused: Vec<(Arc<str>, Run)>,
     pub asked: Vec<Vec<Arc<str>>>,
     pub duties: Vec<(Arc<str>, Duty)>,
     pub facts: Vec<Fact>,
+    /// A worker that refuses starts, and why.
+    pub refuses: Option<(Arc<str>, Refusal)>,
     /// A worker that answers no look.
     pub silent: Option<Arc<str>>,
     /// Rows that a look at a worker shows in place of the usual ones.
@@ -132,9 +138,11 @@
             ticket: 0,
             orders: Vec::new(),
             answers: Vec::new(),
+            refused: Vec::new(),
             asked: Vec::new(),
             duties: Vec::new(),
             facts: Vec::new(),
+            refuses: None,
             silent: None,
             at_work: Vec::new(),
             listed_ends: Vec::new(),
@@ -205,6 +213,13 @@
                     .take_answer(&target.id, run, &order, Err(nothing), self.now);
                 self.orders.push((target.id, run, order));
             }
+            Effect::Order(target, run, order) if self.refusal(&target, &order).is_some() => {
+                let refusal = self.refusal(&target, &order).expect("a refusal");
+                let said = Ok(Said::Refused(refusal));
+                self.core
+                    .take_answer(&target.id, run, &order, said, self.now);
+                self.refused.push((target.id, run));
+            }
             Effect::Order(target, run, order) => {
                 let said = Ok(Said::Done(self.clock()));
                 self.core
@@ -248,6 +263,12 @@
         }
     }
 
+    fn refusal(&self, target: &Target, order: &Order) -> Option<Refusal> {
+        let (id, refusal) = self.refuses.as_ref()?;
+        let starts = matches!(order, Order::Start(_));
+        (starts && target.id == *id).then_some(*refusal)
+    }
+
     pub fn clock(&self) -> u64 {
         u64::try_from(self.now.at.as_millis()).unwrap()
     }
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -9,6 +9,7 @@
 mod news;
 mod parts;
 mod placing;
+mod refusals;
 mod room;
 mod sharing;
 mod takeover;
--- a/ashtiller/tests/owner/trial.rs
+++ b/ashtiller/tests/owner/trial.rs
@@ -117,3 +117,17 @@
     driver.pass(SECOND);
     assert_eq!(starts_of(&driver, "behind").len(), 1);
 }
+
+#[test]
+fn a_trial_that_goes_on_well_does_not_keep_its_worker_shut() {
+    let mut driver = put_aside_beside_a_lasting_task();
+    let long = Step {
+        estimate: 20 * SECOND,
+        ..short(1000)
+    };
+    driver.submit(job("long", vec![long]));
+    driver.pass(SECOND);
+    driver.submit(job("next", vec![lasting(1000)]));
+    driver.pass(2 * START);
+    assert_eq!(starts_of(&driver, "next").len(), 1);
+}
