Count refused starts against their worker; let a trial that goes on well end

Cause: the owner learned about a worker from the ends that it lists alone; a refused or unanswered start was forgotten with its run, and by the same costs the same worker was chosen again. A trial that neither ends nor fails barred its worker for 12 s. Change: a start that is refused for the worker's sake (no room, not understood, busy or unanswered four times) counts like a failure there; a short trial that makes progress bars for 2 s. Old run numbers and tickets say nothing of the worker.

--- a/ashtiller/src/workflow/core/gate.rs
+++ b/ashtiller/src/workflow/core/gate.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 
 use crate::workflow::core::{Core, Now};
+use crate::workflow::fact::Run;
 use crate::workflow::worker::Worker;
 
 /// Whether a worker may get runs.
@@ -76,8 +77,20 @@
 
     /// Whether a run shows whether a worker that was put aside works again.
     fn is_tried(&self, worker: &Worker, now: Now) -> bool {
-        let mut runs = worker.runs.iter().filter_map(|run| self.runs.get(run));
-        worker.on_trial() && runs.any(|live| worker.is_trial(live.placed, now.at))
+        worker.on_trial()
+            && worker.runs.iter().any(|run| {
+                let works = self.is_short(*run) && self.rest_of(*run, now).is_some();
+                let live = self.runs.get(run);
+                live.is_some_and(|live| worker.is_trial(live.placed, works, now.at))
+            })
+    }
+
+    fn is_short(&self, run: Run) -> bool {
+        let step = self
+            .book
+            .task(run.task)
+            .and_then(|(job, _)| job.step(run.task));
+        step.is_some_and(|step| !step.lasting)
     }
 
     /// Workers of one service, or of all, by gate.
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -24,6 +24,13 @@
 /// Silence after which a worker is looked at more rarely.
 const SILENT: Duration = Duration::from_secs(5);
 
+/// What a start that came to nothing speaks against.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Blame {
+    Run,
+    Worker,
+}
+
 impl Core {
     /// How workers know a task.
     pub(super) fn name_of(&self, run: Run) -> Option<Name> {
@@ -178,7 +185,7 @@
     }
 
     fn take_start(&mut self, run: Run, said: Result<Said, Failure>, now: Now) {
-        let mut refused = false;
+        let mut refused = None;
         let Some(live) = self.runs.get_mut(&run) else {
             return;
         };
@@ -194,12 +201,15 @@
                 live.unanswered += 1;
                 live.retry = now.at + RETRY_BUSY;
                 if live.unanswered >= UNANSWERED_MAX {
-                    refused = true;
+                    refused = Some(Blame::Worker);
                 }
             }
             Ok(Said::Refused(reason)) => {
                 tracing::warn!(task = %run.task, run = run.number, worker = %live.worker, ?reason, "start refused");
-                refused = true;
+                refused = Some(match reason {
+                    Refusal::Old | Refusal::Ticket => Blame::Run,
+                    _ => Blame::Worker,
+                });
             }
             Ok(Said::OtherLife) => {}
             Err(failure) => {
@@ -207,12 +217,28 @@
                 live.unanswered += 1;
                 live.retry = now.at + RETRY;
                 if live.unanswered >= UNANSWERED_MAX {
-                    refused = true;
+                    refused = Some(Blame::Worker);
                 }
             }
         }
-        if refused {
-            self.want_stop(run, Reason::Refused);
+        let Some(blame) = refused else {
+            return;
+        };
+        self.want_stop(run, Reason::Refused);
+        if blame == Blame::Worker {
+            self.note_refusal(run, now);
+        }
+    }
+
+    /// Counts a start that failed against its worker: by the same costs the task would be
+    /// placed there again and again, and run nowhere.
+    fn note_refusal(&mut self, run: Run, now: Now) {
+        let id = self.runs.get(&run).map(|live| live.worker.clone());
+        let Some(worker) = id.and_then(|id| self.workers.get_mut(&id)) else {
+            return;
+        };
+        if worker.note_failure(now.at) {
+            tracing::warn!(worker = %worker.id(), "worker put aside: it refuses what it is to start");
         }
     }
 
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -19,6 +19,9 @@
 /// Time by which a run on trial has said what it can: one that neither ends nor fails for
 /// as long as a worker is ever put aside must not keep it shut.
 const TRIAL_MAX: Duration = QUARANTINE_MAX;
+/// The same for one that makes progress, without which it would count as stalled within
+/// 1.1 s: lasting tasks that wait for its worker are to start within 3 s.
+const TRIAL_WORKS: Duration = Duration::from_secs(2);
 /// Failures without a success between them that put a worker aside.
 const FAILURES: u32 = 2;
 
@@ -179,12 +182,14 @@
         self.quarantines > 0
     }
 
-    /// Whether a run that was placed there at this time is its trial, and not over.
+    /// Whether a run that was placed there at this time is its trial, and not over; `works`
+    /// when the run makes progress.
     ///
     /// What ran there before says nothing new, and lasting runs among it never end.
     #[must_use]
-    pub fn is_trial(&self, placed: Duration, now: Duration) -> bool {
-        self.on_trial() && placed >= self.shut && now < placed + TRIAL_MAX
+    pub fn is_trial(&self, placed: Duration, works: bool, now: Duration) -> bool {
+        let limit = if works { TRIAL_WORKS } else { TRIAL_MAX };
+        self.on_trial() && placed >= self.shut && now < placed + limit
     }
 
     /// Its id.
