--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -84,6 +84,8 @@
     pub asked: Vec<Vec<Arc<str>>>,
     pub duties: Vec<(Arc<str>, Duty)>,
     pub facts: Vec<Fact>,
+    /// The only worker that the advisor lets run anything.
+    pub advises: Option<Arc<str>>,
     /// A worker that refuses starts, and why.
     pub refuses: Option<(Arc<str>, Refusal)>,
     /// A worker that answers no look.
@@ -142,6 +144,7 @@
             asked: Vec::new(),
             duties: Vec::new(),
             facts: Vec::new(),
+            advises: None,
             refuses: None,
             silent: None,
             at_work: Vec::new(),
@@ -239,8 +242,10 @@
             Effect::Look(target, _) => self.show(&target.id),
             Effect::Answer(ticket, reply) => self.answers.push((ticket, reply)),
             Effect::Advise(_, key, workers, at) => {
+                let only = self.advises.clone();
                 let good = workers
                     .iter()
+                    .filter(|id| only.as_ref().is_none_or(|only| only == *id))
                     .take(1)
                     .map(|id| (id.clone(), Arc::from("t")));
                 let good = good.collect();
--- a/ashtiller/tests/owner/kept.rs
+++ b/ashtiller/tests/owner/kept.rs
@@ -15,7 +15,7 @@
 
 use ashtiller::workflow::agents::How;
 use ashtiller::workflow::config::Listed;
-use ashtiller::workflow::job::Step;
+use ashtiller::workflow::job::{Advice, Policy, Step};
 
 use crate::driver::{Driver, MS, job, listed, policy};
 use crate::trial::{lasting, short, starts_of};
@@ -104,6 +104,33 @@
     assert_eq!(starts_of(&driver, "lasts").len(), 2);
 }
 
+/// The advisor lets the step run on the first worker alone, on which short tasks run.
+#[test]
+fn room_that_the_advisor_forbids_is_no_room() {
+    let advised = Policy {
+        advice: Some(Advice {
+            decide: 10 * MS,
+            each: MS,
+            valid: Duration::from_secs(5),
+        }),
+        ..policy()
+    };
+    let mut driver = Driver::new(1, advised);
+    driver.submit(job(
+        "small",
+        vec![Step {
+            count: 60,
+            ..short(1000)
+        }],
+    ));
+    driver.pass(SECOND);
+    driver.core.list_worker(listed(7), driver.now);
+    driver.advises = Some("w0".into());
+    driver.submit(job("lasts", vec![lasting(3000)]));
+    pass_small(&mut driver, "lasts", 1);
+    assert_eq!(starts_of(&driver, "lasts").len(), 1);
+}
+
 #[test]
 fn a_step_that_no_worker_can_make_room_for_does_not_stop_others() {
     let mut driver = Driver::new(1, policy());
