Do not count room that the advisor forbids

Cause: keeping a worker asked for label and spread, not for what the advisor said for good. Change: one question more where room is sought. Ruled out: asking about workers without room (each question costs the advisor its time).

--- a/ashtiller/src/workflow/core/advice.rs
+++ b/ashtiller/src/workflow/core/advice.rs
@@ -53,6 +53,12 @@
             .collect()
     }
 
+    /// Whether the advisor has said that a step may not run on a worker.
+    pub(super) fn is_forbidden(&self, step: StepKey, worker: &Arc<str>) -> bool {
+        let advised = self.advised.get(&step);
+        advised.is_some_and(|advised| advised.bad.contains(worker))
+    }
+
     /// Asks for the likely workers of a step, unless enough is known or asked.
     pub(super) fn ask_advice(
         &mut self,
--- a/ashtiller/src/workflow/core/room.rs
+++ b/ashtiller/src/workflow/core/room.rs
@@ -173,7 +173,9 @@
         let spread = self.spread_of(entry);
         let open = fleet
             .iter()
-            .filter(|it| it.service == job.policy.service && self.admits(&it.id, step, &spread))
+            .filter(|it| it.service == job.policy.service)
+            .filter(|it| self.admits(&it.id, step, &spread))
+            .filter(|it| !self.is_forbidden(entry.key(), &it.id))
             .filter_map(|it| self.workers.get(&it.id));
         let emptying = open.filter_map(|worker| {
             let mut free = worker.pool.free();
@@ -230,6 +232,7 @@
         fleet.iter().any(|candidate| {
             candidate.has_room(&job.policy.service, &room)
                 && self.admits(&candidate.id, step, &spread)
+                && !self.is_forbidden(entry.key(), &candidate.id)
         })
     }
 }
