--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -12,6 +12,7 @@
 mod refusals;
 mod room;
 mod sharing;
+mod stops;
 mod takeover;
 mod trial;
 mod watching;
