Send stops to a silent worker no oftener than looks; end a run that is not there

Cause: an unanswered stop went out again after 60 ms, with a line each time, whatever looks said; a report without a run ended it only where it was to go on. Change: while looks are not answered a stop is repeated at their pace and said once by the line on the worker; a run that was started, is to be stopped and is not in a report is over.

--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -246,6 +246,10 @@
         let Some(live) = self.runs.get_mut(&run) else {
             return;
         };
+        let answers = self
+            .workers
+            .get(&live.worker)
+            .is_some_and(|worker| worker.answers);
         match said {
             Ok(Said::Done(_) | Said::Refused(Refusal::Old)) => {
                 live.stop = Stop::Confirmed(now.at);
@@ -259,10 +263,12 @@
                 self.superseded = true;
             }
             Ok(_) => live.retry = now.at + RETRY_BUSY,
-            Err(failure) => {
+            Err(failure) if answers => {
                 tracing::info!(task = %run.task, run = run.number, worker = %live.worker, %failure, "stop unanswered");
                 live.retry = now.at + RETRY;
             }
+            // That the worker is silent was said once; a stop has no better chance than a look.
+            Err(_) => live.retry = now.at + LOOK_RETRY[0],
         }
     }
 
@@ -348,7 +354,7 @@
         };
         let end = match (live.stop, live.stage) {
             (Stop::Confirmed(at), _) if at < begun => End::Stopped,
-            (Stop::None, Stage::Started(at)) if at < begun => End::Lost,
+            (Stop::None | Stop::Wanted(_), Stage::Started(at)) if at < begun => End::Lost,
             _ => return,
         };
         self.end_run(run, end, &Arc::from(""), now);
