Test of a worker whose machine does not take its upkeep

Cause: `Worker::held` is set when the emptying begins and never cleared. After a refusal for good (400, or 409 for another wave) the wave goes on without the machine, and its worker stays shut until the owner changes.

The tests' driver can now say what the machines' interface answers.

--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -79,6 +79,8 @@
     pub answers: Vec<(Ticket, Reply)>,
     pub asked: Vec<Vec<Arc<str>>>,
     pub duties: Vec<(Arc<str>, Duty)>,
+    /// What the machines' interface says to each order; nothing when it is silent.
+    pub says: Option<Done>,
     pub facts: Vec<Fact>,
     /// A worker that answers no look.
     pub silent: Option<Arc<str>>,
@@ -134,6 +136,7 @@
             answers: Vec::new(),
             asked: Vec::new(),
             duties: Vec::new(),
+            says: Some(Done::Yes),
             facts: Vec::new(),
             silent: None,
             at_work: Vec::new(),
@@ -233,8 +236,9 @@
                 self.core.take_advice(key, at, Ok(good), self.now);
             }
             Effect::Duty(machine, duty) => {
-                self.core
-                    .take_duty(&machine, &duty, Ok(Done::Yes), self.now);
+                let nothing = Failure::unknown("order machine", &machine, "no answer");
+                let said = self.says.ok_or(nothing);
+                self.core.take_duty(&machine, &duty, said, self.now);
                 self.duties.push((machine, duty));
             }
         }
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -13,5 +13,6 @@
 mod sharing;
 mod takeover;
 mod trial;
+mod upkeep;
 mod watching;
 mod workers;
