Hold a worker for its upkeep only while its machine has its turn

Cause: the mark `held` was set when the emptying began and never cleared.

Ruled out: clearing it where an order is refused for good; a turn also ends when the worker is not listed for a moment, and each such way would have to remember it.

Change: the mark goes. Whether a worker is held follows from the waves: its machine is in a step of one. A new life of a machine whose order is not confirmed is held as well, so that the order given again meets nothing that runs.

--- a/ashtiller/src/workflow/core/gate.rs
+++ b/ashtiller/src/workflow/core/gate.rs
@@ -67,7 +67,7 @@
             () if !worker.answers => Gate::Silent,
             () if worker.draining.is_some() => Gate::Draining,
             () if !self.stays(worker, now) => Gate::Unlisted,
-            () if worker.held => Gate::Held,
+            () if self.is_emptied(worker) => Gate::Held,
             () if aside => Gate::Aside,
             () if self.is_tried(worker, now) => Gate::Trial,
             () => Gate::Open,
--- a/ashtiller/src/workflow/core/upkeep.rs
+++ b/ashtiller/src/workflow/core/upkeep.rs
@@ -9,6 +9,7 @@
 use crate::workflow::fact::{Fact, Run, Task};
 use crate::workflow::live::{Reason, Stage, Stop};
 use crate::workflow::machines::{Done, Duty, Wave};
+use crate::workflow::worker::Worker;
 
 /// Time after which a machine that no worker was ever seen of counts as gone.
 const UNKNOWN: Duration = Duration::from_secs(8);
@@ -97,6 +98,16 @@
         lives.next().map(|worker| worker.id().clone())
     }
 
+    /// Whether a worker gets nothing as its machine has its turn in a wave. This follows from
+    /// the wave, so that whichever way the turn ends opens the worker again.
+    pub(super) fn is_emptied(&self, worker: &Worker) -> bool {
+        let Some(machine) = &worker.listed.machine else {
+            return false;
+        };
+        let mut waves = self.waves.values();
+        waves.any(|going| going.steps.contains_key(machine))
+    }
+
     fn is_upkept(&self, number: u64, machine: &Arc<str>) -> bool {
         self.book.upkept.contains(&(number, machine.clone()))
     }
@@ -125,13 +136,9 @@
             if done || going.steps.contains_key(&machine) {
                 continue;
             }
-            let Some(id) = self.worker_of(&machine) else {
-                continue;
-            };
-            if let Some(worker) = self.workers.get_mut(&id) {
-                worker.held = true;
+            if self.worker_of(&machine).is_some() {
+                going.steps.insert(machine, Step::Emptying(now.at));
             }
-            going.steps.insert(machine, Step::Emptying(now.at));
         }
     }
 
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -70,8 +70,6 @@
     pub calm: Duration,
     /// When reports show the paces that were last set.
     pub settled: Duration,
-    /// Whether it is emptied for a move or an upkeep.
-    pub held: bool,
     /// Until when it gets no runs because it fails, stalls or is slow.
     pub aside: Option<Duration>,
     failures: u32,
@@ -103,7 +101,6 @@
             serving: 0,
             filling: 0,
             filled: 0,
-            held: false,
             left: Vec::new(),
             over: None,
             calm: Duration::ZERO,
