Tests of upkeep that was done before, or is confirmed late

Cause: `take_duty` takes the worker that the machine has when the answer comes as the life that the upkeep ended. The platform also says yes when it is done already, and then nothing dies: the worker is forgotten, though it is listed just once, and the wave waits for an id that never comes.

--- a/ashtiller/tests/owner/upkeep.rs
+++ b/ashtiller/tests/owner/upkeep.rs
@@ -1,18 +1,31 @@
 //! Waves of upkeep whose orders or whose emptying do not go as planned.
 //!
+//! An order that was carried out before. Symptom: a worker that is listed and answers gets
+//! no run any more, and the wave stops. Sequence: an order was carried out and not recorded,
+//! or got no answer; the machine is back, and the order that is given again is answered "done
+//! already". Cause: whichever worker the machine had at the time of the answer was taken as
+//! the life that the upkeep had ended. It was forgotten, though the platform lists it just
+//! once, and the wave waited for yet another life. Settled by: one order in 30 s for a wave
+//! of two machines; no start on the new life, which is listed and answers.
+//!
 //! A machine that does not take its upkeep. Symptom: its worker is well and gets no run any
 //! more. Sequence: the worker is emptied, the order is refused for good, the wave goes on
 //! without the machine. Cause: the worker was marked as held when its emptying began, and
 //! nothing took the mark back. Settled by: no start in 3 s after the wave was over, on a
 //! worker with nothing to do.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use ashtiller::workflow::config::Listed;
+use ashtiller::workflow::job::Step;
 use ashtiller::workflow::machines::{Done, Wave};
 
-use crate::driver::{Driver, job, policy};
+use crate::driver::{Driver, job, listed, policy};
 use crate::trial::{lasting, starts_of};
 
+const SECOND: Duration = Duration::from_secs(1);
+
 /// Time within which a lasting task starts where there is room.
 const START: Duration = Duration::from_secs(3);
 
@@ -46,3 +59,54 @@
     driver.pass(START);
     assert_eq!(starts_of(&driver, "lasts").len(), 1);
 }
+
+/// A former owner's order was carried out, and the machine was back, before this owner began.
+#[test]
+fn an_upkeep_that_was_done_before_does_not_end_its_worker() {
+    let mut driver = Driver::new(2, policy());
+    ask_wave(&mut driver, 2);
+    driver.pass(30 * SECOND);
+    assert_eq!(driver.duties.len(), 2, "the wave goes on");
+    assert!(is_over(&driver));
+    let alone = Step {
+        spread: 1,
+        count: 2,
+        ..lasting(1000)
+    };
+    driver.submit(job("lasts", vec![alone]));
+    driver.pass(START);
+    assert_eq!(starts_of(&driver, "lasts").len(), 2, "on both workers");
+}
+
+/// The order was carried out and its answer lost; the interface is silent until the machine
+/// is back under another id.
+#[test]
+fn an_upkeep_confirmed_late_does_not_end_the_new_life() {
+    let mut driver = Driver::new(2, policy());
+    driver.says = None;
+    ask_wave(&mut driver, 2);
+    driver.pass(FIRST_ORDER);
+    assert!(!driver.duties.is_empty());
+    let fresh: Arc<str> = "w9".into();
+    let back = Listed {
+        id: fresh.clone(),
+        ..listed(0)
+    };
+    driver.core.list_worker(back, driver.now);
+    let alone = Step {
+        spread: 1,
+        count: 2,
+        ..lasting(1000)
+    };
+    driver.submit(job("lasts", vec![alone]));
+    driver.pass(START);
+    let early = starts_of(&driver, "lasts");
+    driver.says = Some(Done::Yes);
+    driver.pass(30 * SECOND);
+    assert_eq!(driver.core.counts().lost, 0, "the new life goes on");
+    let starts = starts_of(&driver, "lasts");
+    assert!(starts.iter().any(|(id, _)| *id == fresh), "{starts:?}");
+    assert!(is_over(&driver));
+    // An order that is given again may be the first that is carried out.
+    assert!(early.iter().all(|(id, _)| *id != fresh), "{early:?}");
+}
