Take a worker as ended by its upkeep only until it answers

Cause: the platform answers an order for upkeep alike whether it is carried out or was done already; the core forgot the machine's worker in both cases, and waited for another one.

Ruled out: fixing the life that an order means when the first order goes out. It settles the answer that comes after the machine is back, not the takeover, where the first order of this owner meets the new life and nothing ends. Forgetting the worker and learning of it from the list again: it is listed when its entry changes, which it need not.

Change: the worker stays known, gets nothing, and is not looked at for 3 s; an answer to a look that begins later shows that nothing ended. A machine is back when a worker of it has answered since the confirmation, whichever id it has; until then it counts among those that are away at once. A dead life costs no looks in the time that an upkeep takes.

--- a/ashtiller/src/workflow/core/gate.rs
+++ b/ashtiller/src/workflow/core/gate.rs
@@ -21,7 +21,7 @@
     Aside,
     /// It was put aside and has a run to show that it works again.
     Trial,
-    /// It is emptied for a move or an upkeep.
+    /// It is emptied for an upkeep, or may have ended with one.
     Held,
     /// The platform does not list it.
     Unlisted,
@@ -67,7 +67,7 @@
             () if !worker.answers => Gate::Silent,
             () if worker.draining.is_some() => Gate::Draining,
             () if !self.stays(worker, now) => Gate::Unlisted,
-            () if self.is_emptied(worker) => Gate::Held,
+            () if self.is_held(worker) => Gate::Held,
             () if aside => Gate::Aside,
             () if self.is_tried(worker, now) => Gate::Trial,
             () => Gate::Open,
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -268,11 +268,13 @@
     pub(super) fn drive_looks(&mut self, now: Now) {
         let renew = self.may_renew(now);
         for worker in self.workers.values_mut() {
-            if worker.looking.is_some() || now.at < worker.next_look {
+            let due = worker.next_look.max(worker.doubted.unwrap_or_default());
+            if worker.looking.is_some() || now.at < due {
                 continue;
             }
             let mixed = worker.serving > 0 && worker.filling > 0;
-            let wait = match (worker.fenced && worker.answers, mixed) {
+            let known = worker.fenced && worker.answers && worker.doubted.is_none();
+            let wait = match (known, mixed) {
                 // The clock must be known before a lease can be granted.
                 (false, _) => Duration::ZERO,
                 (true, true) => self.terms.watch,
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -48,7 +48,7 @@
                 active,
                 finished,
             }) => {
-                self.greet_worker(id, clock, now);
+                self.greet_worker(id, clock, begun, now);
                 self.take_finished(id, &finished, now);
                 self.take_active(id, &active, begun, now);
                 self.pace_worker(id, now);
@@ -69,7 +69,7 @@
         }
     }
 
-    fn greet_worker(&mut self, id: &str, clock: u64, now: Now) {
+    fn greet_worker(&mut self, id: &str, clock: u64, begun: Duration, now: Now) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -78,6 +78,10 @@
             worker.lease.fence(now.at, self.terms.lease);
             self.dirty = true;
         }
+        if worker.doubted.is_some_and(|until| until <= begun) {
+            worker.doubted = None;
+            self.dirty = true;
+        }
         let again = !worker.answers;
         if again {
             tracing::debug!(worker = id, "worker answers");
--- a/ashtiller/src/workflow/core/upkeep.rs
+++ b/ashtiller/src/workflow/core/upkeep.rs
@@ -20,8 +20,13 @@
 /// Longest time that a worker is emptied by waiting for its runs to end.
 const EMPTY_MAX: Duration = Duration::from_secs(6);
 
+/// Time after a confirmed upkeep in which its worker is not looked at: what runs there ends
+/// at once, and a new life comes 2 s later by the platform's sheets. Until then a look would
+/// be in vain, and afterwards an answer shows that nothing ended.
+const SETTLE: Duration = Duration::from_secs(3);
+
 /// How far the upkeep of one machine has come.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum Step {
     /// Its worker gets nothing new, since then.
     Emptying(Duration),
@@ -29,8 +34,8 @@
     Ordered,
     /// The order was not taken; it is given again then.
     Again(Duration),
-    /// It is away; this life of its worker is over.
-    Away(Option<Arc<str>>),
+    /// It is away until a worker of it answers.
+    Away,
 }
 
 /// A wave that is not over.
@@ -99,8 +104,12 @@
     }
 
     /// Whether a worker gets nothing as its machine has its turn in a wave. This follows from
-    /// the wave, so that whichever way the turn ends opens the worker again.
-    pub(super) fn is_emptied(&self, worker: &Worker) -> bool {
+    /// the wave, so that whichever way the turn ends opens the worker again, and an order that
+    /// is given again ends nothing on a new life if the earlier one was in vain.
+    pub(super) fn is_held(&self, worker: &Worker) -> bool {
+        if worker.doubted.is_some() {
+            return true;
+        }
         let Some(machine) = &worker.listed.machine else {
             return false;
         };
@@ -122,7 +131,7 @@
 
     fn drive_wave(&mut self, going: &mut Going, now: Now) {
         for machine in going.wave.machines.clone() {
-            if let Some(step) = going.steps.get(&machine).cloned() {
+            if let Some(step) = going.steps.get(&machine).copied() {
                 self.drive_machine(going, &machine, step, now);
             }
         }
@@ -161,15 +170,26 @@
                 }
             }
             Step::Again(at) if now.at >= at => self.order_upkeep(going, machine, now),
-            Step::Away(former) => {
-                let back = self
-                    .worker_of(machine)
-                    .filter(|id| Some(id) != former.as_ref());
-                if back.is_some() {
-                    going.steps.remove(machine);
-                }
+            Step::Away if self.is_back(machine) => {
+                going.steps.remove(machine);
             }
-            Step::Again(_) | Step::Ordered => {}
+            Step::Away | Step::Again(_) | Step::Ordered => {}
+        }
+    }
+
+    /// Whether a worker of a machine has answered since its upkeep was confirmed: a new life,
+    /// or the one that there was if the upkeep had been done before.
+    fn is_back(&self, machine: &str) -> bool {
+        let id = self.worker_of(machine);
+        let worker = id.and_then(|id| self.workers.get(&id));
+        worker.is_some_and(|worker| worker.fenced && worker.doubted.is_none())
+    }
+
+    /// The upkeep of a machine has ended its worker, unless it was done before.
+    fn doubt_workers(&mut self, machine: &Arc<str>, now: Now) {
+        let workers = self.workers.values_mut();
+        for worker in workers.filter(|worker| worker.listed.machine.as_ref() == Some(machine)) {
+            worker.doubted = Some(now.at + SETTLE);
         }
     }
 
@@ -193,20 +213,15 @@
         let Duty::Upkeep(number) = duty else {
             return;
         };
-        let former = self.worker_of(machine);
         let Some(mut going) = self.waves.remove(number) else {
             return;
         };
         match done {
             Ok(Done::Yes) => {
                 tracing::info!(wave = number, %machine, "machine has its upkeep");
-                going
-                    .steps
-                    .insert(machine.clone(), Step::Away(former.clone()));
+                going.steps.insert(machine.clone(), Step::Away);
                 self.record(Fact::Upkept(*number, machine.clone()), now);
-                if let Some(id) = former {
-                    self.lose_worker(&id, "its machine has its upkeep", now);
-                }
+                self.doubt_workers(machine, now);
             }
             Ok(Done::Busy) => {
                 going
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -70,6 +70,9 @@
     pub calm: Duration,
     /// When reports show the paces that were last set.
     pub settled: Duration,
+    /// Its machine was told to end it: only an answer to a look that begins at this time or
+    /// later shows that it lives on.
+    pub doubted: Option<Duration>,
     /// Until when it gets no runs because it fails, stalls or is slow.
     pub aside: Option<Duration>,
     failures: u32,
@@ -105,6 +108,7 @@
             over: None,
             calm: Duration::ZERO,
             settled: Duration::ZERO,
+            doubted: None,
             aside: None,
             failures: 0,
             quarantines: 0,
--- a/ashtiller/tests/owner/upkeep.rs
+++ b/ashtiller/tests/owner/upkeep.rs
@@ -110,3 +110,25 @@
     // An order that is given again may be the first that is carried out.
     assert!(early.iter().all(|(id, _)| *id != fresh), "{early:?}");
 }
+
+/// What it said before may come afterwards, and its entry be listed again.
+#[test]
+fn a_machine_is_away_until_a_new_life_of_it_answers() {
+    let mut driver = Driver::new(2, policy());
+    driver.patient = true;
+    ask_wave(&mut driver, 2);
+    driver.pass(FIRST_ORDER);
+    assert_eq!(driver.duties.len(), 1);
+    driver.silent = Some("w0".into());
+    driver.pass(10 * SECOND);
+    driver.core.list_worker(listed(0), driver.now);
+    driver.pass(10 * SECOND);
+    assert_eq!(driver.duties.len(), 1, "no more than one at once");
+    let back = Listed {
+        id: "w9".into(),
+        ..listed(0)
+    };
+    driver.core.list_worker(back, driver.now);
+    driver.pass(START);
+    assert_eq!(driver.duties.len(), 2);
+}
