Tests of workers that cannot be emptied for their upkeep

Cause: a worker is held until it is empty. A lasting task there may not be stopped while a sibling of its step is away, and the sibling may find room only there, or none: the state prevents the event that would end it.

--- a/ashtiller/tests/owner/upkeep.rs
+++ b/ashtiller/tests/owner/upkeep.rs
@@ -8,6 +8,13 @@
 //! once, and the wave waited for yet another life. Settled by: one order in 30 s for a wave
 //! of two machines; no start on the new life, which is listed and answers.
 //!
+//! A worker that cannot be emptied. Symptom: it gets no run any more, and the wave does not
+//! go on. Sequence: a task of a step that can miss one is away, another one runs here and may
+//! not be stopped meanwhile; the one that is away finds room nowhere else, or none at all.
+//! Cause: the worker was held until it was empty, which held back what it waited for. Settled
+//! by: no start in 3 s on a worker with 1.5 of 4 processors free; none in 8 s of a task that
+//! was stopped there and fits nowhere else.
+//!
 //! A machine that does not take its upkeep. Symptom: its worker is well and gets no run any
 //! more. Sequence: the worker is emptied, the order is refused for good, the wave goes on
 //! without the machine. Cause: the worker was marked as held when its emptying began, and
@@ -17,6 +24,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashtiller::workflow::agents::Active;
 use ashtiller::workflow::config::Listed;
 use ashtiller::workflow::job::Step;
 use ashtiller::workflow::machines::{Done, Wave};
@@ -132,3 +140,65 @@
     driver.pass(START);
     assert_eq!(driver.duties.len(), 2);
 }
+
+/// Both tasks of a step that can miss one, at work.
+fn put_pair_at_work(driver: &mut Driver, processors: u64) {
+    let pair = Step {
+        count: 2,
+        away_max: Some(1),
+        ..lasting(processors)
+    };
+    driver.submit(job("pair", vec![pair]));
+    driver.pass(SECOND);
+    for (id, run) in starts_of(driver, "pair") {
+        let row = Active {
+            name: driver.name(run),
+            run: run.number,
+            saved: "".into(),
+            percent: 100,
+            figure: None,
+        };
+        driver.at_work.push((id, row));
+    }
+    driver.pass(SECOND);
+}
+
+/// The task that is away finds no room anywhere; another worker's turn does not wait for it.
+#[test]
+fn a_worker_that_cannot_be_emptied_is_not_shut_for_good() {
+    let mut driver = Driver::new(2, policy());
+    put_pair_at_work(&mut driver, 2500);
+    assert_eq!(starts_of(&driver, "pair").len(), 2);
+    driver.silent = Some("w1".into());
+    driver.pass(FIRST_ORDER);
+    ask_wave(&mut driver, 2);
+    driver.pass(SECOND);
+    driver.submit(job("other", vec![lasting(1000)]));
+    driver.pass(START);
+    assert_eq!(starts_of(&driver, "other").len(), 1, "room for it on w0");
+    driver.pass(10 * SECOND);
+    assert!(driver.stops().is_empty(), "one is away already");
+    let ordered: Vec<&str> = driver
+        .duties
+        .iter()
+        .map(|(machine, _)| &**machine)
+        .collect();
+    assert_eq!(ordered, ["m1"], "nothing runs there");
+}
+
+/// Two tasks on the only worker: one is stopped, and the other may not be until that one is
+/// at work, for which there is room only here.
+#[test]
+fn a_task_that_was_moved_off_in_vain_comes_back() {
+    let mut driver = Driver::new(1, policy());
+    put_pair_at_work(&mut driver, 1500);
+    ask_wave(&mut driver, 1);
+    driver.pass(FIRST_ORDER);
+    let stops = driver.stops().len();
+    assert_eq!(stops, 1, "one may be away");
+    // The platform asks for a lasting task within 9 s of its last run.
+    driver.pass(4 * SECOND);
+    assert_eq!(starts_of(&driver, "pair").len(), 3);
+    assert_eq!(driver.stops().len(), 1);
+    assert!(driver.duties.is_empty());
+}
