Bound the time for which a worker is held that cannot be emptied

Cause: a worker was held until it was empty, while a lasting run there may not be stopped as long as a sibling of its step is away, which may find room only there, or none at all.

Weighed: letting a held worker admit what has waited too long; it opens for the sibling that fits, but a worker whose sibling fits nowhere stays shut for all else. Opening it as soon as a run is blocked; every chain of siblings that move one after the other is blocked for a moment, and the worker would fill again each time. A bound on the whole emptying; it would cut chains that go on well. Stopping the run all the same breaks what the step may miss.

Change: a machine's turn does not begin while a lasting run there may not be stopped; others go first. If that shows during the emptying, with nothing being stopped, the worker is held for 6 s at most, then gets runs again and is left alone for 12 s. Nothing is stopped that was not before. A wave for which there is room goes on as it did.

--- a/ashtiller/src/workflow/core/roster.rs
+++ b/ashtiller/src/workflow/core/roster.rs
@@ -237,7 +237,7 @@
         })
     }
 
-    fn is_stopping(&self, run: Run) -> bool {
+    pub(super) fn is_stopping(&self, run: Run) -> bool {
         let live = self.runs.get(&run);
         live.is_none_or(|live| live.stop != Stop::None)
     }
--- a/ashtiller/src/workflow/core/upkeep.rs
+++ b/ashtiller/src/workflow/core/upkeep.rs
@@ -20,6 +20,13 @@
 /// Longest time that a worker is emptied by waiting for its runs to end.
 const EMPTY_MAX: Duration = Duration::from_secs(6);
 
+/// Longest time for which a worker is held while a task that is away keeps it from being
+/// emptied: the platform asks for a lasting task within 9 s of its last run, and a worker
+/// that is kept for one elsewhere leaves room within some 5 s.
+const BLOCKED_MAX: Duration = Duration::from_secs(6);
+/// Time for which such a worker is then left alone: twice what its tasks lost.
+const REST: Duration = Duration::from_secs(12);
+
 /// Time after a confirmed upkeep in which its worker is not looked at: what runs there ends
 /// at once, and a new life comes 2 s later by the platform's sheets. Until then a look would
 /// be in vain, and afterwards an answer shows that nothing ended.
@@ -29,7 +36,13 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Step {
     /// Its worker gets nothing new, since then.
-    Emptying(Duration),
+    Emptying {
+        since: Duration,
+        /// Since when nothing there may be stopped.
+        blocked: Option<Duration>,
+    },
+    /// Its worker could not be emptied; it gets runs until then.
+    Resting(Duration),
     /// The order is under way.
     Ordered,
     /// The order was not taken; it is given again then.
@@ -38,6 +51,16 @@
     Away,
 }
 
+/// How far a worker is emptied.
+enum Emptied {
+    /// Nothing runs there.
+    Whole,
+    /// Runs end by themselves, or are being stopped.
+    Partly,
+    /// A run may not be stopped while others of its step are away.
+    Blocked,
+}
+
 /// A wave that is not over.
 #[derive(Clone, Debug)]
 pub struct Going {
@@ -46,6 +69,33 @@
     steps: BTreeMap<Arc<str>, Step>,
 }
 
+impl Step {
+    /// Whether the machine counts among those that may be away at once.
+    fn is_turn(&self) -> bool {
+        !matches!(self, Self::Resting(_))
+    }
+}
+
+impl Wave {
+    /// Time after which runs on a worker that is emptied are stopped.
+    fn patience(&self) -> Duration {
+        let turns = self.machines.len().div_ceil(self.most.max(1) as usize);
+        let share = self.duration / u32::try_from(turns.max(1)).unwrap_or(u32::MAX);
+        share.mul_f64(PATIENCE).min(EMPTY_MAX)
+    }
+}
+
+/// Gives a worker that cannot be emptied back to those who wait, sooner or later.
+fn keep_or_rest(since: Duration, blocked: Duration, now: Now) -> Step {
+    if now.at >= blocked + BLOCKED_MAX {
+        return Step::Resting(now.at + REST);
+    }
+    Step::Emptying {
+        since,
+        blocked: Some(blocked),
+    }
+}
+
 impl Core {
     /// An operator asks for a wave.
     pub fn set_wave(&mut self, wave: Wave, now: Now) {
@@ -113,8 +163,8 @@
         let Some(machine) = &worker.listed.machine else {
             return false;
         };
-        let mut waves = self.waves.values();
-        waves.any(|going| going.steps.contains_key(machine))
+        let mut steps = self.waves.values().map(|going| going.steps.get(machine));
+        steps.any(|step| step.is_some_and(Step::is_turn))
     }
 
     fn is_upkept(&self, number: u64, machine: &Arc<str>) -> bool {
@@ -137,43 +187,54 @@
         }
         let room = going.wave.most as usize;
         for machine in going.wave.machines.clone() {
-            let busy = going.steps.len();
-            if busy >= room {
+            let busy = going.steps.values().filter(|step| step.is_turn());
+            if busy.count() >= room {
                 return;
             }
             let done = self.is_upkept(going.wave.number, &machine);
             if done || going.steps.contains_key(&machine) {
                 continue;
             }
-            if self.worker_of(&machine).is_some() {
-                going.steps.insert(machine, Step::Emptying(now.at));
+            let worker = self.worker_of(&machine);
+            if worker.is_some_and(|id| !self.is_blocked(&id, now)) {
+                let (since, blocked) = (now.at, None);
+                going
+                    .steps
+                    .insert(machine, Step::Emptying { since, blocked });
             }
         }
     }
 
     fn drive_machine(&mut self, going: &mut Going, machine: &Arc<str>, step: Step, now: Now) {
         match step {
-            Step::Emptying(since) => {
+            Step::Emptying { since, blocked } => {
                 let Some(id) = self.worker_of(machine) else {
                     going.steps.remove(machine);
                     return;
                 };
-                let turns = going
-                    .wave
-                    .machines
-                    .len()
-                    .div_ceil(going.wave.most.max(1) as usize);
-                let share = going.wave.duration / u32::try_from(turns.max(1)).unwrap_or(u32::MAX);
-                let patience = share.mul_f64(PATIENCE).min(EMPTY_MAX);
-                if self.empty_worker(&id, now.at > since + patience, now) {
-                    self.order_upkeep(going, machine, now);
+                let urge = now.at > since + going.wave.patience();
+                let next = match self.empty_worker(&id, urge, now) {
+                    Emptied::Whole => return self.order_upkeep(going, machine, now),
+                    Emptied::Partly => Step::Emptying {
+                        since,
+                        blocked: None,
+                    },
+                    Emptied::Blocked => keep_or_rest(since, blocked.unwrap_or(now.at), now),
+                };
+                if matches!(next, Step::Resting(_)) {
+                    tracing::info!(wave = going.wave.number, %machine, worker = %id,
+                        "worker is not emptied: tasks that its runs wait for stay away");
                 }
+                going.steps.insert(machine.clone(), next);
+            }
+            Step::Resting(until) if now.at >= until => {
+                going.steps.remove(machine);
             }
             Step::Again(at) if now.at >= at => self.order_upkeep(going, machine, now),
             Step::Away if self.is_back(machine) => {
                 going.steps.remove(machine);
             }
-            Step::Away | Step::Again(_) | Step::Ordered => {}
+            Step::Resting(_) | Step::Away | Step::Again(_) | Step::Ordered => {}
         }
     }
 
@@ -245,10 +306,10 @@
     }
 
     /// Empties a worker: waits for what ends by itself, and stops the rest where its
-    /// step can miss it. True when nothing runs there.
-    fn empty_worker(&mut self, id: &Arc<str>, urge: bool, now: Now) -> bool {
+    /// step can miss it.
+    fn empty_worker(&mut self, id: &Arc<str>, urge: bool, now: Now) -> Emptied {
         let Some(worker) = self.workers.get(id) else {
-            return true;
+            return Emptied::Whole;
         };
         let runs: Vec<Run> = worker.runs.iter().copied().collect();
         for run in &runs {
@@ -261,7 +322,22 @@
                 self.want_stop(*run, Reason::Upkeep);
             }
         }
-        runs.is_empty()
+        match () {
+            () if runs.is_empty() => Emptied::Whole,
+            () if runs.iter().any(|run| self.is_stopping(*run)) => Emptied::Partly,
+            () if self.is_blocked(id, now) => Emptied::Blocked,
+            () => Emptied::Partly,
+        }
+    }
+
+    /// Whether a lasting run on a worker may not be stopped now.
+    fn is_blocked(&self, id: &Arc<str>, now: Now) -> bool {
+        let mut runs = self.workers.get(id).into_iter().flat_map(|it| &it.runs);
+        runs.any(|run| {
+            let task = self.book.task(run.task);
+            let step = task.and_then(|(job, _)| job.step(run.task));
+            step.is_some_and(|step| step.lasting) && !self.may_be_away(*run, now)
+        })
     }
 
     /// Whether a run's step can miss it besides those that are away.
--- a/ashtiller/tests/owner/upkeep.rs
+++ b/ashtiller/tests/owner/upkeep.rs
@@ -26,6 +26,7 @@
 
 use ashtiller::workflow::agents::Active;
 use ashtiller::workflow::config::Listed;
+use ashtiller::workflow::fact::Run;
 use ashtiller::workflow::job::Step;
 use ashtiller::workflow::machines::{Done, Wave};
 
@@ -150,19 +151,24 @@
     };
     driver.submit(job("pair", vec![pair]));
     driver.pass(SECOND);
-    for (id, run) in starts_of(driver, "pair") {
-        let row = Active {
-            name: driver.name(run),
-            run: run.number,
-            saved: "".into(),
-            percent: 100,
-            figure: None,
-        };
-        driver.at_work.push((id, row));
+    for started in starts_of(driver, "pair") {
+        put_at_work(driver, started);
     }
     driver.pass(SECOND);
 }
 
+fn put_at_work(driver: &mut Driver, started: (Arc<str>, Run)) {
+    let (id, run) = started;
+    let row = Active {
+        name: driver.name(run),
+        run: run.number,
+        saved: "".into(),
+        percent: 100,
+        figure: None,
+    };
+    driver.at_work.push((id, row));
+}
+
 /// The task that is away finds no room anywhere; another worker's turn does not wait for it.
 #[test]
 fn a_worker_that_cannot_be_emptied_is_not_shut_for_good() {
@@ -201,4 +207,36 @@
     assert_eq!(starts_of(&driver, "pair").len(), 3);
     assert_eq!(driver.stops().len(), 1);
     assert!(driver.duties.is_empty());
+    let back = starts_of(&driver, "pair")[2].clone();
+    put_at_work(&mut driver, back);
+    driver.pass(5 * SECOND);
+    assert_eq!(driver.stops().len(), 1, "left alone for a while");
+    driver.pass(10 * SECOND);
+    assert_eq!(driver.stops().len(), 2, "tried again");
+}
+
+/// The second task waits until the first is at work elsewhere, and the wave does not rest.
+#[test]
+fn tasks_that_find_room_elsewhere_move_off_one_after_the_other() {
+    let mut driver = Driver::new(2, policy());
+    put_pair_at_work(&mut driver, 1500);
+    let home = starts_of(&driver, "pair")[0].0.clone();
+    assert!(starts_of(&driver, "pair").iter().all(|(id, _)| *id == home));
+    let wave = Wave {
+        number: 3,
+        machines: vec![home.replace('w', "m").into()],
+        duration: Duration::from_mins(1),
+        most: 1,
+    };
+    driver.core.set_wave(wave, driver.now);
+    driver.pass(FIRST_ORDER);
+    assert_eq!(driver.stops().len(), 1);
+    assert!(driver.duties.is_empty());
+    let moved = starts_of(&driver, "pair")[2].clone();
+    assert_ne!(moved.0, home);
+    put_at_work(&mut driver, moved);
+    driver.pass(SECOND);
+    assert_eq!(driver.stops().len(), 2);
+    assert_ne!(starts_of(&driver, "pair")[3].0, home);
+    assert_eq!(driver.duties.len(), 1);
 }
