--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -73,8 +73,9 @@
     pub calm: Duration,
     /// When reports show the paces that were last set.
     pub settled: Duration,
-    /// Whether it is emptied for a move or an upkeep.
-    pub held: bool,
+    /// Its machine was told to end it: only an answer to a look that begins at this time or
+    /// later shows that it lives on.
+    pub doubted: Option<Duration>,
     /// Until when it gets no runs because it fails, stalls or is slow.
     pub aside: Option<Duration>,
     failures: u32,
@@ -106,11 +107,11 @@
             serving: 0,
             filling: 0,
             filled: 0,
-            held: false,
             left: Vec::new(),
             over: None,
             calm: Duration::ZERO,
             settled: Duration::ZERO,
+            doubted: None,
             aside: None,
             failures: 0,
             quarantines: 0,
--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -83,6 +83,8 @@
     pub refused: Vec<(Arc<str>, Run)>,
     pub asked: Vec<Vec<Arc<str>>>,
     pub duties: Vec<(Arc<str>, Duty)>,
+    /// What the machines' interface says to each order; nothing when it is silent.
+    pub says: Option<Done>,
     pub facts: Vec<Fact>,
     /// The only worker that the advisor lets run anything.
     pub advises: Option<Arc<str>>,
@@ -143,6 +145,7 @@
             refused: Vec::new(),
             asked: Vec::new(),
             duties: Vec::new(),
+            says: Some(Done::Yes),
             facts: Vec::new(),
             advises: None,
             refuses: None,
@@ -253,8 +256,9 @@
                 self.core.take_advice(key, at, Ok(good), self.now);
             }
             Effect::Duty(machine, duty) => {
-                self.core
-                    .take_duty(&machine, &duty, Ok(Done::Yes), self.now);
+                let nothing = Failure::unknown("order machine", &machine, "no answer");
+                let said = self.says.ok_or(nothing);
+                self.core.take_duty(&machine, &duty, said, self.now);
                 self.duties.push((machine, duty));
             }
         }
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -15,5 +15,6 @@
 mod stops;
 mod takeover;
 mod trial;
+mod upkeep;
 mod watching;
 mod workers;
