--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -11,6 +11,7 @@
 mod placing;
 mod room;
 mod sharing;
+mod slow;
 mod takeover;
 mod trial;
 mod watching;
