List again and again while the store is slow, in place of watches that fail

Cause: a watch is given up 0.4 s after its wait. With answers that take longer each watch failed, only then was the list asked for, and nothing else was asked for until that was answered or 1.2 s were over. The age of the list of workers grew to wait, slack and two answers, above the 1.65 s up to which runs may start.

Ruled out: a longer slack, since a silent watch would be noticed later by as much; a shorter wait alone, since two answers one after the other take more than the bound from 0.8 s on; two watches at once, since a watch holds its place in the history and both would tell the same changes.

Change: workflow/tempo.rs keeps how long the store's calls take. A list that is not answered within 0.4 s is not waited for alone.

What was known when a watch and the list after it got no answer: 2.601 s old before, 1.801 s after (2 s are wanted for a configuration).

When the store turns slow at once, a hold of what the answer takes beyond 0.25 s remains, until the first list is there.

--- a/ashtiller/src/workflow/mod.rs
+++ b/ashtiller/src/workflow/mod.rs
@@ -5,7 +5,8 @@
 //!   and [`live`] are its view of the fleet;
 //! - what is carried out: [`log`] writes, [`owner`] runs the state machine,
 //!   [`campaign`] decides when to own, [`node`] is the process, [`peers`] asks others over [`link`];
-//! - the borders: [`kv`], [`agents`] and [`advisor`] are traits, [`follow`] reads changes.
+//! - the borders: [`kv`], [`agents`] and [`advisor`] are traits, [`follow`] reads changes as
+//!   fast as [`tempo`] allows.
 
 pub mod advisor;
 pub mod agents;
@@ -32,5 +33,6 @@
 pub mod settings;
 pub mod state;
 pub mod switches;
+pub mod tempo;
 pub mod terms;
 pub mod worker;
--- a/ashtiller/tests/owner/slow.rs
+++ b/ashtiller/tests/owner/slow.rs
@@ -32,6 +32,8 @@
     Hasty,
     /// Every call is refused at once.
     Refusing,
+    /// No watch gets an answer, nor does every other list; the others get it at once.
+    Lossy,
 }
 
 /// A store in which nothing changes.
@@ -77,12 +79,16 @@
     }
 
     fn scan<'a>(&'a self, _: &'a str, _: Option<&'a str>) -> Called<'a, Page> {
-        self.lists.fetch_add(1, Ordering::Relaxed);
+        let number = self.lists.fetch_add(1, Ordering::Relaxed);
         Box::pin(async move {
             match self.manner {
                 Manner::Slow(delay) => answer("list", delay, READ_LIMIT, Page::default()).await,
                 Manner::Forgetful | Manner::Hasty => Ok(Page::default()),
                 Manner::Refusing => Err(Failure::none("list", "store", "refused")),
+                Manner::Lossy => {
+                    let delay = if number.is_multiple_of(2) { MS } else { SPAN };
+                    answer("list", delay, READ_LIMIT, Page::default()).await
+                }
             }
         })
     }
@@ -96,6 +102,10 @@
                     time::sleep(wait).await;
                     answer("watch", delay, WATCH_SLACK, nothing).await
                 }
+                Manner::Lossy => {
+                    time::sleep(wait).await;
+                    answer("watch", SPAN, WATCH_SLACK, nothing).await
+                }
                 Manner::Forgetful => Ok(Watched::Compacted),
                 Manner::Hasty => Ok(nothing),
                 Manner::Refusing => Err(Failure::none("watch", "store", "refused")),
@@ -205,3 +215,27 @@
         assert_eq!(told.elapsed() < Duration::from_secs(1), known);
     }
 }
+
+/// Symptom: a configuration could come into force 2.6 s after the store had taken it; the
+/// platform wants 2 s.
+///
+/// Sequence: the connection of a watch goes silent, and so does that of the list which is
+/// then asked for; the next one works.
+///
+/// Cause: a list was waited for alone until its limit of 1.2 s was over.
+///
+/// Figure: what was known became 2.601 s old; now 1.801 s.
+#[tokio::test(start_paused = true)]
+async fn a_list_without_an_answer_is_not_waited_for_alone() {
+    let (_patience, mut seen) = follow(Quiet::open(Manner::Lossy));
+    let begin = Instant::now();
+    let (mut known, mut oldest) = (begin, Duration::ZERO);
+    while begin.elapsed() < SPAN {
+        let seen = time::timeout(SPAN, seen.recv()).await;
+        let seen = seen.expect("something seen").expect("a follower");
+        oldest = oldest.max(known.elapsed());
+        known = as_of(&seen);
+    }
+    println!("what was known became {oldest:?} old");
+    assert!(oldest < Duration::from_secs(2), "{oldest:?}");
+}
