Lists do not overlap where news also comes another way

Change: a list is waited for alone for a quarter of a watch's wait at least. At the owner (1 s) that is below 0.4 s, elsewhere (10 s) above a list's own limit of 1.2 s.

Conclusion: no more calls than before where they are not needed. A store that turns slow holds starts once, for what its answer takes beyond 0.25 s; one whose answers jump from call to call still holds them now and then.

--- a/ashtiller/src/workflow/tempo.rs
+++ b/ashtiller/src/workflow/tempo.rs
@@ -9,6 +9,9 @@
 pub const OVERDUE: Duration = Duration::from_millis(400);
 /// Least time between two lists, and between a call that failed and the next one.
 pub const PAUSE: Duration = Duration::from_millis(250);
+/// Part of a watch's wait for which a list is waited for alone, at least. Where news also
+/// comes another way, that is longer than a list's limit, so lists do not overlap there.
+const FEW: u32 = 4;
 /// Time from an answer to decisions that rest on it, which come every few milliseconds.
 const MARGIN: Duration = Duration::from_millis(50);
 
@@ -59,7 +62,7 @@
     #[must_use]
     pub fn pace(&self, longest: Duration) -> Duration {
         if !self.is_slow(longest) {
-            return OVERDUE;
+            return OVERDUE.max(longest / FEW);
         }
         let left = keep_time(longest).saturating_sub(self.list + MARGIN);
         left.clamp(PAUSE, longest.max(PAUSE))
--- a/ashtiller/tests/owner/slow.rs
+++ b/ashtiller/tests/owner/slow.rs
@@ -119,9 +119,16 @@
 }
 
 /// Follows workers as the owner of a log does.
-fn follow(store: Arc<Quiet>) -> (watch::Sender<Duration>, mpsc::Receiver<Seen>) {
+fn follow(store: Arc<dyn Store>) -> (watch::Sender<Duration>, mpsc::Receiver<Seen>) {
+    follow_for(store, follow::short_wait(Terms::default().drain))
+}
+
+fn follow_for(
+    store: Arc<dyn Store>,
+    wait: Duration,
+) -> (watch::Sender<Duration>, mpsc::Receiver<Seen>) {
     let (sender, seen) = mpsc::channel(16);
-    let patience = watch::Sender::new(follow::short_wait(Terms::default().drain));
+    let patience = watch::Sender::new(wait);
     let told = patience.subscribe();
     tokio::spawn(follow::follow(store, "servers/", told, sender));
     (patience, seen)
@@ -134,7 +141,7 @@
 }
 
 /// Thousandths of the time for which starts are held by the age of the list of workers.
-async fn held_share(store: Arc<Quiet>) -> u32 {
+async fn held_share(store: Arc<dyn Store>) -> u32 {
     let (_patience, mut seen) = follow(store);
     let begin = Instant::now();
     let (mut listed, mut held, mut total) = (begin, 0, 0);
@@ -239,3 +246,19 @@
     println!("what was known became {oldest:?} old");
     assert!(oldest < Duration::from_secs(2), "{oldest:?}");
 }
+
+/// A store that says nothing costs each instance that does not own the log no more calls
+/// than lists one after the other, as there are many such instances: 50 a minute, where
+/// lists that overlap would be 150.
+#[tokio::test(start_paused = true)]
+async fn a_silent_store_gets_few_calls_of_instances_that_do_not_own_the_log() {
+    let store = Quiet::open(Manner::Slow(SPAN));
+    let _followed = follow_for(store.clone(), follow::LONG_WAIT);
+    time::sleep(SPAN).await;
+    let (lists, watches) = store.calls();
+    println!("{lists} lists, {watches} watches");
+    assert!(
+        lists <= 51 && watches == 0,
+        "{lists} lists, {watches} watches"
+    );
+}
