--- a/ashtiller/tests/links/main.rs
+++ b/ashtiller/tests/links/main.rs
@@ -1,4 +1,4 @@
-//! Connections between entry instances, and from clients, that go silent for good, in virtual time.
+//! Connections between entry instances, from clients and to the store that go silent for good.
 
 mod clients;
 #[path = "../../../platform/dialect.rs"]
@@ -9,8 +9,11 @@
 mod front;
 #[path = "../../../platform/job.rs"]
 mod job;
+mod lists;
 mod net;
 mod peer;
+#[path = "../../../platform/store.rs"]
+mod store;
 
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
