Read lists over new connections

Cause: connections go silent together. A list that stands in for an overdue watch or list took a kept connection, which may be as silent; only a call that failed as a whole makes the client distrust the kept ones. With lists that overlap, up to four of them could meet silent connections, 0.4 s after each other.

Ruled out: distrusting kept connections when a call is overdue but not given up, which would end good ones while the store is slow, and be counted as silence.

Change: the first page of a list goes over a new connection, the others over the one that has just answered; a call says so with `apart`. Lists are rare while the store is well (one at start, on both prefixes), so this costs no more calls.

Conclusion: what a list tells does not hang on connections from before it was asked for.

--- a/ashtiller/src/net/web.rs
+++ b/ashtiller/src/net/web.rs
@@ -70,6 +70,9 @@
     pub headers: Vec<(&'static str, String)>,
     /// Body.
     pub body: Bytes,
+    /// Whether it goes over a new connection though idle ones may be there, as it stands
+    /// in for a call whose connection may have gone silent.
+    pub apart: bool,
 }
 
 impl<'a> Call<'a> {
@@ -81,6 +84,7 @@
             target,
             headers: Vec::new(),
             body,
+            apart: false,
         }
     }
 }
@@ -143,7 +147,7 @@
     ) -> Result<Answer, Failure> {
         let started = Instant::now();
         let timed_out = |_| Failure::none(step, peer, "no connection in time");
-        let link = time::timeout(limit, self.connect(step, peer))
+        let link = time::timeout(limit, self.connect(step, peer, call.apart))
             .await
             .map_err(timed_out)??;
         let left = limit.saturating_sub(started.elapsed());
@@ -158,32 +162,18 @@
         Ok(answer)
     }
 
-    async fn connect(&self, step: &'static str, peer: SocketAddr) -> Result<Link, Failure> {
-        while let Some(link) = self.take(peer) {
+    async fn connect(
+        &self,
+        step: &'static str,
+        peer: SocketAddr,
+        apart: bool,
+    ) -> Result<Link, Failure> {
+        while !apart && let Some(link) = self.take(peer) {
             if link.sender.is_ready() {
                 return Ok(link);
             }
         }
-        let failed = |error: &dyn std::fmt::Display| Failure::none(step, peer, error);
-        let stream = TcpStream::connect(peer)
-            .await
-            .map_err(|error| failed(&error))?;
-        stream.set_nodelay(true).map_err(|error| failed(&error))?;
-        SockRef::from(&stream)
-            .set_tcp_user_timeout(Some(USER_TIMEOUT))
-            .map_err(|error| failed(&error))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| failed(&error))?;
-        let driver = tokio::spawn(async move {
-            // The caller sees the same error through the sender.
-            let _ = connection.await;
-        });
-        Ok(Link {
-            sender,
-            driver: driver.abort_handle(),
-            answered: Instant::now(),
-        })
+        open(step, peer).await
     }
 
     fn take(&self, peer: SocketAddr) -> Option<Link> {
@@ -220,6 +210,30 @@
     }
 }
 
+/// Opens a connection.
+async fn open(step: &'static str, peer: SocketAddr) -> Result<Link, Failure> {
+    let failed = |error: &dyn std::fmt::Display| Failure::none(step, peer, error);
+    let stream = TcpStream::connect(peer)
+        .await
+        .map_err(|error| failed(&error))?;
+    stream.set_nodelay(true).map_err(|error| failed(&error))?;
+    SockRef::from(&stream)
+        .set_tcp_user_timeout(Some(USER_TIMEOUT))
+        .map_err(|error| failed(&error))?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| failed(&error))?;
+    let driver = tokio::spawn(async move {
+        // The caller sees the same error through the sender.
+        let _ = connection.await;
+    });
+    Ok(Link {
+        sender,
+        driver: driver.abort_handle(),
+        answered: Instant::now(),
+    })
+}
+
 async fn exchange(
     step: &'static str,
     peer: SocketAddr,
