--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -2,6 +2,7 @@
 
 mod driver;
 mod growth;
+mod held;
 mod jobs;
 mod kept;
 mod leaving;
--- a/ashtiller/tests/settings.rs
+++ b/ashtiller/tests/settings.rs
@@ -98,6 +98,29 @@
     assert_eq!(keys, ["ports", "host", "readiness", "lease", "speed"]);
 }
 
+/// Symptom: an instance that owned the log started nothing, for good, and did not say why.
+///
+/// Sequence: a bound on leaving workers of 350 ms or less in the settings.
+///
+/// Cause: each start has to reach its worker within 350 ms, and only within the bound from
+/// when the list of workers was whole; a bound from 1 ms was taken.
+///
+/// Figure: 350ms, and 1ms as well, had no mistake; now the file is refused with the least
+/// bound, 700ms.
+#[test]
+fn a_bound_within_which_nothing_can_start_is_a_mistake() {
+    let sample = include_str!("../../samples/platform-entry.ini");
+    for (drain, mistaken) in [("1ms", true), ("350ms", true), ("700ms", false)] {
+        let text = sample.replace("drain = 2000ms", &format!("drain = {drain}"));
+        let parsed = ashtiller::workflow::settings::Settings::parse("sample", &text);
+        let said = parsed.err().map(|mistakes| mistakes.to_string());
+        let wanted = format!(
+            "sample: [workers] drain: found {drain}; allowed: a time in ms, s, min or h from 700ms to 1min"
+        );
+        assert_eq!(said, mistaken.then_some(wanted));
+    }
+}
+
 #[test]
 fn mechanisms_of_the_policy_can_be_switched_off() {
     let sample = include_str!("../../samples/platform-entry.ini");
