Say how many tasks a hold keeps waiting; refuse a drain bound that no start can keep

Cause: while starts wait for a newer list of workers, planning ends before it tells which steps wait, and `starts wait` came once, without them. And `[workers] drain` was taken from 1 ms on, though a start is only ordered while list age and 350 ms are below it.

Ruled out: telling each waiting step while nothing is planned, which needs the fleet's rooms; a cap in place of a refusal, which would start tasks later than the bound allows.

Change: `starts wait` names the tasks without a run and the longest wait, and comes again each 5 s. The least bound is twice an order's limit, 700 ms: half for a watch's wait, half for the order. The mistake names the range.

The settings' test expected what was found without the quotes that every mistake has; it was red for its cause (no mistake at all), and now expects the line as it is printed.

Conclusion: an operator sees from the lines of one process why a task waits. At exactly 700 ms starts still wait for a few milliseconds at each proof.

--- a/ashtiller/src/workflow/core/hold.rs
+++ b/ashtiller/src/workflow/core/hold.rs
@@ -6,6 +6,16 @@
 use crate::workflow::agents::ORDER_LIMIT;
 use crate::workflow::core::{Core, Now};
 
+/// Time between two lines while starts wait, as between those on a task that waits.
+const TOLD_AGAIN: Duration = Duration::from_secs(5);
+
+/// Starts that wait.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Hold {
+    since: Duration,
+    told: Duration,
+}
+
 impl Core {
     /// The list of workers is whole as of then: it holds all that the store took earlier.
     pub fn note_listing(&mut self, as_of: Duration) {
@@ -33,25 +43,50 @@
         if self.held.is_some() {
             return;
         }
-        self.held = Some(now.at);
+        let (since, told) = (now.at, now.at);
+        self.held = Some(Hold { since, told });
+        self.tell_hold(since, now);
+    }
+
+    /// Nothing is planned meanwhile, so no other line tells what waits.
+    fn tell_hold(&self, since: Duration, now: Now) {
+        let [(_, lasting), (_, short)] = self.sum_waits(now);
         tracing::info!(
             list_age_ms = self.list_age(now).as_millis(),
             proof_age_ms = self.proof_age(now).as_millis(),
+            held_ms = now.at.saturating_sub(since).as_millis(),
+            lasting = lasting.tasks,
+            short = short.tasks,
+            waited_ms = lasting.longest.max(short.longest).as_millis(),
             "starts wait: the list of workers is old, or ownership in doubt"
         );
     }
 
+    /// Says again that starts wait, when that was said long ago.
+    fn tell_long_hold(&mut self, now: Now) {
+        let Some(hold) = &mut self.held else {
+            return;
+        };
+        if now.at < hold.told + TOLD_AGAIN {
+            return;
+        }
+        hold.told = now.at;
+        let since = hold.since;
+        self.tell_hold(since, now);
+    }
+
     /// Goes on with what was held, which no other event would wake.
     pub(super) fn resume_starts(&mut self, now: Now) {
         if !self.may_start(now) {
+            self.tell_long_hold(now);
             return;
         }
-        let Some(since) = self.held.take() else {
+        let Some(hold) = self.held.take() else {
             return;
         };
         tracing::info!(
             list_age_ms = self.list_age(now).as_millis(),
-            held_ms = now.at.saturating_sub(since).as_millis(),
+            held_ms = now.at.saturating_sub(hold.since).as_millis(),
             "starts go on"
         );
         self.dirty = true;
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -137,7 +137,7 @@
     /// As of when the list of workers was last known to be whole.
     listed_at: Duration,
     /// Since when starts wait.
-    held: Option<Duration>,
+    held: Option<hold::Hold>,
     effects: Vec<Effect>,
     advised: BTreeMap<StepKey, Advised>,
     waves: BTreeMap<u64, Going>,
--- a/ashtiller/src/workflow/settings.rs
+++ b/ashtiller/src/workflow/settings.rs
@@ -7,6 +7,7 @@
 use crate::document::Document;
 use crate::mistake::Mistakes;
 use crate::settings::{self, Instance};
+use crate::workflow::agents::ORDER_LIMIT;
 use crate::workflow::switches::Switches;
 use crate::workflow::terms::{LEASE_MAX, Terms};
 
@@ -16,6 +17,9 @@
 const SECOND: Duration = Duration::from_secs(1);
 const MINUTE: Duration = Duration::from_mins(1);
 const HOUR: Duration = Duration::from_hours(1);
+/// Least time for which workers go on after they were told to leave. Half of it goes to the
+/// wait of a watch on workers; a start that is ordered then has to arrive in the other half.
+const DRAIN_MIN: Duration = ORDER_LIMIT.saturating_mul(2);
 
 /// Where an entry instance listens, and whom it knows.
 #[derive(Clone, Debug, PartialEq)]
@@ -136,7 +140,7 @@
         retry: section.duration("retry", Some(defaults.retry), MS..=MINUTE),
         keep: section.duration("keep", Some(defaults.keep), SECOND..=24 * HOUR),
         far: f64::from(section.count("far_percent", Some(200), 100..=10_000)) / 100.0,
-        drain: section.duration("drain", Some(defaults.drain), MS..=MINUTE),
+        drain: section.duration("drain", Some(defaults.drain), DRAIN_MIN..=MINUTE),
         turn: section.duration("turn", Some(defaults.turn), 10 * MS..=HOUR),
         switches: read_switches(document),
         ..defaults
--- a/ashtiller/tests/settings.rs
+++ b/ashtiller/tests/settings.rs
@@ -115,7 +115,7 @@
         let parsed = ashtiller::workflow::settings::Settings::parse("sample", &text);
         let said = parsed.err().map(|mistakes| mistakes.to_string());
         let wanted = format!(
-            "sample: [workers] drain: found {drain}; allowed: a time in ms, s, min or h from 700ms to 1min"
+            "sample: [workers] drain: found `{drain}`; allowed: a time in ms, s, min or h from 700ms to 1min"
         );
         assert_eq!(said, mistaken.then_some(wanted));
     }
