--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -1,6 +1,7 @@
 //! The owner of a log as a state machine: its single decisions, case by case.
 
 mod driver;
+mod freshness;
 mod growth;
 mod held;
 mod jobs;
