The test of lines on a hold runs in a process of its own

A subscriber that holds for one thread misses lines whose place in the code another test's thread met first or at the same time.

Change: a test binary with this one test; what it checks stays the same.

--- a/ashtiller/tests/owner/held.rs
+++ b/ashtiller/tests/held.rs
@@ -1,14 +1,21 @@
 //! What operators are told while starts wait for a newer list of workers.
+//!
+//! Alone in its process: a line that another test's thread meets first may be switched off
+//! for the subscriber of this one.
+
+#[path = "owner/driver.rs"]
+#[allow(dead_code, reason = "other tests use the rest of it")]
+mod driver;
 
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashtiller::workflow::job::Step;
 use parking_lot::Mutex;
 use tracing_subscriber::fmt::MakeWriter;
 
-use crate::driver::{Driver, job, policy};
-use crate::trial::lasting;
+use driver::{Driver, job, policy, step};
 
 /// Lines as they are logged.
 #[derive(Clone, Default)]
@@ -60,7 +67,11 @@
         let mut driver = Driver::new(2, policy());
         driver.news = false;
         driver.pass(Duration::from_secs(3));
-        driver.submit(job("lasts", vec![lasting(1000)]));
+        let lasting = Step {
+            lasting: true,
+            ..step(1)
+        };
+        driver.submit(job("lasts", vec![lasting]));
         driver.pass(Duration::from_secs(12));
         driver.news = true;
         driver.pass(Duration::from_secs(1));
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -3,7 +3,6 @@
 mod driver;
 mod freshness;
 mod growth;
-mod held;
 mod jobs;
 mod kept;
 mod leaving;
