--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -1,6 +1,7 @@
 //! The owner of a log as a state machine: its single decisions, case by case.
 
 mod driver;
+mod freshness;
 mod growth;
 mod jobs;
 mod kept;
@@ -12,6 +13,7 @@
 mod refusals;
 mod room;
 mod sharing;
+mod slow;
 mod stops;
 mod takeover;
 mod trial;
