Show that a client that hangs up leaves its call counted

A test that fails after its cap of 30 s: a client closes its connection while its call is under way, and the count of calls under way never falls. A planned stop waits for it.

--- a/ashtiller/tests/links/clients.rs
+++ b/ashtiller/tests/links/clients.rs
@@ -22,6 +22,10 @@
 const HALF: &str = "POST /q/00000000000000a1 HTTP/1.1\r\nhost: jobs\r\nx-deadline-ms: 300\r\n\
      content-length: 100\r\n\r\n{";
 
+/// A question of a client that waits longer than the test.
+const WHOLE: &str = "GET /q/00000000000000a1 HTTP/1.1\r\nhost: jobs\r\n\
+     x-deadline-ms: 100000\r\n\r\n";
+
 fn config() -> Config {
     let policy = Policy {
         service: "fleet".into(),
@@ -53,6 +57,15 @@
     answer
 }
 
+async fn until(mut check: impl FnMut() -> bool) {
+    let happened = async {
+        while !check() {
+            time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    time::timeout(CAP, happened).await.expect("it happens");
+}
+
 /// A client's connection goes silent in the middle of a body. The call was under way for
 /// good (30 s and on), since the time that its client waits bounded only what came after
 /// the body; a planned stop waits for calls under way.
@@ -93,3 +106,26 @@
     };
     LocalSet::new().run_until(played).await;
 }
+
+/// A client gives up and closes its connection while its call is under way. The call was
+/// counted as under way for good (30 s and on): it is dropped with its connection, and only
+/// its end took it off the count. A planned stop waited for it until its last moment.
+#[tokio::test]
+async fn a_call_ends_with_its_connection() {
+    let played = async {
+        let (net, peer) = (Rc::new(Net::default()), Rc::new(Peer::default()));
+        let (node, _store) = follower::open(&net, &peer).await;
+        node.adopt_config(&Arc::new(config()));
+        peer.takes.set(CAP * 2);
+        let front = Front::new(node);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("port");
+        let address = listener.local_addr().expect("address");
+        task::spawn_local(front.clone().serve(listener));
+        let mut client = TcpStream::connect(address).await.expect("connection");
+        client.write_all(WHOLE.as_bytes()).await.expect("a call");
+        until(|| front.in_flight() == 1).await;
+        drop(client);
+        until(|| front.in_flight() == 0).await;
+    };
+    LocalSet::new().run_until(played).await;
+}
