--- a/ashtiller/tests/silence.rs
+++ b/ashtiller/tests/silence.rs
@@ -1,5 +1,7 @@
 //! Connections that go silent without a reset, while new ones to the same peer work.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -8,6 +10,7 @@
 use ashtiller::web;
 use bytes::Bytes;
 use hyper::Method;
+use support::{Ask, Got, World};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -151,3 +154,83 @@
     // The call that failed may have had its effect: it was not made again.
     assert!(*peer.heard.borrow() <= KEPT + 2);
 }
+
+/// A gateway in front of the peer as its only endpoint.
+async fn open_gateway(peer: &Peer) -> World {
+    let mut world = World::without_gateways(0, "").await;
+    let facts = [("slots", "8"), ("zone", "bern"), ("state", "live")];
+    let listed = support::listed("runner-0", peer.address, &facts);
+    world.store.list("fleet", vec![listed]);
+    world.add_gateway(0).await;
+    world.wait_ready(0).await;
+    world
+}
+
+/// Symptom: requests that may not be repeated ended unknown one after the other, each
+/// after its whole time, while new connections to the endpoint worked.
+///
+/// Sequence: four connections to an endpoint are idle; all go silent without a reset; one
+/// request gets no answer in time; the next one takes the next of the idle connections.
+///
+/// Cause: only the connection of the request that failed was dropped.
+///
+/// Figure: the second request got 504 after its time of 5 s, while the endpoint answered at
+/// once on any connection opened after the silence began.
+#[tokio::test]
+async fn one_silent_link_to_an_endpoint_makes_the_next_request_open_a_new_one() {
+    let peer = Peer::bind().await;
+    let world = open_gateway(&peer).await;
+    let post = |id: &str| Ask::post(id, "").send(world.callers(0));
+    peer.manner.send_modify(|manner| manner.open = false);
+    let open = async {
+        peer.hear(KEPT).await;
+        peer.manner.send_modify(|manner| manner.open = true);
+    };
+    let (first, second, third, fourth, ()) =
+        tokio::join!(post("1"), post("2"), post("3"), post("4"), open);
+    let kept = [first, second, third, fourth];
+    assert!(kept.iter().all(|got| got.status() == 200), "{kept:?}");
+    assert_eq!(peer.opened(), KEPT);
+    peer.silence();
+    let short = Ask::post("5", "").header("request-timeout", "50ms");
+    let lost = short.send(world.callers(0)).await;
+    assert_eq!((lost.status(), lost.outcome()), (504, "unknown"));
+    let got = post("6").await;
+    assert_eq!(got.status(), 200, "{got:?}");
+    assert_eq!(peer.opened(), KEPT + 1);
+    // What may have run was not sent again.
+    assert_eq!(*peer.heard.borrow(), KEPT + 2);
+}
+
+/// Symptom: a request that may be repeated ended unknown on a connection that had gone
+/// silent, although its endpoint answered others all the time.
+///
+/// Sequence: a connection is idle and goes silent; a request is sent on it; others are
+/// answered on a connection opened after that.
+///
+/// Cause: an endpoint that answers others was taken for one that is slow with this request,
+/// whatever connection the answers came on; so the attempt lasted up to the deadline.
+///
+/// Figure: 504 after all of 5 s; a first attempt may take 0.6 of them.
+#[tokio::test]
+async fn answers_on_newer_links_do_not_vouch_for_a_silent_one() {
+    let peer = Peer::bind().await;
+    let world = open_gateway(&peer).await;
+    let get = |id: &str| Ask::get(id).send(world.callers(0));
+    assert_eq!(get("1").await.status(), 200);
+    assert_eq!(peer.opened(), 1);
+    peer.silence();
+    let others = async {
+        peer.hear(2).await;
+        loop {
+            let got = get("other").await;
+            assert_eq!(got.status(), 200, "{got:?}");
+            time::sleep(SHORT).await;
+        }
+    };
+    let got: Got = tokio::select! {
+        got = get("2") => got,
+        () = others => unreachable!("it has no end"),
+    };
+    assert_eq!(got.status(), 200, "{got:?}");
+}
