Distrust idle connections to an endpoint after one gave no answer

Cause: after an attempt without an answer only its own connection was closed, so that the next requests took the other idle ones, which had gone silent with it, one after the other. And an endpoint that answers others was taken for one that is slow with a request, also when the answers came on connections opened after the silence began; so an attempt that could have been repeated lasted up to the deadline.

Ruled out: sending again.

The change: an attempt without an answer closes the endpoint's idle connections that have not answered since its first half; what answers show for an attempt depends on the age of their connections. A first attempt of what may be repeated has 0.6 of the time left, and more only while connections of its age answer; any other attempt has all the time left. A counter of attempts without an answer. Endpoint::answered has no reader any more.

Conclusion: one request at most waits on each connection that fell silent under it.

--- a/ashtiller/src/request/dispatch.rs
+++ b/ashtiller/src/request/dispatch.rs
@@ -306,9 +306,6 @@
             return;
         };
         self.endpoints[place].in_flight = self.endpoints[place].in_flight.saturating_sub(1);
-        if matches!(sample, Sample::Good(_)) {
-            self.endpoints[place].answered = now;
-        }
         self.endpoints[place].health.add(sample);
         self.judge(place, now);
     }
--- a/ashtiller/src/request/download.rs
+++ b/ashtiller/src/request/download.rs
@@ -33,15 +33,17 @@
 impl Flight {
     /// The whole answer was read.
     fn complete(mut self) {
+        let pool = &self.slot.desk().pool;
         let sample = if self.failed {
             Sample::Bad
         } else {
+            pool.note_answer(&self.link);
             Sample::Good(self.slot.elapsed())
         };
-        self.slot.judge(sample);
         if !self.closes {
-            self.slot.desk().pool.give_back(self.link);
+            pool.give_back(self.link);
         }
+        self.slot.judge(sample);
     }
 
     /// The answer was cut by the endpoint.
--- a/ashtiller/src/request/endpoint.rs
+++ b/ashtiller/src/request/endpoint.rs
@@ -45,8 +45,6 @@
     pub load: Option<(u32, Duration)>,
     /// When this gateway last began a request here.
     pub begun: Duration,
-    /// When it last answered a request of this gateway well.
-    pub answered: Duration,
     /// Slots that this gateway may use.
     pub slots: Slots,
     /// Failures, latency and ejection.
@@ -63,7 +61,6 @@
             in_flight: 0,
             load: None,
             begun: Duration::ZERO,
-            answered: Duration::ZERO,
             slots: Slots::default(),
             health: Health::default(),
         }
--- a/ashtiller/src/request/pool.rs
+++ b/ashtiller/src/request/pool.rs
@@ -3,6 +3,10 @@
 //! A connection carries one request at a time and goes back to the pool only
 //! after the whole answer was read; any other end closes it. So a late answer
 //! can never reach another request.
+//!
+//! Connections go silent together, without a reset, while new ones work. So what an
+//! answer shows depends on the age of its connection, and one request without an answer
+//! makes every idle connection suspect that has not answered lately.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -27,6 +31,8 @@
     pub sender: http1::SendRequest<Upload>,
     endpoint: SocketAddr,
     driver: AbortHandle,
+    opened: Instant,
+    /// When it last answered, or was opened.
     since: Instant,
 }
 
@@ -36,9 +42,33 @@
     }
 }
 
+/// A good answer.
+struct Answer {
+    /// When its connection was opened.
+    opened: Instant,
+    came: Instant,
+}
+
+/// What is kept of one endpoint.
+#[derive(Default)]
+struct Links {
+    idle: Vec<Link>,
+    /// The newest good answers. One that came later on an older connection shows more, so
+    /// they stand in the order of both times.
+    answers: Vec<Answer>,
+}
+
+impl Links {
+    fn note_answer(&mut self, opened: Instant) {
+        self.answers.retain(|answer| answer.opened < opened);
+        let came = Instant::now();
+        self.answers.push(Answer { opened, came });
+    }
+}
+
 /// Idle connections by endpoint.
 pub struct Pool {
-    idle: Mutex<HashMap<SocketAddr, Vec<Link>>>,
+    links: Mutex<HashMap<SocketAddr, Links>>,
     connect: Duration,
     keep: Duration,
     head: usize,
@@ -50,7 +80,7 @@
     #[must_use]
     pub fn new(connect: Duration, keep: Duration, head: usize) -> Self {
         Self {
-            idle: Mutex::default(),
+            links: Mutex::default(),
             connect,
             keep,
             head,
@@ -95,38 +125,74 @@
             sender,
             endpoint,
             driver: driver.abort_handle(),
+            opened: Instant::now(),
             since: Instant::now(),
         })
     }
 
     fn take(&self, endpoint: SocketAddr) -> Option<Link> {
-        self.idle.lock().get_mut(&endpoint)?.pop()
+        self.links.lock().get_mut(&endpoint)?.idle.pop()
     }
 
     /// Gives back a connection whose answer was read whole.
     pub fn give_back(&self, mut link: Link) {
         link.since = Instant::now();
-        self.idle
-            .lock()
-            .entry(link.endpoint)
-            .or_default()
-            .push(link);
+        let mut all = self.links.lock();
+        all.entry(link.endpoint).or_default().idle.push(link);
+    }
+
+    /// Notes that a request on a connection was answered well.
+    pub fn note_answer(&self, link: &Link) {
+        let mut all = self.links.lock();
+        let links = all.entry(link.endpoint).or_default();
+        links.note_answer(link.opened);
+    }
+
+    /// Whether a connection to `endpoint` that was opened by `opened` has answered after
+    /// `since`. Answers on newer ones say nothing of it.
+    #[must_use]
+    pub fn has_answered(&self, endpoint: SocketAddr, opened: Instant, since: Instant) -> bool {
+        let all = self.links.lock();
+        let mut answers = all
+            .get(&endpoint)
+            .into_iter()
+            .flat_map(|links| &links.answers);
+        answers.any(|answer| answer.opened <= opened && answer.came > since)
+    }
+
+    /// Closes the idle connections to `endpoint` that have not answered after `since`:
+    /// what silenced one may have silenced them, and a request on each would wait for
+    /// all of its time. Returns how many.
+    pub fn distrust(&self, endpoint: SocketAddr, since: Instant) -> usize {
+        let mut all = self.links.lock();
+        let Some(links) = all.get_mut(&endpoint) else {
+            return 0;
+        };
+        let before = links.idle.len();
+        links.idle.retain(|link| link.since > since);
+        before - links.idle.len()
     }
 
     /// Closes connections that have been idle for long, and all to endpoints that
     /// `serves` rejects.
     pub fn sweep(&self, serves: impl Fn(SocketAddr) -> bool) {
-        let mut idle = self.idle.lock();
-        idle.retain(|endpoint, links| {
-            links.retain(|link| link.since.elapsed() <= self.keep && !link.sender.is_closed());
-            serves(*endpoint) && !links.is_empty()
+        let mut all = self.links.lock();
+        all.retain(|endpoint, links| {
+            let keep = |link: &Link| link.since.elapsed() <= self.keep && !link.sender.is_closed();
+            links.idle.retain(keep);
+            links
+                .answers
+                .retain(|answer| answer.came.elapsed() <= self.keep);
+            let empty = links.idle.is_empty() && links.answers.is_empty();
+            serves(*endpoint) && !empty
         });
     }
 
     /// Idle connections.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.idle.lock().values().map(Vec::len).sum()
+        let all = self.links.lock();
+        all.values().map(|links| links.idle.len()).sum()
     }
 
     /// Whether no connection is idle.
--- a/ashtiller/src/request/router.rs
+++ b/ashtiller/src/request/router.rs
@@ -17,7 +17,7 @@
 use hyper::{Request, Response, StatusCode, Uri};
 use parking_lot::RwLock;
 use rand::RngExt;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use crate::claims::{self, Claim, Claimed, Claims};
 use crate::clock::Clock;
@@ -43,6 +43,10 @@
 const ATTEMPTS_MAX: u32 = 3;
 /// Share of the time left that a first attempt of a repeatable request may take.
 const FIRST_SHARE: f64 = 0.6;
+/// Share of an attempt's time after which an answer of its endpoint shows that
+/// connections are not silent: one that went silent under the request had answered others
+/// until then, most likely in the first half.
+const VOUCH_SHARE: f64 = 0.5;
 /// When to come back after a failure that says nothing of the backlog.
 const AFTER: Duration = Duration::from_millis(500);
 /// Routes callers' requests.
@@ -397,7 +401,11 @@
         } = sending;
         let request = build(plan, head, body.take(self.settings.body));
         let exchange = link.sender.try_send_request(request);
-        let answered = match self.wait_answer(plan, &slot, limit, exchange).await {
+        let address = endpoint.listing.address;
+        let began = Instant::now();
+        let vouch = began + limit.mul_f64(VOUCH_SHARE);
+        let vouched = || plan.desk.pool.has_answered(address, began, vouch);
+        let answered = match self.wait_answer(plan, limit, vouched, exchange).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(mut error)) => {
                 slot.judge(Sample::Bad);
@@ -411,6 +419,9 @@
             }
             Err(_) => {
                 slot.judge(Sample::Bad);
+                self.tally.unanswered.inc();
+                let dropped = plan.desk.pool.distrust(address, vouch);
+                tracing::debug!(%address, dropped, "endpoint gave no answer in time");
                 let reason = "the endpoint gave no answer in time";
                 return Attempt::Unknown(Verdict::unknown(StatusCode::GATEWAY_TIMEOUT, reason));
             }
@@ -427,20 +438,18 @@
     }
 
     /// Waits for an answer for `limit`, and on to the deadline while the endpoint
-    /// answers others: then the request is slow, and not the endpoint.
+    /// answers others on connections of this one's age: then the request is slow, and
+    /// neither the endpoint nor the connection.
     async fn wait_answer<T>(
         &self,
         plan: &Plan,
-        slot: &Slot,
         limit: Duration,
+        vouched: impl FnOnce() -> bool,
         exchange: impl Future<Output = T>,
     ) -> Result<T, time::error::Elapsed> {
-        let began = self.clock.now();
         let mut exchange = pin!(exchange);
         let first = time::timeout(limit, exchange.as_mut()).await;
-        let endpoint = plan.desk.endpoint(slot.endpoint);
-        let alive = endpoint.is_some_and(|endpoint| endpoint.answered > began);
-        if first.is_ok() || !alive {
+        if first.is_ok() || !vouched() {
             return first;
         }
         let left = plan.deadline.saturating_sub(self.clock.now());
--- a/ashtiller/src/request/tally.rs
+++ b/ashtiller/src/request/tally.rs
@@ -19,6 +19,8 @@
     pub wrong: IntCounter,
     /// Answers cut in the middle.
     pub cut: IntCounter,
+    /// Attempts without an answer in time.
+    pub unanswered: IntCounter,
     /// Second and later attempts.
     pub retries: IntCounter,
     /// Retries that the budget forbade.
@@ -53,6 +55,8 @@
             ended: counters.counts("ended_total", "Requests ended by the gateway.", "outcome")?,
             wrong: counters.count("wrong_total", "Requests not passed on.")?,
             cut: counters.count("cut_total", "Answers cut in the middle.")?,
+            unanswered: counters
+                .count("unanswered_total", "Attempts without an answer in time.")?,
             retries: counters.count("retries_total", "Second and later attempts.")?,
             unspent: counters.count("retries_denied_total", "Retries denied by the budget.")?,
             callers: counters.gauge("callers", "Connections from callers.")?,
