Show callers that hang up on silent connections one after the other

A test that fails: four idle connections to an endpoint are silent, a caller hangs up on one of them, and the next request ends with 504 after all of its time (5 s).

--- a/ashtiller/tests/silence.rs
+++ b/ashtiller/tests/silence.rs
@@ -166,6 +166,21 @@
     world
 }
 
+/// Has a gateway keep as many idle connections to its endpoint.
+async fn keep_endpoint_links(world: &World, peer: &Peer) {
+    let post = |id: &str| Ask::post(id, "").send(world.callers(0));
+    peer.manner.send_modify(|manner| manner.open = false);
+    let open = async {
+        peer.hear(KEPT).await;
+        peer.manner.send_modify(|manner| manner.open = true);
+    };
+    let (first, second, third, fourth, ()) =
+        tokio::join!(post("1"), post("2"), post("3"), post("4"), open);
+    let kept = [first, second, third, fourth];
+    assert!(kept.iter().all(|got| got.status() == 200), "{kept:?}");
+    assert_eq!(peer.opened(), KEPT);
+}
+
 /// Symptom: requests that may not be repeated ended unknown one after the other, each
 /// after its whole time, while new connections to the endpoint worked.
 ///
@@ -180,22 +195,12 @@
 async fn one_silent_link_to_an_endpoint_makes_the_next_request_open_a_new_one() {
     let peer = Peer::bind().await;
     let world = open_gateway(&peer).await;
-    let post = |id: &str| Ask::post(id, "").send(world.callers(0));
-    peer.manner.send_modify(|manner| manner.open = false);
-    let open = async {
-        peer.hear(KEPT).await;
-        peer.manner.send_modify(|manner| manner.open = true);
-    };
-    let (first, second, third, fourth, ()) =
-        tokio::join!(post("1"), post("2"), post("3"), post("4"), open);
-    let kept = [first, second, third, fourth];
-    assert!(kept.iter().all(|got| got.status() == 200), "{kept:?}");
-    assert_eq!(peer.opened(), KEPT);
+    keep_endpoint_links(&world, &peer).await;
     peer.silence();
     let short = Ask::post("5", "").header("request-timeout", "50ms");
     let lost = short.send(world.callers(0)).await;
     assert_eq!((lost.status(), lost.outcome()), (504, "unknown"));
-    let got = post("6").await;
+    let got = Ask::post("6", "").send(world.callers(0)).await;
     assert_eq!(got.status(), 200, "{got:?}");
     assert_eq!(peer.opened(), KEPT + 1);
     // What may have run was not sent again.
@@ -234,3 +239,33 @@
     };
     assert_eq!(got.status(), 200, "{got:?}");
 }
+
+/// Symptom: callers that wait less than their service allows got no answer, one after the
+/// other, while new connections to the endpoint worked.
+///
+/// Sequence: four connections to an endpoint are idle; all go silent; a request is sent on
+/// one; its caller hangs up; the next request takes the next of the idle connections.
+///
+/// Cause: only an attempt that ended by its own time said anything about the others.
+///
+/// Figure: the second request got 504 after its time of 5 s.
+#[tokio::test]
+async fn a_caller_that_hangs_up_on_a_silent_link_makes_the_others_suspect() {
+    let peer = Peer::bind().await;
+    let world = open_gateway(&peer).await;
+    keep_endpoint_links(&world, &peer).await;
+    peer.silence();
+    tokio::select! {
+        got = Ask::post("5", "").send(world.callers(0)) => unreachable!("{got:?}"),
+        () = peer.hear(KEPT + 1) => {}
+    }
+    let operators = world.gateways[0].operators();
+    support::until("nothing is in flight", async || {
+        let dump = support::get_json(operators, "/dump").await;
+        dump["services"]["fleet"]["in_flight"] == 0
+    })
+    .await;
+    let got = Ask::post("6", "").send(world.callers(0)).await;
+    assert_eq!(got.status(), 200, "{got:?}");
+    assert_eq!(peer.opened(), KEPT + 1);
+}
