Distrust idle connections also when a caller gave up

Cause: only an attempt that ended by its own time closed idle connections. A caller that waits less than its service allows hangs up before, which dropped the attempt without a word on the others; its next request took the next silent one.

The change: an attempt without an answer is a value of the pool, which distrusts what is idle when it is dropped; an answer or a broken connection ends it without that.

Conclusion: whoever gives up first, the next request opens a new connection.

--- a/ashtiller/src/request/pool.rs
+++ b/ashtiller/src/request/pool.rs
@@ -25,6 +25,11 @@
 /// Time for a connection to become ready again after an answer.
 const READY: Duration = Duration::from_millis(20);
 
+/// Share of an attempt's time after which an answer of its endpoint shows that
+/// connections are not silent: one that went silent under the request had answered others
+/// until then, most likely in the first half.
+const VOUCH_SHARE: f64 = 0.5;
+
 /// A connection to an endpoint; dropping it closes it.
 pub struct Link {
     /// Sends requests.
@@ -148,10 +153,18 @@
         links.note_answer(link.opened);
     }
 
-    /// Whether a connection to `endpoint` that was opened by `opened` has answered after
-    /// `since`. Answers on newer ones say nothing of it.
+    /// Begins an attempt, which has no answer yet.
     #[must_use]
-    pub fn has_answered(&self, endpoint: SocketAddr, opened: Instant, since: Instant) -> bool {
+    pub fn begin(&self, endpoint: SocketAddr) -> Unanswered<'_> {
+        Unanswered {
+            pool: self,
+            endpoint,
+            began: Instant::now(),
+            over: false,
+        }
+    }
+
+    fn has_answered(&self, endpoint: SocketAddr, opened: Instant, since: Instant) -> bool {
         let all = self.links.lock();
         let mut answers = all
             .get(&endpoint)
@@ -160,17 +173,15 @@
         answers.any(|answer| answer.opened <= opened && answer.came > since)
     }
 
-    /// Closes the idle connections to `endpoint` that have not answered after `since`:
-    /// what silenced one may have silenced them, and a request on each would wait for
-    /// all of its time. Returns how many.
-    pub fn distrust(&self, endpoint: SocketAddr, since: Instant) -> usize {
+    fn distrust(&self, endpoint: SocketAddr, since: Instant) {
         let mut all = self.links.lock();
         let Some(links) = all.get_mut(&endpoint) else {
-            return 0;
+            return;
         };
         let before = links.idle.len();
         links.idle.retain(|link| link.since > since);
-        before - links.idle.len()
+        let dropped = before - links.idle.len();
+        tracing::debug!(%endpoint, dropped, "endpoint gave no answer");
     }
 
     /// Closes connections that have been idle for long, and all to endpoints that
@@ -202,6 +213,43 @@
     }
 }
 
+/// An attempt without an answer. Dropped as such, because its time is over or its caller
+/// has gone, it closes the endpoint's idle connections that have not answered lately:
+/// what silenced its own may have silenced them, and a request on each would wait too.
+pub struct Unanswered<'a> {
+    pool: &'a Pool,
+    endpoint: SocketAddr,
+    began: Instant,
+    over: bool,
+}
+
+impl Unanswered<'_> {
+    /// It has an answer, or its connection is broken.
+    pub fn end(mut self) {
+        self.over = true;
+    }
+
+    /// Whether the endpoint answers others on connections that were open when it began.
+    /// Answers on newer ones say nothing of its own.
+    #[must_use]
+    pub fn is_vouched(&self) -> bool {
+        let lately = self.lately();
+        self.pool.has_answered(self.endpoint, self.began, lately)
+    }
+
+    fn lately(&self) -> Instant {
+        self.began + self.began.elapsed().mul_f64(VOUCH_SHARE)
+    }
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if !self.over {
+            self.pool.distrust(self.endpoint, self.lately());
+        }
+    }
+}
+
 /// The timer that hyper's servers use.
 #[must_use]
 pub fn timer() -> TokioTimer {
--- a/ashtiller/src/request/router.rs
+++ b/ashtiller/src/request/router.rs
@@ -17,7 +17,7 @@
 use hyper::{Request, Response, StatusCode, Uri};
 use parking_lot::RwLock;
 use rand::RngExt;
-use tokio::time::{self, Instant};
+use tokio::time;
 
 use crate::claims::{self, Claim, Claimed, Claims};
 use crate::clock::Clock;
@@ -31,7 +31,7 @@
 use crate::intake;
 use crate::line::Ticket;
 use crate::outcome::{self, Outcome, Verdict};
-use crate::pool::Link;
+use crate::pool::{Link, Unanswered};
 use crate::settings;
 use crate::tally::Tally;
 use crate::template::Service;
@@ -43,10 +43,6 @@
 const ATTEMPTS_MAX: u32 = 3;
 /// Share of the time left that a first attempt of a repeatable request may take.
 const FIRST_SHARE: f64 = 0.6;
-/// Share of an attempt's time after which an answer of its endpoint shows that
-/// connections are not silent: one that went silent under the request had answered others
-/// until then, most likely in the first half.
-const VOUCH_SHARE: f64 = 0.5;
 /// When to come back after a failure that says nothing of the backlog.
 const AFTER: Duration = Duration::from_millis(500);
 /// Routes callers' requests.
@@ -401,13 +397,15 @@
         } = sending;
         let request = build(plan, head, body.take(self.settings.body));
         let exchange = link.sender.try_send_request(request);
-        let address = endpoint.listing.address;
-        let began = Instant::now();
-        let vouch = began + limit.mul_f64(VOUCH_SHARE);
-        let vouched = || plan.desk.pool.has_answered(address, began, vouch);
-        let answered = match self.wait_answer(plan, limit, vouched, exchange).await {
-            Ok(Ok(answer)) => answer,
+        let unanswered = plan.desk.pool.begin(endpoint.listing.address);
+        let waited = self.wait_answer(plan, limit, &unanswered, exchange).await;
+        let answered = match waited {
+            Ok(Ok(answer)) => {
+                unanswered.end();
+                answer
+            }
             Ok(Err(mut error)) => {
+                unanswered.end();
                 slot.judge(Sample::Bad);
                 return match error.take_message() {
                     Some(request) => {
@@ -420,8 +418,6 @@
             Err(_) => {
                 slot.judge(Sample::Bad);
                 self.tally.unanswered.inc();
-                let dropped = plan.desk.pool.distrust(address, vouch);
-                tracing::debug!(%address, dropped, "endpoint gave no answer in time");
                 let reason = "the endpoint gave no answer in time";
                 return Attempt::Unknown(Verdict::unknown(StatusCode::GATEWAY_TIMEOUT, reason));
             }
@@ -444,12 +440,12 @@
         &self,
         plan: &Plan,
         limit: Duration,
-        vouched: impl FnOnce() -> bool,
+        unanswered: &Unanswered<'_>,
         exchange: impl Future<Output = T>,
     ) -> Result<T, time::error::Elapsed> {
         let mut exchange = pin!(exchange);
         let first = time::timeout(limit, exchange.as_mut()).await;
-        if first.is_ok() || !vouched() {
+        if first.is_ok() || !unanswered.is_vouched() {
             return first;
         }
         let left = plan.deadline.saturating_sub(self.clock.now());
