--- a/ashtiller/src/workflow/advisor.rs
+++ b/ashtiller/src/workflow/advisor.rs
@@ -1,6 +1,7 @@
 //! The service that knows which workers may run a step.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::store::Called;
 
@@ -9,12 +10,14 @@
 
 /// Questions to the advisor.
 pub trait Advisor: Send + Sync {
-    /// Asks which of these workers may run a step of one time of a job.
+    /// Asks which of these workers may run a step of one time of a job; the answer may
+    /// take `limit`.
     fn advise<'a>(
         &'a self,
         job: &'a str,
         time: u32,
         step: u16,
         workers: &'a [Arc<str>],
+        limit: Duration,
     ) -> Called<'a, Tickets>;
 }
--- a/ashtiller/src/workflow/core/advice.rs
+++ b/ashtiller/src/workflow/core/advice.rs
@@ -23,9 +23,28 @@
 /// Pause after a question that was not answered.
 const RETRY: Duration = Duration::from_millis(250);
 
+/// Time for an answer: the advisor takes one question at a time, and some of them
+/// take seconds.
+const ANSWER_MAX: Duration = Duration::from_secs(4);
+
 /// A step of one time of a job.
 pub type StepKey = (u32, u32, u16);
 
+/// A question to the advisor.
+#[derive(Clone, Debug)]
+pub struct Question {
+    /// Id of the job.
+    pub job: Arc<str>,
+    /// The step that is to run.
+    pub key: StepKey,
+    /// Workers that are asked for.
+    pub workers: Vec<Arc<str>>,
+    /// When it was asked.
+    pub asked_at: Duration,
+    /// Time for the answer.
+    pub limit: Duration,
+}
+
 /// What is known about a step.
 #[derive(Clone, Debug, Default)]
 pub struct Advised {
@@ -109,7 +128,13 @@
         if let Some(advised) = self.advised.get_mut(&key) {
             advised.asked.extend(workers.iter().cloned());
         }
-        self.effects.push(Effect::Advise(id, key, workers, now.at));
+        self.effects.push(Effect::Advise(Question {
+            job: id,
+            key,
+            workers,
+            asked_at: now.at,
+            limit: ANSWER_MAX,
+        }));
     }
 
     /// Takes the advisor's answer to a question of `asked_at`.
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -33,7 +33,7 @@
 use crate::workflow::agents::{Look, Order, Target};
 use crate::workflow::book::Book;
 use crate::workflow::config::Config;
-use crate::workflow::core::advice::{Advised, StepKey};
+use crate::workflow::core::advice::{Advised, Question, StepKey};
 use crate::workflow::core::upkeep::Going;
 use crate::workflow::fact::{Fact, Outcome, Run};
 use crate::workflow::interference::Interference;
@@ -70,8 +70,8 @@
     Order(Target, Run, Order),
     /// Look at a worker.
     Look(Target, Look),
-    /// Ask the advisor which of these workers may run a step of the job with this id.
-    Advise(Arc<str>, StepKey, Vec<Arc<str>>, Duration),
+    /// Ask the advisor which workers may run a step.
+    Advise(Question),
     /// Give a machine an order.
     Duty(Arc<str>, Duty),
     /// Answer who waits.
--- a/ashtiller/src/workflow/owner/carry.rs
+++ b/ashtiller/src/workflow/owner/carry.rs
@@ -5,6 +5,7 @@
 
 use crate::failure::Failure;
 use crate::workflow::core::Effect;
+use crate::workflow::core::advice::Question;
 use crate::workflow::fact::Fact;
 use crate::workflow::kv::Txn;
 use crate::workflow::log::Log;
@@ -31,14 +32,19 @@
                         .await;
                 });
             }
-            Effect::Advise(job, key, workers, asked_at) => {
+            Effect::Advise(question) => {
                 let (advisor, sender) = (self.node.advisor.clone(), self.sender.clone());
                 task::spawn_local(async move {
+                    let Question { job, key, .. } = &question;
                     let answer = match advisor {
-                        Some(advisor) => advisor.advise(&job, key.1, key.2, &workers).await,
-                        None => Err(Failure::none("ask advisor", &job, "the settings name none")),
+                        Some(advisor) => {
+                            let (workers, limit) = (&question.workers, question.limit);
+                            advisor.advise(job, key.1, key.2, workers, limit).await
+                        }
+                        None => Err(Failure::none("ask advisor", job, "the settings name none")),
                     };
-                    let _ = sender.send(Input::Advised(key, asked_at, answer)).await;
+                    let advised = Input::Advised(*key, question.asked_at, answer);
+                    let _ = sender.send(advised).await;
                 });
             }
             Effect::Duty(machine, duty) => {
--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -9,6 +9,7 @@
 use ashtiller::workflow::agents::{Active, Finished, How, Looked, Name, Order, Said};
 use ashtiller::workflow::book::Book;
 use ashtiller::workflow::config::{Config, Listed, Queue};
+use ashtiller::workflow::core::advice::Question;
 use ashtiller::workflow::core::{Core, Effect, Now, Ticket};
 use ashtiller::workflow::fact::{Fact, Run};
 use ashtiller::workflow::job::{Job, Policy, Step};
@@ -77,7 +78,9 @@
     pub ticket: u64,
     pub orders: Vec<(Arc<str>, Run, Order)>,
     pub answers: Vec<(Ticket, Reply)>,
-    pub asked: Vec<Vec<Arc<str>>>,
+    pub asked: Vec<Question>,
+    /// Answers of the advisor that are lost next.
+    pub unadvised: usize,
     pub duties: Vec<(Arc<str>, Duty)>,
     pub facts: Vec<Fact>,
     /// A worker that answers no look.
@@ -133,6 +136,7 @@
             orders: Vec::new(),
             answers: Vec::new(),
             asked: Vec::new(),
+            unadvised: 0,
             duties: Vec::new(),
             facts: Vec::new(),
             silent: None,
@@ -223,14 +227,18 @@
             }
             Effect::Look(target, _) => self.show(&target.id),
             Effect::Answer(ticket, reply) => self.answers.push((ticket, reply)),
-            Effect::Advise(_, key, workers, at) => {
-                let good = workers
-                    .iter()
-                    .take(1)
-                    .map(|id| (id.clone(), Arc::from("t")));
-                let good = good.collect();
-                self.asked.push(workers);
-                self.core.take_advice(key, at, Ok(good), self.now);
+            Effect::Advise(question) => {
+                let Question { key, asked_at, .. } = question;
+                let good = question.workers.iter().take(1);
+                let good = good.map(|id| (id.clone(), Arc::from("t")));
+                let answer = if self.unadvised > 0 {
+                    self.unadvised -= 1;
+                    Err(Failure::unknown("advise", "advisor", "no answer"))
+                } else {
+                    Ok(good.collect())
+                };
+                self.asked.push(question);
+                self.core.take_advice(key, asked_at, answer, self.now);
             }
             Effect::Duty(machine, duty) => {
                 self.core
--- a/ashtiller/tests/owner/placing.rs
+++ b/ashtiller/tests/owner/placing.rs
@@ -91,7 +91,8 @@
     driver.submit(job("1", vec![step(2)]));
     driver.pass(300 * MS);
     assert_eq!(driver.asked.len(), 1);
-    assert!(driver.asked[0].len() <= 8, "{}", driver.asked[0].len());
+    let named = driver.asked[0].workers.len();
+    assert!(named <= 8, "{named}");
     let tickets: Vec<bool> = driver
         .orders
         .iter()
--- a/ashtiller/tests/world/mod.rs
+++ b/ashtiller/tests/world/mod.rs
@@ -390,7 +390,7 @@
                     self.accepted.insert(id);
                 }
             }
-            Effect::Advise(..) | Effect::Duty(..) => {}
+            Effect::Advise(_) | Effect::Duty(..) => {}
         }
     }
 
