Close a silent connection to another process, and only that one

Cause: a call without an answer dropped whatever connection its peer had by then, also a newer one that works; and the task that drives a connection was never ended, so each silent one kept a descriptor and the task.

Ruled out: taking workflow::peers for it.

The change: a connection is a value that ends its task when the last call lets go of it; a failure drops the connection that it came from.

Conclusion: a silence costs each call its own limit once and leaves nothing behind.

--- a/ashtiller/src/net/calls.rs
+++ b/ashtiller/src/net/calls.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::{mpsc, oneshot};
-use tokio::task;
+use tokio::task::{self, AbortHandle};
 use tokio::time;
 use tokio_util::compat::{Compat, TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
@@ -78,18 +78,27 @@
 }
 
 struct Links {
-    open: RefCell<HashMap<SocketAddr, peer::Client>>,
+    open: RefCell<HashMap<SocketAddr, Rc<Link>>>,
     bytes: Arc<meter::Bytes>,
 }
 
+/// One connection to another process; dropping it closes it.
+struct Link {
+    client: peer::Client,
+    driver: AbortHandle,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        // A silent peer never ends it.
+        self.driver.abort();
+    }
+}
+
 impl Links {
-    async fn client(
-        &self,
-        step: &'static str,
-        address: SocketAddr,
-    ) -> Result<peer::Client, Failure> {
-        if let Some(client) = self.open.borrow().get(&address) {
-            return Ok(client.clone());
+    async fn connect(&self, step: &'static str, address: SocketAddr) -> Result<Rc<Link>, Failure> {
+        if let Some(link) = self.open.borrow().get(&address) {
+            return Ok(link.clone());
         }
         let stream = TcpStream::connect(address)
             .await
@@ -99,13 +108,21 @@
             None,
         );
         let client: peer::Client = system.bootstrap(Side::Server);
-        task::spawn_local(system);
-        self.open.borrow_mut().insert(address, client.clone());
-        Ok(client)
+        let driver = task::spawn_local(system).abort_handle();
+        let link = Rc::new(Link { client, driver });
+        self.open.borrow_mut().insert(address, link.clone());
+        Ok(link)
     }
 
-    fn forget(&self, address: SocketAddr) {
-        self.open.borrow_mut().remove(&address);
+    /// Drops a connection, unless a newer one has replaced it already.
+    fn forget(&self, address: SocketAddr, link: &Rc<Link>) {
+        let mut open = self.open.borrow_mut();
+        if open
+            .get(&address)
+            .is_some_and(|known| Rc::ptr_eq(known, link))
+        {
+            open.remove(&address);
+        }
     }
 }
 
@@ -152,16 +169,16 @@
 {
     let started = time::Instant::now();
     let late = |_| Failure::none(step, address, "no connection in time");
-    let client = time::timeout(limit, links.client(step, address))
+    let link = time::timeout(limit, links.connect(step, address))
         .await
         .map_err(late)??;
     let left = limit.saturating_sub(started.elapsed());
-    let failure = match time::timeout(left, call(client)).await {
+    let failure = match time::timeout(left, call(link.client.clone())).await {
         Ok(Ok(value)) => return Ok(value),
         Ok(Err(error)) => Failure::unknown(step, address, error),
         Err(_) => Failure::unknown(step, address, "no answer in time"),
     };
-    links.forget(address);
+    links.forget(address, &link);
     Err(failure)
 }
 
