Judge a connection's silence by those to all endpoints

Ruled out: the load of the machine.

Conclusion: a silence of all connections is seen; one of few ends an attempt at its deadline.

--- a/ashtiller/src/request/pool.rs
+++ b/ashtiller/src/request/pool.rs
@@ -164,12 +164,18 @@
         }
     }
 
-    fn has_answered(&self, endpoint: SocketAddr, opened: Instant, since: Instant) -> bool {
+    fn has_answered(&self, endpoint: SocketAddr, since: Instant) -> bool {
         let all = self.links.lock();
         let mut answers = all
             .get(&endpoint)
             .into_iter()
             .flat_map(|links| &links.answers);
+        answers.any(|answer| answer.came > since)
+    }
+
+    fn has_heard(&self, opened: Instant, since: Instant) -> bool {
+        let all = self.links.lock();
+        let mut answers = all.values().flat_map(|links| &links.answers);
         answers.any(|answer| answer.opened <= opened && answer.came > since)
     }
 
@@ -229,12 +235,13 @@
         self.over = true;
     }
 
-    /// Whether the endpoint answers others on connections that were open when it began.
-    /// Answers on newer ones say nothing of its own.
+    /// Whether the endpoint answers others, and some endpoint does lately on a connection
+    /// that was open when it began; answers on newer ones say nothing of its own. One
+    /// gateway has too few connections to one endpoint to judge by these alone.
     #[must_use]
     pub fn is_vouched(&self) -> bool {
-        let lately = self.lately();
-        self.pool.has_answered(self.endpoint, self.began, lately)
+        let pool = self.pool;
+        pool.has_answered(self.endpoint, self.began) && pool.has_heard(self.began, self.lately())
     }
 
     fn lately(&self) -> Instant {
--- a/ashtiller/src/request/router.rs
+++ b/ashtiller/src/request/router.rs
@@ -434,8 +434,8 @@
     }
 
     /// Waits for an answer for `limit`, and on to the deadline while the endpoint
-    /// answers others on connections of this one's age: then the request is slow, and
-    /// neither the endpoint nor the connection.
+    /// answers others and connections of this one's age answer: then the request is slow,
+    /// and neither the endpoint nor the connection.
     async fn wait_answer<T>(
         &self,
         plan: &Plan,
