--- a/ashtiller/tests/silence.rs
+++ b/ashtiller/tests/silence.rs
@@ -7,6 +7,12 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use ashtiller::endpoint::Phase;
+use ashtiller::failure::Failure;
+use ashtiller::follow;
+use ashtiller::resources::Resources;
+use ashtiller::roster::{Instance, Listed, Roster};
+use ashtiller::store::Called;
 use ashtiller::web;
 use bytes::Bytes;
 use hyper::Method;
@@ -14,7 +20,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 /// Longest wait for anything that must happen; reached only when it never does.
 const CAP: Duration = Duration::from_secs(10);
@@ -269,3 +275,66 @@
     assert_eq!(got.status(), 200, "{got:?}");
     assert_eq!(peer.opened(), KEPT + 1);
 }
+
+/// Time that a silent watch has beyond its wait.
+const SLACK: Duration = Duration::from_secs(2);
+
+/// A list of one instance, on connections that go silent.
+struct List {
+    /// When its instance began to leave, and the connections went silent.
+    leaves: Instant,
+}
+
+impl Roster for List {
+    fn watch<'a>(&'a self, _: &'a str, index: u64, wait: Duration) -> Called<'a, Listed> {
+        Box::pin(async move {
+            let asked = Instant::now();
+            if index > 0 {
+                time::sleep(wait).await;
+            }
+            if asked <= self.leaves && self.leaves < Instant::now() {
+                time::sleep(SLACK).await;
+                return Err(Failure::unknown("instances", "list", "no answer in time"));
+            }
+            let leaving = Instant::now() > self.leaves;
+            let phase = if leaving { Phase::Leaving } else { Phase::Live };
+            Ok(Listed {
+                instances: vec![instance(phase)],
+                index: 1,
+            })
+        })
+    }
+}
+
+fn instance(phase: Phase) -> Instance {
+    Instance {
+        name: "runner-0".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        phase,
+        zone: "bern".into(),
+        rack: "".into(),
+        slots: 8,
+        resources: Resources::default(),
+    }
+}
+
+/// Symptom: an endpoint that was leaving got new work for a minute.
+///
+/// Sequence: a watch of the list is under way; its connection goes silent; an endpoint
+/// begins to leave, of which the watch never hears.
+///
+/// Cause: a watch waited 60 s, and its connection was known to be silent only after that.
+///
+/// Figure: 62 s until the list was read again; a leaving endpoint may get work for a few
+/// seconds.
+#[tokio::test(start_paused = true)]
+async fn a_silent_watch_hides_a_leaving_endpoint_for_seconds_only() {
+    let leaves = Instant::now() + Duration::from_millis(100);
+    let pause = Duration::from_secs(1);
+    let follower = follow::spawn(Arc::new(List { leaves }), "fleet".into(), pause);
+    let mut lists = follower.subscribe();
+    let told = lists.wait_for(|list| list.iter().any(|one| one.phase == Phase::Leaving));
+    drop(told.await.expect("follower"));
+    let took = leaves.elapsed();
+    assert!(took <= Duration::from_secs(5), "{took:?}");
+}
