Read the list of endpoints every two seconds, whatever its watch says

Cause: a watch of the list waited 60 s, and its connection was given up 2 s after that, so a silent one hid an endpoint that leaves for a minute.

The change: a watch waits 2 s. With the 2 s beyond it and the pause of 1 s the list is read on a new connection within 5 s, the few seconds that the promise names.

The price: a read every 2 s for each service and process instead of one a minute: 9 a second for each service with 9 gateways and 9 schedulers, of about 2,000 that the store takes (computed, not measured).

Conclusion: what a silence hides is bounded by the promise.

--- a/ashtiller/src/net/follow.rs
+++ b/ashtiller/src/net/follow.rs
@@ -9,8 +9,10 @@
 
 use crate::roster::{Instance, Roster};
 
-/// Longest wait of a watch; its end reads the whole list again.
-const WAIT: Duration = Duration::from_mins(1);
+/// Longest wait of a watch; its end reads the whole list again. With the slack of a call
+/// (2 s) and the pause after it (1 s, unless set), it bounds what a silent connection hides:
+/// an endpoint that leaves gets no new work after a few seconds.
+const WAIT: Duration = Duration::from_secs(2);
 
 /// A running follower.
 pub struct Follower {
