--- a/ashtiller/src/request/router.rs
+++ b/ashtiller/src/request/router.rs
@@ -31,7 +31,7 @@
 use crate::intake;
 use crate::line::Ticket;
 use crate::outcome::{self, Outcome, Verdict};
-use crate::pool::Link;
+use crate::pool::{Link, Unanswered};
 use crate::settings;
 use crate::tally::Tally;
 use crate::template::Service;
@@ -397,9 +397,15 @@
         } = sending;
         let request = build(plan, head, body.take(self.settings.body));
         let exchange = link.sender.try_send_request(request);
-        let answered = match self.wait_answer(plan, &slot, limit, exchange).await {
-            Ok(Ok(answer)) => answer,
+        let unanswered = plan.desk.pool.begin(endpoint.listing.address);
+        let waited = self.wait_answer(plan, limit, &unanswered, exchange).await;
+        let answered = match waited {
+            Ok(Ok(answer)) => {
+                unanswered.end();
+                answer
+            }
             Ok(Err(mut error)) => {
+                unanswered.end();
                 slot.judge(Sample::Bad);
                 return match error.take_message() {
                     Some(request) => {
@@ -411,6 +417,7 @@
             }
             Err(_) => {
                 slot.judge(Sample::Bad);
+                self.tally.unanswered.inc();
                 let reason = "the endpoint gave no answer in time";
                 return Attempt::Unknown(Verdict::unknown(StatusCode::GATEWAY_TIMEOUT, reason));
             }
@@ -427,20 +434,18 @@
     }
 
     /// Waits for an answer for `limit`, and on to the deadline while the endpoint
-    /// answers others: then the request is slow, and not the endpoint.
+    /// answers others and connections of this one's age answer: then the request is slow,
+    /// and neither the endpoint nor the connection.
     async fn wait_answer<T>(
         &self,
         plan: &Plan,
-        slot: &Slot,
         limit: Duration,
+        unanswered: &Unanswered<'_>,
         exchange: impl Future<Output = T>,
     ) -> Result<T, time::error::Elapsed> {
-        let began = self.clock.now();
         let mut exchange = pin!(exchange);
         let first = time::timeout(limit, exchange.as_mut()).await;
-        let endpoint = plan.desk.endpoint(slot.endpoint);
-        let alive = endpoint.is_some_and(|endpoint| endpoint.answered > began);
-        if first.is_ok() || !alive {
+        if first.is_ok() || !unanswered.is_vouched() {
             return first;
         }
         let left = plan.deadline.saturating_sub(self.clock.now());
--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -11,6 +11,7 @@
 };
 use ashtiller::workflow::book::Book;
 use ashtiller::workflow::config::{Config, Listed, Queue};
+use ashtiller::workflow::core::advice::Question;
 use ashtiller::workflow::core::{Core, Effect, Now, Ticket};
 use ashtiller::workflow::fact::{Fact, Run};
 use ashtiller::workflow::job::{Job, Policy, Step};
@@ -72,6 +73,18 @@
     }
 }
 
+/// What becomes of questions to the advisor.
+#[derive(Default, Eq, PartialEq)]
+pub enum Advisor {
+    /// Each is answered.
+    #[default]
+    Answers,
+    /// The next answer is lost.
+    LosesOne,
+    /// It is still at all of them.
+    Works,
+}
+
 /// A core whose store answers at once, and what it wants done.
 pub struct Driver {
     pub core: Core,
@@ -81,7 +94,9 @@
     pub answers: Vec<(Ticket, Reply)>,
     /// Starts that were refused.
     pub refused: Vec<(Arc<str>, Run)>,
-    pub asked: Vec<Vec<Arc<str>>>,
+    pub asked: Vec<Question>,
+    /// What becomes of questions to the advisor.
+    pub advisor: Advisor,
     pub duties: Vec<(Arc<str>, Duty)>,
     /// What the machines' interface says to each order; nothing when it is silent.
     pub says: Option<Done>,
@@ -144,6 +159,7 @@
             answers: Vec::new(),
             refused: Vec::new(),
             asked: Vec::new(),
+            advisor: Advisor::Answers,
             duties: Vec::new(),
             says: Some(Done::Yes),
             facts: Vec::new(),
@@ -244,16 +260,21 @@
             }
             Effect::Look(target, _) => self.show(&target.id),
             Effect::Answer(ticket, reply) => self.answers.push((ticket, reply)),
-            Effect::Advise(_, key, workers, at) => {
+            Effect::Advise(question) if self.advisor == Advisor::Works => {
+                self.asked.push(question);
+            }
+            Effect::Advise(question) => {
+                let Question { key, asked_at, .. } = question;
                 let only = self.advises.clone();
-                let good = workers
-                    .iter()
-                    .filter(|id| only.as_ref().is_none_or(|only| only == *id))
-                    .take(1)
-                    .map(|id| (id.clone(), Arc::from("t")));
-                let good = good.collect();
-                self.asked.push(workers);
-                self.core.take_advice(key, at, Ok(good), self.now);
+                let allowed = |id: &&Arc<str>| only.as_ref().is_none_or(|only| only == *id);
+                let good = question.workers.iter().filter(allowed).take(1);
+                let good = good.map(|id| (id.clone(), Arc::from("t")));
+                let answer = match std::mem::take(&mut self.advisor) {
+                    Advisor::LosesOne => Err(Failure::unknown("advise", "advisor", "no answer")),
+                    _ => Ok(good.collect()),
+                };
+                self.asked.push(question);
+                self.core.take_advice(key, asked_at, answer, self.now);
             }
             Effect::Duty(machine, duty) => {
                 let nothing = Failure::unknown("order machine", &machine, "no answer");
