--- a/ashtiller/src/workflow/core/hold.rs
+++ b/ashtiller/src/workflow/core/hold.rs
@@ -4,11 +4,9 @@
 use std::time::Duration;
 
 use crate::workflow::agents::ORDER_LIMIT;
+use crate::workflow::core::waits::TOLD_AGAIN;
 use crate::workflow::core::{Core, Now};
 
-/// Time between two lines while starts wait, as between those on a task that waits.
-const TOLD_AGAIN: Duration = Duration::from_secs(5);
-
 /// Starts that wait.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Hold {
--- a/ashtiller/src/workflow/core/waits.rs
+++ b/ashtiller/src/workflow/core/waits.rs
@@ -8,8 +8,8 @@
 
 /// Wait of a lasting step that is worth a line: within it the platform asks for its start.
 const TOLD_FIRST: Duration = Duration::from_secs(3);
-/// Time between two lines about one step that waits.
-const TOLD_AGAIN: Duration = Duration::from_secs(5);
+/// Time between two lines about one thing that waits.
+pub(super) const TOLD_AGAIN: Duration = Duration::from_secs(5);
 
 /// Tasks of one kind that wait.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
