--- a/ashtiller/tests/owner/takeover.rs
+++ b/ashtiller/tests/owner/takeover.rs
@@ -76,6 +76,10 @@
 /// granted, though the former one has said that it ended. Settled by: `run ended … Lost` for
 /// all such runs 17.296 s after the new owner began, three lasting tasks away from 16.6 to
 /// 43.3 s, on the code before and after the mends of trials.
+///
+/// The owner here is not told that the former one has ended, since nothing can tell it yet.
+/// A mend has to bring that proof, for all earlier owners, and this test has to give it:
+/// starting within 9 s without it would let a task run twice.
 #[test]
 fn a_task_on_a_worker_that_is_gone_starts_soon_after_a_change_of_owner() {
     let lasting = Step {
