Count ends that are told after their run was given up

Change: a late end that is done ends its task and stops later runs of it; a late failure counts once, by the number of its run. Lasting tasks go on. Tests: owner/late_ends.rs, red before. The stand-in of workers hides only the run that ended, not later ones of the same task.

--- a/ashtiller/src/workflow/book.rs
+++ b/ashtiller/src/workflow/book.rs
@@ -107,6 +107,23 @@
             .is_some_and(|(_, task)| task.live.iter().any(|live| live.number == run.number))
     }
 
+    /// Whether the end of a run that is not going on any more changes something: a worker
+    /// may tell it after the run was given up as lost.
+    #[must_use]
+    pub fn counts_late(&self, run: Run, end: End) -> bool {
+        let Some((job, task)) = self.task(run.task) else {
+            return false;
+        };
+        let lasting = job.step(run.task).is_none_or(|step| step.lasting);
+        let placed = run.number <= task.last && !self.is_live(run);
+        let news = match end {
+            End::Done => !task.done,
+            End::Failed => !task.failed.contains(&run.number),
+            End::Stopped | End::Lost => false,
+        };
+        !lasting && placed && news && job.outcome.is_none()
+    }
+
     /// Applies one fact.
     pub fn apply(&mut self, fact: &Fact, now: Duration) -> Effect {
         match fact {
@@ -178,6 +195,9 @@
 
     fn end(&mut self, run: Run, end: End, saved: &Arc<str>, now: Duration) -> Effect {
         let number = run.task.job;
+        if !self.is_live(run) && !self.counts_late(run, end) {
+            return Effect::None;
+        }
         let Some(job) = self.jobs.get_mut(&number) else {
             return Effect::None;
         };
@@ -187,11 +207,14 @@
         };
         let step = &mut round.steps[usize::from(run.task.step)];
         let task = &mut step.tasks[usize::from(run.task.index)];
-        let Some(place) = task.live.iter().position(|live| live.number == run.number) else {
-            return Effect::None;
+        step.waiting -= u32::from(task.waits());
+        let worker = match task.live.iter().position(|live| live.number == run.number) {
+            Some(place) => {
+                job.live -= 1;
+                Some(task.live.swap_remove(place).worker)
+            }
+            None => None,
         };
-        let live = task.live.swap_remove(place);
-        job.live -= 1;
         if !saved.is_empty() {
             task.saved = saved.clone();
         }
@@ -201,8 +224,8 @@
                 step.left -= 1;
             }
             End::Failed => {
-                task.failures += 1;
-                task.failed_on.insert(live.worker);
+                task.failed.insert(run.number);
+                task.failed_on.extend(worker);
             }
             _ => {}
         }
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -1,12 +1,13 @@
 //! What workers report when they are looked at.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::failure::Failure;
 use crate::workflow::agents::{Active, Finished, How, Looked, Name, Order};
 use crate::workflow::core::{Core, Effect, Now, Then};
-use crate::workflow::fact::{End, Run, Task};
+use crate::workflow::fact::{End, Fact, Run, Task};
 use crate::workflow::live::{Reason, Stage, Stop};
 
 /// Time without progress after which a run counts as stalled. The platform's
@@ -105,9 +106,7 @@
         let mut highest = 0;
         for end in finished {
             highest = highest.max(end.number);
-            let run = self.run_of(&end.name, end.run);
-            let here = run.filter(|run| self.runs.get(run).is_some_and(|live| *live.worker == *id));
-            let Some(run) = here else {
+            let Some(run) = self.run_of(&end.name, end.run) else {
                 continue;
             };
             let how = match end.how {
@@ -116,6 +115,14 @@
                 How::Stopped => End::Stopped,
                 How::Lapsed | How::Broken | How::Alone => End::Lost,
             };
+            match self.runs.get(&run) {
+                Some(live) if *live.worker == *id => {}
+                Some(_) => continue,
+                None => {
+                    self.take_late_end(id, run, how, &end.saved, now);
+                    continue;
+                }
+            }
             self.note_health(id, run, how, now);
             self.end_run(run, how, &end.saved, now);
         }
@@ -133,12 +140,29 @@
         }
     }
 
+    /// Takes an end whose run was given up before its worker could tell it. Work that is
+    /// done must not be done again, and the worker forgets the end once it is acknowledged.
+    fn take_late_end(&mut self, id: &str, run: Run, end: End, saved: &Arc<str>, now: Now) {
+        if !self.book.counts_late(run, end) {
+            return;
+        }
+        tracing::info!(worker = id, task = %run.task, run = run.number, ?end,
+            "end is told after its run was given up");
+        self.record(Fact::Ended(run, end, saved.clone()), now);
+        self.dirty = true;
+        match end {
+            End::Done => self.stop_siblings(run, Reason::Copied),
+            End::Failed => self.judge_failure(run, now),
+            End::Stopped | End::Lost => {}
+        }
+    }
+
     /// Learns from an end whether the worker is well.
     fn note_health(&mut self, id: &str, run: Run, end: End, now: Now) {
         let first = self
             .book
             .task(run.task)
-            .is_some_and(|(_, task)| task.failures == 0);
+            .is_some_and(|(_, task)| task.failed.is_empty());
         // A lasting task that was at work has failed by itself.
         let earned = self
             .runs
--- a/ashtiller/src/workflow/core/runs.rs
+++ b/ashtiller/src/workflow/core/runs.rs
@@ -6,6 +6,7 @@
 use crate::workflow::core::{Core, Now};
 use crate::workflow::fact::{End, Fact, Run, Task};
 use crate::workflow::live::Reason;
+use crate::workflow::state::TaskState;
 
 impl Core {
     /// Runs of a job that may be going on.
@@ -87,9 +88,9 @@
         let failures = if gang {
             let round = &job.rounds[&run.task.time];
             let tasks = &round.steps[usize::from(run.task.step)].tasks;
-            tasks.iter().map(|task| task.failures).sum()
+            tasks.iter().map(TaskState::failures).sum()
         } else {
-            task.failures
+            task.failures()
         };
         let lasting = job.step(run.task).is_some_and(|step| step.lasting);
         if failures >= job.policy.attempts && !lasting && job.outcome.is_none() {
--- a/ashtiller/src/workflow/state.rs
+++ b/ashtiller/src/workflow/state.rs
@@ -24,8 +24,8 @@
     pub live: Vec<Live>,
     /// Number of the newest run.
     pub last: u32,
-    /// Runs that failed.
-    pub failures: u32,
+    /// Numbers of the runs that failed.
+    pub failed: BTreeSet<u32>,
     /// Whether its work is done.
     pub done: bool,
     /// Newest checkpoint; empty for none.
@@ -35,6 +35,12 @@
 }
 
 impl TaskState {
+    /// How many runs failed.
+    #[must_use]
+    pub fn failures(&self) -> u32 {
+        u32::try_from(self.failed.len()).unwrap_or(u32::MAX)
+    }
+
     /// Whether it waits for a worker.
     #[must_use]
     pub fn waits(&self) -> bool {
--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -309,7 +309,9 @@
             if let Order::Start(start) = order
                 && **worker == *id
                 && self.deaf.as_ref() != Some(worker)
-                && !finished.iter().any(|end| end.name == start.name)
+                && !finished
+                    .iter()
+                    .any(|end| end.name == start.name && end.run == start.run)
                 && self.core.book().is_live(*run)
                 && !self.is_stopped(*run)
                 && !active.iter().any(|row| row.name == start.name)
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -5,6 +5,7 @@
 mod growth;
 mod jobs;
 mod kept;
+mod late_ends;
 mod leaving;
 mod listing;
 mod news;
