Let a new owner learn that the former one has ended

Ways weighed: the word of the former owner before it is replaced (it may begin again on a late answer of the store), entries of the log as a clock (no clock is shared), a question after the replacement. The last: who answers at its address that it does not own, has another life, or that nobody listens there, proves it; a log names the owners before it that are over (Fact::Cleared), so that the proof holds for all of them.

--- a/ashtiller/src/workflow/book.rs
+++ b/ashtiller/src/workflow/book.rs
@@ -36,6 +36,8 @@
     pub upkept: BTreeSet<(u64, Arc<str>)>,
     /// Waves of upkeep that are over.
     pub waves_over: BTreeSet<u64>,
+    /// No owner before this epoch grants leases any more.
+    pub cleared: u64,
     #[serde(skip)]
     names: BTreeMap<Arc<str>, u32>,
     #[serde(skip)]
@@ -141,6 +143,7 @@
                 self.upkept.retain(|(other, _)| other != wave);
             }
             Fact::Learned(lessons) => self.lessons.clone_from(lessons),
+            Fact::Cleared(epoch) => self.cleared = self.cleared.max(*epoch),
         }
         Effect::None
     }
--- a/ashtiller/src/workflow/campaign.rs
+++ b/ashtiller/src/workflow/campaign.rs
@@ -11,7 +11,7 @@
 use tokio::time::{self, Instant};
 
 use crate::failure::{Effect, Failure};
-use crate::workflow::fact::Lead;
+use crate::workflow::fact::{Former, Lead};
 use crate::workflow::log::{Seized, Sight};
 use crate::workflow::message::{Ask, Hello, Reply};
 use crate::workflow::node::Node;
@@ -235,7 +235,7 @@
                 tracing::info!(owner = %lead.name, "owner still writes; it is not replaced");
                 return;
             }
-            seize(node, lead.epoch).await;
+            seize(node, Some(lead.as_former())).await;
         }
         Err(failure) => {
             tracing::info!(%failure, "lead not read");
@@ -277,7 +277,7 @@
     }
     match node.log.read_lead(false).await {
         Ok(Some(lead)) => node.adopt_lead(&lead),
-        Ok(None) => seize(node, 0).await,
+        Ok(None) => seize(node, None).await,
         Err(failure) => {
             tracing::info!(%failure, "lead not read");
             time::sleep(PAUSE).await;
@@ -292,12 +292,13 @@
         return;
     }
     tracing::info!(owner = %lead.name, epoch = lead.epoch, "asked to take over");
-    seize(node, lead.epoch).await;
+    seize(node, Some(lead.as_former())).await;
 }
 
-async fn seize(node: &Rc<Node>, former: u64) {
-    let mine = node.as_lead();
-    match node.log.seize(&mine, former).await {
+async fn seize(node: &Rc<Node>, former: Option<Former>) {
+    let mine = node.as_lead(former);
+    let replaced = former.map_or(0, |former| former.epoch);
+    match node.log.seize(&mine, replaced).await {
         Ok(Seized::Mine(epoch)) => {
             let lead = Lead { epoch, ..mine };
             owner::spawn(node, lead);
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -133,6 +133,8 @@
     swept: Duration,
     superseded: bool,
     began: Duration,
+    /// Since when no earlier owner grants leases.
+    cleared: Option<Duration>,
     returned: Option<Duration>,
     /// As of when the list of workers was last known to be whole.
     listed_at: Duration,
@@ -187,6 +189,7 @@
             swept: now.at,
             superseded: false,
             began: now.at,
+            cleared: None,
             returned: None,
             listed_at: Duration::ZERO,
             held: None,
--- a/ashtiller/src/workflow/core/roster.rs
+++ b/ashtiller/src/workflow/core/roster.rs
@@ -5,7 +5,7 @@
 
 use crate::workflow::config::Listed;
 use crate::workflow::core::{Core, Now};
-use crate::workflow::fact::{End, Run};
+use crate::workflow::fact::{End, Fact, Run};
 use crate::workflow::lease;
 use crate::workflow::live::{Reason, Stage, Stop};
 use crate::workflow::worker::Worker;
@@ -56,7 +56,34 @@
 
     /// Leases that earlier owners granted end by this time.
     fn first_bound(&self) -> Duration {
-        self.began + self.terms.horizon + lease::stretch(self.terms.lease)
+        let granted = self.cleared.unwrap_or(self.began + self.terms.horizon);
+        granted + lease::stretch(self.terms.lease)
+    }
+
+    /// The owner at this epoch, which this one replaced, has ended; 0 when there was none.
+    /// What it granted before ends within a lease from now, and what was granted by owners
+    /// before it does if it knew so much of them. Without that proof the new owner waits
+    /// for the longest time that one without the store may have gone on: 17 s, in which
+    /// tasks on workers that are gone run nowhere.
+    pub fn clear_former(&mut self, former: u64, now: Now) {
+        if self.cleared.is_some() || self.book.cleared < former {
+            return;
+        }
+        self.note_cleared(now);
+        let bound = self.first_bound();
+        tracing::info!(
+            former,
+            bound_ms = bound.as_millis(),
+            "no earlier owner grants leases any more"
+        );
+        for worker in self.workers.values_mut().filter(|worker| !worker.fenced) {
+            worker.lease.fence(now.at, self.terms.lease);
+        }
+    }
+
+    fn note_cleared(&mut self, now: Now) {
+        self.cleared = Some(now.at);
+        self.record(Fact::Cleared(self.epoch), now);
     }
 
     /// Counts the runs of earlier owners in a worker's room.
@@ -168,6 +195,9 @@
         if self.ghosts && now.at >= self.first_bound() {
             self.ghosts = false;
             self.lose_ghosts(now);
+            if self.cleared.is_none() {
+                self.note_cleared(now);
+            }
         }
         let over = self.workers.values().filter(|worker| {
             !worker.runs.is_empty() && !worker.answers && worker.lease.bound() < now.at
--- a/ashtiller/src/workflow/fact.rs
+++ b/ashtiller/src/workflow/fact.rs
@@ -87,6 +87,19 @@
     WaveOver(u64),
     /// What was learned about images that disturb each other.
     Learned(Vec<Lesson>),
+    /// No owner before this epoch grants leases any more.
+    Cleared(u64),
+}
+
+/// An owner that another replaced.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Former {
+    /// Where its peers reached it.
+    pub address: std::net::SocketAddr,
+    /// Random number of the process's life.
+    pub life: u64,
+    /// Its epoch.
+    pub epoch: u64,
 }
 
 /// The process that owns a log, as its lead key says.
@@ -100,7 +113,21 @@
     pub life: u64,
     /// Processors of the largest instance that it knew, in thousandths.
     pub largest: u64,
+    /// The owner that it replaced; none for the first owner of a log.
+    pub former: Option<Former>,
     /// Revision of the lead key, which fences earlier owners; 0 until it is known.
     #[serde(default)]
     pub epoch: u64,
 }
+
+impl Lead {
+    /// This owner as the one that another replaces.
+    #[must_use]
+    pub fn as_former(&self) -> Former {
+        Former {
+            address: self.address,
+            life: self.life,
+            epoch: self.epoch,
+        }
+    }
+}
--- a/ashtiller/src/workflow/message.rs
+++ b/ashtiller/src/workflow/message.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::workflow::config::Config;
-use crate::workflow::fact::{Lead, Outcome};
+use crate::workflow::fact::{Former, Lead, Outcome};
 use crate::workflow::job::Job;
 
 /// One entry instance.
@@ -48,6 +48,9 @@
     Leads(Lead),
     /// Take over the log; the sender cannot go on.
     TakeOver(Lead),
+    /// Has the owner at this epoch, in the process with this life, ended? The sender has
+    /// replaced it.
+    HasEnded(Former),
     /// The sender has a newer configuration.
     Config(Box<Config>),
     /// Accept a job.
@@ -99,6 +102,8 @@
     Lead(Option<Lead>),
     /// Taken note of.
     Noted,
+    /// Whether the owner has ended and never comes back.
+    Ended(bool),
     /// The job is recorded.
     Accepted,
     /// How the job stands.
--- a/ashtiller/src/workflow/node/answer.rs
+++ b/ashtiller/src/workflow/node/answer.rs
@@ -68,6 +68,8 @@
                     self.adopt_lead(&lead);
                     Reply::Noted
                 }
+                // One that begins late finds the log replaced before it does anything.
+                Ask::HasEnded(former) => Reply::Ended(former.life != self.life || !self.owns()),
                 Ask::Config(config) => {
                     self.adopt_config(&Arc::new(*config));
                     Reply::Noted
--- a/ashtiller/src/workflow/node/mod.rs
+++ b/ashtiller/src/workflow/node/mod.rs
@@ -18,7 +18,7 @@
 use crate::workflow::advisor::Advisor;
 use crate::workflow::agents::Agents;
 use crate::workflow::config::{Config, Dialect};
-use crate::workflow::fact::Lead;
+use crate::workflow::fact::{Former, Lead};
 use crate::workflow::follow;
 use crate::workflow::kv::Store;
 use crate::workflow::link::Tcp;
@@ -242,10 +242,11 @@
         }
     }
 
-    /// This process as an owner, at an epoch that is not known yet.
+    /// This process as an owner in place of `former`, at an epoch that is not known yet.
     #[must_use]
-    pub fn as_lead(&self) -> Lead {
+    pub fn as_lead(&self, former: Option<Former>) -> Lead {
         Lead {
+            former,
             name: self.settings.instance.name.clone(),
             address: self.settings.entry.peers,
             life: self.life,
--- a/ashtiller/src/workflow/owner/inputs.rs
+++ b/ashtiller/src/workflow/owner/inputs.rs
@@ -59,6 +59,7 @@
                 self.core.take_advice(key, asked_at, answer, now);
             }
             Input::HandedOver(done) => self.over |= done,
+            Input::Cleared(former) => self.core.clear_former(former, now),
         }
     }
 
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -1,6 +1,7 @@
 //! Carries out what the owner of a log decides.
 
 mod carry;
+mod former;
 mod hand_over;
 mod inputs;
 
@@ -62,6 +63,8 @@
     Duty(Arc<str>, Duty, Result<Done, Failure>),
     Told(u64, bool, bool),
     HandedOver(bool),
+    /// The owner at this epoch, which this one replaced, has ended.
+    Cleared(u64),
 }
 
 /// Digest of a list of members, without what changes all the time.
@@ -214,6 +217,7 @@
 impl Owner {
     async fn serve(&mut self) {
         self.follow_workers();
+        self.clear_former();
         let mut waves = self.node.watch_waves();
         waves.mark_changed();
         let mut config = self.node.watch_config();
--- a/ashtiller/tests/links/peer.rs
+++ b/ashtiller/tests/links/peer.rs
@@ -40,6 +40,7 @@
             address: ADDRESS,
             life: 7,
             largest: 1000,
+            former: None,
             epoch: 1,
         }
     }
--- a/ashtiller/tests/owner/takeover.rs
+++ b/ashtiller/tests/owner/takeover.rs
@@ -18,6 +18,23 @@
     Run { task, number }
 }
 
+/// Epoch of the owner that was replaced.
+const FORMER: u64 = 4;
+
+/// A new owner that finds a lasting task on a worker that is gone.
+fn replace_owner(known: &[Fact]) -> Driver {
+    let lasting = Step {
+        lasting: true,
+        ..step(1)
+    };
+    let mut facts = known.to_vec();
+    facts.extend([
+        Fact::Accepted(Box::new(job("1", vec![lasting])), policy(), 1_000_000),
+        placed(1, "gone"),
+    ]);
+    Driver::replay(&facts, 1, policy())
+}
+
 fn placed(number: u32, worker: &str) -> Fact {
     Fact::Placed(run(number), worker.into(), Arc::from(""))
 }
@@ -77,21 +94,36 @@
 /// all such runs 17.296 s after the new owner began, three lasting tasks away from 16.6 to
 /// 43.3 s, on the code before and after the mends of trials.
 ///
-/// The owner here is not told that the former one has ended, since nothing can tell it yet.
-/// A mend has to bring that proof, for all earlier owners, and this test has to give it:
-/// starting within 9 s without it would let a task run twice.
+/// The proof is that the former owner has ended, and that its log says the same of all
+/// owners before it: starting within 9 s without it would let a task run twice.
 #[test]
 fn a_task_on_a_worker_that_is_gone_starts_soon_after_a_change_of_owner() {
-    let lasting = Step {
-        lasting: true,
-        ..step(1)
-    };
-    let facts = [
-        Fact::Accepted(Box::new(job("1", vec![lasting])), policy(), 1_000_000),
-        placed(1, "gone"),
-    ];
-    let mut driver = Driver::replay(&facts, 1, policy());
+    let mut driver = replace_owner(&[Fact::Cleared(FORMER)]);
+    driver.core.clear_former(FORMER, driver.now);
     // The longest lease, and what the platform leaves beyond it.
     driver.pass(9000 * MS);
     assert_eq!(driver.starts().len(), 1);
+    assert!(
+        driver.facts.contains(&Fact::Cleared(5)),
+        "for a later owner"
+    );
+}
+
+#[test]
+fn without_word_of_the_former_owner_a_task_waits_for_all_that_it_may_have_granted() {
+    let mut driver = replace_owner(&[Fact::Cleared(FORMER)]);
+    driver.pass(17_000 * MS);
+    assert!(driver.starts().is_empty(), "the former owner may go on");
+    driver.pass(1000 * MS);
+    assert_eq!(driver.starts().len(), 1);
+}
+
+#[test]
+fn that_the_former_owner_has_ended_says_nothing_of_those_before_it() {
+    let mut driver = replace_owner(&[Fact::Cleared(FORMER - 1)]);
+    driver.core.clear_former(FORMER, driver.now);
+    driver.pass(17_000 * MS);
+    assert!(driver.starts().is_empty(), "an earlier owner may go on");
+    driver.pass(1000 * MS);
+    assert_eq!(driver.starts().len(), 1);
 }
