--- a/ashtiller/src/workflow/agents.rs
+++ b/ashtiller/src/workflow/agents.rs
@@ -6,9 +6,11 @@
 
 use crate::store::Called;
 
-/// Time limit of an order, a hundred times the way to another zone. By then it was carried
-/// out, or its caller was told that it may not have been.
+/// Least time limit of an order, a hundred times the way to another zone. By then it was
+/// carried out, or its caller was told that it may not have been.
 pub const ORDER_LIMIT: Duration = Duration::from_millis(350);
+/// Least time for a look to be answered beyond its own wait.
+pub const LOOK_LIMIT: Duration = Duration::from_millis(600);
 
 /// Which life of which worker a call is meant for.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -19,6 +21,8 @@
     pub address: SocketAddr,
     /// The caller's fence: a worker ignores callers with a lower one.
     pub fence: u64,
+    /// How long its answer may take, beyond what it is asked to wait.
+    pub patience: Duration,
 }
 
 /// A task as workers know it.
--- a/ashtiller/src/workflow/core/hold.rs
+++ b/ashtiller/src/workflow/core/hold.rs
@@ -3,7 +3,6 @@
 
 use std::time::Duration;
 
-use crate::workflow::agents::ORDER_LIMIT;
 use crate::workflow::core::waits::TOLD_AGAIN;
 use crate::workflow::core::{Core, Now};
 
@@ -33,7 +32,7 @@
     /// Whether a worker that said right after the list that it leaves still takes starts,
     /// which it does for `drain`, when an order of now has reached its time limit.
     fn is_list_new(&self, now: Now) -> bool {
-        self.list_age(now) + ORDER_LIMIT < self.terms.drain
+        self.list_age(now) + self.order_limit() < self.terms.drain
     }
 
     /// Notes that something waits because nothing may start.
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -42,6 +42,7 @@
 use crate::workflow::load::Track;
 use crate::workflow::machines::Duty;
 use crate::workflow::message::Reply;
+use crate::workflow::pressure::Pressure;
 use crate::workflow::terms::Terms;
 use crate::workflow::worker::Worker;
 
@@ -146,6 +147,8 @@
     tracks: BTreeMap<u32, Track>,
     interference: Interference,
     summaries: fleet::Summaries,
+    /// How much may be under way at workers.
+    pressure: Pressure,
     /// Lasting steps that wait although there was room, by job, time and step.
     passed_over: BTreeMap<StepKey, room::PassedOver>,
     reserved: Option<room::Reserved>,
@@ -199,6 +202,7 @@
             tracks: BTreeMap::new(),
             interference: Interference::default(),
             summaries: fleet::Summaries::default(),
+            pressure: Pressure::default(),
             passed_over: BTreeMap::new(),
             reserved: None,
             told: BTreeMap::new(),
@@ -287,6 +291,12 @@
         answers.collect()
     }
 
+    /// How long answers of workers take, and what follows from it.
+    #[must_use]
+    pub fn pressure(&self) -> &Pressure {
+        &self.pressure
+    }
+
     /// How long ago ownership was proved.
     fn proof_age(&self, now: Now) -> Duration {
         now.at.saturating_sub(self.proof)
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use crate::failure::Failure;
-use crate::workflow::agents::{Look, Name, Order, Refusal, Said, Start};
+use crate::workflow::agents::{LOOK_LIMIT, Look, Name, ORDER_LIMIT, Order, Refusal, Said, Start};
 use crate::workflow::core::{Core, Effect, Now};
 use crate::workflow::fact::{End, Run};
-use crate::workflow::live::{Reason, Stage, Stop};
+use crate::workflow::live::{LiveRun, Reason, Stage, Stop};
 
 /// Orders under way to one worker; more would open more connections.
 const ORDERS_MAX: u32 = 1;
@@ -21,6 +21,12 @@
 const LATE_MAX: Duration = Duration::from_secs(13);
 /// Pause between two looks at a worker that did not answer, growing to the second.
 const LOOK_RETRY: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(700)];
+/// Longest time for which an answer to a look is waited for beyond its wait: with the wait
+/// itself it stays below a lease.
+const LOOK_MOST: Duration = Duration::from_secs(2);
+/// Part of the time for which a leaving worker takes starts that one order may take at most;
+/// the rest is for news of workers to come.
+const ORDER_SHARE: f64 = 0.4;
 /// Silence after which a worker is looked at more rarely.
 const SILENT: Duration = Duration::from_secs(5);
 
@@ -31,6 +37,22 @@
     Worker,
 }
 
+/// What an order protects, in the order in which it goes when not all may: room and work
+/// that nobody needs any more, services, relief for them, other work, and fills that may
+/// work more than before.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Class {
+    Stop,
+    StartLasting,
+    Relieve,
+    Start,
+    Pace,
+    Nothing,
+}
+
+/// Class of the next order to a worker, and since when it waits.
+type Rank = (Class, Duration);
+
 impl Core {
     /// How workers know a task.
     pub(super) fn name_of(&self, run: Run) -> Option<Name> {
@@ -43,22 +65,78 @@
         })
     }
 
-    /// Sends the orders that are due.
+    /// How long an answer to an order is waited for.
+    pub(super) fn order_limit(&self) -> Duration {
+        let most = self.terms.drain.mul_f64(ORDER_SHARE);
+        self.pressure.patience(ORDER_LIMIT, most)
+    }
+
+    /// Sends the orders that are due, as many as may be under way.
     pub(super) fn drive_orders(&mut self, now: Now) {
-        let ids: Vec<Arc<str>> = self
+        let mut free = self.pressure.free();
+        let mut ids: Vec<Arc<str>> = self
             .workers
             .values()
             .filter(|worker| worker.fenced && worker.ordering < ORDERS_MAX)
             .filter(|worker| !worker.runs.is_empty() && worker.work <= now.at)
             .map(|worker| worker.id().clone())
             .collect();
+        if ids.len() > free {
+            self.pressure.note_limit(now.at);
+            let ranked = ids.into_iter().map(|id| (self.rank_worker(&id, now), id));
+            let mut ranked: Vec<(Rank, Arc<str>)> = ranked.collect();
+            ranked.sort_unstable();
+            ids = ranked.into_iter().map(|(_, id)| id).collect();
+        }
         for id in ids {
-            self.drive_worker(&id, now);
+            if free == 0 {
+                return;
+            }
+            free -= usize::from(self.drive_worker(&id, now));
+        }
+    }
+
+    /// What a worker's next order protects, and since when it waits.
+    fn rank_worker(&self, id: &Arc<str>, now: Now) -> Rank {
+        let runs = self.workers[id].runs.iter();
+        let due = runs.filter_map(|run| Some((run, self.runs.get(run)?)));
+        let due = due.filter(|(_, live)| !live.ordering && live.retry <= now.at);
+        let ranks = due.map(|(run, live)| (self.class_of(*run, live), live.placed));
+        ranks.min().unwrap_or((Class::Nothing, now.at))
+    }
+
+    /// What the next order about a run protects.
+    fn class_of(&self, run: Run, live: &LiveRun) -> Class {
+        match (live.stop, live.stage) {
+            (Stop::Wanted(_), _) => Class::Stop,
+            (Stop::Confirmed(_), _) => Class::Nothing,
+            (Stop::None, Stage::Recorded(position)) if position > self.durable => Class::Nothing,
+            (Stop::None, Stage::Recorded(_) | Stage::Starting) => {
+                let step = self
+                    .book
+                    .task(run.task)
+                    .and_then(|(job, _)| job.step(run.task));
+                if step.is_some_and(|step| step.lasting) {
+                    Class::StartLasting
+                } else {
+                    Class::Start
+                }
+            }
+            (Stop::None, Stage::Started(_)) if live.pace_goal < live.pace => Class::Relieve,
+            (Stop::None, Stage::Started(_)) if live.pace_goal > live.pace => Class::Pace,
+            (Stop::None, Stage::Started(_)) => Class::Nothing,
         }
     }
 
-    fn drive_worker(&mut self, id: &Arc<str>, now: Now) {
-        let runs: Vec<Run> = self.workers[id].runs.iter().copied().collect();
+    /// Sends the next order to a worker; whether there was one.
+    fn drive_worker(&mut self, id: &Arc<str>, now: Now) -> bool {
+        let limit = self.order_limit();
+        let mut runs: Vec<Run> = self.workers[id].runs.iter().copied().collect();
+        // Stops go first: what is to be stopped may run on for a bounded time only.
+        runs.sort_by_key(|run| {
+            let live = self.runs.get(run);
+            !live.is_some_and(|live| matches!(live.stop, Stop::Wanted(_)))
+        });
         // Until an event says otherwise, or a pause is over, there is nothing to do.
         let pauses = runs
             .iter()
@@ -71,23 +149,24 @@
             worker.work = next;
         }
         for run in runs {
-            if self.workers[id].ordering >= ORDERS_MAX {
-                return;
-            }
             let Some(order) = self.next_order(run, id, now) else {
                 continue;
             };
             let Some(worker) = self.workers.get_mut(id) else {
-                return;
+                return false;
             };
             worker.ordering += 1;
+            worker.ordered = now.at;
+            self.pressure.note_sent();
             self.counts.orders += 1;
             if let Some(live) = self.runs.get_mut(&run) {
                 live.ordering = true;
             }
-            let target = worker.target(self.epoch);
+            let target = worker.target(self.epoch, limit);
             self.effects.push(Effect::Order(target, run, order));
+            return true;
         }
+        false
     }
 
     /// The next order about a run, if one is due.
@@ -157,9 +236,15 @@
         said: Result<Said, Failure>,
         now: Now,
     ) {
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.ordering = worker.ordering.saturating_sub(1);
+        if let Some(worker) = self.workers.get_mut(id)
+            && worker.ordering > 0
+        {
+            worker.ordering -= 1;
             worker.work = Duration::ZERO;
+            let took = now.at.saturating_sub(worker.ordered);
+            self.pressure.note_order(worker.id(), took, now.at);
+        } else {
+            self.pressure.note_end();
         }
         if let Ok(Said::OtherLife) = said {
             self.lose_worker(id, "another life answered", now);
@@ -214,8 +299,11 @@
             Ok(Said::OtherLife) => {}
             Err(failure) => {
                 tracing::info!(task = %run.task, run = run.number, worker = %live.worker, %failure, "start unanswered");
-                live.unanswered += 1;
-                live.retry = now.at + RETRY;
+                live.retry = now.at + RETRY.max(self.pressure.usual());
+                // Slowness that most workers share says nothing of this one.
+                if !self.pressure.is_queued() {
+                    live.unanswered += 1;
+                }
                 if live.unanswered >= UNANSWERED_MAX {
                     refused = Some(Blame::Worker);
                 }
@@ -265,7 +353,7 @@
             Ok(_) => live.retry = now.at + RETRY_BUSY,
             Err(failure) if answers => {
                 tracing::info!(task = %run.task, run = run.number, worker = %live.worker, %failure, "stop unanswered");
-                live.retry = now.at + RETRY;
+                live.retry = now.at + RETRY.max(self.pressure.usual());
             }
             // That the worker is silent was said once; a stop has no better chance than a look.
             Err(_) => live.retry = now.at + LOOK_RETRY[0],
@@ -291,7 +379,7 @@
             Err(failure) => {
                 tracing::info!(task = %run.task, run = run.number, worker = %live.worker, %failure, "pace unanswered");
                 live.pace_doubt = now.at + LATE_MAX;
-                live.retry = now.at + RETRY;
+                live.retry = now.at + RETRY.max(self.pressure.usual());
             }
         }
     }
@@ -299,6 +387,13 @@
     /// Sends the looks that are due.
     pub(super) fn drive_looks(&mut self, now: Now) {
         let renew = self.may_renew(now);
+        let limit = self.pressure.patience(LOOK_LIMIT, LOOK_MOST);
+        // A service over its target must have relief within 4 s, so reports may be fewer.
+        let watch = if self.pressure.is_queued() {
+            self.terms.wait / 2
+        } else {
+            self.terms.watch
+        };
         for worker in self.workers.values_mut() {
             let due = worker.next_look.max(worker.doubted.unwrap_or_default());
             if worker.looking.is_some() || now.at < due {
@@ -309,7 +404,7 @@
             let wait = match (known, mixed) {
                 // The clock must be known before a lease can be granted.
                 (false, _) => Duration::ZERO,
-                (true, true) => self.terms.watch,
+                (true, true) => watch,
                 (true, false) => self.terms.wait,
             };
             let stopping = worker.runs.iter().any(|run| {
@@ -333,9 +428,10 @@
                 wait,
             };
             worker.looking = Some(now.at);
+            worker.waits = wait;
             self.counts.looks += 1;
             self.effects
-                .push(Effect::Look(worker.target(self.epoch), look));
+                .push(Effect::Look(worker.target(self.epoch, limit), look));
         }
     }
 
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -43,6 +43,11 @@
         let Some(begun) = worker.looking.take() else {
             return;
         };
+        let took = now.at.saturating_sub(begun);
+        // One that was answered earlier tells nothing of delays.
+        if let Some(late) = took.checked_sub(worker.waits) {
+            self.pressure.note_delay(worker.id(), late, now.at);
+        }
         match looked {
             Ok(Looked::Report {
                 clock,
@@ -98,7 +103,8 @@
         worker.next_look = if again {
             now.at
         } else {
-            now.at + self.terms.pause
+            // Of several ends in a queue, one answer tells.
+            now.at + self.terms.pause.max(self.pressure.usual())
         };
     }
 
@@ -210,6 +216,7 @@
 
     /// A run that the log does not place here is stopped.
     fn stop_stray(&mut self, id: &str, row: &Active) {
+        let limit = self.order_limit();
         let Some(worker) = self.workers.get(id) else {
             return;
         };
@@ -225,7 +232,7 @@
         };
         let order = Order::Stop(row.name.clone(), row.run);
         self.effects
-            .push(Effect::Order(worker.target(self.epoch), run, order));
+            .push(Effect::Order(worker.target(self.epoch, limit), run, order));
     }
 
     fn note_progress(&mut self, run: Run, row: &Active, now: Now) {
--- a/ashtiller/src/workflow/mod.rs
+++ b/ashtiller/src/workflow/mod.rs
@@ -30,6 +30,7 @@
 pub mod node;
 pub mod owner;
 pub mod peers;
+pub mod pressure;
 pub mod settings;
 pub mod state;
 pub mod switches;
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -44,10 +44,14 @@
     pub heard: Duration,
     /// Whether a look is under way, and since when.
     pub looking: Option<Duration>,
+    /// For how long that look may wait for an end.
+    pub waits: Duration,
     /// When the next look is due.
     pub next_look: Duration,
     /// Orders under way.
     pub ordering: u32,
+    /// When the last order went out.
+    pub ordered: Duration,
     /// When there may be an order for it.
     pub work: Duration,
     /// Room that runs take.
@@ -98,8 +102,10 @@
             answers: false,
             heard: Duration::ZERO,
             looking: None,
+            waits: Duration::ZERO,
             next_look: Duration::ZERO,
             ordering: 0,
+            ordered: Duration::ZERO,
             work: Duration::ZERO,
             runs: BTreeSet::new(),
             noted: 0,
@@ -121,11 +127,12 @@
 
     /// How to address it, under this fence.
     #[must_use]
-    pub fn target(&self, fence: u64) -> Target {
+    pub fn target(&self, fence: u64, patience: Duration) -> Target {
         Target {
             id: self.listed.id.clone(),
             address: self.listed.address,
             fence,
+            patience,
         }
     }
 
--- a/ashtiller/tests/workflow.rs
+++ b/ashtiller/tests/workflow.rs
@@ -129,10 +129,12 @@
     assert_eq!(world.unnoted(), 0, "ends that nobody acknowledged");
 }
 
-/// Whether some seed breaks a rule when a safeguard is missing.
+/// Whether two seeds break a rule when a safeguard is missing. One in fifty does: 12 of 600
+/// by count, so that one of 60 would be a matter of luck.
 fn is_seen(weak: Weakness) -> bool {
     let faults = Faults { weak, ..ROUGH };
-    (0..60).any(|seed| !play(seed, faults).broken.is_empty())
+    let seen = (0..300).filter(|seed| !play(*seed, faults).broken.is_empty());
+    seen.take(2).count() == 2
 }
 
 #[test]
--- a/ashtiller/tests/world/mod.rs
+++ b/ashtiller/tests/world/mod.rs
@@ -28,7 +28,7 @@
 const MS: Duration = Duration::from_millis(1);
 /// Time between two steps of the owners.
 const STEP: Duration = Duration::from_millis(5);
-/// Pause before an owner asks again whether the one before it has ended.
+/// Time between two questions of an owner whether the one before it has ended.
 const ASK_AGAIN: Duration = Duration::from_millis(250);
 /// Time after which an owner knows of an end that is in the log.
 const AFTER_END: Duration = Duration::from_secs(1);
@@ -64,8 +64,6 @@
     See(usize, Target, Look),
     Looked(usize, Arc<str>, Option<Looked>),
     Leave(Arc<str>),
-    /// An owner asks whether the one that it replaced has ended.
-    Ask(usize),
 }
 
 /// The whole world.
@@ -213,21 +211,21 @@
         self.channels.push(self.news.list(&mut core, now));
         self.owners.push(Some(core));
         self.newest = self.owners.len() - 1;
-        let asked = self.millis(5, 600);
-        self.at(asked, Event::Ask(self.newest));
     }
 
-    /// An owner hears that the one before it has ended, or asks again.
-    fn ask_former(&mut self, place: usize) {
-        let now = self.clock();
-        let ended = place == 0 || self.owners[place - 1].is_none();
-        let Some(core) = &mut self.owners[place] else {
+    /// Each owner asks now and then whether the one before it has ended.
+    fn ask_formers(&mut self) {
+        if !self.now.as_millis().is_multiple_of(ASK_AGAIN.as_millis()) {
             return;
-        };
-        if ended {
-            core.clear_former(core.epoch() - 1, now);
-        } else {
-            self.at(ASK_AGAIN, Event::Ask(place));
+        }
+        let now = self.clock();
+        for place in 0..self.owners.len() {
+            let ended = place == 0 || self.owners[place - 1].is_none();
+            if let Some(core) = &mut self.owners[place]
+                && ended
+            {
+                core.clear_former(core.epoch() - 1, now);
+            }
         }
     }
 
@@ -278,6 +276,7 @@
                 self.disturb();
             }
             self.check();
+            self.ask_formers();
             self.poll();
         }
     }
@@ -497,7 +496,6 @@
                 }
             }
             Event::Leave(id) => self.replace_worker(&id),
-            Event::Ask(place) => self.ask_former(place),
         }
     }
 
