Relays carry the owner's conversation with workers; a benchmark of its decisions

Cause: one instance's link carried all calls to workers: 4 Mbit/s did not do for 144. Ways weighed: relays that renew and pace on the owner's word (a second place where leases are granted), cells (several logs), relays that only make calls. The last: a call names the worker's life, the fence and the end of the lease on the worker's clock, so that a relay decides nothing, and one that is slow, cut off or late is a lossy way, which the owner's decisions bear already. Change: from 120 workers on, the largest other instance of a zone makes the calls to its workers; calls and results are gathered for 6 ms; a job's payload goes to a relay once.

--- a/ashtiller/src/workflow/agents.rs
+++ b/ashtiller/src/workflow/agents.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::store::Called;
 
 /// Least time limit of an order, a hundred times the way to another zone. By then it was
@@ -13,7 +15,7 @@
 pub const LOOK_LIMIT: Duration = Duration::from_millis(600);
 
 /// Which life of which worker a call is meant for.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Target {
     /// Id of the worker's life.
     pub id: Arc<str>,
@@ -23,10 +25,12 @@
     pub fence: u64,
     /// How long its answer may take, beyond what it is asked to wait.
     pub patience: Duration,
+    /// Its availability zone.
+    pub zone: Arc<str>,
 }
 
 /// A task as workers know it.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Name {
     /// Id of the job.
     pub job: Arc<str>,
@@ -39,7 +43,7 @@
 }
 
 /// Tells a worker to start a run.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Start {
     /// Task.
     pub name: Name,
@@ -56,7 +60,7 @@
 }
 
 /// Something that a worker is told to do.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Order {
     /// Start a run.
     Start(Start),
@@ -79,7 +83,7 @@
 }
 
 /// Why a worker did not do what it was told.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Refusal {
     /// It has heard a higher fence.
     Fenced,
@@ -98,7 +102,7 @@
 }
 
 /// What a worker said to an order.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Said {
     /// Done, at this reading of its clock.
     Done(u64),
@@ -109,7 +113,7 @@
 }
 
 /// Asks a worker what runs there, and renews its lease.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Look {
     /// End of the lease, in milliseconds of the worker's clock.
     pub until: Option<u64>,
@@ -120,7 +124,7 @@
 }
 
 /// A run that a worker has.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Active {
     /// Task.
     pub name: Name,
@@ -135,7 +139,7 @@
 }
 
 /// How a worker says that a run ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum How {
     /// Its work is done.
     Done,
@@ -152,7 +156,7 @@
 }
 
 /// A run that ended at a worker.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Finished {
     /// Number of the end in this life of the worker.
     pub number: u64,
@@ -167,7 +171,7 @@
 }
 
 /// What a worker said to a look.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Looked {
     /// What it has, at this reading of its clock.
     Report {
--- a/ashtiller/src/workflow/message.rs
+++ b/ashtiller/src/workflow/message.rs
@@ -8,6 +8,7 @@
 use crate::workflow::config::Config;
 use crate::workflow::fact::{Former, Lead, Outcome};
 use crate::workflow::job::Job;
+use crate::workflow::relay::{Parcels, Results};
 
 /// One entry instance.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -24,6 +25,8 @@
     pub leaving: bool,
     /// Processors that it has, in thousandths.
     pub processors: u64,
+    /// Its availability zone.
+    pub zone: Arc<str>,
 }
 
 /// A heartbeat.
@@ -61,6 +64,10 @@
     Cancel(Arc<str>),
     /// How many jobs of a queue have not begun?
     Pending(Arc<str>),
+    /// Make these calls to workers.
+    Carry(Box<Parcels>),
+    /// What came of calls that the sender was given.
+    Carried(Box<Results>),
 }
 
 /// An answer to [`Ask::Hello`].
--- a/ashtiller/src/workflow/mod.rs
+++ b/ashtiller/src/workflow/mod.rs
@@ -31,6 +31,7 @@
 pub mod owner;
 pub mod peers;
 pub mod pressure;
+pub mod relay;
 pub mod settings;
 pub mod state;
 pub mod switches;
--- a/ashtiller/src/workflow/node/answer.rs
+++ b/ashtiller/src/workflow/node/answer.rs
@@ -78,6 +78,14 @@
                     campaign::take_over(&self, &lead).await;
                     Reply::Lead(self.lead())
                 }
+                Ask::Carry(parcels) => {
+                    self.carrier.carry(*parcels);
+                    Reply::Noted
+                }
+                Ask::Carried(results) => {
+                    self.calls.take(*results);
+                    Reply::Noted
+                }
                 ask => self.ask_here(ask, ASK_LIMIT).await,
             }
         })
--- a/ashtiller/src/workflow/node/mod.rs
+++ b/ashtiller/src/workflow/node/mod.rs
@@ -28,6 +28,8 @@
 use crate::workflow::metrics::Metrics;
 use crate::workflow::owner::Asked;
 use crate::workflow::peers::Links;
+use crate::workflow::relay::carrier::Carrier;
+use crate::workflow::relay::sender::Sender;
 use crate::workflow::settings::Settings;
 
 /// Prefix of everything that this project keeps in the store.
@@ -49,6 +51,10 @@
     pub dialect: Arc<dyn Dialect>,
     /// Connections to other instances.
     pub links: Rc<Links>,
+    /// Calls to workers for owners elsewhere.
+    pub carrier: Rc<Carrier>,
+    /// Calls to workers for the owner here.
+    pub calls: Rc<Sender>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// The log.
@@ -98,15 +104,18 @@
             dialect,
         } = outside;
         let metrics = Metrics::open()?;
+        let links = Links::over(Rc::new(Tcp), metrics.silent_links());
         Ok(Rc::new(Self {
             log: Log::new(store.clone(), PREFIX, life),
-            settings,
             store,
-            agents,
             advisor,
             machines,
             dialect,
-            links: Links::over(Rc::new(Tcp), metrics.silent_links()),
+            carrier: Carrier::new(agents.clone(), links.clone()),
+            calls: Sender::new(agents.clone(), links.clone(), settings.entry.peers),
+            links,
+            settings,
+            agents,
             metrics,
             life,
             lead: watch::Sender::new(None),
@@ -167,6 +176,7 @@
             "owns": self.owns(), "store_age_ms": self.as_member().store_age,
             "members": self.members().iter().map(|member| &*member.name).collect::<Vec<&str>>(),
             "silent_ms_by_peer": self.links.ages(),
+            "relays": self.calls.relays(),
             "owned": owned,
         })
     }
@@ -276,6 +286,7 @@
             store_took: u32::try_from(self.store_took.get().as_millis()).unwrap_or(u32::MAX),
             leaving: self.leaving.get(),
             processors: self.settings.entry.processors,
+            zone: self.settings.instance.zone.clone(),
         }
     }
 
--- a/ashtiller/src/workflow/owner/carry.rs
+++ b/ashtiller/src/workflow/owner/carry.rs
@@ -25,7 +25,7 @@
                 let (node, sender) = (self.node.clone(), self.sender.clone());
                 task::spawn_local(async move {
                     let began = Instant::now();
-                    let said = node.agents.order(&target, &order).await;
+                    let said = node.calls.order(&target, &order).await;
                     node.metrics.note_order(order.kind(), began.elapsed());
                     let _ = sender
                         .send(Input::Answered(target.id, run, order, said))
@@ -66,9 +66,9 @@
                 });
             }
             Effect::Look(target, look) => {
-                let (agents, sender) = (self.node.agents.clone(), self.sender.clone());
+                let (calls, sender) = (self.node.calls.clone(), self.sender.clone());
                 task::spawn_local(async move {
-                    let looked = agents.look(&target, &look).await;
+                    let looked = calls.look(&target, &look).await;
                     let _ = sender.send(Input::Looked(target.id, looked)).await;
                 });
             }
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -248,6 +248,7 @@
                 }
             }
             self.tell_waves();
+            self.choose_relays();
             for effect in self.core.poll(now) {
                 self.carry_out(effect);
             }
@@ -261,6 +262,13 @@
         }
     }
 
+    fn choose_relays(&self) {
+        let calls = &self.node.calls;
+        if calls.is_due() {
+            calls.choose(self.core.workers().len(), &self.node.members());
+        }
+    }
+
     fn take_waiting(&mut self) {
         if let Ok(input) = self.inputs.try_recv() {
             self.take_inputs(Some(input));
--- /dev/null
+++ b/ashtiller/src/workflow/relay/carrier.rs
@@ -0,0 +1,153 @@
+//! The relay's side: makes the calls that an owner gives it.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use tokio::task;
+use tokio::time;
+
+use crate::workflow::agents::{Agents, Order};
+use crate::workflow::message::Ask;
+use crate::workflow::peers::Links;
+use crate::workflow::relay::{Call, GATHER, MESSAGE_LIMIT, Outcome, Parcel, Parcels, Results};
+
+/// Payloads kept of one session; a job's tasks start within seconds of each other.
+const PAYLOADS_MAX: usize = 4096;
+/// Sessions kept: the owner's, and those of former ones whose calls are under way.
+const SESSIONS_MAX: usize = 4;
+
+/// What one owner sent.
+#[derive(Default)]
+struct Session {
+    payloads: HashMap<Arc<str>, Arc<str>>,
+    order: VecDeque<Arc<str>>,
+    results: Vec<(u64, Outcome)>,
+    /// Whether a message with results is about to go out.
+    sending: bool,
+}
+
+impl Session {
+    fn learn(&mut self, payloads: Vec<(Arc<str>, Arc<str>)>) {
+        for (job, payload) in payloads {
+            if self.payloads.insert(job.clone(), payload).is_none() {
+                self.order.push_back(job);
+            }
+        }
+        while self.order.len() > PAYLOADS_MAX {
+            if let Some(job) = self.order.pop_front() {
+                self.payloads.remove(&job);
+            }
+        }
+    }
+}
+
+/// Makes calls for owners.
+pub struct Carrier {
+    agents: Arc<dyn Agents>,
+    links: Rc<Links>,
+    sessions: RefCell<BTreeMap<u64, Session>>,
+    /// Sessions, oldest first.
+    order: RefCell<VecDeque<u64>>,
+}
+
+impl Carrier {
+    /// A relay that has no calls yet.
+    #[must_use]
+    pub fn new(agents: Arc<dyn Agents>, links: Rc<Links>) -> Rc<Self> {
+        Rc::new(Self {
+            agents,
+            links,
+            sessions: RefCell::default(),
+            order: RefCell::default(),
+        })
+    }
+
+    /// Begins to make the calls, each on its own.
+    pub fn carry(self: &Rc<Self>, parcels: Parcels) {
+        let (owner, session) = (parcels.owner, parcels.session);
+        self.open_session(session, parcels.payloads);
+        for parcel in parcels.parcels {
+            let carrier = self.clone();
+            task::spawn_local(async move {
+                let number = parcel.number;
+                let outcome = carrier.call(session, parcel).await;
+                carrier.give_back(owner, session, number, outcome);
+            });
+        }
+    }
+
+    fn open_session(&self, session: u64, payloads: Vec<(Arc<str>, Arc<str>)>) {
+        let mut sessions = self.sessions.borrow_mut();
+        let mut order = self.order.borrow_mut();
+        if !sessions.contains_key(&session) {
+            order.push_back(session);
+            if order.len() > SESSIONS_MAX
+                && let Some(old) = order.pop_front()
+            {
+                sessions.remove(&old);
+            }
+        }
+        sessions.entry(session).or_default().learn(payloads);
+    }
+
+    async fn call(&self, session: u64, parcel: Parcel) -> Outcome {
+        match parcel.call {
+            Call::Order(mut order) => {
+                if let Order::Start(start) = &mut order {
+                    let sessions = self.sessions.borrow();
+                    let known = sessions.get(&session);
+                    let payload = known.and_then(|it| it.payloads.get(&start.name.job));
+                    let Some(payload) = payload else {
+                        return Outcome::Unknown;
+                    };
+                    start.payload = payload.clone();
+                }
+                Outcome::of(self.agents.order(&parcel.to, &order).await, Outcome::Said)
+            }
+            Call::Look(look) => {
+                Outcome::of(self.agents.look(&parcel.to, &look).await, Outcome::Looked)
+            }
+        }
+    }
+
+    /// Puts a result into the next message to the owner.
+    fn give_back(self: &Rc<Self>, owner: SocketAddr, session: u64, number: u64, outcome: Outcome) {
+        let mut sessions = self.sessions.borrow_mut();
+        let Some(state) = sessions.get_mut(&session) else {
+            return;
+        };
+        state.results.push((number, outcome));
+        if std::mem::replace(&mut state.sending, true) {
+            return;
+        }
+        let carrier = self.clone();
+        task::spawn_local(async move {
+            time::sleep(GATHER).await;
+            carrier.send(owner, session).await;
+        });
+    }
+
+    async fn send(&self, owner: SocketAddr, session: u64) {
+        let results = {
+            let mut sessions = self.sessions.borrow_mut();
+            let Some(state) = sessions.get_mut(&session) else {
+                return;
+            };
+            state.sending = false;
+            std::mem::take(&mut state.results)
+        };
+        let count = results.len();
+        let ask = Ask::Carried(Box::new(Results { session, results }));
+        // The owner asks again for what it misses: ends stay listed until acknowledged.
+        if let Err(failure) = self
+            .links
+            .ask("give results", owner, &ask, MESSAGE_LIMIT)
+            .await
+        {
+            tracing::info!(%failure, count, "results not given to the owner");
+        }
+    }
+}
--- /dev/null
+++ b/ashtiller/src/workflow/relay/route.rs
@@ -0,0 +1,89 @@
+//! Which instance carries calls to the workers of an availability zone.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::workflow::message::Member;
+
+/// Time for which an instance that failed as a relay is not one: longer than the 2 s after
+/// which a silent member is forgotten.
+const DOWN: Duration = Duration::from_secs(3);
+/// Time for which a worker is called directly after a call over a relay failed.
+const DIRECT: Duration = Duration::from_secs(2);
+/// Calls that fail one after the other, to whatever workers, before a relay counts as cut
+/// off from them.
+const FAILURES_MAX: u32 = 8;
+
+/// Relays by availability zone, and what is known against them.
+#[derive(Debug, Default)]
+pub struct Routes {
+    zones: BTreeMap<Arc<str>, SocketAddr>,
+    down: BTreeMap<SocketAddr, Instant>,
+    failures: BTreeMap<SocketAddr, u32>,
+    direct: BTreeMap<Arc<str>, Instant>,
+}
+
+impl Routes {
+    /// Chooses the relay of each zone among the other instances: the largest, and of several
+    /// the first by name, so that the choice rests.
+    pub fn choose(&mut self, members: &[Member], own: SocketAddr, now: Instant) {
+        self.down.retain(|_, until| *until > now);
+        self.direct.retain(|_, until| *until > now);
+        let mut best: BTreeMap<Arc<str>, &Member> = BTreeMap::new();
+        let fit = members.iter().filter(|member| {
+            member.address != own && !member.leaving && !self.down.contains_key(&member.address)
+        });
+        for member in fit {
+            let known = best.entry(member.zone.clone()).or_insert(member);
+            let larger = member.processors > known.processors;
+            if larger || (member.processors == known.processors && member.name < known.name) {
+                *known = member;
+            }
+        }
+        let zones = best.into_iter();
+        self.zones = zones.map(|(zone, member)| (zone, member.address)).collect();
+    }
+
+    /// The relay for a worker, if it has one now.
+    #[must_use]
+    pub fn find(&self, zone: &str, worker: &str, now: Instant) -> Option<SocketAddr> {
+        if self.direct.get(worker).is_some_and(|until| *until > now) {
+            return None;
+        }
+        self.zones.get(zone).copied()
+    }
+
+    /// A call over a relay was answered by the worker.
+    pub fn note_answer(&mut self, relay: SocketAddr) {
+        self.failures.remove(&relay);
+    }
+
+    /// A call over a relay failed; the next ones to that worker go directly.
+    pub fn note_failure(&mut self, relay: SocketAddr, worker: &Arc<str>, now: Instant) {
+        self.direct.insert(worker.clone(), now + DIRECT);
+        let failures = self.failures.entry(relay).or_insert(0);
+        *failures += 1;
+        if *failures >= FAILURES_MAX {
+            self.drop_relay(relay, now);
+        }
+    }
+
+    /// An instance is not a relay for a while.
+    pub fn drop_relay(&mut self, relay: SocketAddr, now: Instant) {
+        self.failures.remove(&relay);
+        if self.down.insert(relay, now + DOWN).is_none() {
+            tracing::info!(%relay, "relay fails; its zone has another, or none");
+        }
+        self.zones.retain(|_, address| *address != relay);
+    }
+
+    /// Relays by zone, for a dump.
+    #[must_use]
+    pub fn zones(&self) -> &BTreeMap<Arc<str>, SocketAddr> {
+        &self.zones
+    }
+}
--- /dev/null
+++ b/ashtiller/src/workflow/relay/sender.rs
@@ -0,0 +1,281 @@
+//! The owner's side: gives calls to relays, and gets what came of them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use tokio::task;
+use tokio::time::{self, Instant};
+
+use crate::failure::Failure;
+use crate::workflow::agents::{Agents, Look, Looked, Order, Said, Target};
+use crate::workflow::message::{Ask, Member};
+use crate::workflow::peers::Links;
+use crate::workflow::relay::route::Routes;
+use crate::workflow::relay::{Call, GATHER, MESSAGE_LIMIT, Outcome, Parcel, Parcels, Results};
+
+/// Workers from which on calls go over relays. With fewer, one instance's conversation takes
+/// under a tenth of a core, and the way over another only costs.
+pub const RELAYED_MIN: usize = 120;
+/// Time that the way over a relay may take beyond the worker's own: two gatherings, and two
+/// ways between zones.
+const DETOUR: Duration = Duration::from_millis(150);
+/// How often relays are chosen anew.
+const CHOOSE: Duration = Duration::from_millis(250);
+
+/// Calls that wait to go to one relay.
+#[derive(Default)]
+struct Queue {
+    session: u64,
+    parcels: Vec<Parcel>,
+    payloads: Vec<(Arc<str>, Arc<str>)>,
+    /// Jobs whose payloads the relay has.
+    known: HashSet<Arc<str>>,
+    sending: bool,
+}
+
+/// A call under way.
+struct Waiting {
+    relay: SocketAddr,
+    answer: oneshot::Sender<Outcome>,
+}
+
+/// Calls to workers, directly or over relays.
+pub struct Sender {
+    agents: Arc<dyn Agents>,
+    links: Rc<Links>,
+    own: SocketAddr,
+    routes: RefCell<Routes>,
+    chosen: Cell<Option<Instant>>,
+    queues: RefCell<HashMap<SocketAddr, Queue>>,
+    waiting: RefCell<HashMap<u64, Waiting>>,
+    next: Cell<u64>,
+    carried: Cell<u64>,
+}
+
+impl Sender {
+    /// Calls go directly until relays are chosen; results come to `own`.
+    #[must_use]
+    pub fn new(agents: Arc<dyn Agents>, links: Rc<Links>, own: SocketAddr) -> Rc<Self> {
+        Rc::new(Self {
+            agents,
+            links,
+            own,
+            routes: RefCell::default(),
+            chosen: Cell::default(),
+            queues: RefCell::default(),
+            waiting: RefCell::default(),
+            next: Cell::new(1),
+            carried: Cell::default(),
+        })
+    }
+
+    /// Whether relays are to be chosen anew.
+    #[must_use]
+    pub fn is_due(&self) -> bool {
+        self.chosen.get().is_none_or(|at| at.elapsed() >= CHOOSE)
+    }
+
+    /// Chooses relays for a fleet of so many workers.
+    pub fn choose(&self, workers: usize, members: &[Member]) {
+        let now = Instant::now();
+        self.chosen.set(Some(now));
+        let members = if workers < RELAYED_MIN { &[] } else { members };
+        self.routes.borrow_mut().choose(members, self.own, now);
+    }
+
+    /// Calls that went over relays so far.
+    #[must_use]
+    pub fn carried(&self) -> u64 {
+        self.carried.get()
+    }
+
+    /// Relays by availability zone, for a dump.
+    #[must_use]
+    pub fn relays(&self) -> Vec<(String, String)> {
+        let routes = self.routes.borrow();
+        let zones = routes.zones().iter();
+        zones
+            .map(|(zone, relay)| (zone.to_string(), relay.to_string()))
+            .collect()
+    }
+
+    /// Gives a worker an order.
+    ///
+    /// # Errors
+    /// As [`Agents::order`]; over a relay, also when the relay is lost.
+    pub async fn order(self: &Rc<Self>, to: &Target, order: &Order) -> Result<Said, Failure> {
+        let Some(relay) = self.find(to) else {
+            return self.agents.order(to, order).await;
+        };
+        let step = order.kind();
+        let call = Call::Order(order.clone());
+        match self.call(step, relay, to, call, to.patience).await? {
+            Outcome::Said(said) => Ok(said),
+            outcome => Err(fail(step, to, &outcome)),
+        }
+    }
+
+    /// Looks at a worker.
+    ///
+    /// # Errors
+    /// As [`Agents::look`]; over a relay, also when the relay is lost.
+    pub async fn look(self: &Rc<Self>, to: &Target, look: &Look) -> Result<Looked, Failure> {
+        let Some(relay) = self.find(to) else {
+            return self.agents.look(to, look).await;
+        };
+        let limit = look.wait + to.patience;
+        let call = Call::Look(look.clone());
+        match self.call("look", relay, to, call, limit).await? {
+            Outcome::Looked(looked) => Ok(looked),
+            outcome => Err(fail("look", to, &outcome)),
+        }
+    }
+
+    fn find(&self, to: &Target) -> Option<SocketAddr> {
+        self.routes.borrow().find(&to.zone, &to.id, Instant::now())
+    }
+
+    async fn call(
+        self: &Rc<Self>,
+        step: &'static str,
+        relay: SocketAddr,
+        to: &Target,
+        call: Call,
+        limit: Duration,
+    ) -> Result<Outcome, Failure> {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let (answer, outcome) = oneshot::channel();
+        let waiting = Waiting { relay, answer };
+        self.waiting.borrow_mut().insert(number, waiting);
+        self.enqueue(
+            relay,
+            Parcel {
+                number,
+                to: to.clone(),
+                call,
+            },
+        );
+        let outcome = time::timeout(limit + DETOUR, outcome).await;
+        self.waiting.borrow_mut().remove(&number);
+        let mut routes = self.routes.borrow_mut();
+        match outcome {
+            Ok(Ok(outcome)) => {
+                match &outcome {
+                    Outcome::Failed(..) => routes.note_failure(relay, &to.id, Instant::now()),
+                    Outcome::Unknown => self.renew(relay),
+                    Outcome::Said(_) | Outcome::Looked(_) => routes.note_answer(relay),
+                }
+                Ok(outcome)
+            }
+            Ok(Err(_)) => Err(Failure::unknown(step, to.address, "the relay was lost")),
+            Err(_) => {
+                routes.note_failure(relay, &to.id, Instant::now());
+                Err(Failure::unknown(
+                    step,
+                    to.address,
+                    "no answer over the relay in time",
+                ))
+            }
+        }
+    }
+
+    /// Puts a call into the next message to a relay.
+    fn enqueue(self: &Rc<Self>, relay: SocketAddr, mut parcel: Parcel) {
+        let mut queues = self.queues.borrow_mut();
+        let queue = queues.entry(relay).or_insert_with(|| Queue {
+            session: rand::random(),
+            ..Queue::default()
+        });
+        if let Call::Order(Order::Start(start)) = &mut parcel.call {
+            let payload = std::mem::replace(&mut start.payload, Arc::from(""));
+            if queue.known.insert(start.name.job.clone()) {
+                queue.payloads.push((start.name.job.clone(), payload));
+            }
+        }
+        queue.parcels.push(parcel);
+        if std::mem::replace(&mut queue.sending, true) {
+            return;
+        }
+        let sender = self.clone();
+        task::spawn_local(async move {
+            time::sleep(GATHER).await;
+            sender.send(relay).await;
+        });
+    }
+
+    async fn send(&self, relay: SocketAddr) {
+        let parcels = {
+            let mut queues = self.queues.borrow_mut();
+            let Some(queue) = queues.get_mut(&relay) else {
+                return;
+            };
+            queue.sending = false;
+            Parcels {
+                owner: self.own,
+                session: queue.session,
+                payloads: std::mem::take(&mut queue.payloads),
+                parcels: std::mem::take(&mut queue.parcels),
+            }
+        };
+        let count = parcels.parcels.len() as u64;
+        let ask = Ask::Carry(Box::new(parcels));
+        match self
+            .links
+            .ask("give calls", relay, &ask, MESSAGE_LIMIT)
+            .await
+        {
+            Ok(_) => self.carried.set(self.carried.get() + count),
+            Err(failure) => {
+                tracing::info!(%failure, count, "calls not given to a relay");
+                self.lose(relay);
+            }
+        }
+    }
+
+    /// A relay is lost: its calls have ended, and their workers are called otherwise.
+    fn lose(&self, relay: SocketAddr) {
+        self.routes.borrow_mut().drop_relay(relay, Instant::now());
+        self.renew(relay);
+        self.waiting
+            .borrow_mut()
+            .retain(|_, waiting| waiting.relay != relay);
+    }
+
+    /// What a relay knows of payloads is in doubt.
+    fn renew(&self, relay: SocketAddr) {
+        if let Some(queue) = self.queues.borrow_mut().get_mut(&relay) {
+            queue.session = rand::random();
+            queue.known.clear();
+            queue.payloads.clear();
+            // Their payloads were with the session that is over.
+            queue
+                .parcels
+                .retain(|parcel| !matches!(parcel.call, Call::Order(Order::Start(_))));
+        }
+    }
+
+    /// Takes what came of calls.
+    pub fn take(&self, results: Results) {
+        let mut waiting = self.waiting.borrow_mut();
+        for (number, outcome) in results.results {
+            if let Some(waiting) = waiting.remove(&number) {
+                // The caller may have given up.
+                let _ = waiting.answer.send(outcome);
+            }
+        }
+    }
+}
+
+fn fail(step: &'static str, to: &Target, outcome: &Outcome) -> Failure {
+    match outcome {
+        Outcome::Failed(cause, true) => Failure::unknown(step, to.address, cause),
+        Outcome::Failed(cause, false) => Failure::none(step, to.address, cause),
+        _ => Failure::none(step, to.address, "the relay lacks the job's payload"),
+    }
+}
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -133,6 +133,7 @@
             address: self.listed.address,
             fence,
             patience,
+            zone: self.listed.zone.clone(),
         }
     }
 
--- /dev/null
+++ b/bench/src/decisions.rs
@@ -0,0 +1,367 @@
+//! What the decisions of an owner cost: the state machine in virtual time, with workers that
+//! answer as real ones do, and the processor time that it takes.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ashtiller::resources::Resources;
+use ashtiller::workflow::agents::{Active, Finished, How, Look, Looked, Name, Order, Said};
+use ashtiller::workflow::book::Book;
+use ashtiller::workflow::config::{Config, Listed, Queue};
+use ashtiller::workflow::core::{Core, Effect, Now, Ticket};
+use ashtiller::workflow::fact::Run;
+use ashtiller::workflow::job::{Job, Policy, Sharing, Step};
+use ashtiller::workflow::terms::Terms;
+use pico_args::Arguments;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+const MS: Duration = Duration::from_millis(1);
+/// Way to a worker and back.
+const WAY: Duration = Duration::from_millis(4);
+/// Time until an entry is durable.
+const STORE: Duration = Duration::from_millis(6);
+/// Time between two polls.
+const POLL: Duration = Duration::from_millis(2);
+/// Jobs a second for each thousand workers: short, filling and lasting ones.
+const RATES: [f64; 3] = [14.6, 16.7, 1.08];
+
+enum Event {
+    Durable(u64),
+    Answer(Arc<str>, Run, Order),
+    Look(Arc<str>),
+    End(Arc<str>, Name, u32),
+}
+
+#[derive(Default)]
+struct Worker {
+    active: BTreeMap<(Name, u32), Duration>,
+    ends: Vec<Finished>,
+    next: u64,
+    /// Which look waits, and until when.
+    waits: Option<Duration>,
+}
+
+struct Fleet {
+    core: Core,
+    now: Duration,
+    events: BTreeMap<(Duration, u64), Event>,
+    order: BinaryHeap<Reverse<(Duration, u64)>>,
+    number: u64,
+    workers: HashMap<Arc<str>, Worker>,
+    rng: Pcg64,
+    spent: Duration,
+    starts: u64,
+}
+
+/// Measures the decisions for fleets of the sizes asked for.
+pub fn run(mut args: Arguments) -> anyhow::Result<()> {
+    let seconds: u32 = args.opt_value_from_str("--seconds")?.unwrap_or(20);
+    let sizes = match args.opt_value_from_str("--workers")? {
+        Some(workers) => vec![workers],
+        None => vec![300, 1000, 3000],
+    };
+    println!("workers  starts/s  looks/s  orders/s  cores  us a start");
+    for workers in sizes {
+        let mut fleet = Fleet::new(workers);
+        fleet.play(Duration::from_secs(10));
+        let (spent, starts, counts) = (fleet.spent, fleet.starts, fleet.core.counts());
+        fleet.play(Duration::from_secs(u64::from(seconds)));
+        let spent = (fleet.spent - spent).as_secs_f64();
+        let starts = f64::from(u32::try_from(fleet.starts - starts)?);
+        let rate = |now: u64, then: u64| u32::try_from(now - then).map(|it| it / seconds);
+        println!(
+            "{workers:7}  {:8.0}  {:7}  {:8}  {:5.3}  {:10.1}",
+            starts / f64::from(seconds),
+            rate(fleet.core.counts().looks, counts.looks)?,
+            rate(fleet.core.counts().orders, counts.orders)?,
+            spent / f64::from(seconds),
+            spent * 1e6 / starts,
+        );
+    }
+    Ok(())
+}
+
+impl Fleet {
+    fn new(workers: u16) -> Self {
+        let now = Now {
+            at: Duration::from_secs(60),
+            wall: 60_000,
+        };
+        let mut core = Core::new(Terms::default(), 5, Book::default(), 1, now);
+        let queues = ["short", "fill", "last"].map(|name| Queue {
+            host: "jobs".into(),
+            prefix: format!("/{name}/").into(),
+            policy: Policy {
+                service: "fleet".into(),
+                priority: 2 * u32::from(name == "fill"),
+                attempts: 3,
+                extension: 2.0,
+                target: 500 * MS,
+                advice: None,
+            },
+        });
+        core.set_config(Arc::new(Config {
+            version: 1,
+            queues: queues.into(),
+            ..Config::default()
+        }));
+        core.list_all((0..workers).map(listed).collect(), now);
+        let names = (0..workers).map(|number| (listed(number).id, Worker::default()));
+        Self {
+            core,
+            now: now.at,
+            events: BTreeMap::new(),
+            order: BinaryHeap::new(),
+            number: 0,
+            workers: names.collect(),
+            rng: Pcg64::seed_from_u64(7),
+            spent: Duration::ZERO,
+            starts: 0,
+        }
+    }
+
+    fn clock(&self) -> Now {
+        Now {
+            at: self.now,
+            wall: u64::try_from(self.now.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    fn at(&mut self, after: Duration, event: Event) {
+        self.number += 1;
+        let key = (self.now + after, self.number);
+        self.events.insert(key, event);
+        self.order.push(Reverse(key));
+    }
+
+    fn play(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += POLL;
+            self.arrive();
+            while self.order.peek().is_some_and(|it| it.0.0 <= self.now) {
+                let Some(Reverse(key)) = self.order.pop() else {
+                    break;
+                };
+                if let Some(event) = self.events.remove(&key) {
+                    self.happen(event);
+                }
+            }
+            let now = self.clock();
+            let began = Instant::now();
+            self.core.note_listing(self.now);
+            let effects = self.core.poll(now);
+            self.spent += began.elapsed();
+            for effect in effects {
+                self.carry_out(effect);
+            }
+        }
+    }
+
+    #[expect(clippy::cast_precision_loss, reason = "some thousand workers")]
+    fn arrive(&mut self) {
+        let share = self.workers.len() as f64 / 1000.0 * POLL.as_secs_f64();
+        for (kind, rate) in RATES.into_iter().enumerate() {
+            if self.rng.random_bool((rate * share).min(1.0)) {
+                self.number += 1;
+                let job = make_job(kind, self.number, &mut self.rng);
+                let (ticket, now) = (Ticket(self.number), self.clock());
+                let began = Instant::now();
+                self.core.submit(job, ticket, now);
+                self.spent += began.elapsed();
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Append(position, _) => self.at(STORE, Event::Durable(position)),
+            Effect::Order(target, run, order) => {
+                self.obey(&target.id, &order);
+                self.at(WAY, Event::Answer(target.id, run, order));
+            }
+            Effect::Look(target, look) => self.look(&target.id, &look),
+            Effect::Answer(..) | Effect::Advise(_) | Effect::Duty(..) => {}
+        }
+    }
+
+    fn obey(&mut self, id: &Arc<str>, order: &Order) {
+        let now = self.now;
+        match order {
+            Order::Start(start) => {
+                self.starts += 1;
+                let lasting = start.name.job.starts_with("last");
+                let length = if lasting { 30_000 } else { 800 };
+                let length = MS * self.rng.random_range(length / 2..length * 2);
+                let end = Event::End(id.clone(), start.name.clone(), start.run);
+                self.at(length, end);
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker
+                        .active
+                        .insert((start.name.clone(), start.run), now + length);
+                }
+            }
+            Order::Stop(name, run) => self.finish(id, name, *run, How::Stopped),
+            Order::Pace(..) => {}
+        }
+    }
+
+    fn finish(&mut self, id: &Arc<str>, name: &Name, run: u32, how: How) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if worker.active.remove(&(name.clone(), run)).is_none() {
+            return;
+        }
+        worker.next += 1;
+        worker.ends.push(Finished {
+            number: worker.next,
+            name: name.clone(),
+            run,
+            how,
+            saved: Arc::from(""),
+        });
+        if worker.waits.take().is_some() {
+            self.at(WAY / 2, Event::Look(id.clone()));
+        }
+    }
+
+    fn look(&mut self, id: &Arc<str>, look: &Look) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.ends.retain(|end| end.number > look.seen);
+        let now = self.now;
+        if worker.ends.is_empty() && !look.wait.is_zero() {
+            worker.waits = Some(now + look.wait);
+            self.at(look.wait + WAY, Event::Look(id.clone()));
+        } else {
+            self.at(WAY, Event::Look(id.clone()));
+        }
+    }
+
+    fn happen(&mut self, event: Event) {
+        let now = self.clock();
+        match event {
+            Event::Durable(position) => {
+                let began = Instant::now();
+                self.core.note_durable(position, self.now, now);
+                self.spent += began.elapsed();
+            }
+            Event::Answer(id, run, order) => {
+                let said = Ok(Said::Done(now.wall));
+                let began = Instant::now();
+                self.core.take_answer(&id, run, &order, said, now);
+                self.spent += began.elapsed();
+            }
+            Event::Look(id) => self.answer_look(&id, now),
+            Event::End(id, name, run) => {
+                let how = if name.job.starts_with("last") {
+                    How::Failed
+                } else {
+                    How::Done
+                };
+                self.finish(&id, &name, run, how);
+            }
+        }
+    }
+
+    fn answer_look(&mut self, id: &Arc<str>, now: Now) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        // The wait of a look that was answered before.
+        if worker.waits.is_some_and(|until| self.now < until) {
+            return;
+        }
+        worker.waits = None;
+        let rng = &mut self.rng;
+        let active = worker.active.iter().map(|((name, run), end)| Active {
+            name: name.clone(),
+            run: *run,
+            saved: Arc::from(""),
+            percent: progress(*end, self.now, &name.job),
+            figure: Some(rng.random_range(20..60)),
+        });
+        let looked = Looked::Report {
+            clock: now.wall,
+            active: active.collect(),
+            finished: worker.ends.clone(),
+        };
+        let began = Instant::now();
+        self.core.take_look(id, Ok(looked), now);
+        self.spent += began.elapsed();
+    }
+}
+
+/// Percent of a run's work that is done; one that lasts is at work.
+fn progress(end: Duration, now: Duration, job: &str) -> u32 {
+    if job.starts_with("last") {
+        return 100;
+    }
+    let left = u32::try_from(end.saturating_sub(now).as_millis() / 20).unwrap_or(99);
+    99u32.saturating_sub(left)
+}
+
+fn make_job(kind: usize, number: u64, rng: &mut Pcg64) -> Job {
+    let name = ["short", "fill", "last"][kind];
+    let image = Some(format!("{name}-{}", rng.random_range(0..4)).into());
+    let step = |count: u32, processors: u64, after: Vec<u16>| Step {
+        count,
+        needs: Resources {
+            processors,
+            memory: 2 << 30,
+            accelerators: 0,
+        },
+        estimate: 800 * MS,
+        image: image.clone(),
+        after,
+        ..Step::default()
+    };
+    let steps = match kind {
+        0 => vec![step(9, 4000, vec![]), step(5, 4000, vec![0])],
+        1 => {
+            let fills = |step| Step {
+                sharing: Sharing::Fills,
+                ..step
+            };
+            vec![
+                fills(step(39, 1800, vec![])),
+                fills(step(39, 1800, vec![0])),
+            ]
+        }
+        _ => vec![Step {
+            lasting: true,
+            sharing: Sharing::Serves(100 * MS),
+            ..step(24, 3000, vec![])
+        }],
+    };
+    Job {
+        id: format!("{name}{number}").into(),
+        queue: format!("jobs/{name}/").into(),
+        payload: "".into(),
+        steps,
+        schedule: None,
+    }
+}
+
+fn listed(number: u16) -> Listed {
+    Listed {
+        id: format!("i-{number:04x}").into(),
+        machine: Some(format!("m{number}").into()),
+        service: "fleet".into(),
+        address: ([10, 0, 0, 1], number + 1).into(),
+        zone: "bern".into(),
+        capacity: Resources {
+            processors: 16_000,
+            memory: 62 << 30,
+            accelerators: 0,
+        },
+        labels: vec!["a".into(), format!("r{}", number / 20).into()],
+        draining: false,
+        remaining: None,
+    }
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,6 +4,7 @@
 mod bound;
 mod caller;
 mod cells;
+mod decisions;
 mod price;
 mod replays;
 mod routing;
@@ -24,6 +25,8 @@
       memory of idle connections
   bench cells [--workers 1300] [--running 17700] [--queued 13000]
       decisions a second of a cell's owner, in memory
+  bench decisions [--workers N] [--seconds 20]
+      processor time of the decisions of a log's owner, for 300, 1,000 and 3,000 workers
   bench replay [--seed N] TRACE...
       recorded traces under each placement policy, for both deployments' weights
   bench slopes
@@ -37,6 +40,7 @@
         Some("price") => block_on(price::run(args)),
         Some("idle") => block_on(price::run_idle(args)),
         Some("cells") => cells::run(args),
+        Some("decisions") => decisions::run(args),
         Some("replay") => replays::run(args),
         Some("slopes") => block_on(slopes::run()),
         _ => anyhow::bail!(USAGE),
