--- a/ashtiller/src/workflow/core/advice.rs
+++ b/ashtiller/src/workflow/core/advice.rs
@@ -7,7 +7,7 @@
 use crate::failure::Failure;
 use crate::workflow::advisor::Tickets;
 use crate::workflow::core::fleet::{Candidate, Wish};
-use crate::workflow::core::{Core, Effect, Now};
+use crate::workflow::core::{Core, Effect, Now, fleet};
 use crate::workflow::fact::Task;
 use crate::workflow::job::Advice;
 
@@ -118,7 +118,7 @@
         let mut likely: Vec<&Candidate> = fleet
             .iter()
             .filter(|candidate| !bad.contains(&candidate.id) && !fresh(&candidate.id))
-            .filter(|candidate| self.suits(candidate, &open))
+            .filter(|candidate| fleet::suits(candidate, &open))
             .collect();
         // Known to be good, then roomy.
         likely.sort_by_key(|candidate| {
--- a/ashtiller/src/workflow/core/fleet.rs
+++ b/ashtiller/src/workflow/core/fleet.rs
@@ -218,7 +218,7 @@
 
     /// What placing a task on a worker costs, where it may go there.
     fn weigh(&self, candidate: &Candidate, wish: &Wish<'_>) -> Option<f64> {
-        if !self.suits(candidate, wish) {
+        if !suits(candidate, wish) {
             return None;
         }
         let cost = candidate.cost(wish, &self.interference, self.terms.switches);
@@ -249,16 +249,15 @@
             choices.0.push(Choice { cost, place });
         }
     }
+}
 
-    /// Whether a worker may run a task at all.
-    pub(super) fn suits(&self, candidate: &Candidate, wish: &Wish<'_>) -> bool {
-        candidate.has_room(wish.service, &wish.room)
-            && wish.barred.as_ref() != Some(&candidate.id)
-            && admits(candidate, wish.step, &wish.spread)
-            && wish
-                .advised
-                .is_none_or(|good| good.contains_key(&candidate.id))
-    }
+/// Whether a worker may run a task at all.
+pub(super) fn suits(candidate: &Candidate, wish: &Wish<'_>) -> bool {
+    let advised = wish.advised;
+    candidate.has_room(wish.service, &wish.room)
+        && wish.barred.as_ref() != Some(&candidate.id)
+        && admits(candidate, wish.step, &wish.spread)
+        && advised.is_none_or(|good| good.contains_key(&candidate.id))
 }
 
 /// Whether a step may have one more task on a worker, whatever room there is.
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -127,7 +127,6 @@
     fn class_of(&self, run: Run, live: &LiveRun) -> Class {
         match (live.stop, live.stage) {
             (Stop::Wanted(_), _) => Class::Stop,
-            (Stop::Confirmed(_), _) => Class::Nothing,
             (Stop::None, Stage::Recorded(position)) if position > self.durable => Class::Nothing,
             (Stop::None, Stage::Recorded(_) | Stage::Starting) => {
                 let step = self
@@ -142,7 +141,7 @@
             }
             (Stop::None, Stage::Started(_)) if live.pace_goal < live.pace => Class::Relieve,
             (Stop::None, Stage::Started(_)) if live.pace_goal > live.pace => Class::Pace,
-            (Stop::None, Stage::Started(_)) => Class::Nothing,
+            (Stop::Confirmed(_), _) | (Stop::None, Stage::Started(_)) => Class::Nothing,
         }
     }
 
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -243,7 +243,7 @@
         let mut free: Vec<(usize, Resources, u32)> = fleet
             .iter()
             .enumerate()
-            .filter(|(_, candidate)| self.suits(candidate, wish))
+            .filter(|(_, candidate)| fleet::suits(candidate, wish))
             .filter(|(_, candidate)| {
                 let worker = self.workers.get(&candidate.id);
                 rack.is_none_or(|rack| worker.is_some_and(|worker| worker.has_label(rack)))
--- a/ashtiller/src/workflow/pressure.rs
+++ b/ashtiller/src/workflow/pressure.rs
@@ -21,9 +21,9 @@
 const QUEUED: Duration = Duration::from_millis(150);
 /// Time after which the least delay is measured anew.
 const MEMORY: Duration = Duration::from_secs(10);
-/// Orders that may always be under way: enough for 1,000 a second at 128 ms each, and a
-/// queue of some 0.3 s on a link of 2 Mbit/s.
-const WINDOW_MIN: f64 = 128.0;
+/// Orders that may always be under way: enough for 200 a second at 150 ms each, and a
+/// queue of 0.6 s on a link that carries 50 a second.
+const WINDOW_MIN: f64 = 32.0;
 /// Orders that may be under way before anything was measured.
 const WINDOW_FIRST: f64 = 256.0;
 /// More are never under way: one for each of some thousand workers.
--- a/bench/src/decisions.rs
+++ b/bench/src/decisions.rs
@@ -69,7 +69,7 @@
         fleet.play(Duration::from_secs(10));
         let (spent, starts, counts) = (fleet.spent, fleet.starts, fleet.core.counts());
         fleet.play(Duration::from_secs(u64::from(seconds)));
-        let spent = (fleet.spent - spent).as_secs_f64();
+        let spent = fleet.spent.saturating_sub(spent).as_secs_f64();
         let starts = f64::from(u32::try_from(fleet.starts - starts)?);
         let rate = |now: u64, then: u64| u32::try_from(now - then).map(|it| it / seconds);
         println!(
@@ -87,7 +87,7 @@
 impl Fleet {
     fn new(workers: u16) -> Self {
         let now = Now {
-            at: Duration::from_secs(60),
+            at: Duration::from_mins(1),
             wall: 60_000,
         };
         let mut core = Core::new(Terms::default(), 5, Book::default(), 1, now);
