--- a/ashtiller/src/workflow/pressure.rs
+++ b/ashtiller/src/workflow/pressure.rs
@@ -25,9 +25,11 @@
 /// queue of 0.6 s on a link that carries 50 a second.
 const WINDOW_MIN: f64 = 32.0;
 /// Orders that may be under way before anything was measured.
-const WINDOW_FIRST: f64 = 256.0;
+const WINDOW_FIRST: f64 = 64.0;
 /// More are never under way: one for each of some thousand workers.
 const WINDOW_MAX: f64 = 4096.0;
+/// By how much the window grows while as many orders are answered as it holds.
+const GROWTH: f64 = 2.0;
 /// What is left of the window when there is a queue.
 const SHRINK: f64 = 0.7;
 
@@ -71,12 +73,14 @@
 
     /// An order was answered, or given up, after this delay.
     pub fn note_order(&mut self, worker: &Arc<str>, took: Duration, now: Duration) {
+        let used = self.under_way * 2 >= self.open();
         self.under_way = self.under_way.saturating_sub(1);
         self.note_delay(worker, took, now);
         if self.is_queued() {
             self.shrink(now);
-        } else {
-            self.window = (self.window + 1.0 / self.window * 4.0).min(WINDOW_MAX);
+        } else if used {
+            // A window that nothing fills says nothing of what could be carried.
+            self.window = (self.window + GROWTH / self.window).min(WINDOW_MAX);
         }
     }
 
@@ -134,13 +138,16 @@
     /// How many more orders may go out.
     #[must_use]
     pub fn free(&self) -> usize {
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "between its least and its most"
-        )]
-        let window = self.window as usize;
-        window.saturating_sub(self.under_way)
+        self.open().saturating_sub(self.under_way)
+    }
+
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "between its least and its most"
+    )]
+    fn open(&self) -> usize {
+        self.window as usize
     }
 
     /// Orders that may be under way.
