--- a/ashtiller/tests/links/main.rs
+++ b/ashtiller/tests/links/main.rs
@@ -12,6 +12,7 @@
 mod lists;
 mod net;
 mod peer;
+mod relays;
 #[path = "../../../platform/store.rs"]
 mod store;
 
--- /dev/null
+++ b/ashtiller/tests/links/relays.rs
@@ -0,0 +1,316 @@
+//! Calls to workers over another instance: whole, or known to be in doubt.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashtiller::failure::Effect;
+use ashtiller::store::Called;
+use ashtiller::workflow::agents::{Agents, Look, Looked, Name, Order, Said, Start, Target};
+use ashtiller::workflow::link::Answers;
+use ashtiller::workflow::message::{Ask, Member, Reply};
+use ashtiller::workflow::relay::carrier::Carrier;
+use ashtiller::workflow::relay::sender::{RELAYED_MIN, Sender};
+use futures_util::future::LocalBoxFuture;
+use parking_lot::Mutex;
+use tokio::task::{self, LocalSet};
+use tokio::time;
+
+use crate::net::Net;
+
+const LIMIT: Duration = Duration::from_millis(350);
+
+/// Workers, and who called them.
+#[derive(Default)]
+struct Workers {
+    calls: Mutex<Vec<(&'static str, Target, Order)>>,
+    looks: Mutex<Vec<Target>>,
+}
+
+/// Workers as one instance reaches them.
+struct View {
+    workers: Arc<Workers>,
+    from: &'static str,
+}
+
+impl Agents for View {
+    fn order<'a>(&'a self, to: &'a Target, order: &'a Order) -> Called<'a, Said> {
+        let call = (self.from, to.clone(), order.clone());
+        self.workers.calls.lock().push(call);
+        Box::pin(async { Ok(Said::Done(7)) })
+    }
+
+    fn look<'a>(&'a self, to: &'a Target, look: &'a Look) -> Called<'a, Looked> {
+        self.workers.looks.lock().push(to.clone());
+        let wait = look.wait;
+        Box::pin(async move {
+            time::sleep(wait).await;
+            Ok(Looked::Report {
+                clock: 7,
+                active: Vec::new(),
+                finished: Vec::new(),
+            })
+        })
+    }
+}
+
+/// The instance that relays.
+struct Relay {
+    carrier: RefCell<Rc<Carrier>>,
+    frozen: Cell<bool>,
+}
+
+impl Answers for Relay {
+    fn answer(self: Rc<Self>, ask: Ask) -> LocalBoxFuture<'static, Reply> {
+        Box::pin(async move {
+            if self.frozen.get() {
+                return std::future::pending().await;
+            }
+            if let Ask::Carry(parcels) = ask {
+                self.carrier.borrow().carry(*parcels);
+            }
+            Reply::Noted
+        })
+    }
+}
+
+/// The owner's instance.
+struct Owner(Rc<Sender>);
+
+impl Answers for Owner {
+    fn answer(self: Rc<Self>, ask: Ask) -> LocalBoxFuture<'static, Reply> {
+        if let Ask::Carried(results) = ask {
+            self.0.take(*results);
+        }
+        Box::pin(async { Reply::Noted })
+    }
+}
+
+struct Scene {
+    net: Rc<Net>,
+    workers: Arc<Workers>,
+    relay: Rc<Relay>,
+    sender: Rc<Sender>,
+}
+
+fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+impl Scene {
+    /// An owner, and another instance in the workers' zone.
+    fn open(workers: usize) -> Self {
+        let net = Rc::new(Net::default());
+        let fleet = Arc::new(Workers::default());
+        let view = |from| {
+            Arc::new(View {
+                workers: fleet.clone(),
+                from,
+            })
+        };
+        let relay = Rc::new(Relay {
+            carrier: RefCell::new(Carrier::new(view("relay"), net.links())),
+            frozen: Cell::new(false),
+        });
+        net.host(address(2), relay.clone());
+        let sender = Sender::new(view("owner"), net.links(), address(1));
+        net.host(address(1), Rc::new(Owner(sender.clone())));
+        sender.choose(workers, &[member()]);
+        Self {
+            net,
+            workers: fleet,
+            relay,
+            sender,
+        }
+    }
+
+    async fn start(&self, index: u16) -> Result<Said, Effect> {
+        let order = Order::Start(start(index));
+        let said = self.sender.order(&target(index), &order).await;
+        said.map_err(|failure| failure.effect)
+    }
+
+    /// Who called the workers, in turn.
+    fn callers(&self) -> Vec<&'static str> {
+        let calls = self.workers.calls.lock();
+        calls.iter().map(|(from, ..)| *from).collect()
+    }
+
+    /// The relay is a new process at the same address.
+    fn restart_relay(&self) {
+        let view = View {
+            workers: self.workers.clone(),
+            from: "relay",
+        };
+        let carrier = Carrier::new(Arc::new(view), self.net.links());
+        *self.relay.carrier.borrow_mut() = carrier;
+    }
+}
+
+fn member() -> Member {
+    Member {
+        name: "relay".into(),
+        address: address(2),
+        store_age: 0,
+        store_took: 0,
+        leaving: false,
+        processors: 500,
+        zone: "bern".into(),
+    }
+}
+
+fn target(worker: u16) -> Target {
+    Target {
+        id: format!("w{worker}").into(),
+        address: address(9000 + worker),
+        fence: 5,
+        patience: LIMIT,
+        zone: "bern".into(),
+    }
+}
+
+fn start(index: u16) -> Start {
+    Start {
+        name: Name {
+            job: "job".into(),
+            time: 0,
+            step: 0,
+            index,
+        },
+        run: 1,
+        payload: "what the tasks get".into(),
+        until: 6007,
+        saved: "".into(),
+        ticket: None,
+    }
+}
+
+fn play(scene: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, scene);
+}
+
+#[test]
+fn what_a_worker_gets_over_a_relay_is_what_the_owner_sent() {
+    play(async {
+        let scene = Scene::open(RELAYED_MIN);
+        for index in 0..3 {
+            assert_eq!(scene.start(index).await, Ok(Said::Done(7)));
+        }
+        let calls = scene.workers.calls.lock().clone();
+        let sent = |index| ("relay", target(index), Order::Start(start(index)));
+        assert_eq!(calls, [sent(0), sent(1), sent(2)]);
+    });
+}
+
+#[test]
+fn a_small_fleet_is_called_directly() {
+    play(async {
+        let scene = Scene::open(RELAYED_MIN - 1);
+        assert_eq!(scene.start(0).await, Ok(Said::Done(7)));
+        assert_eq!(scene.callers(), ["owner"]);
+    });
+}
+
+#[test]
+fn calls_that_come_together_go_together() {
+    play(async {
+        let scene = Rc::new(Scene::open(RELAYED_MIN));
+        let calls = (0..50).map(|index| {
+            let scene = scene.clone();
+            task::spawn_local(async move { scene.start(index).await })
+        });
+        for call in calls.collect::<Vec<_>>() {
+            assert_eq!(call.await.expect("a call"), Ok(Said::Done(7)));
+        }
+        assert_eq!(scene.callers().len(), 50);
+        assert_eq!(scene.net.opened(), 2, "a connection each way");
+    });
+}
+
+#[test]
+fn a_relay_that_says_nothing_is_replaced_by_direct_calls() {
+    play(async {
+        let scene = Scene::open(RELAYED_MIN);
+        assert!(scene.start(0).await.is_ok());
+        scene.relay.frozen.set(true);
+        assert_eq!(scene.start(1).await, Err(Effect::Unknown));
+        // Its worker is called directly at once, the others when the relay is given up.
+        assert!(scene.start(1).await.is_ok());
+        time::sleep(Duration::from_secs(1)).await;
+        for index in 2..5 {
+            assert!(scene.start(index).await.is_ok());
+        }
+        assert_eq!(scene.callers()[1..], ["owner"; 4]);
+    });
+}
+
+#[test]
+fn a_relay_that_is_gone_costs_no_call_its_outcome_for_long() {
+    play(async {
+        let scene = Scene::open(RELAYED_MIN);
+        scene.sender.choose(
+            RELAYED_MIN,
+            &[Member {
+                address: address(3),
+                ..member()
+            }],
+        );
+        let began = time::Instant::now();
+        assert_eq!(scene.start(0).await, Err(Effect::Unknown));
+        assert!(began.elapsed() < Duration::from_millis(100));
+        assert!(scene.start(1).await.is_ok());
+        assert_eq!(scene.callers(), ["owner"]);
+    });
+}
+
+#[test]
+fn a_relay_that_began_anew_gets_the_payload_again() {
+    play(async {
+        let scene = Scene::open(RELAYED_MIN);
+        assert!(scene.start(0).await.is_ok());
+        scene.restart_relay();
+        assert_eq!(scene.start(1).await, Err(Effect::None), "it knows no job");
+        assert_eq!(scene.start(1).await, Ok(Said::Done(7)));
+        let calls = scene.workers.calls.lock().clone();
+        assert_eq!(calls[1], ("relay", target(1), Order::Start(start(1))));
+    });
+}
+
+#[test]
+fn connections_that_go_silent_are_noticed_within_a_second() {
+    play(async {
+        let scene = Scene::open(RELAYED_MIN);
+        assert!(scene.start(0).await.is_ok());
+        scene.net.strike();
+        let began = time::Instant::now();
+        let mut index = 1;
+        while scene.start(index).await.is_err() {
+            index += 1;
+        }
+        assert!(began.elapsed() < Duration::from_secs(1));
+    });
+}
+
+#[test]
+fn looks_over_a_relay_wait_as_long_as_they_are_told() {
+    play(async {
+        let scene = Scene::open(RELAYED_MIN);
+        let look = Look {
+            until: Some(6007),
+            seen: 3,
+            wait: Duration::from_secs(2),
+        };
+        let began = time::Instant::now();
+        let looked = scene.sender.look(&target(0), &look).await;
+        assert!(matches!(looked, Ok(Looked::Report { clock: 7, .. })));
+        assert!(began.elapsed() < Duration::from_millis(2100));
+        assert_eq!(scene.workers.looks.lock()[..], [target(0)]);
+    });
+}
