Silent workers say nothing of others; jobs whose starts wait are said to wait; figures

Change: a worker counts while it answers, an answer for 2 s; a job is said to wait until a start has come through. Tests: owner/pressure.rs, both red before.

--- a/ashtiller/src/workflow/core/intake.rs
+++ b/ashtiller/src/workflow/core/intake.rs
@@ -3,9 +3,11 @@
 use std::fmt;
 
 use crate::workflow::core::{Core, Effect, Now, Then, Ticket};
-use crate::workflow::fact::{Fact, Outcome};
+use crate::workflow::fact::{Fact, Outcome, Run};
 use crate::workflow::job::{Job, Sharing, Step};
+use crate::workflow::live::Stage;
 use crate::workflow::message::{Reply, State};
+use crate::workflow::state::JobState;
 
 impl Core {
     /// Accepts a job; the answer comes when that is durable.
@@ -132,11 +134,26 @@
             .open()
             .iter()
             .map(|number| &self.book.jobs[number]);
-        let waiting = jobs.filter(|job| {
-            *job.job.queue == *queue && !job.begun && job.outcome != Some(Outcome::Cancelled)
+        let open = self.book.open().iter().zip(jobs);
+        let waiting = open.filter(|(number, job)| {
+            *job.job.queue == *queue
+                && job.outcome != Some(Outcome::Cancelled)
+                && (!job.begun || !self.has_started(**number, job))
         });
         Reply::Pending(waiting.count() as u64)
     }
+
+    /// Whether a start of a job has come through, or a run of it has ended. Starts may wait
+    /// for others, or get no answer.
+    fn has_started(&self, number: u32, job: &JobState) -> bool {
+        let steps = || job.rounds.values().flat_map(|round| &round.steps);
+        let ended = job.live == 0 || steps().any(|step| step.tasks.iter().any(|task| task.done));
+        let started = |run: &Run| {
+            let live = self.runs.get(run);
+            live.is_some_and(|live| matches!(live.stage, Stage::Started(_)))
+        };
+        ended || self.runs_of(number).iter().any(started)
+    }
 }
 
 /// A job's steps in a few words, for logs.
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -149,6 +149,8 @@
     summaries: fleet::Summaries,
     /// How much may be under way at workers.
     pressure: Pressure,
+    /// Whether answers waited in a queue when that was last looked at.
+    queued: bool,
     /// Workers for which there is an order, as of `lined`.
     line: VecDeque<Arc<str>>,
     lined: Duration,
@@ -208,6 +210,7 @@
             interference: Interference::default(),
             summaries: fleet::Summaries::default(),
             pressure: Pressure::default(),
+            queued: false,
             line: VecDeque::new(),
             lined: now.at,
             looked: now.at,
@@ -319,6 +322,8 @@
     pub fn poll(&mut self, now: Now) -> Vec<Effect> {
         if now.at >= self.swept + SWEEP {
             self.swept = now.at;
+            self.pressure.forget_old(now.at);
+            self.tell_pressure();
             self.expire_leases(now);
             self.drop_absent(now);
             self.empty_leaving(now);
@@ -333,6 +338,21 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Says when answers of most workers begin or cease to wait in a queue.
+    fn tell_pressure(&mut self) {
+        let queued = self.pressure.is_queued();
+        if std::mem::replace(&mut self.queued, queued) == queued {
+            return;
+        }
+        tracing::info!(
+            usual_ms = self.pressure.usual().as_millis(),
+            window = self.pressure.window(),
+            under_way = self.pressure.under_way(),
+            queued,
+            "delay of most workers has changed"
+        );
+    }
+
     fn open_rounds(&mut self, now: Now) {
         let wall = now.wall.saturating_sub(self.terms.clock_slack);
         self.dirty |= self.book.open_rounds(wall);
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -263,7 +263,11 @@
             worker.ordering -= 1;
             worker.work = Duration::ZERO;
             let took = now.at.saturating_sub(worker.ordered);
-            self.pressure.note_order(worker.id(), took, now.at);
+            if worker.answers {
+                self.pressure.note_order(worker.id(), took, now.at);
+            } else {
+                self.pressure.note_end();
+            }
         } else {
             self.pressure.note_end();
         }
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -44,8 +44,9 @@
             return;
         };
         let took = now.at.saturating_sub(begun);
-        // One that was answered earlier tells nothing of delays.
-        if let Some(late) = took.checked_sub(worker.waits) {
+        // One that was answered before its wait was over tells nothing of delays, nor does a
+        // worker that was silent before: if most of a fleet were, all others would wait.
+        if let Some(late) = took.checked_sub(worker.waits).filter(|_| worker.answers) {
             self.pressure.note_delay(worker.id(), late, now.at);
         }
         match looked {
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -14,6 +14,7 @@
 use crate::workflow::core::times::Times;
 use crate::workflow::core::waits::Waits;
 use crate::workflow::message::Reply;
+use crate::workflow::pressure::Pressure;
 
 /// Bounds of the histograms in seconds: from a call within a zone to a client's wait.
 const BOUNDS: [f64; 12] = [
@@ -33,6 +34,7 @@
     waiting: IntGaugeVec,
     waited: GaugeVec,
     workers: IntGaugeVec,
+    pressure: GaugeVec,
     silent: IntCounter,
 }
 
@@ -97,6 +99,13 @@
                 ),
                 &["gate"],
             )?,
+            pressure: GaugeVec::new(
+                opts(
+                    "pressure",
+                    "orders that may be and are under way, usual delay in seconds, relays and calls over them",
+                ),
+                &["what"],
+            )?,
             silent: IntCounter::with_opts(opts(
                 "silent_links",
                 "connections to peers that went silent while new ones worked",
@@ -114,6 +123,7 @@
             Box::new(metrics.waiting.clone()),
             Box::new(metrics.waited.clone()),
             Box::new(metrics.workers.clone()),
+            Box::new(metrics.pressure.clone()),
             Box::new(web::silent_links()),
             Box::new(metrics.silent.clone()),
         ];
@@ -198,11 +208,27 @@
         }
     }
 
+    /// How much the owner has under way, and what goes over relays.
+    #[expect(clippy::cast_precision_loss, reason = "counts for a gauge")]
+    pub fn note_pressure(&self, pressure: &Pressure, relays: usize, carried: u64) {
+        let figures = [
+            ("window", pressure.window()),
+            ("under_way", pressure.under_way() as f64),
+            ("usual_seconds", pressure.usual().as_secs_f64()),
+            ("relays", relays as f64),
+            ("relayed_calls", carried as f64),
+        ];
+        for (what, figure) in figures {
+            self.pressure.with_label_values(&[what]).set(figure);
+        }
+    }
+
     /// This process does not own the log any more.
     pub fn forget_waits(&self) {
         self.waiting.reset();
         self.waited.reset();
         self.workers.reset();
+        self.pressure.reset();
     }
 
     /// Counts of the state machine, which only rise while this process owns the log.
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -313,6 +313,12 @@
         self.node
             .metrics
             .note_waits(&self.core.sum_waits(now), &gates);
+        let calls = &self.node.calls;
+        self.node.metrics.note_pressure(
+            self.core.pressure(),
+            calls.relays().len(),
+            calls.carried(),
+        );
         self.node.show_owned(&self.core.dump(now));
     }
 
--- a/ashtiller/src/workflow/pressure.rs
+++ b/ashtiller/src/workflow/pressure.rs
@@ -13,6 +13,8 @@
 
 /// Workers whose last answers are compared; a few that are slow do not move the middle.
 const SAMPLES: usize = 33;
+/// Time for which an answer says how long others take; a queue lasts for less or shows again.
+const FRESH: Duration = Duration::from_secs(2);
 /// How many times the usual delay an answer may take: queues vary by less within a second.
 const PATIENCE: u32 = 4;
 /// Delay that counts as a queue, above the least seen lately. The way to another zone and
@@ -33,11 +35,19 @@
 /// What is left of the window when there is a queue.
 const SHRINK: f64 = 0.7;
 
+/// One answer.
+#[derive(Clone, Debug)]
+struct Sample {
+    worker: Arc<str>,
+    took: Duration,
+    at: Duration,
+}
+
 /// Delays of the answers to one owner, and what follows from them.
 #[derive(Clone, Debug)]
 pub struct Pressure {
-    /// Delay of the last answer of each of some workers, oldest first.
-    samples: VecDeque<(Arc<str>, Duration)>,
+    /// Last answers of some workers, oldest first.
+    samples: VecDeque<Sample>,
     /// The middle of them.
     usual: Duration,
     /// Least `usual` of the spell under way, and of the one before it.
@@ -91,15 +101,15 @@
 
     /// A worker took this long for an answer, beyond what it was asked to wait.
     pub fn note_delay(&mut self, worker: &Arc<str>, took: Duration, now: Duration) {
-        if let Some(place) = self.samples.iter().position(|(id, _)| id == worker) {
+        if let Some(place) = self.samples.iter().position(|it| it.worker == *worker) {
             self.samples.remove(place);
         } else if self.samples.len() >= SAMPLES {
             self.samples.pop_front();
         }
-        self.samples.push_back((worker.clone(), took));
-        let mut delays: Vec<Duration> = self.samples.iter().map(|(_, took)| *took).collect();
-        let middle = delays.len() / 2;
-        self.usual = *delays.select_nth_unstable(middle).1;
+        let worker = worker.clone();
+        let at = now;
+        self.samples.push_back(Sample { worker, took, at });
+        self.measure();
         if now >= self.spell + MEMORY {
             self.spell = now;
             self.least = [Duration::MAX, self.least[0]];
@@ -107,6 +117,26 @@
         self.least[0] = self.least[0].min(self.usual);
     }
 
+    fn measure(&mut self) {
+        let mut delays: Vec<Duration> = self.samples.iter().map(|it| it.took).collect();
+        let middle = delays.len() / 2;
+        self.usual = if delays.is_empty() {
+            Duration::ZERO
+        } else {
+            *delays.select_nth_unstable(middle).1
+        };
+    }
+
+    /// Forgets answers of long ago.
+    pub fn forget_old(&mut self, now: Duration) {
+        let old = self.samples.iter().take_while(|it| it.at + FRESH < now);
+        let old = old.count();
+        if old > 0 {
+            self.samples.drain(..old);
+            self.measure();
+        }
+    }
+
     fn shrink(&mut self, now: Duration) {
         // What was sent before the last cut tells nothing of it.
         if now < self.shrunk + self.usual {
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -11,6 +11,7 @@
 mod news;
 mod parts;
 mod placing;
+mod pressure;
 mod refusals;
 mod room;
 mod sharing;
--- /dev/null
+++ b/ashtiller/tests/owner/pressure.rs
@@ -0,0 +1,57 @@
+//! What the owner of a log does while orders wait, or workers are silent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashtiller::failure::Failure;
+use ashtiller::workflow::agents::ORDER_LIMIT;
+use ashtiller::workflow::core::Effect;
+use ashtiller::workflow::message::Reply;
+
+use crate::driver::{Driver, MS, job, policy, step};
+
+/// Symptom: 0 jobs were said to wait while 6 had waited for 5 s. Sequence: placed, and the
+/// starts had to wait or got no answer. Cause: a job counted as begun once it was placed.
+#[test]
+fn a_job_whose_starts_have_not_come_through_is_said_to_wait() {
+    let mut driver = Driver::new(1, policy());
+    driver.deaf = Some("w0".into());
+    driver.submit(job("1", vec![step(2)]));
+    driver.pass(200 * MS);
+    assert!(!driver.starts().is_empty(), "a start is under way");
+    assert_eq!(driver.core.count_pending("jobs/q/"), Reply::Pending(1));
+    driver.deaf = None;
+    driver.pass(1000 * MS);
+    assert_eq!(driver.core.count_pending("jobs/q/"), Reply::Pending(0));
+}
+
+/// Most workers of a fleet are silent: that says nothing of the way to the others.
+#[test]
+fn workers_that_are_silent_make_nobody_wait_longer_for_the_others() {
+    let mut driver = Driver::new(40, policy());
+    driver.pass(500 * MS);
+    let mut late: Vec<(Duration, Arc<str>)> = Vec::new();
+    for _ in 0..2000 {
+        driver.now.at += 5 * MS;
+        driver.core.note_listing(driver.now.at);
+        for effect in driver.core.poll(driver.now) {
+            match effect {
+                // Thirty of forty.
+                Effect::Look(target, look) if !target.id.ends_with('0') && target.id.len() > 2 => {
+                    late.push((driver.now.at + look.wait + target.patience, target.id));
+                }
+                other => driver.carry_out(other),
+            }
+        }
+        let (due, rest) = late.into_iter().partition(|(at, _)| *at <= driver.now.at);
+        late = rest;
+        let due: Vec<(Duration, Arc<str>)> = due;
+        for (_, id) in due {
+            let nothing = Failure::unknown("look", &id, "no answer");
+            driver.core.take_look(&id, Err(nothing), driver.now);
+        }
+    }
+    let pressure = driver.core.pressure();
+    assert!(!pressure.is_queued(), "{:?}", pressure.usual());
+    assert_eq!(pressure.patience(ORDER_LIMIT, 800 * MS), ORDER_LIMIT);
+}
