--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -111,6 +111,7 @@
 
 /// The owner of a log.
 #[derive(Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "each is a state of its own")]
 pub struct Core {
     terms: Terms,
     epoch: u64,
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -152,20 +152,7 @@
             return false;
         }
         let limit = self.order_limit();
-        let mut runs: Vec<Run> = self.workers[id].runs.iter().copied().collect();
-        // Stops go first: what is to be stopped may run on for a bounded time only.
-        runs.sort_by_key(|run| {
-            let live = self.runs.get(run);
-            !live.is_some_and(|live| matches!(live.stop, Stop::Wanted(_)))
-        });
-        // Until an event says otherwise, or a pause is over, there is nothing to do.
-        let pauses = runs
-            .iter()
-            .filter_map(|run| self.runs.get(run).map(|live| live.retry));
-        let next = pauses
-            .filter(|retry| *retry > now.at)
-            .min()
-            .unwrap_or(Duration::MAX);
+        let (runs, next) = self.collect_due(id, now);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.work = next;
         }
@@ -190,6 +177,27 @@
         false
     }
 
+    /// Runs of a worker about which an order may go out, stops first: what is to be stopped
+    /// may run on for a bounded time only. And when the first pause of the others is over:
+    /// until then, or until an event says otherwise, there is nothing to do.
+    fn collect_due(&self, id: &Arc<str>, now: Now) -> (Vec<Run>, Duration) {
+        let mut stops = Vec::new();
+        let mut others = Vec::new();
+        let mut next = Duration::MAX;
+        for run in &self.workers[id].runs {
+            let Some(live) = self.runs.get(run) else {
+                continue;
+            };
+            match live.stop {
+                _ if live.retry > now.at => next = next.min(live.retry),
+                Stop::Wanted(_) => stops.push(*run),
+                Stop::None | Stop::Confirmed(_) => others.push(*run),
+            }
+        }
+        stops.append(&mut others);
+        (stops, next)
+    }
+
     /// The next order about a run, if one is due.
     fn next_order(&mut self, run: Run, id: &Arc<str>, now: Now) -> Option<Order> {
         let live = self.runs.get_mut(&run)?;
--- a/ashtiller/tests/pressure.rs
+++ b/ashtiller/tests/pressure.rs
@@ -68,11 +68,12 @@
             let worker = self.worker();
             if self.now + WAY <= until {
                 self.good += 1;
-                let took = self.now + WAY - sent;
+                let took = (self.now + WAY).saturating_sub(sent);
                 self.pressure.note_order(&worker, took, self.now);
             } else {
                 // Given up before, and sent again.
-                self.pressure.note_order(&worker, until - sent, self.now);
+                let took = until.saturating_sub(sent);
+                self.pressure.note_order(&worker, took, self.now);
                 self.waiting += 1.0;
             }
         }
