--- a/ashtiller/src/workflow/kv.rs
+++ b/ashtiller/src/workflow/kv.rs
@@ -75,6 +75,11 @@
     /// Reads the items below a prefix, behind the key `after` if there is one.
     fn scan<'a>(&'a self, prefix: &'a str, after: Option<&'a str>) -> Called<'a, Page>;
 
+    /// The same for a log that is replayed: a page must come, however thin the link is.
+    fn fetch<'a>(&'a self, prefix: &'a str, after: Option<&'a str>) -> Called<'a, Page> {
+        self.scan(prefix, after)
+    }
+
     /// Waits for a change below a prefix after revision `at`, at most `wait`.
     fn watch<'a>(&'a self, prefix: &'a str, at: u64, wait: Duration) -> Called<'a, Watched>;
 
--- a/ashtiller/src/workflow/log.rs
+++ b/ashtiller/src/workflow/log.rs
@@ -157,7 +157,7 @@
         let mut next = base + 1;
         let mut after = self.entry_key(base);
         loop {
-            let page = self.store.scan(&prefix, Some(&after)).await?;
+            let page = self.store.fetch(&prefix, Some(&after)).await?;
             for item in &page.items {
                 let entry: Entry = postcard::from_bytes(&item.value)
                     .map_err(|error| Failure::none("decode entry", &item.key, error))?;
--- a/ashtiller/tests/links/lists.rs
+++ b/ashtiller/tests/links/lists.rs
@@ -2,9 +2,11 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time;
 
 use crate::store;
 
@@ -56,3 +58,33 @@
         assert_eq!(opened.load(Ordering::Relaxed), number);
     }
 }
+
+/// Symptom: an owner on an instance with a link of 10 Mbit/s never began: its log was read
+/// again and again for 14 s, and nothing ran.
+///
+/// Sequence: the store turns the owner away; the log is handed to such an instance; a page of
+/// its entries holds most of a megabyte.
+///
+/// Cause: the time limit of a page was that of a look at the store, 1.2 s.
+///
+/// Figure: a page that takes 2 s is read; before, none came.
+#[tokio::test]
+async fn a_page_of_the_log_is_read_over_a_thin_link() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("port");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let (head, rest) = LIST.split_at(LIST.len() / 2);
+                let _ = stream.write_all(head.as_bytes()).await;
+                time::sleep(Duration::from_secs(2)).await;
+                let _ = stream.write_all(rest.as_bytes()).await;
+                time::sleep(Duration::from_secs(2)).await;
+            });
+        }
+    });
+    let store = store::open(address);
+    assert!(store.scan("servers/", Some("a")).await.is_err());
+    let page = store.fetch("log/", Some("a")).await;
+    assert_eq!(page.expect("a page").at, 1);
+}
