A test, red: a task that crashes its workers is started again and again

Cause: a run whose worker's life is over ends Lost, as if its lease had lapsed; nothing counts it. Hypothesis 2 (forgotten at a change of owner) is ruled out for the cause by the play, which has one owner throughout; that it must not be so is the second test. Hypothesis 3 (one start carried out many times) is ruled out by the log: runs 1 to 6 of one task, each with a number of its own.

--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -107,6 +107,8 @@
     pub refuses: Option<(Arc<str>, Refusal)>,
     /// A worker that answers no look.
     pub silent: Option<Arc<str>>,
+    /// Lives of workers that are over: they answer nothing.
+    pub crashed: BTreeSet<Arc<str>>,
     /// Rows that a look at a worker shows in place of the usual ones.
     pub at_work: Vec<(Arc<str>, Active)>,
     /// Ends that each look shows.
@@ -166,6 +168,7 @@
             advises: None,
             refuses: None,
             silent: None,
+            crashed: BTreeSet::new(),
             at_work: Vec::new(),
             listed_ends: Vec::new(),
             patient: false,
@@ -221,6 +224,15 @@
 
     pub fn carry_out(&mut self, effect: Effect) {
         match effect {
+            Effect::Order(target, run, order) if self.crashed.contains(&target.id) => {
+                let nothing = Failure::unknown("order", &target.id, "connection refused");
+                self.core
+                    .take_answer(&target.id, run, &order, Err(nothing), self.now);
+            }
+            Effect::Look(target, _) if self.crashed.contains(&target.id) => {
+                let nothing = Failure::unknown("look", &target.id, "connection refused");
+                self.core.take_look(&target.id, Err(nothing), self.now);
+            }
             Effect::Append(position, facts) => {
                 self.facts.extend(facts);
                 if self.store {
@@ -285,6 +297,18 @@
         }
     }
 
+    /// A worker's process ends, and with it all that runs there.
+    pub fn crash(&mut self, id: &Arc<str>) {
+        self.crashed.insert(id.clone());
+        self.at_work.retain(|(at, _)| at != id);
+    }
+
+    /// The platform lists another life in place of one that is over.
+    pub fn come_back_as(&mut self, former: &Arc<str>, listed: Listed) {
+        self.core.unlist_worker(former, self.now);
+        self.core.list_worker(listed, self.now);
+    }
+
     /// The store answers again, the entry under way first.
     pub fn come_back(&mut self) {
         self.store = true;
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -1,5 +1,6 @@
 //! The owner of a log as a state machine: its single decisions, case by case.
 
+mod crashes;
 mod driver;
 mod freshness;
 mod growth;
