Crashes of workers are recorded, and the task that causes them is given up

Cause: a run whose worker's life was over ended Lost, like one whose lease had lapsed; nothing counted it, so nothing bounded it, and all that was lost with it went to one worker again, the bad task among it. Class: an end that costs much and counts for nothing.

Not blamed: what drained, left or had its upkeep, many workers at once with no step in common, machines that crash without a suspect. After three crashes two starts are left, whatever is known.

Ruled out as too coarse: giving up all that saw two or three crashes.

Tests: crashes_count_across_owners as first written listed a crashed worker under the same id again, and its owner ended before it could write anything; it is replaced by two that are as strict, with the owner's end after and before its record.

--- a/ashtiller/src/workflow/book.rs
+++ b/ashtiller/src/workflow/book.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::workflow::blame::{Suspect, Victim};
 use crate::workflow::fact::{End, Fact, Outcome, Run, Task};
 use crate::workflow::interference::Lesson;
 use crate::workflow::job::{Job, Policy};
@@ -38,6 +39,9 @@
     pub waves_over: BTreeSet<u64>,
     /// No owner before this epoch grants leases any more.
     pub cleared: u64,
+    /// Tasks under which workers crashed; a section of its own in a snapshot.
+    #[serde(skip)]
+    suspects: BTreeMap<Task, Suspect>,
     #[serde(skip)]
     names: BTreeMap<Arc<str>, u32>,
     #[serde(skip)]
@@ -144,10 +148,42 @@
             }
             Fact::Learned(lessons) => self.lessons.clone_from(lessons),
             Fact::Cleared(epoch) => self.cleared = self.cleared.max(*epoch),
+            Fact::Crashed(_, victims) => {
+                for victim in victims {
+                    self.suspect_task(victim);
+                }
+            }
+            Fact::Absolved(task) => {
+                self.suspects.remove(task);
+            }
         }
         Effect::None
     }
 
+    /// Tasks under which workers crashed.
+    #[must_use]
+    pub fn suspects(&self) -> &BTreeMap<Task, Suspect> {
+        &self.suspects
+    }
+
+    /// Puts back what a snapshot keeps apart.
+    pub fn set_suspects(&mut self, suspects: BTreeMap<Task, Suspect>) {
+        self.suspects = suspects;
+    }
+
+    /// A worker crashed under a run of a task that may be started again.
+    fn suspect_task(&mut self, victim: &Victim) {
+        let task = victim.run.task;
+        let open = |(job, state): (&JobState, &TaskState)| job.outcome.is_none() && !state.done;
+        if self.task(task).is_some_and(open) {
+            self.suspects.entry(task).or_default().note(victim);
+        }
+    }
+
+    fn forget_suspects(&mut self, number: u32) {
+        self.suspects.retain(|task, _| task.job != number);
+    }
+
     fn accept(&mut self, job: &Job, policy: &Policy, wall: u64) {
         let number = self.next;
         self.next += 1;
@@ -225,6 +261,7 @@
             End::Done if !task.done => {
                 task.done = true;
                 step.left -= 1;
+                self.suspects.remove(&run.task);
             }
             End::Failed => {
                 task.failed.insert(run.number);
@@ -236,6 +273,16 @@
         if gang {
             share_end(step, end, saved);
         }
+        if gang && end == End::Done {
+            let of_gang = |task: &Task| {
+                Task { index: 0, ..*task }
+                    == Task {
+                        index: 0,
+                        ..run.task
+                    }
+            };
+            self.suspects.retain(|task, _| !of_gang(task));
+        }
         let over = job.outcome.is_some();
         if round.is_done() {
             let live = round.steps.iter().flat_map(|step| &step.tasks);
@@ -262,6 +309,7 @@
         job.outcome = Some(outcome);
         self.scheduled.remove(&number);
         self.ended.insert(number, now);
+        self.forget_suspects(number);
         self.settle(number);
         Effect::Ended(number, outcome)
     }
--- a/ashtiller/src/workflow/core/fleet.rs
+++ b/ashtiller/src/workflow/core/fleet.rs
@@ -43,6 +43,9 @@
 const FAILURE_COST: f64 = 1.0;
 /// Cost of a worker on which the task failed before.
 const AGAIN_COST: f64 = 4.0;
+/// Cost of each other suspect on a worker, for a task under which a worker crashed: what was
+/// lost together would go to one worker again, and one more crash would tell nothing.
+const SUSPECT_COST: f64 = 2.0;
 /// Cost of a run that fills on a worker, for a run that serves.
 const FILL_COST: f64 = 0.5;
 /// Cost of a run that serves on a worker, for a run of another image that serves.
@@ -75,6 +78,8 @@
     busy: f64,
     filled: f64,
     filling: u32,
+    /// Runs of tasks under which workers crashed.
+    suspects: u32,
     /// Its labels, at hand: looked up by id for each of hundreds of workers and tasks, they
     /// took half of an owner's processor time.
     labels: Arc<[Arc<str>]>,
@@ -121,6 +126,8 @@
     pub advised: Option<&'a BTreeMap<Arc<str>, Arc<str>>>,
     /// A worker that is kept for another task.
     pub barred: Option<Arc<str>>,
+    /// Whether workers crashed under the task.
+    pub suspect: bool,
 }
 
 impl Core {
@@ -176,6 +183,7 @@
             busy: 0.0,
             filled: 0.0,
             filling: worker.filling,
+            suspects: self.count_suspects(worker),
             labels: worker.listed.labels.clone(),
         };
         let mut beside = Vec::new();
@@ -217,7 +225,7 @@
     }
 
     /// What placing a task on a worker costs, where it may go there.
-    fn weigh(&self, candidate: &Candidate, wish: &Wish<'_>) -> Option<f64> {
+    pub(super) fn weigh(&self, candidate: &Candidate, wish: &Wish<'_>) -> Option<f64> {
         if !suits(candidate, wish) {
             return None;
         }
@@ -297,6 +305,9 @@
         if wish.failed_on.contains(&self.id) {
             cost += AGAIN_COST;
         }
+        if wish.suspect {
+            cost += SUSPECT_COST * f64::from(self.suspects);
+        }
         let used = self
             .whole
             .minus(&self.free)
@@ -349,6 +360,7 @@
     /// Counts a run that was placed here; false when it may get no more.
     pub(super) fn take(&mut self, wish: &Wish<'_>, known: &Interference) -> bool {
         self.free = self.free.minus(&wish.room);
+        self.suspects += u32::from(wish.suspect);
         let asked = asked(wish.step);
         match wish.share {
             Share::Apart => self.busy += asked,
--- a/ashtiller/src/workflow/core/gate.rs
+++ b/ashtiller/src/workflow/core/gate.rs
@@ -22,6 +22,8 @@
     Aside,
     /// It was put aside and has a run to show that it works again.
     Trial,
+    /// It has a run that is suspected of crashing workers.
+    Tried,
     /// It is emptied for an upkeep, or may have ended with one.
     Held,
     /// The platform does not list it.
@@ -39,6 +41,7 @@
             Self::Draining => "draining",
             Self::Aside => "aside",
             Self::Trial => "trial",
+            Self::Tried => "tried",
             Self::Held => "held",
             Self::Unlisted => "unlisted",
         }
@@ -71,6 +74,7 @@
             () if self.is_held(worker) => Gate::Held,
             () if aside => Gate::Aside,
             () if self.is_tried(worker, now) => Gate::Trial,
+            () if self.is_tried_at(worker, now) => Gate::Tried,
             () => Gate::Open,
         }
     }
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -6,6 +6,7 @@
 
 mod adopt;
 pub mod advice;
+mod crashes;
 mod dump;
 mod entries;
 mod fleet;
@@ -107,6 +108,12 @@
     pub orders: u64,
     /// Entries written.
     pub entries: u64,
+    /// Workers that crashed.
+    pub crashes: u64,
+    /// Jobs given up because workers crash under one of their tasks.
+    pub convicted: u64,
+    /// Tasks that are not suspected of crashing workers any more.
+    pub absolved: u64,
 }
 
 /// The owner of a log.
@@ -169,6 +176,8 @@
     /// Times of jobs that ended, until they are counted.
     ended: Vec<times::Times>,
     taught: Duration,
+    /// Crashes of workers a moment ago.
+    crashes: Vec<crashes::Crash>,
     counts: Counts,
 }
 
@@ -223,6 +232,7 @@
             ledger: times::Ledger::default(),
             ended: Vec::new(),
             taught: now.at,
+            crashes: Vec::new(),
             counts: Counts::default(),
         };
         core.interference.import(&core.book.lessons);
@@ -326,6 +336,7 @@
             self.pressure.forget_old(now.at);
             self.tell_pressure();
             self.expire_leases(now);
+            self.absolve_living(now);
             self.drop_absent(now);
             self.empty_leaving(now);
             self.open_rounds(now);
--- a/ashtiller/src/workflow/core/moves.rs
+++ b/ashtiller/src/workflow/core/moves.rs
@@ -32,7 +32,8 @@
                 let copies = job
                     .step(run.task)
                     .is_some_and(|step| step.copies && !step.gang);
-                copies && job.outcome.is_none() && !task.done && task.live.len() == 1
+                let alone = !task.done && task.live.len() == 1;
+                copies && job.outcome.is_none() && alone && !self.is_suspect(run.task)
             })
         });
         copied.map(|run| run.task).collect()
@@ -62,6 +63,7 @@
             spread: fleet::count_spread(self, task),
             advised: None,
             barred: None,
+            suspect: false,
         };
         let Some(place) = self.choose(&placing.fleet, &wish) else {
             return;
@@ -111,6 +113,7 @@
             spread: BTreeMap::new(),
             advised: None,
             barred: None,
+            suspect: false,
         };
         if placing.is_hopeless(&service, live.share, &wish.room) {
             return;
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -478,6 +478,7 @@
             return;
         };
         worker.answers = false;
+        worker.missed.get_or_insert(now.at);
         let silent = now.at.saturating_sub(worker.heard) > SILENT;
         worker.next_look = now.at + LOOK_RETRY[usize::from(silent)];
     }
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -23,6 +23,13 @@
 }
 
 impl Placing {
+    /// Takes out workers that get nothing more.
+    fn close(&mut self, places: BTreeSet<usize>) {
+        for place in places.into_iter().rev() {
+            self.fleet.swap_remove(place);
+        }
+    }
+
     /// Whether a task like this, or one that wants less, found no worker before.
     pub fn is_hopeless(&self, service: &Arc<str>, share: Share, room: &Resources) -> bool {
         self.refused
@@ -31,6 +38,32 @@
     }
 }
 
+/// A worker for members of a gang.
+struct Seat {
+    place: usize,
+    left: Resources,
+    /// Members that it got.
+    here: u32,
+    /// Whether one of them is tried there.
+    tried: bool,
+}
+
+impl Seat {
+    fn new(place: usize, left: Resources) -> Self {
+        Self {
+            place,
+            left,
+            here: 0,
+            tried: false,
+        }
+    }
+
+    fn admits(&self, wish: &Wish<'_>) -> bool {
+        let spread = wish.step.spread;
+        wish.room.fits(&self.left) && (spread == 0 || self.here < spread)
+    }
+}
+
 impl Core {
     /// Places what waits and fits.
     pub(super) fn plan(&mut self, now: Now) {
@@ -109,6 +142,7 @@
                 .reserved
                 .clone()
                 .filter(|_| !step.lasting && !step.fills() && !rescued),
+            suspect: false,
         };
         if step.gang {
             if !self.plan_gang(&tasks, &wish, placing, now) && advice {
@@ -127,7 +161,14 @@
                 .task(*task)
                 .map(|(_, state)| state.failed_on.clone());
             wish.failed_on = failed_on.unwrap_or_default();
-            let usual = wish.failed_on.is_empty();
+            wish.suspect = self.is_suspect(*task);
+            if self.is_strong(*task) {
+                if !self.is_spent(*task) && self.place_suspect(*task, &wish, placing, now) {
+                    choices = None;
+                }
+                continue;
+            }
+            let usual = wish.failed_on.is_empty() && !wish.suspect;
             let place = if usual {
                 let choices = choices.get_or_insert_with(|| self.rank_all(&placing.fleet, &wish));
                 choices.take()
@@ -184,14 +225,21 @@
         if tasks.len() < wish.step.count as usize {
             return true;
         }
+        let apart: Vec<bool> = tasks.iter().map(|task| self.is_strong(*task)).collect();
+        let tried = tasks.iter().zip(&apart).filter(|(_, apart)| **apart);
+        let mut tried = tried.map(|(task, _)| *task);
+        if tried
+            .any(|task| self.is_spent(task) || !self.may_try(task, wish.service, &placing.fleet))
+        {
+            return true;
+        }
         let racks = if wish.step.one_rack {
             self.racks(wish.service)
         } else {
             vec![None]
         };
         for rack in racks {
-            let Some(chosen) = self.choose_gang(tasks.len(), wish, &placing.fleet, rack.as_ref())
-            else {
+            let Some(chosen) = self.choose_gang(&apart, wish, &placing.fleet, rack.as_ref()) else {
                 continue;
             };
             let number = tasks
@@ -199,8 +247,8 @@
                 .map(|task| self.next_run(*task))
                 .max()
                 .unwrap_or(1);
-            for (task, place) in tasks.iter().zip(chosen) {
-                let candidate = &mut placing.fleet[place];
+            for (task, place) in tasks.iter().zip(&chosen) {
+                let candidate = &mut placing.fleet[*place];
                 candidate.take(wish, &self.interference);
                 let id = candidate.id.clone();
                 let ticket = wish.advised.and_then(|tickets| tickets.get(&id).cloned());
@@ -214,6 +262,8 @@
                     now,
                 );
             }
+            let tried = chosen.iter().zip(&apart).filter(|(_, apart)| **apart);
+            placing.close(tried.map(|(place, _)| *place).collect());
             return true;
         }
         false
@@ -235,12 +285,12 @@
 
     fn choose_gang(
         &self,
-        count: usize,
+        apart: &[bool],
         wish: &Wish<'_>,
         fleet: &[Candidate],
         rack: Option<&Arc<str>>,
     ) -> Option<Vec<usize>> {
-        let mut free: Vec<(usize, Resources, u32)> = fleet
+        let mut free: Vec<Seat> = fleet
             .iter()
             .enumerate()
             .filter(|(_, candidate)| fleet::suits(candidate, wish))
@@ -248,19 +298,18 @@
                 let worker = self.workers.get(&candidate.id);
                 rack.is_none_or(|rack| worker.is_some_and(|worker| worker.has_label(rack)))
             })
-            .map(|(place, candidate)| (place, candidate.free, 0))
+            .map(|(place, candidate)| Seat::new(place, candidate.free))
             .collect();
         let mut chosen = Vec::new();
-        for _ in 0..count {
+        for apart in apart {
             let best = free
                 .iter_mut()
-                .filter(|(_, left, here)| {
-                    wish.room.fits(left) && (wish.step.spread == 0 || *here < wish.step.spread)
-                })
-                .max_by_key(|(_, left, _)| left.processors)?;
-            best.1 = best.1.minus(&wish.room);
-            best.2 += 1;
-            chosen.push(best.0);
+                .filter(|seat| seat.admits(wish) && !(*apart && seat.tried))
+                .max_by_key(|seat| seat.left.processors)?;
+            best.left = best.left.minus(&wish.room);
+            best.here += 1;
+            best.tried |= *apart;
+            chosen.push(best.place);
         }
         Some(chosen)
     }
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -100,6 +100,8 @@
         }
         worker.answers = true;
         worker.heard = now.at;
+        worker.missed = None;
+        worker.lapsed.clear();
         // The first answer tells the clock; the lease comes with the next look.
         worker.next_look = if again {
             now.at
--- a/ashtiller/src/workflow/core/roster.rs
+++ b/ashtiller/src/workflow/core/roster.rs
@@ -167,6 +167,7 @@
             .filter(|(_, live)| !self.workers.contains_key(&live.worker))
             .map(|(run, _)| *run)
             .collect();
+        self.suspect_ghosts(&lost, now);
         for run in lost {
             self.end_run(run, End::Lost, &Arc::from(""), now);
         }
@@ -184,9 +185,13 @@
             runs = runs.len(),
             "worker's life is over"
         );
+        let guilty = self.note_crash(id, now);
         for run in runs {
             self.end_run(run, End::Lost, &Arc::from(""), now);
         }
+        if let Some(task) = guilty {
+            self.convict(task, now);
+        }
         self.workers.remove(id);
         self.summaries.remove(id);
     }
@@ -212,11 +217,12 @@
         let over = self.workers.values().filter(|worker| {
             !worker.runs.is_empty() && !worker.answers && worker.lease.bound() < now.at
         });
-        let lost: Vec<Run> = over
-            .flat_map(|worker| worker.runs.iter().copied())
-            .collect();
-        for run in lost {
-            self.end_run(run, End::Lost, &Arc::from(""), now);
+        let over: Vec<Arc<str>> = over.map(|worker| worker.id().clone()).collect();
+        for id in over {
+            self.remember_lapsed(&id);
+            for run in self.workers[&id].runs.clone() {
+                self.end_run(run, End::Lost, &Arc::from(""), now);
+            }
         }
     }
 
--- a/ashtiller/src/workflow/core/runs.rs
+++ b/ashtiller/src/workflow/core/runs.rs
@@ -71,6 +71,9 @@
         if end == End::Failed {
             self.judge_failure(run, now);
         }
+        if end != End::Done {
+            self.convict_spent(run.task, now);
+        }
         if end == End::Done {
             self.stop_siblings(run, Reason::Copied);
         }
--- a/ashtiller/src/workflow/fact.rs
+++ b/ashtiller/src/workflow/fact.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::workflow::blame::Victim;
 use crate::workflow::interference::Lesson;
 use crate::workflow::job::{Job, Policy};
 
@@ -89,6 +90,10 @@
     Learned(Vec<Lesson>),
     /// No owner before this epoch grants leases any more.
     Cleared(u64),
+    /// A worker crashed under these runs.
+    Crashed(Arc<str>, Vec<Victim>),
+    /// A task that was suspected of crashing workers is not any more.
+    Absolved(Task),
 }
 
 /// An owner that another replaced.
--- a/ashtiller/src/workflow/log.rs
+++ b/ashtiller/src/workflow/log.rs
@@ -15,6 +15,7 @@
 use crate::workflow::book::Book;
 use crate::workflow::fact::{Fact, Lead};
 use crate::workflow::kv::{Committed, Store, Txn};
+use crate::workflow::snapshot;
 
 /// Pause before a call whose outcome is unknown is made again.
 const RETRY: Duration = Duration::from_millis(120);
@@ -188,7 +189,7 @@
                 item.ok_or_else(|| Failure::none("read snapshot", &key, "a part is missing"))?;
             bytes.extend_from_slice(&item.value);
         }
-        let book = postcard::from_bytes(&bytes)
+        let book = snapshot::decode(&bytes)
             .map_err(|error| Failure::none("decode snapshot", &key, error))?;
         Ok((book, base.position))
     }
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -243,6 +243,9 @@
             ("looks", now.looks - before.looks),
             ("orders", now.orders - before.orders),
             ("entries", now.entries - before.entries),
+            ("crashes", now.crashes - before.crashes),
+            ("convicted", now.convicted - before.convicted),
+            ("absolved", now.absolved - before.absolved),
         ];
         for (event, change) in changes {
             self.events.with_label_values(&[event]).inc_by(change);
--- a/ashtiller/src/workflow/mod.rs
+++ b/ashtiller/src/workflow/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! - what there is: [`job`], [`fact`], [`config`], [`terms`];
 //! - what is decided: [`book`] replays facts into [`state`], [`core`] decides, [`worker`], [`lease`]
-//!   and [`live`] are its view of the fleet;
+//!   and [`live`] are its view of the fleet, [`blame`] judges crashes of workers;
 //! - what is carried out: [`log`] writes, [`owner`] runs the state machine,
 //!   [`campaign`] decides when to own, [`node`] is the process, [`peers`] asks others over [`link`];
 //! - the borders: [`kv`], [`agents`] and [`advisor`] are traits, [`follow`] reads changes as
@@ -10,6 +10,7 @@
 
 pub mod advisor;
 pub mod agents;
+pub mod blame;
 pub mod book;
 pub mod campaign;
 pub mod config;
@@ -33,6 +34,7 @@
 pub mod pressure;
 pub mod relay;
 pub mod settings;
+pub mod snapshot;
 pub mod state;
 pub mod switches;
 pub mod tempo;
--- a/ashtiller/src/workflow/owner/carry.rs
+++ b/ashtiller/src/workflow/owner/carry.rs
@@ -11,6 +11,7 @@
 use crate::workflow::log::Log;
 use crate::workflow::machines::Holder;
 use crate::workflow::owner::{HAND_OVER_PAUSE, Input, Owner};
+use crate::workflow::snapshot;
 
 impl Owner {
     pub(super) fn carry_out(&mut self, effect: Effect) {
@@ -77,7 +78,7 @@
 
     pub(super) fn append(&mut self, position: u64, facts: Vec<Fact>) {
         if Log::wants_snapshot(position) {
-            match postcard::to_stdvec(self.core.book()) {
+            match snapshot::encode(self.core.book()) {
                 Ok(bytes) => self.snapshot = Some((position, bytes)),
                 Err(error) => tracing::error!(%error, "snapshot not encoded"),
             }
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -6,6 +6,7 @@
 
 use crate::resources::{Pool, Resources};
 use crate::workflow::agents::Target;
+use crate::workflow::blame::Victim;
 use crate::workflow::config::Listed;
 use crate::workflow::fact::Run;
 use crate::workflow::interference::Image;
@@ -42,6 +43,10 @@
     pub answers: bool,
     /// When it last answered a look.
     pub heard: Duration,
+    /// Since when it does not.
+    pub missed: Option<Duration>,
+    /// Runs that were lost with its lease; if its life is over, it crashed under them.
+    pub lapsed: Vec<Victim>,
     /// Whether a look is under way, and since when.
     pub looking: Option<Duration>,
     /// For how long that look may wait for an end.
@@ -101,6 +106,8 @@
             fenced: false,
             answers: false,
             heard: Duration::ZERO,
+            missed: None,
+            lapsed: Vec::new(),
             looking: None,
             waits: Duration::ZERO,
             next_look: Duration::ZERO,
--- a/ashtiller/tests/owner/crashes.rs
+++ b/ashtiller/tests/owner/crashes.rs
@@ -9,15 +9,16 @@
 //! Settled by: `worker's life is over … came back under another id … runs 14`, then `run ended
 //! … Lost` for runs 1 to 6 of one task on six workers, under one owner.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use ashtiller::workflow::config::Listed;
-use ashtiller::workflow::fact::{Outcome, Run};
+use ashtiller::workflow::fact::{Fact, Outcome, Run};
 use ashtiller::workflow::job::{Job, Step};
 use ashtiller::workflow::message::{Reply, State};
 
-use crate::driver::{Driver, MS, job, policy, step};
+use crate::driver::{Driver, MS, job, listed, policy, step};
 
 /// Time between a crash and the worker's next life.
 const BACK: Duration = Duration::from_millis(2800);
@@ -27,27 +28,34 @@
 /// Workers that crash when they start a task of the job `bad`.
 pub struct Crashing {
     pub driver: Driver,
-    bad: Arc<str>,
+    /// Workers as the platform lists them.
+    lives: Vec<Listed>,
     /// Runs that took their worker down, in order.
     pub crashed: Vec<Run>,
     seen: usize,
-    lives: u16,
 }
 
 impl Crashing {
-    pub fn new(driver: Driver, bad: &str) -> Self {
+    pub fn new(workers: u16) -> Self {
+        let lives = (0..workers).map(listed).collect();
+        Self::replay(&[], lives)
+    }
+
+    /// The same workers under an owner that reads the log.
+    pub fn replay(facts: &[Fact], lives: Vec<Listed>) -> Self {
+        let mut driver = Driver::replay(facts, 0, policy());
+        driver.core.list_all(lives.clone(), driver.now);
         Self {
             driver,
-            bad: bad.into(),
+            lives,
             crashed: Vec::new(),
             seen: 0,
-            lives: 100,
         }
     }
 
     fn is_bad(&self, run: Run) -> bool {
         let job = &self.driver.core.book().jobs[&run.task.job];
-        job.job.id == self.bad
+        job.job.id.starts_with("bad")
     }
 
     /// Lets time pass; each worker that starts a bad task is gone, and back later.
@@ -55,26 +63,31 @@
         let end = self.driver.now.at + span;
         while self.driver.now.at < end {
             self.driver.pass(10 * MS);
-            let starts = self.driver.starts();
-            let new = starts[self.seen..].to_vec();
-            self.seen = starts.len();
-            if let Some((id, run)) = new.into_iter().find(|(_, run)| self.is_bad(*run)) {
-                self.crash(&id, run);
+            if let Some(id) = self.crash_next() {
+                self.driver.pass(BACK);
+                self.come_back(&id);
             }
         }
     }
 
-    fn crash(&mut self, id: &Arc<str>, run: Run) {
+    /// The worker that started a bad task crashes, if one did.
+    pub fn crash_next(&mut self) -> Option<Arc<str>> {
+        let starts = self.driver.starts();
+        let new = starts[self.seen..].to_vec();
+        self.seen = starts.len();
+        let (id, run) = new.into_iter().find(|(_, run)| self.is_bad(*run))?;
         self.crashed.push(run);
-        self.driver.crash(id);
-        self.driver.pass(BACK);
-        self.lives += 1;
-        let former = self.driver.core.workers()[id].listed.clone();
-        let back = Listed {
-            id: format!("w{}", self.lives).into(),
-            ..former
-        };
-        self.driver.come_back_as(id, back);
+        self.driver.crash(&id);
+        Some(id)
+    }
+
+    /// The worker is listed under another id.
+    pub fn come_back(&mut self, id: &Arc<str>) {
+        let life = self.lives.iter_mut().find(|life| life.id == *id);
+        let life = life.expect("a worker that was listed");
+        life.id = format!("{id}x").into();
+        let life = life.clone();
+        self.driver.come_back_as(id, life);
     }
 
     pub fn state(&self, id: &str) -> Reply {
@@ -92,7 +105,7 @@
 
 #[test]
 fn a_task_that_crashes_its_workers_is_given_up() {
-    let mut world = Crashing::new(Driver::new(6, policy()), "bad");
+    let mut world = Crashing::new(6);
     world.driver.submit(bad_job(vec![step(1)]));
     world.pass(Duration::from_secs(30));
     let starts = world.crashed.len();
@@ -100,21 +113,64 @@
     assert_eq!(world.state("bad"), failed());
 }
 
-/// The same, where each crash ends with another owner that replays the log.
-#[test]
-fn crashes_count_across_owners() {
+/// Each crash is followed by another owner that replays the log, `after` the crashed worker
+/// was listed again; the result is how often the task was started.
+fn start_under_many_owners(after: Duration) -> usize {
+    let mut world = Crashing::new(6);
+    world.driver.submit(bad_job(vec![step(1)]));
     let mut facts = Vec::new();
     let mut starts = 0;
     for _ in 0..8 {
-        let mut world = Crashing::new(Driver::replay(&facts, 6, policy()), "bad");
-        if facts.is_empty() {
-            world.driver.submit(bad_job(vec![step(1)]));
-        }
-        while world.crashed.is_empty() && world.driver.now.at < Duration::from_secs(630) {
-            world.pass(50 * MS);
+        for _ in 0..3000 {
+            world.driver.pass(10 * MS);
+            if let Some(id) = world.crash_next() {
+                starts += 1;
+                world.driver.pass(BACK);
+                world.come_back(&id);
+                world.driver.pass(after);
+                break;
+            }
         }
-        starts += world.crashed.len();
-        facts.extend(world.driver.facts);
+        facts.append(&mut world.driver.facts);
+        world = Crashing::replay(&facts, world.lives);
     }
+    assert_eq!(world.state("bad"), failed());
+    starts
+}
+
+#[test]
+fn crashes_count_across_owners() {
+    let starts = start_under_many_owners(50 * MS);
     assert!(starts <= CRASHES, "started {starts} times");
 }
+
+/// An owner that ends before it knows of the crash records nothing of it; the next one finds
+/// a run on a worker that nobody lists.
+#[test]
+fn crashes_count_across_owners_that_never_saw_them() {
+    let starts = start_under_many_owners(Duration::ZERO);
+    assert!(starts <= CRASHES + 2, "started {starts} times");
+}
+
+/// Twelve tasks that last run on the workers, and go down with each crash there.
+#[test]
+fn neighbours_of_a_task_that_crashes_workers_are_not_given_up() {
+    let mut world = Crashing::new(6);
+    for number in 0..12 {
+        let lasting = Step {
+            lasting: true,
+            ..step(1)
+        };
+        world
+            .driver
+            .submit(job(&format!("{number}"), vec![lasting]));
+    }
+    world.driver.pass(500 * MS);
+    world.driver.submit(bad_job(vec![step(1)]));
+    world.pass(Duration::from_secs(30));
+    assert_eq!(world.state("bad"), failed());
+    let lost: BTreeSet<u32> = (0..12)
+        .filter(|number| world.state(&number.to_string()) != Reply::State(State::Running))
+        .collect();
+    assert!(lost.is_empty(), "given up: {lost:?}");
+}
--- a/ashtiller/tests/owner/parts.rs
+++ b/ashtiller/tests/owner/parts.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
+use ashtiller::workflow::blame::Victim;
 use ashtiller::workflow::book::Book;
 use ashtiller::workflow::config::{Config, Queue};
 use ashtiller::workflow::fact::{End, Fact, Outcome, Run, Task};
 use ashtiller::workflow::interference::{Beside, Interference};
 use ashtiller::workflow::job::Step;
 use ashtiller::workflow::lease::{self, Lease};
+use ashtiller::workflow::snapshot;
 
 use crate::driver::{MS, job, policy, step};
 
@@ -128,6 +130,9 @@
         Fact::Ended(run, End::Done, "".into()),
         Fact::Accepted(Box::new(job("2", vec![step(1)])), policy(), 8),
         Fact::Cancelled(1),
+        Fact::Accepted(Box::new(job("3", vec![step(2)])), policy(), 9),
+        Fact::Crashed("w0".into(), vec![crash_of(2, 0), crash_of(2, 1)]),
+        Fact::Absolved(crash_of(2, 1).run.task),
     ];
     let mut whole = Book::default();
     for fact in &facts {
@@ -138,18 +143,72 @@
         for fact in &facts[..cut] {
             first.apply(fact, MS);
         }
-        let bytes = postcard::to_stdvec(&first).unwrap();
-        let mut book: Book = postcard::from_bytes(&bytes).unwrap();
+        let bytes = snapshot::encode(&first).unwrap();
+        let mut book = snapshot::decode(&bytes).unwrap();
         book.index(MS);
         for fact in &facts[cut..] {
             book.apply(fact, MS);
         }
         assert_eq!(
-            postcard::to_stdvec(&book).unwrap(),
-            postcard::to_stdvec(&whole).unwrap(),
+            snapshot::encode(&book).unwrap(),
+            snapshot::encode(&whole).unwrap(),
             "cut {cut}"
         );
         assert_eq!(book.open(), whole.open(), "cut {cut}");
     }
     assert_eq!(whole.jobs[&1].outcome, Some(Outcome::Cancelled));
+    assert_eq!(whole.suspects().len(), 1);
+}
+
+/// A worker crashed under the first run of a task.
+fn crash_of(job: u32, index: u16) -> Victim {
+    let task = Task {
+        job,
+        time: 0,
+        step: 0,
+        index,
+    };
+    Victim {
+        run: Run { task, number: 1 },
+        age: 40,
+        weight: 2,
+    }
+}
+
+#[test]
+fn a_snapshot_from_before_there_were_suspects_reads() {
+    let mut book = Book::default();
+    book.apply(
+        &Fact::Accepted(Box::new(job("1", vec![step(2)])), policy(), 7),
+        MS,
+    );
+    let bytes = postcard::to_stdvec(&book).unwrap();
+    let read = snapshot::decode(&bytes).unwrap();
+    assert_eq!(read.jobs.len(), 1);
+    assert!(read.suspects().is_empty());
+}
+
+/// The bytes are of an entry that was written before workers' crashes were recorded.
+#[test]
+fn facts_of_earlier_versions_read() {
+    const BYTES: [u8; 32] = [
+        5, 2, 3, 0, 1, 17, 2, 2, 119, 48, 2, 99, 55, 3, 3, 0, 1, 17, 2, 3, 2, 99, 56, 4, 3, 6, 5,
+        2, 109, 49, 9, 9,
+    ];
+    let task = Task {
+        job: 3,
+        time: 0,
+        step: 1,
+        index: 17,
+    };
+    let run = Run { task, number: 2 };
+    let facts: Vec<Fact> = postcard::from_bytes(&BYTES).unwrap();
+    let expected = [
+        Fact::Placed(run, "w0".into(), "c7".into()),
+        Fact::Ended(run, End::Lost, "c8".into()),
+        Fact::Failed(3),
+        Fact::Upkept(5, "m1".into()),
+        Fact::Cleared(9),
+    ];
+    assert_eq!(facts, expected);
 }
--- /dev/null
+++ b/bench/src/crashes.rs
@@ -0,0 +1,463 @@
+//! What jobs whose tasks crash their workers cost the others: the state machine of an owner in
+//! virtual time, with workers that crash and come back under another id.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashtiller::failure::Failure;
+use ashtiller::resources::Resources;
+use ashtiller::workflow::agents::{Look, Looked, Order, Said};
+use ashtiller::workflow::book::Book;
+use ashtiller::workflow::config::{Config, Listed, Queue};
+use ashtiller::workflow::core::{Core, Effect, Now, Ticket};
+use ashtiller::workflow::fact::{Outcome, Run};
+use ashtiller::workflow::job::{Job, Policy, Step};
+use ashtiller::workflow::message::{Reply, State};
+use ashtiller::workflow::terms::Terms;
+use pico_args::Arguments;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+use crate::worker::{Weakness, Worker};
+
+const MS: Duration = Duration::from_millis(1);
+const POLL: Duration = Duration::from_millis(5);
+/// Time between a crash and the worker's next life.
+const BACK: Duration = Duration::from_millis(2800);
+/// Time until an entry of a worker that is gone lapses.
+const LAPSE: Duration = Duration::from_millis(2400);
+/// Time for jobs to come in before the bad ones, and to end after the last.
+const LEAD: Duration = Duration::from_secs(10);
+const TAIL: Duration = Duration::from_secs(20);
+/// Tasks of a short job, and how long one takes.
+const TASKS: u32 = 8;
+const LENGTH: Duration = Duration::from_millis(1500);
+/// Time within which a short job is worth something: twice its work and what it may wait.
+const OBJECTIVE: Duration = Duration::from_secs(4);
+const WORKERS: u16 = 66;
+/// Processors of a worker and of a task, in thousandths.
+const PROCESSORS: u64 = 16_000;
+const ASKED: u64 = 1600;
+
+/// What is played.
+#[derive(Clone, Copy, Debug)]
+struct Scene {
+    seed: u64,
+    /// Jobs with tasks that crash their workers.
+    bad: u32,
+    /// Tasks of each that do.
+    tasks: u16,
+    /// Time from such a task's start to the crash.
+    delay: Duration,
+    /// Share of the workers that crash by themselves every few seconds.
+    flaky: f64,
+    /// Share of the processors that other jobs ask for.
+    load: f64,
+}
+
+/// What became of it.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    /// Lives of workers that ended under a bad task.
+    taken: u32,
+    /// Starts of the bad task with most, and starts beyond two after its third crash.
+    most: u32,
+    beyond: u32,
+    /// Runs of harmless tasks that were lost.
+    lost: u32,
+    /// Harmless jobs: all, in time, given up.
+    jobs: u32,
+    timely: u32,
+    given_up: u32,
+    /// Bad jobs given up, and how long the last of them took.
+    convicted: u32,
+    latest: Duration,
+}
+
+enum Event {
+    Durable(u64, Duration),
+    Answer(Arc<str>, Run, Order, Result<Said, Failure>),
+    Looked(Arc<str>, Result<Looked, Failure>),
+    See(Arc<str>, Look),
+    Crash(Arc<str>, bool),
+    Lapse(Arc<str>),
+    Back(u16),
+}
+
+struct World {
+    core: Core,
+    now: Duration,
+    scene: Scene,
+    events: BTreeMap<(Duration, u64), Event>,
+    number: u64,
+    workers: BTreeMap<Arc<str>, Worker>,
+    places: BTreeMap<Arc<str>, u16>,
+    flaky: BTreeSet<u16>,
+    /// Harmless jobs that are not over, and when they came.
+    open: BTreeMap<Arc<str>, Duration>,
+    bad: BTreeMap<Arc<str>, Duration>,
+    /// Crashes under each bad task, and its starts since the third.
+    crashes: BTreeMap<(Arc<str>, u16), (u32, u32, u32)>,
+    rng: Pcg64,
+    tally: Tally,
+}
+
+/// Plays deployments with 0, 1, 5 and 20 bad jobs.
+pub fn run(mut args: Arguments) -> anyhow::Result<()> {
+    let seeds: u64 = args.opt_value_from_str("--seeds")?.unwrap_or(4);
+    let delay: u32 = args.opt_value_from_str("--delay-ms")?.unwrap_or(10);
+    let tasks: u16 = args.opt_value_from_str("--tasks")?.unwrap_or(1);
+    let flaky: f64 = args.opt_value_from_str("--flaky")?.unwrap_or(0.0);
+    let load: f64 = args.opt_value_from_str("--load")?.unwrap_or(0.6);
+    println!(
+        "bad jobs  workers taken  most starts  beyond  convicted  after s  runs lost  jobs  in time  given up"
+    );
+    for bad in [0, 1, 5, 20] {
+        let mut sum = Tally::default();
+        for seed in 0..seeds {
+            let scene = Scene {
+                seed,
+                bad,
+                tasks,
+                delay: delay * MS,
+                flaky,
+                load,
+            };
+            sum.add(World::new(scene).play());
+        }
+        let mean = |count: u32| f64::from(count) / f64::from(u32::try_from(seeds).unwrap_or(1));
+        println!(
+            "{bad:8}  {:13.1}  {:11}  {:6}  {:9.1}  {:7.1}  {:9.1}  {:4.0}  {:7.3}  {:8}",
+            mean(sum.taken),
+            sum.most,
+            sum.beyond,
+            mean(sum.convicted),
+            sum.latest.as_secs_f64(),
+            mean(sum.lost),
+            mean(sum.jobs),
+            f64::from(sum.timely) / f64::from(sum.jobs.max(1)),
+            sum.given_up,
+        );
+    }
+    Ok(())
+}
+
+impl Tally {
+    fn add(&mut self, other: Self) {
+        self.taken += other.taken;
+        self.most = self.most.max(other.most);
+        self.beyond += other.beyond;
+        self.lost += other.lost;
+        self.jobs += other.jobs;
+        self.timely += other.timely;
+        self.given_up += other.given_up;
+        self.convicted += other.convicted;
+        self.latest = self.latest.max(other.latest);
+    }
+}
+
+fn step(count: u32) -> Step {
+    Step {
+        count,
+        needs: Resources {
+            processors: ASKED,
+            memory: 1 << 30,
+            accelerators: 0,
+        },
+        estimate: LENGTH,
+        ..Step::default()
+    }
+}
+
+fn make_job(id: &str, steps: Vec<Step>) -> Job {
+    Job {
+        id: id.into(),
+        queue: "jobs/q/".into(),
+        payload: "".into(),
+        steps,
+        schedule: None,
+    }
+}
+
+fn capacity() -> Resources {
+    Resources {
+        processors: PROCESSORS,
+        memory: 62 << 30,
+        accelerators: 0,
+    }
+}
+
+fn listed(id: &Arc<str>, place: u16) -> Listed {
+    Listed {
+        id: id.clone(),
+        machine: Some(format!("m{place}").into()),
+        service: "fleet".into(),
+        address: ([10, 0, 0, 1], place + 1).into(),
+        zone: "bern".into(),
+        capacity: capacity(),
+        labels: ["a".into(), format!("r{}", place / 8).into()].into(),
+        draining: false,
+        remaining: None,
+    }
+}
+
+impl World {
+    fn new(scene: Scene) -> Self {
+        let now = Now {
+            at: Duration::from_mins(1),
+            wall: 60_000,
+        };
+        let mut core = Core::new(Terms::default(), 5, Book::default(), 1, now);
+        core.set_config(Arc::new(Config {
+            version: 1,
+            queues: vec![Queue {
+                host: "jobs".into(),
+                prefix: "/q/".into(),
+                policy: Policy {
+                    service: "fleet".into(),
+                    priority: 0,
+                    attempts: 3,
+                    extension: 2.0,
+                    target: 1000 * MS,
+                    advice: None,
+                },
+            }],
+            ..Config::default()
+        }));
+        let mut world = Self {
+            core,
+            now: now.at,
+            scene,
+            events: BTreeMap::new(),
+            number: 0,
+            workers: BTreeMap::new(),
+            places: BTreeMap::new(),
+            flaky: BTreeSet::new(),
+            open: BTreeMap::new(),
+            bad: BTreeMap::new(),
+            crashes: BTreeMap::new(),
+            rng: Pcg64::seed_from_u64(scene.seed),
+            tally: Tally::default(),
+        };
+        for place in 0..WORKERS {
+            if world.rng.random_bool(scene.flaky) {
+                world.flaky.insert(place);
+            }
+            world.begin_life(place);
+        }
+        world
+    }
+
+    fn clock(&self) -> Now {
+        Now {
+            at: self.now,
+            wall: u64::try_from(self.now.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    fn at(&mut self, after: Duration, event: Event) {
+        self.number += 1;
+        self.events.insert((self.now + after, self.number), event);
+    }
+
+    fn begin_life(&mut self, place: u16) {
+        self.number += 1;
+        let id: Arc<str> = format!("i-{place}-{}", self.number).into();
+        let worker = Worker::new(&id, capacity(), 100, Weakness::default());
+        self.workers.insert(id.clone(), worker);
+        self.places.insert(id.clone(), place);
+        let now = self.clock();
+        self.core.list_worker(listed(&id, place), now);
+        if self.flaky.contains(&place) {
+            let after = self.rng.random_range(1000..8000) * MS;
+            self.at(after, Event::Crash(id, false));
+        }
+    }
+
+    fn play(mut self) -> Tally {
+        // Six lasting jobs hold a quarter of the load.
+        for number in 0..6 {
+            let lasting = Step {
+                lasting: true,
+                ..step(TASKS)
+            };
+            self.submit(&format!("last{number}"), lasting);
+        }
+        let begin = self.now;
+        self.pass(LEAD);
+        for number in 0..self.scene.bad {
+            let id: Arc<str> = format!("bad{number}").into();
+            self.bad.insert(id.clone(), self.now);
+            self.submit(&id, step(TASKS));
+            self.pass(200 * MS);
+        }
+        self.pass(Duration::from_secs(40).saturating_sub(self.now.saturating_sub(begin)));
+        self.scene.load = 0.0;
+        self.pass(TAIL);
+        self.tally
+    }
+
+    fn submit(&mut self, id: &str, step: Step) {
+        self.number += 1;
+        let (ticket, now) = (Ticket(self.number), self.clock());
+        self.core.submit(make_job(id, vec![step]), ticket, now);
+    }
+
+    fn pass(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += POLL;
+            self.arrive();
+            while let Some(first) = self.events.first_entry()
+                && first.key().0 <= self.now
+            {
+                let event = first.remove();
+                self.happen(event);
+            }
+            for worker in self.workers.values_mut() {
+                worker.advance(self.now);
+            }
+            let now = self.clock();
+            self.core.note_listing(self.now);
+            for effect in self.core.poll(now) {
+                self.carry_out(effect);
+            }
+            self.count_ended();
+        }
+    }
+
+    /// Short jobs come at a rate that makes up the load.
+    fn arrive(&mut self) {
+        #[expect(clippy::cast_precision_loss, reason = "some thousand processors")]
+        let room = (u64::from(WORKERS) * PROCESSORS) as f64;
+        #[expect(clippy::cast_precision_loss, reason = "some thousand processors")]
+        let job = (u64::from(TASKS) * ASKED) as f64 * LENGTH.as_secs_f64();
+        let rate = self.scene.load * room / job;
+        if self.rng.random_bool((rate * POLL.as_secs_f64()).min(1.0)) {
+            self.number += 1;
+            let id: Arc<str> = format!("short{}", self.number).into();
+            self.open.insert(id.clone(), self.now);
+            self.submit(&id, step(TASKS));
+        }
+    }
+
+    fn count_ended(&mut self) {
+        let core = &self.core;
+        let over = |id: &Arc<str>| match core.state(id) {
+            Reply::State(State::Over(outcome)) => Some(outcome),
+            _ => None,
+        };
+        let (now, tally) = (self.now, &mut self.tally);
+        self.open.retain(|id, came| {
+            let Some(outcome) = over(id) else {
+                return true;
+            };
+            tally.jobs += 1;
+            tally.timely += u32::from(outcome == Outcome::Complete && now <= *came + OBJECTIVE);
+            tally.given_up += u32::from(outcome == Outcome::Failed);
+            false
+        });
+        self.bad.retain(|id, came| {
+            let ended = over(id).is_some();
+            if ended {
+                tally.convicted += 1;
+                tally.latest = tally.latest.max(now.saturating_sub(*came));
+            }
+            !ended
+        });
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Append(position, _) => {
+                let sent = self.now;
+                self.at(6 * MS, Event::Durable(position, sent));
+            }
+            Effect::Order(target, run, order) => self.obey(target.id, target.fence, run, order),
+            Effect::Look(target, look) => self.at(2 * MS, Event::See(target.id, look)),
+            Effect::Answer(..) | Effect::Advise(_) | Effect::Duty(..) => {}
+        }
+    }
+
+    fn obey(&mut self, id: Arc<str>, fence: u64, run: Run, order: Order) {
+        let now = self.now;
+        let length = if let Order::Start(start) = &order {
+            self.note_start(&id, &start.name.job, start.name.index);
+            let lasting = start.name.job.starts_with("last");
+            if lasting {
+                Duration::from_hours(1)
+            } else {
+                LENGTH.mul_f64(self.rng.random_range(0.6..1.4))
+            }
+        } else {
+            Duration::ZERO
+        };
+        let said = match self.workers.get_mut(&id) {
+            Some(worker) => Ok(worker.order(fence, &order, step(1).needs, length, now)),
+            None => Err(Failure::unknown("order", &id, "connection refused")),
+        };
+        self.at(4 * MS, Event::Answer(id, run, order, said));
+    }
+
+    fn note_start(&mut self, id: &Arc<str>, job: &Arc<str>, index: u16) {
+        if !job.starts_with("bad") || index >= self.scene.tasks || !self.workers.contains_key(id) {
+            return;
+        }
+        let task = (job.clone(), index);
+        let (starts, crashes, since) = self.crashes.entry(task).or_default();
+        *starts += 1;
+        if *crashes >= 3 {
+            *since += 1;
+            self.tally.beyond += u32::from(*since > 2);
+        }
+        *crashes += 1;
+        self.tally.most = self.tally.most.max(*starts);
+        self.at(self.scene.delay, Event::Crash(id.clone(), true));
+    }
+
+    fn crash(&mut self, id: &Arc<str>, taken: bool) {
+        let Some(worker) = self.workers.remove(id) else {
+            return;
+        };
+        self.tally.taken += u32::from(taken);
+        let harmless = worker
+            .runs
+            .keys()
+            .filter(|(name, _)| !name.job.starts_with("bad") || name.index >= self.scene.tasks);
+        self.tally.lost += u32::try_from(harmless.count()).unwrap_or(0);
+        let place = self.places[id];
+        self.at(LAPSE, Event::Lapse(id.clone()));
+        self.at(BACK, Event::Back(place));
+    }
+
+    fn happen(&mut self, event: Event) {
+        let now = self.clock();
+        match event {
+            Event::Durable(position, sent) => self.core.note_durable(position, sent, now),
+            Event::Answer(id, run, order, said) => {
+                self.core.take_answer(&id, run, &order, said, now);
+            }
+            Event::See(id, look) => self.see(id, &look),
+            Event::Looked(id, looked) => self.core.take_look(&id, looked, now),
+            Event::Crash(id, taken) => self.crash(&id, taken),
+            Event::Lapse(id) => self.core.unlist_worker(&id, now),
+            Event::Back(place) => self.begin_life(place),
+        }
+    }
+
+    /// A look is answered at once; the workers of the platform would wait for an end.
+    fn see(&mut self, id: Arc<str>, look: &Look) {
+        let fence = self.core.epoch();
+        let looked = match self.workers.get_mut(&id) {
+            Some(worker) => Ok(worker.look(fence, look, self.now)),
+            None => Err(Failure::unknown("look", &id, "connection refused")),
+        };
+        let wait = if looked.is_ok() {
+            look.wait.min(100 * MS)
+        } else {
+            2 * MS
+        };
+        self.at(wait, Event::Looked(id, looked));
+    }
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,11 +4,15 @@
 mod bound;
 mod caller;
 mod cells;
+mod crashes;
 mod decisions;
 mod price;
 mod replays;
 mod routing;
 mod slopes;
+#[path = "../../platform/standin/worker.rs"]
+#[expect(dead_code, reason = "tests ask more of it")]
+mod worker;
 
 use pico_args::Arguments;
 
@@ -27,6 +31,8 @@
       decisions a second of a cell's owner, in memory
   bench decisions [--workers N] [--seconds 20]
       processor time of the decisions of a log's owner, for 300, 1,000 and 3,000 workers
+  bench crashes [--seeds 4] [--delay-ms 10] [--tasks 1] [--flaky 0] [--load 0.6]
+      jobs whose tasks crash their workers: workers taken, and what it costs the others
   bench replay [--seed N] TRACE...
       recorded traces under each placement policy, for both deployments' weights
   bench slopes
@@ -40,6 +46,7 @@
         Some("price") => block_on(price::run(args)),
         Some("idle") => block_on(price::run_idle(args)),
         Some("cells") => cells::run(args),
+        Some("crashes") => crashes::run(args),
         Some("decisions") => decisions::run(args),
         Some("replay") => replays::run(args),
         Some("slopes") => block_on(slopes::run()),
