Entries of another writer end, start and lose nothing

Cause: a worker's entry was believed by itself. An unknown or missing state counted as ready; absurd sizes were taken; an entry that cannot be read counted as gone in a list and as no news in a watch; whoever was listed at a worker's address or machine under another id ended its life at once, so that its tasks started a second time while it was cut off; a lead key that cannot be read left the log without an owner for good, and so did a key below the log's prefix that is no entry's.

Change: an entry names a worker only if state, service, address, zone and capacity are there and plausible; one that cannot be read says nothing new of a worker that is known, in lists and in watches, and is told once a revision, with a counter; a life ends when the new one answers, not when it is listed; an entry whose life is not there is passed over for 5 s; an unreadable lead is an owner that is nowhere; keys that continue no log are passed over.

Red on the code before: five tests of tests/links/entries.rs, three of tests/owner/strangers.rs (a run lost within 4 s of a cut; 0 starts too many after).

--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -33,7 +33,7 @@
 
 use crate::workflow::agents::{Look, Order, Target};
 use crate::workflow::book::Book;
-use crate::workflow::config::Config;
+use crate::workflow::config::{Config, Listed};
 use crate::workflow::core::advice::{Advised, Question, StepKey};
 use crate::workflow::core::upkeep::Going;
 use crate::workflow::fact::{Fact, Outcome, Run};
@@ -176,6 +176,8 @@
     /// Times of jobs that ended, until they are counted.
     ended: Vec<times::Times>,
     taught: Duration,
+    /// Entries that name a life which is not there, passed over until then.
+    strangers: BTreeMap<Arc<str>, (Listed, Duration)>,
     /// Crashes of workers a moment ago.
     crashes: Vec<crashes::Crash>,
     counts: Counts,
@@ -232,6 +234,7 @@
             ledger: times::Ledger::default(),
             ended: Vec::new(),
             taught: now.at,
+            strangers: BTreeMap::new(),
             crashes: Vec::new(),
             counts: Counts::default(),
         };
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -61,7 +61,10 @@
                 self.pace_worker(id, now);
                 self.summaries.remove(id);
             }
-            Ok(Looked::OtherLife) => self.lose_worker(id, "another life answered", now),
+            Ok(Looked::OtherLife) => {
+                self.note_stranger(id, now);
+                self.lose_worker(id, "another life answered", now);
+            }
             Ok(Looked::Fenced) => {
                 self.superseded = true;
                 self.miss_look(id, now);
@@ -80,7 +83,8 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if !worker.fenced {
+        let first = !worker.fenced;
+        if first {
             worker.fenced = true;
             worker.lease.fence(now.at, self.terms.lease);
             self.dirty = true;
@@ -109,6 +113,9 @@
             // Of several ends in a queue, one answer tells.
             now.at + self.terms.pause.max(self.pressure.usual())
         };
+        if first {
+            self.end_former_lives(id, now);
+        }
     }
 
     fn take_finished(&mut self, id: &str, finished: &[Finished], now: Now) {
--- a/ashtiller/src/workflow/core/roster.rs
+++ b/ashtiller/src/workflow/core/roster.rs
@@ -20,6 +20,12 @@
 /// about to leave: an outage of the store is noticed within it.
 const UNLISTED_MIN: Duration = Duration::from_millis(500);
 
+/// Time for which an entry that names a life which is not there is passed over: long against
+/// the moment in which a new life is listed before it answers.
+const STRANGER_PAUSE: Duration = Duration::from_secs(5);
+/// Such entries that are remembered; some 300 bytes each.
+const STRANGERS_MAX: usize = 1000;
+
 /// A worker that is about to leave.
 struct Leaving {
     since: Duration,
@@ -36,8 +42,11 @@
         if self.is_known(&listed) {
             return;
         }
+        if self.is_stranger(&listed, now) {
+            return;
+        }
         self.dirty = true;
-        self.end_former_life(&listed, now);
+        self.doubt_former_lives(&listed, now);
         let id = listed.id.clone();
         let bound = self.first_bound();
         let draining = listed.draining;
@@ -118,20 +127,56 @@
         }
     }
 
-    /// A worker that is listed under a new id runs nothing of its former life.
-    fn end_former_life(&mut self, listed: &Listed, now: Now) {
-        let former: Vec<Arc<str>> = self
-            .workers
-            .values()
-            .filter(|worker| {
-                let same = listed.machine.is_some() && worker.listed.machine == listed.machine;
-                let same = same || worker.listed.address == listed.address;
-                same && *worker.id() != listed.id
-            })
-            .map(|worker| worker.id().clone())
-            .collect();
-        for id in former {
-            self.lose_worker(&id, "came back under another id", now);
+    /// Other lives of the machine that a worker names, or at its address.
+    fn find_former_lives(&self, listed: &Listed) -> Vec<Arc<str>> {
+        let former = self.workers.values().filter(|worker| {
+            let same = listed.machine.is_some() && worker.listed.machine == listed.machine;
+            let same = same || worker.listed.address == listed.address;
+            same && *worker.id() != listed.id
+        });
+        former.map(|worker| worker.id().clone()).collect()
+    }
+
+    /// Another life is listed where workers were: they are looked at. Anyone may have written
+    /// the entry, so that it alone ends nothing.
+    fn doubt_former_lives(&mut self, listed: &Listed, now: Now) {
+        for id in self.find_former_lives(listed) {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.next_look = worker.next_look.min(now.at);
+            }
+        }
+    }
+
+    /// A worker that answers under a new id runs nothing of its former life.
+    pub(super) fn end_former_lives(&mut self, id: &str, now: Now) {
+        let Some(listed) = self.workers.get(id).map(|worker| worker.listed.clone()) else {
+            return;
+        };
+        for former in self.find_former_lives(&listed) {
+            self.lose_worker(&former, "came back under another id", now);
+        }
+    }
+
+    /// Whether an entry names a life that was not found where it says, a moment ago.
+    fn is_stranger(&self, listed: &Listed, now: Now) -> bool {
+        let known = self.strangers.get(&listed.id);
+        known.is_some_and(|(entry, until)| entry == listed && now.at < *until)
+    }
+
+    /// Another life answers for a worker that has never answered: its entry is wrong, or older
+    /// than what answers.
+    pub(super) fn note_stranger(&mut self, id: &str, now: Now) {
+        let Some(worker) = self.workers.get(id).filter(|worker| !worker.fenced) else {
+            return;
+        };
+        let (key, listed) = (worker.id().clone(), worker.listed.clone());
+        if self.strangers.len() >= STRANGERS_MAX {
+            self.strangers.clear();
+        }
+        let entry = (listed, now.at + STRANGER_PAUSE);
+        if self.strangers.insert(key, entry).is_none() {
+            tracing::warn!(worker = id, address = %worker.listed.address,
+                "entry names a life that is not there");
         }
     }
 
@@ -147,7 +192,14 @@
 
     /// The platform lists exactly these workers.
     pub fn list_all(&mut self, listed: Vec<Listed>, now: Now) {
-        let named: BTreeSet<&Arc<str>> = listed.iter().map(|worker| &worker.id).collect();
+        self.list_read(listed, &[], now);
+    }
+
+    /// The platform lists exactly these workers, and some whose entries cannot be read: of
+    /// them nothing new is known.
+    pub fn list_read(&mut self, listed: Vec<Listed>, unread: &[Arc<str>], now: Now) {
+        let named = listed.iter().map(|worker| &worker.id).chain(unread);
+        let named: BTreeSet<&Arc<str>> = named.collect();
         let gone = self.workers.keys().filter(|id| !named.contains(id));
         let gone: Vec<Arc<str>> = gone.cloned().collect();
         for id in gone {
--- a/ashtiller/src/workflow/log.rs
+++ b/ashtiller/src/workflow/log.rs
@@ -4,6 +4,7 @@
 //! written on the condition that it still is, so a former owner writes nothing
 //! more once another has written the lead key, however late its calls arrive.
 
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,6 +26,10 @@
 const SNAPSHOT_EVERY: u64 = 400;
 /// Bytes of one part of a snapshot, under the store's limit on values in base64.
 const PART: usize = 512 << 10;
+/// Digits of a position in a key.
+const POSITION_DIGITS: usize = 12;
+/// An address at which nobody listens.
+const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 /// Keys removed by one call; the store allows 32 entries.
 const REMOVE_MAX: usize = 30;
 
@@ -100,7 +105,7 @@
     }
 
     fn entry_key(&self, position: u64) -> String {
-        format!("{}log/{position:012x}", self.prefix)
+        format!("{}log/{position:0POSITION_DIGITS$x}", self.prefix)
     }
 
     fn part_key(&self, position: u64, part: u32) -> String {
@@ -116,7 +121,7 @@
         let Some(item) = self.store.get(&key, stale).await? else {
             return Ok(None);
         };
-        decode_lead(&key, &item.value, item.revision).map(Some)
+        Ok(Some(decode_lead(&key, &item.value, item.revision)))
     }
 
     /// Makes `mine` the owner in place of the owner at epoch `former`, 0 for none.
@@ -138,7 +143,7 @@
                 let Some(item) = items.into_iter().find(|item| *item.key == *key) else {
                     return Ok(Seized::Theirs(None));
                 };
-                let lead = decode_lead(&key, &item.value, item.revision)?;
+                let lead = decode_lead(&key, &item.value, item.revision);
                 if lead.life == mine.life {
                     return Ok(Seized::Mine(item.revision));
                 }
@@ -160,13 +165,18 @@
         loop {
             let page = self.store.fetch(&prefix, Some(&after)).await?;
             for item in &page.items {
+                after = item.key.to_string();
+                // Positions have no gaps; anything else is not ours.
+                if position_of(&item.key) != Some(next) {
+                    tracing::warn!(key = %item.key, next, "key is no entry of the log; it is passed over");
+                    continue;
+                }
                 let entry: Entry = postcard::from_bytes(&item.value)
                     .map_err(|error| Failure::none("decode entry", &item.key, error))?;
                 for fact in &entry.facts {
                     book.apply(fact, now);
                 }
-                next = position_of(&item.key)? + 1;
-                after = item.key.to_string();
+                next += 1;
             }
             if !page.more || page.items.is_empty() {
                 return Ok(Replayed { book, next });
@@ -202,15 +212,16 @@
         let at = time::Instant::now();
         let prefix = self.entry_prefix();
         let mut newest = behind;
+        let mut after = self.entry_key(behind);
         loop {
-            let page = self
-                .store
-                .scan(&prefix, Some(&self.entry_key(newest)))
-                .await?;
-            if let Some(last) = page.items.last() {
-                newest = position_of(&last.key)?;
-            }
-            if !page.more || page.items.is_empty() {
+            let page = self.store.scan(&prefix, Some(&after)).await?;
+            let Some(last) = page.items.last() else {
+                return Ok(Sight { newest, at });
+            };
+            after = last.key.to_string();
+            let positions = page.items.iter().filter_map(|item| position_of(&item.key));
+            newest = positions.fold(newest, u64::max);
+            if !page.more {
                 return Ok(Sight { newest, at });
             }
         }
@@ -379,16 +390,31 @@
     Theirs(Option<Lead>),
 }
 
-fn decode_lead(key: &str, value: &[u8], revision: u64) -> Result<Lead, Failure> {
-    let lead: Lead =
-        postcard::from_bytes(value).map_err(|error| Failure::none("decode lead", key, error))?;
-    Ok(Lead {
+/// The owner that a lead key names. Others may write there too: what cannot be read names an
+/// owner that is nowhere, which ends the one before and is replaced like any that has ended.
+fn decode_lead(key: &str, value: &[u8], revision: u64) -> Lead {
+    let lead = postcard::from_bytes(value).unwrap_or_else(|error| {
+        tracing::error!(key, revision, %error, "lead cannot be read; nobody owns the log");
+        Lead {
+            name: "".into(),
+            address: NOWHERE,
+            life: 0,
+            largest: 0,
+            former: None,
+            epoch: 0,
+        }
+    });
+    Lead {
         epoch: revision,
         ..lead
-    })
+    }
 }
 
-fn position_of(key: &str) -> Result<u64, Failure> {
+/// Position of an entry; none for a key that is no entry's.
+fn position_of(key: &str) -> Option<u64> {
     let digits = key.rsplit('/').next().unwrap_or_default();
-    u64::from_str_radix(digits, 16).map_err(|error| Failure::none("read position", key, error))
+    let whole = digits.len() == POSITION_DIGITS;
+    whole
+        .then(|| u64::from_str_radix(digits, 16).ok())
+        .flatten()
 }
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -36,6 +36,7 @@
     workers: IntGaugeVec,
     pressure: GaugeVec,
     silent: IntCounter,
+    unread: IntCounter,
 }
 
 fn opts(name: &str, help: &str) -> Opts {
@@ -110,9 +111,14 @@
                 "silent_links",
                 "connections to peers that went silent while new ones worked",
             ))?,
+            unread: IntCounter::with_opts(opts(
+                "unreadable_entries",
+                "entries of workers in the store that cannot be read",
+            ))?,
             registry,
         };
         let all: Vec<Box<dyn prometheus::core::Collector>> = vec![
+            Box::new(metrics.unread.clone()),
             Box::new(metrics.calls.clone()),
             Box::new(metrics.answers.clone()),
             Box::new(metrics.orders.clone()),
@@ -231,6 +237,11 @@
         self.pressure.reset();
     }
 
+    /// Counts an entry that cannot be read.
+    pub fn note_unread(&self) {
+        self.unread.inc();
+    }
+
     /// Counts of the state machine, which only rise while this process owns the log.
     pub fn note_counts(&self, before: &Counts, now: &Counts) {
         let changes = [
--- a/ashtiller/src/workflow/owner/inputs.rs
+++ b/ashtiller/src/workflow/owner/inputs.rs
@@ -1,8 +1,11 @@
 //! Takes what comes back from outside, and questions.
 
+use std::sync::Arc;
+
+use crate::workflow::config::Listed;
 use crate::workflow::core::{Now, Ticket};
 use crate::workflow::follow::Seen;
-use crate::workflow::kv::Change;
+use crate::workflow::kv::{Change, Item};
 use crate::workflow::log::Lost;
 use crate::workflow::message::{Ask, Reply};
 use crate::workflow::owner::{Asked, Input, Owner};
@@ -65,31 +68,27 @@
 
     pub(super) fn take_workers(&mut self, seen: Seen, now: Now) {
         self.node.note_store();
-        let dialect = self.node.dialect.clone();
-        let read = |key: &str, value: &[u8]| match dialect.worker(key, value) {
-            Ok(listed) => Some(listed),
-            Err(error) => {
-                tracing::error!(key, %error, "worker's entry cannot be read");
-                None
-            }
-        };
         let as_of = match seen {
             Seen::All { items, as_of } => {
-                let listed = items.iter().filter_map(|item| read(&item.key, &item.value));
-                self.core.list_all(listed.collect(), now);
+                let read = items.iter().map(|item| self.read_worker(item));
+                let read: Vec<Result<Listed, Arc<str>>> = read.collect();
+                let unread = read.iter().filter_map(|read| read.as_ref().err().cloned());
+                let unread: Vec<Arc<str>> = unread.collect();
+                let listed = read.into_iter().flatten().collect();
+                self.core.list_read(listed, &unread, now);
                 as_of
             }
             Seen::Changes { changes, as_of } => {
                 for change in changes {
                     match change {
                         Change::Put(item) => {
-                            if let Some(listed) = read(&item.key, &item.value) {
+                            if let Ok(listed) = self.read_worker(&item) {
                                 self.core.list_worker(listed, now);
                             }
                         }
                         Change::Gone(key) => {
-                            let id = key.strip_prefix(dialect.worker_prefix());
-                            self.core.unlist_worker(id.unwrap_or(&key), now);
+                            let id = self.id_of(&key);
+                            self.core.unlist_worker(&id, now);
                         }
                     }
                 }
@@ -100,6 +99,28 @@
         self.core.note_listing(as_of);
     }
 
+    /// Reads a worker's entry. Others may write there too: what cannot be read names nobody,
+    /// and says nothing new of a worker that is known.
+    fn read_worker(&mut self, item: &Item) -> Result<Listed, Arc<str>> {
+        match self.node.dialect.worker(&item.key, &item.value) {
+            Ok(listed) => Ok(listed),
+            Err(error) => {
+                if self.unread.is_new(&item.key, item.revision) {
+                    self.node.metrics.note_unread();
+                    tracing::warn!(key = %item.key, revision = item.revision, %error,
+                        "worker's entry cannot be read; it is passed over");
+                }
+                Err(self.id_of(&item.key))
+            }
+        }
+    }
+
+    /// The worker that an entry is about.
+    fn id_of(&self, key: &str) -> Arc<str> {
+        let prefix = self.node.dialect.worker_prefix();
+        key.strip_prefix(prefix).unwrap_or(key).into()
+    }
+
     pub(super) fn take_asked(&mut self, first: Option<Asked>) {
         let mut next = first;
         for _ in 0..BATCH {
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -4,6 +4,7 @@
 mod former;
 mod hand_over;
 mod inputs;
+mod unread;
 
 use std::collections::{BTreeSet, HashMap};
 use std::hash::Hasher;
@@ -143,6 +144,7 @@
         snapshot: None,
         handing: None,
         told: BTreeSet::new(),
+        unread: unread::Unread::default(),
         counted: Counts::default(),
         shown: Instant::now(),
         over: false,
@@ -209,6 +211,8 @@
     snapshot: Option<(u64, Vec<u8>)>,
     handing: Option<Instant>,
     told: BTreeSet<(u64, bool)>,
+    /// Workers' entries that cannot be read.
+    unread: unread::Unread,
     counted: Counts,
     shown: Instant,
     over: bool,
--- /dev/null
+++ b/ashtiller/tests/links/entries.rs
@@ -0,0 +1,186 @@
+//! Entries of the store and jobs of clients, as anyone may have written them: what cannot be
+//! read is an error, and never costs the process.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::FileFailurePersistence;
+
+use crate::{dialect, job};
+
+/// What the platform's workers write.
+const WORKER: &str = r#"{"service":"fleet","address":"10.0.0.1:8080","zone":"bern","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"machine":"m1","clock_ms":482113,"sequence":4}"#;
+/// What operators write.
+const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r","host":"jobs.example","prefix":"/q/","kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":250,"priority":0,"service":"fleet","max_attempts":3,"extension":1.5}],"services":[{"name":"fleet","enforces_capacity":true,"headroom":false}],"limits":{"max_body_bytes":262144}}"#;
+const WAVE: &str = r#"{"wave":3,"machines":["m1","m2"],"duration_s":12.5,"max_count":2}"#;
+/// What clients write.
+const JOB: &str = r#"{"spec":"sweep","steps":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900},{"count":2,"cpu":500,"mem_mb":1,"depends_on":[0],"long_running":true}]}"#;
+/// Entries that were once taken the wrong way, one a line.
+const CORPUS: &str = include_str!("../cases/entries.txt");
+
+fn key() -> String {
+    format!("{}i-1", dialect::open().worker_prefix())
+}
+
+fn is_worker(text: &str) -> bool {
+    dialect::open().worker(&key(), text.as_bytes()).is_ok()
+}
+
+fn with(from: &str, to: &str) -> String {
+    let text = WORKER.replace(from, to);
+    assert_ne!(text, WORKER, "{from}");
+    text
+}
+
+#[test]
+fn a_worker_reads_as_it_says() {
+    let listed = dialect::open().worker(&key(), WORKER.as_bytes()).unwrap();
+    assert_eq!(&*listed.id, "i-1");
+    assert_eq!(listed.machine.as_deref(), Some("m1"));
+    assert_eq!(listed.capacity.processors, 16_000);
+    assert!(!listed.draining);
+    let leaves = with(r#""ready""#, r#""draining","remaining_ms":2500"#);
+    let listed = dialect::open().worker(&key(), leaves.as_bytes()).unwrap();
+    assert!(listed.draining);
+    assert_eq!(listed.remaining, Some(Duration::from_millis(2500)));
+}
+
+#[test]
+fn fields_that_are_missing_or_of_another_type_name_no_worker() {
+    for field in ["service", "address", "zone", "state", "capacity"] {
+        let gone = with(&format!("\"{field}\":"), &format!("\"no-{field}\":"));
+        assert!(!is_worker(&gone), "without {field}");
+    }
+    for (from, to) in [
+        (r#""fleet""#, "7"),
+        (r#""10.0.0.1:8080""#, r#""nowhere""#),
+        (r#""10.0.0.1:8080""#, r#""10.0.0.1:0""#),
+        (r#"["a","r1-3"]"#, r#""a""#),
+        ("16000", r#""16000""#),
+        ("16000", "-1"),
+        (r#""m1""#, "[]"),
+    ] {
+        assert!(!is_worker(&with(from, to)), "{to}");
+    }
+}
+
+#[test]
+fn a_state_that_no_page_names_is_none_to_use() {
+    for state in ["", "READY", "ready ", "stopped", "warming"] {
+        let other = with(r#""ready""#, &format!("\"{state}\""));
+        assert!(!is_worker(&other), "{state:?}");
+    }
+}
+
+#[test]
+fn sizes_that_no_worker_has_name_none() {
+    for (from, to) in [
+        ("16000", "18446744073709551615"),
+        ("32768", "18446744073709551615"),
+        (r#""gpu":0"#, r#""gpu":4294967295"#),
+    ] {
+        assert!(!is_worker(&with(from, to)), "{to}");
+    }
+    let long = format!("\"{}\"", "x".repeat(100_000));
+    assert!(!is_worker(&with(r#""fleet""#, &long)));
+    let labels = format!("[{}]", vec!["\"a\""; 1000].join(","));
+    assert!(!is_worker(&with(r#"["a","r1-3"]"#, &labels)));
+}
+
+#[test]
+fn a_key_that_names_no_worker_is_none() {
+    let prefix = dialect::open().worker_prefix();
+    for key in [prefix.to_owned(), format!("{prefix}a/b")] {
+        assert!(dialect::open().worker(&key, WORKER.as_bytes()).is_err());
+    }
+}
+
+/// All readers, on any bytes.
+fn read_all(bytes: &[u8]) {
+    let dialect = dialect::open();
+    let operators = dialect.operator_prefix();
+    if let Ok(listed) = dialect.worker(&key(), bytes) {
+        // What is read can be reckoned with: a hundred such workers do not overflow.
+        let sum = (0..100).fold(listed.capacity, |sum, _| sum.plus(&listed.capacity));
+        assert!(listed.capacity.fits(&sum));
+    }
+    for name in ["config", "wave/3", "wave/x", "other"] {
+        let _ = dialect.operated(&format!("{operators}{name}"), bytes);
+    }
+    let _ = job::read("00000000000000a1", &"jobs.example/q/".into(), bytes);
+}
+
+#[test]
+fn entries_that_were_once_taken_the_wrong_way_are_errors() {
+    for line in CORPUS.lines() {
+        assert!(!is_worker(line), "{line}");
+        read_all(line.as_bytes());
+    }
+}
+
+/// A valid text with some bytes changed, taken out or put in.
+fn mutated() -> impl Strategy<Value = Vec<u8>> {
+    let whole = prop_oneof![Just(WORKER), Just(CONFIG), Just(WAVE), Just(JOB)];
+    let edits = prop::collection::vec((any::<prop::sample::Index>(), any::<u8>(), 0..3u8), 0..6);
+    let tokens = prop::collection::vec(
+        (
+            any::<prop::sample::Index>(),
+            prop::sample::select(vec![
+                "null",
+                "-1",
+                "1e999",
+                "\"\"",
+                "[]",
+                "{}",
+                "99999999999999999999",
+            ]),
+        ),
+        0..2,
+    );
+    (whole, edits, tokens).prop_map(|(whole, edits, tokens)| {
+        let mut text = whole.to_owned();
+        for (place, token) in tokens {
+            let colons: Vec<usize> = text.match_indices(':').map(|(at, _)| at).collect();
+            let from = colons[place.index(colons.len())] + 1;
+            let rest = text[from..]
+                .find([',', '}'])
+                .map_or(text.len(), |end| from + end);
+            text.replace_range(from..rest, token);
+        }
+        let mut bytes = text.into_bytes();
+        for (place, byte, how) in edits {
+            let at = place.index(bytes.len().max(1));
+            match how {
+                _ if bytes.is_empty() => {}
+                0 => bytes[at] = byte,
+                1 => drop(bytes.remove(at)),
+                _ => bytes.insert(at, byte),
+            }
+        }
+        bytes
+    })
+}
+
+/// `PROPTEST_CASES` asks for more by hand; what fails is kept beside this file.
+fn cases() -> ProptestConfig {
+    let kept = FileFailurePersistence::WithSource("regressions");
+    ProptestConfig {
+        failure_persistence: Some(Box::new(kept)),
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(cases())]
+
+    #[test]
+    fn no_reader_panics_on_changed_entries(bytes in mutated()) {
+        read_all(&bytes);
+    }
+
+    #[test]
+    fn no_reader_panics_on_any_bytes(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        read_all(&bytes);
+    }
+}
--- a/ashtiller/tests/links/main.rs
+++ b/ashtiller/tests/links/main.rs
@@ -4,6 +4,7 @@
 #[path = "../../../platform/dialect.rs"]
 #[allow(dead_code, reason = "jobs are read with a part of it")]
 mod dialect;
+mod entries;
 mod follower;
 #[path = "../../../platform/front.rs"]
 mod front;
--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -1,6 +1,6 @@
 //! The owner of a log as a state machine, with a store and workers that answer at once.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -109,6 +109,10 @@
     pub silent: Option<Arc<str>>,
     /// Lives of workers that are over: they answer nothing.
     pub crashed: BTreeSet<Arc<str>>,
+    /// Lives that are not where their entries say: another one answers.
+    pub strangers: BTreeSet<Arc<str>>,
+    /// Looks by worker.
+    pub looked: BTreeMap<Arc<str>, u32>,
     /// Rows that a look at a worker shows in place of the usual ones.
     pub at_work: Vec<(Arc<str>, Active)>,
     /// Ends that each look shows.
@@ -169,6 +173,8 @@
             refuses: None,
             silent: None,
             crashed: BTreeSet::new(),
+            strangers: BTreeSet::new(),
+            looked: BTreeMap::new(),
             at_work: Vec::new(),
             listed_ends: Vec::new(),
             patient: false,
@@ -223,7 +229,14 @@
     }
 
     pub fn carry_out(&mut self, effect: Effect) {
+        if let Effect::Look(target, _) = &effect {
+            *self.looked.entry(target.id.clone()).or_insert(0) += 1;
+        }
         match effect {
+            Effect::Look(target, _) if self.strangers.contains(&target.id) => {
+                self.core
+                    .take_look(&target.id, Ok(Looked::OtherLife), self.now);
+            }
             Effect::Order(target, run, order) if self.crashed.contains(&target.id) => {
                 let nothing = Failure::unknown("order", &target.id, "connection refused");
                 self.core
--- a/ashtiller/tests/owner/leaving.rs
+++ b/ashtiller/tests/owner/leaving.rs
@@ -77,15 +77,18 @@
     assert_eq!(driver.stops().len(), 1, "it is gone for good");
 }
 
-/// Two lives of one worker are listed for a moment after a restart.
+/// Two lives of one worker are listed for a moment after a restart; the one that answers is
+/// the newer.
 #[test]
 fn the_newer_of_two_lives_stays() {
     let mut driver = Driver::new(1, policy());
+    driver.crash(&"w0".into());
     let newer = Listed {
         id: "a-newer-life".into(),
         ..listed(0)
     };
     driver.core.list_all(vec![listed(0), newer], driver.now);
+    driver.pass(20 * MS);
     let lives: Vec<Arc<str>> = driver.core.workers().keys().cloned().collect();
     assert_eq!(lives, ["a-newer-life".into()]);
 }
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -19,6 +19,7 @@
 mod sharing;
 mod slow;
 mod stops;
+mod strangers;
 mod takeover;
 mod trial;
 mod upkeep;
--- /dev/null
+++ b/ashtiller/tests/owner/strangers.rs
@@ -0,0 +1,73 @@
+//! Entries of other writers below the workers' prefix.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashtiller::workflow::config::Listed;
+use ashtiller::workflow::fact::Run;
+
+use crate::driver::{Driver, MS, job, listed, policy, step};
+
+/// An entry that names the machine and the address of another worker.
+fn stranger(number: u16) -> Listed {
+    Listed {
+        id: "stranger".into(),
+        ..listed(number)
+    }
+}
+
+/// Two workers, one of which has a run.
+fn begin() -> (Driver, Arc<str>, Run, u16) {
+    let mut driver = Driver::new(2, policy());
+    driver.submit(job("1", vec![step(1)]));
+    driver.pass(200 * MS);
+    let (id, run) = driver.starts()[0].clone();
+    let number = id[1..].parse().unwrap();
+    (driver, id, run, number)
+}
+
+#[test]
+fn an_entry_alone_does_not_end_the_life_of_a_worker_that_is_cut_off() {
+    let (mut driver, id, run, number) = begin();
+    driver.silent = Some(id);
+    driver.crashed.insert("stranger".into());
+    driver.core.list_worker(stranger(number), driver.now);
+    driver.pass(Duration::from_secs(4));
+    assert!(driver.core.book().is_live(run), "its lease is not over");
+    assert_eq!(driver.starts().len(), 1);
+}
+
+#[test]
+fn a_life_that_is_not_there_takes_nothing_from_the_one_that_is() {
+    let (mut driver, _, run, number) = begin();
+    driver.strangers.insert("stranger".into());
+    // A list of all workers comes several times a second.
+    for _ in 0..100 {
+        let all = vec![listed(0), listed(1), stranger(number)];
+        driver.core.list_all(all, driver.now);
+        driver.pass(100 * MS);
+    }
+    assert!(driver.core.book().is_live(run));
+    let looks = driver.looked["stranger"];
+    assert!(looks <= 4, "looked at {looks} times in 10 s");
+}
+
+#[test]
+fn a_life_that_answers_ends_the_one_before() {
+    let (mut driver, id, run, number) = begin();
+    driver.crash(&id);
+    driver.core.list_worker(stranger(number), driver.now);
+    driver.pass(100 * MS);
+    assert!(!driver.core.book().is_live(run));
+    assert_eq!(driver.starts().len(), 2);
+}
+
+#[test]
+fn a_worker_whose_entry_cannot_be_read_is_as_it_was() {
+    let (mut driver, id, run, number) = begin();
+    let other = listed(1 - number);
+    driver.core.list_read(vec![other], &[id], driver.now);
+    driver.pass(Duration::from_secs(12));
+    assert!(driver.core.book().is_live(run));
+    assert!(driver.stops().is_empty());
+}
