--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -5,6 +5,7 @@
 
 use crate::failure::Failure;
 use crate::workflow::agents::{LOOK_LIMIT, Look, Name, ORDER_LIMIT, Order, Refusal, Said, Start};
+use crate::workflow::core::place::Fits;
 use crate::workflow::core::{Core, Effect, Now, SWEEP};
 use crate::workflow::fact::{End, Run};
 use crate::workflow::live::{LiveRun, Reason, Stage, Stop};
@@ -238,6 +239,16 @@
         if !self.stays(self.workers.get(id)?, now) {
             return None;
         }
+        match self.judge_room(run, id) {
+            Fits::Now => {}
+            Fits::Later => return None,
+            Fits::Never => {
+                tracing::info!(task = %run.task, run = run.number, worker = %id,
+                    "start is withdrawn: the worker's room has shrunk");
+                self.want_stop(run, Reason::Shrunk);
+                return None;
+            }
+        }
         let worker = self.workers.get_mut(id)?;
         // Its next answer wakes what waits here.
         if !worker.answers {
--- a/ashtiller/src/workflow/core/place.rs
+++ b/ashtiller/src/workflow/core/place.rs
@@ -1,13 +1,55 @@
 //! Room that runs take at workers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use crate::resources::Resources;
 use crate::workflow::core::{Core, Now, share_of};
 use crate::workflow::fact::{Fact, Run};
 use crate::workflow::job::Sharing;
-use crate::workflow::live::{LiveRun, Stage};
+use crate::workflow::live::{LiveRun, Stage, Stop};
+
+/// Whether a start still fits into its worker's room.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Fits {
+    /// It does.
+    Now,
+    /// Once those that are withdrawn are known not to run.
+    Later,
+    /// Not with what runs there.
+    Never,
+}
 
 impl Core {
+    /// Whether a run that was placed earlier may still be started: the worker's room may have
+    /// shrunk. All that may run there counts, and so does what is being stopped.
+    pub(super) fn judge_room(&self, run: Run, id: &Arc<str>) -> Fits {
+        let Some(worker) = self.workers.get(id) else {
+            return Fits::Never;
+        };
+        let (whole, taken) = (worker.pool.whole(), worker.pool.taken());
+        if taken.fits(whole) {
+            return Fits::Now;
+        }
+        let withdrawn = worker.runs.iter().filter(|other| {
+            let live = self.runs.get(other);
+            **other != run
+                && live.is_some_and(|live| {
+                    live.stop != Stop::None && !matches!(live.stage, Stage::Started(_))
+                })
+        });
+        let rooms = withdrawn.filter_map(|other| {
+            let (job, _) = self.book.task(other.task)?;
+            Some(job.step(other.task)?.room())
+        });
+        let later = rooms.fold(*taken, |left: Resources, room| left.minus(&room));
+        if later.fits(whole) {
+            Fits::Later
+        } else {
+            Fits::Never
+        }
+    }
+
     /// Counts a run in its worker's room.
     pub(super) fn seat(&mut self, run: Run, id: &Arc<str>) {
         let Some((job, _)) = self.book.task(run.task) else {
@@ -48,6 +90,8 @@
             return;
         }
         worker.pool.release(&step.room());
+        // A start may have waited for the room.
+        worker.work = Duration::ZERO;
         match step.sharing {
             Sharing::Serves(_) => worker.serving -= 1,
             Sharing::Fills => {
--- a/ashtiller/src/workflow/live.rs
+++ b/ashtiller/src/workflow/live.rs
@@ -42,6 +42,8 @@
     Stalled,
     /// The worker did not take the start.
     Refused,
+    /// The worker's room has shrunk since it was placed there.
+    Shrunk,
     /// It stands still for the services there, and would work elsewhere.
     Crowded,
 }
--- a/ashtiller/tests/links/lists.rs
+++ b/ashtiller/tests/links/lists.rs
@@ -53,7 +53,7 @@
     });
     let store = store::open(address);
     for number in 1..=3 {
-        let page = store.scan("servers/", None).await;
+        let page = store.scan("workers/", None).await;
         assert_eq!(page.expect("a list").at, 1);
         assert_eq!(opened.load(Ordering::Relaxed), number);
     }
@@ -84,7 +84,7 @@
         }
     });
     let store = store::open(address);
-    assert!(store.scan("servers/", Some("a")).await.is_err());
+    assert!(store.scan("workers/", Some("a")).await.is_err());
     let page = store.fetch("log/", Some("a")).await;
     assert_eq!(page.expect("a page").at, 1);
 }
--- a/ashtiller/tests/owner/freshness.rs
+++ b/ashtiller/tests/owner/freshness.rs
@@ -65,7 +65,7 @@
     let (sender, mut seen) = mpsc::channel(16);
     let (_patience, patience) = watch::channel(WAIT);
     let store = Arc::new(Lists(Mutex::new(lists)));
-    tokio::spawn(follow::follow(store, "servers/", patience, sender));
+    tokio::spawn(follow::follow(store, "workers/", patience, sender));
     let mut told = Vec::new();
     while told.len() < most {
         let seen = time::timeout(CAP, seen.recv()).await;
--- a/ashtiller/tests/owner/listing.rs
+++ b/ashtiller/tests/owner/listing.rs
@@ -27,8 +27,8 @@
 
     fn scan<'a>(&'a self, _: &'a str, after: Option<&'a str>) -> Called<'a, Page> {
         let (items, more) = match after {
-            None => (vec![item("servers/a", 9), item("servers/b", 3)], true),
-            Some("servers/b") => (vec![item("servers/c", 5)], false),
+            None => (vec![item("workers/a", 9), item("workers/b", 3)], true),
+            Some("workers/b") => (vec![item("workers/c", 5)], false),
             Some(_) => (Vec::new(), false),
         };
         Box::pin(async move { Ok(Page { items, more, at: 9 }) })
@@ -50,12 +50,12 @@
 async fn what_changed_last_is_listed_last() {
     let (sender, mut seen) = mpsc::channel(1);
     let (_patience, patience) = watch::channel(follow::LONG_WAIT);
-    let follow = follow::follow(Arc::new(Pages), "servers/", patience, sender);
+    let follow = follow::follow(Arc::new(Pages), "workers/", patience, sender);
     let following = tokio::spawn(follow);
     let Some(Seen::All { items, .. }) = seen.recv().await else {
         panic!("no list");
     };
     let keys: Vec<&str> = items.iter().map(|item| &*item.key).collect();
-    assert_eq!(keys, ["servers/b", "servers/c", "servers/a"]);
+    assert_eq!(keys, ["workers/b", "workers/c", "workers/a"]);
     following.abort();
 }
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -17,6 +17,7 @@
 mod refusals;
 mod room;
 mod sharing;
+mod shrinking;
 mod slow;
 mod stops;
 mod strangers;
--- /dev/null
+++ b/ashtiller/tests/owner/shrinking.rs
@@ -0,0 +1,108 @@
+//! Workers whose room shrinks and grows while they run.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashtiller::workflow::agents::How;
+use ashtiller::workflow::config::Listed;
+use ashtiller::workflow::fact::{Fact, Run};
+use ashtiller::workflow::message::{Reply, State};
+
+use crate::driver::{Driver, MS, job, listed, policy, step};
+
+/// A worker with this many processors, of four that it had.
+fn shrunk(number: u16, processors: u64) -> Listed {
+    let mut entry = listed(number);
+    entry.capacity.processors = 1000 * processors;
+    entry
+}
+
+/// Runs on one worker that were told to start and not to stop.
+fn kept(driver: &Driver, id: &str) -> Vec<Run> {
+    let stops = driver.stops();
+    let starts = driver.starts().into_iter();
+    let kept = starts.filter(|(at, run)| **at == *id && !stops.contains(run));
+    kept.map(|(_, run)| run).collect()
+}
+
+#[test]
+fn starts_that_do_not_fit_any_more_are_not_sent() {
+    let mut driver = Driver::new(1, policy());
+    driver.store = false;
+    driver.submit(job("1", vec![step(4)]));
+    driver.pass(200 * MS);
+    assert!(driver.starts().is_empty(), "nothing is durable");
+    driver.core.list_worker(shrunk(0, 2), driver.now);
+    driver.come_back();
+    driver.pass(Duration::from_secs(1));
+    assert_eq!(driver.starts().len(), 2);
+    driver.core.list_worker(listed(0), driver.now);
+    driver.pass(Duration::from_secs(1));
+    assert_eq!(kept(&driver, "w0").len(), 4, "the room has grown again");
+}
+
+#[test]
+fn a_start_in_doubt_is_not_sent_again_where_it_does_not_fit() {
+    let mut driver = Driver::new(1, policy());
+    driver.deaf = Some("w0".into());
+    driver.submit(job("1", vec![step(1)]));
+    driver.pass(60 * MS);
+    let before = driver.starts().len();
+    assert!(before > 0);
+    driver.core.list_worker(shrunk(0, 0), driver.now);
+    driver.pass(Duration::from_secs(1));
+    assert_eq!(driver.starts().len(), before);
+}
+
+#[test]
+fn what_runs_is_not_stopped_for_a_smaller_room_and_counts_in_full() {
+    let mut driver = Driver::new(1, policy());
+    driver.submit(job("1", vec![step(3)]));
+    driver.pass(200 * MS);
+    let starts = driver.starts();
+    assert_eq!(starts.len(), 3);
+    driver.core.list_worker(shrunk(0, 2), driver.now);
+    driver.submit(job("2", vec![step(1)]));
+    driver.pass(500 * MS);
+    assert!(driver.stops().is_empty());
+    let (id, run) = starts[0].clone();
+    driver.end(&id, run, How::Done, 1);
+    driver.pass(300 * MS);
+    assert_eq!(driver.starts().len(), 3, "two are left, and fill it");
+    let (id, run) = starts[1].clone();
+    driver.end(&id, run, How::Done, 2);
+    driver.pass(300 * MS);
+    assert_eq!(driver.starts().len(), 4);
+}
+
+/// The next owner knows the room only as it is now.
+#[test]
+fn runs_of_an_earlier_owner_count_in_a_room_that_is_too_small_for_them() {
+    let mut first = Driver::new(1, policy());
+    first.submit(job("1", vec![step(4)]));
+    first.pass(200 * MS);
+    assert_eq!(first.starts().len(), 4);
+    let facts: Vec<Fact> = first.facts;
+    let mut driver = Driver::replay(&facts, 0, policy());
+    driver.core.list_worker(shrunk(0, 2), driver.now);
+    driver.submit(job("2", vec![step(1)]));
+    driver.pass(Duration::from_secs(1));
+    let job: u32 = driver.core.book().find("2").unwrap();
+    let starts = driver.starts();
+    assert!(starts.iter().all(|(_, run)| run.task.job != job));
+}
+
+#[test]
+fn work_that_no_worker_holds_any_more_waits_until_one_does() {
+    let mut driver = Driver::new(2, policy());
+    for number in 0..2 {
+        driver.core.list_worker(shrunk(number, 0), driver.now);
+    }
+    driver.submit(job("1", vec![step(1)]));
+    driver.pass(Duration::from_secs(5));
+    assert_eq!(driver.core.state("1"), Reply::State(State::Queued));
+    driver.core.list_worker(listed(1), driver.now);
+    driver.pass(300 * MS);
+    let starts: Vec<Arc<str>> = driver.starts().into_iter().map(|(id, _)| id).collect();
+    assert_eq!(starts, ["w1".into()]);
+}
--- a/ashtiller/tests/owner/slow.rs
+++ b/ashtiller/tests/owner/slow.rs
@@ -130,7 +130,7 @@
     let (sender, seen) = mpsc::channel(16);
     let patience = watch::Sender::new(wait);
     let told = patience.subscribe();
-    tokio::spawn(follow::follow(store, "servers/", told, sender));
+    tokio::spawn(follow::follow(store, "workers/", told, sender));
     (patience, seen)
 }
 
--- a/ashtiller/tests/owner/watching.rs
+++ b/ashtiller/tests/owner/watching.rs
@@ -72,7 +72,7 @@
                 }
                 Fate::Changed(after) => {
                     time::sleep(after).await;
-                    let gone = Change::Gone("servers/a".into());
+                    let gone = Change::Gone("workers/a".into());
                     Ok(Watched::Changes(vec![gone], at + 1))
                 }
             }
@@ -94,7 +94,7 @@
         let (sender, seen) = mpsc::channel(16);
         let patience = watch::Sender::new(wait);
         let told = patience.subscribe();
-        tokio::spawn(follow::follow(store, "servers/", told, sender));
+        tokio::spawn(follow::follow(store, "workers/", told, sender));
         Self { patience, seen }
     }
 
