Proofs are judged by moments, which count the time of a suspended machine

Cause: ownership, leases and the age of lists were reckoned by the monotonic clock, which stands still while a machine is suspended: an owner that wakes took a proof and a list of many seconds ago for fresh.

Change: clock::Moment, a type of its own that adds the time suspended (CLOCK_BOOTTIME less CLOCK_MONOTONIC, in whole milliseconds, never falling) to tokio's instants; the owner's time, what proves ownership, as of when lists are whole and when the store was last heard use it. Timers stay instants. Relays, queues and calls under way need no check of their own: what goes out late names its lease on the worker's clock and its run by number.

That a machine's own suspension is read right is not shown: none was suspended here. The tests of lists and watches compare moments in place of instants, with the same bounds.

--- a/ashtiller/src/workflow/follow.rs
+++ b/ashtiller/src/workflow/follow.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{self, Instant};
 
+use crate::clock::Moment;
 use crate::failure::Failure;
 use crate::workflow::kv::{Change, Item, Store, Watched};
 use crate::workflow::tempo::{PAUSE, Tempo};
@@ -46,7 +47,7 @@
         /// Items.
         items: Vec<Item>,
         /// No change before this is missing: when the list was asked for.
-        as_of: Instant,
+        as_of: Moment,
     },
     /// What changed, perhaps nothing.
     Changes {
@@ -54,7 +55,7 @@
         changes: Vec<Change>,
         /// No change before this is missing: when the watch was asked for, and if nothing
         /// changed during its whole wait, when that was over.
-        as_of: Instant,
+        as_of: Moment,
     },
 }
 
@@ -69,6 +70,8 @@
 /// A list that was asked for.
 struct Listed {
     sent: Instant,
+    /// No change before this is missing.
+    as_of: Moment,
     took: Duration,
     answer: Result<List, Failure>,
 }
@@ -95,7 +98,7 @@
         patience,
         seen,
         at: 0,
-        as_of: now,
+        as_of: Moment::now(),
         failing: false,
         lists: FuturesUnordered::new(),
         asked: now,
@@ -121,7 +124,7 @@
     /// Revision to watch from.
     at: u64,
     /// No change before this is missing.
-    as_of: Instant,
+    as_of: Moment,
     /// Whether no watch was answered since a call failed.
     failing: bool,
     /// Lists that are under way.
@@ -150,18 +153,28 @@
 
     fn ask_list(&mut self) {
         let (store, prefix) = (self.store.clone(), self.prefix);
-        let sent = Instant::now();
+        let (sent, as_of) = (Instant::now(), Moment::now());
         self.lists.push(Box::pin(async move {
             let answer = list(&*store, prefix).await;
             let took = sent.elapsed();
-            Listed { sent, took, answer }
+            Listed {
+                sent,
+                as_of,
+                took,
+                answer,
+            }
         }));
         self.asked = sent;
         self.due = sent + self.tempo.pace(*self.patience.borrow());
     }
 
     async fn take_list(&mut self, listed: Listed) -> Next {
-        let Listed { sent, took, answer } = listed;
+        let Listed {
+            sent,
+            as_of,
+            took,
+            answer,
+        } = listed;
         let list = match answer {
             Ok(list) => list,
             Err(failure) => {
@@ -176,25 +189,17 @@
         self.tempo.note_list(took, list.pages);
         let next = self.choose_way();
         // Answers may pass each other on their connections.
-        if sent < self.as_of {
+        if as_of < self.as_of {
             return next;
         }
-        self.as_of = sent;
+        self.as_of = as_of;
         if list.at < self.at {
             let changes = Vec::new();
-            return self
-                .tell(
-                    Seen::Changes {
-                        changes,
-                        as_of: sent,
-                    },
-                    next,
-                )
-                .await;
+            return self.tell(Seen::Changes { changes, as_of }, next).await;
         }
         self.at = list.at;
         let items = list.items;
-        self.tell(Seen::All { items, as_of: sent }, next).await
+        self.tell(Seen::All { items, as_of }, next).await
     }
 
     /// Whether to watch from now on, or to list again since the store is too slow for it.
@@ -220,11 +225,13 @@
     }
 
     async fn watch(&mut self) -> Next {
-        let sent = Instant::now();
+        let (sent, asked) = (Instant::now(), Moment::now());
         let longest = *self.patience.borrow();
         // An answer with changes proves nothing later than its call, so the next wait
         // ends when the one before would have.
-        let wait = longest.saturating_sub(sent - self.as_of).max(LEAST_WAIT);
+        let wait = longest
+            .saturating_sub(asked.since(self.as_of))
+            .max(LEAST_WAIT);
         let answer = tokio::select! {
             answer = self.store.watch(self.prefix, self.at, wait) => answer,
             () = wait_shorter(&mut self.patience, longest) => return Next::Watch,
@@ -234,7 +241,11 @@
             Ok(Watched::Changes(changes, at)) => {
                 self.note_answer();
                 self.at = at;
-                self.take_changes(changes, sent, wait).await
+                let next = self.take_changes(changes, asked, wait).await;
+                if next.is_none() {
+                    time::sleep_until(sent + PAUSE).await;
+                }
+                next.unwrap_or(Next::Watch)
             }
             Ok(Watched::Compacted) => {
                 tracing::info!(
@@ -259,23 +270,26 @@
     /// store has no reason to answer but the end of the wait, which began after the watch
     /// was sent: the answer proves the end of the wait, however late it comes. A watch that
     /// waits may be cut, however; an answer without a change from before the end of its
-    /// wait may have been on its way ever since, and proves no more than that it was sent.
-    async fn take_changes(&mut self, changes: Vec<Change>, sent: Instant, wait: Duration) -> Next {
-        let (now, end) = (Instant::now(), sent + wait);
-        let whole = changes.is_empty() && now + ROUNDING >= end;
+    /// wait may have been on its way ever since, and proves no more than that it was sent;
+    /// the result is nothing then.
+    async fn take_changes(
+        &mut self,
+        changes: Vec<Change>,
+        asked: Moment,
+        wait: Duration,
+    ) -> Option<Next> {
+        let (now, end) = (Moment::now(), asked.plus(wait));
+        let whole = changes.is_empty() && now.plus(ROUNDING) >= end;
         let cut = changes.is_empty() && !whole;
         if whole {
-            self.tempo.note_watch(now.saturating_duration_since(end));
+            self.tempo.note_watch(now.since(end));
         }
-        let as_of = if whole { now.min(end) } else { sent };
+        let as_of = if whole { now.min(end) } else { asked };
         self.as_of = as_of;
         let next = self
             .tell(Seen::Changes { changes, as_of }, Next::Watch)
             .await;
-        if cut {
-            time::sleep_until(sent + PAUSE).await;
-        }
-        next
+        (!cut || matches!(next, Next::End)).then_some(next)
     }
 
     async fn tell(&mut self, seen: Seen, next: Next) -> Next {
--- a/ashtiller/src/workflow/log.rs
+++ b/ashtiller/src/workflow/log.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
+use crate::clock::Moment;
 use crate::failure::Failure;
 use crate::workflow::book::Book;
 use crate::workflow::fact::{Fact, Lead};
@@ -256,12 +257,7 @@
     ///
     /// # Errors
     /// Another process owns the log.
-    pub async fn append(
-        &self,
-        epoch: u64,
-        position: u64,
-        value: Bytes,
-    ) -> Result<time::Instant, Lost> {
+    pub async fn append(&self, epoch: u64, position: u64, value: Bytes) -> Result<Moment, Lost> {
         let key = self.entry_key(position);
         let txn = Txn {
             expect: vec![(self.lead_key(), epoch), (key.clone(), 0)],
@@ -270,7 +266,7 @@
         };
         let mut tries = 0u32;
         loop {
-            let sent = time::Instant::now();
+            let sent = Moment::now();
             match self.store.commit(&txn).await {
                 Ok(Committed::Done(_)) => return Ok(sent),
                 Ok(Committed::Conflict(items)) => {
@@ -296,11 +292,7 @@
 
     /// The entry is written; whether the lead is still held is another question, and
     /// a former owner must not act on the entry any more.
-    async fn confirm_lead(
-        &self,
-        epoch: u64,
-        mut sent: time::Instant,
-    ) -> Result<time::Instant, Lost> {
+    async fn confirm_lead(&self, epoch: u64, mut sent: Moment) -> Result<Moment, Lost> {
         loop {
             match self.read_lead(false).await {
                 Ok(Some(lead)) if lead.epoch == epoch => return Ok(sent),
@@ -308,7 +300,7 @@
                 Err(failure) => {
                     tracing::warn!(%failure, "lead not read; it is read again");
                     time::sleep(RETRY).await;
-                    sent = time::Instant::now();
+                    sent = Moment::now();
                 }
             }
         }
--- a/ashtiller/src/workflow/node/answer.rs
+++ b/ashtiller/src/workflow/node/answer.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use futures_util::future::LocalBoxFuture;
-use tokio::time::Instant;
 
+use crate::clock::Moment;
 use crate::workflow::campaign;
 use crate::workflow::link::Answers;
 use crate::workflow::message::{Ask, Hello, Reply, Welcome};
@@ -29,7 +29,7 @@
             );
         }
         let mut heard = self.heard.borrow_mut();
-        heard.insert(hello.member.name.clone(), Instant::now());
+        heard.insert(hello.member.name.clone(), Moment::now());
         heard.retain(|_, at| at.elapsed() < SILENT);
         let mut members = self.members();
         members
--- a/ashtiller/src/workflow/node/mod.rs
+++ b/ashtiller/src/workflow/node/mod.rs
@@ -13,8 +13,8 @@
 
 use tokio::sync::{mpsc, watch};
 use tokio::task;
-use tokio::time::Instant;
 
+use crate::clock::Moment;
 use crate::workflow::advisor::Advisor;
 use crate::workflow::agents::Agents;
 use crate::workflow::config::{Config, Dialect};
@@ -65,10 +65,10 @@
     config: watch::Sender<Arc<Config>>,
     waves: watch::Sender<BTreeMap<u64, Wave>>,
     members: RefCell<Vec<Member>>,
-    heard: RefCell<HashMap<Arc<str>, Instant>>,
+    heard: RefCell<HashMap<Arc<str>, Moment>>,
     owner: RefCell<Option<mpsc::Sender<Asked>>>,
     patience: watch::Sender<Duration>,
-    store_seen: Cell<Option<Instant>>,
+    store_seen: Cell<Option<Moment>>,
     store_took: Cell<Duration>,
     position: Cell<u64>,
     leaving: Cell<bool>,
@@ -353,7 +353,7 @@
 
     /// The store has answered.
     pub fn note_store(&self) {
-        self.store_seen.set(Some(Instant::now()));
+        self.store_seen.set(Some(Moment::now()));
     }
 
     /// Position of the newest entry that this process knows to be durable.
--- a/ashtiller/src/workflow/owner/inputs.rs
+++ b/ashtiller/src/workflow/owner/inputs.rs
@@ -39,7 +39,7 @@
                 self.node.note_store();
                 self.node.note_position(position);
                 self.node.metrics.note_commit(sent.elapsed());
-                let sent = sent.saturating_duration_since(self.start);
+                let sent = sent.since(self.start);
                 self.core.note_durable(position, sent, now);
                 self.compact(position);
             }
@@ -95,7 +95,7 @@
                 as_of
             }
         };
-        let as_of = as_of.saturating_duration_since(self.start);
+        let as_of = as_of.since(self.start);
         self.core.note_listing(as_of);
     }
 
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -17,6 +17,7 @@
 use tokio::time::{self, Instant};
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::clock::Moment;
 use crate::failure::Failure;
 use crate::workflow::advisor::Tickets;
 use crate::workflow::agents::{Looked, Order, Said};
@@ -58,7 +59,7 @@
 enum Input {
     Looked(Arc<str>, Result<Looked, Failure>),
     Answered(Arc<str>, Run, Order, Result<Said, Failure>),
-    Appended(u64, Result<Instant, Lost>),
+    Appended(u64, Result<Moment, Lost>),
     Workers(Seen),
     Advised(StepKey, Duration, Result<Tickets, Failure>),
     Duty(Arc<str>, Duty, Result<Done, Failure>),
@@ -94,7 +95,7 @@
 }
 
 async fn run(node: Rc<Node>, lead: Lead, asked: mpsc::Receiver<Asked>) {
-    let start = Instant::now();
+    let start = Moment::now();
     announce(&node, &lead);
     let replayed = loop {
         match replay(&node, &lead).await {
@@ -172,7 +173,7 @@
     node.log.replay(Duration::ZERO).await.map(Some)
 }
 
-fn now_since(start: Instant) -> Now {
+fn now_since(start: Moment) -> Now {
     let wall = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
@@ -202,7 +203,7 @@
     node: Rc<Node>,
     lead: Lead,
     core: Core,
-    start: Instant,
+    start: Moment,
     asked: mpsc::Receiver<Asked>,
     inputs: mpsc::Receiver<Input>,
     sender: mpsc::Sender<Input>,
--- a/ashtiller/tests/owner/freshness.rs
+++ b/ashtiller/tests/owner/freshness.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashtiller::clock::Moment;
 use ashtiller::failure::Failure;
 use ashtiller::store::Called;
 use ashtiller::workflow::follow::{self, Seen};
 use ashtiller::workflow::kv::{Committed, Item, Page, Store, Txn, Watched};
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{self, Instant};
+use tokio::time;
 
 use crate::driver::MS;
 
@@ -60,7 +61,7 @@
 /// What a follower tells first: as of when, in milliseconds from its begin, and the
 /// revision of the item if there was a list.
 async fn first_seen(lists: &[(u32, u64)], most: usize) -> Vec<(u128, Option<u64>)> {
-    let begin = Instant::now();
+    let begin = Moment::now();
     let lists = lists.iter().rev().copied().collect();
     let (sender, mut seen) = mpsc::channel(16);
     let (_patience, patience) = watch::channel(WAIT);
@@ -70,10 +71,10 @@
     while told.len() < most {
         let seen = time::timeout(CAP, seen.recv()).await;
         told.push(match seen.expect("something seen").expect("a follower") {
-            Seen::All { items, as_of } => ((as_of - begin).as_millis(), Some(items[0].revision)),
+            Seen::All { items, as_of } => (as_of.since(begin).as_millis(), Some(items[0].revision)),
             Seen::Changes { changes, as_of } => {
                 assert!(changes.is_empty());
-                ((as_of - begin).as_millis(), None)
+                (as_of.since(begin).as_millis(), None)
             }
         });
     }
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -1,5 +1,6 @@
 //! The owner of a log as a state machine: its single decisions, case by case.
 
+mod asleep;
 mod blame;
 mod crashes;
 mod driver;
--- a/ashtiller/tests/owner/slow.rs
+++ b/ashtiller/tests/owner/slow.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use ashtiller::clock::Moment;
 use ashtiller::failure::Failure;
 use ashtiller::store::Called;
 use ashtiller::workflow::agents::ORDER_LIMIT;
@@ -11,7 +12,7 @@
 use ashtiller::workflow::kv::{Committed, Item, Page, Store, Txn, Watched};
 use ashtiller::workflow::terms::Terms;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{self, Instant};
+use tokio::time;
 
 use crate::driver::MS;
 
@@ -134,7 +135,7 @@
     (patience, seen)
 }
 
-fn as_of(seen: &Seen) -> Instant {
+fn as_of(seen: &Seen) -> Moment {
     match seen {
         Seen::All { as_of, .. } | Seen::Changes { as_of, .. } => *as_of,
     }
@@ -143,7 +144,7 @@
 /// Thousandths of the time for which starts are held by the age of the list of workers.
 async fn held_share(store: Arc<dyn Store>) -> u32 {
     let (_patience, mut seen) = follow(store);
-    let begin = Instant::now();
+    let begin = Moment::now();
     let (mut listed, mut held, mut total) = (begin, 0, 0);
     while begin.elapsed() < SPAN {
         while let Ok(seen) = seen.try_recv() {
@@ -203,11 +204,11 @@
     for manner in [Manner::Forgetful, Manner::Hasty, Manner::Refusing] {
         let store = Quiet::open(manner);
         let (_patience, mut seen) = follow(store.clone());
-        let begin = Instant::now();
+        let begin = Moment::now();
         let mut told = begin;
         while begin.elapsed() < SPAN {
             while let Ok(seen) = seen.try_recv() {
-                assert!(as_of(&seen) <= Instant::now());
+                assert!(as_of(&seen) <= Moment::now());
                 told = as_of(&seen);
             }
             let (lists, watches) = store.calls();
@@ -235,7 +236,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_list_without_an_answer_is_not_waited_for_alone() {
     let (_patience, mut seen) = follow(Quiet::open(Manner::Lossy));
-    let begin = Instant::now();
+    let begin = Moment::now();
     let (mut known, mut oldest) = (begin, Duration::ZERO);
     while begin.elapsed() < SPAN {
         let seen = time::timeout(SPAN, seen.recv()).await;
--- a/ashtiller/tests/owner/watching.rs
+++ b/ashtiller/tests/owner/watching.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashtiller::clock::Moment;
 use ashtiller::failure::Failure;
 use ashtiller::store::Called;
 use ashtiller::workflow::follow::{self, Seen};
@@ -160,7 +161,7 @@
 #[tokio::test(start_paused = true)]
 async fn what_was_seen_is_proved_fresh_within_one_wait() {
     let fates = [Fate::Changed(WAIT / 2), Fate::Quiet];
-    let began = Instant::now();
+    let began = Moment::now();
     let mut following = Following::open(Told::open(&fates), WAIT);
     following.list().await;
     let Seen::Changes { changes, as_of } = following.next().await else {
@@ -170,6 +171,6 @@
     let Seen::Changes { changes, as_of } = following.next().await else {
         panic!("no answer");
     };
-    assert_eq!((changes.len(), as_of), (0, began + WAIT));
+    assert_eq!((changes.len(), as_of), (0, began.plus(WAIT)));
     assert_eq!(began.elapsed(), WAIT);
 }
