--- a/ashtiller/tests/workflow.rs
+++ b/ashtiller/tests/workflow.rs
@@ -25,6 +25,7 @@
     workers: true,
     store: true,
     quiet: 400,
+    rooms: 0,
     weak: Weakness {
         fences: false,
         leases: false,
@@ -106,6 +107,48 @@
     assert!(starts > seeds() * 60, "{starts} starts");
 }
 
+/// Workers that crash under tasks, or whose room changes, besides all the rest.
+const SHAKY: Faults = Faults {
+    rooms: 250,
+    ..ROUGH
+};
+
+/// Two of 24 jobs have a task that crashes its workers.
+fn play_crashes(seed: u64, faults: Faults) -> World {
+    let mut world = World::new(seed, faults);
+    for number in 0..24 {
+        let job = job(number, &mut world);
+        let length = if number % 4 == 0 { 9000 } else { 700 };
+        if number % 12 == 5 {
+            let delay = [10, 300, 650][world.draw(3) as usize];
+            world.spoil(&job.id, Duration::from_millis(delay));
+        }
+        world.submit(job, Duration::from_millis(length));
+        world.run(Duration::from_millis(400), true);
+    }
+    world.run(Duration::from_secs(4), true);
+    world.heal();
+    for _ in 0..6 {
+        world.run(Duration::from_secs(5), false);
+        world.resend();
+    }
+    world.run(Duration::from_secs(50), false);
+    world
+}
+
+#[test]
+fn jobs_survive_workers_that_crash_under_others_and_rooms_that_change() {
+    let mut crashed = 0;
+    for seed in 0..seeds() {
+        let world = play_crashes(seed, SHAKY);
+        assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+        let open = world.unfinished();
+        assert!(open.is_empty(), "seed {seed}: unfinished {open:?}");
+        crashed += world.crashed;
+    }
+    assert!(crashed > seeds() * 2, "{crashed} crashes");
+}
+
 #[test]
 fn a_calm_world_starts_each_task_once() {
     let calm = Faults {
@@ -115,6 +158,7 @@
         workers: false,
         store: false,
         quiet: 0,
+        rooms: 0,
         weak: Weakness::default(),
     };
     let mut world = World::new(7, calm);
--- a/ashtiller/tests/world/news.rs
+++ b/ashtiller/tests/world/news.rs
@@ -41,6 +41,19 @@
         self.changes.push(Change::Put(listed));
     }
 
+    /// A worker says something else of itself, but that it drains.
+    pub fn change(&mut self, listed: Listed) {
+        let Some(entry) = self.entries.get(&listed.id) else {
+            return;
+        };
+        let (draining, remaining) = (entry.draining, entry.remaining);
+        self.put(Listed {
+            draining,
+            remaining,
+            ..listed
+        });
+    }
+
     pub fn remove(&mut self, id: &Arc<str>) {
         self.entries.remove(id);
         self.changes.push(Change::Gone(id.clone()));
