Crashes in the explorer's light: doubt is told from certainty, trials do not hold others up

Ruled out: narrower oracles. A job may be given up only if two workers were gone under one of its tasks (the platform's words), and one in a hundred at most.

--- a/ashtiller/src/base/failure.rs
+++ b/ashtiller/src/base/failure.rs
@@ -36,6 +36,13 @@
         Self::new(step, peer, cause, Effect::None)
     }
 
+    /// Whether the peer said nothing at all; else a connection was refused or broke, or an
+    /// answer could not be read.
+    #[must_use]
+    pub fn is_silence(&self) -> bool {
+        self.cause.contains("in time")
+    }
+
     fn new(
         step: &'static str,
         peer: impl fmt::Display,
--- a/ashtiller/src/workflow/blame.rs
+++ b/ashtiller/src/workflow/blame.rs
@@ -17,14 +17,19 @@
 
 /// Crashes after which starts are counted: the platform's bound.
 pub const CRASHES_MAX: usize = 3;
-/// Starts after that many crashes; the platform's bound is three.
-pub const STARTS_AFTER: u32 = 2;
+/// Crashes that must be certain before a task is blamed: the platform lets tasks be given up
+/// under which two workers have crashed.
+const SURE_MIN: u32 = 2;
+/// Starts after that many crashes. The platform's bound is three; one crash may go unseen
+/// behind a cut when the owner that knew of the run ends.
+pub const STARTS_AFTER: u32 = 1;
 /// Age up to which a run counts as just begun: tasks that crash their workers do so
 /// within moments of their start, and a worker begins some two runs a second.
 const JUST_BEGUN: Duration = Duration::from_secs(1);
-/// Weight of a crash for a run that had just begun, and for others.
+/// Weight of a crash for a run that had just begun.
 const HEAVY: u32 = 2;
-const LIGHT: u32 = 1;
+/// Weight of a crash for others, and where it is doubtful.
+pub const LIGHT: u32 = 1;
 /// Weight from which a task is strongly suspected, and tried.
 const STRONG: u32 = 2;
 /// Time by which a run must outlive the oldest age at a crash, doubled, to be cleared.
@@ -44,15 +49,19 @@
     pub age: u32,
     /// How much the crash speaks against its task.
     pub weight: u32,
+    /// Whether it was going on for certain.
+    pub begun: bool,
 }
 
 /// What is known against a task under which workers crashed.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Suspect {
-    /// Numbers of its first runs under which workers crashed, at most [`CRASHES_MAX`].
+    /// Numbers of its first runs under which workers crashed, at most [`CRASHES_MAX`], in order.
     pub crashed: Vec<u32>,
     /// Crashes in all.
     pub crashes: u32,
+    /// Crashes under runs that were going on for certain.
+    pub sure: u32,
     /// Greatest age of a run at a crash, in milliseconds.
     pub oldest: u32,
     /// Sum of what speaks against it.
@@ -62,11 +71,13 @@
 /// What a crash that is judged looks like.
 #[derive(Clone, Copy, Debug)]
 pub struct Scene {
-    /// How old the run was when its worker was heard for the last time.
+    /// How old the run was when its worker went; nothing if it was never seen at work.
     pub age: Duration,
-    /// Whether it was ever seen at work.
-    pub seen: bool,
-    /// Whether many workers went at that moment: the cause lies outside of them.
+    /// Whether it was going on: the worker had said that it began, else the crash may have
+    /// come first, and it was not nearly done.
+    pub begun: bool,
+    /// Whether the cause may lie outside: many workers went at that moment, or this one only
+    /// fell silent.
     pub many: bool,
     /// Whether tasks of the same step had just begun on several of these.
     pub alike: bool,
@@ -76,8 +87,8 @@
     /// How much the crash speaks against a task that was there.
     #[must_use]
     pub fn weight(&self) -> u32 {
-        let begun = self.age <= JUST_BEGUN || !self.seen;
-        if begun && (self.alike || !self.many) {
+        let young = self.age <= JUST_BEGUN;
+        if young && self.begun && (self.alike || !self.many) {
             HEAVY
         } else {
             LIGHT
@@ -88,13 +99,14 @@
 impl Suspect {
     /// Notes a crash under a run; a crash that was noted before changes nothing.
     pub fn note(&mut self, victim: &Victim) {
-        if self.crashed.contains(&victim.run.number) {
+        // What is told late may have come first.
+        let Err(place) = self.crashed.binary_search(&victim.run.number) else {
             return;
-        }
-        if self.crashed.len() < CRASHES_MAX {
-            self.crashed.push(victim.run.number);
-        }
+        };
+        self.crashed.insert(place, victim.run.number);
+        self.crashed.truncate(CRASHES_MAX);
         self.crashes += 1;
+        self.sure += u32::from(victim.begun);
         self.oldest = self.oldest.max(victim.age);
         self.weight += victim.weight;
     }
@@ -118,14 +130,15 @@
         third.is_some_and(|third| last >= third + STARTS_AFTER)
     }
 
-    /// Whether a crash while it was tried alone convicts it: it came as the earlier ones did,
-    /// or there were enough of them.
+    /// Whether a crash while it was tried alone convicts it: two are certain, and it came as the
+    /// earlier ones did or there were enough of them.
     #[must_use]
     fn is_convicted(&self, victim: &Victim) -> bool {
         let oldest = Duration::from_millis(u64::from(self.oldest));
         let age = Duration::from_millis(u64::from(victim.age));
         let alike = age.abs_diff(oldest) <= oldest / ALIKE_SHARE + ALIKE_MARGIN;
-        alike || self.crashes as usize + 1 >= CRASHES_MAX
+        let sure = self.sure + u32::from(victim.begun) >= SURE_MIN;
+        sure && (alike || self.crashes as usize + 1 >= CRASHES_MAX)
     }
 }
 
--- a/ashtiller/src/workflow/campaign.rs
+++ b/ashtiller/src/workflow/campaign.rs
@@ -185,7 +185,7 @@
     if failure.cause.contains("refused") {
         return Some(Loss::Ended);
     }
-    let silent = failure.cause.contains("in time") || failure.effect == Effect::None;
+    let silent = failure.is_silence() || failure.effect == Effect::None;
     silent.then_some(Loss::Silent(sight))
 }
 
--- a/ashtiller/src/workflow/core/crashes.rs
+++ b/ashtiller/src/workflow/core/crashes.rs
@@ -25,13 +25,19 @@
 const JUST_BEGUN: Duration = Duration::from_secs(1);
 /// How long a crash is remembered: a machine that crashes by itself does so again within it.
 const REMEMBERED: Duration = Duration::from_mins(2);
-/// Longest time for which nothing is started beside a task that is tried.
-const TRIED_MAX: Duration = Duration::from_secs(10);
+/// Longest time for which nothing is started beside a task that is tried: most are cleared or
+/// convicted within 3 s, and in a small fleet others wait.
+const TRIED_MAX: Duration = Duration::from_secs(4);
 /// Age up to which a run is too young to have a suspect beside it: a crash would be
 /// either's doing.
 const SETTLED: Duration = Duration::from_millis(500);
+/// Time after which a step has waited long for a trial of its tasks. The platform asks for
+/// something of a job to run within 3 s.
+const TRIAL_PATIENCE: Duration = Duration::from_millis(1500);
 /// Part of a service's workers on which tasks are tried at the same time, at least one.
 const TRIED_SHARE: usize = 4;
+/// The same part for steps that have waited long.
+const IMPATIENT_SHARE: usize = 2;
 /// Tasks of one job that are tried at the same time: one may take each worker down.
 const TRIED_OF_JOB: usize = 4;
 /// Cost of each run that would be lost in a trial, in shares of a worker.
@@ -40,6 +46,17 @@
 /// nothing. More than what may be lost on another.
 const CRASHED_COST: f64 = 1000.0;
 
+/// What becomes of a task that may be tried.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Trial {
+    /// It is placed like any other.
+    None,
+    /// It has got a worker.
+    Placed,
+    /// It waits.
+    Waits,
+}
+
 /// A crash of a moment ago.
 #[derive(Clone, Debug)]
 pub(super) struct Crash {
@@ -55,7 +72,6 @@
 }
 
 /// Workers that went together with one.
-#[derive(Default)]
 struct Others(Vec<Crash>);
 
 impl Others {
@@ -71,6 +87,13 @@
     }
 }
 
+/// Whether a worker only fell silent, or was about to leave: nothing says that its process
+/// ended there and then, or that a task was the cause.
+fn is_dark(worker: &Worker) -> bool {
+    let silent = worker.missed.is_some() && !worker.broke;
+    silent || worker.draining.is_some()
+}
+
 /// Name of a worker's machine, or where it listens if the platform does not say.
 fn machine_of(worker: &Worker) -> Arc<str> {
     let listed = &worker.listed;
@@ -90,19 +113,19 @@
     /// Records a crash of a worker; the result is the task that is to blame, if it is known.
     pub(super) fn note_crash(&mut self, id: &str, now: Now) -> Option<Task> {
         let worker = self.workers.get(id)?;
-        if self.ends_as_planned(worker) {
+        let at = worker.missed.unwrap_or(now.at);
+        if self.ends_as_planned(worker, at) {
             return None;
         }
-        let at = worker.missed.unwrap_or(now.at);
         self.crashes.retain(|crash| now.at < crash.at + REMEMBERED);
         let others = self.find_others(id, at, now);
         let many = others.is_many();
         let runs = worker.runs.iter();
         let live = runs.filter_map(|run| Some((*run, self.runs.get(run)?)));
-        let mut victims: Vec<Victim> = live
+        let live = live.filter(|(_, live)| live.sent > 0);
+        let victims: Vec<Victim> = live
             .map(|(run, live)| self.charge(run, live, worker, at, &others))
             .collect();
-        victims.extend(worker.lapsed.iter().copied());
         let begun = self.begun_steps(worker, at);
         let crash = Crash {
             at,
@@ -111,7 +134,8 @@
             begun,
             tried: self.is_tried_at(worker, now),
         };
-        let alone = !many && self.count_crashes(worker) == 0;
+        // One that only fell silent may have been cut off, or have lost power.
+        let alone = !many && !is_dark(worker) && self.count_crashes(worker) == 0;
         self.crashes.push(crash);
         self.counts.crashes += 1;
         let suspects = self.book.suspects();
@@ -134,10 +158,12 @@
     }
 
     /// Whether a worker's life was to end, by its own word or by an order.
-    fn ends_as_planned(&self, worker: &Worker) -> bool {
+    fn ends_as_planned(&self, worker: &Worker, at: Duration) -> bool {
         // Some take their entry back without a word, and go on for a while.
         let left = worker.absent.is_some_and(|since| worker.heard > since);
-        worker.draining.is_some() || left || self.is_held(worker)
+        let remaining = worker.listed.remaining.unwrap_or(Duration::ZERO);
+        let drained = worker.draining.is_some_and(|since| at >= since + remaining);
+        drained || left || self.is_held(worker)
     }
 
     /// What a crash says of one run.
@@ -153,15 +179,20 @@
         let known = live.placed > self.began || worker.fenced;
         let age = at.saturating_sub(live.placed);
         let scene = Scene {
-            age: if known { age } else { Duration::MAX },
-            seen: live.began.is_some() || !known,
-            many: others.is_many(),
+            age: match live.began {
+                _ if !known => Duration::MAX,
+                Some(_) => age,
+                None => Duration::ZERO,
+            },
+            begun: matches!(live.stage, Stage::Started(_)) && !self.may_be_done(run, at),
+            many: others.is_many() || is_dark(worker),
             alike: others.has_begun(step_of(run)),
         };
         Victim {
             run,
             age: if known { millis(age) } else { 0 },
             weight: scene.weight(),
+            begun: scene.begun,
         }
     }
 
@@ -172,6 +203,12 @@
         u32::try_from(crashes.count()).unwrap_or(u32::MAX)
     }
 
+    /// Whether a run that was nearly done may have ended before its worker went.
+    fn may_be_done(&self, run: Run, at: Duration) -> bool {
+        let rest = self.rest_of(run, Now { at, wall: 0 });
+        rest.is_some_and(|rest| rest.is_zero())
+    }
+
     /// Workers that went together with one.
     fn find_others(&self, id: &str, at: Duration, now: Now) -> Others {
         let near = |other: Duration| other.abs_diff(at) <= TOGETHER;
@@ -203,35 +240,19 @@
             .collect()
     }
 
-    /// A worker's lease is over and it says nothing: it may have crashed, or be cut off.
-    pub(super) fn remember_lapsed(&mut self, id: &Arc<str>) {
-        let Some(worker) = self.workers.get(id) else {
-            return;
-        };
-        let Some(at) = worker.missed else {
-            return;
-        };
-        let runs = worker.runs.iter();
-        let live = runs.filter_map(|run| Some((*run, self.runs.get(run)?)));
-        let lapsed: Vec<Victim> = live
-            .map(|(run, live)| self.charge(run, live, worker, at, &Others::default()))
-            .collect();
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.lapsed.extend(lapsed);
-        }
-    }
-
-    /// Runs of earlier owners on workers that no list has named since: each worker has gone
-    /// without a word, which speaks a little against all that was there.
-    pub(super) fn suspect_ghosts(&mut self, ghosts: &[Run], now: Now) {
-        let victims = ghosts.iter().map(|run| Victim {
+    /// Runs were lost without word of their worker: its lease is over, or no list names it any
+    /// more. It may have crashed, so that counts where starts are bounded, and little else.
+    pub(super) fn suspect_lost(&mut self, id: &Arc<str>, lost: &[Run], now: Now) {
+        let sent = |run: &&Run| self.runs.get(run).is_some_and(|live| live.sent > 0);
+        let victims = lost.iter().filter(sent).map(|run| Victim {
             run: *run,
             age: 0,
-            weight: 1,
+            weight: blame::LIGHT,
+            begun: false,
         });
         let victims: Vec<Victim> = victims.collect();
         if !victims.is_empty() {
-            self.record(Fact::Crashed(Arc::from(""), victims), now);
+            self.record(Fact::Crashed(id.clone(), victims), now);
         }
     }
 
@@ -295,13 +316,8 @@
 
     /// Whether a task is tried on a worker, so that nothing is started beside it.
     pub(super) fn is_tried_at(&self, worker: &Worker, now: Now) -> bool {
-        let suspects = self.book.suspects();
-        !suspects.is_empty()
-            && worker.runs.iter().any(|run| {
-                let live = self.runs.get(run);
-                self.is_strong(run.task)
-                    && live.is_some_and(|live| now.at < live.placed + TRIED_MAX)
-            })
+        let is_tried = |run: &Run| self.is_tried_run(*run, now);
+        !self.book.suspects().is_empty() && worker.runs.iter().any(is_tried)
     }
 
     /// Whether workers crashed under a task, and it is not cleared.
@@ -323,31 +339,53 @@
         u32::try_from(suspects.count()).unwrap_or(u32::MAX)
     }
 
-    /// Whether another task of a job may be tried now.
-    pub(super) fn may_try(&self, task: Task, service: &Arc<str>, fleet: &[Candidate]) -> bool {
-        let strong = |run: &Run| self.is_strong(run.task);
-        let of_job = self
-            .runs_of(task.job)
-            .iter()
-            .filter(|run| strong(run))
-            .count();
+    /// Whether a step has waited for too long for its tasks to be tried one by one.
+    fn is_impatient(&self, key: StepKey, now: Now) -> bool {
+        let since = self.ledger.ready_since(key);
+        since.is_some_and(|since| now.at >= since + TRIAL_PATIENCE)
+    }
+
+    /// Whether another task of a job may be tried now; more may when its step has waited long.
+    pub(super) fn may_try(
+        &self,
+        task: Task,
+        service: &Arc<str>,
+        fleet: &[Candidate],
+        now: Now,
+    ) -> bool {
+        let is_tried = |run: &Run| self.is_tried_run(*run, now);
+        let of_job = self.runs_of(task.job);
+        let of_job = of_job.iter().filter(|run| is_tried(run)).count();
         let suspects = self.book.suspects().keys();
-        let runs = suspects.filter_map(|task| Some((task, self.book.task(*task)?.1)));
-        let tried = runs.flat_map(|(task, state)| {
+        let known = suspects.filter_map(|task| Some((task, self.book.task(*task)?.1)));
+        let runs = known.flat_map(|(task, state)| {
             let run = |number| Run {
                 task: *task,
                 number,
             };
             state.live.iter().map(move |live| (run(live.number), live))
         });
-        let tried = tried.filter(|(run, _)| strong(run)).map(|(_, live)| {
+        let tried = runs.filter(|(run, _)| is_tried(run)).map(|(_, live)| {
             let worker = self.workers.get(&live.worker);
             worker.filter(|worker| worker.listed.service == *service)
         });
         let tried: BTreeSet<&Arc<str>> = tried.flatten().map(Worker::id).collect();
         let open = fleet.iter().filter(|it| it.service == *service).count();
-        let most = ((open + tried.len()) / TRIED_SHARE).max(1);
-        of_job < TRIED_OF_JOB && tried.len() < most
+        let impatient = self.is_impatient((task.job, task.time, task.step), now);
+        let share = if impatient {
+            IMPATIENT_SHARE
+        } else {
+            TRIED_SHARE
+        };
+        let most = ((open + tried.len()) / share).max(1);
+        (impatient || of_job < TRIED_OF_JOB) && tried.len() < most
+    }
+
+    /// Whether a run is tried now.
+    fn is_tried_run(&self, run: Run, now: Now) -> bool {
+        let live = self.runs.get(&run);
+        let tried = live.is_some_and(|live| live.tried && now.at < live.placed + TRIED_MAX);
+        tried && self.is_strong(run.task)
     }
 
     /// Finds the worker on which the trial of a task costs least.
@@ -387,6 +425,22 @@
         })
     }
 
+    /// Tries a task if it is strongly suspected.
+    pub(super) fn try_suspect(
+        &mut self,
+        task: Task,
+        wish: &Wish<'_>,
+        placing: &mut Placing,
+        now: Now,
+    ) -> Trial {
+        match () {
+            () if self.is_spent(task) => Trial::Waits,
+            () if !self.is_strong(task) => Trial::None,
+            () if self.place_suspect(task, wish, placing, now) => Trial::Placed,
+            () => Trial::Waits,
+        }
+    }
+
     /// Places a task that is strongly suspected, alone among its like.
     pub(super) fn place_suspect(
         &mut self,
@@ -395,7 +449,7 @@
         placing: &mut Placing,
         now: Now,
     ) -> bool {
-        if !self.may_try(task, wish.service, &placing.fleet) {
+        if !self.may_try(task, wish.service, &placing.fleet, now) {
             return false;
         }
         let Some(place) = self.choose_trial(&placing.fleet, wish, now) else {
@@ -405,7 +459,11 @@
         let ticket = wish.advised.and_then(|it| it.get(&candidate.id).cloned());
         let number = self.next_run(task);
         tracing::info!(%task, run = number, worker = %candidate.id, "suspected task is tried apart");
-        self.place(Run { task, number }, &candidate.id, ticket, now);
+        let run = Run { task, number };
+        self.place(run, &candidate.id, ticket, now);
+        if let Some(live) = self.runs.get_mut(&run) {
+            live.tried = true;
+        }
         true
     }
 }
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::failure::Failure;
+use crate::failure::{self, Failure};
 use crate::workflow::agents::{LOOK_LIMIT, Look, Name, ORDER_LIMIT, Order, Refusal, Said, Start};
 use crate::workflow::core::place::Fits;
 use crate::workflow::core::{Core, Effect, Now, SWEEP};
@@ -170,6 +170,7 @@
             self.counts.orders += 1;
             if let Some(live) = self.runs.get_mut(&run) {
                 live.ordering = true;
+                live.sent += u32::from(matches!(order, Order::Start(_)));
             }
             let target = worker.target(self.epoch, limit);
             self.effects.push(Effect::Order(target, run, order));
@@ -343,6 +344,9 @@
             Ok(Said::OtherLife) => {}
             Err(failure) => {
                 tracing::info!(task = %run.task, run = run.number, worker = %live.worker, %failure, "start unanswered");
+                if failure.effect == failure::Effect::None {
+                    live.sent = live.sent.saturating_sub(1);
+                }
                 live.retry = now.at + RETRY.max(self.pressure.usual());
                 // Slowness that most workers share says nothing of this one.
                 if !self.pressure.is_queued() {
@@ -483,13 +487,14 @@
         }
     }
 
-    /// A look was not answered.
-    pub(super) fn miss_look(&mut self, id: &str, now: Now) {
+    /// A look was not answered; `broke` when its connection was refused or broke.
+    pub(super) fn miss_look(&mut self, id: &str, broke: bool, now: Now) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         worker.answers = false;
         worker.missed.get_or_insert(now.at);
+        worker.broke |= broke;
         let silent = now.at.saturating_sub(worker.heard) > SILENT;
         worker.next_look = now.at + LOOK_RETRY[usize::from(silent)];
     }
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -5,6 +5,7 @@
 
 use crate::resources::Resources;
 use crate::workflow::core::advice::StepKey;
+use crate::workflow::core::crashes::Trial;
 use crate::workflow::core::fleet::{self, Candidate, Wish};
 use crate::workflow::core::order::Waiting;
 use crate::workflow::core::{Core, Now, share_of};
@@ -162,11 +163,13 @@
                 .map(|(_, state)| state.failed_on.clone());
             wish.failed_on = failed_on.unwrap_or_default();
             wish.suspect = self.is_suspect(*task);
-            if self.is_strong(*task) {
-                if !self.is_spent(*task) && self.place_suspect(*task, &wish, placing, now) {
+            match self.try_suspect(*task, &wish, placing, now) {
+                Trial::None => {}
+                Trial::Placed => {
                     choices = None;
+                    continue;
                 }
-                continue;
+                Trial::Waits => continue,
             }
             let usual = wish.failed_on.is_empty() && !wish.suspect;
             let place = if usual {
@@ -228,9 +231,8 @@
         let apart: Vec<bool> = tasks.iter().map(|task| self.is_strong(*task)).collect();
         let tried = tasks.iter().zip(&apart).filter(|(_, apart)| **apart);
         let mut tried = tried.map(|(task, _)| *task);
-        if tried
-            .any(|task| self.is_spent(task) || !self.may_try(task, wish.service, &placing.fleet))
-        {
+        let waits = |task| !self.may_try(task, wish.service, &placing.fleet, now);
+        if tried.any(|task| self.is_spent(task) || waits(task)) {
             return true;
         }
         let racks = if wish.step.one_rack {
@@ -262,6 +264,15 @@
                     now,
                 );
             }
+            for (task, _) in tasks.iter().zip(&apart).filter(|(_, apart)| **apart) {
+                let run = Run {
+                    task: *task,
+                    number,
+                };
+                if let Some(live) = self.runs.get_mut(&run) {
+                    live.tried = true;
+                }
+            }
             let tried = chosen.iter().zip(&apart).filter(|(_, apart)| **apart);
             placing.close(tried.map(|(place, _)| *place).collect());
             return true;
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -67,14 +67,14 @@
             }
             Ok(Looked::Fenced) => {
                 self.superseded = true;
-                self.miss_look(id, now);
+                self.miss_look(id, false, now);
             }
-            Ok(Looked::Busy) => self.miss_look(id, now),
+            Ok(Looked::Busy) => self.miss_look(id, false, now),
             Err(failure) => {
                 if worker.answers {
                     tracing::info!(worker = id, %failure, runs = worker.runs.len(), "worker does not answer");
                 }
-                self.miss_look(id, now);
+                self.miss_look(id, !failure.is_silence(), now);
             }
         }
     }
@@ -105,7 +105,7 @@
         worker.answers = true;
         worker.heard = now.at;
         worker.missed = None;
-        worker.lapsed.clear();
+        worker.broke = false;
         // The first answer tells the clock; the lease comes with the next look.
         worker.next_look = if again {
             now.at
--- a/ashtiller/src/workflow/core/roster.rs
+++ b/ashtiller/src/workflow/core/roster.rs
@@ -219,7 +219,7 @@
             .filter(|(_, live)| !self.workers.contains_key(&live.worker))
             .map(|(run, _)| *run)
             .collect();
-        self.suspect_ghosts(&lost, now);
+        self.suspect_lost(&Arc::from(""), &lost, now);
         for run in lost {
             self.end_run(run, End::Lost, &Arc::from(""), now);
         }
@@ -271,8 +271,9 @@
         });
         let over: Vec<Arc<str>> = over.map(|worker| worker.id().clone()).collect();
         for id in over {
-            self.remember_lapsed(&id);
-            for run in self.workers[&id].runs.clone() {
+            let runs: Vec<Run> = self.workers[&id].runs.iter().copied().collect();
+            self.suspect_lost(&id, &runs, now);
+            for run in runs {
                 self.end_run(run, End::Lost, &Arc::from(""), now);
             }
         }
--- a/ashtiller/src/workflow/live.rs
+++ b/ashtiller/src/workflow/live.rs
@@ -72,10 +72,15 @@
     pub stop: Stop,
     /// Whether an order about it is under way.
     pub ordering: bool,
+    /// Whether it is tried: nothing is started beside it while its task is strongly suspected.
+    pub tried: bool,
     /// When the next order about it may go out.
     pub retry: Duration,
     /// Starts that were not answered.
     pub unanswered: u32,
+    /// Starts that were sent, less those that certainly did not come to the worker; an
+    /// earlier owner's counts as one.
+    pub sent: u32,
     /// When it was placed.
     pub placed: Duration,
     /// When it was first seen at work, with its progress then.
@@ -124,6 +129,8 @@
             ordering: false,
             retry: Duration::ZERO,
             unanswered: 0,
+            tried: false,
+            sent: u32::from(stage == Stage::Starting),
             placed: now,
             began: None,
             percent: 0,
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -6,7 +6,6 @@
 
 use crate::resources::{Pool, Resources};
 use crate::workflow::agents::Target;
-use crate::workflow::blame::Victim;
 use crate::workflow::config::Listed;
 use crate::workflow::fact::Run;
 use crate::workflow::interference::Image;
@@ -45,8 +44,9 @@
     pub heard: Duration,
     /// Since when it does not.
     pub missed: Option<Duration>,
-    /// Runs that were lost with its lease; if its life is over, it crashed under them.
-    pub lapsed: Vec<Victim>,
+    /// Whether a connection to it was refused or broke since then: its process has ended, or
+    /// the network says so.
+    pub broke: bool,
     /// Whether a look is under way, and since when.
     pub looking: Option<Duration>,
     /// For how long that look may wait for an end.
@@ -107,7 +107,7 @@
             answers: false,
             heard: Duration::ZERO,
             missed: None,
-            lapsed: Vec::new(),
+            broke: false,
             looking: None,
             waits: Duration::ZERO,
             next_look: Duration::ZERO,
--- a/ashtiller/tests/owner/parts.rs
+++ b/ashtiller/tests/owner/parts.rs
@@ -172,6 +172,7 @@
         run: Run { task, number: 1 },
         age: 40,
         weight: 2,
+        begun: true,
     }
 }
 
