Trials are counted once a round, and a worker is woken for room only when it lacked some

Cause: each strongly suspected task counted all trials anew, and each weakly suspected one compared all workers; after a rack is lost these are hundreds. A worker's orders were looked through again at each end.

--- a/ashtiller/src/workflow/core/crashes.rs
+++ b/ashtiller/src/workflow/core/crashes.rs
@@ -1,6 +1,6 @@
 //! Workers that crash, and tasks that are suspected of it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -57,6 +57,25 @@
     Waits,
 }
 
+/// Trials that are going on in a round of placing.
+#[derive(Default)]
+pub(super) struct Trials {
+    /// Workers by service, those on which tasks are tried among them.
+    workers: BTreeMap<Arc<str>, usize>,
+    /// Tasks that are tried, by service and by job.
+    tried: BTreeMap<Arc<str>, usize>,
+    jobs: BTreeMap<u32, usize>,
+    /// A step of which no task found a worker to be tried on in this round.
+    full: Option<StepKey>,
+}
+
+impl Trials {
+    fn add(&mut self, service: &Arc<str>, job: u32) {
+        *self.tried.entry(service.clone()).or_insert(0) += 1;
+        *self.jobs.entry(job).or_insert(0) += 1;
+    }
+}
+
 /// A crash of a moment ago.
 #[derive(Clone, Debug)]
 pub(super) struct Crash {
@@ -345,40 +364,52 @@
         since.is_some_and(|since| now.at >= since + TRIAL_PATIENCE)
     }
 
+    /// Counts the trials that are going on, once for each round of placing.
+    pub(super) fn count_trials(&self, fleet: &[Candidate], now: Now) -> Trials {
+        let mut trials = Trials::default();
+        if self.book.suspects().is_empty() {
+            return trials;
+        }
+        for candidate in fleet {
+            *trials.workers.entry(candidate.service.clone()).or_insert(0) += 1;
+        }
+        for task in self.book.suspects().keys() {
+            let live = self.book.task(*task).into_iter();
+            for live in live.flat_map(|(_, state)| &state.live) {
+                let run = Run {
+                    task: *task,
+                    number: live.number,
+                };
+                if let Some(worker) = self.workers.get(&live.worker)
+                    && self.is_tried_run(run, now)
+                {
+                    let service = &worker.listed.service;
+                    *trials.workers.entry(service.clone()).or_insert(0) += 1;
+                    trials.add(service, task.job);
+                }
+            }
+        }
+        trials
+    }
+
     /// Whether another task of a job may be tried now; more may when its step has waited long.
     pub(super) fn may_try(
         &self,
         task: Task,
         service: &Arc<str>,
-        fleet: &[Candidate],
+        trials: &Trials,
         now: Now,
     ) -> bool {
-        let is_tried = |run: &Run| self.is_tried_run(*run, now);
-        let of_job = self.runs_of(task.job);
-        let of_job = of_job.iter().filter(|run| is_tried(run)).count();
-        let suspects = self.book.suspects().keys();
-        let known = suspects.filter_map(|task| Some((task, self.book.task(*task)?.1)));
-        let runs = known.flat_map(|(task, state)| {
-            let run = |number| Run {
-                task: *task,
-                number,
-            };
-            state.live.iter().map(move |live| (run(live.number), live))
-        });
-        let tried = runs.filter(|(run, _)| is_tried(run)).map(|(_, live)| {
-            let worker = self.workers.get(&live.worker);
-            worker.filter(|worker| worker.listed.service == *service)
-        });
-        let tried: BTreeSet<&Arc<str>> = tried.flatten().map(Worker::id).collect();
-        let open = fleet.iter().filter(|it| it.service == *service).count();
         let impatient = self.is_impatient((task.job, task.time, task.step), now);
         let share = if impatient {
             IMPATIENT_SHARE
         } else {
             TRIED_SHARE
         };
-        let most = ((open + tried.len()) / share).max(1);
-        (impatient || of_job < TRIED_OF_JOB) && tried.len() < most
+        let count = |counts: &BTreeMap<Arc<str>, usize>| counts.get(service).copied().unwrap_or(0);
+        let most = (count(&trials.workers) / share).max(1);
+        let of_job = trials.jobs.get(&task.job).copied().unwrap_or(0);
+        (impatient || of_job < TRIED_OF_JOB) && count(&trials.tried) < most
     }
 
     /// Whether a run is tried now.
@@ -449,13 +480,19 @@
         placing: &mut Placing,
         now: Now,
     ) -> bool {
-        if !self.may_try(task, wish.service, &placing.fleet, now) {
+        if !self.may_try(task, wish.service, &placing.trials, now) {
+            return false;
+        }
+        let key = (task.job, task.time, task.step);
+        if placing.trials.full == Some(key) {
             return false;
         }
         let Some(place) = self.choose_trial(&placing.fleet, wish, now) else {
+            placing.trials.full = Some(key);
             return false;
         };
         let candidate = placing.fleet.swap_remove(place);
+        placing.trials.add(wish.service, task.job);
         let ticket = wish.advised.and_then(|it| it.get(&candidate.id).cloned());
         let number = self.next_run(task);
         tracing::info!(%task, run = number, worker = %candidate.id, "suspected task is tried apart");
--- a/ashtiller/src/workflow/core/place.rs
+++ b/ashtiller/src/workflow/core/place.rs
@@ -89,9 +89,11 @@
         if !worker.runs.remove(&run) {
             return;
         }
+        if !worker.pool.taken().fits(worker.pool.whole()) {
+            // A start may have waited for the room.
+            worker.work = Duration::ZERO;
+        }
         worker.pool.release(&step.room());
-        // A start may have waited for the room.
-        worker.work = Duration::ZERO;
         match step.sharing {
             Sharing::Serves(_) => worker.serving -= 1,
             Sharing::Fills => {
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -5,7 +5,7 @@
 
 use crate::resources::Resources;
 use crate::workflow::core::advice::StepKey;
-use crate::workflow::core::crashes::Trial;
+use crate::workflow::core::crashes::{Trial, Trials};
 use crate::workflow::core::fleet::{self, Candidate, Wish};
 use crate::workflow::core::order::Waiting;
 use crate::workflow::core::{Core, Now, share_of};
@@ -21,6 +21,8 @@
     pub reserved: Option<Arc<str>>,
     /// A step that is too late and goes first in this round.
     pub rescued: Option<StepKey>,
+    /// Trials of tasks that are suspected of crashing workers.
+    pub trials: Trials,
 }
 
 impl Placing {
@@ -86,8 +88,10 @@
             self.hold_starts(now);
             return;
         }
+        let fleet = self.build_fleet(now);
         let mut placing = Placing {
-            fleet: self.build_fleet(now),
+            trials: self.count_trials(&fleet, now),
+            fleet,
             refused: Vec::new(),
             reserved: None,
             rescued: None,
@@ -143,7 +147,7 @@
                 .reserved
                 .clone()
                 .filter(|_| !step.lasting && !step.fills() && !rescued),
-            suspect: false,
+            suspect: tasks.iter().any(|task| self.is_suspect(*task)),
         };
         if step.gang {
             if !self.plan_gang(&tasks, &wish, placing, now) && advice {
@@ -162,7 +166,6 @@
                 .task(*task)
                 .map(|(_, state)| state.failed_on.clone());
             wish.failed_on = failed_on.unwrap_or_default();
-            wish.suspect = self.is_suspect(*task);
             match self.try_suspect(*task, &wish, placing, now) {
                 Trial::None => {}
                 Trial::Placed => {
@@ -171,7 +174,7 @@
                 }
                 Trial::Waits => continue,
             }
-            let usual = wish.failed_on.is_empty() && !wish.suspect;
+            let usual = wish.failed_on.is_empty();
             let place = if usual {
                 let choices = choices.get_or_insert_with(|| self.rank_all(&placing.fleet, &wish));
                 choices.take()
@@ -231,7 +234,7 @@
         let apart: Vec<bool> = tasks.iter().map(|task| self.is_strong(*task)).collect();
         let tried = tasks.iter().zip(&apart).filter(|(_, apart)| **apart);
         let mut tried = tried.map(|(task, _)| *task);
-        let waits = |task| !self.may_try(task, wish.service, &placing.fleet, now);
+        let waits = |task| !self.may_try(task, wish.service, &placing.trials, now);
         if tried.any(|task| self.is_spent(task) || waits(task)) {
             return true;
         }
