--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -156,7 +156,8 @@
                     seen.broken.push(text);
                 }
             }
-            if !worker.used().fits(&worker.capacity) {
+            // A room that shrinks does not end what runs there; starts are checked for it.
+            if worker.shrunk.is_none() && !worker.used().fits(&worker.capacity) {
                 let text = format!("{} holds {}", worker.id, worker.used());
                 seen.broken.push(text);
             }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -35,6 +35,8 @@
             }
             time::sleep_until(begin + now).await;
             self.revive()?;
+            self.shake();
+            self.bring_back().await?;
             if others && now >= next {
                 self.play_fault().await?;
                 faults += 1;
@@ -113,7 +115,8 @@
         if member.drained.is_none() {
             let id = member.agent.worker.lock().id.clone();
             let store = &self.checks.store;
-            store.put_worker(&id, worker, member.link.address, true);
+            let room = member.agent.worker.lock().capacity;
+            store.put_worker(&id, worker, member.link.address, true, &room);
             member.drained = Some(now);
         }
     }
@@ -135,8 +138,9 @@
     async fn replace_worker(&mut self, worker: usize) -> anyhow::Result<()> {
         let gone = self.checks.fleet.lock().remove(&worker);
         if let Some(gone) = gone {
-            let id = gone.agent.worker.lock().id.clone();
-            self.checks.store.remove_worker(&id);
+            let worker = gone.agent.worker.lock();
+            self.troubles.lock().note_gone(&worker);
+            self.checks.store.remove_worker(&worker.id);
         }
         self.add_worker(worker).await
     }
--- a/soak/src/jobs.rs
+++ b/soak/src/jobs.rs
@@ -18,6 +18,7 @@
     /// A client hands a job in, again and again until it gets a clear answer.
     pub fn submit(&mut self, number: u32) {
         let id: Arc<str> = format!("{:08x}{number:08x}", self.plan.seed).into();
+        self.spoil_job(&id);
         let count = self.rng.random_range(1..4u32);
         let length = self.rng.random_range(100..1500u64);
         let second = self.rng.random_range(0..2u16);
@@ -68,9 +69,11 @@
                     .client
                     .call(to, Method::GET, &format!("/q/{id}"), String::new())
                     .await;
-                let complete =
-                    answer.is_ok_and(|(_, body)| body.as_ref() == br#"{"state":"complete"}"#);
-                if !complete {
+                let state = answer.map(|(_, body)| body).unwrap_or_default();
+                let failed = state.as_ref() == br#"{"state":"failed"}"#;
+                let complete = state.as_ref() == br#"{"state":"complete"}"#;
+                let ended = complete || failed && self.troubles.lock().may_fail(&id);
+                if !ended {
                     open.push(id);
                 }
             }
@@ -79,6 +82,7 @@
             }
             // One that was told to stop may end only now.
             self.start_ended()?;
+            self.bring_back().await?;
             time::sleep(Duration::from_millis(500)).await;
         }
     }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod network;
 pub mod proxy;
 pub mod schedule;
+mod shaky;
 pub mod touch;
 pub mod world;
 
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -13,10 +13,12 @@
 soak: real entries under faults from outside
 
 usage:
-  soak run --seed N [--seconds S] [--entries E] [--workers W] [--folder DIR]
+  soak run --seed N [--seconds S] [--entries E] [--workers W] [--folder DIR] [--shaky]
   soak run --minutes M [--seed N] ...     fresh seeds, counted up from N
   soak replay FILE                        the seeds in a file, one a line; words behind are ignored
 
+--shaky: jobs crash their workers, rooms change, others write among the workers' entries
+
 A seed that breaks a rule leaves its schedule, settings and logs in DIR/seed-N.";
 
 #[tokio::main]
@@ -41,6 +43,7 @@
     let folder: PathBuf = args
         .opt_value_from_str("--folder")?
         .unwrap_or_else(|| "target/soak".into());
+    let shaky = args.contains("--shaky");
     let plan = |seed: u64| -> anyhow::Result<Plan> {
         Ok(Plan {
             seed,
@@ -49,6 +52,7 @@
             workers,
             program: world::find_program()?,
             folder: folder.join(format!("seed-{seed}")),
+            shaky,
         })
     };
     let mut good = true;
@@ -89,10 +93,11 @@
     let (seed, folder) = (plan.seed, plan.folder.clone());
     let verdict = world::run(plan).await?;
     println!(
-        "seed {seed}: {} accepted, {} refused, {} faults, {} broken",
+        "seed {seed}: {} accepted, {} refused, {} faults, {} workers crashed, {} broken",
         verdict.accepted,
         verdict.refused,
         verdict.faults,
+        verdict.crashed,
         verdict.broken.len()
     );
     for broken in &verdict.broken {
