An entry of a worker is compared with lives at its place, not with all

A new owner compared each worker in its first list with all others (same machine, same address) and with all runs that it took over: 0.8 to 2.3 s of a whole processor, several seconds of half a one, in which it wrote no entry and answered no heartbeat. Lives are kept by machine and by address now, and runs that were taken over by their worker until it is listed. It holds because what one entry costs no longer grows with the fleet or the log.

--- a/ashtiller/src/workflow/core/adopt.rs
+++ b/ashtiller/src/workflow/core/adopt.rs
@@ -1,14 +1,40 @@
 //! Runs that a new owner finds in the log.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::workflow::core::{Core, Now, share_of};
+use crate::workflow::core::{Core, Now, lives, share_of};
 use crate::workflow::fact::{Run, Task};
 use crate::workflow::job::Step;
 use crate::workflow::life::Life;
 use crate::workflow::live::{LiveRun, Reason, Stage};
 use crate::workflow::state::JobState;
 
+/// Runs of earlier owners by the life of their worker, until that is listed.
+#[derive(Debug, Default)]
+pub(super) struct Adopted(BTreeMap<Life, Vec<Run>>);
+
+impl Adopted {
+    fn add(&mut self, life: &Life, run: Run) {
+        self.0.entry(life.clone()).or_default().push(run);
+    }
+
+    /// Lives with such runs of the worker with this id.
+    pub fn find_kin(&self, id: &str) -> Vec<Life> {
+        lives::find_kin(&self.0, id)
+    }
+
+    /// Takes out the runs of a life.
+    pub fn take(&mut self, life: &Life) -> Vec<Run> {
+        self.0.remove(life).unwrap_or_default()
+    }
+
+    /// The others will never be listed.
+    pub fn clear(&mut self) {
+        self.0.clear();
+    }
+}
+
 /// A run in the log, with what is to become of it.
 struct Found {
     run: Run,
@@ -38,6 +64,7 @@
                 continue;
             };
             let (share, processors) = share_of(&mut self.interference, &step);
+            self.adopted.add(&worker, run);
             let mut live = LiveRun::new(worker, Stage::Starting, share, processors, now.at);
             live.saved = saved;
             if let Some(reason) = over {
--- a/ashtiller/src/workflow/core/lives.rs
+++ b/ashtiller/src/workflow/core/lives.rs
@@ -1,5 +1,6 @@
 //! The end of a worker's life, whatever tells of it, and the beginning of the next.
 
+use std::collections::BTreeMap;
 use std::ops::Bound;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,14 +20,18 @@
 /// Such entries that are remembered; some 300 bytes each.
 const STRANGERS_MAX: usize = 1000;
 
+/// Lives of the worker with this id among others.
+pub(super) fn find_kin<T>(lives: &BTreeMap<Life, T>, id: &str) -> Vec<Life> {
+    let from = (Bound::Included(id), Bound::Unbounded);
+    let near = lives.range::<str, _>(from).map(|(life, _)| life);
+    let near = near.take_while(|life| life.as_str().starts_with(id));
+    near.filter(|life| life.id() == id).cloned().collect()
+}
+
 impl Core {
     /// Known lives of the worker with this id.
     fn kin_of(&self, id: &str) -> Vec<Life> {
-        let from = (Bound::Included(id), Bound::Unbounded);
-        let from = self.workers.range::<str, _>(from);
-        let near = from.map(|(life, _)| life);
-        let near = near.take_while(|life| life.as_str().starts_with(id));
-        near.filter(|life| life.id() == id).cloned().collect()
+        find_kin(&self.workers, id)
     }
 
     /// Whether an entry lacks the birth that its worker has. Another writer may have put it in
@@ -45,13 +50,32 @@
 
     /// Other lives of the worker or of the machine that an entry names, or at its address.
     fn find_former_lives(&self, listed: &Listed) -> Vec<Life> {
-        let former = self.workers.values().filter(|worker| {
-            let same = listed.machine.is_some() && worker.listed.machine == listed.machine;
-            let same = same || worker.listed.address == listed.address;
-            let same = same || worker.life().is_kin(&listed.life);
-            same && *worker.life() != listed.life
-        });
-        former.map(|worker| worker.life().clone()).collect()
+        let is_there = |life: &&Life| {
+            self.workers.get(*life).is_some_and(|worker| {
+                let same = listed.machine.is_some() && worker.listed.machine == listed.machine;
+                same || worker.listed.address == listed.address
+            })
+        };
+        let there = self.places.find(listed).filter(is_there).cloned();
+        let mut former: Vec<Life> = there.chain(self.kin_of(listed.life.id())).collect();
+        former.sort_unstable();
+        former.dedup();
+        former.retain(|life| *life != listed.life);
+        former
+    }
+
+    /// Begins to know a life of a worker.
+    pub(super) fn add_worker(&mut self, worker: Worker) {
+        self.places.note(&worker.listed);
+        self.workers.insert(worker.life().clone(), worker);
+    }
+
+    /// Ceases to know a life of a worker.
+    pub(super) fn remove_worker(&mut self, life: &Life) -> Option<Worker> {
+        let worker = self.workers.remove(life)?;
+        self.places.forget(&worker.listed);
+        self.summaries.remove(life);
+        Some(worker)
     }
 
     /// Another life is listed where workers were: they are looked at. Anyone may have written
@@ -67,24 +91,17 @@
     /// Runs of an earlier owner may be on a former life of a worker that is listed, which was
     /// over before this owner heard of it. A look tells.
     pub(super) fn list_former_lives(&mut self, listed: &Listed, now: Now) {
-        let on_kin = |live: &&LiveRun| {
-            live.worker.is_kin(&listed.life) && !self.workers.contains_key(&live.worker)
-        };
-        let mut former: Vec<Life> = self
-            .runs
-            .values()
-            .filter(on_kin)
-            .map(|it| it.worker.clone())
-            .collect();
-        former.dedup();
-        for life in former {
+        for life in self.adopted.find_kin(listed.life.id()) {
+            if self.workers.contains_key(&life) {
+                continue;
+            }
             let known = Listed {
                 life: life.clone(),
                 ..listed.clone()
             };
             let mut worker = Worker::new(known, self.first_bound());
             worker.absent = Some(now.at);
-            self.workers.insert(life.clone(), worker);
+            self.add_worker(worker);
             self.seat_adopted(&life);
         }
     }
@@ -133,7 +150,7 @@
             let mut fresh = Worker::new(listed, self.answered_bound(now));
             // It gets nothing before its own entry says what it has.
             fresh.absent = Some(now.at);
-            self.workers.insert(next.clone(), fresh);
+            self.add_worker(fresh);
         }
         self.note_stranger(life, now);
         self.succeed(life, &next, now);
@@ -196,10 +213,9 @@
         } else {
             self.note_crash(former, now)
         };
-        let Some(mut old) = self.workers.remove(former) else {
+        let Some(mut old) = self.remove_worker(former) else {
             return;
         };
-        self.summaries.remove(former);
         if !learned {
             self.counts.restarts += 1;
             tracing::warn!(
@@ -216,11 +232,12 @@
             );
         }
         let bound = self.answered_bound(now);
-        let worker = self
-            .workers
-            .entry(next.clone())
-            .or_insert_with(|| Worker::new(old.listed.clone(), bound));
-        worker.succeed(&mut old, self.terms.hold);
+        if !self.workers.contains_key(next) {
+            self.add_worker(Worker::new(old.listed.clone(), bound));
+        }
+        if let Some(worker) = self.workers.get_mut(next) {
+            worker.succeed(&mut old, self.terms.hold);
+        }
         for run in lost {
             self.end_run(run, End::Lost, &Arc::from(""), now);
         }
@@ -313,7 +330,6 @@
         if let Some(task) = guilty {
             self.convict(task, now);
         }
-        self.workers.remove(life);
-        self.summaries.remove(life);
+        self.remove_worker(life);
     }
 }
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -21,6 +21,7 @@
 mod orders;
 mod pacing;
 mod place;
+mod places;
 mod plan;
 mod reports;
 mod room;
@@ -130,7 +131,11 @@
     epoch: u64,
     book: Book,
     workers: BTreeMap<Life, Worker>,
+    /// Where lives of workers were seen.
+    places: places::Places,
     runs: BTreeMap<Run, LiveRun>,
+    /// Runs of earlier owners whose workers were not listed yet.
+    adopted: adopt::Adopted,
     config: Arc<Config>,
     arrivals: Vec<(Job, Vec<Ticket>)>,
     pending: Vec<Fact>,
@@ -201,7 +206,9 @@
             epoch,
             book,
             workers: BTreeMap::new(),
+            places: places::Places::default(),
             runs: BTreeMap::new(),
+            adopted: adopt::Adopted::default(),
             config: Arc::default(),
             arrivals: Vec::new(),
             pending: Vec::new(),
--- a/ashtiller/src/workflow/core/roster.rs
+++ b/ashtiller/src/workflow/core/roster.rs
@@ -47,6 +47,10 @@
         let draining = listed.draining;
         self.summaries.remove(&life);
         self.list_former_lives(&listed, now);
+        if let Some(known) = self.workers.get(&life) {
+            self.places.forget(&known.listed);
+        }
+        self.places.note(&listed);
         let worker = self.workers.entry(life.clone()).or_insert_with(|| {
             tracing::info!(worker = %life, service = %listed.service, address = %listed.address, "worker listed");
             Worker::new(listed.clone(), bound)
@@ -112,18 +116,10 @@
 
     /// Counts the runs of earlier owners in a worker's room.
     pub(super) fn seat_adopted(&mut self, id: &Life) {
-        let adopted: Vec<Run> = self
-            .runs
-            .iter()
-            .filter(|(_, live)| live.worker == *id)
-            .map(|(run, _)| *run)
-            .collect();
-        for run in adopted {
-            let new = self
-                .workers
-                .get(id)
-                .is_some_and(|worker| !worker.runs.contains(&run));
-            if new {
+        for run in self.adopted.take(id) {
+            let here = self.runs.get(&run).is_some_and(|live| live.worker == *id);
+            let worker = self.workers.get(id);
+            if here && worker.is_some_and(|worker| !worker.runs.contains(&run)) {
                 self.seat(run, id);
             }
         }
@@ -174,6 +170,7 @@
             .map(|(run, _)| *run)
             .collect();
         self.suspect_lost(&Life::from(""), &lost, now);
+        self.adopted.clear();
         for run in lost {
             self.end_run(run, End::Lost, &Arc::from(""), now);
         }
@@ -218,8 +215,7 @@
         });
         let gone: Vec<Life> = gone.map(|worker| worker.life().clone()).collect();
         for id in gone {
-            self.workers.remove(&id);
-            self.summaries.remove(&id);
+            self.remove_worker(&id);
         }
     }
 
