A look acknowledges ends only to a life that answers

A caller's task that was done ran again: its worker, started again under its id, forgot the end before anybody had read it. Leases were granted only to workers that answer; acknowledgements were not held back so. Now they are: one goes out once a look was answered since the last silence or doubt, and costs nothing else, since ends stay listed until then.

It holds because between that answer and the look that follows it no life can both begin and end a run; looks that are carried out late are what forgetful lives wait for.

--- a/ashtiller/src/workflow/core/looks.rs
+++ b/ashtiller/src/workflow/core/looks.rs
@@ -75,8 +75,10 @@
         } else {
             None
         };
-        // An acknowledgement that is not needed could only be taken by a later life.
-        let seen = if worker.seen > worker.told {
+        // An acknowledgement that is not needed could only be taken by a later life, and one to
+        // a worker that was silent, or whose clock lagged, may be: it would forget ends that
+        // nobody has read, and their tasks would be done again.
+        let seen = if worker.answers && worker.seen > worker.told {
             worker.seen
         } else {
             0
--- a/ashtiller/tests/workflow.rs
+++ b/ashtiller/tests/workflow.rs
@@ -198,6 +198,28 @@
     survive_restarts(false);
 }
 
+/// Plays one seed of workers that start again under their ids.
+fn survive_seed(seed: u64, births: bool) {
+    let every = 300;
+    let faults = Faults {
+        restarts: Some(Restarts { every, births }),
+        ..ROUGH
+    };
+    let world = play(seed, faults);
+    assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+    give_up(seed, &world);
+}
+
+/// Symptom: a task that was done began again. Its worker had started again under its id while a
+/// look was under way. The answer to an order told so, by a clock that lagged (1259 ms after
+/// 5435 ms), and the next look, which still named the life before, acknowledged end 4 of that
+/// life: the new one forgot four ends that nobody had read. Cause: what a look acknowledges went
+/// out also to a worker that was silent or in doubt.
+#[test]
+fn an_acknowledgement_goes_only_to_a_life_that_answers() {
+    survive_seed(1924, true);
+}
+
 #[test]
 fn a_calm_world_starts_each_task_once() {
     let calm = Faults {
