What is known of a worker's next life outlasts a second end of the life before

Tasks that were done began again: their worker had started again under its id, and got runs although a look to the life before might still acknowledge ends there; it did, 2.5 s later, and they were forgotten unread.

A test, red before.

--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -265,15 +265,17 @@
     /// Takes over from the life before, which is over, what belongs to the machine and what was
     /// sent to that life and may come here; a worker grants leases of at most `hold`.
     pub fn succeed(&mut self, former: &mut Self, hold: Duration) {
-        self.failures = former.failures;
-        self.quarantines = former.quarantines;
-        self.aside = former.aside;
-        self.shut = former.shut;
+        self.failures = self.failures.max(former.failures);
+        self.quarantines = self.quarantines.max(former.quarantines);
+        self.aside = self.aside.max(former.aside);
+        self.shut = self.shut.max(former.shut);
         if let Some(look) = former.looking {
             former.note_unanswered(&look);
         }
         self.late.append(&mut former.late);
-        self.forgetful = former.forgetful.max(former.acknowledging);
+        // An old entry may list the life before once more, of which nothing is known then.
+        let forgetful = former.forgetful.max(former.acknowledging);
+        self.forgetful = self.forgetful.max(forgetful);
         if let Some(until) = former.renewing {
             self.lease.extend(until + lease::stretch(hold));
         }
--- a/ashtiller/tests/owner/lives.rs
+++ b/ashtiller/tests/owner/lives.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use ashtiller::failure::Failure;
 use ashtiller::workflow::agents::{How, Order};
 use ashtiller::workflow::config::Listed;
+use ashtiller::workflow::core::Effect;
 use ashtiller::workflow::fact::{Fact, Run};
 use ashtiller::workflow::lease::Lease;
 use ashtiller::workflow::life::Life;
@@ -186,3 +188,51 @@
     assert!(!lease.is_behind(5080, 200 * MS));
     assert!(lease.is_behind(4999, 200 * MS));
 }
+
+/// Symptom: seven tasks that were done began again. Their worker had started again, and the owner
+/// knew that a look to the life before could still acknowledge ends; then an old entry listed that
+/// life once more, and its second end (`worker has started again`, `lost=0`) wiped this knowledge
+/// out: the worker got runs at once, and forgot their ends unread 2.5 s later.
+#[test]
+fn an_old_entry_wipes_out_nothing_that_is_known_of_the_next_life() {
+    let (mut driver, life, run) = begin();
+    driver.core.list_all(vec![born(0, 1000)], driver.now);
+    driver.end(&life, run, How::Done, 7);
+    let mut lost = false;
+    for _ in 0..200 {
+        driver.now.at += 5 * MS;
+        driver.core.note_listing(driver.now.at);
+        for effect in driver.core.poll(driver.now) {
+            match effect {
+                Effect::Look(target, look) if look.seen > 0 => {
+                    let nothing = Failure::unknown("look", &target.life, "no answer in time");
+                    driver
+                        .core
+                        .take_look(&target.life, Err(nothing), driver.now);
+                    lost = true;
+                }
+                other => driver.carry_out(other),
+            }
+        }
+        if lost {
+            break;
+        }
+    }
+    assert!(lost, "an acknowledgement was not answered");
+    let next = born(0, 2000);
+    driver.reborn.insert(life, next.life.clone());
+    driver.core.list_worker(next.clone(), driver.now);
+    driver.pass(300 * MS);
+    let old = Listed {
+        draining: true,
+        ..born(0, 1000)
+    };
+    driver.core.list_worker(old, driver.now);
+    driver.pass(300 * MS);
+    driver.core.list_worker(next.clone(), driver.now);
+    driver.submit(job("2", vec![step(1)]));
+    driver.pass(Duration::from_secs(11));
+    assert!(!driver.starts().iter().any(|(at, _)| *at == next.life));
+    driver.pass(Duration::from_secs(3));
+    assert!(driver.starts().iter().any(|(at, _)| *at == next.life));
+}
