A lease lasts longer by a worker's clock that lags

A task ran on two workers at once: the first had started again without telling a birth, carried out the start that was meant for the life before, and was then cut off. Its lease ended by its new clock, which was 0.6 s behind, and the owner reckoned with the old one. An answer with a clock that lags now moves the bound: what was granted, less that clock, at most the longest lease that a worker grants. It holds because the clock in the answer is the one that the lease ends by.

A test, red before: again after 6.3 s where the lease ends after 7.5 s.

--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -237,6 +237,9 @@
         tracing::info!(worker = %id, clock_ms = clock, last_clock_ms = worker.lease.clock(),
             "worker's clock lags");
         let behind = worker.lease.is_behind(clock, worker.ordered);
+        // What it runs may be of a life that has the lease of the one before, by a clock that
+        // began later: 0.6 s later it would be thought over and the task start elsewhere.
+        worker.lease.note_lag(clock, now.at, self.terms.hold);
         worker.answers = false;
         worker.next_look = worker.next_look.min(now.at);
         if behind && id.born().is_none() {
--- a/ashtiller/src/workflow/lease.rs
+++ b/ashtiller/src/workflow/lease.rs
@@ -16,6 +16,8 @@
 pub struct Lease {
     stamp: Option<(u64, Duration)>,
     bound: Duration,
+    /// Latest end of a grant, on the worker's clock.
+    until: u64,
 }
 
 /// Time on this clock within which a worker's clock has certainly gone on by `span`.
@@ -28,7 +30,11 @@
     /// A lease of which only a bound is known: earlier owners' grants end by then.
     #[must_use]
     pub fn new(bound: Duration) -> Self {
-        Self { stamp: None, bound }
+        Self {
+            stamp: None,
+            bound,
+            until: 0,
+        }
     }
 
     /// Time by which every grant made so far has ended.
@@ -88,6 +94,15 @@
         let (clock, at) = self.stamp?;
         let since = now.saturating_sub(at) + length;
         self.bound = self.bound.max(at + stretch(since));
-        Some(clock.saturating_add(u64::try_from(since.as_millis()).unwrap_or(u64::MAX)))
+        let until = clock.saturating_add(u64::try_from(since.as_millis()).unwrap_or(u64::MAX));
+        self.until = self.until.max(until);
+        Some(until)
+    }
+
+    /// A clock that lags was heard: by it, grants made so far end later than the worker's own
+    /// clock said, at most `longest` from now.
+    pub fn note_lag(&mut self, clock: u64, now: Duration, longest: Duration) {
+        let left = Duration::from_millis(self.until.saturating_sub(clock));
+        self.extend(now + stretch(left.min(longest)));
     }
 }
--- a/ashtiller/tests/owner/lives.rs
+++ b/ashtiller/tests/owner/lives.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ashtiller::failure::Failure;
-use ashtiller::workflow::agents::{How, Order};
+use ashtiller::workflow::agents::{How, Order, Said};
 use ashtiller::workflow::config::Listed;
 use ashtiller::workflow::core::Effect;
 use ashtiller::workflow::fact::{Fact, Run};
@@ -236,3 +236,45 @@
     driver.pass(Duration::from_secs(3));
     assert!(driver.starts().iter().any(|(at, _)| *at == next.life));
 }
+
+/// Symptom: a task ran on two workers at once. One had started again without a birth, and the
+/// order to start it, meant for the life before, was carried out: its answer told a clock that
+/// lagged (1569 ms where 1320 ms had been heard 1.3 s earlier). By that clock the lease ended
+/// later than the owner reckoned, and the worker was cut off until then.
+#[test]
+fn a_lease_lasts_longer_by_a_clock_that_lags() {
+    let mut driver = Driver::new(2, policy());
+    driver.patient = true;
+    driver.pass(300 * MS);
+    let heard = driver.clock();
+    driver.pass(1500 * MS);
+    driver.submit(job("1", vec![step(1)]));
+    let mut started: Option<(Life, Duration)> = None;
+    for _ in 0..2000 {
+        driver.now.at += 5 * MS;
+        driver.core.note_listing(driver.now.at);
+        for effect in driver.core.poll(driver.now) {
+            match (effect, &started) {
+                (Effect::Order(target, run, order @ Order::Start(_)), None) => {
+                    let said = Ok(Said::Done(heard));
+                    driver
+                        .core
+                        .take_answer(&target.life, run, &order, said, driver.now);
+                    started = Some((target.life, driver.now.at));
+                }
+                (Effect::Look(target, _), Some((life, _))) if target.life == *life => {
+                    let nothing = Failure::unknown("look", life, "no answer in time");
+                    driver.core.take_look(life, Err(nothing), driver.now);
+                }
+                (other, _) => driver.carry_out(other),
+            }
+        }
+        if !driver.starts().is_empty() {
+            break;
+        }
+    }
+    let (_, at) = started.expect("a start");
+    let elsewhere = driver.now.at.saturating_sub(at);
+    // 6 s of lease, and 1.5 s by which its clock was behind.
+    assert!(elsewhere > 7400 * MS, "again after {elsewhere:?}");
+}
