--- a/ashtiller/src/base/failure.rs
+++ b/ashtiller/src/base/failure.rs
@@ -43,6 +43,12 @@
         self.cause.contains("in time")
     }
 
+    /// Whether nobody listens at the peer's address: its process has ended.
+    #[must_use]
+    pub fn is_refusal(&self) -> bool {
+        self.cause.contains("refused")
+    }
+
     fn new(
         step: &'static str,
         peer: impl fmt::Display,
--- a/ashtiller/src/workflow/campaign.rs
+++ b/ashtiller/src/workflow/campaign.rs
@@ -181,7 +181,7 @@
 /// A broken connection may be a reset: the next heartbeat opens another. Nobody
 /// listening means that the process has ended.
 fn judge(failure: &Failure, sight: Option<Sight>) -> Option<Loss> {
-    if failure.cause.contains("refused") {
+    if failure.is_refusal() {
         return Some(Loss::Ended);
     }
     let silent = failure.is_silence() || failure.effect == Effect::None;
--- a/ashtiller/src/workflow/owner/former.rs
+++ b/ashtiller/src/workflow/owner/former.rs
@@ -55,6 +55,6 @@
     {
         Ok(Reply::Ended(ended)) => ended,
         Ok(_) => false,
-        Err(failure) => failure.cause.contains("refused"),
+        Err(failure) => failure.is_refusal(),
     }
 }
