Sight: workers that have room for a lasting task that waits, and may not get it

Callers' lasting tasks were away for 10 s, and whether a worker that is shut had room for them could not be told.

--- a/ashtiller/src/workflow/core/gate.rs
+++ b/ashtiller/src/workflow/core/gate.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+use crate::resources::Resources;
 use crate::workflow::core::{Core, Now};
 use crate::workflow::fact::Run;
 use crate::workflow::worker::Worker;
@@ -112,6 +113,20 @@
         Gates(gates)
     }
 
+    /// Workers of a service that have room for a task and may not get it, by gate.
+    pub(super) fn count_shut(&self, service: &str, room: &Resources, now: Now) -> Gates {
+        let mut gates = BTreeMap::new();
+        let workers = self.workers.values();
+        let roomy = workers
+            .filter(|worker| *worker.listed.service == *service && room.fits(&worker.pool.free()));
+        for gate in roomy.map(|worker| self.gate(worker, now)) {
+            if gate != Gate::Open {
+                *gates.entry(gate).or_insert(0) += 1;
+            }
+        }
+        Gates(gates)
+    }
+
     /// Workers by gate, for metrics.
     #[must_use]
     pub fn worker_gates(&self, now: Now) -> BTreeMap<Gate, u32> {
--- a/ashtiller/src/workflow/core/waits.rs
+++ b/ashtiller/src/workflow/core/waits.rs
@@ -41,6 +41,7 @@
         tracing::info!(job = %job.job.id, number = entry.job, time = entry.time, step = entry.step,
             tasks = self.waiting_tasks(entry).len(), waited_ms = now.at.saturating_sub(since).as_millis(),
             asks = %step.room(), workers = %self.count_gates(Some(service), now), with_room = fitting.count(),
+            shut_with_room = %self.count_shut(service, &step.room(), now),
             freest = %freest.map_or_else(String::new, |it| it.free.to_string()),
             kept = self.kept_worker().unwrap_or_default(), "lasting task waits");
     }
