Lasting tasks that have waited for 4 s get room as soon as it is left

Callers' lasting tasks were away for 10 s on a full fleet, and did not run while there was room for them: a job of 27 lasting tasks was cancelled, its runs ended from 28.3 to 28.7 s, and what waited for their room began 0.1 to 0.25 s after it was free. Cause: rounds of placing are paced by what waits (0.1 ms a step, 0.2 s at most), and in a round a lasting step came after all short ones unless it was new or had had room for 1.2 s.

A lasting step that has waited for 4 s goes first where there is room, and room that a run leaves is offered to such steps with the next entry, without a round. What holds is that each entry, 30 ms apart, looks only at workers that were left since and at steps that wait for long.

A test, red before (65 ms, 60 are two entries).

--- a/ashtiller/src/workflow/core/entries.rs
+++ b/ashtiller/src/workflow/core/entries.rs
@@ -85,6 +85,7 @@
             self.planned = now.at;
             self.plan(now);
         }
+        self.refill(now);
         self.forget_ended(now);
         self.keep_lessons(now);
         if self.pending.is_empty() && since < self.terms.proof {
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -23,6 +23,7 @@
 mod place;
 mod places;
 mod plan;
+mod refill;
 mod reports;
 mod room;
 mod roster;
@@ -180,6 +181,8 @@
     /// Lasting steps that wait although there was room, by job, time and step.
     passed_over: BTreeMap<StepKey, room::PassedOver>,
     reserved: Option<room::Reserved>,
+    /// Workers whose runs have left room since the last round, while lasting steps wait.
+    freed: BTreeSet<Life>,
     /// When it was last said of a step that it waits.
     told: BTreeMap<StepKey, Duration>,
     /// When a step that is too late last went first.
@@ -244,6 +247,7 @@
             looked: now.at,
             passed_over: BTreeMap::new(),
             reserved: None,
+            freed: BTreeSet::new(),
             told: BTreeMap::new(),
             rescued: now.at,
             services: BTreeSet::new(),
--- a/ashtiller/src/workflow/core/place.rs
+++ b/ashtiller/src/workflow/core/place.rs
@@ -89,6 +89,10 @@
         if !worker.runs.remove(&run) {
             return;
         }
+        // What fills takes no processors that a lasting task could have.
+        if !step.fills() && !self.passed_over.is_empty() {
+            self.freed.insert(live.worker.clone());
+        }
         if !worker.pool.taken().fits(worker.pool.whole()) {
             // A start may have waited for the room.
             worker.wake();
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -71,6 +71,7 @@
 impl Core {
     /// Places what waits and fits.
     pub(super) fn plan(&mut self, now: Now) {
+        self.freed.clear();
         let mut waiting = self.collect_waiting(now);
         self.backlog = u32::try_from(waiting.len()).unwrap_or(u32::MAX);
         if !self.terms.switches.short_first {
@@ -120,7 +121,7 @@
         }
     }
 
-    fn plan_step(&mut self, entry: Waiting, placing: &mut Placing, now: Now) {
+    pub(super) fn plan_step(&mut self, entry: Waiting, placing: &mut Placing, now: Now) {
         let job = &self.book.jobs[&entry.job];
         let (service, spec) = (job.policy.service.clone(), job.job.clone());
         let advice = job.policy.advice.is_some();
--- /dev/null
+++ b/ashtiller/src/workflow/core/refill.rs
@@ -0,0 +1,68 @@
+//! Lasting tasks that have waited for long get the room that others leave, without a round
+//! through all that waits.
+
+use crate::workflow::core::advice::StepKey;
+use crate::workflow::core::order::{Urgency, Waiting};
+use crate::workflow::core::plan::Placing;
+use crate::workflow::core::{Core, Now};
+
+impl Core {
+    /// Gives room that runs have left since the last round to lasting tasks that go first.
+    /// Rounds come less often the more waits, 5 times a second with 2,000 steps; until the next
+    /// one, room that a lasting task could have would stand empty.
+    pub(super) fn refill(&mut self, now: Now) {
+        let freed = std::mem::take(&mut self.freed);
+        if freed.is_empty() || !self.may_start(now) {
+            return;
+        }
+        let blocked = self.collect_blocked(now).into_iter();
+        let waiting = blocked.filter_map(|key| self.find_waiting(key));
+        let mut waiting: Vec<Waiting> = waiting.collect();
+        if waiting.is_empty() {
+            return;
+        }
+        waiting.sort_unstable();
+        let mut fleet = self.build_fleet(now);
+        fleet.retain(|candidate| freed.contains(&candidate.id));
+        let mut placing = Placing {
+            trials: self.count_trials(&fleet, now),
+            fleet,
+            refused: Vec::new(),
+            reserved: None,
+            rescued: None,
+        };
+        for entry in waiting {
+            if !self.has_room(&entry, &placing.fleet) {
+                continue;
+            }
+            self.plan_step(entry, &mut placing, now);
+            if self.waiting_tasks(entry).is_empty() {
+                self.ledger.note_placed(entry.key());
+                self.told.remove(&entry.key());
+            }
+        }
+    }
+
+    /// A lasting step that waited in the last round, if tasks of it still do: by priority, then
+    /// the one for which a worker is kept, then the one that waits longest.
+    fn find_waiting(&self, key: StepKey) -> Option<Waiting> {
+        let (job, time, step) = key;
+        let state = self.book.jobs.get(&job)?;
+        let round = state.rounds.get(&time)?;
+        let waits = round.steps.get(usize::from(step))?.waiting > 0;
+        if state.outcome.is_some() || !waits {
+            return None;
+        }
+        let urgency = Urgency {
+            late: 0,
+            priority: state.policy.priority,
+            slack: self.rank_passed(key),
+        };
+        Some(Waiting {
+            urgency,
+            job,
+            time,
+            step,
+        })
+    }
+}
--- a/ashtiller/src/workflow/core/room.rs
+++ b/ashtiller/src/workflow/core/room.rs
@@ -19,7 +19,8 @@
 /// again within a tenth of a second.
 const ROOM_GAP: Duration = Duration::from_secs(1);
 
-/// Time without room after which a lasting step gets a worker to itself.
+/// Time without room after which a lasting step goes first where there is some, and gets a
+/// worker to itself. The platform asks for its start within 9 s of its last run.
 const BLOCKED: Duration = Duration::from_secs(4);
 
 /// Time between two steps that are too late to earn and go first all the same; one of
@@ -62,9 +63,14 @@
         self.since.is_some_and(|since| now >= since + PASSED_OVER)
     }
 
+    /// Whether it has waited for so long that it goes first where there is room.
+    fn is_blocked(&self, now: Duration) -> bool {
+        now >= self.began + BLOCKED
+    }
+
     /// When it was first seen to wait, if it has waited for long and there is no room.
     fn blocked(&self, now: Duration) -> Option<Duration> {
-        (self.since.is_none() && now >= self.began + BLOCKED).then_some(self.began)
+        (self.since.is_none() && self.is_blocked(now)).then_some(self.began)
     }
 }
 
@@ -78,8 +84,8 @@
 
 impl Core {
     /// A lasting step stands first when it begins to wait, and when there has been room for
-    /// it all along: what is placed before it takes that room again and again. The one that
-    /// waits longest without room, and for which a worker can be emptied, gets one to itself.
+    /// it all along, or none for long: what is placed before it takes that room again and again.
+    /// The one that waits longest without room, and for which a worker can be emptied, gets one to itself.
     pub(super) fn hasten_lasting(
         &mut self,
         waiting: &mut [Waiting],
@@ -95,7 +101,7 @@
                 .entry(entry.key())
                 .or_insert(PassedOver::new(now.at));
             passed.note(self.has_room(entry, &placing.fleet), now.at);
-            if new || passed.is_overdue(now.at) {
+            if new || passed.is_overdue(now.at) || passed.is_blocked(now.at) {
                 entry.hasten();
             }
         }
@@ -190,6 +196,24 @@
         emptying.min().map(|(_, id)| id.clone())
     }
 
+    /// Lasting steps that have waited for so long that they go first.
+    pub(super) fn collect_blocked(&self, now: Now) -> Vec<StepKey> {
+        let passed = self.passed_over.iter();
+        let blocked = passed.filter(|(_, passed)| passed.is_blocked(now.at));
+        blocked.map(|(key, _)| *key).collect()
+    }
+
+    /// Place of a lasting step among those that wait: first the one for which a worker is kept,
+    /// then by when each was first seen to wait.
+    pub(super) fn rank_passed(&self, key: StepKey) -> i64 {
+        if self.reserved.as_ref().is_some_and(|kept| kept.step == key) {
+            return i64::MIN;
+        }
+        let began = self.passed_over.get(&key).map(|passed| passed.began);
+        let began = began.unwrap_or_default().as_millis();
+        i64::try_from(began).unwrap_or(i64::MAX)
+    }
+
     /// The worker that is kept for a lasting step.
     pub(super) fn kept_worker(&self) -> Option<&str> {
         self.reserved.as_ref().map(|kept| kept.worker.as_str())
@@ -220,7 +244,7 @@
     }
 
     /// Whether some worker has room for a task of a step, and may have it.
-    fn has_room(&self, entry: &Waiting, fleet: &[Candidate]) -> bool {
+    pub(super) fn has_room(&self, entry: &Waiting, fleet: &[Candidate]) -> bool {
         let job = &self.book.jobs[&entry.job];
         let step = &job.job.steps[usize::from(entry.step)];
         let (room, spread) = (step.room(), self.spread_of(entry));
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -17,6 +17,7 @@
 mod parts;
 mod placing;
 mod pressure;
+mod refill;
 mod refusals;
 mod room;
 mod sharing;
