Relays are chosen as soon as a new owner knows its workers

Callers of 3,000 workers waited longer than need be after a take-over: the new owner opened connections to workers itself, up to 4,169 files, where a small instance has 4,100. Relays are chosen each 250 ms by how many workers are known; the first choice came just before the first list, when there were none. A choice is due at once now when the fleet has become large.

A test, red with the rule of before (the call had no count of workers then).

--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -253,8 +253,9 @@
 
     fn choose_relays(&self) {
         let calls = &self.node.calls;
-        if calls.is_due() {
-            calls.choose(self.core.workers().len(), &self.node.members());
+        let workers = self.core.workers().len();
+        if calls.is_due(workers) {
+            calls.choose(workers, &self.node.members());
         }
     }
 
--- a/ashtiller/src/workflow/relay/sender.rs
+++ b/ashtiller/src/workflow/relay/sender.rs
@@ -51,6 +51,8 @@
     own: SocketAddr,
     routes: RefCell<Routes>,
     chosen: Cell<Option<Instant>>,
+    /// Whether the fleet had enough workers for relays when they were last chosen.
+    large: Cell<bool>,
     queues: RefCell<HashMap<SocketAddr, Queue>>,
     waiting: RefCell<HashMap<u64, Waiting>>,
     next: Cell<u64>,
@@ -67,6 +69,7 @@
             own,
             routes: RefCell::default(),
             chosen: Cell::default(),
+            large: Cell::default(),
             queues: RefCell::default(),
             waiting: RefCell::default(),
             next: Cell::new(1),
@@ -74,17 +77,21 @@
         })
     }
 
-    /// Whether relays are to be chosen anew.
+    /// Whether relays are to be chosen anew for a fleet of so many workers: now and then, and at
+    /// once when it has become large. A new owner knows no workers at first; without relays when
+    /// the first list comes it opened connections of its own: 4,169 files with 3,000 workers.
     #[must_use]
-    pub fn is_due(&self) -> bool {
-        self.chosen.get().is_none_or(|at| at.elapsed() >= CHOOSE)
+    pub fn is_due(&self, workers: usize) -> bool {
+        let grown = workers >= RELAYED_MIN && !self.large.get();
+        grown || self.chosen.get().is_none_or(|at| at.elapsed() >= CHOOSE)
     }
 
     /// Chooses relays for a fleet of so many workers.
     pub fn choose(&self, workers: usize, members: &[Member]) {
         let now = Instant::now();
         self.chosen.set(Some(now));
-        let members = if workers < RELAYED_MIN { &[] } else { members };
+        self.large.set(workers >= RELAYED_MIN);
+        let members = if self.large.get() { members } else { &[] };
         self.routes.borrow_mut().choose(members, self.own, now);
     }
 
--- a/ashtiller/tests/links/relays.rs
+++ b/ashtiller/tests/links/relays.rs
@@ -314,3 +314,20 @@
         assert_eq!(scene.workers.looks.lock()[..], [target(0)]);
     });
 }
+
+/// Symptom: after a take-over an owner of 3,000 workers held 4,169 files, of 4,100 that a
+/// small instance has. Cause: relays are
+/// chosen each 250 ms by how many workers are known, and a new owner knows none before the first
+/// list, which came right after the first choice.
+#[test]
+fn relays_are_chosen_at_once_when_a_new_owner_learns_of_its_workers() {
+    play(async {
+        let scene = Scene::open(0);
+        assert!(!scene.sender.is_due(RELAYED_MIN - 1), "just chosen");
+        assert!(scene.sender.is_due(RELAYED_MIN));
+        scene.sender.choose(RELAYED_MIN, &[member()]);
+        assert!(!scene.sender.is_due(RELAYED_MIN), "just chosen");
+        assert!(scene.start(0).await.is_ok());
+        assert_eq!(scene.callers(), ["relay"]);
+    });
+}
