--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -237,8 +237,9 @@
         tracing::info!(worker = %id, clock_ms = clock, last_clock_ms = worker.lease.clock(),
             "worker's clock lags");
         let behind = worker.lease.is_behind(clock, worker.ordered);
-        // What it runs may be of a life that has the lease of the one before, by a clock that
-        // began later: 0.6 s later it would be thought over and the task start elsewhere.
+        // A life that has carried out an order for the one before holds that lease by its own
+        // clock, which began later. By the old one it would count as over while the task still
+        // runs, and the task would start elsewhere.
         worker.lease.note_lag(clock, now.at, self.terms.hold);
         worker.answers = false;
         worker.next_look = worker.next_look.min(now.at);
