--- a/ashtiller/tests/owner/refill.rs
+++ b/ashtiller/tests/owner/refill.rs
@@ -1,9 +1,9 @@
 //! Lasting tasks that had been away for 10 s were counted as lost while there was room for them:
 //! a job of 27 had been cancelled, its runs ended between 28.3 and 28.7 s, and the tasks that
 //! waited for their room began 100 to 250 ms after it was free (8 to 35 tasks in seven of
-//! thirteen plays alike, all within 0.25 s). Its owner went through all that waits each
-//! 0.1 ms for each waiting step, so with 1,000 of them 10 times a second, and what had been left
-//! since stood empty until then.
+//! thirteen plays alike; those that are named began within 0.25 s). The owner made a round of
+//! placing at most once in 0.1 ms for each waiting step, so 10 times a second with 1,000 of them,
+//! and room that was left in between stood empty until the next one.
 
 use std::time::Duration;
 
