The bound on a first list is on processor time

Cause: it read the monotonic clock, so it counted the time for which other processes had the processor.

Change: the test reads the thread's processor clock. The bound is the same 250 ms, and what it is for, the owner's own work, is what is measured.

--- a/ashtiller/tests/owner/first_list.rs
+++ b/ashtiller/tests/owner/first_list.rs
@@ -8,7 +8,7 @@
 //! log` with `looks: 160, orders: 0`.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use ashtiller::workflow::book::Book;
 use ashtiller::workflow::config::Listed;
@@ -16,6 +16,8 @@
 use ashtiller::workflow::fact::{Fact, Run, Task};
 use ashtiller::workflow::terms::Terms;
 
+use nix::time::{ClockId, clock_gettime};
+
 use crate::driver::{job, listed, policy, step};
 
 const WORKERS: u16 = 3000;
@@ -46,6 +48,12 @@
     Core::new(Terms::default(), 5, book, 1, now)
 }
 
+/// Processor time of this thread so far: what others on the machine do is not the owner's.
+fn processor_time() -> Duration {
+    let spent = clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID);
+    spent.expect("a clock of the thread").into()
+}
+
 #[test]
 fn the_first_list_of_a_large_fleet_takes_little_time() {
     let now = Now {
@@ -54,9 +62,9 @@
     };
     let mut core = take_over(now);
     let list: Vec<Listed> = (0..WORKERS).map(listed).collect();
-    let began = Instant::now();
+    let began = processor_time();
     core.list_all(list, now);
-    let took = began.elapsed();
+    let took = processor_time().saturating_sub(began);
     assert!(took < LIMIT, "{took:?}");
     let runs: usize = core.workers().values().map(|it| it.runs.len()).sum();
     assert_eq!(runs, usize::from(TASKS) * JOBS as usize);
