Evacuated availability zones get no starts

Cause: an entry by which operators evacuate a zone was decoded as nothing that concerns us.

Change: every instance follows these entries with the configuration, and as of when its reading is whole. The owner gives workers of an evacuated zone a gate of their own (evacuated), checks it again at each order, withdraws what has not begun there so that it begins elsewhere, and leaves the rest alone. Nothing of it is in the log: an owner goes by its reading, and starts nothing at all while that is too old. The bound on its age is the platform's 5 s, less 1.756 s for which a start may be under way over a relay (a message of 700 ms before it, its own, gathering) and at the worker (350 ms, more while workers are slow). The owner's watch waits for half of the rest at most. A key alone names the zone, so an entry that cannot be read holds. Calls that wait for a relay while the process was stopped are dropped, since what they were decided on may have changed.

Where the settings name no bound (evacuation in [workers]) starts wait for nothing new.

--- a/ashtiller/src/workflow/config.rs
+++ b/ashtiller/src/workflow/config.rs
@@ -125,6 +125,10 @@
     /// What cannot be read in it.
     fn operated(&self, key: &str, value: &[u8]) -> anyhow::Result<Operated>;
 
+    /// The availability zone that the operators' entry with this key evacuates, if any. It holds
+    /// whatever its value is.
+    fn evacuated(&self, key: &str) -> Option<Arc<str>>;
+
     /// Key and value by which operators are told whether a wave is over.
     fn wave_status(&self, number: u64, over: bool) -> (String, Bytes);
 }
--- a/ashtiller/src/workflow/core/dump.rs
+++ b/ashtiller/src/workflow/core/dump.rs
@@ -36,6 +36,8 @@
             "epoch": self.epoch, "durable": self.durable, "position": self.position,
             "stalled_ms": u64::try_from(self.stalled_for(now).as_millis()).unwrap_or(u64::MAX),
             "list_age_ms": u64::try_from(self.list_age(now).as_millis()).unwrap_or(u64::MAX),
+            "evacuated_zones": self.evacuated_zones().keys().map(|zone| &**zone).collect::<Vec<_>>(),
+            "evacuation_age_ms": self.evacuation_age(now).map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             "usual_delay_ms": u64::try_from(self.pressure.usual().as_millis()).unwrap_or(u64::MAX),
             "orders_under_way": self.pressure.under_way(), "orders_window": self.pressure.window(),
             "open_jobs": self.book.open().len(), "runs": self.runs.len(),
--- a/ashtiller/src/workflow/core/gate.rs
+++ b/ashtiller/src/workflow/core/gate.rs
@@ -22,6 +22,8 @@
     Forgetful,
     /// It is about to leave.
     Draining,
+    /// Its availability zone is evacuated.
+    Evacuated,
     /// It fails, stalls or is slow.
     Aside,
     /// It was put aside and has a run to show that it works again.
@@ -44,6 +46,7 @@
             Self::Silent => "silent",
             Self::Forgetful => "forgetful",
             Self::Draining => "draining",
+            Self::Evacuated => "evacuated",
             Self::Aside => "aside",
             Self::Trial => "trial",
             Self::Tried => "tried",
@@ -77,6 +80,7 @@
             () if worker.forgetful.is_some_and(|until| until > now.at) => Gate::Forgetful,
             () if worker.draining.is_some() => Gate::Draining,
             () if !self.stays(worker, now) => Gate::Unlisted,
+            () if self.is_evacuated(worker) => Gate::Evacuated,
             () if self.is_held(worker) => Gate::Held,
             () if aside => Gate::Aside,
             () if self.is_tried(worker, now) => Gate::Trial,
--- a/ashtiller/src/workflow/core/hold.rs
+++ b/ashtiller/src/workflow/core/hold.rs
@@ -1,5 +1,5 @@
-//! Starts wait while the owner's list of workers is old, as one of them may have said
-//! meanwhile that it leaves, and while its ownership is in doubt.
+//! Starts wait while the owner's list of workers or of evacuated zones is old, as one of them
+//! may have changed meanwhile, and while its ownership is in doubt.
 
 use std::time::Duration;
 
@@ -26,7 +26,7 @@
 
     /// Whether runs may start.
     pub(super) fn may_start(&self, now: Now) -> bool {
-        self.may_renew(now) && self.is_list_new(now)
+        self.may_renew(now) && self.is_list_new(now) && self.is_evacuation_known(now)
     }
 
     /// Whether a worker that said right after the list that it leaves still takes starts,
@@ -51,11 +51,12 @@
         tracing::info!(
             list_age_ms = self.list_age(now).as_millis(),
             proof_age_ms = self.proof_age(now).as_millis(),
+            evacuation_age_ms = self.evacuation_age(now).map(|age| age.as_millis()),
             held_ms = now.at.saturating_sub(since).as_millis(),
             lasting = lasting.tasks,
             short = short.tasks,
             waited_ms = lasting.longest.max(short.longest).as_millis(),
-            "starts wait: the list of workers is old, or ownership in doubt"
+            "starts wait: the list of workers or of evacuations is old, or ownership in doubt"
         );
     }
 
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod dump;
 mod entries;
+mod evacuation;
 mod fleet;
 pub mod gate;
 mod hold;
@@ -161,6 +162,8 @@
     returned: Option<Duration>,
     /// As of when the list of workers was last known to be whole.
     listed_at: Duration,
+    /// Availability zones under evacuation.
+    evacuation: evacuation::Evacuation,
     /// Since when starts wait.
     held: Option<hold::Hold>,
     effects: Vec<Effect>,
@@ -233,6 +236,7 @@
             cleared: None,
             returned: None,
             listed_at: Duration::ZERO,
+            evacuation: evacuation::Evacuation::default(),
             held: None,
             effects: Vec::new(),
             advised: BTreeMap::new(),
@@ -362,6 +366,7 @@
             self.absolve_living(now);
             self.drop_absent(now);
             self.empty_leaving(now);
+            self.withdraw_starts(now);
             self.open_rounds(now);
             self.drive_waves(now);
         }
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -142,7 +142,8 @@
         let ticket = self.runs.get(&run).and_then(|live| live.ticket.clone());
         let list_age = self.list_age(now);
         // It may have left since the run was placed, or since a start that got no answer.
-        if !self.stays(self.workers.get(id)?, now) {
+        let worker = self.workers.get(id)?;
+        if !self.stays(worker, now) || self.is_evacuated(worker) {
             return None;
         }
         match self.judge_room(run, id) {
--- a/ashtiller/src/workflow/live.rs
+++ b/ashtiller/src/workflow/live.rs
@@ -37,6 +37,8 @@
     Copied,
     /// Its worker is about to leave.
     Draining,
+    /// Its availability zone is evacuated, and it has not begun.
+    Evacuated,
     /// Its machine is to have its upkeep.
     Upkeep,
     /// It makes no progress there.
--- a/ashtiller/src/workflow/mod.rs
+++ b/ashtiller/src/workflow/mod.rs
@@ -1,6 +1,6 @@
 //! Jobs of dependent steps, run on workers by whichever entry instance owns the log.
 //!
-//! - what there is: [`job`], [`fact`], [`config`], [`terms`];
+//! - what there is: [`job`], [`fact`], [`config`], [`evacuations`], [`terms`];
 //! - what is decided: [`book`] replays facts into [`state`], [`core`] decides, [`worker`], [`life`],
 //!   [`lease`] and [`live`] are its view of the fleet, [`blame`] judges crashes of workers;
 //! - what is carried out: [`log`] writes, [`owner`] runs the state machine,
@@ -15,6 +15,7 @@
 pub mod campaign;
 pub mod config;
 pub mod core;
+pub mod evacuations;
 pub mod fact;
 pub mod follow;
 pub mod interference;
--- a/ashtiller/src/workflow/node/mod.rs
+++ b/ashtiller/src/workflow/node/mod.rs
@@ -18,6 +18,7 @@
 use crate::workflow::advisor::Advisor;
 use crate::workflow::agents::Agents;
 use crate::workflow::config::{Config, Dialect};
+use crate::workflow::evacuations::Evacuations;
 use crate::workflow::fact::{Former, Lead};
 use crate::workflow::follow;
 use crate::workflow::kv::Store;
@@ -65,6 +66,7 @@
     lead: watch::Sender<Option<Lead>>,
     config: watch::Sender<Arc<Config>>,
     waves: watch::Sender<BTreeMap<u64, Wave>>,
+    evacuations: watch::Sender<Evacuations>,
     members: RefCell<Members>,
     owner: RefCell<Option<mpsc::Sender<Asked>>>,
     patience: watch::Sender<Duration>,
@@ -121,6 +123,7 @@
             lead: watch::Sender::new(None),
             config: watch::Sender::new(Arc::default()),
             waves: watch::Sender::new(BTreeMap::new()),
+            evacuations: watch::Sender::default(),
             members: RefCell::default(),
             owner: RefCell::default(),
             patience: watch::Sender::new(follow::LONG_WAIT),
@@ -223,6 +226,12 @@
         self.waves.subscribe()
     }
 
+    /// Follows which availability zones operators evacuate.
+    #[must_use]
+    pub fn watch_evacuations(&self) -> watch::Receiver<Evacuations> {
+        self.evacuations.subscribe()
+    }
+
     /// Who owns the log, as far as is known.
     #[must_use]
     pub fn lead(&self) -> Option<Lead> {
@@ -341,7 +350,7 @@
     /// the log nobody else brings it news, so its watches wait for a short time only.
     pub fn set_owner(&self, owner: Option<mpsc::Sender<Asked>>) {
         self.patience.send_replace(match owner {
-            Some(_) => follow::short_wait(self.settings.terms.drain),
+            Some(_) => self.settings.terms.watch_wait(),
             None => follow::LONG_WAIT,
         });
         *self.owner.borrow_mut() = owner;
--- a/ashtiller/src/workflow/node/news.rs
+++ b/ashtiller/src/workflow/node/news.rs
@@ -28,6 +28,8 @@
         ));
         while let Some(seen) = seen.recv().await {
             self.note_store();
+            self.evacuations
+                .send_modify(|known| known.take(&*self.dialect, &seen));
             let items = match seen {
                 Seen::All { items, .. } => items,
                 Seen::Changes { changes, .. } => changes.into_iter().filter_map(put_of).collect(),
--- a/ashtiller/src/workflow/owner/inputs.rs
+++ b/ashtiller/src/workflow/owner/inputs.rs
@@ -4,6 +4,7 @@
 
 use crate::workflow::config::Listed;
 use crate::workflow::core::{Now, Ticket};
+use crate::workflow::evacuations::Evacuations;
 use crate::workflow::follow::Seen;
 use crate::workflow::kv::{Change, Item};
 use crate::workflow::log::Lost;
@@ -99,6 +100,13 @@
         self.core.note_listing(as_of);
     }
 
+    pub(super) fn take_evacuations(&mut self, known: &Evacuations, now: Now) {
+        if let Some(as_of) = known.as_of {
+            self.core
+                .note_evacuations(&known.zones, as_of.elapsed(), now);
+        }
+    }
+
     /// Reads a worker's entry. Others may write there too: what cannot be read names nobody,
     /// and says nothing new of a worker that is known.
     fn read_worker(&mut self, item: &Item) -> Result<Listed, Arc<str>> {
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -209,6 +209,8 @@
         self.clear_former();
         let mut waves = self.node.watch_waves();
         waves.mark_changed();
+        let mut evacuations = self.node.watch_evacuations();
+        evacuations.mark_changed();
         let mut config = self.node.watch_config();
         self.core.set_config(config.borrow_and_update().clone());
         let mut tick = time::interval(TICK);
@@ -236,6 +238,9 @@
                     self.core.set_wave(wave.clone(), now);
                 }
             }
+            if evacuations.has_changed().unwrap_or(false) {
+                self.take_evacuations(&evacuations.borrow_and_update(), now);
+            }
             self.tell_waves();
             self.choose_relays();
             for effect in self.core.poll(now) {
--- a/ashtiller/src/workflow/relay/mod.rs
+++ b/ashtiller/src/workflow/relay/mod.rs
@@ -27,6 +27,9 @@
 pub const GATHER: Duration = Duration::from_millis(6);
 /// Time limit of a message between an owner and its relay, which only takes note of it.
 pub const MESSAGE_LIMIT: Duration = Duration::from_millis(700);
+/// Longest time from a call's decision until its relay begins to make it: it waits for the
+/// message under way, and goes with the next one.
+pub const QUEUED_MAX: Duration = MESSAGE_LIMIT.saturating_mul(2).saturating_add(GATHER);
 
 /// A call to a worker.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/ashtiller/src/workflow/relay/sender.rs
+++ b/ashtiller/src/workflow/relay/sender.rs
@@ -11,12 +11,15 @@
 use tokio::task;
 use tokio::time::{self, Instant};
 
+use crate::clock::Moment;
 use crate::failure::Failure;
 use crate::workflow::agents::{Agents, Look, Looked, Order, Said, Target};
 use crate::workflow::message::{Ask, Member};
 use crate::workflow::peers::Links;
 use crate::workflow::relay::route::Routes;
-use crate::workflow::relay::{Call, GATHER, MESSAGE_LIMIT, Outcome, Parcel, Parcels, Results};
+use crate::workflow::relay::{
+    Call, GATHER, MESSAGE_LIMIT, Outcome, Parcel, Parcels, QUEUED_MAX, Results,
+};
 
 /// Workers from which on calls go over relays. With fewer, one instance's conversation takes
 /// under a tenth of a core, and the way over another only costs.
@@ -31,7 +34,8 @@
 #[derive(Default)]
 struct Queue {
     session: u64,
-    parcels: Vec<Parcel>,
+    /// Calls that wait, since when.
+    parcels: Vec<(Moment, Parcel)>,
     payloads: Vec<(Arc<str>, Arc<str>)>,
     /// Jobs whose payloads the relay has.
     known: HashSet<Arc<str>>,
@@ -211,7 +215,7 @@
                 queue.payloads.push((start.name.job.clone(), payload));
             }
         }
-        queue.parcels.push(parcel);
+        queue.parcels.push((Moment::now(), parcel));
         if std::mem::replace(&mut queue.sending, true) {
             return;
         }
@@ -246,6 +250,10 @@
     fn take_parcels(&self, relay: SocketAddr) -> Option<Parcels> {
         let mut queues = self.queues.borrow_mut();
         let queue = queues.get_mut(&relay)?;
+        // While the process was stopped, what a call was decided on may have changed.
+        queue
+            .parcels
+            .retain(|(since, _)| since.elapsed() + MESSAGE_LIMIT <= QUEUED_MAX);
         if queue.parcels.is_empty() {
             queue.sending = false;
             return None;
@@ -254,7 +262,7 @@
             owner: self.own,
             session: queue.session,
             payloads: std::mem::take(&mut queue.payloads),
-            parcels: std::mem::take(&mut queue.parcels),
+            parcels: queue.parcels.drain(..).map(|(_, parcel)| parcel).collect(),
         })
     }
 
@@ -279,7 +287,7 @@
             // Their payloads were with the session that is over.
             queue
                 .parcels
-                .retain(|parcel| !matches!(parcel.call, Call::Order(Order::Start(_))));
+                .retain(|(_, parcel)| !matches!(parcel.call, Call::Order(Order::Start(_))));
         }
     }
 
--- a/ashtiller/src/workflow/settings.rs
+++ b/ashtiller/src/workflow/settings.rs
@@ -9,7 +9,7 @@
 use crate::settings::{self, Instance};
 use crate::workflow::agents::ORDER_LIMIT;
 use crate::workflow::switches::Switches;
-use crate::workflow::terms::{LEASE_MAX, Terms};
+use crate::workflow::terms::{LEASE_MAX, START_MAX, Terms};
 
 /// Sections of a settings file.
 const SECTIONS: [&str; 5] = ["instance", "entry", "platform", "workers", "policy"];
@@ -20,6 +20,9 @@
 /// Least time for which workers go on after they were told to leave. Half of it goes to the
 /// wait of a watch on workers; a start that is ordered then has to arrive in the other half.
 const DRAIN_MIN: Duration = ORDER_LIMIT.saturating_mul(2);
+/// Least time within which an evacuated zone may get its last start. A start may be under way
+/// for [`START_MAX`]; the rest is for the age of what is known of evacuations.
+const EVACUATION_MIN: Duration = START_MAX.saturating_add(Duration::from_millis(200));
 
 /// Where an entry instance listens, and whom it knows.
 #[derive(Clone, Debug, PartialEq)]
@@ -142,6 +145,7 @@
         keep: section.duration("keep", Some(defaults.keep), SECOND..=24 * HOUR),
         far: f64::from(section.count("far_percent", Some(200), 100..=10_000)) / 100.0,
         drain: section.duration("drain", Some(defaults.drain), DRAIN_MIN..=MINUTE),
+        evacuation: section.optional_duration("evacuation", EVACUATION_MIN..=MINUTE),
         turn: section.duration("turn", Some(defaults.turn), 10 * MS..=HOUR),
         switches: read_switches(document),
         ..defaults
--- a/ashtiller/src/workflow/terms.rs
+++ b/ashtiller/src/workflow/terms.rs
@@ -2,12 +2,18 @@
 
 use std::time::Duration;
 
+use crate::workflow::agents::ORDER_LIMIT;
+use crate::workflow::follow;
+use crate::workflow::relay::QUEUED_MAX;
 use crate::workflow::switches::Switches;
 
 /// Longest lease that is of use: a service whose worker has gone without a word starts
 /// elsewhere when the lease is over, which the platform wants within some 9 s.
 pub const LEASE_MAX: Duration = Duration::from_secs(6);
 
+/// Time for which a start is under way at most while workers answer as usual.
+pub const START_MAX: Duration = QUEUED_MAX.saturating_add(ORDER_LIMIT);
+
 /// Times and limits. The platform's bounds come from the settings; what is ours is
 /// explained where [`Terms::default`] sets it.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -50,12 +56,25 @@
     pub teach: Duration,
     /// Least time for which a worker goes on after it was told to leave.
     pub drain: Duration,
+    /// Time after an availability zone's evacuation was asked for by which its workers must get
+    /// their last start; nothing where zones are not evacuated.
+    pub evacuation: Option<Duration>,
     /// Time between orders of two owners to one machine.
     pub turn: Duration,
     /// Mechanisms of the policy that are on.
     pub switches: Switches,
 }
 
+impl Terms {
+    /// Wait of one watch of the store on whose news the next start depends.
+    #[must_use]
+    pub fn watch_wait(&self) -> Duration {
+        let wait = follow::short_wait(self.drain);
+        let evacuation = self.evacuation;
+        evacuation.map_or(wait, |bound| wait.min(bound.saturating_sub(START_MAX) / 2))
+    }
+}
+
 impl Default for Terms {
     fn default() -> Self {
         Self {
@@ -87,6 +106,7 @@
             teach: Duration::from_secs(3),
             // What the platform's sheets name for both sites.
             drain: Duration::from_secs(2),
+            evacuation: None,
             turn: Duration::from_secs(4),
             switches: Switches::default(),
         }
--- a/ashtiller/tests/links/entries.rs
+++ b/ashtiller/tests/links/entries.rs
@@ -125,6 +125,22 @@
     let _ = job::read("00000000000000a1", &"jobs.example/q/".into(), bytes);
 }
 
+/// The key says it all: an entry whose value cannot be read evacuates its zone, too.
+#[test]
+fn a_key_names_the_zone_that_is_evacuated() {
+    let dialect = dialect::open();
+    let key = |rest: &str| format!("{}{rest}", dialect.operator_prefix());
+    let zone = dialect.evacuated(&key("evacuate/halle-bern"));
+    assert_eq!(zone.as_deref(), Some("halle-bern"));
+    for rest in ["evacuate/", "evacuate", "config", "wave/3", "evacuated/x"] {
+        assert_eq!(dialect.evacuated(&key(rest)), None, "{rest}");
+    }
+    for value in ["{}", "", "\u{0}not json", "[]"] {
+        let read = dialect.operated(&key("evacuate/halle-bern"), value.as_bytes());
+        assert!(read.is_ok(), "{value}");
+    }
+}
+
 #[test]
 fn entries_that_were_once_taken_the_wrong_way_are_errors() {
     for line in CORPUS.lines() {
--- a/ashtiller/tests/links/follower.rs
+++ b/ashtiller/tests/links/follower.rs
@@ -133,6 +133,10 @@
         Ok(Operated::Other)
     }
 
+    fn evacuated(&self, key: &str) -> Option<Arc<str>> {
+        key.strip_prefix("operators/evacuated/").map(Arc::from)
+    }
+
     fn wave_status(&self, number: u64, _: bool) -> (String, Bytes) {
         (format!("wave/{number}"), Bytes::new())
     }
--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -13,6 +13,7 @@
 use ashtiller::workflow::config::{Config, Listed, Queue};
 use ashtiller::workflow::core::advice::Question;
 use ashtiller::workflow::core::{Core, Effect, Now, Ticket};
+use ashtiller::workflow::evacuations::Zones;
 use ashtiller::workflow::fact::{Fact, Run};
 use ashtiller::workflow::job::{Job, Policy, Step};
 use ashtiller::workflow::life::Life;
@@ -130,6 +131,8 @@
     pub store: bool,
     /// Whether news of workers comes.
     pub news: bool,
+    /// Availability zones under evacuation; nothing while no news of that comes.
+    pub evacuated: Option<Zones>,
     /// A worker whose orders get lost.
     pub deaf: Option<Life>,
     /// Position of the entry that is not durable.
@@ -143,6 +146,11 @@
 
     /// A new owner of a log that holds these facts.
     pub fn replay(facts: &[Fact], workers: u16, policy: Policy) -> Self {
+        Self::with_terms(&Terms::default(), facts, workers, policy)
+    }
+
+    /// A new owner of such a log under these terms.
+    pub fn with_terms(terms: &Terms, facts: &[Fact], workers: u16, policy: Policy) -> Self {
         let now = Now {
             at: Duration::from_mins(10),
             wall: 1_000_000,
@@ -151,7 +159,7 @@
         for fact in facts {
             book.apply(fact, now.at);
         }
-        let mut core = Core::new(Terms::default(), 5, book, 1, now);
+        let mut core = Core::new(*terms, 5, book, 1, now);
         core.set_config(Arc::new(Config {
             version: 1,
             queues: vec![Queue {
@@ -188,6 +196,7 @@
             looks: Vec::new(),
             store: true,
             news: true,
+            evacuated: Some(Zones::new()),
             deaf: None,
             waiting: None,
         };
@@ -213,6 +222,9 @@
         if self.news {
             self.core.note_listing(self.now.at);
         }
+        if let Some(zones) = &self.evacuated {
+            self.core.note_evacuations(zones, Duration::ZERO, self.now);
+        }
         self.core.poll(self.now)
     }
 
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -4,6 +4,7 @@
 mod blame;
 mod crashes;
 mod driver;
+mod evacuation;
 mod first_list;
 mod freshness;
 mod growth;
--- a/ashtiller/tests/workflow.rs
+++ b/ashtiller/tests/workflow.rs
@@ -28,6 +28,7 @@
     store: true,
     quiet: 400,
     rooms: 0,
+    evacuations: 0,
     restarts: None,
     weak: Weakness {
         fences: false,
@@ -168,6 +169,26 @@
     assert!(given_up * 100 <= seeds() * 24, "{given_up} given up");
 }
 
+/// Availability zones are evacuated and taken back, besides all the rest; owners hear of it late
+/// or not at all for a while, and new ones begin with what their instance knew.
+#[test]
+fn evacuated_zones_get_no_starts() {
+    let faults = Faults {
+        evacuations: 500,
+        ..ROUGH
+    };
+    let mut evacuations = 0;
+    for seed in 0..seeds() {
+        let world = play(seed, faults);
+        assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+        assert_eq!(world.accepted(), 24, "seed {seed}");
+        let open = world.unfinished();
+        assert!(open.is_empty(), "seed {seed}: unfinished {open:?}");
+        evacuations += world.evacuations();
+    }
+    assert!(evacuations > seeds() * 2, "{evacuations} evacuations");
+}
+
 /// Workers start again under their ids, besides all the rest.
 fn survive_restarts(births: bool) {
     let every = 300;
@@ -230,6 +251,7 @@
         store: false,
         quiet: 0,
         rooms: 0,
+        evacuations: 0,
         restarts: None,
         weak: Weakness::default(),
     };
--- a/ashtiller/tests/world/mod.rs
+++ b/ashtiller/tests/world/mod.rs
@@ -1,6 +1,7 @@
 //! Owners, a log and workers in virtual time, with faults drawn from a seed.
 
 mod news;
+mod operators;
 #[path = "../../../platform/standin/worker.rs"]
 pub mod worker;
 
@@ -24,6 +25,7 @@
 use rand_pcg::Pcg64;
 
 use news::{Channel, News};
+use operators::{EVACUATION, Operators, Reader};
 use worker::{Weakness, Worker};
 
 const MS: Duration = Duration::from_millis(1);
@@ -66,6 +68,9 @@
     pub quiet: u32,
     /// Steps between two workers whose room shrinks, or grows again; none at 0.
     pub rooms: u32,
+    /// Steps between two availability zones that are evacuated or taken back, and between two
+    /// spells in which an owner hears nothing of that; none at 0.
+    pub evacuations: u32,
     /// Whether workers start again under their ids. With that, looks too come late.
     pub restarts: Option<Restarts>,
     /// Safeguards of workers that are switched off.
@@ -116,6 +121,9 @@
     news: News,
     /// How each owner hears of workers.
     channels: Vec<Channel>,
+    operators: Operators,
+    /// How each owner hears of evacuations.
+    readers: Vec<Reader>,
     newest: usize,
     workers: BTreeMap<Arc<str>, Worker>,
     cut: BTreeSet<Arc<str>>,
@@ -196,6 +204,8 @@
             owners: Vec::new(),
             news: News::default(),
             channels: Vec::new(),
+            operators: Operators::default(),
+            readers: Vec::new(),
             newest: 0,
             workers: BTreeMap::new(),
             cut: BTreeSet::new(),
@@ -365,8 +375,18 @@
         }
         let next = self.entries.len() as u64 + 1;
         let now = self.clock();
-        let mut core = Core::new(Terms::default(), self.epoch, book, next, now);
+        let terms = Terms {
+            evacuation: (self.faults.evacuations > 0).then_some(EVACUATION),
+            ..Terms::default()
+        };
+        let mut core = Core::new(terms, self.epoch, book, next, now);
         core.set_config(self.config.clone());
+        let age = if self.faults.evacuations > 0 {
+            self.millis(0, 10_000)
+        } else {
+            Duration::ZERO
+        };
+        self.readers.push(self.operators.open(&mut core, age, now));
         self.channels.push(self.news.list(&mut core, now));
         self.owners.push(Some(core));
         self.newest = self.owners.len() - 1;
@@ -481,6 +501,15 @@
         if self.faults.quiet > 0 && self.rng.random_range(0..self.faults.quiet) == 0 {
             self.silence();
         }
+        if self.faults.evacuations > 0 && self.rng.random_range(0..self.faults.evacuations) == 0 {
+            let zone = operators::ZONES[self.rng.random_range(0..operators::ZONES.len())];
+            self.operators.turn(zone, self.now);
+        }
+        if self.faults.evacuations > 0 && self.rng.random_range(0..self.faults.evacuations) == 0 {
+            let place = self.rng.random_range(0..self.readers.len());
+            let span = self.millis(500, 12_000);
+            self.readers[place].silent = self.now + span;
+        }
         if self.faults.rooms > 0 && self.rng.random_range(0..self.faults.rooms) == 0 {
             self.change_room();
         }
@@ -518,6 +547,10 @@
         for channel in &mut self.channels {
             channel.silent = Duration::ZERO;
         }
+        for reader in &mut self.readers {
+            reader.silent = Duration::ZERO;
+        }
+        self.operators.take_all_back(self.now);
         self.faults = Faults {
             lost: 0,
             late: 0,
@@ -526,6 +559,7 @@
             store: false,
             quiet: 0,
             rooms: 0,
+            evacuations: self.faults.evacuations,
             restarts: self.faults.restarts.map(|it| Restarts {
                 every: u32::MAX,
                 ..it
@@ -545,6 +579,7 @@
                 continue;
             };
             self.channels[place] = self.news.tell(self.channels[place], core, now);
+            self.operators.tell(self.readers[place], core, now);
             let effects = core.poll(now);
             let superseded = core.is_superseded();
             for effect in effects {
@@ -756,6 +791,12 @@
                 self.broken
                     .push(format!("{name:?} began on {id}, which drains"));
             }
+            let zone = operators::zone_of(id);
+            if prompt && self.operators.is_shut(zone, self.now) {
+                let name = &start.name;
+                self.broken
+                    .push(format!("{name:?} began on {id}, whose zone is evacuated"));
+            }
             let name = start.name.clone();
             if !meant {
                 self.crossed.insert((name.clone(), start.run), self.now);
@@ -927,6 +968,11 @@
         core.state(id)
     }
 
+    /// Zones that were evacuated.
+    pub fn evacuations(&self) -> u64 {
+        self.operators.evacuations()
+    }
+
     /// Jobs that were accepted.
     pub fn accepted(&self) -> usize {
         self.accepted.len()
@@ -956,7 +1002,7 @@
         machine: Some(machine.clone()),
         service: "fleet".into(),
         address: ([10, 0, 0, 1], 1 + number).into(),
-        zone: "bern".into(),
+        zone: operators::zone_of(life.id()).into(),
         capacity,
         labels: ["a".into()].into(),
         draining: false,
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -25,6 +25,8 @@
 const CALL: Duration = Duration::from_millis(200);
 /// Time after the store took a worker's word that it leaves until no start may come.
 const DRAIN: Duration = Duration::from_secs(2);
+/// Time after the store took an evacuation until no start may come.
+const EVACUATE: Duration = Duration::from_secs(5);
 /// Time after the store took a configuration until it is in force everywhere.
 const APPLY: Duration = Duration::from_secs(2);
 /// Where the entries keep who owns the log.
@@ -38,6 +40,8 @@
     pub link: Proxy,
     /// When the store took its word that it is about to leave.
     pub drained: Option<Duration>,
+    /// Its availability zone.
+    pub zone: &'static str,
 }
 
 /// The workers by machine.
@@ -58,7 +62,8 @@
     pub broken: Vec<String>,
     /// Entries by the fence that they had as owners of the log.
     owners: BTreeMap<u64, usize>,
-    /// Runs that were found to have begun too late on a worker that leaves.
+    /// Runs that were found to have begun too late on a worker that leaves, or in a zone that
+    /// is evacuated.
     late: BTreeSet<(Name, u32)>,
 }
 
@@ -99,6 +104,8 @@
     pub touch: Arc<Mutex<Touch>>,
     /// When the store took each configuration; the first has version 1.
     pub configs: Arc<Mutex<Vec<Duration>>>,
+    /// Availability zones under evacuation, and since when.
+    pub evacuated: Arc<Mutex<BTreeMap<&'static str, Duration>>>,
 }
 
 /// The prefix of the queue that came with a configuration.
@@ -164,6 +171,7 @@
             }
             drop(worker);
             self.check_drain(member, &mut seen);
+            self.check_evacuation(member, &mut seen);
         }
     }
 
@@ -190,6 +198,30 @@
         }
     }
 
+    /// A worker in an evacuated zone gets nothing of an entry in touch beyond the bound.
+    fn check_evacuation(&self, member: &Member, seen: &mut Seen) {
+        let Some(since) = self.evacuated.lock().get(member.zone).copied() else {
+            return;
+        };
+        let worker = member.agent.worker.lock();
+        for (key, run) in &worker.runs {
+            let Some(owner) = seen.owners.get(&run.fence).copied() else {
+                continue;
+            };
+            let late = run.began > since + EVACUATE + SLACK;
+            if late && self.touch.lock().holds(owner, run.began) && seen.late.insert(key.clone()) {
+                seen.broken.push(format!(
+                    "entry {owner} started {:?} on {} at {:.3}, whose zone {} was evacuated at {:.3}",
+                    key.0,
+                    worker.life,
+                    run.began.as_secs_f64(),
+                    member.zone,
+                    since.as_secs_f64(),
+                ));
+            }
+        }
+    }
+
     /// An entry in touch knows the queue of each configuration beyond the bound.
     async fn watch_config(self, entry: usize, address: SocketAddr) {
         let mut missed = 0;
--- a/soak/src/entry.rs
+++ b/soak/src/entry.rs
@@ -62,7 +62,7 @@
             "[instance]\nname = entry-{number}\nregion = soak\navailability_zone = bern\n\
              [entry]\nhost = {}\nclients = {}\nreadiness = {}\n\
              operators = {}\nports = {},{}\nseeds = {}\ngrace = 4s\n\
-             [platform]\nstore = {store}\n[workers]\nlease = 4s\nhorizon = 5s\n",
+             [platform]\nstore = {store}\n[workers]\nlease = 4s\nhorizon = 5s\nevacuation = 5s\n",
             own(0).ip(),
             own(0),
             own(1),
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -36,6 +36,7 @@
             time::sleep_until(begin + now).await;
             self.revive()?;
             self.shake();
+            self.evacuate();
             self.bring_back().await?;
             if others && now >= next {
                 self.play_fault().await?;
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod checks;
 pub mod client;
 pub mod entry;
+mod evacuations;
 mod faults;
 mod jobs;
 pub mod network;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -17,7 +17,8 @@
   soak run --minutes M [--seed N] ...     fresh seeds, counted up from N
   soak replay FILE                        the seeds in a file, one a line; words behind are ignored
 
---shaky: jobs crash their workers, rooms change, others write among the workers' entries
+--shaky: jobs crash their workers, rooms change, others write among the workers' entries,
+and availability zones are evacuated
 
 A seed that breaks a rule leaves its schedule, settings and logs in DIR/seed-N.";
 
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -18,11 +18,12 @@
 
 use crate::checks::{self, Checks, Fleet, Member, Seen};
 use crate::entry::{Entry, Place};
+use crate::evacuations;
 use crate::network::Network;
 use crate::proxy::Proxy;
 use crate::shaky::{Draws, Gone};
 use crate::standin::agent::{Agent, Shapes, Troubles};
-use crate::standin::store::Store;
+use crate::standin::store::{Store, zone_of};
 use crate::touch::Touch;
 
 /// Time between two questions whether the programs serve.
@@ -45,7 +46,8 @@
     pub program: PathBuf,
     /// Folder for settings, logs and the schedule.
     pub folder: PathBuf,
-    /// Whether jobs crash their workers, rooms change, and others write among the entries.
+    /// Whether jobs crash their workers, rooms change, others write among the entries, and
+    /// availability zones are evacuated.
     pub shaky: bool,
 }
 
@@ -86,6 +88,8 @@
     pub gone: Gone,
     /// What is drawn of that, if anything is.
     pub shaky: Option<Draws>,
+    /// What is drawn of evacuations, if anything is.
+    pub evacuations: Option<evacuations::Draws>,
     lives: usize,
     schedule: Vec<String>,
 }
@@ -161,6 +165,7 @@
             seen: Arc::default(),
             touch: Arc::new(Mutex::new(Touch::new(plan.entries.into()))),
             configs: Arc::default(),
+            evacuated: Arc::default(),
         };
         let mut world = Self {
             network,
@@ -171,6 +176,7 @@
             troubles: Troubles::default(),
             gone: Gone::default(),
             shaky: plan.shaky.then(|| Draws::new(plan.seed)),
+            evacuations: plan.shaky.then(|| evacuations::Draws::new(plan.seed)),
             lives: 0,
             schedule: Vec::new(),
             plan,
@@ -227,6 +233,7 @@
             agent,
             link,
             drained: None,
+            zone: zone_of(number),
         };
         self.checks.fleet.lock().insert(number, member);
         Ok(())
@@ -273,6 +280,7 @@
     async fn heal(&mut self) -> anyhow::Result<()> {
         self.note("all faults end");
         self.heal_store();
+        self.take_zones_back();
         self.thaw()?;
         for number in 0..self.plan.workers {
             // Enough of them have to be left for what is open.
