Steps that fill are selective about workers while they begin to wait

Fills go to the best worker at once, however little headroom its services have.

Change: the share of headroom that a service keeps when a fill is placed beside it falls from 0.5 to the 0.2 of before within the first second in which the step waits. So a step waits for a better worker while there may be one, and no longer than a second. A switch, select_workers, turns it off.

Tests: selective.rs.

--- a/ashtiller/src/workflow/core/fleet.rs
+++ b/ashtiller/src/workflow/core/fleet.rs
@@ -17,10 +17,9 @@
 use crate::workflow::worker::Worker;
 
 /// Share of the room between its usual headroom and its target that a service should
-/// keep when a fill is placed beside it, since loads rise within seconds. Means over seeds:
-/// 0.768, 0.771 and 0.772 of all worth at 0.15, 0.2 and 0.25 on three deployments, 0.474,
-/// 0.482 and 0.453 where loads are high.
-const GOAL: f64 = 0.2;
+/// keep when a fill is placed beside it, since loads rise within seconds: at least, and for
+/// a fill that has just begun to wait.
+const GOAL: [f64; 2] = [0.2, 0.5];
 /// Cost of headroom below that, as a share of the usual, in units of a run's slowdown: a
 /// service over its target loses four times what it earns.
 const HARM_COST: f64 = 10.6;
@@ -129,6 +128,8 @@
     pub barred: Option<Life>,
     /// Whether workers crashed under the task.
     pub suspect: bool,
+    /// How selective a run that fills is about services beside it, from 0 to 1.
+    pub selective: f64,
 }
 
 impl Core {
@@ -316,7 +317,9 @@
             .plus(&wish.room)
             .share_of(&self.whole);
         match wish.share {
-            Share::Fills(image) => cost += self.fill_cost(image, asked(wish.step), known, on),
+            Share::Fills(image) => {
+                cost += self.fill_cost(image, asked(wish.step), wish.selective, known, on);
+            }
             // Services of one image on a worker bear the same fills; full workers leave
             // others free.
             Share::Serves(image, _) => {
@@ -340,7 +343,14 @@
 
     /// What a run that fills would add to the services here, beyond what they can bear,
     /// and how little it would get.
-    fn fill_cost(&self, image: Image, asked: f64, known: &Interference, on: Switches) -> f64 {
+    fn fill_cost(
+        &self,
+        image: Image,
+        asked: f64,
+        selective: f64,
+        known: &Interference,
+        on: Switches,
+    ) -> f64 {
         let share = asked / self.processors();
         let unused = (self.processors() - self.busy).max(self.processors() * UNUSED_MIN);
         let crowd = (self.filled + asked) / unused;
@@ -348,7 +358,12 @@
         if on.bound_fills && crowd > CROWD_MAX && self.filling > 0 {
             return f64::INFINITY;
         }
-        let goal = if on.keep_headroom { GOAL } else { 0.0 };
+        let [least, first] = GOAL;
+        let goal = if on.keep_headroom {
+            least + (first - least) * selective
+        } else {
+            0.0
+        };
         let mut harm = 0.0;
         for (serves, spare) in &self.serving {
             let takes = known.factor(*serves, image) * share;
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -29,6 +29,7 @@
 mod room;
 mod roster;
 mod runs;
+mod selective;
 pub mod times;
 pub mod upkeep;
 pub mod waits;
--- a/ashtiller/src/workflow/core/moves.rs
+++ b/ashtiller/src/workflow/core/moves.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::workflow::core::fleet::{self, Wish};
-use crate::workflow::core::plan::Placing;
+use crate::workflow::core::plan::{Demand, Placing};
 use crate::workflow::core::{Core, Now, share_of};
 use crate::workflow::fact::{Run, Task};
 use crate::workflow::live::{Reason, Stop};
@@ -64,6 +64,7 @@
             advised: None,
             barred: None,
             suspect: false,
+            selective: 0.0,
         };
         let Some(place) = self.choose(&placing.fleet, &wish) else {
             return;
@@ -89,7 +90,7 @@
     }
 
     /// Stops a run that stands still when there is a worker where it would go on.
-    pub(super) fn consider_move(&mut self, run: Run, placing: &mut Placing) {
+    pub(super) fn consider_move(&mut self, run: Run, placing: &mut Placing, now: Now) {
         let Some((job, state)) = self.book.task(run.task) else {
             return;
         };
@@ -104,6 +105,16 @@
         if !step.checkpoints && live.percent > LOSS_MAX {
             return;
         }
+        let selective = self.selectivity((run.task.job, run.task.time, run.task.step), now);
+        let demand = Demand {
+            service: service.clone(),
+            share: live.share,
+            room: step.room(),
+            selective,
+        };
+        if placing.is_hopeless(&demand) {
+            return;
+        }
         let wish = Wish {
             service: &service,
             step,
@@ -114,14 +125,10 @@
             advised: None,
             barred: None,
             suspect: false,
+            selective,
         };
-        if placing.is_hopeless(&service, live.share, &wish.room) {
-            return;
-        }
         let Some(place) = self.choose(&placing.fleet, &wish) else {
-            placing
-                .refused
-                .push((service.clone(), live.share, wish.room));
+            placing.refuse(demand);
             return;
         };
         if placing.fleet[place].id == live.worker {
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -13,11 +13,31 @@
 use crate::workflow::life::Life;
 use crate::workflow::live::Share;
 
+/// What a task asks of a worker.
+#[derive(Clone)]
+pub(super) struct Demand {
+    pub service: Arc<str>,
+    pub share: Share,
+    pub room: Resources,
+    /// How selective it is, if it fills.
+    pub selective: f64,
+}
+
+impl Demand {
+    /// Whether this is as much as another task asks, or less.
+    fn is_within(&self, other: &Self) -> bool {
+        self.service == other.service
+            && self.share == other.share
+            && self.room.fits(&other.room)
+            && self.selective <= other.selective
+    }
+}
+
 /// One round of placing.
 pub(super) struct Placing {
     pub fleet: Vec<Candidate>,
-    /// Least rooms for which there was no worker.
-    pub refused: Vec<(Arc<str>, Share, Resources)>,
+    /// What found no worker.
+    refused: Vec<Demand>,
     /// Worker that gets no short runs until a lasting one has room there.
     pub reserved: Option<Life>,
     /// A step that is too late and goes first in this round.
@@ -27,6 +47,16 @@
 }
 
 impl Placing {
+    pub fn new(fleet: Vec<Candidate>, trials: Trials) -> Self {
+        Self {
+            fleet,
+            refused: Vec::new(),
+            reserved: None,
+            rescued: None,
+            trials,
+        }
+    }
+
     /// Takes out workers that get nothing more.
     fn close(&mut self, places: BTreeSet<usize>) {
         for place in places.into_iter().rev() {
@@ -35,10 +65,13 @@
     }
 
     /// Whether a task like this, or one that wants less, found no worker before.
-    pub fn is_hopeless(&self, service: &Arc<str>, share: Share, room: &Resources) -> bool {
-        self.refused
-            .iter()
-            .any(|(other, alike, least)| *other == *service && *alike == share && least.fits(room))
+    pub fn is_hopeless(&self, demand: &Demand) -> bool {
+        self.refused.iter().any(|refused| refused.is_within(demand))
+    }
+
+    /// Notes that no worker takes a task like this.
+    pub fn refuse(&mut self, demand: Demand) {
+        self.refused.push(demand);
     }
 }
 
@@ -92,13 +125,8 @@
             return;
         }
         let fleet = self.build_fleet(now);
-        let mut placing = Placing {
-            trials: self.count_trials(&fleet, now),
-            fleet,
-            refused: Vec::new(),
-            reserved: None,
-            rescued: None,
-        };
+        let trials = self.count_trials(&fleet, now);
+        let mut placing = Placing::new(fleet, trials);
         if self.terms.switches.room_in_time {
             self.hasten_lasting(&mut waiting, &mut placing, now);
             self.rescue_oldest(&mut waiting, &mut placing, now);
@@ -117,21 +145,36 @@
             self.place_copy(task, &mut placing, now);
         }
         for run in crowded {
-            self.consider_move(run, &mut placing);
+            self.consider_move(run, &mut placing, now);
         }
     }
 
-    pub(super) fn plan_step(&mut self, entry: Waiting, placing: &mut Placing, now: Now) {
+    fn demand_of(&mut self, entry: Waiting, now: Now) -> Demand {
         let job = &self.book.jobs[&entry.job];
         let (service, spec) = (job.policy.service.clone(), job.job.clone());
-        let advice = job.policy.advice.is_some();
-        let service = self.share_name(&service);
         let step = &spec.steps[usize::from(entry.step)];
         let (share, _) = share_of(&mut self.interference, step);
-        let room = step.room();
-        if placing.is_hopeless(&service, share, &room) {
+        Demand {
+            service: self.share_name(&service),
+            share,
+            room: step.room(),
+            selective: if step.fills() {
+                self.selectivity(entry.key(), now)
+            } else {
+                0.0
+            },
+        }
+    }
+
+    pub(super) fn plan_step(&mut self, entry: Waiting, placing: &mut Placing, now: Now) {
+        let demand = self.demand_of(entry, now);
+        if placing.is_hopeless(&demand) {
             return;
         }
+        let job = &self.book.jobs[&entry.job];
+        let spec = job.job.clone();
+        let advice = job.policy.advice.is_some();
+        let step = &spec.steps[usize::from(entry.step)];
         let tasks = self.waiting_tasks(entry);
         let Some(first) = tasks.first().copied() else {
             return;
@@ -139,10 +182,10 @@
         let tickets = advice.then(|| self.tickets(first, now));
         let rescued = placing.rescued == Some(entry.key());
         let mut wish = Wish {
-            service: &service,
+            service: &demand.service,
             step,
-            share,
-            room,
+            share: demand.share,
+            room: demand.room,
             failed_on: BTreeSet::new(),
             spread: BTreeMap::new(),
             advised: tickets.as_ref(),
@@ -151,6 +194,7 @@
                 .clone()
                 .filter(|_| !step.lasting && !step.fills() && !rescued),
             suspect: tasks.iter().any(|task| self.is_suspect(*task)),
+            selective: demand.selective,
         };
         if step.gang {
             if !self.plan_gang(&tasks, &wish, placing, now) && advice {
@@ -187,7 +231,7 @@
             debug_assert_eq!(place, self.choose(&placing.fleet, &wish));
             let Some(place) = place else {
                 if alike {
-                    placing.refused.push((service.clone(), share, room));
+                    placing.refuse(demand.clone());
                 }
                 if advice {
                     self.ask_advice(first, tasks.len() - done, &placing.fleet, &wish, now);
--- a/ashtiller/src/workflow/core/refill.rs
+++ b/ashtiller/src/workflow/core/refill.rs
@@ -24,13 +24,8 @@
         waiting.sort_unstable();
         let mut fleet = self.build_fleet(now);
         fleet.retain(|candidate| freed.contains(&candidate.id));
-        let mut placing = Placing {
-            trials: self.count_trials(&fleet, now),
-            fleet,
-            refused: Vec::new(),
-            reserved: None,
-            rescued: None,
-        };
+        let trials = self.count_trials(&fleet, now);
+        let mut placing = Placing::new(fleet, trials);
         for entry in waiting {
             if !self.has_room(&entry, &placing.fleet) {
                 continue;
--- a/ashtiller/src/workflow/settings.rs
+++ b/ashtiller/src/workflow/settings.rs
@@ -164,5 +164,6 @@
         bound_fills: section.flag("bound_fills", Some(on.bound_fills)),
         keep_headroom: section.flag("keep_headroom", Some(on.keep_headroom)),
         follow_slopes: section.flag("follow_slopes", Some(on.follow_slopes)),
+        select_workers: section.flag("select_workers", Some(on.select_workers)),
     }
 }
--- a/ashtiller/src/workflow/switches.rs
+++ b/ashtiller/src/workflow/switches.rs
@@ -24,6 +24,8 @@
     pub keep_headroom: bool,
     /// Paces follow where the load of a service goes.
     pub follow_slopes: bool,
+    /// Steps that fill are at first placed beside services with much headroom only.
+    pub select_workers: bool,
 }
 
 impl Default for Switches {
@@ -37,6 +39,7 @@
             bound_fills: true,
             keep_headroom: true,
             follow_slopes: true,
+            select_workers: true,
         }
     }
 }
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -21,6 +21,7 @@
 mod refill;
 mod refusals;
 mod room;
+mod selective;
 mod sharing;
 mod shrinking;
 mod slow;
