Room for a lasting task that has waited long waits for no shared entry

Cause of a part of it: an end goes into the next entry with the run that takes the room, and entries are at least 30 ms apart so that others share them. Logging it is proof, the 30 ms are batching.

Change: while room stands empty for which a lasting task has waited 4 s, entries are 8 ms apart. The rest of the 70 ms is the entry's way to the store, two gatherings at the relay and the calls; a task could be placed before the end is told, which is not tried here.

Test: room_for_a_lasting_task_waits_for_no_shared_entry, seen red before (no start within 15 ms of the end at a store that answers at once).

--- a/ashtiller/src/workflow/core/entries.rs
+++ b/ashtiller/src/workflow/core/entries.rs
@@ -9,6 +9,9 @@
 
 /// Time after which what waits is looked at again although nothing happened.
 const REPLAN: Duration = Duration::from_millis(200);
+/// Least time between two entries while room stands empty for which a lasting task has waited
+/// for long.
+const REFILL: Duration = Duration::from_millis(8);
 /// Time between two rounds of placing for each step that waits: a round looks at all of them,
 /// and writing an entry with a round in it took an owner 14 to 20 ms with 1,000 open jobs.
 const ROUND_EACH: Duration = Duration::from_micros(100);
@@ -73,7 +76,12 @@
 
     pub(super) fn append(&mut self, now: Now) {
         let since = now.at.saturating_sub(self.appended);
-        if self.in_flight.is_some() || since < self.terms.commit {
+        let pause = if self.has_room_to_refill(now) {
+            self.terms.commit.min(REFILL)
+        } else {
+            self.terms.commit
+        };
+        if self.in_flight.is_some() || since < pause {
             return;
         }
         self.take_arrivals(now);
--- a/ashtiller/src/workflow/core/refill.rs
+++ b/ashtiller/src/workflow/core/refill.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Whether runs have left room since the last entry that a lasting task may be waiting for.
+    pub(super) fn has_room_to_refill(&self, now: Now) -> bool {
+        !self.freed.is_empty() && !self.collect_blocked(now).is_empty()
+    }
+
     /// A lasting step that waited in the last round, if tasks of it still do: by priority, then
     /// the one for which a worker is kept, then the one that waits longest.
     fn find_waiting(&self, key: StepKey) -> Option<Waiting> {
--- a/ashtiller/tests/owner/refill.rs
+++ b/ashtiller/tests/owner/refill.rs
@@ -55,3 +55,22 @@
         assert!(lasts(order), "{order:?}");
     }
 }
+
+/// A lasting task began 70 ms after there was room for it. The end had waited up to 30 ms for the
+/// next entry of the log, so that others would share it.
+#[test]
+fn room_for_a_lasting_task_waits_for_no_shared_entry() {
+    let mut driver = Driver::new(1, policy());
+    driver.submit(job("old", vec![lasting(4)]));
+    driver.pass(500 * MS);
+    driver.submit(job("new", vec![lasting(4)]));
+    driver.pass(4500 * MS);
+    for (number, moment) in (1..=4u64).zip([0, 10, 20, 30]) {
+        driver.pass(500 * MS + moment * MS);
+        let (life, run) = driver.starts()[usize::try_from(number).unwrap() - 1].clone();
+        driver.end(&life, run, How::Stopped, number);
+        let known = driver.starts().len();
+        driver.pass(15 * MS);
+        assert_eq!(driver.starts().len(), known + 1, "room left at {moment} ms");
+    }
+}
