--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -33,6 +33,10 @@
       processor time of the decisions of a log's owner, for 300, 1,000 and 3,000 workers
   bench crashes [--seeds 4] [--delay-ms 10] [--tasks 1] [--flaky 0] [--load 0.6]
       jobs whose tasks crash their workers: workers taken, and what it costs the others
+  bench compare --bench PROGRAM --folder DIR --site FILE... --day DAY... [--seed N...]
+                --variant NAME[@COMMIT][:KEY=VALUE,...]... [--jobs 4] [--charge-time]
+      plays the same days with variants of the program, each a commit with settings of
+      [policy]; a table of differences from the first, and a plot, in DIR
   bench replay [--seed N] TRACE...
       recorded traces under each placement policy, for both deployments' weights
   bench slopes
@@ -45,6 +49,7 @@
         Some("overload") => block_on(routing::run_overload(args)),
         Some("price") => block_on(price::run(args)),
         Some("idle") => block_on(price::run_idle(args)),
+        Some("compare") => bench::compare::run(args),
         Some("cells") => cells::run(args),
         Some("crashes") => crashes::run(args),
         Some("decisions") => decisions::run(args),
