--- a/ashtiller/src/workflow/core/fleet.rs
+++ b/ashtiller/src/workflow/core/fleet.rs
@@ -30,12 +30,10 @@
 /// Cost of processors that are already asked for by fills, as a share of the unused.
 const CROWD_COST: f64 = 0.1;
 /// Processors that fills may ask for on a worker, as a share of the unused ones. Beyond it
-/// all of them slow down and none ends sooner: means over seeds were lower at 0.9 and
-/// without a bound, and alike at 1.4.
+/// all of them slow down and none ends sooner.
 const CROWD_MAX: f64 = 1.2;
 /// Share of the processors that a service asked for which it leaves unused at its usual
-/// headroom, as reports without fills gave it. Mean worth over seeds 0.784, and 0.764 with
-/// their use taken as constant.
+/// headroom.
 const IDLE_SHARE: f64 = 0.53;
 /// Least share of a worker's processors that counts as unused.
 const UNUSED_MIN: f64 = 0.02;
--- a/ashtiller/src/workflow/core/moves.rs
+++ b/ashtiller/src/workflow/core/moves.rs
@@ -11,9 +11,7 @@
 use crate::workflow::live::{Reason, Stop};
 
 /// Time for which a run that fills is slowed down before it moves: one stuck task makes
-/// its whole job late. Where loads are high, batch work earned 0.75 and 0.93 of its worth
-/// with moves and 0.68 and 0.86 without (means over two seeds of a calm day on two
-/// deployments); elsewhere the gain was within noise.
+/// its whole job late.
 const CROWDED: Duration = Duration::from_millis(400);
 
 /// Progress up to which a run that keeps no checkpoints moves, in percent.
--- a/ashtiller/src/workflow/core/pacing.rs
+++ b/ashtiller/src/workflow/core/pacing.rs
@@ -14,8 +14,7 @@
 /// pairs is too little.
 const KEPT_OVER: f64 = 0.55;
 /// The same of one that has not been: fills end within two seconds, and what a service
-/// loses in a moment is less than what they lose. Batch work earned 0.88 of its worth on
-/// days of faults and services 0.87, with 0 here 0.84 and 0.89 (means over seeds).
+/// loses in a moment is less than what they lose.
 const KEPT_FIRST: f64 = -0.3;
 /// Time over the target after which the former holds: two reports, and the lag of both.
 const OVER_SOON: Duration = Duration::from_millis(900);
@@ -23,7 +22,7 @@
 /// allows 4 s, of which a report may take 0.5 s and an unanswered order 1 s.
 const STILL_AFTER: Duration = Duration::from_millis(1800);
 /// Seconds by which paces look ahead: half of what a report averages, and the time
-/// until an order works. Means over seeds were lower at 0.6 and 0.9.
+/// until an order works.
 const AHEAD: f64 = 0.35;
 /// Least change of a pace that is worth an order, in percent.
 const STEP: u32 = 12;
