--- a/ashtiller/tests/links/relays.rs
+++ b/ashtiller/tests/links/relays.rs
@@ -331,3 +331,23 @@
         assert_eq!(scene.callers(), ["relay"]);
     });
 }
+
+/// An owner's process was stopped for two seconds between a decision and its message to the relay.
+/// What the call was decided on may have changed meanwhile: the worker may drain, or its
+/// availability zone be evacuated. Without a limit the relay made the call.
+#[test]
+fn calls_that_waited_while_the_process_was_stopped_are_dropped() {
+    play(async {
+        let scene = Rc::new(Scene::open(RELAYED_MIN));
+        assert!(scene.start(0).await.is_ok());
+        let call = {
+            let scene = scene.clone();
+            task::spawn_local(async move { scene.start(1).await })
+        };
+        task::yield_now().await;
+        time::advance(Duration::from_secs(2)).await;
+        assert_eq!(call.await.expect("a call"), Err(Effect::Unknown));
+        time::sleep(Duration::from_secs(1)).await;
+        assert_eq!(scene.callers(), ["relay"]);
+    });
+}
