Trials of suspected tasks leave room to lasting ones that wait

Cause: the line 'lasting task waits' says shut_with_room 'tried 3' at 30.8, 35.8 and 40.8 s: three workers had room and nothing could start there, since suspected tasks were tried on them. A trial shuts its worker for 4 s at most, and the next suspect went there in the same round, at 24.3, 28.3, 32.3, 36.3 and 40.3 s on one worker and alike on the others: of lasting steps that have waited for long the older job goes first, and those of 46 suspects were older.

Ruled out by the same lines: draining, silent and gone workers (none shut with room), kept workers (one, for 4 s), the round's pace.

Change: among lasting steps that go first, one whose tasks all wait for trials comes after the others.

Test: trials_leave_room_to_tasks_that_are_not_suspected, seen red before.

--- a/ashtiller/src/workflow/core/order.rs
+++ b/ashtiller/src/workflow/core/order.rs
@@ -42,6 +42,11 @@
         self.urgency.late = 0;
         self.urgency.slack = i64::MIN;
     }
+
+    /// Puts it behind what is just as urgent.
+    pub fn yield_to_equals(&mut self) {
+        self.urgency.slack = self.urgency.slack.saturating_add(1);
+    }
 }
 
 impl Core {
--- a/ashtiller/src/workflow/core/room.rs
+++ b/ashtiller/src/workflow/core/room.rs
@@ -103,12 +103,25 @@
             passed.note(self.has_room(entry, &placing.fleet), now.at);
             if new || passed.is_overdue(now.at) || passed.is_blocked(now.at) {
                 entry.hasten();
+                // A trial shuts its worker, and the next one would follow it at once.
+                if self.waits_for_trials(entry) {
+                    entry.yield_to_equals();
+                }
             }
         }
         self.passed_over = passed_over;
         placing.reserved = self.reserve(waiting, &placing.fleet, now);
     }
 
+    /// Whether all tasks of a step that wait are to be tried apart from others.
+    fn waits_for_trials(&self, entry: &Waiting) -> bool {
+        !self.book.suspects().is_empty()
+            && self
+                .waiting_tasks(*entry)
+                .iter()
+                .all(|task| self.is_strong(*task))
+    }
+
     /// Keeps a worker for the lasting step that has waited longest without room.
     fn reserve(&mut self, waiting: &mut [Waiting], fleet: &[Candidate], now: Now) -> Option<Life> {
         if let Some(kept) = self.reserved.take()
--- a/ashtiller/tests/owner/crashes.rs
+++ b/ashtiller/tests/owner/crashes.rs
@@ -12,8 +12,9 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use ashtiller::workflow::blame::Victim;
 use ashtiller::workflow::config::Listed;
-use ashtiller::workflow::fact::{Fact, Outcome, Run};
+use ashtiller::workflow::fact::{End, Fact, Outcome, Run, Task};
 use ashtiller::workflow::job::{Job, Step};
 use ashtiller::workflow::life::Life;
 use ashtiller::workflow::message::{Reply, State};
@@ -174,3 +175,58 @@
         .collect();
     assert!(lost.is_empty(), "given up: {lost:?}");
 }
+
+/// Symptom: on a full fleet a lasting task that had failed did not run for 14 s, with room for it
+/// on three workers.
+///
+/// What happened: 46 lasting tasks were suspected of crashing workers. Each was tried on one of
+/// these workers, on which nothing else starts for 4 s, and in the round in which that was over
+/// the next one went there: at 24.3, 28.3, 32.3, 36.3 and 40.3 s on one worker, alike on two others.
+///
+/// Cause: lasting steps that have waited for long go first, the older job before the newer, so the
+/// suspects of older jobs stood before the task. The line `lasting task waits` had
+/// `"shut_with_room":"tried 3"` at 30.8, 35.8 and 40.8 s.
+#[test]
+fn trials_leave_room_to_tasks_that_are_not_suspected() {
+    let lasting = |count| Step {
+        lasting: true,
+        ..step(count)
+    };
+    let task = |index| Task {
+        job: 0,
+        time: 0,
+        step: 0,
+        index,
+    };
+    let runs = [0, 1, 2].map(|index| Run {
+        task: task(index),
+        number: 1,
+    });
+    let victims = runs.map(|run| Victim {
+        run,
+        age: 8000,
+        weight: 2,
+        begun: true,
+    });
+    let accepted = Fact::Accepted(
+        Box::new(job("suspects", vec![lasting(3)])),
+        policy(),
+        1_000_000,
+    );
+    let mut facts = vec![accepted];
+    facts.extend(runs.map(|run| Fact::Placed(run, "w9".into(), "".into())));
+    facts.push(Fact::Crashed("w9".into(), victims.to_vec()));
+    facts.extend(runs.map(|run| Fact::Ended(run, End::Lost, "".into())));
+    let mut driver = Driver::replay(&facts, 1, policy());
+    driver.submit(job("plain", vec![lasting(1)]));
+    driver.pass(Duration::from_secs(9));
+    let starts = driver.starts();
+    let plain = starts.iter().filter(|(_, run)| run.task.job == 1).count();
+    assert_eq!(plain, 1, "{starts:?}");
+    driver.pass(Duration::from_secs(12));
+    assert_eq!(
+        driver.starts().len(),
+        4,
+        "the suspects are tried all the same"
+    );
+}
