--- a/ashtiller/tests/owner/crashes.rs
+++ b/ashtiller/tests/owner/crashes.rs
@@ -179,9 +179,9 @@
 /// Symptom: on a full fleet a lasting task that had failed did not run for 14 s, with room for it
 /// on three workers.
 ///
-/// What happened: 46 lasting tasks were suspected of crashing workers. Each was tried on one of
-/// these workers, on which nothing else starts for 4 s, and in the round in which that was over
-/// the next one went there: at 24.3, 28.3, 32.3, 36.3 and 40.3 s on one worker, alike on two others.
+/// What happened: 14 workers had crashed, and lasting tasks that ran there were suspected. They were
+/// tried one after the other on the same three workers, on which nothing else starts for 4 s each
+/// time, and in the round in which that was over the next one went there: at 24.3, 28.3, 32.3, 36.3 and 40.3 s on one worker, alike on two others.
 ///
 /// Cause: lasting steps that have waited for long go first, the older job before the newer, so the
 /// suspects of older jobs stood before the task. The line `lasting task waits` had
