--- a/ashtiller/src/workflow/log.rs
+++ b/ashtiller/src/workflow/log/mod.rs
@@ -4,6 +4,8 @@
 //! written on the condition that it still is, so a former owner writes nothing
 //! more once another has written the lead key, however late its calls arrive.
 
+mod compaction;
+
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +19,8 @@
 use crate::workflow::book::Book;
 use crate::workflow::fact::{Fact, Lead};
 use crate::workflow::kv::{Committed, Store, Txn};
-use crate::workflow::snapshot;
+
+pub use compaction::PartSize;
 
 /// Pause before a call whose outcome is unknown is made again.
 const RETRY: Duration = Duration::from_millis(120);
@@ -25,14 +28,10 @@
 const GROWTH: Duration = Duration::from_millis(650);
 /// Entries between two snapshots.
 const SNAPSHOT_EVERY: u64 = 400;
-/// Bytes of one part of a snapshot, under the store's limit on values in base64.
-const PART: usize = 512 << 10;
 /// Digits of a position in a key.
 const POSITION_DIGITS: usize = 12;
 /// An address at which nobody listens.
 const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
-/// Keys removed by one call; the store allows 32 entries.
-const REMOVE_MAX: usize = 30;
 
 /// What the base key holds.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -109,8 +108,12 @@
         format!("{}log/{position:0POSITION_DIGITS$x}", self.prefix)
     }
 
+    fn part_prefix(&self, position: u64) -> String {
+        format!("{}snap/{position:012x}/", self.prefix)
+    }
+
     fn part_key(&self, position: u64, part: u32) -> String {
-        format!("{}snap/{position:012x}/{part:02x}", self.prefix)
+        format!("{}{part:02x}", self.part_prefix(position))
     }
 
     /// Who owns the log. A stale answer may be seconds old.
@@ -185,26 +188,6 @@
         }
     }
 
-    async fn read_snapshot(&self) -> Result<(Book, u64), Failure> {
-        let key = self.base_key();
-        let Some(item) = self.store.get(&key, false).await? else {
-            return Ok((Book::default(), 0));
-        };
-        let base: Base = postcard::from_bytes(&item.value)
-            .map_err(|error| Failure::none("decode base", &key, error))?;
-        let mut bytes = Vec::new();
-        for part in 0..base.parts {
-            let key = self.part_key(base.position, part);
-            let item = self.store.get(&key, false).await?;
-            let item =
-                item.ok_or_else(|| Failure::none("read snapshot", &key, "a part is missing"))?;
-            bytes.extend_from_slice(&item.value);
-        }
-        let book = snapshot::decode(&bytes)
-            .map_err(|error| Failure::none("decode snapshot", &key, error))?;
-        Ok((book, base.position))
-    }
-
     /// Position of the newest entry, looked for behind an earlier one.
     ///
     /// # Errors
@@ -311,66 +294,6 @@
     pub fn wants_snapshot(position: u64) -> bool {
         position.is_multiple_of(SNAPSHOT_EVERY)
     }
-
-    /// Writes a snapshot of the state after the durable entry at `position`, then
-    /// removes the entries that it replaces.
-    ///
-    /// # Errors
-    /// A step failed; the log is still whole.
-    pub async fn compact(&self, epoch: u64, position: u64, snapshot: &[u8]) -> Result<(), Failure> {
-        let mut parts = 0;
-        for chunk in snapshot.chunks(PART) {
-            let put = vec![(
-                self.part_key(position, parts),
-                Bytes::copy_from_slice(chunk),
-            )];
-            self.commit_as_owner(epoch, put, Vec::new()).await?;
-            parts += 1;
-        }
-        let former = self.store.get(&self.base_key(), false).await?;
-        let former: Option<Base> = former.and_then(|item| postcard::from_bytes(&item.value).ok());
-        let base = postcard::to_stdvec(&Base { position, parts })
-            .map_err(|error| Failure::none("encode base", self.base_key(), error))?;
-        let put = vec![(self.base_key(), Bytes::from(base))];
-        self.commit_as_owner(epoch, put, Vec::new()).await?;
-        let first = former.as_ref().map_or(1, |base| base.position + 1);
-        let mut old: Vec<String> = (first..=position).map(|at| self.entry_key(at)).collect();
-        if let Some(base) = former {
-            old.extend((0..base.parts).map(|part| self.part_key(base.position, part)));
-        }
-        for keys in old.chunks(REMOVE_MAX) {
-            self.commit_as_owner(epoch, Vec::new(), keys.to_vec())
-                .await?;
-        }
-        tracing::info!(
-            position,
-            bytes = snapshot.len(),
-            removed = old.len(),
-            "snapshot written"
-        );
-        Ok(())
-    }
-
-    async fn commit_as_owner(
-        &self,
-        epoch: u64,
-        put: Vec<(String, Bytes)>,
-        remove: Vec<String>,
-    ) -> Result<(), Failure> {
-        let txn = Txn {
-            expect: vec![(self.lead_key(), epoch)],
-            put,
-            remove,
-        };
-        match self.store.commit(&txn).await? {
-            Committed::Done(_) => Ok(()),
-            Committed::Conflict(_) => Err(Failure::none(
-                "compact log",
-                &*self.prefix,
-                "another process owns the log",
-            )),
-        }
-    }
 }
 
 /// What became of an attempt to own a log.
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -2,6 +2,7 @@
 
 mod asleep;
 mod blame;
+mod compaction;
 mod crashes;
 mod driver;
 mod evacuation;
