A change to the list of instances costs its followers that change

Cause: each member that comes, goes or loses the store made the owner send its whole list to every instance, n lists of n members, some 20 MB a change at 587 instances. Change: the owner numbers changes and sends what is newer than the follower knows; a successor goes on from the number at which it stood. An owner that stood still forgets nobody. Also: membership and take-over have a room of their own; addresses are made unique by a set.

--- a/ashtiller/src/workflow/campaign.rs
+++ b/ashtiller/src/workflow/membership/campaign.rs
@@ -1,7 +1,6 @@
 //! Who owns the log: followers hear the owner's heartbeat and replace it when it is
 //! gone. The lead key decides; what is here only says when to try.
 
-use std::cmp::Reverse;
 use std::convert::Infallible;
 use std::future;
 use std::rc::Rc;
@@ -13,7 +12,8 @@
 use crate::failure::{Effect, Failure};
 use crate::workflow::fact::{Former, Lead};
 use crate::workflow::log::{Seized, Sight};
-use crate::workflow::members::FIT_AGE;
+use crate::workflow::membership::heir;
+use crate::workflow::membership::succession;
 use crate::workflow::message::{Ask, Hello, Reply};
 use crate::workflow::node::Node;
 use crate::workflow::owner;
@@ -25,13 +25,11 @@
 /// Time after which an owner that has not answered a heartbeat is doubted: its log is
 /// looked at, so that it is known when the time limit is over whether it still writes.
 const DOUBT: Duration = Duration::from_millis(250);
-/// Time between two instances that try to own the log.
-const RANK_STEP: Duration = Duration::from_millis(150);
+/// Time between two instances that try to own a log that nobody has owned.
+const SEED_STEP: Duration = Duration::from_millis(150);
 /// Time for a new owner to learn that it is one, when answers of the store are lost
 /// or slow.
 const BEGIN: Duration = Duration::from_millis(1500);
-/// An instance is larger than another when its processors are at least this ratio.
-pub const LARGER_BY: (u64, u64) = (3, 2);
 /// Time by which instances that are smaller than the largest known one wait longer.
 const SMALL_WAIT: Duration = Duration::from_millis(500);
 /// Pause before another look for an owner.
@@ -102,7 +100,6 @@
 
 /// Heartbeats until the owner is lost.
 async fn follow(node: &Rc<Node>, lead: &Lead) -> Loss {
-    let mut members = 0;
     let mut patience = Instant::now() + BEGIN;
     loop {
         if node.lead().is_none_or(|known| known.epoch != lead.epoch) {
@@ -112,7 +109,7 @@
         let hello = Ask::Hello(Hello {
             member: node.as_member(),
             config: node.config().version,
-            members,
+            members: node.members_version(),
         });
         let (answer, sight) = greet(node, lead, &hello).await;
         match answer {
@@ -126,10 +123,9 @@
                 if let Some(config) = welcome.config {
                     node.adopt_config(&Arc::new(*config));
                 }
-                if let Some(list) = welcome.members {
-                    node.set_members(list);
+                if let Some(news) = welcome.members {
+                    node.take_members(news, welcome.list);
                 }
-                members = welcome.digest;
                 if welcome.version < node.config().version {
                     send_config(node, lead).await;
                 }
@@ -199,17 +195,14 @@
     }
 }
 
-/// Place of this instance among those that could own the log.
-fn rank(node: &Node, lead: &Lead) -> u32 {
-    let members = node.members();
-    let own = &node.settings.instance.name;
-    let fit = members
-        .iter()
-        .filter(|member| member.name != lead.name && !member.leaving && member.store_age < FIT_AGE);
-    let mine = (Reverse(node.settings.entry.processors), own.clone());
-    let before = fit.filter(|member| (Reverse(member.processors), member.name.clone()) < mine);
-    let before = before.count();
-    u32::try_from(before).unwrap_or(u32::MAX)
+/// How long this instance leaves it to others to replace an owner.
+fn wait_of(node: &Node, lead: &Lead) -> Duration {
+    let own = node.settings.entry.processors;
+    let name = &node.settings.instance.name;
+    let rank = succession::rank(own, name, &lead.name, &node.members());
+    let small = own * heir::LARGER_BY.0 < lead.largest * heir::LARGER_BY.1;
+    let least = if small { SMALL_WAIT } else { Duration::ZERO };
+    succession::delay(rank) + least
 }
 
 /// Tries to replace an owner that was lost.
@@ -219,8 +212,7 @@
         find_lead(node).await;
         return;
     }
-    let small = node.settings.entry.processors * LARGER_BY.0 < lead.largest * LARGER_BY.1;
-    let wait = RANK_STEP * rank(node, lead) + if small { SMALL_WAIT } else { Duration::ZERO };
+    let wait = wait_of(node, lead);
     let mut changed = node.watch_lead();
     if time::timeout(wait, changed.changed()).await.is_ok() {
         return;
@@ -267,8 +259,8 @@
     let peers = node.settings.entry.peers;
     let seeds = node.settings.entry.seeds.iter();
     let place = seeds.into_iter().position(|seed| seed.ip() == peers.ip());
-    let wait = place.map_or(RANK_STEP * 4, |place| {
-        RANK_STEP * u32::try_from(place).unwrap_or(0)
+    let wait = place.map_or(SEED_STEP * 4, |place| {
+        SEED_STEP * u32::try_from(place).unwrap_or(0)
     });
     let mut changed = node.watch_lead();
     if time::timeout(wait, changed.changed()).await.is_ok() {
--- a/ashtiller/src/workflow/message.rs
+++ b/ashtiller/src/workflow/message.rs
@@ -1,6 +1,5 @@
 //! What entry instances ask of each other.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -8,27 +7,9 @@
 use crate::workflow::config::Config;
 use crate::workflow::fact::{Former, Lead, Outcome};
 use crate::workflow::job::Job;
+use crate::workflow::membership::member::{Member, News, Version};
 use crate::workflow::relay::{Parcels, Results};
 
-/// One entry instance.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Member {
-    /// Name.
-    pub name: Arc<str>,
-    /// Where its peers reach it.
-    pub address: SocketAddr,
-    /// Milliseconds since it last reached the store.
-    pub store_age: u32,
-    /// Milliseconds that the store took to answer then.
-    pub store_took: u32,
-    /// Whether it is about to stop.
-    pub leaving: bool,
-    /// Processors that it has, in thousandths.
-    pub processors: u64,
-    /// Its availability zone.
-    pub zone: Arc<str>,
-}
-
 /// A heartbeat.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Hello {
@@ -36,8 +17,8 @@
     pub member: Member,
     /// Version of its configuration.
     pub config: u64,
-    /// Digest of the members that it knows.
-    pub members: u64,
+    /// As of when it knows the members.
+    pub members: Version,
 }
 
 /// A question.
@@ -81,10 +62,10 @@
     pub config: Option<Box<Config>>,
     /// Version of the answering process's configuration.
     pub version: u64,
-    /// Members, where the asker's digest differs.
-    pub members: Option<Vec<Member>>,
-    /// Digest of the members.
-    pub digest: u64,
+    /// What the asker does not know of the members.
+    pub members: Option<News>,
+    /// As of when it knows them then.
+    pub list: Version,
     /// Position of the newest durable entry, where the process owns the log.
     pub position: u64,
 }
--- a/ashtiller/src/workflow/mod.rs
+++ b/ashtiller/src/workflow/mod.rs
@@ -4,7 +4,8 @@
 //! - what is decided: [`book`] replays facts into [`state`], [`core`] decides, [`worker`], [`life`],
 //!   [`lease`] and [`live`] are its view of the fleet, [`blame`] judges crashes of workers;
 //! - what is carried out: [`log`] writes, [`owner`] runs the state machine,
-//!   [`campaign`] decides when to own, [`node`] is the process, [`peers`] asks others over [`link`];
+//!   [`membership`] says which instances there are and which one owns, [`node`] is the process,
+//!   [`peers`] asks others over [`link`];
 //! - the borders: [`kv`], [`agents`] and [`advisor`] are traits, [`follow`] reads changes as
 //!   fast as [`tempo`] allows.
 
@@ -12,7 +13,6 @@
 pub mod agents;
 pub mod blame;
 pub mod book;
-pub mod campaign;
 pub mod config;
 pub mod core;
 pub mod evacuations;
@@ -28,7 +28,7 @@
 pub mod load;
 pub mod log;
 pub mod machines;
-pub mod members;
+pub mod membership;
 pub mod message;
 pub mod metrics;
 pub mod node;
--- a/ashtiller/src/workflow/node/answer.rs
+++ b/ashtiller/src/workflow/node/answer.rs
@@ -5,8 +5,9 @@
 
 use futures_util::future::LocalBoxFuture;
 
-use crate::workflow::campaign;
 use crate::workflow::link::Answers;
+use crate::workflow::membership::campaign;
+use crate::workflow::membership::member::Version;
 use crate::workflow::message::{Ask, Hello, Reply, Welcome};
 use crate::workflow::node::Node;
 use crate::workflow::node::ask::ASK_LIMIT;
@@ -24,10 +25,10 @@
         }
         let owns = self.owns();
         // Who does not own the log knows no members to tell of.
-        let (members, digest) = if owns {
+        let (members, list) = if owns {
             self.hear_member(hello)
         } else {
-            (None, hello.members)
+            (None, Version::default())
         };
         let newer = config.version > hello.config;
         Welcome {
@@ -40,7 +41,7 @@
             version: config.version,
             config: newer.then(|| Box::new((*config).clone())),
             members,
-            digest,
+            list,
             position: self.position(),
         }
     }
--- a/ashtiller/src/workflow/node/mod.rs
+++ b/ashtiller/src/workflow/node/mod.rs
@@ -5,7 +5,7 @@
 mod news;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -25,8 +25,10 @@
 use crate::workflow::link::Tcp;
 use crate::workflow::log::Log;
 use crate::workflow::machines::{Machines, Wave};
-use crate::workflow::members::Members;
-use crate::workflow::message::{Hello, Member};
+use crate::workflow::membership::campaign;
+use crate::workflow::membership::member::{Member, News, Version};
+use crate::workflow::membership::members::Members;
+use crate::workflow::message::Hello;
 use crate::workflow::metrics::Metrics;
 use crate::workflow::owner::Asked;
 use crate::workflow::peers::Links;
@@ -139,7 +141,7 @@
     pub fn spawn(self: &Rc<Self>) {
         task::spawn_local(self.clone().follow_config());
         task::spawn_local(self.clone().probe_store());
-        task::spawn_local(crate::workflow::campaign::run(self.clone()));
+        task::spawn_local(campaign::run(self.clone()));
     }
 
     /// The configuration in force.
@@ -283,10 +285,7 @@
     /// This process as others should see it.
     #[must_use]
     pub fn as_member(&self) -> Member {
-        let age = self
-            .store_seen
-            .get()
-            .map_or(u128::MAX, |at| at.elapsed().as_millis());
+        let age = self.store_age().as_millis();
         Member {
             name: self.settings.instance.name.clone(),
             address: self.settings.entry.peers,
@@ -309,18 +308,28 @@
         self.members.borrow().iter().any(like)
     }
 
-    /// Replaces the members.
-    pub fn set_members(&self, members: Vec<Member>) {
-        self.members.borrow_mut().replace(members);
+    /// As of when the members are known.
+    #[must_use]
+    pub fn members_version(&self) -> Version {
+        self.members.borrow().version()
+    }
+
+    /// Takes what the owner tells of the members.
+    pub fn take_members(&self, news: News, version: Version) {
+        self.members.borrow_mut().take(news, version);
+    }
+
+    /// Keeps the list of members from now on, as the owner at this epoch.
+    pub fn keep_members(&self, epoch: u64) {
+        self.members.borrow_mut().begin(epoch);
     }
 
-    /// Takes note of a heartbeat; the result is the members where the sender knows others, and
-    /// their digest.
-    fn hear_member(&self, hello: &Hello) -> (Option<Vec<Member>>, u64) {
-        self.members.borrow_mut().hear(hello.member.clone());
-        let digest = self.members.borrow().digest();
-        let members = (digest != hello.members).then(|| self.members());
-        (members, digest)
+    /// Takes note of a heartbeat; the result is what the sender has missed of the members, and
+    /// as of when it knows them then.
+    fn hear_member(&self, hello: &Hello) -> (Option<News>, Version) {
+        let mut members = self.members.borrow_mut();
+        members.hear(hello.member.clone());
+        (members.news(hello.members), members.version())
     }
 
     /// Where other instances may be reached: members first, then seeds.
@@ -337,13 +346,9 @@
         let seeds = self.settings.entry.seeds.iter();
         others.extend(seeds.map(|seed| SocketAddr::new(seed.ip(), port)));
         others.retain(|address| *address != self.settings.entry.peers);
-        let mut unique = Vec::new();
-        for address in others {
-            if !unique.contains(&address) {
-                unique.push(address);
-            }
-        }
-        unique
+        let mut seen = HashSet::new();
+        others.retain(|address| seen.insert(*address));
+        others
     }
 
     /// Installs or removes the queue of questions to the own log. While this process owns
@@ -368,6 +373,13 @@
         self.patience.subscribe()
     }
 
+    /// Time since the store last answered this process.
+    #[must_use]
+    pub fn store_age(&self) -> Duration {
+        let seen = self.store_seen.get();
+        seen.map_or(Duration::MAX, |at| at.elapsed())
+    }
+
     /// The store has answered.
     pub fn note_store(&self) {
         self.store_seen.set(Some(Moment::now()));
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -75,6 +75,7 @@
     let (sender, asked) = mpsc::channel(QUEUE);
     node.set_owner(Some(sender));
     node.adopt_lead(&lead);
+    node.keep_members(lead.epoch);
     task::spawn_local(run(node.clone(), lead, asked));
 }
 
--- a/ashtiller/src/workflow/relay/route.rs
+++ b/ashtiller/src/workflow/relay/route.rs
@@ -7,7 +7,7 @@
 
 use tokio::time::Instant;
 
-use crate::workflow::message::Member;
+use crate::workflow::membership::member::Member;
 
 /// Time for which an instance that failed as a relay is not one: longer than the 2 s after
 /// which a silent member is forgotten.
--- a/ashtiller/src/workflow/relay/sender.rs
+++ b/ashtiller/src/workflow/relay/sender.rs
@@ -14,7 +14,8 @@
 use crate::clock::Moment;
 use crate::failure::Failure;
 use crate::workflow::agents::{Agents, Look, Looked, Order, Said, Target};
-use crate::workflow::message::{Ask, Member};
+use crate::workflow::membership::member::Member;
+use crate::workflow::message::Ask;
 use crate::workflow::peers::Links;
 use crate::workflow::relay::route::Routes;
 use crate::workflow::relay::{
