--- a/ashtiller/src/workflow/membership/campaign.rs
+++ b/ashtiller/src/workflow/membership/campaign.rs
@@ -30,7 +30,7 @@
 /// Time for a new owner to learn that it is one, when answers of the store are lost
 /// or slow.
 const BEGIN: Duration = Duration::from_millis(1500);
-/// Time by which instances that are smaller than the largest known one wait longer.
+/// Least wait of an instance that is smaller than the largest that the owner knew.
 const SMALL_WAIT: Duration = Duration::from_millis(500);
 /// Pause before another look for an owner.
 const PAUSE: Duration = Duration::from_millis(100);
@@ -202,7 +202,7 @@
     let rank = succession::rank(own, name, &lead.name, &node.members());
     let small = own * heir::LARGER_BY.0 < lead.largest * heir::LARGER_BY.1;
     let least = if small { SMALL_WAIT } else { Duration::ZERO };
-    succession::delay(rank) + least
+    succession::delay(rank).max(least)
 }
 
 /// Tries to replace an owner that was lost.
--- a/ashtiller/tests/membership/main.rs
+++ b/ashtiller/tests/membership/main.rs
@@ -1,6 +1,7 @@
 //! Which instances there are, and which of them owns the log, in fleets of up to 2,000.
 
 mod list;
+mod succession;
 
 use std::sync::Arc;
 
