An owner whose store answers other calls keeps the log

Symptom: on links of 2 Mbit/s five owners in 12 s, each after a replay of 1.6 to 2.4 s. Cause: an entry that waits 0.8 s counted as a lost store; it waited in a queue of the owner's own making, which each heir filled as well. The store had answered a probe meanwhile. Change: the log is handed over for a stall only if the store has answered nothing since; the decision is apart from I/O (membership/heir.rs).

--- a/ashtiller/src/workflow/membership/heir.rs
+++ b/ashtiller/src/workflow/membership/heir.rs
@@ -8,6 +8,8 @@
 /// Time without the store after which the log is handed to an instance that has it:
 /// above the slowest answers that were seen, 0.35 s.
 const HAND_OVER: Duration = Duration::from_millis(800);
+/// Answers to calls that were under way when the store was lost may come so much later.
+const LATE_ANSWER: Duration = Duration::from_millis(100);
 /// Answers of the store above this, in milliseconds, say that it is slow for all.
 const SLOW: u32 = 150;
 /// Age that a member's last heartbeat may have.
@@ -45,9 +47,12 @@
     /// Why it should hand the log over, if it should.
     #[must_use]
     pub fn reason(&self) -> Option<Reason> {
+        // If the store answers other calls, its answer to the entry waits in a queue of this
+        // owner's making, which a successor would have as well, behind a replay of the log.
+        let cut = self.store_age.saturating_add(LATE_ANSWER) >= self.stalled;
         match () {
             () if self.leaving => Some(Reason::Leaving),
-            () if self.stalled >= HAND_OVER => Some(Reason::Cut(self.stalled)),
+            () if self.stalled >= HAND_OVER && cut => Some(Reason::Cut(self.stalled)),
             () if self.calm => Some(Reason::Small),
             () => None,
         }
--- a/ashtiller/tests/membership/main.rs
+++ b/ashtiller/tests/membership/main.rs
@@ -1,5 +1,6 @@
 //! Which instances there are, and which of them owns the log, in fleets of up to 2,000.
 
+mod heir;
 mod list;
 mod succession;
 
