Crashes are looked up by moment and machine, and trials ranked once a step

Symptom: after 840 of 6,002 workers crashed at once their owner stood still for some 3 s: `suspected task is tried apart` each 10 to 14 ms, 182 times, 2,219 times `worker does not answer`, jobs refused with `stalled_ms` 556 to 800. Cause: each crash was compared with copies of all others and with all workers, and each suspect weighed all workers and, for each, all crashes: cubic in the size of the fleet.

--- /dev/null
+++ b/ashtiller/src/workflow/core/crash_record.rs
@@ -0,0 +1,112 @@
+//! Crashes of workers a moment ago: by moment, by machine, and by steps that had just begun there.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::workflow::core::advice::StepKey;
+use crate::workflow::fact::Task;
+
+/// Span within which workers that go silent count as having gone together: what is
+/// switched off at one moment is noticed within the time of one call.
+pub(super) const TOGETHER: Duration = Duration::from_millis(250);
+
+/// A crash of a worker.
+#[derive(Clone, Debug)]
+pub(super) struct Crash {
+    pub at: Duration,
+    /// Machine of the worker.
+    pub machine: Arc<str>,
+    /// Tasks that were there, until one of them is known to be to blame.
+    pub tasks: BTreeSet<Task>,
+    /// Steps of which a run had just begun.
+    pub begun: BTreeSet<StepKey>,
+    /// Whether a task was tried there, which explains it.
+    pub tried: bool,
+}
+
+/// Crashes that are remembered.
+#[derive(Debug, Default)]
+pub(super) struct CrashRecord {
+    /// By their moments, those of one moment in the order in which they were noted.
+    crashes: BTreeMap<(Duration, u64), Crash>,
+    next: u64,
+    machines: HashMap<Arc<str>, u32>,
+    /// When workers crashed on which a run of a step had just begun.
+    begun: BTreeMap<StepKey, Vec<Duration>>,
+}
+
+impl CrashRecord {
+    /// Adds a crash.
+    pub fn note(&mut self, crash: Crash) {
+        *self.machines.entry(crash.machine.clone()).or_insert(0) += 1;
+        for step in &crash.begun {
+            self.begun.entry(*step).or_default().push(crash.at);
+        }
+        self.crashes.insert((crash.at, self.next), crash);
+        self.next += 1;
+    }
+
+    /// Forgets crashes from before `limit`.
+    pub fn forget_before(&mut self, limit: Duration) {
+        let old = self.crashes.range(..(limit, 0)).map(|(key, _)| *key);
+        for key in old.collect::<Vec<_>>() {
+            self.remove(key);
+        }
+    }
+
+    /// Forgets the crashes that a task explains.
+    pub fn forget_task(&mut self, task: Task) {
+        let explained = self.crashes.iter();
+        let explained = explained.filter(|(_, crash)| crash.tasks.contains(&task));
+        for key in explained.map(|(key, _)| *key).collect::<Vec<_>>() {
+            self.remove(key);
+        }
+    }
+
+    fn remove(&mut self, key: (Duration, u64)) {
+        let Some(crash) = self.crashes.remove(&key) else {
+            return;
+        };
+        if let Some(count) = self.machines.get_mut(&crash.machine) {
+            *count -= 1;
+            if *count == 0 {
+                self.machines.remove(&crash.machine);
+            }
+        }
+        for step in &crash.begun {
+            let Some(times) = self.begun.get_mut(step) else {
+                continue;
+            };
+            if let Some(place) = times.iter().position(|at| *at == crash.at) {
+                times.swap_remove(place);
+            }
+            if times.is_empty() {
+                self.begun.remove(step);
+            }
+        }
+    }
+
+    /// Crashes of a machine.
+    pub fn count_at(&self, machine: &str) -> u32 {
+        self.machines.get(machine).copied().unwrap_or(0)
+    }
+
+    /// Crashes at about the same moment.
+    pub fn near(&self, at: Duration) -> impl Iterator<Item = &Crash> {
+        let first = at.saturating_sub(TOGETHER);
+        let near = self.crashes.range((first, 0)..=(at + TOGETHER, u64::MAX));
+        near.map(|(_, crash)| crash)
+    }
+
+    /// Crashes at about the same moment of workers on which a run of a step had just begun.
+    pub fn count_begun(&self, step: StepKey, at: Duration) -> usize {
+        let times = self.begun.get(&step).into_iter().flatten();
+        times.filter(|other| is_near(**other, at)).count()
+    }
+}
+
+/// Whether two moments lie so close that what happened then may have one cause.
+pub(super) fn is_near(one: Duration, other: Duration) -> bool {
+    one.abs_diff(other) <= TOGETHER
+}
--- a/ashtiller/src/workflow/core/fleet.rs
+++ b/ashtiller/src/workflow/core/fleet.rs
@@ -78,6 +78,13 @@
     filling: u32,
     /// Runs of tasks under which workers crashed.
     suspects: u32,
+    /// Runs there, and when the youngest of them was placed.
+    pub runs: u32,
+    pub youngest: Option<Duration>,
+    /// Crashes of its machine that no task explains.
+    pub crashes: u32,
+    /// Whether it gets nothing more in this round.
+    closed: bool,
     /// Its labels, at hand: looked up by id for each of hundreds of workers and tasks, they
     /// took half of an owner's processor time.
     labels: Arc<[Arc<str>]>,
@@ -108,6 +115,7 @@
 
 /// Workers for the tasks of one step, best first. Where one task is placed only that worker
 /// changes, so that each further task costs one worker's comparison in place of all.
+#[derive(Default)]
 pub(super) struct Choices(BinaryHeap<Choice>);
 
 /// What a task wants of its worker.
@@ -185,11 +193,16 @@
             filled: 0.0,
             filling: worker.filling,
             suspects: self.count_suspects(worker),
+            runs: u32::try_from(worker.runs.len()).unwrap_or(u32::MAX),
+            youngest: None,
+            crashes: self.count_crashes(worker),
+            closed: false,
             labels: worker.listed.labels.clone(),
         };
         let mut beside = Vec::new();
         let whole = candidate.processors();
         for live in worker.runs.iter().filter_map(|run| self.runs.get(run)) {
+            candidate.youngest = candidate.youngest.max(Some(live.placed));
             match live.share {
                 Share::Apart => candidate.busy += live.asked,
                 Share::Serves(..) => {}
@@ -239,8 +252,18 @@
 
     /// Ranks all workers for the tasks of a step.
     pub(super) fn rank_all(&self, fleet: &[Candidate], wish: &Wish<'_>) -> Choices {
-        let costs = fleet.iter().enumerate().filter_map(|(place, candidate)| {
-            let cost = self.weigh(candidate, wish)?;
+        self.rank_by(fleet, |candidate| self.weigh(candidate, wish))
+    }
+
+    /// Ranks the workers for which there is a cost.
+    pub(super) fn rank_by(
+        &self,
+        fleet: &[Candidate],
+        cost: impl Fn(&Candidate) -> Option<f64>,
+    ) -> Choices {
+        let costs = fleet.iter().enumerate();
+        let costs = costs.filter_map(|(place, candidate)| {
+            let cost = cost(candidate)?;
             Some(Choice { cost, place })
         });
         Choices(costs.collect())
@@ -291,7 +314,17 @@
 
     /// Whether a task that wants this much of a service's worker fits here.
     pub fn has_room(&self, service: &Arc<str>, room: &Resources) -> bool {
-        room.fits(&self.free) && is_same(&self.service, service)
+        !self.closed && room.fits(&self.free) && is_same(&self.service, service)
+    }
+
+    /// It gets nothing more in this round.
+    pub fn close(&mut self) {
+        self.closed = true;
+    }
+
+    /// Whether it gets nothing more in this round.
+    pub fn is_closed(&self) -> bool {
+        self.closed
     }
 
     fn processors(&self) -> f64 {
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -6,6 +6,7 @@
 
 mod adopt;
 pub mod advice;
+mod crash_record;
 mod crashes;
 mod dump;
 mod entries;
@@ -31,6 +32,7 @@
 mod runs;
 mod selective;
 pub mod times;
+mod trials;
 pub mod upkeep;
 pub mod waits;
 
@@ -199,7 +201,7 @@
     /// Entries that name a life which is not there, passed over until then.
     strangers: BTreeMap<Life, (Listed, Duration)>,
     /// Crashes of workers a moment ago.
-    crashes: Vec<crashes::Crash>,
+    crashes: crash_record::CrashRecord,
     counts: Counts,
 }
 
@@ -260,7 +262,7 @@
             ended: Vec::new(),
             taught: now.at,
             strangers: BTreeMap::new(),
-            crashes: Vec::new(),
+            crashes: crash_record::CrashRecord::default(),
             counts: Counts::default(),
         };
         core.interference.import(&core.book.lessons);
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -5,9 +5,9 @@
 
 use crate::resources::Resources;
 use crate::workflow::core::advice::StepKey;
-use crate::workflow::core::crashes::{Trial, Trials};
 use crate::workflow::core::fleet::{self, Candidate, Wish};
 use crate::workflow::core::order::Waiting;
+use crate::workflow::core::trials::{Trial, Trials};
 use crate::workflow::core::{Core, Now, share_of};
 use crate::workflow::fact::{Run, Task};
 use crate::workflow::life::Life;
@@ -215,11 +215,7 @@
             wish.failed_on = failed_on.unwrap_or_default();
             match self.try_suspect(*task, &wish, placing, now) {
                 Trial::None => {}
-                Trial::Placed => {
-                    choices = None;
-                    continue;
-                }
-                Trial::Waits => continue,
+                Trial::Placed | Trial::Waits => continue,
             }
             let usual = wish.failed_on.is_empty();
             let place = if usual {
--- a/ashtiller/src/workflow/core/room.rs
+++ b/ashtiller/src/workflow/core/room.rs
@@ -187,7 +187,7 @@
         let spread = self.spread_of(entry);
         let open = fleet
             .iter()
-            .filter(|it| it.service == job.policy.service)
+            .filter(|it| it.service == job.policy.service && !it.is_closed())
             .filter(|it| fleet::admits(it, step, &spread))
             .filter(|it| !self.is_forbidden(entry.key(), &it.id))
             .filter_map(|it| self.workers.get(&it.id));
--- a/ashtiller/src/workflow/core/runs.rs
+++ b/ashtiller/src/workflow/core/runs.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
+use crate::workflow::core::advice::StepKey;
 use crate::workflow::core::{Core, Now};
 use crate::workflow::fact::{End, Fact, Run, Task};
-use crate::workflow::live::Reason;
+use crate::workflow::live::{LiveRun, Reason};
 use crate::workflow::state::TaskState;
 
 impl Core {
@@ -26,6 +27,23 @@
         runs.map(|(run, _)| *run).collect()
     }
 
+    /// Runs of a step that may be going on.
+    pub(super) fn runs_of_step(&self, step: StepKey) -> impl Iterator<Item = (&Run, &LiveRun)> {
+        let (job, time, step) = step;
+        let first = Task {
+            job,
+            time,
+            step,
+            index: 0,
+        };
+        let last = Task {
+            index: u16::MAX,
+            ..first
+        };
+        let runs = |task, number| Run { task, number };
+        self.runs.range(runs(first, 0)..=runs(last, u32::MAX))
+    }
+
     pub(super) fn stop_job(&mut self, number: u32, reason: Reason) {
         for run in self.runs_of(number) {
             self.want_stop(run, reason);
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -3,6 +3,7 @@
 mod asleep;
 mod blame;
 mod compaction;
+mod crash_wave;
 mod crashes;
 mod driver;
 mod evacuation;
