A new owner looks at a third of its workers at once

Symptom: on a link of 2 Mbit/s a take-over of 192 workers was followed by `relay fails` for all six relays within 10 ms, and entries waited 1.36 s. Cause: all workers were looked at at once. Their answers needed some 1.1 s of the link, the limit of a look is 0.6 s: two fifths were asked for again, and relays were judged by it. Weighed: windows that double with each round of answers (behind many silent workers the others would wait for seconds); a third at once (taken), which bounds that wait by three looks. Measured: tests/owner/first_looks.rs: 275 looks at 192 workers with all at once, 192 now; with half of the workers silent all others are heard within three looks.

--- a/ashtiller/src/workflow/core/looks.rs
+++ b/ashtiller/src/workflow/core/looks.rs
@@ -6,7 +6,7 @@
 use crate::workflow::core::{Core, Effect, Now};
 use crate::workflow::life::Life;
 use crate::workflow::live::Stop;
-use crate::workflow::worker::Looking;
+use crate::workflow::worker::{Looking, Worker};
 
 /// Time between two searches for looks that are due, each through all workers.
 const LOOKS: Duration = Duration::from_millis(4);
@@ -16,6 +16,13 @@
 /// Longest time for which an answer to a look is waited for beyond its wait: with the wait
 /// itself it stays below a lease.
 const LOOK_MOST: Duration = Duration::from_secs(2);
+/// Part of the workers that a new owner looks at for the first time at once. Their answers list
+/// all that runs there; on a thin link those of all workers together come too late, and are asked
+/// for again. A third also bounds what workers that say nothing cost the others: three times the
+/// limit of a look.
+const FIRST_SHARE: usize = 3;
+/// Workers that are always looked at at once.
+const FIRST_MIN: usize = 16;
 /// Silence after which a worker is looked at more rarely.
 const SILENT: Duration = Duration::from_secs(5);
 
@@ -27,12 +34,7 @@
         }
         self.looked = now.at;
         let limit = self.pressure.patience(LOOK_LIMIT, LOOK_MOST);
-        let due = self
-            .workers
-            .values()
-            .filter(|worker| worker.looking.is_none() && now.at >= worker.due_look());
-        let due: Vec<Life> = due.map(|worker| worker.life().clone()).collect();
-        for life in due {
+        for life in self.collect_looks(now) {
             let Some(look) = self.prepare_look(&life, now) else {
                 continue;
             };
@@ -42,6 +44,24 @@
         }
     }
 
+    /// Workers at which a look is due: all that have answered this owner, and some of the others,
+    /// those first that have waited longest.
+    fn collect_looks(&self, now: Now) -> Vec<Life> {
+        let due = self.workers.values();
+        let due = due.filter(|worker| worker.looking.is_none() && now.at >= worker.due_look());
+        let (known, mut first): (Vec<&Worker>, Vec<&Worker>) =
+            due.partition(|worker| worker.fenced);
+        let most = (self.workers.len() / FIRST_SHARE).max(FIRST_MIN);
+        if !first.is_empty() {
+            let under_way = self.workers.values();
+            let under_way = under_way.filter(|worker| !worker.fenced && worker.looking.is_some());
+            first.sort_by_key(|worker| worker.due_look());
+            first.truncate(most.saturating_sub(under_way.count()));
+        }
+        let due = known.into_iter().chain(first);
+        due.map(|worker| worker.life().clone()).collect()
+    }
+
     /// Notes that a worker is looked at now; the result is what it is asked.
     fn prepare_look(&mut self, life: &Life, now: Now) -> Option<Look> {
         let renew = self.may_renew(now);
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -8,6 +8,7 @@
 mod driver;
 mod evacuation;
 mod first_list;
+mod first_looks;
 mod freshness;
 mod growth;
 mod jobs;
