Metrics: messages and bytes between instances by what they are for

Cause: which messages make up the bytes between zones could only be had by switching them off. Change: two counters by kind and direction, counted where a message is sent and where it comes.

--- a/ashtiller/src/workflow/core/crashes.rs
+++ b/ashtiller/src/workflow/core/crashes.rs
@@ -137,7 +137,7 @@
             },
             begun: matches!(live.stage, Stage::Started(_)) && !self.may_be_done(run, live, at),
             many: others.many || is_dark(worker),
-            alike: self.has_begun_on_others(step_of(run), worker, &others),
+            alike: self.has_begun_on_others(step_of(run), worker, others),
         };
         Victim {
             run,
--- a/ashtiller/src/workflow/core/fleet.rs
+++ b/ashtiller/src/workflow/core/fleet.rs
@@ -252,21 +252,7 @@
 
     /// Ranks all workers for the tasks of a step.
     pub(super) fn rank_all(&self, fleet: &[Candidate], wish: &Wish<'_>) -> Choices {
-        self.rank_by(fleet, |candidate| self.weigh(candidate, wish))
-    }
-
-    /// Ranks the workers for which there is a cost.
-    pub(super) fn rank_by(
-        &self,
-        fleet: &[Candidate],
-        cost: impl Fn(&Candidate) -> Option<f64>,
-    ) -> Choices {
-        let costs = fleet.iter().enumerate();
-        let costs = costs.filter_map(|(place, candidate)| {
-            let cost = cost(candidate)?;
-            Some(Choice { cost, place })
-        });
-        Choices(costs.collect())
+        rank_by(fleet, |candidate| self.weigh(candidate, wish))
     }
 
     /// Ranks one worker again, which was taken out as the best and has changed.
@@ -283,6 +269,16 @@
     }
 }
 
+/// Ranks the workers for which there is a cost.
+pub(super) fn rank_by(fleet: &[Candidate], cost: impl Fn(&Candidate) -> Option<f64>) -> Choices {
+    let costs = fleet.iter().enumerate();
+    let costs = costs.filter_map(|(place, candidate)| {
+        let cost = cost(candidate)?;
+        Some(Choice { cost, place })
+    });
+    Choices(costs.collect())
+}
+
 /// Whether a worker may run a task at all.
 pub(super) fn suits(candidate: &Candidate, wish: &Wish<'_>) -> bool {
     let advised = wish.advised;
--- a/ashtiller/src/workflow/core/trials.rs
+++ b/ashtiller/src/workflow/core/trials.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::workflow::core::advice::StepKey;
-use crate::workflow::core::fleet::{Candidate, Choices, Wish};
+use crate::workflow::core::fleet::{self, Candidate, Choices, Wish};
 use crate::workflow::core::plan::Placing;
 use crate::workflow::core::{Core, Now};
 use crate::workflow::fact::{Run, Task};
@@ -133,7 +133,7 @@
 
     /// Ranks workers by what the trial of a task of a step costs there.
     pub(super) fn rank_trials(&self, fleet: &[Candidate], wish: &Wish<'_>, now: Now) -> Choices {
-        self.rank_by(fleet, |candidate| {
+        fleet::rank_by(fleet, |candidate| {
             let settled = candidate
                 .youngest
                 .is_none_or(|placed| now.at >= placed + SETTLED);
--- a/ashtiller/src/workflow/link.rs
+++ b/ashtiller/src/workflow/link.rs
@@ -18,6 +18,7 @@
 use crate::meter;
 use crate::schema::entry_capnp::entry;
 use crate::workflow::message::{Ask, Reply};
+use crate::workflow::traffic::{self, Way};
 
 /// Time after which unacknowledged bytes break a connection.
 const USER_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -67,9 +68,12 @@
         let request = params.get()?.get_request()?;
         let ask: Ask = postcard::from_bytes(request)
             .map_err(|error| capnp::Error::failed(format!("decode question: {error}")))?;
+        let kind = ask.kind();
+        traffic::note(kind, Way::Received, request.len());
         let reply = self.answers.clone().answer(ask).await;
         let bytes = postcard::to_stdvec(&reply)
             .map_err(|error| capnp::Error::failed(format!("encode answer: {error}")))?;
+        traffic::note(kind, Way::Sent, bytes.len());
         results.get().set_reply(&bytes);
         Ok(())
     }
--- a/ashtiller/src/workflow/message.rs
+++ b/ashtiller/src/workflow/message.rs
@@ -51,6 +51,24 @@
     Carried(Box<Results>),
 }
 
+impl Ask {
+    /// What it is for, in metrics.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Hello(_) => "heartbeat",
+            Self::Lead | Self::Leads(_) | Self::TakeOver(_) | Self::HasEnded(_) => "ownership",
+            Self::Config(_) => "configuration",
+            Self::Submit(_) => "submit",
+            Self::State(_) => "state",
+            Self::Cancel(_) => "cancel",
+            Self::Pending(_) => "pending",
+            Self::Carry(_) => "relay_calls",
+            Self::Carried(_) => "relay_results",
+        }
+    }
+}
+
 /// An answer to [`Ask::Hello`].
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Welcome {
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -15,6 +15,7 @@
 use crate::workflow::core::waits::Waits;
 use crate::workflow::message::Reply;
 use crate::workflow::pressure::Pressure;
+use crate::workflow::traffic;
 
 /// Bounds of the histograms in seconds: from a call within a zone to a client's wait.
 const BOUNDS: [f64; 12] = [
@@ -117,6 +118,7 @@
             ))?,
             registry,
         };
+        let [messages, bytes] = traffic::counters();
         let all: Vec<Box<dyn prometheus::core::Collector>> = vec![
             Box::new(metrics.unread.clone()),
             Box::new(metrics.calls.clone()),
@@ -131,6 +133,8 @@
             Box::new(metrics.workers.clone()),
             Box::new(metrics.pressure.clone()),
             Box::new(web::silent_links()),
+            Box::new(messages),
+            Box::new(bytes),
             Box::new(metrics.silent.clone()),
         ];
         for collector in all {
--- a/ashtiller/src/workflow/mod.rs
+++ b/ashtiller/src/workflow/mod.rs
@@ -42,4 +42,5 @@
 pub mod switches;
 pub mod tempo;
 pub mod terms;
+pub mod traffic;
 pub mod worker;
--- a/ashtiller/src/workflow/node/mod.rs
+++ b/ashtiller/src/workflow/node/mod.rs
@@ -377,7 +377,7 @@
     #[must_use]
     pub fn store_age(&self) -> Duration {
         let seen = self.store_seen.get();
-        seen.map_or(Duration::MAX, |at| at.elapsed())
+        seen.map_or(Duration::MAX, Moment::elapsed)
     }
 
     /// The store has answered.
--- a/ashtiller/src/workflow/peers.rs
+++ b/ashtiller/src/workflow/peers.rs
@@ -9,7 +9,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use capnp::capability::Response;
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use prometheus::IntCounter;
@@ -24,6 +23,7 @@
 use crate::schema::entry_capnp::entry;
 use crate::workflow::link::Dial;
 use crate::workflow::message::{Ask, Reply};
+use crate::workflow::traffic::{self, Way};
 
 /// Time for connecting to another instance: a few times the way to another zone.
 const CONNECT: Duration = Duration::from_millis(400);
@@ -57,9 +57,13 @@
             .map_err(|error| capnp::Error::failed(format!("encode question: {error}")))?;
         let mut request = self.client.ask_request();
         request.get().set_request(&bytes);
+        traffic::note(ask.kind(), Way::Sent, bytes.len());
         let response = request.send().promise.await?;
         self.heard.set(Instant::now());
-        read_reply(&response)
+        let bytes = response.get()?.get_reply()?;
+        traffic::note(ask.kind(), Way::Received, bytes.len());
+        postcard::from_bytes(bytes)
+            .map_err(|error| capnp::Error::failed(format!("decode answer: {error}")))
     }
 
     /// Since when a call that was sent then has heard nothing on it.
@@ -220,9 +224,3 @@
         }
     }
 }
-
-fn read_reply(response: &Response<entry::ask_results::Owned>) -> Result<Reply, capnp::Error> {
-    let bytes = response.get()?.get_reply()?;
-    postcard::from_bytes(bytes)
-        .map_err(|error| capnp::Error::failed(format!("decode answer: {error}")))
-}
--- a/ashtiller/tests/membership/list.rs
+++ b/ashtiller/tests/membership/list.rs
@@ -135,9 +135,9 @@
         }
         let member = instances[number].member.clone();
         let known = instances[number].list.version();
-        let list = &mut instances[owner].list;
-        list.hear(member);
-        let (news, version) = (list.news(known), list.version());
+        let kept = &mut instances[owner].list;
+        kept.hear(member);
+        let (news, version) = (kept.news(known), kept.version());
         if let Some(news) = news.filter(|_| !lost(random)) {
             instances[number].list.take(news, version);
         }
