--- a/ashtiller/src/workflow/log/compaction.rs
+++ b/ashtiller/src/workflow/log/compaction.rs
@@ -70,21 +70,19 @@
     /// A step failed; the log is still whole.
     pub async fn compact(&self, epoch: u64, position: u64, snapshot: &[u8]) -> Result<(), Failure> {
         let began = Instant::now();
+        let item = self.store.get(&self.base_key(), false).await?;
+        let revision = item.as_ref().map_or(0, |item| item.revision);
+        let former: Option<Base> = item.and_then(|item| postcard::from_bytes(&item.value).ok());
         let parts = self.write_parts(epoch, position, snapshot).await?;
-        let former = self.store.get(&self.base_key(), false).await?;
-        let former: Option<Base> = former.and_then(|item| postcard::from_bytes(&item.value).ok());
-        let base = postcard::to_stdvec(&Base { position, parts })
-            .map_err(|error| Failure::none("encode base", self.base_key(), error))?;
-        let put = vec![(self.base_key(), Bytes::from(base))];
-        self.commit_as_owner(epoch, put, Vec::new()).await?;
+        self.write_base(epoch, Base { position, parts }, revision)
+            .await?;
         let first = former.as_ref().map_or(1, |base| base.position + 1);
         let mut old: Vec<String> = (first..=position).map(|at| self.entry_key(at)).collect();
         if let Some(base) = former {
             old.extend((0..base.parts).map(|part| self.part_key(base.position, part)));
         }
         for keys in old.chunks(REMOVE_MAX) {
-            self.commit_as_owner(epoch, Vec::new(), keys.to_vec())
-                .await?;
+            self.remove_as_owner(epoch, keys.to_vec()).await?;
         }
         tracing::info!(
             position,
@@ -97,6 +95,24 @@
         Ok(())
     }
 
+    /// Makes a snapshot the newest one in place of that at `revision`. Without this condition, one
+    /// that took long, or a write that is carried out late, could replace a newer snapshot whose
+    /// entries are removed.
+    async fn write_base(&self, epoch: u64, base: Base, revision: u64) -> Result<(), Failure> {
+        let key = self.base_key();
+        let value = postcard::to_stdvec(&base)
+            .map_err(|error| Failure::none("encode base", &key, error))?;
+        let txn = Txn {
+            expect: vec![(self.lead_key(), epoch), (key.clone(), revision)],
+            put: vec![(key, value.into())],
+            remove: Vec::new(),
+        };
+        match self.store.commit(&txn).await? {
+            Committed::Done(_) => Ok(()),
+            Committed::Conflict(_) => Err(superseded(&self.prefix)),
+        }
+    }
+
     /// Writes the parts of a snapshot; the result is how many.
     async fn write_parts(
         &self,
@@ -200,16 +216,11 @@
         Ok(parts.concat())
     }
 
-    async fn commit_as_owner(
-        &self,
-        epoch: u64,
-        put: Vec<(String, Bytes)>,
-        remove: Vec<String>,
-    ) -> Result<(), Failure> {
+    async fn remove_as_owner(&self, epoch: u64, keys: Vec<String>) -> Result<(), Failure> {
         let txn = Txn {
             expect: vec![(self.lead_key(), epoch)],
-            put,
-            remove,
+            put: Vec::new(),
+            remove: keys,
         };
         match self.store.commit(&txn).await? {
             Committed::Done(_) => Ok(()),
@@ -219,5 +230,5 @@
 }
 
 fn superseded(prefix: &str) -> Failure {
-    Failure::none("compact log", prefix, "another process owns the log")
+    Failure::none("compact log", prefix, "another owner or a newer snapshot")
 }
--- a/ashtiller/src/workflow/owner/carry.rs
+++ b/ashtiller/src/workflow/owner/carry.rs
@@ -109,12 +109,20 @@
         let Some((position, bytes)) = self.snapshot.take() else {
             return;
         };
+        if self.compaction.as_ref().is_some_and(|it| !it.is_finished()) {
+            tracing::info!(
+                position,
+                "log not compacted: the snapshot before is still written"
+            );
+            return;
+        }
         let (log, epoch) = (self.node.log.clone(), self.lead.epoch);
-        task::spawn_local(async move {
+        let compaction = task::spawn_local(async move {
             if let Err(failure) = log.compact(epoch, position, &bytes).await {
                 tracing::warn!(position, %failure, "log not compacted");
             }
         });
+        self.compaction = Some(compaction);
     }
 
     /// Tells operators how the waves stand, each state once.
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use tokio::sync::{mpsc, oneshot};
-use tokio::task;
+use tokio::task::{self, JoinHandle};
 use tokio::time::{self, Instant};
 
 use crate::clock::Moment;
@@ -128,6 +128,7 @@
         waiting: HashMap::new(),
         next_ticket: 0,
         snapshot: None,
+        compaction: None,
         handing: None,
         told: BTreeSet::new(),
         unread: unread::Unread::default(),
@@ -195,6 +196,7 @@
     waiting: HashMap<Ticket, oneshot::Sender<Reply>>,
     next_ticket: u64,
     snapshot: Option<(u64, Vec<u8>)>,
+    compaction: Option<JoinHandle<()>>,
     handing: Option<Instant>,
     told: BTreeSet<(u64, bool)>,
     /// Workers' entries that cannot be read.
--- a/ashtiller/tests/owner/compaction.rs
+++ b/ashtiller/tests/owner/compaction.rs
@@ -205,6 +205,37 @@
     assert_eq!(jobs, book.jobs.len());
 }
 
+/// A snapshot takes so long that the next one is written before it. Once entries of before the
+/// newer one are removed, the older one must not become the newest: entries between them would be
+/// missing.
+#[tokio::test(start_paused = true)]
+async fn a_snapshot_that_comes_late_replaces_no_newer_one() {
+    let store = Thin::open(0);
+    let (log, epoch) = open(&store).await;
+    let mut book = book_of(100_000);
+    let early = snapshot::encode(&book).unwrap();
+    let late = tokio::spawn({
+        let log = log.clone();
+        async move { log.compact(epoch, 0, &early).await }
+    });
+    time::sleep(100 * MS).await;
+    for position in 1..=4 {
+        let number = u64::try_from(book.jobs.len()).unwrap();
+        let job = job(&format!("{number:016x}"), vec![step(1)]);
+        let accepted = Fact::Accepted(Box::new(job), policy(), 1);
+        book.apply(&accepted, Duration::ZERO);
+        let value = log.encode(vec![accepted]).unwrap();
+        log.append(epoch, position, value).await.expect("owner");
+    }
+    // The newer one is small, as most jobs have ended meanwhile.
+    let small = snapshot::encode(&Book::default()).unwrap();
+    log.compact(epoch, 4, &small).await.expect("written");
+    assert!(late.await.unwrap().is_err(), "it comes late");
+    let replayed = log.replay(Duration::ZERO).await.expect("a whole log");
+    assert_eq!(replayed.next, 5);
+    assert!(replayed.book.jobs.is_empty());
+}
+
 /// On a link that is fast the parts become large, so that a snapshot takes few calls.
 #[test]
 fn parts_grow_where_they_are_fast_and_shrink_where_they_are_slow() {
