Trials see what was placed in their round, and nothing goes beside them

Cause, found by reading what the explorer said: with workers ranked once a step, a worker that got a trial could be taken again from the ranking of the step's other tasks, a trial could go beside a run of the same round, and places in the ranking could be of workers taken out since. Change: workers that get nothing more are closed and keep their places; rankings pass over them; what was placed in a round counts as young; summaries are made anew at a crash. Looks that need no bound keep their order.

--- a/ashtiller/src/workflow/core/crashes.rs
+++ b/ashtiller/src/workflow/core/crashes.rs
@@ -88,6 +88,8 @@
         // One that only fell silent may have been cut off, or have lost power.
         let alone = !many && !is_dark(worker) && self.count_crashes(worker) == 0;
         self.crashes.note(crash);
+        // The machine's next life may have been summed up before.
+        self.summaries.clear();
         self.counts.crashes += 1;
         let suspects = self.book.suspects();
         let known = |task| suspects.get(&task);
--- a/ashtiller/src/workflow/core/fleet.rs
+++ b/ashtiller/src/workflow/core/fleet.rs
@@ -78,9 +78,12 @@
     filling: u32,
     /// Runs of tasks under which workers crashed.
     suspects: u32,
-    /// Runs there, and when the youngest of them was placed.
+    /// Runs there.
     pub runs: u32,
-    pub youngest: Option<Duration>,
+    /// When the youngest of them was placed.
+    youngest: Option<Duration>,
+    /// Whether one was placed in this round.
+    fresh: bool,
     /// Crashes of its machine that no task explains.
     pub crashes: u32,
     /// Whether it gets nothing more in this round.
@@ -195,6 +198,7 @@
             suspects: self.count_suspects(worker),
             runs: u32::try_from(worker.runs.len()).unwrap_or(u32::MAX),
             youngest: None,
+            fresh: false,
             crashes: self.count_crashes(worker),
             closed: false,
             labels: worker.listed.labels.clone(),
@@ -297,9 +301,14 @@
 }
 
 impl Choices {
-    /// Takes out the best worker.
-    pub fn take(&mut self) -> Option<usize> {
-        self.0.pop().map(|best| best.place)
+    /// Takes out the best worker that is not closed; one may have got a trial since it was ranked.
+    pub fn take(&mut self, fleet: &[Candidate]) -> Option<usize> {
+        while let Some(best) = self.0.pop() {
+            if !fleet[best.place].closed {
+                return Some(best.place);
+            }
+        }
+        None
     }
 }
 
@@ -313,6 +322,12 @@
         !self.closed && room.fits(&self.free) && is_same(&self.service, service)
     }
 
+    /// Whether all runs there were placed so long ago.
+    pub fn is_settled(&self, age: Duration, now: Duration) -> bool {
+        let settled = self.youngest.is_none_or(|placed| now >= placed + age);
+        settled && !self.fresh
+    }
+
     /// It gets nothing more in this round.
     pub fn close(&mut self) {
         self.closed = true;
@@ -404,6 +419,8 @@
     /// Counts a run that was placed here; false when it may get no more.
     pub(super) fn take(&mut self, wish: &Wish<'_>, known: &Interference) -> bool {
         self.free = self.free.minus(&wish.room);
+        self.runs += 1;
+        self.fresh = true;
         self.suspects += u32::from(wish.suspect);
         let asked = asked(wish.step);
         match wish.share {
--- a/ashtiller/src/workflow/core/looks.rs
+++ b/ashtiller/src/workflow/core/looks.rs
@@ -44,22 +44,24 @@
         }
     }
 
-    /// Workers at which a look is due: all that have answered this owner, and some of the others,
-    /// those first that have waited longest.
+    /// Workers at which a look is due: all that have answered this owner, and of the others as many
+    /// as may be under way, those that have waited longest.
     fn collect_looks(&self, now: Now) -> Vec<Life> {
         let due = self.workers.values();
         let due = due.filter(|worker| worker.looking.is_none() && now.at >= worker.due_look());
-        let (known, mut first): (Vec<&Worker>, Vec<&Worker>) =
-            due.partition(|worker| worker.fenced);
+        let mut due: Vec<&Worker> = due.collect();
+        let first = due.iter().filter(|worker| !worker.fenced).count();
         let most = (self.workers.len() / FIRST_SHARE).max(FIRST_MIN);
-        if !first.is_empty() {
+        if first > 0 {
             let under_way = self.workers.values();
             let under_way = under_way.filter(|worker| !worker.fenced && worker.looking.is_some());
-            first.sort_by_key(|worker| worker.due_look());
-            first.truncate(most.saturating_sub(under_way.count()));
+            let free = most.saturating_sub(under_way.count());
+            if first > free {
+                due.sort_by_key(|worker| (!worker.fenced, worker.due_look()));
+                due.truncate(due.len() - first + free);
+            }
         }
-        let due = known.into_iter().chain(first);
-        due.map(|worker| worker.life().clone()).collect()
+        due.into_iter().map(|worker| worker.life().clone()).collect()
     }
 
     /// Notes that a worker is looked at now; the result is what it is asked.
--- a/ashtiller/src/workflow/core/moves.rs
+++ b/ashtiller/src/workflow/core/moves.rs
@@ -69,7 +69,7 @@
         };
         let id = placing.fleet[place].id.clone();
         if !placing.fleet[place].take(&wish, &self.interference) {
-            placing.fleet.swap_remove(place);
+            placing.fleet[place].close();
         }
         let number = self.next_run(task);
         tracing::info!(%task, run = number, worker = %id, "copy of a run whose worker does not answer");
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -57,13 +57,6 @@
         }
     }
 
-    /// Takes out workers that get nothing more.
-    fn close(&mut self, places: BTreeSet<usize>) {
-        for place in places.into_iter().rev() {
-            self.fleet.swap_remove(place);
-        }
-    }
-
     /// Whether a task like this, or one that wants less, found no worker before.
     pub fn is_hopeless(&self, demand: &Demand) -> bool {
         self.refused.iter().any(|refused| refused.is_within(demand))
@@ -220,7 +213,7 @@
             let usual = wish.failed_on.is_empty();
             let place = if usual {
                 let choices = choices.get_or_insert_with(|| self.rank_all(&placing.fleet, &wish));
-                choices.take()
+                choices.take(&placing.fleet)
             } else {
                 self.choose(&placing.fleet, &wish)
             };
@@ -240,13 +233,13 @@
                 *wish.spread.entry(id.clone()).or_insert(0) += 1;
             }
             if !stays {
-                placing.fleet.swap_remove(place);
+                placing.fleet[place].close();
             }
             match &mut choices {
-                Some(choices) if usual && stays => {
+                Some(choices) if usual => {
                     self.rank_again(choices, &placing.fleet, place, &wish);
                 }
-                // Places have changed, or what is known of one worker.
+                // What is known of one worker has changed.
                 _ => choices = None,
             }
             let run = Run {
@@ -319,8 +312,9 @@
                     live.tried = true;
                 }
             }
-            let tried = chosen.iter().zip(&apart).filter(|(_, apart)| **apart);
-            placing.close(tried.map(|(place, _)| *place).collect());
+            for (place, _) in chosen.iter().zip(&apart).filter(|(_, apart)| **apart) {
+                placing.fleet[*place].close();
+            }
             return true;
         }
         false
--- a/ashtiller/src/workflow/core/trials.rs
+++ b/ashtiller/src/workflow/core/trials.rs
@@ -133,14 +133,17 @@
 
     /// Ranks workers by what the trial of a task of a step costs there.
     pub(super) fn rank_trials(&self, fleet: &[Candidate], wish: &Wish<'_>, now: Now) -> Choices {
-        fleet::rank_by(fleet, |candidate| {
-            let settled = candidate
-                .youngest
-                .is_none_or(|placed| now.at >= placed + SETTLED);
-            let cost = self.weigh(candidate, wish).filter(|_| settled)?;
-            let lost = LOSS_COST * f64::from(candidate.runs);
-            Some(cost + lost + CRASHED_COST * f64::from(candidate.crashes))
-        })
+        fleet::rank_by(fleet, |candidate| self.weigh_trial(candidate, wish, now))
+    }
+
+    /// What the trial of a task costs at a worker, where all runs began a while ago.
+    fn weigh_trial(&self, candidate: &Candidate, wish: &Wish<'_>, now: Now) -> Option<f64> {
+        if !candidate.is_settled(SETTLED, now.at) {
+            return None;
+        }
+        let cost = self.weigh(candidate, wish)?;
+        let lost = LOSS_COST * f64::from(candidate.runs);
+        Some(cost + lost + CRASHED_COST * f64::from(candidate.crashes))
     }
 
     /// The best worker for a trial: one that has got something since may take it no more.
@@ -158,10 +161,10 @@
         };
         let mut chosen = None;
         while chosen.is_none()
-            && let Some(place) = ranked.take()
+            && let Some(place) = ranked.take(&placing.fleet)
         {
-            let fits = self.weigh(&placing.fleet[place], wish).is_some();
-            chosen = fits.then_some(place);
+            let cost = self.weigh_trial(&placing.fleet[place], wish, now);
+            chosen = cost.map(|_| place);
         }
         placing.trials.ranked = Some((step, ranked));
         chosen
