--- a/ashtiller/src/workflow/core/looks.rs
+++ b/ashtiller/src/workflow/core/looks.rs
@@ -61,7 +61,9 @@
                 due.truncate(due.len() - first + free);
             }
         }
-        due.into_iter().map(|worker| worker.life().clone()).collect()
+        due.into_iter()
+            .map(|worker| worker.life().clone())
+            .collect()
     }
 
     /// Notes that a worker is looked at now; the result is what it is asked.
