--- a/ashtiller/tests/workflow.rs
+++ b/ashtiller/tests/workflow.rs
@@ -2,6 +2,10 @@
 
 mod world;
 
+use std::ops::Range;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
 use std::time::Duration;
 
 use ashtiller::resources::Resources;
@@ -15,9 +19,17 @@
 /// Seeds in a usual run; `ASHTILLER_SEEDS` asks for more by hand.
 const SEEDS: u64 = 40;
 
+fn read_number(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
 fn seeds() -> u64 {
-    let asked = std::env::var("ASHTILLER_SEEDS").ok();
-    asked.and_then(|seeds| seeds.parse().ok()).unwrap_or(SEEDS)
+    read_number("ASHTILLER_SEEDS").unwrap_or(SEEDS)
+}
+
+/// First seed of the explorations that play a range; `ASHTILLER_FIRST_SEED` names another one.
+fn first_seed() -> u64 {
+    read_number("ASHTILLER_FIRST_SEED").unwrap_or(0)
 }
 
 const ROUGH: Faults = Faults {
@@ -140,14 +152,17 @@
     world
 }
 
-/// Jobs that were given up, as they may be when two workers were gone under one of their
-/// tasks; all others are complete.
-fn give_up(seed: u64, world: &World) -> u64 {
+/// Jobs that are not complete: those that were given up, as they may be when two workers were
+/// gone under one of their tasks, and all others.
+fn sort_unfinished(world: &World) -> (Vec<Arc<str>>, Vec<Arc<str>>) {
     let failed = Reply::State(State::Over(Outcome::Failed));
-    let (lost, open): (Vec<_>, Vec<_>) = world
-        .unfinished()
-        .into_iter()
-        .partition(|id| world.state(id) == failed && world.may_give_up(id));
+    let unfinished = world.unfinished().into_iter();
+    unfinished.partition(|id| world.state(id) == failed && world.may_give_up(id))
+}
+
+/// How many jobs were given up, as they may be; all others are complete.
+fn give_up(seed: u64, world: &World) -> u64 {
+    let (lost, open) = sort_unfinished(world);
     assert!(open.is_empty(), "seed {seed}: unfinished {open:?}");
     if !lost.is_empty() {
         println!("seed {seed}: given up {lost:?}");
@@ -189,21 +204,73 @@
     assert!(evacuations > seeds() * 2, "{evacuations} evacuations");
 }
 
-/// Workers start again under their ids, besides all the rest.
+/// What one seed came to.
+struct Played {
+    seed: u64,
+    restarted: u64,
+    /// Jobs that were given up, as they may be.
+    given_up: u64,
+    /// What was broken, or which jobs came to no end.
+    red: Option<String>,
+}
+
+/// Plays seeds on all cores, each to its end.
+fn explore(seeds: Range<u64>, faults: Faults) -> Vec<Played> {
+    let next = AtomicU64::new(seeds.start);
+    let play_some = || {
+        let mut played = Vec::new();
+        loop {
+            let seed = next.fetch_add(1, Ordering::Relaxed);
+            if seed >= seeds.end {
+                return played;
+            }
+            played.push(judge(seed, &play(seed, faults)));
+        }
+    };
+    let threads = thread::available_parallelism().map_or(1, usize::from);
+    let mut played = thread::scope(|scope| {
+        let players: Vec<_> = (0..threads).map(|_| scope.spawn(play_some)).collect();
+        let played = players.into_iter().map(|player| player.join().unwrap());
+        played.flatten().collect::<Vec<_>>()
+    });
+    played.sort_by_key(|it| it.seed);
+    played
+}
+
+fn judge(seed: u64, world: &World) -> Played {
+    let (lost, open) = sort_unfinished(world);
+    let red = match (&world.broken[..], &open[..]) {
+        ([], []) => None,
+        ([], open) => Some(format!("unfinished {open:?}")),
+        (broken, _) => Some(format!("{broken:?}")),
+    };
+    Played {
+        seed,
+        restarted: world.restarted,
+        given_up: lost.len() as u64,
+        red,
+    }
+}
+
+/// Workers start again under their ids, besides all the rest. All seeds are played, so that one
+/// that is red hides none behind it.
 fn survive_restarts(births: bool) {
     let every = 300;
     let faults = Faults {
         restarts: Some(Restarts { every, births }),
         ..ROUGH
     };
-    let (mut restarted, mut given_up) = (0, 0);
-    for seed in 0..seeds() {
-        let world = play(seed, faults);
-        assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
-        given_up += give_up(seed, &world);
-        restarted += world.restarted;
-    }
+    let played = explore(first_seed()..first_seed() + seeds(), faults);
+    let restarted: u64 = played.iter().map(|it| it.restarted).sum();
+    let given_up: u64 = played.iter().map(|it| it.given_up).sum();
     println!("{restarted} restarts, {given_up} jobs given up");
+    let red = played
+        .iter()
+        .filter_map(|it| Some((it.seed, it.red.as_ref()?)));
+    let red: Vec<String> = red
+        .map(|(seed, harm)| format!("seed {seed}: {harm}"))
+        .collect();
+    assert!(red.is_empty(), "{} red\n{}", red.len(), red.join("\n"));
     assert!(restarted > seeds() * 4, "{restarted} restarts");
     // A restart counts as a crash of what ran there.
     assert!(given_up * 50 <= seeds() * 24, "{given_up} given up");
