The explorer prints what happens in one seed

With ASHTILLER_SEEDS=1 the exploration of workers that start again prints what the owners log and what workers do, by the world's time, so that a red seed can be traced without a change of code.

--- a/ashtiller/tests/workflow.rs
+++ b/ashtiller/tests/workflow.rs
@@ -14,7 +14,7 @@
 use ashtiller::workflow::message::{Reply, State};
 
 use world::worker::Weakness;
-use world::{Faults, Restarts, World};
+use world::{Faults, Restarts, World, trace};
 
 /// Seeds in a usual run; `ASHTILLER_SEEDS` asks for more by hand.
 const SEEDS: u64 = 40;
@@ -260,6 +260,10 @@
         restarts: Some(Restarts { every, births }),
         ..ROUGH
     };
+    if seeds() == 1 {
+        let seed = first_seed();
+        trace::print_logs(|| judge(seed, &play(seed, faults)));
+    }
     let played = explore(first_seed()..first_seed() + seeds(), faults);
     let restarted: u64 = played.iter().map(|it| it.restarted).sum();
     let given_up: u64 = played.iter().map(|it| it.given_up).sum();
--- a/ashtiller/tests/world/mod.rs
+++ b/ashtiller/tests/world/mod.rs
@@ -2,6 +2,7 @@
 
 mod news;
 mod operators;
+pub mod trace;
 #[path = "../../../platform/standin/worker.rs"]
 pub mod worker;
 
@@ -259,6 +260,7 @@
             return;
         }
         self.restarted += 1;
+        tracing::trace!(worker = %id, "world: process ends");
         let away = self.millis(0, 4000);
         self.at(away, Event::Again(id.clone()));
     }
@@ -269,6 +271,7 @@
         }
         let pace = self.rng.random_range(98..=100);
         let life = self.bear(id);
+        tracing::trace!(worker = %life, "world: process starts again");
         let worker = Worker::new(life, capacity(), pace, self.faults.weak);
         self.workers.insert(id.clone(), worker.begun_at(self.now));
         let lag = self.millis(0, 1100);
@@ -367,6 +370,7 @@
     pub fn take_over(&mut self) {
         self.epoch += 1;
         self.takeovers += 1;
+        tracing::trace!(epoch = self.epoch, "world: new owner");
         let mut book = Book::default();
         for facts in &self.entries {
             for fact in facts {
@@ -450,6 +454,7 @@
         let end = self.now + span;
         while self.now < end && self.broken.is_empty() {
             self.now += STEP;
+            trace::set_time(self.now);
             self.deliver();
             if rough {
                 self.disturb();
@@ -472,6 +477,7 @@
         if self.faults.workers && self.rng.random_range(0..600) == 0 {
             let id = self.any_worker();
             if !self.cut.remove(&id) {
+                tracing::trace!(worker = %id, "world: cut off");
                 self.cut.insert(id);
             }
         }
@@ -530,6 +536,7 @@
         if !self.end_life(id) {
             return;
         }
+        tracing::trace!(worker = %id, "world: worker leaves");
         self.cut.remove(id);
         self.news.remove(id);
         let fresh = format!("w{}", self.number);
@@ -722,6 +729,7 @@
                 }
             }
             Event::Late(target, look) => {
+                tracing::trace!(worker = %target.life, fence = target.fence, ?look, "world: late look");
                 self.see(&target, &look);
             }
             Event::Again(id) => self.start_again(&id),
@@ -756,6 +764,7 @@
         let unread = unread.map(|name| format!("the end of {name:?} on {id} was forgotten unread"));
         let unread: Vec<String> = unread.collect();
         let looked = worker.look(target.fence, look, self.now);
+        tracing::trace!(worker = %worker.life, fence = target.fence, ?look, ?looked, "world: look");
         if matches!(looked, Looked::Report { .. }) {
             self.broken.extend(unread);
         }
@@ -782,6 +791,8 @@
         let meant = worker.began <= sent;
         let before = worker.runs.len();
         let said = worker.order(target.fence, order, needs, length, self.now);
+        tracing::trace!(worker = %worker.life, sent = sent.as_secs_f64(), meant, prompt, fence = target.fence,
+            ?order, ?said, "world: order carried out");
         if worker.runs.len() > before
             && let Order::Start(start) = order
         {
@@ -914,7 +925,8 @@
         let mut seen: BTreeMap<Name, Arc<str>> = BTreeMap::new();
         let mut broken = Vec::new();
         for worker in self.workers.values_mut() {
-            for (name, _) in worker.advance(now) {
+            for (name, run) in worker.advance(now) {
+                tracing::trace!(worker = %worker.life, ?name, run, "world: task done");
                 self.done.insert(name);
             }
             let mut late_here = false;
