A young life may hold a lease that an earlier owner granted to the one before

Cause: a new owner reckons that all leases granted before end 6 s after a worker's first answer. An earlier owner's renewal, sent to a life that had ended, was carried out by the next one: it names a reading of the former clock, so that the new clock had 7.9 s to go. The worker was cut off, and its task started elsewhere 0.14 s before its lease was over.

Ruled out: the lease's own reckoning by owner 4 (granted 7495 to 8054 of that clock, all below).

Bounds of older lives stay, so that tasks of workers that fall silent after a change of owner wait no longer than before.

--- a/ashtiller/src/workflow/core/lives.rs
+++ b/ashtiller/src/workflow/core/lives.rs
@@ -188,9 +188,10 @@
         }
     }
 
-    /// Leases that were granted to a life that has just answered end by this time.
+    /// Leases that were granted to a life that has just answered end by this time, those that were
+    /// meant for the life before among them.
     fn answered_bound(&self, now: Now) -> Duration {
-        let bound = now.at + lease::stretch(self.terms.lease);
+        let bound = now.at + lease::stretch(self.terms.hold);
         bound.max(self.first_bound())
     }
 
--- a/ashtiller/src/workflow/core/looks.rs
+++ b/ashtiller/src/workflow/core/looks.rs
@@ -15,7 +15,7 @@
     [Duration::from_millis(150), Duration::from_millis(700)];
 /// Longest time for which an answer to a look is waited for beyond its wait: with the wait
 /// itself it stays below a lease.
-const LOOK_MOST: Duration = Duration::from_secs(2);
+pub(super) const LOOK_MOST: Duration = Duration::from_secs(2);
 /// Part of the workers that a new owner looks at for the first time at once. Their answers list
 /// all that runs there; on a thin link those of all workers together come too late, and are asked
 /// for again. A third also bounds what workers that say nothing cost the others: three times the
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -6,10 +6,13 @@
 
 use crate::failure::Failure;
 use crate::workflow::agents::{Active, Finished, How, Looked, Name, Order};
+use crate::workflow::core::looks::LOOK_MOST;
 use crate::workflow::core::{Core, Effect, Now, Then};
 use crate::workflow::fact::{End, Fact, Run, Task};
+use crate::workflow::lease;
 use crate::workflow::life::Life;
 use crate::workflow::live::{Reason, Stage, Stop};
+use crate::workflow::worker::LATE_MAX;
 
 /// Time without progress after which a run counts as stalled. The platform's
 /// workers report whole percents, which tasks of up to 5.4 s gain every 54 ms.
@@ -20,6 +23,9 @@
 /// Reports of what else runs there are older by as much; a service over its target must
 /// have relief within 4 s.
 const UNNOTED: Duration = Duration::from_millis(300);
+/// Age of a life by which all grants meant for the one before were carried out: the last of them
+/// went out with a look that was under way as the life began.
+const FORMER_GRANT: Duration = LOOK_MOST.saturating_mul(2).saturating_add(LATE_MAX);
 /// Percent at which a lasting task is at work.
 const AT_WORK: u32 = 100;
 
@@ -123,6 +129,13 @@
         if first {
             worker.fenced = true;
             worker.lease.fence(now.at, self.terms.lease);
+            // A young life may have carried out a grant that an earlier owner made to the one
+            // before, by a clock that had gone on for longer.
+            if Duration::from_millis(clock) < FORMER_GRANT + self.terms.hold {
+                worker
+                    .lease
+                    .extend(now.at + lease::stretch(self.terms.hold));
+            }
             self.dirty = true;
         }
         if worker.doubted.is_some_and(|until| until <= begun) {
--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -135,6 +135,8 @@
     pub evacuated: Option<Zones>,
     /// A worker whose orders get lost.
     pub deaf: Option<Life>,
+    /// When the workers' clocks began.
+    pub began: Duration,
     /// Position of the entry that is not durable.
     waiting: Option<u64>,
 }
@@ -198,6 +200,7 @@
             news: true,
             evacuated: Some(Zones::new()),
             deaf: None,
+            began: Duration::ZERO,
             waiting: None,
         };
         driver.pass(100 * MS);
@@ -362,7 +365,7 @@
     }
 
     pub fn clock(&self) -> u64 {
-        u64::try_from(self.now.at.as_millis()).unwrap()
+        u64::try_from((self.now.at - self.began).as_millis()).unwrap()
     }
 
     pub fn report(&mut self, id: &Life, mut active: Vec<Active>, finished: Vec<Finished>) {
--- a/ashtiller/tests/owner/lives.rs
+++ b/ashtiller/tests/owner/lives.rs
@@ -9,6 +9,7 @@
 use ashtiller::workflow::fact::{Fact, Run};
 use ashtiller::workflow::lease::Lease;
 use ashtiller::workflow::life::Life;
+use ashtiller::workflow::terms::Terms;
 
 use crate::driver::{Driver, MS, job, listed, policy, step};
 
@@ -278,3 +279,25 @@
     // 6 s of lease, and 1.5 s by which its clock was behind.
     assert!(elsewhere > 7400 * MS, "again after {elsewhere:?}");
 }
+
+/// Symptom: a task ran on two workers at once. One had started again, and carried out a renewal
+/// that the owner before had sent to its former life: 7.9 s by its new clock, where the new owner,
+/// to which it then answered, reckoned with 6 s at most. It was cut off, and its task started
+/// elsewhere while it still ran. Guards against leases of earlier owners that are taken for ours.
+#[test]
+fn a_grant_of_an_earlier_owner_may_last_as_long_as_a_worker_grants() {
+    let terms = Terms::default();
+    let mut driver = Driver::new(0, policy());
+    driver.began = driver.now.at;
+    let both = vec![listed(0), listed(1)];
+    driver.core.list_all(both, driver.now);
+    driver.pass(100 * MS);
+    driver.submit(job("1", vec![step(1)]));
+    driver.pass(100 * MS);
+    let (life, _) = driver.starts()[0].clone();
+    driver.silent = Some(life);
+    driver.pass(terms.hold - 200 * MS);
+    assert_eq!(driver.starts().len(), 1, "it may still run");
+    driver.pass(1000 * MS);
+    assert_eq!(driver.starts().len(), 2);
+}
