A silent life that is listed anew may have carried out a start in doubt

Cause: a start of the owner before went unanswered, came to the worker's next life and was carried out there; that life was cut off at once. The next owner reckoned with leases of the former life only, and counted the run as lost 0.6 s before the lease of the living clock was over. It had read the entry of the next life 0.9 s before, and drew nothing from it.

Ruled out: the lapse itself (6.38 s after the take-over, as reckoned); 23 s for every silent worker after a change of owner would close it too, and leave tasks of workers that are gone without a run for as long (tests/owner/takeover.rs holds 9 s).

Change: a worker whose other life is listed, while neither answers, keeps runs in doubt until 13 s and the longest lease have passed. An entry ends nothing, as before.

--- a/ashtiller/src/workflow/core/lives.rs
+++ b/ashtiller/src/workflow/core/lives.rs
@@ -84,6 +84,7 @@
         for life in self.find_former_lives(listed) {
             if let Some(worker) = self.workers.get_mut(&life) {
                 worker.next_look = worker.next_look.min(now.at);
+                worker.replaced |= life.is_kin(&listed.life);
             }
         }
     }
@@ -101,6 +102,7 @@
             };
             let mut worker = Worker::new(known, self.first_bound());
             worker.absent = Some(now.at);
+            worker.replaced = true;
             self.add_worker(worker);
             self.seat_adopted(&life);
         }
--- a/ashtiller/src/workflow/core/roster.rs
+++ b/ashtiller/src/workflow/core/roster.rs
@@ -10,7 +10,7 @@
 use crate::workflow::lease;
 use crate::workflow::life::Life;
 use crate::workflow::live::{Reason, Stage, Stop};
-use crate::workflow::worker::Worker;
+use crate::workflow::worker::{LATE_MAX, Worker};
 
 /// How long a worker that is not listed and runs nothing is remembered.
 const FORGET: Duration = Duration::from_secs(10);
@@ -199,7 +199,9 @@
         });
         let over: Vec<Life> = over.map(|worker| worker.life().clone()).collect();
         for id in over {
-            let runs: Vec<Run> = self.workers[&id].runs.iter().copied().collect();
+            let worker = &self.workers[&id];
+            let over = |run: &Run| !(worker.replaced && self.may_outlast(*run, now));
+            let runs: Vec<Run> = worker.runs.iter().copied().filter(over).collect();
             self.suspect_lost(&id, &runs, now);
             for run in runs {
                 self.end_run(run, End::Lost, &Arc::from(""), now);
@@ -207,6 +209,18 @@
         }
     }
 
+    /// Whether a run may go on at its worker's next life although the lease of this one is over:
+    /// that life may have carried out a start that was not answered, and holds a lease by its own
+    /// clock then. Which starts of earlier owners were answered is not known.
+    fn may_outlast(&self, run: Run, now: Now) -> bool {
+        let Some(live) = self.runs.get(&run) else {
+            return false;
+        };
+        let adopted = (live.placed <= self.began).then_some(self.began + LATE_MAX);
+        let doubt = live.in_doubt.max(adopted);
+        doubt.is_some_and(|until| now.at < until + lease::stretch(self.terms.hold))
+    }
+
     /// Forgets workers that are gone and run nothing.
     pub(super) fn drop_absent(&mut self, now: Now) {
         let gone = self.workers.values().filter(|worker| {
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -85,6 +85,8 @@
     pub absent: Option<Duration>,
     /// Since when it is about to leave.
     pub draining: Option<Duration>,
+    /// Whether another life of it is listed.
+    pub replaced: bool,
     /// Whether that was said by the life before, of a worker without births.
     pub former_drains: bool,
     /// Its lease.
@@ -163,6 +165,7 @@
         Self {
             pool: Pool::new(listed.capacity),
             draining: None,
+            replaced: false,
             former_drains: false,
             listed,
             entered: false,
--- a/ashtiller/tests/owner/lives.rs
+++ b/ashtiller/tests/owner/lives.rs
@@ -10,6 +10,7 @@
 use ashtiller::workflow::lease::Lease;
 use ashtiller::workflow::life::Life;
 use ashtiller::workflow::terms::Terms;
+use ashtiller::workflow::worker::LATE_MAX;
 
 use crate::driver::{Driver, MS, job, listed, policy, step};
 
@@ -301,3 +302,23 @@
     driver.pass(1000 * MS);
     assert_eq!(driver.starts().len(), 2);
 }
+
+/// Symptom: a task ran on two workers at once. An owner's start had gone unanswered; the worker
+/// started again, carried it out and was cut off, and the next owner, which had read the entry of
+/// that life 0.9 s before, counted the run as lost when the leases of the former life were over.
+/// Guards against a lease of the dead clock that is taken for one of the living.
+#[test]
+fn a_run_in_doubt_may_go_on_at_a_life_that_is_listed_and_says_nothing() {
+    let (driver, life, run) = begin();
+    let terms = Terms::default();
+    let mut heir = Driver::replay(&driver.facts, 0, policy());
+    let next = born(0, 2000);
+    heir.crashed.extend([life, next.life.clone()]);
+    heir.core.list_all(vec![next, born(1, 1000)], heir.now);
+    heir.core.clear_former(0, heir.now);
+    heir.pass(LATE_MAX + terms.hold - 200 * MS);
+    assert!(heir.starts().is_empty(), "it may still run");
+    assert!(heir.core.book().is_live(run));
+    heir.pass(1500 * MS);
+    assert_eq!(heir.starts().len(), 1);
+}
