Grants in doubt hold at the next life, also after its first answer

Found while looking for the same fault elsewhere: an owner knows that a renewal which was not answered may reach the next life of a worker, and reckons with the longest lease there. (1) A start that was not answered carries a lease as well and was left out. (2) The first answer of the next life cut the reckoning back to 6 s, as if the fence kept out this owner's own calls too. (3) A second restart forgot it. A life that fell silent then could run a task beside its next run.

Evidence: by the test, the bound after an unanswered start and a restart was 6.3 s from the answer, where the call may come for 13 s and hold for 10 s.

Change: starts count like renewals; what is in doubt goes over from life to life and outlasts the first answer. Broken connections are no doubt, as before: what they held ended with the process.

Test: owner/lives.rs, red without either half (607.28 s for at least 623).

--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -283,7 +283,13 @@
                 if failure.effect == failure::Effect::None {
                     live.sent = live.sent.saturating_sub(1);
                 } else {
-                    live.in_doubt = Some(now.at + LATE_MAX);
+                    let until = Some(now.at + LATE_MAX);
+                    live.in_doubt = until;
+                    if failure.is_silence()
+                        && let Some(worker) = self.workers.get_mut(&live.worker)
+                    {
+                        worker.renewing = worker.renewing.max(until);
+                    }
                 }
                 live.retry = now.at + RETRY.max(self.pressure.usual());
                 // Slowness that most workers share says nothing of this one.
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -131,10 +131,13 @@
             worker.lease.fence(now.at, self.terms.lease);
             // A young life may have carried out a grant that an earlier owner made to the one
             // before, by a clock that had gone on for longer.
+            let hold = lease::stretch(self.terms.hold);
             if Duration::from_millis(clock) < FORMER_GRANT + self.terms.hold {
-                worker
-                    .lease
-                    .extend(now.at + lease::stretch(self.terms.hold));
+                worker.lease.extend(now.at + hold);
+            }
+            // This fence keeps out none of this owner's calls to the life before.
+            if let Some(until) = worker.renewing {
+                worker.lease.extend(until + hold);
             }
             self.dirty = true;
         }
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -124,7 +124,7 @@
     pub seen: u64,
     /// The worker has heard that ends up to this number are recorded.
     pub told: u64,
-    /// Until when a look that was not answered may still extend its lease.
+    /// Until when a call that was not answered may still extend its lease.
     pub renewing: Option<Duration>,
     /// Until when a look that was not answered may still acknowledge ends.
     pub acknowledging: Option<Duration>,
@@ -279,6 +279,7 @@
         // An old entry may list the life before once more, of which nothing is known then.
         let forgetful = former.forgetful.max(former.acknowledging);
         self.forgetful = self.forgetful.max(forgetful);
+        self.renewing = self.renewing.max(former.renewing);
         if let Some(until) = former.renewing {
             self.lease.extend(until + lease::stretch(hold));
         }
@@ -288,7 +289,7 @@
     pub fn note_unanswered(&mut self, look: &Looking) {
         let until = look.sent + LATE_MAX;
         if look.renews {
-            self.renewing = Some(until);
+            self.renewing = self.renewing.max(Some(until));
         }
         if look.seen > 0 {
             self.acknowledging = Some(until);
--- a/ashtiller/tests/owner/lives.rs
+++ b/ashtiller/tests/owner/lives.rs
@@ -322,3 +322,36 @@
     heir.pass(1500 * MS);
     assert_eq!(heir.starts().len(), 1);
 }
+
+/// A start names the end of a lease, which a worker takes even from a start that it refuses. One
+/// that was not answered may come to the next life, whose clock began anew: a grant of 6 s by the
+/// former clock lasts for 10 s there. Guards against two runs of a task when that life falls silent.
+#[test]
+fn a_start_that_was_not_answered_may_extend_the_lease_of_the_next_life() {
+    let (mut driver, life, _) = begin();
+    driver.submit(job("2", vec![step(1), step(1)]));
+    let mut unanswered = false;
+    while !unanswered {
+        driver.now.at += 5 * MS;
+        driver.core.note_listing(driver.now.at);
+        for effect in driver.core.poll(driver.now) {
+            match effect {
+                Effect::Order(target, run, order @ Order::Start(_)) if target.life == life => {
+                    let nothing = Failure::unknown("order", &life, "no answer in time");
+                    let core = &mut driver.core;
+                    core.take_answer(&life, run, &order, Err(nothing), driver.now);
+                    unanswered = true;
+                }
+                other => driver.carry_out(other),
+            }
+        }
+    }
+    let sent = driver.now.at;
+    let next = born(0, 2000);
+    driver.reborn.insert(life, next.life.clone());
+    driver.core.list_worker(next.clone(), driver.now);
+    driver.pass(500 * MS);
+    let bound = driver.core.workers()[&next.life].lease.bound();
+    let terms = Terms::default();
+    assert!(bound >= sent + LATE_MAX + terms.hold, "{bound:?}");
+}
