A worker's fence rises after each call that failed

Cause: a fence tells owners apart, not the calls of one owner. A look that acknowledged ends of the former life came 3.3 s late, after the next life had taken a start with the same fence, and made it forget an end of its own.

Change: the log says at which revision an entry was written. Such a revision is below the epoch of any later owner and above all fences of before, so that an owner may use it as its fence at a worker to which a call failed. What has taken such a call carries out nothing of before. A next life that has answered it gets work at once, where it waited for 13 s. A refusal by its own risen fence is no word of another owner.

--- a/ashtiller/src/workflow/core/lives.rs
+++ b/ashtiller/src/workflow/core/lives.rs
@@ -240,6 +240,7 @@
         }
         if let Some(worker) = self.workers.get_mut(next) {
             worker.succeed(&mut old, self.terms.hold);
+            worker.raise_fence(self.epoch, self.revision, now.at);
         }
         for run in lost {
             self.end_run(run, End::Lost, &Arc::from(""), now);
--- a/ashtiller/src/workflow/core/looks.rs
+++ b/ashtiller/src/workflow/core/looks.rs
@@ -111,6 +111,7 @@
             sent: now.at,
             wait,
             seen,
+            fence: worker.fence(self.epoch),
             renews: until.is_some(),
         });
         Some(Look { until, seen, wait })
@@ -121,6 +122,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        worker.raise_fence(self.epoch, self.revision, now.at);
         worker.answers = false;
         worker.missed.get_or_insert(now.at);
         worker.broke |= broke;
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -159,6 +159,8 @@
     ghosts: bool,
     swept: Duration,
     superseded: bool,
+    /// Newest revision of the store that is lower than the epoch of any later owner.
+    revision: u64,
     began: Duration,
     /// Since when no earlier owner grants leases.
     cleared: Option<Duration>,
@@ -235,6 +237,7 @@
             ghosts: true,
             swept: now.at,
             superseded: false,
+            revision: epoch,
             began: now.at,
             cleared: None,
             returned: None,
@@ -278,6 +281,11 @@
         }
     }
 
+    /// A revision of the store was seen that is lower than the epoch of any later owner.
+    pub fn note_revision(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
     /// Counts since this owner began.
     #[must_use]
     pub fn counts(&self) -> Counts {
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -197,6 +197,11 @@
         } else {
             self.pressure.note_end();
         }
+        if said.is_err()
+            && let Some(worker) = self.workers.get_mut(id)
+        {
+            worker.raise_fence(self.epoch, self.revision, now.at);
+        }
         if let Ok(Said::OtherLife) = said {
             self.take_other_life(id, None, now);
             return;
@@ -242,6 +247,7 @@
         // clock, which began later. By the old one it would count as over while the task still
         // runs, and the task would start elsewhere.
         worker.lease.note_lag(clock, now.at, self.terms.hold);
+        worker.raise_fence(self.epoch, self.revision, now.at);
         worker.answers = false;
         worker.next_look = worker.next_look.min(now.at);
         if behind && id.born().is_none() {
@@ -262,7 +268,10 @@
                 }
             }
             Ok(Said::Refused(Refusal::Late)) => live.retry = now.at,
-            Ok(Said::Refused(Refusal::Fenced)) => self.superseded = true,
+            Ok(Said::Refused(Refusal::Fenced)) => {
+                live.retry = now.at + RETRY;
+                self.take_fenced(run, now);
+            }
             Ok(Said::Refused(Refusal::Busy)) => {
                 live.unanswered += 1;
                 live.retry = now.at + RETRY_BUSY;
@@ -310,6 +319,14 @@
         }
     }
 
+    /// A worker knows a higher fence than that of an order: a later owner's, or one of this owner
+    /// that passed the order on its way.
+    fn take_fenced(&mut self, run: Run, now: Now) {
+        let worker = self.runs.get(&run).map(|live| &live.worker);
+        let worker = worker.and_then(|life| self.workers.get(life));
+        self.superseded |= !worker.is_some_and(|worker| worker.refuses_former(now.at));
+    }
+
     /// Counts a start that failed against its worker: by the same costs the task would be
     /// placed there again and again, and run nowhere.
     fn note_refusal(&mut self, run: Run, now: Now) {
@@ -340,7 +357,7 @@
             }
             Ok(Said::Refused(Refusal::Fenced)) => {
                 live.retry = now.at + RETRY_BUSY;
-                self.superseded = true;
+                self.take_fenced(run, now);
             }
             Ok(_) => live.retry = now.at + RETRY_BUSY,
             Err(failure) if answers => {
@@ -366,7 +383,10 @@
                     Duration::ZERO
                 };
             }
-            Ok(Said::Refused(Refusal::Fenced)) => self.superseded = true,
+            Ok(Said::Refused(Refusal::Fenced)) => {
+                live.retry = now.at + RETRY;
+                self.take_fenced(run, now);
+            }
             Ok(_) => live.retry = now.at + RETRY_BUSY,
             Err(failure) => {
                 tracing::info!(task = %run.task, run = run.number, worker = %live.worker, %failure, "pace unanswered");
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -12,7 +12,7 @@
 use crate::workflow::lease;
 use crate::workflow::life::Life;
 use crate::workflow::live::{Reason, Stage, Stop};
-use crate::workflow::worker::LATE_MAX;
+use crate::workflow::worker::{LATE_MAX, Looking};
 
 /// Time without progress after which a run counts as stalled. The platform's
 /// workers report whole percents, which tasks of up to 5.4 s gain every 54 ms.
@@ -67,7 +67,7 @@
                 if self.is_other_life(id, clock, begun, &active, &finished) {
                     self.restart_in_place(id, now);
                 }
-                self.greet_worker(id, clock, begun, now);
+                self.greet_worker(id, clock, &asked, now);
                 self.take_finished(id, &finished, now);
                 self.take_active(id, &active, begun, now);
                 self.pace_worker(id, now);
@@ -75,7 +75,7 @@
             }
             Ok(Looked::OtherLife(next)) => self.take_other_life(id, next, now),
             Ok(Looked::Fenced) => {
-                self.superseded = true;
+                self.superseded |= asked.fence >= worker.fence(self.epoch);
                 self.miss_look(id, false, now);
             }
             Ok(Looked::Busy) => self.miss_look(id, false, now),
@@ -121,7 +121,7 @@
         })
     }
 
-    fn greet_worker(&mut self, id: &Life, clock: u64, begun: Duration, now: Now) {
+    fn greet_worker(&mut self, id: &Life, clock: u64, asked: &Looking, now: Now) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -141,7 +141,8 @@
             }
             self.dirty = true;
         }
-        if worker.doubted.is_some_and(|until| until <= begun) {
+        worker.note_fence(asked.fence);
+        if worker.doubted.is_some_and(|until| until <= asked.sent) {
             worker.doubted = None;
             self.dirty = true;
         }
--- a/ashtiller/src/workflow/log/mod.rs
+++ b/ashtiller/src/workflow/log/mod.rs
@@ -65,6 +65,15 @@
     Superseded,
 }
 
+/// An entry that is written.
+#[derive(Clone, Copy, Debug)]
+pub struct Written {
+    /// When the successful or first call was sent.
+    pub sent: Moment,
+    /// A revision of the store that is lower than the epoch of any later owner.
+    pub revision: u64,
+}
+
 /// A log in the key-value service.
 #[derive(Clone)]
 pub struct Log {
@@ -236,11 +245,11 @@
     }
 
     /// Writes an entry, again and again until it is known to be written or that it
-    /// never will be. The result is when the successful or first call was sent.
+    /// never will be.
     ///
     /// # Errors
     /// Another process owns the log.
-    pub async fn append(&self, epoch: u64, position: u64, value: Bytes) -> Result<Moment, Lost> {
+    pub async fn append(&self, epoch: u64, position: u64, value: Bytes) -> Result<Written, Lost> {
         let key = self.entry_key(position);
         let txn = Txn {
             expect: vec![(self.lead_key(), epoch), (key.clone(), 0)],
@@ -251,16 +260,18 @@
         loop {
             let sent = Moment::now();
             match self.store.commit(&txn).await {
-                Ok(Committed::Done(_)) => return Ok(sent),
+                Ok(Committed::Done(revision)) => return Ok(Written { sent, revision }),
                 Ok(Committed::Conflict(items)) => {
                     let ours = items
                         .iter()
-                        .any(|item| *item.key == *key && item.value == value);
-                    if ours {
-                        // An earlier try had its effect; it proves nothing about now.
-                        return self.confirm_lead(epoch, sent).await;
-                    }
-                    return Err(Lost::Superseded);
+                        .find(|item| *item.key == *key && item.value == value);
+                    let Some(ours) = ours else {
+                        return Err(Lost::Superseded);
+                    };
+                    // An earlier try had its effect; it proves nothing about now.
+                    let sent = self.confirm_lead(epoch, sent).await?;
+                    let revision = ours.revision;
+                    return Ok(Written { sent, revision });
                 }
                 Err(failure) => {
                     tries += 1;
--- a/ashtiller/src/workflow/owner/inputs.rs
+++ b/ashtiller/src/workflow/owner/inputs.rs
@@ -7,7 +7,7 @@
 use crate::workflow::evacuations::Evacuations;
 use crate::workflow::follow::Seen;
 use crate::workflow::kv::{Change, Item};
-use crate::workflow::log::Lost;
+use crate::workflow::log::{Lost, Written};
 use crate::workflow::message::{Ask, Reply};
 use crate::workflow::owner::{Asked, Input, Owner};
 
@@ -36,11 +36,12 @@
             Input::Answered(worker, run, order, said) => {
                 self.core.take_answer(&worker, run, &order, said, now);
             }
-            Input::Appended(position, Ok(sent)) => {
+            Input::Appended(position, Ok(Written { sent, revision })) => {
                 self.node.note_store();
                 self.node.note_position(position);
                 self.node.metrics.note_commit(sent.elapsed());
                 let sent = sent.since(self.start);
+                self.core.note_revision(revision);
                 self.core.note_durable(position, sent, now);
                 self.compact(position);
             }
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -24,7 +24,7 @@
 use crate::workflow::fact::{Lead, Run};
 use crate::workflow::follow::{self, Seen};
 use crate::workflow::life::Life;
-use crate::workflow::log::{Lost, Replayed};
+use crate::workflow::log::{Lost, Replayed, Written};
 use crate::workflow::machines::{Done, Duty};
 use crate::workflow::message::{Ask, Reply};
 use crate::workflow::node::Node;
@@ -56,7 +56,7 @@
 enum Input {
     Looked(Life, Result<Looked, Failure>),
     Answered(Life, Run, Order, Result<Said, Failure>),
-    Appended(u64, Result<Moment, Lost>),
+    Appended(u64, Result<Written, Lost>),
     Workers(Seen),
     Advised(StepKey, Duration, Result<Tickets, Failure>),
     Duty(Arc<str>, Duty, Result<Done, Failure>),
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -24,6 +24,8 @@
 const TRIAL_WORKS: Duration = Duration::from_secs(2);
 /// How much later than its sending an unanswered call may be carried out.
 pub const LATE_MAX: Duration = Duration::from_secs(13);
+/// Time after a worker's fence rose for which answers to calls of before come.
+const FENCE_SETTLES: Duration = Duration::from_secs(3);
 /// Failures without a success between them that put a worker aside.
 const FAILURES: u32 = 2;
 
@@ -69,6 +71,8 @@
     pub wait: Duration,
     /// Number up to which it acknowledges ends.
     pub seen: u64,
+    /// Its fence.
+    pub fence: u64,
     /// Whether it extends the lease.
     pub renews: bool,
 }
@@ -93,6 +97,13 @@
     pub lease: Lease,
     /// Whether it has answered under this owner's fence.
     pub fenced: bool,
+    /// The fence of calls to it, if higher than the owner's epoch.
+    fence: u64,
+    /// When its fence rose: calls of before may be refused from then on.
+    raised: Duration,
+    /// Highest fence of the looks that were not answered, by this life or one before, and may
+    /// still acknowledge ends.
+    outdated: u64,
     /// Whether the last look at it was answered.
     pub answers: bool,
     /// When it last answered a look.
@@ -126,7 +137,8 @@
     pub told: u64,
     /// Until when a call that was not answered may still extend its lease.
     pub renewing: Option<Duration>,
-    /// Until when a look that was not answered may still acknowledge ends.
+    /// Until when a look that was not answered, by this life or one before, may still acknowledge
+    /// ends.
     pub acknowledging: Option<Duration>,
     /// Until when a look meant for the life before may acknowledge ends of this one.
     pub forgetful: Option<Duration>,
@@ -172,6 +184,9 @@
             absent: None,
             lease: Lease::new(bound),
             fenced: false,
+            fence: 0,
+            raised: Duration::ZERO,
+            outdated: 0,
             answers: false,
             heard: Duration::ZERO,
             missed: None,
@@ -205,13 +220,41 @@
         }
     }
 
-    /// How to address it, under this fence.
+    /// The fence of calls to it by the owner at this epoch.
     #[must_use]
-    pub fn target(&self, fence: u64, patience: Duration) -> Target {
+    pub fn fence(&self, epoch: u64) -> u64 {
+        self.fence.max(epoch)
+    }
+
+    /// A call to it failed. Later ones bear a higher fence, so that whatever life takes one of
+    /// them carries out none of before.
+    pub fn raise_fence(&mut self, epoch: u64, revision: u64, now: Duration) {
+        if revision > self.fence(epoch) {
+            self.fence = revision;
+            self.raised = now;
+        }
+    }
+
+    /// Whether calls may be under way that its own fence keeps out.
+    #[must_use]
+    pub fn refuses_former(&self, now: Duration) -> bool {
+        now < self.raised + FENCE_SETTLES
+    }
+
+    /// It has answered a call with this fence.
+    pub fn note_fence(&mut self, fence: u64) {
+        if fence > self.outdated {
+            self.forgetful = None;
+        }
+    }
+
+    /// How to address it, for the owner at this epoch.
+    #[must_use]
+    pub fn target(&self, epoch: u64, patience: Duration) -> Target {
         Target {
             life: self.listed.life.clone(),
             address: self.listed.address,
-            fence,
+            fence: self.fence(epoch),
             patience,
             zone: self.listed.zone.clone(),
         }
@@ -277,8 +320,11 @@
         }
         self.late.append(&mut former.late);
         // An old entry may list the life before once more, of which nothing is known then.
-        let forgetful = former.forgetful.max(former.acknowledging);
-        self.forgetful = self.forgetful.max(forgetful);
+        self.acknowledging = self.acknowledging.max(former.acknowledging);
+        self.forgetful = self.forgetful.max(self.acknowledging);
+        self.outdated = self.outdated.max(former.outdated);
+        self.fence = self.fence.max(former.fence);
+        self.raised = self.raised.max(former.raised);
         self.renewing = self.renewing.max(former.renewing);
         if let Some(until) = former.renewing {
             self.lease.extend(until + lease::stretch(hold));
@@ -292,7 +338,8 @@
             self.renewing = self.renewing.max(Some(until));
         }
         if look.seen > 0 {
-            self.acknowledging = Some(until);
+            self.acknowledging = self.acknowledging.max(Some(until));
+            self.outdated = self.outdated.max(look.fence);
         }
     }
 
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod driver;
 mod evacuation;
+mod fences;
 mod first_list;
 mod first_looks;
 mod freshness;
--- a/ashtiller/tests/world/mod.rs
+++ b/ashtiller/tests/world/mod.rs
@@ -117,7 +117,11 @@
     order: BinaryHeap<Reverse<(Duration, u64)>>,
     number: u64,
     entries: Vec<Vec<Fact>>,
+    /// Revision of the store, which rises with each entry and each owner.
+    revision: u64,
     epoch: u64,
+    /// Epoch of each owner.
+    epochs: Vec<u64>,
     owners: Vec<Option<Core>>,
     news: News,
     /// How each owner hears of workers.
@@ -201,7 +205,9 @@
             order: BinaryHeap::new(),
             number: 0,
             entries: Vec::new(),
+            revision: 0,
             epoch: 0,
+            epochs: Vec::new(),
             owners: Vec::new(),
             news: News::default(),
             channels: Vec::new(),
@@ -368,7 +374,9 @@
 
     /// A new owner replays the log; the former one goes on until it learns of it.
     pub fn take_over(&mut self) {
-        self.epoch += 1;
+        self.revision += 1;
+        self.epoch = self.revision;
+        self.epochs.push(self.epoch);
         self.takeovers += 1;
         tracing::trace!(epoch = self.epoch, "world: new owner");
         let mut book = Book::default();
@@ -407,7 +415,8 @@
             if let Some(core) = &mut self.owners[place]
                 && ended
             {
-                core.clear_former(core.epoch() - 1, now);
+                let former = place.checked_sub(1).map_or(0, |it| self.epochs[it]);
+                core.clear_former(former, now);
             }
         }
     }
@@ -679,6 +688,7 @@
                 if epoch == self.epoch && position == next {
                     self.note_ends(&facts);
                     self.entries.push(facts);
+                    self.revision += 1;
                 }
             }
             Event::Durable(place, position, sent) => {
@@ -688,6 +698,7 @@
                 // Written by this owner, or by nobody because another took over first.
                 let written = core.epoch() == self.epoch || self.entries.len() as u64 >= position;
                 if written && core.epoch() == self.epoch {
+                    core.note_revision(self.revision);
                     core.note_durable(position, sent, now);
                 } else {
                     self.owners[place] = None;
