What a silent worker may have ended is not charged with its crash

Cause: a crash was dated by the moment at which its worker fell silent. One that is cut off works on, and its process ends later; what it ended in between counted as certainly there.

Change: the moment at which connections first broke is kept, and a run counts as certainly there only if it would have been going on then too; where its speed is not known, only if there was no silence.

Test: owner/crashes.rs, red before.

--- a/ashtiller/src/workflow/core/crashes.rs
+++ b/ashtiller/src/workflow/core/crashes.rs
@@ -36,7 +36,7 @@
 /// Whether a worker only fell silent, or was about to leave: nothing says that its process
 /// ended there and then, or that a task was the cause.
 fn is_dark(worker: &Worker) -> bool {
-    let silent = worker.missed.is_some() && !worker.broke;
+    let silent = worker.missed.is_some() && worker.broke.is_none();
     silent || worker.draining.is_some()
 }
 
@@ -75,7 +75,7 @@
         // What another life has begun was not there.
         let live = live.filter(|(_, live)| !live.astray || live.began.is_some());
         let victims: Vec<Victim> = live
-            .map(|(run, live)| self.charge(run, live, worker, at, &others))
+            .map(|(run, live)| self.charge(run, live, worker, &others, now))
             .collect();
         let begun = self.begun_steps(worker, at);
         let crash = Crash {
@@ -125,9 +125,12 @@
         run: Run,
         live: &LiveRun,
         worker: &Worker,
-        at: Duration,
         others: &Others,
+        now: Now,
     ) -> Victim {
+        let at = others.at;
+        // One that was silent at first may have gone on until its connections broke.
+        let latest = worker.broke.unwrap_or(now.at);
         // When an earlier owner's run began is not known.
         let known = live.placed > self.began || worker.fenced;
         let age = at.saturating_sub(live.placed);
@@ -137,7 +140,8 @@
                 Some(_) => age,
                 None => Duration::ZERO,
             },
-            begun: matches!(live.stage, Stage::Started(_)) && !self.may_be_done(run, live, at),
+            begun: matches!(live.stage, Stage::Started(_))
+                && !self.may_be_done(run, live, at, latest),
             many: others.many || is_dark(worker),
             alike: self.has_begun_on_others(step_of(run), worker, others),
         };
@@ -154,11 +158,14 @@
         self.crashes.count_at(&machine_of(worker))
     }
 
-    /// Whether a run may have ended before its worker went: it was nearly done, or nothing was
-    /// heard of it for a while and how fast it works is not known.
-    fn may_be_done(&self, run: Run, live: &LiveRun, at: Duration) -> bool {
-        let rest = self.rest_of(run, Now { at, wall: 0 });
-        let silent = || self.is_short(run) && at > live.moved + JUST_BEGUN;
+    /// Whether a run may have ended before its worker went, which fell silent `at` and went at the
+    /// `latest` by then: it was nearly done, or how fast it works is not known and nothing was heard
+    /// of it for a while. An end is told at once by a worker that answers.
+    fn may_be_done(&self, run: Run, live: &LiveRun, at: Duration, latest: Duration) -> bool {
+        let wall = 0;
+        let rest = self.rest_of(run, Now { at: latest, wall });
+        let unheard = || latest > at || at > live.moved + JUST_BEGUN;
+        let silent = || self.is_short(run) && unheard();
         rest.map_or_else(silent, |rest| rest.is_zero())
     }
 
--- a/ashtiller/src/workflow/core/looks.rs
+++ b/ashtiller/src/workflow/core/looks.rs
@@ -125,7 +125,9 @@
         worker.raise_fence(self.epoch, self.revision, now.at);
         worker.answers = false;
         worker.missed.get_or_insert(now.at);
-        worker.broke |= broke;
+        if broke {
+            worker.broke.get_or_insert(now.at);
+        }
         let silent = now.at.saturating_sub(worker.heard) > SILENT;
         worker.next_look = now.at + LOOK_RETRY[usize::from(silent)];
     }
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -167,7 +167,7 @@
         worker.answers = true;
         worker.heard = now.at;
         worker.missed = None;
-        worker.broke = false;
+        worker.broke = None;
         // The first answer tells the clock; the lease comes with the next look.
         worker.next_look = if again {
             now.at
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -110,9 +110,9 @@
     pub heard: Duration,
     /// Since when it does not.
     pub missed: Option<Duration>,
-    /// Whether a connection to it was refused or broke since then: its process has ended, or
+    /// When a connection to it was first refused or broke since then: its process has ended, or
     /// the network says so.
-    pub broke: bool,
+    pub broke: Option<Duration>,
     /// The look that is under way.
     pub looking: Option<Looking>,
     /// When the next look is due.
@@ -190,7 +190,7 @@
             answers: false,
             heard: Duration::ZERO,
             missed: None,
-            broke: false,
+            broke: None,
             looking: None,
             next_look: Duration::ZERO,
             ordering: 0,
--- a/ashtiller/tests/owner/crashes.rs
+++ b/ashtiller/tests/owner/crashes.rs
@@ -12,6 +12,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use ashtiller::workflow::agents::Active;
 use ashtiller::workflow::blame::Victim;
 use ashtiller::workflow::config::Listed;
 use ashtiller::workflow::fact::{End, Fact, Outcome, Run, Task};
@@ -230,3 +231,46 @@
         "the suspects are tried all the same"
     );
 }
+
+/// Symptom: a harmless job was given up. Its worker had been cut off for 0.46 s before its process
+/// ended, and the task had ended done in between (run 2 of `23.0.0.0`: heard of at 70.88 s, done at
+/// 71.31, the process ended at 71.35, `job given up … crashes=2`). The owner took the moment at which
+/// the worker fell silent for that of the crash, when the run was going on for certain. Guards
+/// against crashes that are charged to work that was over.
+#[test]
+fn a_run_that_may_have_ended_in_the_dark_was_not_certainly_there_at_the_crash() {
+    for (dark, certain) in [(Duration::ZERO, true), (400 * MS, false)] {
+        let mut driver = Driver::new(2, policy());
+        driver.submit(job("1", vec![step(1)]));
+        driver.pass(100 * MS);
+        let (life, run) = driver.starts()[0].clone();
+        let row = Active {
+            name: driver.name(run),
+            run: run.number,
+            saved: "".into(),
+            percent: 4,
+            figure: None,
+        };
+        driver.at_work.push((life.clone(), row));
+        driver.pass(100 * MS);
+        driver.mute = Some(life.clone());
+        driver.pass(dark);
+        driver.mute = None;
+        driver.crash(&life);
+        driver.pass(200 * MS);
+        let machine = driver.core.workers()[&life].listed.clone();
+        let next = Listed {
+            life: "next".into(),
+            ..machine
+        };
+        driver.come_back_as(&life, next);
+        driver.pass(500 * MS);
+        let victims = driver.facts.iter().filter_map(|fact| match fact {
+            Fact::Crashed(of, victims) if *of == life => Some(victims),
+            _ => None,
+        });
+        let victim = victims.flatten().find(|victim| victim.run == run);
+        let victim = victim.expect("its worker crashed");
+        assert_eq!(victim.begun, certain, "silent for {dark:?} before");
+    }
+}
--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -109,6 +109,8 @@
     pub refuses: Option<(Life, Refusal)>,
     /// A worker that answers no look.
     pub silent: Option<Life>,
+    /// A worker at which looks run out of time.
+    pub mute: Option<Life>,
     /// Lives of workers that are over: they answer nothing.
     pub crashed: BTreeSet<Life>,
     /// Lives that are not where their entries say: another one answers.
@@ -187,6 +189,7 @@
             advises: None,
             refuses: None,
             silent: None,
+            mute: None,
             crashed: BTreeSet::new(),
             strangers: BTreeSet::new(),
             reborn: BTreeMap::new(),
@@ -270,6 +273,10 @@
                 self.core
                     .take_answer(&target.life, run, &order, Err(nothing), self.now);
             }
+            Effect::Look(target, _) if Some(&target.life) == self.mute.as_ref() => {
+                let nothing = Failure::unknown("look", &target.life, "no answer in time");
+                self.core.take_look(&target.life, Err(nothing), self.now);
+            }
             Effect::Look(target, _) if self.crashed.contains(&target.life) => {
                 let nothing = Failure::unknown("look", &target.life, "connection refused");
                 self.core.take_look(&target.life, Err(nothing), self.now);
