One fence for all lives of a worker

Cause: a risen fence was kept with a life. A call to the former life may be taken by the next, which then refuses a first look that bears the owner's epoch; that counted as word of a later owner.

Evidence: the worker's fence after such a call, and the first look at the listed life with a lower one.

--- a/ashtiller/src/workflow/core/lives.rs
+++ b/ashtiller/src/workflow/core/lives.rs
@@ -234,13 +234,13 @@
                 "worker has started again under its id"
             );
         }
+        self.raise_fence(next, now);
         let bound = self.answered_bound(now);
         if !self.workers.contains_key(next) {
             self.add_worker(Worker::new(old.listed.clone(), bound));
         }
         if let Some(worker) = self.workers.get_mut(next) {
             worker.succeed(&mut old, self.terms.hold);
-            worker.raise_fence(self.epoch, self.revision, now.at);
         }
         for run in lost {
             self.end_run(run, End::Lost, &Arc::from(""), now);
@@ -302,12 +302,12 @@
 
     /// Stops at a life that answers for the first time what may still come for the one before.
     pub(super) fn stop_late_starts(&mut self, life: &Life, now: Now) {
-        let limit = self.order_limit();
+        let (limit, fence) = (self.order_limit(), self.fences.of(life));
         let Some(worker) = self.workers.get_mut(life) else {
             return;
         };
         let late = std::mem::take(&mut worker.late);
-        let target = worker.target(self.epoch, limit);
+        let target = worker.target(fence, limit);
         for Late { run, name, .. } in late.into_iter().filter(|it| now.at < it.until) {
             let order = Order::Stop(name, run.number);
             self.pressure.note_sent();
--- a/ashtiller/src/workflow/core/looks.rs
+++ b/ashtiller/src/workflow/core/looks.rs
@@ -38,7 +38,7 @@
             let Some(look) = self.prepare_look(&life, now) else {
                 continue;
             };
-            let target = self.workers[&life].target(self.epoch, limit);
+            let target = self.workers[&life].target(self.fences.of(&life), limit);
             self.counts.looks += 1;
             self.effects.push(Effect::Look(target, look));
         }
@@ -75,6 +75,7 @@
         } else {
             self.terms.watch
         };
+        let fence = self.fences.of(life);
         let worker = self.workers.get_mut(life)?;
         let mixed = worker.serving > 0 && worker.filling > 0;
         let known = worker.fenced && worker.answers && worker.doubted.is_none();
@@ -111,7 +112,7 @@
             sent: now.at,
             wait,
             seen,
-            fence: worker.fence(self.epoch),
+            fence,
             renews: until.is_some(),
         });
         Some(Look { until, seen, wait })
@@ -119,10 +120,10 @@
 
     /// A look was not answered; `broke` when its connection was refused or broke.
     pub(super) fn miss_look(&mut self, id: &Life, broke: bool, now: Now) {
+        self.raise_fence(id, now);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        worker.raise_fence(self.epoch, self.revision, now.at);
         worker.answers = false;
         worker.missed.get_or_insert(now.at);
         if broke {
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -11,6 +11,7 @@
 mod dump;
 mod entries;
 mod evacuation;
+mod fences;
 mod fleet;
 pub mod gate;
 mod hold;
@@ -159,8 +160,7 @@
     ghosts: bool,
     swept: Duration,
     superseded: bool,
-    /// Newest revision of the store that is lower than the epoch of any later owner.
-    revision: u64,
+    fences: fences::Fences,
     began: Duration,
     /// Since when no earlier owner grants leases.
     cleared: Option<Duration>,
@@ -237,7 +237,7 @@
             ghosts: true,
             swept: now.at,
             superseded: false,
-            revision: epoch,
+            fences: fences::Fences::new(epoch),
             began: now.at,
             cleared: None,
             returned: None,
@@ -281,11 +281,6 @@
         }
     }
 
-    /// A revision of the store was seen that is lower than the epoch of any later owner.
-    pub fn note_revision(&mut self, revision: u64) {
-        self.revision = self.revision.max(revision);
-    }
-
     /// Counts since this owner began.
     #[must_use]
     pub fn counts(&self) -> Counts {
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -57,7 +57,7 @@
         {
             return false;
         }
-        let limit = self.order_limit();
+        let (limit, fence) = (self.order_limit(), self.fences.of(id));
         let (runs, next) = self.collect_due(id, now);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.rest_until(next);
@@ -77,7 +77,7 @@
                 live.ordering = true;
                 live.sent += u32::from(matches!(order, Order::Start(_)));
             }
-            let target = worker.target(self.epoch, limit);
+            let target = worker.target(fence, limit);
             self.effects.push(Effect::Order(target, run, order));
             return true;
         }
@@ -197,10 +197,8 @@
         } else {
             self.pressure.note_end();
         }
-        if said.is_err()
-            && let Some(worker) = self.workers.get_mut(id)
-        {
-            worker.raise_fence(self.epoch, self.revision, now.at);
+        if said.is_err() {
+            self.raise_fence(id, now);
         }
         if let Ok(Said::OtherLife) = said {
             self.take_other_life(id, None, now);
@@ -247,9 +245,9 @@
         // clock, which began later. By the old one it would count as over while the task still
         // runs, and the task would start elsewhere.
         worker.lease.note_lag(clock, now.at, self.terms.hold);
-        worker.raise_fence(self.epoch, self.revision, now.at);
         worker.answers = false;
         worker.next_look = worker.next_look.min(now.at);
+        self.raise_fence(id, now);
         if behind && id.born().is_none() {
             self.restart_in_place(id, now);
         }
@@ -270,7 +268,8 @@
             Ok(Said::Refused(Refusal::Late)) => live.retry = now.at,
             Ok(Said::Refused(Refusal::Fenced)) => {
                 live.retry = now.at + RETRY;
-                self.take_fenced(run, now);
+                let worker = live.worker.clone();
+                self.take_fenced(&worker, now);
             }
             Ok(Said::Refused(Refusal::Busy)) => {
                 live.unanswered += 1;
@@ -319,14 +318,6 @@
         }
     }
 
-    /// A worker knows a higher fence than that of an order: a later owner's, or one of this owner
-    /// that passed the order on its way.
-    fn take_fenced(&mut self, run: Run, now: Now) {
-        let worker = self.runs.get(&run).map(|live| &live.worker);
-        let worker = worker.and_then(|life| self.workers.get(life));
-        self.superseded |= !worker.is_some_and(|worker| worker.refuses_former(now.at));
-    }
-
     /// Counts a start that failed against its worker: by the same costs the task would be
     /// placed there again and again, and run nowhere.
     fn note_refusal(&mut self, run: Run, now: Now) {
@@ -357,7 +348,8 @@
             }
             Ok(Said::Refused(Refusal::Fenced)) => {
                 live.retry = now.at + RETRY_BUSY;
-                self.take_fenced(run, now);
+                let worker = live.worker.clone();
+                self.take_fenced(&worker, now);
             }
             Ok(_) => live.retry = now.at + RETRY_BUSY,
             Err(failure) if answers => {
@@ -385,7 +377,8 @@
             }
             Ok(Said::Refused(Refusal::Fenced)) => {
                 live.retry = now.at + RETRY;
-                self.take_fenced(run, now);
+                let worker = live.worker.clone();
+                self.take_fenced(&worker, now);
             }
             Ok(_) => live.retry = now.at + RETRY_BUSY,
             Err(failure) => {
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -75,7 +75,7 @@
             }
             Ok(Looked::OtherLife(next)) => self.take_other_life(id, next, now),
             Ok(Looked::Fenced) => {
-                self.superseded |= asked.fence >= worker.fence(self.epoch);
+                self.take_fenced(id, now);
                 self.miss_look(id, false, now);
             }
             Ok(Looked::Busy) => self.miss_look(id, false, now),
@@ -289,7 +289,7 @@
 
     /// A run that the log does not place here is stopped.
     fn stop_stray(&mut self, id: &Life, row: &Active) {
-        let limit = self.order_limit();
+        let (limit, fence) = (self.order_limit(), self.fences.of(id));
         let Some(worker) = self.workers.get(id) else {
             return;
         };
@@ -305,7 +305,7 @@
         };
         let order = Order::Stop(row.name.clone(), row.run);
         self.effects
-            .push(Effect::Order(worker.target(self.epoch, limit), run, order));
+            .push(Effect::Order(worker.target(fence, limit), run, order));
     }
 
     fn note_progress(&mut self, run: Run, row: &Active, now: Now) {
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -24,8 +24,6 @@
 const TRIAL_WORKS: Duration = Duration::from_secs(2);
 /// How much later than its sending an unanswered call may be carried out.
 pub const LATE_MAX: Duration = Duration::from_secs(13);
-/// Time after a worker's fence rose for which answers to calls of before come.
-const FENCE_SETTLES: Duration = Duration::from_secs(3);
 /// Failures without a success between them that put a worker aside.
 const FAILURES: u32 = 2;
 
@@ -97,10 +95,6 @@
     pub lease: Lease,
     /// Whether it has answered under this owner's fence.
     pub fenced: bool,
-    /// The fence of calls to it, if higher than the owner's epoch.
-    fence: u64,
-    /// When its fence rose: calls of before may be refused from then on.
-    raised: Duration,
     /// Highest fence of the looks that were not answered, by this life or one before, and may
     /// still acknowledge ends.
     outdated: u64,
@@ -184,8 +178,6 @@
             absent: None,
             lease: Lease::new(bound),
             fenced: false,
-            fence: 0,
-            raised: Duration::ZERO,
             outdated: 0,
             answers: false,
             heard: Duration::ZERO,
@@ -220,27 +212,6 @@
         }
     }
 
-    /// The fence of calls to it by the owner at this epoch.
-    #[must_use]
-    pub fn fence(&self, epoch: u64) -> u64 {
-        self.fence.max(epoch)
-    }
-
-    /// A call to it failed. Later ones bear a higher fence, so that whatever life takes one of
-    /// them carries out none of before.
-    pub fn raise_fence(&mut self, epoch: u64, revision: u64, now: Duration) {
-        if revision > self.fence(epoch) {
-            self.fence = revision;
-            self.raised = now;
-        }
-    }
-
-    /// Whether calls may be under way that its own fence keeps out.
-    #[must_use]
-    pub fn refuses_former(&self, now: Duration) -> bool {
-        now < self.raised + FENCE_SETTLES
-    }
-
     /// It has answered a call with this fence.
     pub fn note_fence(&mut self, fence: u64) {
         if fence > self.outdated {
@@ -248,13 +219,13 @@
         }
     }
 
-    /// How to address it, for the owner at this epoch.
+    /// How to address it, under this fence.
     #[must_use]
-    pub fn target(&self, epoch: u64, patience: Duration) -> Target {
+    pub fn target(&self, fence: u64, patience: Duration) -> Target {
         Target {
             life: self.listed.life.clone(),
             address: self.listed.address,
-            fence: self.fence(epoch),
+            fence,
             patience,
             zone: self.listed.zone.clone(),
         }
@@ -323,8 +294,6 @@
         self.acknowledging = self.acknowledging.max(former.acknowledging);
         self.forgetful = self.forgetful.max(self.acknowledging);
         self.outdated = self.outdated.max(former.outdated);
-        self.fence = self.fence.max(former.fence);
-        self.raised = self.raised.max(former.raised);
         self.renewing = self.renewing.max(former.renewing);
         if let Some(until) = former.renewing {
             self.lease.extend(until + lease::stretch(hold));
--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -372,7 +372,7 @@
     }
 
     pub fn clock(&self) -> u64 {
-        u64::try_from((self.now.at - self.began).as_millis()).unwrap()
+        u64::try_from(self.now.at.saturating_sub(self.began).as_millis()).unwrap()
     }
 
     pub fn report(&mut self, id: &Life, mut active: Vec<Active>, finished: Vec<Finished>) {
--- a/ashtiller/tests/owner/fences.rs
+++ b/ashtiller/tests/owner/fences.rs
@@ -157,3 +157,27 @@
     driver.pass(Duration::from_secs(1));
     assert!(driver.starts().iter().any(|(at, _)| *at == next.life));
 }
+
+/// Symptom: an owner gave the log up without another one. A call to the former life had been taken
+/// by the next, with a fence that had risen; the first look at that life, listed under its own birth,
+/// bore the owner's epoch and was refused. Guards against fences that are kept for a life.
+#[test]
+fn all_lives_of_a_worker_are_called_with_one_fence() {
+    let born = |at| Listed {
+        life: Life::new("w0", Some(at)),
+        ..listed(0)
+    };
+    let (mut driver, look) = begin(born(1000));
+    see_entry(&mut driver, 1);
+    let nothing = Failure::unknown("look", &look.life, "no answer in time");
+    driver.core.take_look(&look.life, Err(nothing), driver.now);
+    let next = born(2000);
+    driver.core.list_worker(next.clone(), driver.now);
+    let (target, _) = await_call(&mut driver, |effect| match effect {
+        Effect::Look(target, look) if target.life == next.life => {
+            Some((target.clone(), look.clone()))
+        }
+        _ => None,
+    });
+    assert!(target.fence > look.fence);
+}
--- a/ashtiller/tests/owner/lives.rs
+++ b/ashtiller/tests/owner/lives.rs
@@ -297,7 +297,7 @@
     driver.pass(100 * MS);
     let (life, _) = driver.starts()[0].clone();
     driver.silent = Some(life);
-    driver.pass(terms.hold - 200 * MS);
+    driver.pass(terms.hold.saturating_sub(200 * MS));
     assert_eq!(driver.starts().len(), 1, "it may still run");
     driver.pass(1000 * MS);
     assert_eq!(driver.starts().len(), 2);
@@ -316,7 +316,7 @@
     heir.crashed.extend([life, next.life.clone()]);
     heir.core.list_all(vec![next, born(1, 1000)], heir.now);
     heir.core.clear_former(0, heir.now);
-    heir.pass(LATE_MAX + terms.hold - 200 * MS);
+    heir.pass(LATE_MAX + terms.hold.saturating_sub(200 * MS));
     assert!(heir.starts().is_empty(), "it may still run");
     assert!(heir.core.book().is_live(run));
     heir.pass(1500 * MS);
