The explorer holds late starts against owners, as the platform does

A run that began by an order meant for an earlier life of its worker was held against nobody for 3 s, nor was the room it took. The platform's rule on two runs of a task exempts no such start, so the exemption is gone; the harm says which run began so.

Workers that do not start again have clocks that have gone on for long, as on the platform.

--- a/ashtiller/tests/world/mod.rs
+++ b/ashtiller/tests/world/mod.rs
@@ -45,9 +45,6 @@
 /// too many.
 const CRASHES: u32 = 3;
 const STARTS: u32 = 3;
-/// Time within which a run must be stopped that began by an order meant for an earlier life of
-/// its worker: nothing but time keeps such an order from being carried out.
-const CROSSED: Duration = Duration::from_secs(3);
 /// First time of every world, so that no sum is below nothing.
 const START: Duration = Duration::from_mins(1);
 
@@ -152,8 +149,8 @@
     machines: BTreeMap<Arc<str>, Arc<str>>,
     /// Rooms of workers before they changed, and when that was.
     roomy: BTreeMap<Arc<str>, Vec<(Resources, Duration)>>,
-    /// Runs that began by an order meant for an earlier life of their worker, and when.
-    crossed: BTreeMap<(Name, u32), Duration>,
+    /// Runs that began by an order meant for an earlier life of their worker.
+    crossed: BTreeSet<(Name, u32)>,
     /// Workers that crashed.
     pub crashed: u64,
     /// Workers that started again under their ids.
@@ -229,7 +226,7 @@
             under: BTreeMap::new(),
             machines: BTreeMap::new(),
             roomy: BTreeMap::new(),
-            crossed: BTreeMap::new(),
+            crossed: BTreeSet::new(),
             crashed: 0,
             restarted: 0,
             broken: Vec::new(),
@@ -249,7 +246,9 @@
         let life = self.bear(id);
         self.machines.insert(id.into(), machine.clone());
         let worker = Worker::new(life.clone(), capacity(), pace, self.faults.weak);
-        self.workers.insert(id.into(), worker.begun_at(self.now));
+        // Where workers do not start again under their ids, their clocks have gone on for long.
+        let began = self.faults.restarts.map_or(Duration::ZERO, |_| self.now);
+        self.workers.insert(id.into(), worker.begun_at(began));
         self.news.put(listing(&life, machine, capacity()));
     }
 
@@ -821,7 +820,7 @@
             }
             let name = start.name.clone();
             if !meant {
-                self.crossed.insert((name.clone(), start.run), self.now);
+                self.crossed.insert((name.clone(), start.run));
             }
             self.check_start(&name, prompt);
             self.check_room(id, &name, prompt);
@@ -861,18 +860,9 @@
         }
     }
 
-    /// Whether a run began not long ago by an order meant for an earlier life of its worker.
-    fn has_crossed(&self, run: &(Name, u32)) -> bool {
-        let since = self.crossed.get(run);
-        since.is_some_and(|since| self.now < *since + CROSSED)
-    }
-
     /// A start must fit into the worker's room, as it was a moment ago if it has shrunk.
     fn check_room(&mut self, id: &Arc<str>, name: &Name, prompt: bool) {
         let worker = &self.workers[id];
-        if worker.runs.keys().any(|run| self.has_crossed(run)) {
-            return;
-        }
         let mut before = self.roomy.get(id).into_iter().flatten();
         let roomy = before.any(|(room, at)| self.now < *at + SHRUNK && worker.used().fits(room));
         if prompt && !roomy && !worker.used().fits(&worker.capacity) {
@@ -933,35 +923,42 @@
     /// acknowledged is in the log.
     fn check(&mut self) {
         let now = self.now;
-        let mut seen: BTreeMap<Name, Arc<str>> = BTreeMap::new();
+        let mut seen: BTreeMap<Name, (Arc<str>, &str)> = BTreeMap::new();
         let mut broken = Vec::new();
         for worker in self.workers.values_mut() {
             for (name, run) in worker.advance(now) {
                 tracing::trace!(worker = %worker.life, ?name, run, "world: task done");
                 self.done.insert(name);
             }
-            let mut late_here = false;
-            for (name, run) in worker.runs.keys() {
-                let since = self.crossed.get(&(name.clone(), *run));
-                if since.is_some_and(|since| now < *since + CROSSED) {
-                    late_here = true;
-                    continue;
+            let mut late_here = "";
+            for run @ (name, _) in worker.runs.keys() {
+                let late = if self.crossed.contains(run) {
+                    " by an order meant for an earlier life"
+                } else {
+                    ""
+                };
+                if !late.is_empty() {
+                    late_here = late;
                 }
                 let copies = self.jobs[&name.job].steps[usize::from(name.step)].copies;
                 let id: Arc<str> = worker.life.id().into();
-                if let Some(other) = seen.insert(name.clone(), id)
+                if let Some((other, before)) = seen.insert(name.clone(), (id, late))
                     && !copies
                 {
                     broken.push(format!(
-                        "{name:?} runs on {other} and {} at {now:?}",
+                        "{name:?} runs on {other}{before} and {}{late} at {now:?}",
                         worker.life
                     ));
                 }
             }
             // A room that shrinks does not end what runs there.
             let shrinks = self.roomy.contains_key(worker.life.id());
-            if !shrinks && !late_here && !worker.used().fits(&worker.capacity) {
-                broken.push(format!("{} holds {}", worker.life, worker.used()));
+            if !shrinks && !worker.used().fits(&worker.capacity) {
+                broken.push(format!(
+                    "{} holds {}{late_here}",
+                    worker.life,
+                    worker.used()
+                ));
             }
         }
         self.broken.append(&mut broken);
