A run moved to a listed incarnation has a lease there

Cause: a worker that restarts under its id may be listed before any reply names its new incarnation. Such an incarnation is known from its entry alone, and its lease bound is the end of the leases of earlier owners, which has long passed.

A test that forces the order of events shows the same line as the one that decides.

Ruled out: an answered stop that counts as an end. With the new incarnation not listed before the reply, the run ends by its listed end, with and without births.

Change: the bound computed for the restart holds for a known incarnation as well.

Test: owner/lives.rs, red before (the run was no longer live).

--- a/ashtiller/src/workflow/core/incarnations.rs
+++ b/ashtiller/src/workflow/core/incarnations.rs
@@ -275,6 +275,8 @@
             self.add_worker(Worker::new(old.listed.clone(), bound));
         }
         if let Some(worker) = self.workers.get_mut(next) {
+            // It may have been listed already, with a bound that knows nothing of these runs.
+            worker.lease.extend(bound);
             worker.take_over_from(&mut old, self.tuning.hold);
         }
         for run in lost {
--- a/ashtiller/tests/owner/lives.rs
+++ b/ashtiller/tests/owner/lives.rs
@@ -423,3 +423,32 @@
     let tuning = Tuning::default();
     assert!(bound >= sent + LATE_MAX + tuning.hold, "{bound:?}");
 }
+
+/// A task ran on two workers at once. Its worker had restarted, and the next incarnation was listed
+/// before a reply named it. The runs that moved there were then counted against the lease of an
+/// incarnation without runs, which had long expired, and ended as lost at once. One of them was
+/// active there and had 44 percent of its work left.
+#[test]
+fn a_run_in_doubt_has_a_lease_at_an_incarnation_that_was_listed_before() {
+    let mut driver = Driver::new(0, policy());
+    driver.core.list_all(vec![started_at(0, 1000)], driver.now);
+    driver.core.note_predecessor_ended(0, driver.now);
+    driver.run_for(Duration::from_secs(8));
+    let incarnation = Incarnation::new("w0", Some(1000));
+    driver.drops_orders = Some(incarnation.clone());
+    driver.submit(job("1", vec![step(1)]));
+    driver.run_for(100 * MS);
+    let (_, run) = driver.starts()[0].clone();
+    let next = started_at(0, 2000);
+    driver.silent = Some(next.incarnation.clone());
+    driver
+        .restarted
+        .insert(incarnation, next.incarnation.clone());
+    driver
+        .core
+        .list_all(vec![next, started_at(1, 1000)], driver.now);
+    driver.run_for(Duration::from_secs(2));
+    assert_eq!(driver.core.counts().restarts, 1);
+    assert!(driver.core.log_state().is_live(run), "it may be active");
+    assert!(driver.starts().iter().all(|(at, _)| at.id() == "w0"));
+}
