--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -15,6 +15,7 @@
 mod jobs;
 mod kept;
 mod late_ends;
+mod late_starts;
 mod leaving;
 mod listing;
 mod lives;
@@ -32,7 +33,12 @@
 mod stops;
 mod strangers;
 mod takeover;
+#[path = "../simulation/trace.rs"]
+mod trace;
 mod trial;
 mod upkeep;
 mod watching;
+#[allow(dead_code, reason = "the simulation uses the rest")]
+#[path = "../../../platform/standin/worker.rs"]
+mod worker;
 mod workers;
