--- a/ashtiller/tests/owner/late_starts.rs
+++ b/ashtiller/tests/owner/late_starts.rs
@@ -36,6 +36,10 @@
 const POLL_WAIT: Duration = Duration::from_millis(200);
 /// Time after the start of a process at which it answers its first poll.
 const FIRST_LIST: Duration = Duration::from_millis(150);
+/// Delay of the polls of a slow incarnation.
+const SLOW_POLL: Duration = Duration::from_millis(300);
+/// Time after which all leases of owners before the first one have ended.
+const EARLIER_LEASES: Duration = Duration::from_secs(20);
 /// Time within which a task must be done.
 const DONE_MAX: Duration = Duration::from_secs(40);
 
@@ -82,6 +86,8 @@
     /// Fates of the next starts; those after them are delivered promptly.
     fates: VecDeque<Fate>,
     held: Vec<(Target, Order)>,
+    /// Incarnation whose polls arrive late, by [`SLOW_POLL`].
+    slow: Option<Incarnation>,
     duration: Duration,
     /// Starts that were sent: worker id, run, time.
     sent: Vec<(Arc<str>, Run, Duration)>,
@@ -110,6 +116,7 @@
             entries: BTreeMap::new(),
             fates: VecDeque::new(),
             held: Vec::new(),
+            slow: None,
             duration: 3 * SECOND,
             sent: Vec::new(),
             violations: BTreeSet::new(),
@@ -281,8 +288,10 @@
             }
             Effect::Order(target, run, order) => self.send(target, run, order),
             Effect::Poll(target, poll) => {
+                let slow = self.slow.as_ref() == Some(&target.incarnation);
                 let event = Event::Poll(owner, self.now.at, target, poll.clone());
-                self.schedule(poll.wait.min(POLL_WAIT).max(STEP), event);
+                let delay = if slow { SLOW_POLL } else { Duration::ZERO };
+                self.schedule(poll.wait.min(POLL_WAIT).max(STEP) + delay, event);
             }
             Effect::Reply(..) | Effect::Advise(_) | Effect::MachineOrder(..) => {}
         }
@@ -531,6 +540,32 @@
     traced(|| start_answered_by_the_next_incarnation(false));
 }
 
+/// The same, where the entry of the next incarnation is read before any of its answers, and the
+/// poll of the former incarnation is answered first. A worker that is known only from its entry has
+/// no lease of its own owner yet, so runs that are moved to it must not count as lost with a lease
+/// that ended before.
+fn start_answered_by_a_listed_incarnation(births: bool) {
+    let mut fleet = Fleet::new(births);
+    fleet.run_for(EARLIER_LEASES);
+    fleet.fates.push_back(Fate::AfterRestart);
+    fleet.submit(vec![step(1)]);
+    assert!(fleet.run_until(SECOND, |it| !it.sent.is_empty()));
+    fleet.slow = Some(fleet.processes["w0"].worker.incarnation.clone()).filter(|_| births);
+    fleet.relist("w0");
+    fleet.add_worker(1);
+    fleet.assert_correct();
+}
+
+#[test]
+fn a_run_moved_to_an_incarnation_known_from_its_entry_ends_with_its_listed_end() {
+    traced(|| start_answered_by_a_listed_incarnation(true));
+}
+
+#[test]
+fn a_run_moved_in_place_ends_with_its_listed_end_without_births() {
+    traced(|| start_answered_by_a_listed_incarnation(false));
+}
+
 /// The run was stopped at the incarnation that its start was sent to, and its task runs elsewhere.
 /// That incarnation ends, and the next one carries the start out.
 fn stopped_start_at_the_next_incarnation(births: bool, steps: Vec<Step>) -> Fleet {
