Tests that force the order of late starts

Cause: an unanswered start may be carried out for 13 s by a later incarnation of its worker. The owner starts the task elsewhere on an answered stop, a list or the end of a lease, each of which holds for one incarnation only.

Change: the tests connect the state machine to simulated workers and decide for each start when it arrives. They check at each step that no task has two runs, and at the end that it is done.

--- a/ashtiller/tests/owner/late_starts.rs
+++ b/ashtiller/tests/owner/late_starts.rs
@@ -21,6 +21,7 @@
 use ashtiller::workflow::log_state::LogState;
 use ashtiller::workflow::record::{LogRecord, Outcome, Run};
 use ashtiller::workflow::tuning::Tuning;
+use ashtiller::workflow::worker::LATE_MAX;
 
 use crate::driver::{MS, job, listed, policy, step};
 use crate::trace;
@@ -47,6 +48,8 @@
 enum Fate {
     /// Delivered and answered at once.
     Prompt,
+    /// Delivered at once, but not answered.
+    Unanswered,
     /// Not answered; kept until the test delivers it.
     Held,
     /// Not answered and never delivered.
@@ -85,7 +88,8 @@
     entries: BTreeMap<Arc<str>, ListedWorker>,
     /// Fates of the next starts; those after them are delivered promptly.
     fates: VecDeque<Fate>,
-    held: Vec<(Target, Order)>,
+    /// Starts that were held, with the time of sending.
+    held: Vec<(Duration, Target, Order)>,
     /// Incarnation whose polls arrive late, by [`SLOW_POLL`].
     slow: Option<Incarnation>,
     duration: Duration,
@@ -315,9 +319,13 @@
                 self.begin(&id);
                 (STEP, self.deliver(&target, &order).ok_or(refused))
             }
+            Fate::Unanswered => {
+                self.deliver(&target, &order);
+                (ORDER_TIMEOUT, Err(unanswered))
+            }
             Fate::Lost => (ORDER_TIMEOUT, Err(unanswered)),
             Fate::Held => {
-                self.held.push((target.clone(), order.clone()));
+                self.held.push((self.now.at, target.clone(), order.clone()));
                 (ORDER_TIMEOUT, Err(unanswered))
             }
         };
@@ -327,7 +335,11 @@
 
     /// Delivers the starts that were held to the processes that live now.
     fn deliver_held(&mut self) {
-        for (target, order) in std::mem::take(&mut self.held) {
+        for (sent, target, order) in std::mem::take(&mut self.held) {
+            assert!(
+                self.now.at < sent + LATE_MAX,
+                "later than the platform allows"
+            );
             self.deliver(&target, &order);
         }
     }
@@ -461,19 +473,39 @@
         placed.count() == ended.count()
     }
 
+    /// Sends a start that is held, and lets the owner learn that it was not answered.
+    fn leave_unanswered(&mut self) {
+        self.fates.extend([Fate::Held, Fate::Lost, Fate::Lost]);
+        self.submit(vec![step(1)]);
+        assert!(self.run_until(SECOND, |it| !it.held.is_empty()));
+        self.run_for(400 * MS);
+    }
+
     /// Checks that no task ran twice at once and that the job completes.
     fn assert_correct(&mut self) {
         let complete = self.run_until(DONE_MAX, Self::is_complete);
-        assert!(self.violations.is_empty(), "{:?}", self.violations);
-        assert!(complete, "the job is not done after {DONE_MAX:?}");
+        let violations = &self.violations;
+        assert!(
+            violations.is_empty() && complete,
+            "{violations:?}, complete: {complete}"
+        );
     }
 
     /// Checks that no task ran twice at once and that a long-running task runs.
     fn assert_running(&mut self) {
         self.run_for(DONE_MAX);
-        assert!(self.violations.is_empty(), "{:?}", self.violations);
         let runs = self.processes.values().map(|it| it.worker.runs.len());
-        assert_eq!(runs.sum::<usize>(), 1);
+        let (runs, violations) = (runs.sum::<usize>(), &self.violations);
+        assert!(
+            violations.is_empty() && runs == 1,
+            "{violations:?}, runs: {runs}"
+        );
+    }
+
+    /// Checks that the next run starts anywhere within 500 ms.
+    fn assert_not_delayed(&mut self) {
+        let started = self.run_until(500 * MS, |it| it.runs_at("w0", 2) || it.runs_at("w1", 2));
+        assert!(started, "nothing is in doubt");
     }
 }
 
@@ -486,7 +518,7 @@
     assert!(fleet.run_until(SECOND, |it| !it.held.is_empty()));
     fleet.drain("w0");
     assert!(
-        fleet.run_until(2 * SECOND, |it| it.is_idle()),
+        fleet.run_until(2 * SECOND, Fleet::is_idle),
         "the run is stopped"
     );
     fleet.fates.clear();
@@ -505,46 +537,57 @@
     fleet.relist("w0");
 }
 
-fn traced(test: impl FnOnce()) {
-    trace::print_logs(test);
+/// Defines two tests of a scenario: on a platform that reports start times, and on one that does
+/// not.
+macro_rules! scenario {
+    ($name:ident, $scenario:expr) => {
+        mod $name {
+            use super::*;
+
+            #[test]
+            fn with_births() {
+                trace::print_logs(|| $scenario(true));
+            }
+
+            #[test]
+            fn without_births() {
+                trace::print_logs(|| $scenario(false));
+            }
+        }
+    };
+}
+
+/// Returns a fleet with a start that is held and was not answered.
+fn leave_unanswered(births: bool) -> Fleet {
+    let mut fleet = Fleet::new(births);
+    fleet.leave_unanswered();
+    fleet
 }
 
 /// A start meant for the former incarnation is carried out and answered by the next one, whose
 /// first list names the run as active. The stop that follows is answered at once, but the run takes
 /// 900 ms to end.
-fn start_answered_by_the_next_incarnation(births: bool) {
+fn answered_by_the_next(births: bool) {
     let mut fleet = Fleet::new(births);
     fleet.fates.push_back(Fate::AfterRestart);
     fleet.submit(vec![step(1)]);
     assert!(fleet.run_until(SECOND, |it| !it.sent.is_empty()));
-    fleet.add_worker_entry_later();
+    fleet.add_worker(1);
+    fleet.run_for(500 * MS);
+    fleet.relist("w0");
     fleet.assert_correct();
 }
 
-impl Fleet {
-    /// Lists another worker, and a while later the restarted one.
-    fn add_worker_entry_later(&mut self) {
-        self.add_worker(1);
-        self.run_for(500 * MS);
-        self.relist("w0");
-    }
-}
-
-#[test]
-fn a_start_that_the_next_incarnation_answers_ends_with_its_listed_end() {
-    traced(|| start_answered_by_the_next_incarnation(true));
-}
-
-#[test]
-fn a_start_that_the_next_incarnation_answers_ends_with_its_listed_end_without_births() {
-    traced(|| start_answered_by_the_next_incarnation(false));
-}
+scenario!(
+    a_start_answered_by_the_next_incarnation_ends_with_its_listed_end,
+    answered_by_the_next
+);
 
 /// The same, where the entry of the next incarnation is read before any of its answers, and the
 /// poll of the former incarnation is answered first. A worker that is known only from its entry has
-/// no lease of its own owner yet, so runs that are moved to it must not count as lost with a lease
-/// that ended before.
-fn start_answered_by_a_listed_incarnation(births: bool) {
+/// no lease of this owner yet, so a run that is moved to it must not count as lost with the leases
+/// of earlier owners.
+fn answered_by_a_listed_incarnation(births: bool) {
     let mut fleet = Fleet::new(births);
     fleet.run_for(EARLIER_LEASES);
     fleet.fates.push_back(Fate::AfterRestart);
@@ -556,68 +599,55 @@
     fleet.assert_correct();
 }
 
-#[test]
-fn a_run_moved_to_an_incarnation_known_from_its_entry_ends_with_its_listed_end() {
-    traced(|| start_answered_by_a_listed_incarnation(true));
-}
-
-#[test]
-fn a_run_moved_in_place_ends_with_its_listed_end_without_births() {
-    traced(|| start_answered_by_a_listed_incarnation(false));
-}
+scenario!(
+    a_run_moved_to_a_listed_incarnation_ends_with_its_listed_end,
+    answered_by_a_listed_incarnation
+);
 
 /// The run was stopped at the incarnation that its start was sent to, and its task runs elsewhere.
 /// That incarnation ends, and the next one carries the start out.
-fn stopped_start_at_the_next_incarnation(births: bool, steps: Vec<Step>) -> Fleet {
+fn stopped_then_restarted(births: bool, duration: Duration, steps: Vec<Step>) -> Fleet {
     let mut fleet = hold_start(births, steps);
     fleet.add_worker(1);
-    fleet.duration = 15 * SECOND;
+    fleet.duration = duration;
     fleet.run_for(2 * SECOND);
     restart_and_deliver(&mut fleet);
     fleet
 }
 
-#[test]
-fn a_stopped_start_does_not_run_beside_the_next_run() {
-    traced(|| stopped_start_at_the_next_incarnation(true, vec![step(1)]).assert_correct());
-}
-
-#[test]
-fn a_stopped_start_does_not_run_beside_the_next_run_without_births() {
-    traced(|| stopped_start_at_the_next_incarnation(false, vec![step(1)]).assert_correct());
-}
+scenario!(a_stopped_start_does_not_run_beside_the_next_run, |births| {
+    stopped_then_restarted(births, 15 * SECOND, vec![step(1)]).assert_correct();
+});
 
-#[test]
-fn a_stopped_start_of_a_gang_does_not_run_beside_the_next_run() {
-    let gang = Step {
-        gang: true,
-        ..step(2)
-    };
-    traced(|| stopped_start_at_the_next_incarnation(true, vec![gang]).assert_correct());
-}
-
-#[test]
-fn a_stopped_start_of_a_long_running_task_does_not_run_beside_the_next_run() {
-    let lasting = Step {
-        long_running: true,
-        ..step(1)
-    };
-    traced(|| {
-        let mut fleet = stopped_start_at_the_next_incarnation(true, vec![lasting]);
-        fleet.duration = 1000 * SECOND;
+scenario!(
+    a_stopped_start_of_a_gang_does_not_run_beside_the_next_run,
+    |births| {
+        let gang = Step {
+            gang: true,
+            ..step(2)
+        };
+        stopped_then_restarted(births, 15 * SECOND, vec![gang]).assert_correct();
+    }
+);
+
+scenario!(
+    a_stopped_start_of_a_long_running_task_does_not_run_beside_the_next_run,
+    |births| {
+        let lasting = Step {
+            long_running: true,
+            ..step(1)
+        };
+        let mut fleet = stopped_then_restarted(births, 1000 * SECOND, vec![lasting]);
         fleet.assert_running();
-    });
-}
+    }
+);
 
 /// The start is still in doubt when its worker restarts: the owner stops it at the next
-/// incarnation, which has not received it, and places the task elsewhere. That incarnation ends as
-/// well, and the one after it carries the start out.
-fn start_after_two_restarts(births: bool) {
-    let mut fleet = Fleet::new(births);
-    fleet.fates.extend([Fate::Held, Fate::Lost, Fate::Lost]);
-    fleet.submit(vec![step(1)]);
-    assert!(fleet.run_until(SECOND, |it| !it.held.is_empty()));
-    fleet.run_for(400 * MS);
+/// incarnation, which has not received it, and places the task anew. That incarnation ends as well,
+/// and the one after it carries the start out.
+fn stopped_at_the_next_then_restarted(births: bool) {
+    let mut fleet = leave_unanswered(births);
+    fleet.fates.clear();
     fleet.duration = 15 * SECOND;
     fleet.add_worker(1);
     fleet.end("w0");
@@ -630,19 +660,35 @@
     fleet.assert_correct();
 }
 
-#[test]
-fn a_start_in_doubt_outlives_two_restarts() {
-    traced(|| start_after_two_restarts(true));
-}
+scenario!(
+    a_start_in_doubt_outlives_two_restarts,
+    stopped_at_the_next_then_restarted
+);
 
-#[test]
-fn a_start_in_doubt_outlives_two_restarts_without_births() {
-    traced(|| start_after_two_restarts(false));
+/// The same, where the first restart is noticed while the start is still in flight, so that the
+/// missing answer concerns an incarnation that the run is no longer placed on.
+fn restarted_while_in_flight(births: bool) {
+    let mut fleet = Fleet::new(births);
+    fleet.fates.push_back(Fate::Held);
+    fleet.duration = 15 * SECOND;
+    fleet.submit(vec![step(1)]);
+    assert!(fleet.run_until(SECOND, |it| !it.held.is_empty()));
+    fleet.end("w0");
+    fleet.begin("w0");
+    fleet.add_worker(1);
+    fleet.run_for(2 * SECOND);
+    restart_and_deliver(&mut fleet);
+    fleet.assert_correct();
 }
 
+scenario!(
+    a_start_in_flight_during_a_restart_is_in_doubt,
+    restarted_while_in_flight
+);
+
 /// The start was sent twice, as the first copy was not answered. The run is lost with its
 /// incarnation, and the next one carries out the first copy before its first list.
-fn first_copy_after_a_restart(births: bool) {
+fn first_copy_after_the_second_was_lost(births: bool) {
     let mut fleet = Fleet::new(births);
     fleet.fates.push_back(Fate::Held);
     fleet.duration = 8 * SECOND;
@@ -654,17 +700,12 @@
     fleet.assert_correct();
 }
 
-#[test]
-fn the_first_copy_of_a_start_is_in_doubt_although_the_second_was_answered() {
-    traced(|| first_copy_after_a_restart(true));
-}
-
-#[test]
-fn the_first_copy_of_a_start_is_in_doubt_although_the_second_was_answered_without_births() {
-    traced(|| first_copy_after_a_restart(false));
-}
+scenario!(
+    the_first_copy_is_in_doubt_when_the_second_is_lost,
+    first_copy_after_the_second_was_lost
+);
 
-/// As before, but the second copy ran, was stopped as the worker drained, and its task runs
+/// As before, but the second copy ran and was stopped as the worker drained, and its task runs
 /// elsewhere when the next incarnation carries out the first copy.
 fn first_copy_after_the_second_ended(births: bool) {
     let mut fleet = Fleet::new(births);
@@ -681,111 +722,221 @@
     fleet.assert_correct();
 }
 
-#[test]
-fn the_first_copy_of_a_start_is_in_doubt_although_the_second_ran_and_ended() {
-    traced(|| first_copy_after_the_second_ended(true));
-}
+scenario!(
+    the_first_copy_is_in_doubt_when_the_second_ran_and_ended,
+    first_copy_after_the_second_ended
+);
 
 /// The owner that knows of the unanswered start is replaced before the worker restarts.
-#[test]
-fn the_next_owner_knows_a_start_in_doubt() {
-    traced(|| {
-        let mut fleet = hold_start(true, vec![step(1)]);
-        fleet.duration = 15 * SECOND;
-        fleet.replace_owner();
-        fleet.add_worker(1);
-        fleet.run_for(2 * SECOND);
-        restart_and_deliver(&mut fleet);
-        fleet.assert_correct();
-    });
+fn known_to_the_former_owner(births: bool) {
+    let mut fleet = hold_start(births, vec![step(1)]);
+    fleet.duration = 15 * SECOND;
+    fleet.replace_owner();
+    fleet.add_worker(1);
+    fleet.run_for(2 * SECOND);
+    restart_and_deliver(&mut fleet);
+    fleet.assert_correct();
 }
 
+scenario!(
+    the_next_owner_knows_of_a_start_in_doubt,
+    known_to_the_former_owner
+);
+
 /// The owner is replaced before it knows that the start was not answered. The next owner stops the
 /// run, whose worker drains, and the task runs elsewhere.
-#[test]
-fn the_next_owner_takes_a_start_of_the_former_one_for_unanswered() {
-    traced(|| {
-        let mut fleet = Fleet::new(true);
-        fleet.fates.push_back(Fate::Held);
-        fleet.duration = 15 * SECOND;
-        fleet.submit(vec![step(1)]);
-        assert!(fleet.run_until(SECOND, |it| !it.held.is_empty()));
-        fleet.replace_owner();
-        fleet.drain("w0");
-        fleet.add_worker(1);
-        fleet.run_for(3 * SECOND);
-        restart_and_deliver(&mut fleet);
-        fleet.assert_correct();
-    });
+fn unknown_to_the_former_owner(births: bool) {
+    let mut fleet = Fleet::new(births);
+    fleet.fates.push_back(Fate::Held);
+    fleet.duration = 15 * SECOND;
+    fleet.submit(vec![step(1)]);
+    assert!(fleet.run_until(SECOND, |it| !it.held.is_empty()));
+    fleet.replace_owner();
+    fleet.drain("w0");
+    fleet.add_worker(1);
+    fleet.run_for(3 * SECOND);
+    restart_and_deliver(&mut fleet);
+    fleet.assert_correct();
+}
+
+scenario!(
+    the_next_owner_takes_a_start_of_the_former_one_for_unanswered,
+    unknown_to_the_former_owner
+);
+
+/// The worker stays silent after an unanswered start until its lease has ended, but remains listed.
+/// The task must not run elsewhere yet: the next incarnation may still carry the start out.
+fn lease_ends_before_the_restart(births: bool) {
+    let mut fleet = leave_unanswered(births);
+    fleet.fates.clear();
+    fleet.duration = 15 * SECOND;
+    fleet.add_worker(1);
+    fleet.end("w0");
+    fleet.run_for(8 * SECOND);
+    restart_and_deliver(&mut fleet);
+    fleet.assert_correct();
+}
+
+scenario!(
+    the_end_of_a_lease_does_not_end_the_doubt,
+    lease_ends_before_the_restart
+);
+
+/// A new owner finds the run on a worker that is not listed. It comes back under its id after all
+/// leases have ended, and carries out the start of the former owner.
+fn unlisted_at_a_change_of_owner(births: bool) {
+    let mut fleet = Fleet::new(births);
+    fleet.run_for(EARLIER_LEASES);
+    fleet.leave_unanswered();
+    fleet.fates.clear();
+    fleet.duration = 15 * SECOND;
+    fleet.end("w0");
+    let entry = fleet.entries.remove("w0").unwrap();
+    fleet.replace_owner();
+    fleet.add_worker(1);
+    fleet.run_for(8 * SECOND);
+    fleet.entries.insert("w0".into(), entry);
+    restart_and_deliver(&mut fleet);
+    fleet.assert_correct();
 }
 
+scenario!(
+    the_end_of_earlier_leases_does_not_end_the_doubt,
+    unlisted_at_a_change_of_owner
+);
+
 /// The worker's id is never seen again after an unanswered start, so its task must not wait for it
 /// for ever.
-#[test]
-fn a_task_whose_start_is_in_doubt_runs_elsewhere_if_its_worker_stays_away() {
-    traced(|| {
-        let mut fleet = Fleet::new(true);
-        fleet.fates.extend([Fate::Held, Fate::Lost]);
-        fleet.submit(vec![step(1)]);
-        assert!(fleet.run_until(SECOND, |it| !it.held.is_empty()));
-        fleet.run_for(400 * MS);
-        fleet.add_worker(1);
-        fleet.end("w0");
-        fleet.run_for(SECOND);
-        fleet.entries.remove("w0");
-        fleet.core.unlist_id("w0", fleet.now);
-        fleet.assert_correct();
-    });
+fn worker_stays_away(births: bool) {
+    let mut fleet = leave_unanswered(births);
+    fleet.fates.clear();
+    fleet.add_worker(1);
+    fleet.end("w0");
+    fleet.run_for(SECOND);
+    fleet.entries.remove("w0");
+    fleet.core.unlist_id("w0", fleet.now);
+    fleet.assert_correct();
 }
 
+scenario!(
+    a_task_runs_elsewhere_if_its_worker_stays_away,
+    worker_stays_away
+);
+
 /// An incarnation lists a run that the log does not place there, and is told to stop it. The task
 /// must not start elsewhere while that run is still listed.
-fn unknown_run_while_its_stop_takes_effect(births: bool) {
+fn unknown_run_is_listed(births: bool) {
     let mut fleet = hold_start(births, vec![step(1)]);
-    fleet.fates.clear();
     fleet.duration = 15 * SECOND;
     fleet.end("w0");
     fleet.run_for(SECOND);
     fleet.begin("w0");
     fleet.run_for(50 * MS);
     fleet.deliver_held();
-    assert!(fleet.run_until(SECOND, |it| {
-        let core = it.core.workers().values();
-        core.filter(|it| it.answers).count() > 0
-    }));
+    let answers = |it: &Fleet| it.core.workers().values().any(|worker| worker.answers);
+    assert!(fleet.run_until(SECOND, answers));
     fleet.add_worker(1);
     fleet.run_for(300 * MS);
     fleet.relist("w0");
     fleet.assert_correct();
 }
 
-#[test]
-fn a_listed_run_that_the_log_does_not_place_there_delays_the_next_run() {
-    traced(|| unknown_run_while_its_stop_takes_effect(true));
+scenario!(
+    a_listed_run_that_the_log_does_not_place_there_delays_the_next_run,
+    unknown_run_is_listed
+);
+
+/// The same at a single worker: the next run must not start beside the listed one on it.
+fn unknown_run_is_listed_at_the_only_worker(births: bool) {
+    let mut fleet = hold_start(births, vec![step(1)]);
+    fleet.end("w0");
+    fleet.run_for(SECOND);
+    fleet.begin("w0");
+    fleet.run_for(50 * MS);
+    fleet.deliver_held();
+    fleet.run_for(300 * MS);
+    fleet.relist("w0");
+    fleet.assert_correct();
 }
 
-#[test]
-fn a_listed_run_that_the_log_does_not_place_there_delays_the_next_run_without_births() {
-    traced(|| unknown_run_while_its_stop_takes_effect(false));
+scenario!(
+    a_listed_run_that_the_log_does_not_place_there_delays_the_next_run_on_its_worker,
+    unknown_run_is_listed_at_the_only_worker
+);
+
+/// The start was answered, so the task starts anew with the first list of the next incarnation.
+fn answered_start_is_lost(births: bool) {
+    let mut fleet = Fleet::new(births);
+    fleet.duration = 15 * SECOND;
+    fleet.submit(vec![step(1)]);
+    assert!(fleet.run_until(SECOND, |it| it.runs_at("w0", 1)));
+    fleet.run_for(500 * MS);
+    fleet.add_worker(1);
+    fleet.end("w0");
+    fleet.run_for(SECOND);
+    fleet.begin("w0");
+    fleet.assert_not_delayed();
+    fleet.assert_correct();
 }
 
-/// Where nothing is in doubt, the task of a run that was stopped starts elsewhere at once.
-#[test]
-fn a_task_whose_start_was_answered_is_not_delayed() {
-    traced(|| {
-        let mut fleet = Fleet::new(true);
-        fleet.duration = 15 * SECOND;
-        fleet.submit(vec![step(1)]);
-        assert!(fleet.run_until(SECOND, |it| it.runs_at("w0", 1)));
-        fleet.run_for(500 * MS);
-        fleet.add_worker(1);
-        fleet.end("w0");
-        fleet.run_for(SECOND);
-        fleet.begin("w0");
-        assert!(
-            fleet.run_until(500 * MS, |it| it.runs_at("w1", 2) || it.runs_at("w0", 2)),
-            "the next run starts with the first list"
-        );
-        fleet.assert_correct();
-    });
+scenario!(
+    a_task_whose_start_was_answered_is_not_delayed,
+    answered_start_is_lost
+);
+
+/// The only start was not answered, but a list of the incarnation that it was meant for names the
+/// run: it was carried out there, and no other incarnation can do so.
+fn listed_start_is_lost(births: bool) {
+    let mut fleet = Fleet::new(births);
+    fleet.fates.push_back(Fate::Unanswered);
+    fleet.duration = 15 * SECOND;
+    fleet.submit(vec![step(1)]);
+    assert!(fleet.run_until(SECOND, |it| it.runs_at("w0", 1)));
+    fleet.run_for(SECOND);
+    assert_eq!(fleet.sent.len(), 1);
+    fleet.add_worker(1);
+    fleet.end("w0");
+    fleet.run_for(SECOND);
+    fleet.begin("w0");
+    fleet.assert_not_delayed();
+    fleet.assert_correct();
 }
+
+scenario!(
+    a_task_whose_only_start_was_listed_is_not_delayed,
+    listed_start_is_lost
+);
+
+/// The start can no longer be carried out after 13 s, so the task starts anew at once when its
+/// worker is listed.
+fn doubt_is_over(births: bool) {
+    let mut fleet = hold_start(births, vec![step(1)]);
+    fleet.duration = 3 * SECOND;
+    fleet.run_for(LATE_MAX);
+    fleet.add_worker(1);
+    fleet.assert_not_delayed();
+    fleet.assert_correct();
+}
+
+scenario!(a_task_is_not_delayed_after_the_doubt, doubt_is_over);
+
+/// A worker that drained restarts, and its new entry, which does not drain, is read before the
+/// owner has noticed the restart. No late start is involved: the worker must get work again although
+/// its entry does not change any more.
+fn entry_before_the_restart_is_noticed(births: bool) {
+    let mut fleet = Fleet::new(births);
+    fleet.drain("w0");
+    fleet.run_for(SECOND);
+    fleet.end("w0");
+    fleet.run_for(SECOND);
+    fleet.begin("w0");
+    fleet.relist("w0");
+    fleet.run_for(SECOND);
+    fleet.submit(vec![step(1)]);
+    fleet.assert_correct();
+}
+
+scenario!(
+    a_worker_that_drained_gets_work_after_its_restart,
+    entry_before_the_restart_is_noticed
+);
