A worker that drained and restarted gets work again

Callers saw: a job never done although its only worker had restarted and was ready, on a platform that reports no start times.

Cause: the entry of the new incarnation, which does not drain, was read before the owner had noticed the restart. An entry that no longer drains does not end the draining of a known incarnation, and the restart in place then kept `draining_since` for the new one. Its entry does not change any more, so nothing cleared that again.

Evidence: a test that forces this order, late_starts::a_worker_that_drained_gets_work_after_its_restart without births: red before (not done within 40 s), green with births, where the incarnations differ.

Change: the new incarnation drains only if the entry that was read last says so.

Result: the test is green; the other owner tests as before.

--- a/ashtiller/src/workflow/core/incarnations.rs
+++ b/ashtiller/src/workflow/core/incarnations.rs
@@ -220,6 +220,8 @@
                 worker.unlisted_since,
                 worker.draining_since,
             ) = entry;
+            // An entry that no longer drains is that of the new incarnation already.
+            worker.draining_since = worker.draining_since.filter(|_| worker.listed.draining);
             worker.former_drains = worker.draining_since.is_some();
         }
     }
