A task stays with the worker that may still carry out a start of it

Callers saw: one task on two workers at once.

Cause: what an unanswered start may still do was kept for each run and each incarnation. It belongs to each sending and to the worker id: a confirmed stop, a listed end, a second copy that was answered or an expired lease say nothing of a copy that the next incarnation may get. It was also kept in memory only, so that the next owner knew nothing of it.

Evidence: two traces made apart. By tests that force the order of events: the same with a stop, two restarts, two copies, a change of owner, gangs and long-running tasks. They also showed that a run that a worker lists although the log does not place it there was stopped, but kept neither its task nor its capacity from being used meanwhile.

Change: core/unconfirmed_starts.rs. A start without an answer is recorded in the log before another one of its run is sent. Until 13 s after it, and then until a list of the worker has been read or the lease that it may have brought has expired, the task's next run goes only to the worker with that id, once its incarnation has answered a poll with a higher fence; steps that allow copies are left out. A start that was the only one of its run is settled by a list of the incarnation that it was sent to. core/orphan_runs.rs: what a worker lists although the log does not place it there counts against its capacity and holds its task back until it is gone. The former list of late runs in worker.rs, which lost its content at the second restart, is replaced.

Why it holds: at most one incarnation of an id lives. The one that has answered a poll with a higher fence rejects the earlier starts, and its list shows what it had carried out before.

Ruled out: waiting for 13 s anywhere (the id is back sooner; a task that only waits loses its place). Assuming an unanswered start for each run that a new owner finds: tests that hold ask for its next run elsewhere at once, where the worker drains or is evacuated.

--- a/ashtiller/src/workflow/core/advice.rs
+++ b/ashtiller/src/workflow/core/advice.rs
@@ -116,6 +116,7 @@
         let unrestricted = PlacementRequest {
             tickets: None,
             excluded: None,
+            only: request.only.clone(),
             failed_on: BTreeSet::new(),
             runs_per_worker: BTreeMap::new(),
             ..*request
--- a/ashtiller/src/workflow/core/allocation.rs
+++ b/ashtiller/src/workflow/core/allocation.rs
@@ -134,7 +134,7 @@
         live.ticket = ticket;
         self.record(LogRecord::Placed(run, id.clone(), saved), now);
         self.runs.insert(run, live);
-        self.workers_to_wake.insert(id.clone());
+        self.workers_to_wake.insert((self.position, id.clone()));
         self.allocate(run, id);
     }
 }
--- a/ashtiller/src/workflow/core/candidates.rs
+++ b/ashtiller/src/workflow/core/candidates.rs
@@ -139,6 +139,8 @@
     pub tickets: Option<&'a BTreeMap<Incarnation, Arc<str>>>,
     /// Worker that is reserved for another task.
     pub excluded: Option<Incarnation>,
+    /// The only worker that may get the task, if it is bound to one.
+    pub only: Option<Incarnation>,
     /// Whether the task is suspected of crashing workers.
     pub suspect: bool,
     /// Selectivity of a best-effort run about the services beside it, from 0 to 1.
@@ -309,6 +311,10 @@
     let advised = request.tickets;
     candidate.has_capacity(request.service, &request.resources)
         && request.excluded.as_ref() != Some(&candidate.id)
+        && request
+            .only
+            .as_ref()
+            .is_none_or(|only| *only == candidate.id)
         && satisfies_constraints(candidate, request.step, &request.runs_per_worker)
         && advised.is_none_or(|tickets| tickets.contains_key(&candidate.id))
 }
--- a/ashtiller/src/workflow/core/fences.rs
+++ b/ashtiller/src/workflow/core/fences.rs
@@ -6,12 +6,13 @@
 //! revision at which the owner held the log can serve as the new fence, because the epoch of a
 //! later owner is higher.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::workflow::core::{Core, Now};
+use crate::workflow::core::{Core, Now, incarnations};
 use crate::workflow::incarnation::Incarnation;
+use crate::workflow::worker::Worker;
 
 /// Time after raising a fence during which replies to earlier calls may still arrive.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
@@ -34,6 +35,8 @@
     newest_revision: u64,
     /// Raised fences by worker id, since a call to any incarnation may reach the current one.
     raised: HashMap<Arc<str>, RaisedFence>,
+    /// Ids of workers whose fence is to rise once there is a newer revision.
+    pending: HashSet<Arc<str>>,
 }
 
 impl Fences {
@@ -43,6 +46,7 @@
             floor: epoch,
             newest_revision: epoch,
             raised: HashMap::new(),
+            pending: HashSet::new(),
         }
     }
 
@@ -54,8 +58,10 @@
 
     fn raise(&mut self, incarnation: &Incarnation, now: Duration) {
         if self.newest_revision <= self.of(incarnation) {
+            self.pending.insert(incarnation.id().into());
             return;
         }
+        self.pending.remove(incarnation.id());
         if self.raised.len() >= RAISED_MAX {
             let fences = self.raised.values().map(|it| it.fence);
             self.floor = fences.fold(self.floor, u64::max);
@@ -68,6 +74,20 @@
         self.raised.insert(incarnation.id().into(), raised);
     }
 
+    /// Raises the fences that had to wait for a newer revision.
+    pub fn raise_pending(&mut self, now: Duration) {
+        for id in std::mem::take(&mut self.pending) {
+            self.raise(&Incarnation::new(&id, None), now);
+        }
+    }
+
+    /// Returns whether a worker has answered a poll since its fence rose after the last failed
+    /// call, and thus rejects all calls that have failed.
+    pub fn rejects_earlier_calls(&self, worker: &Worker) -> bool {
+        let incarnation = worker.incarnation();
+        worker.answered_fence >= self.of(incarnation) && !self.pending.contains(incarnation.id())
+    }
+
     /// Returns whether calls that the raised fence rejects may still be in flight.
     fn is_settling(&self, incarnation: &Incarnation, now: Duration) -> bool {
         let raised = self.raised.get(incarnation.id());
@@ -84,6 +104,12 @@
     /// Raises the fence of a worker after a call that failed or that another incarnation answered.
     pub(super) fn raise_fence(&mut self, incarnation: &Incarnation, now: Now) {
         self.fences.raise(incarnation, now.at);
+        // Whether an incarnation still rejects them, or another one has taken its place, is open.
+        for id in incarnations::incarnations_of_id(&self.workers, incarnation.id()) {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.rejected.clear();
+            }
+        }
     }
 
     /// Handles a call rejected for its fence. The worker knows a higher one: that of a later owner,
--- a/ashtiller/src/workflow/core/incarnations.rs
+++ b/ashtiller/src/workflow/core/incarnations.rs
@@ -5,14 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::workflow::agents::Order;
 use crate::workflow::config::ListedWorker;
-use crate::workflow::core::{Core, Effect, Now, OnDurable};
+use crate::workflow::core::{Core, Now, OnDurable};
 use crate::workflow::incarnation::Incarnation;
 use crate::workflow::lease;
-use crate::workflow::live_run::{LiveRun, Stage, Stop, StopReason};
+use crate::workflow::live_run::{Stage, Stop, StopReason};
 use crate::workflow::record::{End, Run};
-use crate::workflow::worker::{LATE_MAX, LateRun, Worker};
+use crate::workflow::worker::Worker;
 
 /// How long an entry that names an incarnation that is not there is ignored. This is much longer
 /// than the moment between the listing of a new incarnation and its first reply.
@@ -85,6 +84,7 @@
 
     /// Removes an incarnation of a worker.
     pub(super) fn remove_worker(&mut self, incarnation: &Incarnation) -> Option<Worker> {
+        self.clear_orphans(incarnation);
         let worker = self.workers.remove(incarnation)?;
         self.locations.remove(&worker.listed);
         self.candidate_cache.remove(incarnation);
@@ -285,6 +285,9 @@
             self.end_run(run, End::Lost, &Arc::from(""), now);
         }
         for run in moved {
+            if !number_learned {
+                self.note_adopted_start(run, former, now);
+            }
             self.move_to_next_incarnation(run, next, !number_learned);
         }
         if let Some(task) = culprit {
@@ -299,7 +302,7 @@
         let Some(live) = self.runs.get(&run) else {
             return false;
         };
-        let adopted = live.placed <= self.began && now.at < self.began + LATE_MAX;
+        let adopted = self.may_have_earlier_start(live, now);
         let in_doubt = live.in_doubt.is_some_and(|until| now.at < until);
         live.sent > 0 && (adopted || in_doubt || live.began.is_none())
     }
@@ -324,37 +327,6 @@
         self.allocate(run, next);
     }
 
-    /// Records an ended run whose unanswered start may still be carried out: not by this
-    /// incarnation, which remembers the end, but by the next one.
-    pub(super) fn note_unconfirmed_start(&mut self, run: Run, live: &LiveRun, now: Now) {
-        let Some(until) = live.in_doubt.filter(|until| now.at < *until) else {
-            return;
-        };
-        let Some(name) = self.task_name(run) else {
-            return;
-        };
-        if let Some(worker) = self.workers.get_mut(&live.worker) {
-            worker.late.retain(|it| now.at < it.until);
-            worker.late.push(LateRun { run, name, until });
-        }
-    }
-
-    /// Stops, on an incarnation that answers for the first time, the runs whose starts may still
-    /// arrive from the time of its predecessor.
-    pub(super) fn stop_unconfirmed_starts(&mut self, incarnation: &Incarnation, now: Now) {
-        let (limit, fence) = (self.order_timeout(), self.fences.of(incarnation));
-        let Some(worker) = self.workers.get_mut(incarnation) else {
-            return;
-        };
-        let late = std::mem::take(&mut worker.late);
-        let target = worker.target(fence, limit);
-        for LateRun { run, name, .. } in late.into_iter().filter(|it| now.at < it.until) {
-            let order = Order::Stop(name, run.number);
-            self.congestion.note_sent();
-            self.effects.push(Effect::Order(target.clone(), run, order));
-        }
-    }
-
     /// Ends a worker's incarnation: all runs on it are lost.
     pub(super) fn lose_worker(&mut self, incarnation: &Incarnation, cause: &str, now: Now) {
         let Some(worker) = self.workers.get(incarnation) else {
--- a/ashtiller/src/workflow/core/log_entries.rs
+++ b/ashtiller/src/workflow/core/log_entries.rs
@@ -28,7 +28,10 @@
             self.store_returned_at = Some(now.at);
         }
         self.durable = self.durable.max(position);
-        for id in std::mem::take(&mut self.workers_to_wake) {
+        while let Some((at, _)) = self.workers_to_wake.first()
+            && *at <= position
+            && let Some((_, id)) = self.workers_to_wake.pop_first()
+        {
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.wake();
             }
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -21,6 +21,7 @@
 mod location_index;
 mod log_entries;
 mod orders;
+mod orphan_runs;
 mod pacing;
 mod plan;
 mod polls;
@@ -33,6 +34,7 @@
 mod step_priority;
 pub mod times;
 mod trials;
+mod unconfirmed_starts;
 pub mod upkeep;
 pub mod wait_report;
 mod worker_list;
@@ -121,6 +123,8 @@
     pub entries: u64,
     /// Workers that restarted under the same id.
     pub restarts: u64,
+    /// Unanswered starts that may still be carried out beside a later run of their task.
+    pub unconfirmed: u64,
     /// Workers that crashed.
     pub crashes: u64,
     /// Jobs failed because workers crash under one of their tasks.
@@ -152,7 +156,8 @@
     ownership_proved_at: Duration,
     deferred: VecDeque<(u64, OnDurable)>,
     undurable_jobs: BTreeMap<u32, u64>,
-    workers_to_wake: BTreeSet<Incarnation>,
+    /// Workers with an order that waits for the entry at this position.
+    workers_to_wake: BTreeSet<(u64, Incarnation)>,
     needs_planning: bool,
     last_planning: Duration,
     /// Steps that waited in the last placement round.
@@ -177,6 +182,8 @@
     headroom_history: BTreeMap<u32, HeadroomHistory>,
     interference: Interference,
     candidate_cache: candidates::CandidateCache,
+    /// Runs that workers list although the log does not place them there.
+    orphans: orphan_runs::OrphanRuns,
     /// Limits on outstanding calls to workers.
     congestion: Congestion,
     /// Whether replies were queueing at most workers when that was last checked.
@@ -258,6 +265,7 @@
             headroom_history: BTreeMap::new(),
             interference: Interference::default(),
             candidate_cache: candidates::CandidateCache::default(),
+            orphans: orphan_runs::OrphanRuns::default(),
             congestion: Congestion::default(),
             was_congested: false,
             order_queue: VecDeque::new(),
@@ -376,7 +384,10 @@
             self.last_sweep = now.at;
             self.congestion.forget_old(now.at);
             self.log_congestion();
+            self.fences.raise_pending(now.at);
             self.expire_leases(now);
+            self.expire_orphans(now);
+            self.settle_expired_starts(now);
             self.clear_surviving_suspects(now);
             self.forget_absent_workers(now);
             self.drain_leaving_workers(now);
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -156,9 +156,10 @@
                 return None;
             }
         }
+        let rejects = self.rejects_former_runs(run, worker);
         let worker = self.workers.get_mut(id)?;
         // The worker's next reply wakes the runs that wait here.
-        if !worker.answers {
+        if !worker.answers || !rejects {
             return None;
         }
         let until = worker.lease.grant(now.at, self.tuning.lease)?;
@@ -198,8 +199,11 @@
         } else {
             self.congestion.note_end();
         }
-        if reply.is_err() {
+        if let Err(failure) = &reply {
             self.raise_fence(id, now);
+            if matches!(order, Order::Start(_)) && failure.effect != failure::RemoteEffect::None {
+                self.note_unanswered_start(run, id, now);
+            }
         }
         if let Ok(OrderReply::OtherIncarnation) = reply {
             self.note_other_incarnation(id, None, now);
@@ -263,6 +267,7 @@
 
     fn handle_start_reply(&mut self, run: Run, reply: Result<OrderReply, Failure>, now: Now) {
         let mut refused = None;
+        let listed = self.is_only_start_listed(run);
         let Some(live) = self.runs.get_mut(&run) else {
             return;
         };
@@ -299,7 +304,14 @@
                     live.sent = live.sent.saturating_sub(1);
                 } else {
                     let until = Some(now.at + LATE_MAX);
-                    live.in_doubt = until;
+                    live.in_doubt = until.filter(|_| !listed);
+                    // A later owner must know of each start that may be carried out late, so the
+                    // next one waits until this one is in the log.
+                    if live.stage == Stage::Starting && !self.pending_records.is_empty() {
+                        live.stage = Stage::Recorded(self.position);
+                        let wakes = (self.position, live.worker.clone());
+                        self.workers_to_wake.insert(wakes);
+                    }
                     if failure.is_timeout()
                         && let Some(worker) = self.workers.get_mut(&live.worker)
                     {
@@ -422,6 +434,10 @@
                 clock_ms = worker.lease.clock().unwrap_or(0),
                 "worker reports a run neither as active nor as ended");
         }
+        if end == End::Stopped {
+            let id = live.worker.clone();
+            self.note_rejected(run, &id);
+        }
         self.end_run(run, end, &Arc::from(""), now);
     }
 }
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -8,6 +8,7 @@
 use crate::workflow::core::candidates::{self, Candidate, PlacementRequest};
 use crate::workflow::core::step_priority::WaitingStep;
 use crate::workflow::core::trials::{ActiveTrials, TrialResult};
+use crate::workflow::core::unconfirmed_starts::Site;
 use crate::workflow::core::{Core, Now, sharing_of};
 use crate::workflow::incarnation::Incarnation;
 use crate::workflow::live_run::RunSharing;
@@ -80,6 +81,25 @@
     has_suspect: bool,
 }
 
+/// Restrictions on the placement of a gang member.
+struct GangMember<'a> {
+    /// Whether its task is suspected of crashing workers.
+    suspect: bool,
+    site: &'a Site,
+}
+
+impl GangMember<'_> {
+    /// Returns whether it may be placed on a worker beside the members that are already there.
+    fn may_join(&self, candidate: &GangCandidate, worker: &Incarnation) -> bool {
+        let here = match self.site {
+            Site::Any => true,
+            Site::Only(only) => only == worker,
+            Site::Nowhere => false,
+        };
+        here && !(self.suspect && candidate.has_suspect)
+    }
+}
+
 impl GangCandidate {
     fn new(index: usize, free: Resources) -> Self {
         Self {
@@ -198,12 +218,13 @@
                 .reserved
                 .clone()
                 .filter(|_| !step.long_running && !step.fills() && !is_promoted),
+            only: None,
             suspect: tasks.iter().any(|task| self.is_suspect(*task)),
             selectivity: demand.selectivity,
         };
         if step.gang {
-            if !self.place_gang(&tasks, &request, round, now) && asks_advisor {
-                self.request_advice(first, tasks.len(), &round.candidates, &request, now);
+            if !self.place_gang(&tasks, &request, round, now) {
+                self.advise_on(&tasks, &request, round, now);
             }
             return;
         }
@@ -213,17 +234,20 @@
         }
         let mut ranking = None;
         for (placed, task) in tasks.iter().enumerate() {
-            let failed_on = self
-                .log_state
-                .task(*task)
-                .map(|(_, state)| state.failed_on.clone());
-            request.failed_on = failed_on.unwrap_or_default();
+            request.only = match self.site_of(*task) {
+                Site::Any => None,
+                Site::Only(worker) => Some(worker),
+                Site::Nowhere => continue,
+            };
+            let state = self.log_state.task(*task).map(|(_, state)| state);
+            request.failed_on = state.map_or_else(BTreeSet::new, |it| it.failed_on.clone());
             match self.place_as_trial(*task, &request, round, now) {
                 TrialResult::None => {}
                 TrialResult::Placed | TrialResult::Waits => continue,
             }
-            let no_failures = request.failed_on.is_empty();
-            let index = if no_failures {
+            // The ranking holds for tasks without restrictions of their own.
+            let is_ranked = request.failed_on.is_empty() && request.only.is_none();
+            let index = if is_ranked {
                 let ranking = ranking
                     .get_or_insert_with(|| self.rank_candidates(&round.candidates, &request));
                 ranking.pop_best(&round.candidates)
@@ -232,18 +256,13 @@
             };
             debug_assert_eq!(index, self.choose_worker(&round.candidates, &request));
             let Some(index) = index else {
+                self.advise_on(&tasks[placed..], &request, round, now);
+                if request.only.is_some() {
+                    continue;
+                }
                 if uniform {
                     round.note_unplaceable(demand.clone());
                 }
-                if asks_advisor {
-                    self.request_advice(
-                        first,
-                        tasks.len() - placed,
-                        &round.candidates,
-                        &request,
-                        now,
-                    );
-                }
                 return;
             };
             let id = round.candidates[index].id.clone();
@@ -255,7 +274,7 @@
                 round.candidates[index].close();
             }
             match &mut ranking {
-                Some(ranking) if no_failures => {
+                Some(ranking) if is_ranked => {
                     self.rerank_candidate(ranking, &round.candidates, index, &request);
                 }
                 // The worker's state has changed, so the ranking is out of date.
@@ -275,6 +294,21 @@
         }
     }
 
+    /// Asks the advisor about workers for tasks that were not placed, if their step needs advice.
+    fn advise_on(
+        &mut self,
+        tasks: &[Task],
+        request: &PlacementRequest<'_>,
+        round: &PlacementRound,
+        now: Now,
+    ) {
+        if let Some(first) = tasks.first()
+            && request.tickets.is_some()
+        {
+            self.request_advice(*first, tasks.len(), &round.candidates, request, now);
+        }
+    }
+
     /// Places all members of a gang under one run number, or none of them. Returns false if no
     /// set of workers can take the gang.
     fn place_gang(
@@ -297,6 +331,18 @@
         if isolated.any(|task| self.has_reached_crash_limit(task) || must_wait(task)) {
             return true;
         }
+        let sites: Vec<Site> = tasks.iter().map(|task| self.site_of(*task)).collect();
+        if sites.contains(&Site::Nowhere) {
+            return true;
+        }
+        let members: Vec<GangMember<'_>> = suspects
+            .iter()
+            .zip(&sites)
+            .map(|(suspect, site)| GangMember {
+                suspect: *suspect,
+                site,
+            })
+            .collect();
         let racks = if request.step.one_rack {
             self.racks(request.service)
         } else {
@@ -304,7 +350,7 @@
         };
         for rack in racks {
             let Some(chosen) =
-                self.choose_gang(&suspects, request, &round.candidates, rack.as_ref())
+                self.choose_gang(&members, request, &round.candidates, rack.as_ref())
             else {
                 continue;
             };
@@ -366,9 +412,10 @@
         racks.into_iter().map(Some).chain([None]).collect()
     }
 
+    /// Returns a candidate for each member of a gang, if all of them fit.
     fn choose_gang(
         &self,
-        suspects: &[bool],
+        members: &[GangMember<'_>],
         request: &PlacementRequest<'_>,
         fleet: &[Candidate],
         rack: Option<&Arc<str>>,
@@ -383,16 +430,20 @@
             })
             .map(|(index, candidate)| GangCandidate::new(index, candidate.free))
             .collect();
-        let mut chosen = Vec::new();
-        for suspect in suspects {
+        // Members that are bound to a worker come first, before others use its capacity.
+        let mut order: Vec<usize> = (0..members.len()).collect();
+        order.sort_by_key(|member| *members[*member].site == Site::Any);
+        let mut chosen = vec![0; members.len()];
+        for place in order {
+            let member = &members[place];
             let best = free
                 .iter_mut()
-                .filter(|candidate| candidate.fits(request) && !(*suspect && candidate.has_suspect))
+                .filter(|it| it.fits(request) && member.may_join(it, &fleet[it.index].id))
                 .max_by_key(|candidate| candidate.free.processors)?;
             best.free = best.free.minus(&request.resources);
             best.members += 1;
-            best.has_suspect |= *suspect;
-            chosen.push(best.index);
+            best.has_suspect |= member.suspect;
+            chosen[place] = best.index;
         }
         Some(chosen)
     }
--- a/ashtiller/src/workflow/core/polls.rs
+++ b/ashtiller/src/workflow/core/polls.rs
@@ -93,7 +93,7 @@
             let live = self.runs.get(run);
             live.is_some_and(|live| matches!(live.stop, Stop::Confirmed(_)))
         });
-        let wait = if stopping {
+        let wait = if stopping || self.orphans.has_any(incarnation) {
             wait.min(Duration::from_millis(100))
         } else {
             wait
--- a/ashtiller/src/workflow/core/relocation.rs
+++ b/ashtiller/src/workflow/core/relocation.rs
@@ -6,6 +6,7 @@
 
 use crate::workflow::core::candidates::{self, PlacementRequest};
 use crate::workflow::core::plan::{Demand, PlacementRound};
+use crate::workflow::core::unconfirmed_starts::Site;
 use crate::workflow::core::{Core, Now, sharing_of};
 use crate::workflow::live_run::{Stop, StopReason};
 use crate::workflow::record::{Run, Task};
@@ -61,6 +62,7 @@
             runs_per_worker: candidates::count_runs_per_worker(self, task),
             tickets: None,
             excluded: None,
+            only: None,
             suspect: false,
             selectivity: 0.0,
         };
@@ -98,7 +100,7 @@
         let Some(live) = self.runs.get(&run) else {
             return;
         };
-        if job.policy.advice.is_some() || step.gang {
+        if job.policy.advice.is_some() || step.gang || self.site_of(run.task) != Site::Any {
             return;
         }
         if !step.checkpoints && live.percent > LOST_PROGRESS_MAX_PERCENT {
@@ -123,6 +125,7 @@
             runs_per_worker: BTreeMap::new(),
             tickets: None,
             excluded: None,
+            only: None,
             suspect: false,
             selectivity,
         };
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -151,7 +151,7 @@
             }
             self.needs_planning = true;
         }
-        worker.note_fence(poll.fence);
+        worker.note_answered(poll);
         if worker.doubted.is_some_and(|until| until <= poll.sent) {
             worker.doubted = None;
             self.needs_planning = true;
@@ -187,7 +187,6 @@
         };
         if first {
             self.end_former_incarnations(id, now);
-            self.stop_unconfirmed_starts(id, now);
         }
     }
 
@@ -212,6 +211,8 @@
                     continue;
                 }
             }
+            self.settle_listed_start(run, now);
+            self.note_rejected(run, id);
             self.update_worker_health(id, run, how, now);
             self.end_run(run, how, &end.checkpoint, now);
         }
@@ -290,18 +291,21 @@
         now: Now,
     ) {
         let mut present = BTreeSet::new();
+        let mut orphans = Vec::new();
         for active_run in active {
             let run = self.find_run(&active_run.name, active_run.run);
             let known_run =
                 run.filter(|run| self.runs.get(run).is_some_and(|live| live.worker == *id));
-            match known_run {
-                Some(run) => {
-                    present.insert(run);
-                    self.note_progress(run, active_run, now);
-                }
-                None => self.stop_unknown_run(id, active_run),
+            if let Some(run) = known_run {
+                present.insert(run);
+                self.settle_listed_start(run, now);
+                self.note_progress(run, active_run, now);
+            } else {
+                self.stop_unknown_run(id, active_run);
+                orphans.extend(run);
             }
         }
+        self.set_orphans(id, &orphans);
         let Some(worker) = self.workers.get(id) else {
             return;
         };
--- a/ashtiller/src/workflow/core/runs.rs
+++ b/ashtiller/src/workflow/core/runs.rs
@@ -67,7 +67,7 @@
             return;
         };
         self.release(run, &live);
-        self.note_unconfirmed_start(run, &live, now);
+        self.note_awaited_start(run, &live, end, now);
         self.note_fill_ended(&live, now);
         self.record_run_time(run, &live, now.at);
         match end {
--- a/ashtiller/src/workflow/core/trials.rs
+++ b/ashtiller/src/workflow/core/trials.rs
@@ -173,6 +173,10 @@
         step: StepKey,
         now: Now,
     ) -> Option<usize> {
+        if request.only.is_some() {
+            let mut ranked = self.rank_trials(&round.candidates, request, now);
+            return ranked.pop_best(&round.candidates);
+        }
         let ranked = round.trials.ranked.take();
         let mut ranked = match ranked {
             Some((of, ranked)) if of == step => ranked,
--- a/ashtiller/src/workflow/log_state.rs
+++ b/ashtiller/src/workflow/log_state.rs
@@ -14,7 +14,7 @@
 use crate::workflow::interference::LearnedFactor;
 use crate::workflow::job::{Job, Policy};
 use crate::workflow::record::{End, LogRecord, Outcome, Run, Task};
-use crate::workflow::state::{JobState, PlacedRun, StepState, TaskState};
+use crate::workflow::state::{JobState, PlacedRun, StepState, TaskState, UnconfirmedStart};
 
 /// Change by a record that the caller has to act on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -43,6 +43,9 @@
     /// Tasks suspected of crashing workers; they have a section of their own in a snapshot.
     #[serde(skip)]
     suspects: BTreeMap<Task, Suspect>,
+    /// Starts that may still be carried out; they have a section of their own in a snapshot.
+    #[serde(skip)]
+    unconfirmed: BTreeMap<Task, Vec<UnconfirmedStart>>,
     #[serde(skip)]
     by_id: BTreeMap<Arc<str>, u32>,
     #[serde(skip)]
@@ -67,6 +70,9 @@
                 self.scheduled.insert(*number);
             }
         }
+        for start in self.unconfirmed.values_mut().flatten() {
+            start.since = now;
+        }
     }
 
     /// Returns the number of the job with this id.
@@ -157,6 +163,8 @@
             LogRecord::Absolved(task) => {
                 self.suspects.remove(task);
             }
+            LogRecord::StartUnconfirmed(run, worker) => self.add_unconfirmed(*run, worker, now),
+            LogRecord::StartSettled(run) => self.settle(*run),
         }
         Effect::None
     }
@@ -181,8 +189,53 @@
         }
     }
 
-    fn remove_suspects(&mut self, number: u32) {
+    /// Returns the starts that may still be carried out.
+    #[must_use]
+    pub fn unconfirmed(&self) -> &BTreeMap<Task, Vec<UnconfirmedStart>> {
+        &self.unconfirmed
+    }
+
+    /// Sets the starts that may still be carried out, which a snapshot stores separately.
+    pub fn set_unconfirmed(&mut self, unconfirmed: BTreeMap<Task, Vec<UnconfirmedStart>>) {
+        self.unconfirmed = unconfirmed;
+    }
+
+    /// Reports whether a start of a task that is carried out late could run beside a later run: the
+    /// task is open and may have no copies.
+    #[must_use]
+    pub fn excludes_copies(&self, task: Task) -> bool {
+        self.task(task).is_some_and(|(job, state)| {
+            let single = job.step(task).is_some_and(|step| !step.speculative);
+            single && job.outcome.is_none() && !state.done
+        })
+    }
+
+    fn add_unconfirmed(&mut self, run: Run, worker: &Incarnation, now: Duration) {
+        if !self.excludes_copies(run.task) {
+            return;
+        }
+        let starts = self.unconfirmed.entry(run.task).or_default();
+        starts.push(UnconfirmedStart {
+            run: run.number,
+            worker: worker.clone(),
+            since: now,
+        });
+    }
+
+    fn settle(&mut self, run: Run) {
+        let Some(starts) = self.unconfirmed.get_mut(&run.task) else {
+            return;
+        };
+        starts.retain(|start| start.run != run.number);
+        if starts.is_empty() {
+            self.unconfirmed.remove(&run.task);
+        }
+    }
+
+    /// Drops what is known only for further runs of the tasks of an ended job.
+    fn remove_doubts(&mut self, number: u32) {
         self.suspects.retain(|task, _| task.job != number);
+        self.unconfirmed.retain(|task, _| task.job != number);
     }
 
     fn accept(&mut self, job: &Job, policy: &Policy, wall: u64) {
@@ -263,6 +316,7 @@
                 task.done = true;
                 step.left -= 1;
                 self.suspects.remove(&run.task);
+                self.unconfirmed.remove(&run.task);
             }
             End::Failed => {
                 task.failed.insert(run.number);
@@ -283,6 +337,7 @@
                     }
             };
             self.suspects.retain(|task, _| !in_gang(task));
+            self.unconfirmed.retain(|task, _| !in_gang(task));
         }
         let over = job.outcome.is_some();
         if occurrence.is_done() {
@@ -313,7 +368,7 @@
         job.outcome = Some(outcome);
         self.scheduled.remove(&number);
         self.ended.insert(number, now);
-        self.remove_suspects(number);
+        self.remove_doubts(number);
         self.compact_ended(number);
         Effect::Ended(number, outcome)
     }
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -260,6 +260,7 @@
             ("orders", now.orders - before.orders),
             ("entries", now.entries - before.entries),
             ("restarts", now.restarts - before.restarts),
+            ("unconfirmed", now.unconfirmed - before.unconfirmed),
             ("crashes", now.crashes - before.crashes),
             ("convicted", now.convicted - before.convicted),
             ("absolved", now.absolved - before.absolved),
--- a/ashtiller/src/workflow/record.rs
+++ b/ashtiller/src/workflow/record.rs
@@ -96,6 +96,11 @@
     Crashed(Incarnation, Vec<LostRun>),
     /// A task is no longer suspected of crashing workers.
     Absolved(Task),
+    /// A start of a run got no reply: it may still be carried out by this incarnation or a later one
+    /// of the same worker.
+    StartUnconfirmed(Run, Incarnation),
+    /// The unconfirmed starts of a run can no longer be carried out.
+    StartSettled(Run),
 }
 
 /// An owner that was replaced by another.
--- a/ashtiller/src/workflow/snapshot.rs
+++ b/ashtiller/src/workflow/snapshot.rs
@@ -1,15 +1,19 @@
 //! Binary encoding of log state snapshots.
 //!
-//! The format (postcard) has no field names. So state that was added later is appended in a section
-//! of its own; a snapshot without that section decodes as one in which it is empty.
+//! The format (postcard) has no field names. So state that was added later is appended in sections
+//! of its own; a snapshot without such a section decodes as one in which it is empty.
 
 use std::collections::BTreeMap;
 
+use serde::Deserialize;
+
 use crate::workflow::blame::Suspect;
 use crate::workflow::log_state::LogState;
 use crate::workflow::record::Task;
+use crate::workflow::state::UnconfirmedStart;
 
 type Suspects = BTreeMap<Task, Suspect>;
+type Unconfirmed = BTreeMap<Task, Vec<UnconfirmedStart>>;
 
 /// Encodes the state of a log.
 ///
@@ -17,17 +21,29 @@
 /// Fails if the state cannot be encoded.
 pub fn encode(state: &LogState) -> Result<Vec<u8>, postcard::Error> {
     let bytes = postcard::to_stdvec(state)?;
-    postcard::to_extend(state.suspects(), bytes)
+    let bytes = postcard::to_extend(state.suspects(), bytes)?;
+    postcard::to_extend(state.unconfirmed(), bytes)
 }
 
-/// Decodes a snapshot, including one from before suspects were added.
+/// Decodes a snapshot, including one from before suspects or unconfirmed starts were added.
 ///
 /// # Errors
 /// Fails if the bytes are no valid snapshot.
 pub fn decode(bytes: &[u8]) -> Result<LogState, postcard::Error> {
     let (mut state, rest) = postcard::take_from_bytes::<LogState>(bytes)?;
-    if !rest.is_empty() {
-        state.set_suspects(postcard::from_bytes::<Suspects>(rest)?);
-    }
+    let (suspects, rest) = take_section::<Suspects>(rest)?;
+    let (unconfirmed, _) = take_section::<Unconfirmed>(rest)?;
+    state.set_suspects(suspects);
+    state.set_unconfirmed(unconfirmed);
     Ok(state)
 }
+
+/// Decodes the next section, which is empty in a snapshot that ends before it.
+fn take_section<'a, T: Default + Deserialize<'a>>(
+    bytes: &'a [u8],
+) -> Result<(T, &'a [u8]), postcard::Error> {
+    if bytes.is_empty() {
+        return Ok((T::default(), bytes));
+    }
+    postcard::take_from_bytes(bytes)
+}
--- a/ashtiller/src/workflow/state.rs
+++ b/ashtiller/src/workflow/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -18,6 +19,18 @@
     pub worker: Incarnation,
 }
 
+/// A start without a reply that may still be carried out.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct UnconfirmedStart {
+    /// Number of the run.
+    pub run: u32,
+    /// Worker to which the start was sent. A later incarnation of it may carry the start out.
+    pub worker: Incarnation,
+    /// Time at which the start was known to be sent, on this owner's clock.
+    #[serde(skip)]
+    pub since: Duration,
+}
+
 /// State of one task.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct TaskState {
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -1,15 +1,15 @@
 //! State that the log owner tracks for one worker incarnation.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::resources::{Pool, Resources};
-use crate::workflow::agents::{Target, TaskName};
+use crate::workflow::agents::Target;
 use crate::workflow::config::ListedWorker;
 use crate::workflow::incarnation::Incarnation;
 use crate::workflow::interference::Image;
 use crate::workflow::lease::{self, Lease};
-use crate::workflow::record::Run;
+use crate::workflow::record::{Run, Task};
 
 /// Duration of the first quarantine of a worker whose runs fail; it doubles each time. It is short
 /// compared with the bad spells of some seconds that workers show.
@@ -28,17 +28,6 @@
 /// Consecutive failures after which a worker is quarantined.
 const QUARANTINE_FAILURES: u32 = 2;
 
-/// A run that was given up although an earlier start of it may still be carried out.
-#[derive(Debug)]
-pub struct LateRun {
-    /// Run that was given up.
-    pub run: Run,
-    /// Name of the task, as used in calls to workers.
-    pub name: TaskName,
-    /// Time after which the start can no longer be carried out.
-    pub until: Duration,
-}
-
 /// Class of an order, in descending priority when not all orders may be sent: stops free capacity
 /// and end work that is no longer needed, then come starts of services, relief for services, other
 /// starts, and paces that let best-effort runs use more.
@@ -97,6 +86,10 @@
     pub lease: Lease,
     /// Whether it has answered a call with this owner's fencing token.
     pub fenced: bool,
+    /// Highest fencing token of a poll that it has answered: it rejects all calls with a lower one.
+    pub answered_fence: u64,
+    /// Time at which the last poll that it has answered was sent.
+    pub answered_poll: Duration,
     /// Highest fencing token of unanswered polls, sent to this incarnation or an earlier one, that
     /// may still acknowledge ends.
     unanswered_fence: u64,
@@ -138,8 +131,9 @@
     pub acknowledging: Option<Duration>,
     /// Time until which a poll meant for the previous incarnation may acknowledge ends of this one.
     pub stale_ack_until: Option<Duration>,
-    /// Runs given up on this incarnation or the previous one that may still begin.
-    pub late: Vec<LateRun>,
+    /// Latest run of each task that has ended or was stopped on this incarnation, for tasks with
+    /// starts that may still be carried out.
+    pub rejected: BTreeMap<Task, u32>,
     /// Number of latency-sensitive runs on the worker.
     pub serving: u32,
     /// Number of best-effort runs on the worker.
@@ -181,6 +175,8 @@
             unlisted_since: None,
             lease: Lease::new(bound),
             fenced: false,
+            answered_fence: 0,
+            answered_poll: Duration::ZERO,
             unanswered_fence: 0,
             answers: false,
             last_answer: Duration::ZERO,
@@ -199,7 +195,7 @@
             renewing: None,
             acknowledging: None,
             stale_ack_until: None,
-            late: Vec::new(),
+            rejected: BTreeMap::new(),
             serving: 0,
             filling: 0,
             filled: 0,
@@ -215,9 +211,15 @@
         }
     }
 
-    /// Records an answer to a call that carried this fencing token.
-    pub fn note_fence(&mut self, fence: u64) {
-        if fence > self.unanswered_fence {
+    /// Records an answer to a poll.
+    pub fn note_answered(&mut self, poll: &PendingPoll) {
+        if poll.fence > self.answered_fence {
+            self.answered_fence = poll.fence;
+            // Starts may have waited for this.
+            self.wake();
+        }
+        self.answered_poll = self.answered_poll.max(poll.sent);
+        if poll.fence > self.unanswered_fence {
             self.stale_ack_until = None;
         }
     }
@@ -293,7 +295,6 @@
         if let Some(poll) = former.pending_poll {
             former.note_unanswered(&poll);
         }
-        self.late.append(&mut former.late);
         // A stale entry may list the previous incarnation again, with no knowledge of its calls; so
         // they are kept here.
         self.acknowledging = self.acknowledging.max(former.acknowledging);
