Unconfirmed starts in logs and dumps

Cause: nothing told an operator why a task waits for one worker. Change: a line when a start may still be carried out (the line when it no longer can is there), the field bound of lasting task waits, unconfirmed_starts in the dump, beside the event unconfirmed.

--- a/ashtiller/src/workflow/core/dump.rs
+++ b/ashtiller/src/workflow/core/dump.rs
@@ -2,7 +2,7 @@
 
 use crate::workflow::core::{Core, Now};
 
-/// Limit of the jobs, and of the waiting steps, in a dump.
+/// Limit of the jobs, of the waiting steps and of the unconfirmed starts in a dump.
 const DUMP_MAX: usize = 100;
 
 impl Core {
@@ -32,6 +32,16 @@
                 "free": worker.pool.free().to_string(),
             })
         });
+        let unconfirmed = self.log_state.unconfirmed().iter();
+        let unconfirmed = unconfirmed.flat_map(|(task, starts)| {
+            starts.iter().map(|start| {
+                let age = now.at.saturating_sub(start.since).as_millis();
+                serde_json::json!({
+                    "task": task.to_string(), "run": start.run, "worker": start.worker.as_str(),
+                    "age_ms": u64::try_from(age).unwrap_or(u64::MAX),
+                })
+            })
+        });
         serde_json::json!({
             "epoch": self.epoch, "durable": self.durable, "position": self.position,
             "stalled_ms": u64::try_from(self.stalled_for(now).as_millis()).unwrap_or(u64::MAX),
@@ -42,6 +52,7 @@
             "orders_under_way": self.congestion.under_way(), "orders_window": self.congestion.window(),
             "open_jobs": self.log_state.open().len(), "runs": self.runs.len(),
             "waiting": self.dump_waits(DUMP_MAX, now), "kept": self.reserved_worker(),
+            "unconfirmed_starts": unconfirmed.take(DUMP_MAX).collect::<Vec<_>>(),
             "jobs": jobs.collect::<Vec<_>>(), "workers": workers.collect::<Vec<_>>(),
         })
     }
--- a/ashtiller/src/workflow/core/unconfirmed_starts.rs
+++ b/ashtiller/src/workflow/core/unconfirmed_starts.rs
@@ -48,6 +48,8 @@
     pub(super) fn note_unconfirmed_start(&mut self, run: Run, worker: &Incarnation, now: Now) {
         if self.log_state.excludes_copies(run.task) {
             self.counts.unconfirmed += 1;
+            tracing::info!(task = %run.task, run = run.number, %worker,
+                "start may still be carried out: the task stays with this worker");
             self.record(LogRecord::StartUnconfirmed(run, worker.clone()), now);
         }
     }
--- a/ashtiller/src/workflow/core/wait_report.rs
+++ b/ashtiller/src/workflow/core/wait_report.rs
@@ -5,6 +5,7 @@
 
 use crate::workflow::core::plan::PlacementRound;
 use crate::workflow::core::step_priority::WaitingStep;
+use crate::workflow::core::unconfirmed_starts::Site;
 use crate::workflow::core::{Core, Now};
 
 /// Wait of a long-running step after which it is logged. The platform asks for its start within
@@ -44,8 +45,10 @@
         let candidates = round.candidates.iter().filter(|it| it.service == *service);
         let fitting = candidates.clone().filter(|it| self.fits_step(&pending, it));
         let freest = candidates.max_by_key(|it| it.free.processors);
+        let tasks = self.waiting_tasks(pending);
+        let bound = tasks.iter().filter(|it| self.site_of(**it) != Site::Any);
         tracing::info!(job = %job.job.id, number = pending.job, time = pending.occurrence,
-            step = pending.step, tasks = self.waiting_tasks(pending).len(),
+            step = pending.step, tasks = tasks.len(), bound = bound.count(),
             waited_ms = now.at.saturating_sub(since).as_millis(), asks = %step.reserved(),
             workers = %self.count_by_eligibility(Some(service), now), with_room = fitting.count(),
             shut_with_room = %self.count_ineligible_with_capacity(service, &step.reserved(), now),
