Crashes that are uncertain leave more starts

Change: with two certain crashes nothing changes. With fewer, a fourth crash ends the starts if its run was confirmed on a worker that answered until its connections broke, and a fifth crash does in any case. A report and the confirmed start give a speed, which can make a crash uncertain, never certain.

Why it holds: a task that crashes its worker while that answers is started four times, as before; one whose crashes are never seen clearly five times, of the six that the platform allows. Each limit is reached no sooner than the former one.

--- a/ashtiller/src/workflow/blame.rs
+++ b/ashtiller/src/workflow/blame.rs
@@ -4,8 +4,12 @@
 //! One crash is evidence against every task on the worker, mostly against those that had only just
 //! begun. So suspects are separated: a strongly suspected task starts where no other such task is,
 //! nothing is started beside it during that isolated run, and a crash then convicts it. A run that
-//! outlives the age of all earlier crashes, or finishes, clears its task. A task that saw
-//! [`CRASHES_MAX`] crashes gets [`STARTS_AFTER`] more starts, whatever the evidence.
+//! outlives the age of all earlier crashes, or finishes, clears its task.
+//!
+//! Whatever the evidence, starts are limited. A task that saw [`CRASHES_MAX`] crashes, of which two
+//! are certain, gets [`STARTS_AFTER`] more starts. Otherwise its runs may have ended, or never have
+//! begun, on workers that crashed for other reasons. Then the next crash under a run that was there
+//! until its worker was lost ends its starts, and any crash does from [`UNCERTAIN_CRASHES_MAX`] on.
 //!
 //! This module has no clock and knows about workers only what callers pass in.
 
@@ -23,6 +27,10 @@
 /// Starts allowed after [`CRASHES_MAX`] crashes. The platform's limit is three; one crash may go
 /// unseen behind a network partition when the owner that knew of the run ends.
 pub const STARTS_AFTER: u32 = 1;
+/// Number of crashes after which a task is not started again although fewer than
+/// [`CERTAIN_CRASHES_MIN`] of them are certain. The platform's limit leaves one more start, for a
+/// crash that goes unseen.
+pub const UNCERTAIN_CRASHES_MAX: usize = CRASHES_MAX + 2;
 /// Age up to which a run counts as just begun. Tasks that crash their workers do so within moments
 /// of their start, and a worker begins about two runs a second.
 const JUST_BEGUN: Duration = Duration::from_secs(1);
@@ -56,7 +64,8 @@
 /// Evidence against a task that ran on crashed workers.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Suspect {
-    /// Numbers of the first runs lost to crashes, in ascending order, at most [`CRASHES_MAX`].
+    /// Numbers of the first runs lost to crashes, in ascending order: at most [`CRASHES_MAX`], or
+    /// [`UNCERTAIN_CRASHES_MAX`] while too few crashes are certain.
     pub crashed: Vec<u32>,
     /// Number of crashes.
     pub crashes: u32,
@@ -103,14 +112,27 @@
         let Err(place) = self.crashed.binary_search(&lost.run.number) else {
             return;
         };
-        self.crashed.insert(place, lost.run.number);
-        self.crashed.truncate(CRASHES_MAX);
         self.crashes += 1;
         self.sure += u32::from(lost.begun);
+        self.crashed.insert(place, lost.run.number);
+        self.crashed.truncate(self.crashes_max());
         self.oldest = self.oldest.max(lost.age);
         self.weight += lost.weight;
     }
 
+    fn is_certain(&self) -> bool {
+        self.sure >= CERTAIN_CRASHES_MIN
+    }
+
+    /// Returns the number of crashes after which further starts are limited.
+    fn crashes_max(&self) -> usize {
+        if self.is_certain() {
+            CRASHES_MAX
+        } else {
+            UNCERTAIN_CRASHES_MAX
+        }
+    }
+
     /// Reports whether the task has to run isolated.
     #[must_use]
     pub fn is_strong(&self) -> bool {
@@ -123,9 +145,19 @@
         Duration::from_millis(u64::from(self.oldest)) * 2 + CLEAR_MARGIN
     }
 
+    /// Reports whether [`CRASHES_MAX`] crashes were seen and too few of them are certain, so that
+    /// the next one decides if the run was there until its worker was lost.
+    #[must_use]
+    pub fn is_on_last_start(&self) -> bool {
+        !self.is_certain() && self.crashes as usize >= CRASHES_MAX
+    }
+
     /// Reports whether no start is left, given the number of the newest run.
     #[must_use]
     pub fn has_no_starts_left(&self, last: u32) -> bool {
+        if !self.is_certain() {
+            return self.crashes as usize >= UNCERTAIN_CRASHES_MAX;
+        }
         let third = self.crashed.get(CRASHES_MAX - 1);
         third.is_some_and(|third| last >= third + STARTS_AFTER)
     }
--- a/ashtiller/src/workflow/core/crashes.rs
+++ b/ashtiller/src/workflow/core/crashes.rs
@@ -20,6 +20,8 @@
 const COMMON_STEP_WORKERS: usize = 2;
 /// Age up to which a run counts as just begun when steps are compared.
 const JUST_BEGUN_AGE: Duration = Duration::from_secs(1);
+/// Progress in percent from which the start of a run tells its speed.
+const SPEED_PERCENT_MIN: u32 = 5;
 /// How long a crash is remembered; a machine that crashes by itself does so again within that time.
 const CRASH_MEMORY: Duration = Duration::from_mins(2);
 
@@ -52,6 +54,20 @@
     (run.task.job, run.task.occurrence, run.task.step)
 }
 
+/// Returns the estimated remaining time of a run at its speed since the confirmed start, or `None`
+/// before it has progressed far enough. A run restored from a checkpoint seems faster than it is.
+fn remaining_since_start(live: &LiveRun, at: Duration) -> Option<Duration> {
+    let Stage::Started(start) = live.stage else {
+        return None;
+    };
+    let spent = live.progressed_at.checked_sub(start)?;
+    if live.percent < SPEED_PERCENT_MIN || spent.is_zero() {
+        return None;
+    }
+    let remaining = spent * (100 - live.percent.min(100)) / live.percent;
+    Some(remaining.saturating_sub(at.saturating_sub(live.progressed_at)))
+}
+
 fn millis(age: Duration) -> u32 {
     u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
 }
@@ -107,12 +123,30 @@
             together = others.together,
             "worker crashed"
         );
+        let culprit = culprit.or_else(|| self.find_exhausted(&lost_runs, id));
         if !lost_runs.is_empty() {
             self.record(LogRecord::Crashed(id.clone(), lost_runs), now);
         }
         culprit
     }
 
+    /// Returns a task whose starts end with this crash: too few of its crashes are certain, but its
+    /// run was there until the worker was lost.
+    fn find_exhausted(&self, lost_runs: &[LostRun], id: &Incarnation) -> Option<Task> {
+        let worker = self.workers.get(id)?;
+        // On a worker that fell silent first, the run may have ended long before the crash.
+        let at_once = worker.broken_since.is_some() && worker.broken_since == worker.silent_since;
+        let suspects = self.log_state.suspects();
+        let is_exhausted = |lost: &&LostRun| {
+            let live = self.runs.get(&lost.run);
+            let started = live.is_some_and(|live| matches!(live.stage, Stage::Started(_)));
+            let suspect = suspects.get(&lost.run.task);
+            started && suspect.is_some_and(Suspect::is_on_last_start)
+        };
+        let exhausted = lost_runs.iter().filter(|_| at_once).find(is_exhausted);
+        exhausted.map(|lost| lost.run.task)
+    }
+
     /// Returns whether the end of a worker was planned, by its own announcement or by an order.
     fn ends_as_planned(&self, worker: &Worker, at: Duration) -> bool {
         // Some workers withdraw their entry without an announcement and continue for a while.
@@ -173,7 +207,12 @@
         let remaining = self.remaining_time(run, Now { at: latest, wall });
         let unheard = || latest > at || at > live.progressed_at + JUST_BEGUN_AGE;
         let silent = || self.is_short(run) && unheard();
-        remaining.map_or_else(silent, |remaining| remaining.is_zero())
+        let reported_once = || {
+            let remaining = remaining_since_start(live, latest);
+            remaining.is_some_and(|remaining| remaining.is_zero())
+        };
+        let unsure = || silent() || reported_once();
+        remaining.map_or_else(unsure, |remaining| remaining.is_zero())
     }
 
     /// Returns the workers that were lost at the same time as the given one.
--- a/ashtiller/tests/owner/blame.rs
+++ b/ashtiller/tests/owner/blame.rs
@@ -162,3 +162,41 @@
     suspect.note(&lost_run(0, 2, 100, HEAVY));
     assert!(suspect.clears_at() > 1800 * MS);
 }
+
+/// A harmless job failed after three crashes of which one at most had a run of it on the worker.
+/// Two of its runs had ended while their workers were unreachable, so those crashes were uncertain.
+/// The fourth run was stopped because its worker drained, and as it was the one start left after
+/// any three crashes, the job was given up.
+#[test]
+fn a_start_that_ends_without_a_crash_is_not_the_last_after_uncertain_crashes() {
+    let uncertain = |number| LostRun {
+        begun: false,
+        ..lost_run(0, number, 2140, LIGHT)
+    };
+    let mut suspect = Suspect::default();
+    suspect.note(&uncertain(1));
+    suspect.note(&uncertain(2));
+    suspect.note(&lost_run(0, 3, 300, HEAVY));
+    assert!(!suspect.has_no_starts_left(4));
+    // The limit holds for a task whose crashes are all uncertain, too.
+    suspect.note(&uncertain(5));
+    assert!(!suspect.has_no_starts_left(5));
+    suspect.note(&uncertain(6));
+    assert!(suspect.has_no_starts_left(6));
+}
+
+/// An expired lease and the worker's next incarnation may both report the same lost run. If it
+/// counted twice, a task would be nearer to its limit than its crashes are.
+#[test]
+fn an_uncertain_crash_that_is_reported_twice_counts_once() {
+    let uncertain = |number| LostRun {
+        begun: false,
+        ..lost_run(0, number, 10, LIGHT)
+    };
+    let mut suspect = Suspect::default();
+    for number in [3, 4, 5, 5, 4, 3] {
+        suspect.note(&uncertain(number));
+    }
+    assert_eq!(suspect.crashes, 3);
+    assert!(!suspect.has_no_starts_left(6));
+}
--- a/ashtiller/tests/owner/crashes.rs
+++ b/ashtiller/tests/owner/crashes.rs
@@ -280,3 +280,138 @@
         );
     }
 }
+
+/// Returns the log of a job whose task was lost three times with its worker, where it may not have
+/// run any more.
+fn lost_three_times() -> Vec<LogRecord> {
+    let task = Task {
+        job: 0,
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    let accepted = LogRecord::Accepted(Box::new(job("1", vec![step(1)])), policy(), 1_000_000);
+    let mut records = vec![accepted];
+    for number in 1..=3 {
+        let run = Run { task, number };
+        let lost_run = LostRun {
+            run,
+            age: 2000,
+            weight: 1,
+            begun: false,
+        };
+        records.push(LogRecord::Placed(run, "w9".into(), "".into()));
+        records.push(LogRecord::Crashed("w9".into(), vec![lost_run]));
+        records.push(LogRecord::Ended(run, End::Lost, "".into()));
+    }
+    records
+}
+
+/// Three runs of a harmless task were lost with their workers, and none of them certainly ran
+/// there. The fourth was stopped because its worker drained, and the job failed, since any three
+/// crashes left one more start, however that ended.
+#[test]
+fn a_task_whose_crashes_are_uncertain_starts_again_after_its_worker_drains() {
+    let mut driver = Driver::replay(&lost_three_times(), 2, policy());
+    driver.run_for(100 * MS);
+    let (worker, run) = driver.starts()[0].clone();
+    assert_eq!(run.number, 4);
+    let leaving = driver.core.workers()[&worker].listed.clone();
+    let leaving = ListedWorker {
+        draining: true,
+        remaining: Some(Duration::ZERO),
+        ..leaving
+    };
+    driver.core.list_worker(leaving, driver.now);
+    driver.run_for(Duration::from_secs(2));
+    assert_ne!(driver.core.state("1"), failed());
+    let starts = driver.starts();
+    assert!(starts.iter().any(|(_, run)| run.number == 5), "{starts:?}");
+}
+
+/// A task that crashes its workers when it is nearly done may have ended before each crash, so that
+/// none is certain. If they only counted toward the wider limit, it would be started too often. Its
+/// worker answers until its connections are refused.
+#[test]
+fn a_fourth_crash_on_a_worker_that_answered_until_then_fails_the_job() {
+    let mut driver = Driver::replay(&lost_three_times(), 2, policy());
+    driver.run_for(100 * MS);
+    let (worker, run) = driver.starts()[0].clone();
+    let row = Active {
+        name: driver.name(run),
+        run: run.number,
+        checkpoint: "".into(),
+        percent: 97,
+        figure: None,
+    };
+    driver.running.push((worker.clone(), row));
+    driver.run_for(100 * MS);
+    driver.crash(&worker);
+    driver.run_for(200 * MS);
+    let next = ListedWorker {
+        incarnation: "next".into(),
+        ..driver.core.workers()[&worker].listed.clone()
+    };
+    driver.relist_as(&worker, next);
+    driver.run_for(500 * MS);
+    assert_eq!(driver.core.state("1"), failed());
+}
+
+/// A task may crash its worker before the start is answered, so that no crash is certain. Such a
+/// task is limited all the same.
+#[test]
+fn a_task_that_crashes_its_workers_before_they_answer_fails() {
+    let mut cluster = CrashingWorkers::new(1);
+    cluster.driver.submit(crashing_job(vec![step(1)]));
+    cluster.driver.drops_orders = Some("w0".into());
+    for _ in 0..6000 {
+        cluster.driver.run_for(10 * MS);
+        if let Some(id) = cluster.crash_next() {
+            cluster.driver.run_for(RESTART_DELAY);
+            cluster.restart_worker(&id);
+            cluster.driver.drops_orders = Some(format!("{id}x").into());
+        }
+    }
+    let starts = cluster.crashed.len();
+    assert!(starts <= CRASHES_MAX + 2, "started {starts} times");
+    assert_eq!(cluster.state("bad"), failed());
+}
+
+/// A worker reported a run once, at 64 percent after 0.3 s, and then fell silent; its connections
+/// were refused 0.36 s later. By its speed since the start the run was done before that, but the
+/// owner took the speed from two reports only, so the crash counted as certain.
+#[test]
+fn one_report_shows_that_a_run_may_have_ended_before_the_crash() {
+    for (percent, certain) in [(64, false), (10, true)] {
+        let mut driver = Driver::new(2, policy());
+        driver.submit(job("1", vec![step(1)]));
+        driver.long_polls = true;
+        driver.run_for(300 * MS);
+        let (incarnation, run) = driver.starts()[0].clone();
+        let row = Active {
+            name: driver.name(run),
+            run: run.number,
+            checkpoint: "".into(),
+            percent,
+            figure: None,
+        };
+        driver.report(&incarnation, vec![row], Vec::new());
+        driver.run_for(360 * MS);
+        driver.crash(&incarnation);
+        driver.run_for(200 * MS);
+        let machine = driver.core.workers()[&incarnation].listed.clone();
+        let next = ListedWorker {
+            incarnation: "next".into(),
+            ..machine
+        };
+        driver.relist_as(&incarnation, next);
+        driver.run_for(Duration::from_secs(1));
+        let lost_runs = driver.records.iter().filter_map(|record| match record {
+            LogRecord::Crashed(of, lost_runs) if *of == incarnation => Some(lost_runs),
+            _ => None,
+        });
+        let lost_run = lost_runs.flatten().find(|lost_run| lost_run.run == run);
+        let lost_run = lost_run.expect("its worker crashed");
+        assert_eq!(lost_run.begun, certain, "reported at {percent} percent");
+    }
+}
