A lost run that was counted before is not a further crash

Cause: a run whose lease expired unheard is counted as an uncertain crash, and again when its worker is known to have crashed. As the fourth of three uncertain crashes it would have ended the starts of its task by itself. Change: the crash that ends the starts is under a run that was not counted yet. Test: owner/blame.rs, a_run_that_was_counted_before_does_not_end_the_starts.

--- a/ashtiller/src/workflow/blame.rs
+++ b/ashtiller/src/workflow/blame.rs
@@ -145,11 +145,12 @@
         Duration::from_millis(u64::from(self.oldest)) * 2 + CLEAR_MARGIN
     }
 
-    /// Reports whether [`CRASHES_MAX`] crashes were seen and too few of them are certain, so that
-    /// the next one decides if the run was there until its worker was lost.
+    /// Reports whether the loss of a run that was there until its worker was lost leaves no start:
+    /// [`CRASHES_MAX`] other crashes were seen, too few of them certain.
     #[must_use]
-    pub fn is_on_last_start(&self) -> bool {
-        !self.is_certain() && self.crashes as usize >= CRASHES_MAX
+    pub fn ends_with(&self, lost: &LostRun) -> bool {
+        let seen = self.crashed.contains(&lost.run.number);
+        !seen && !self.is_certain() && self.crashes as usize >= CRASHES_MAX
     }
 
     /// Reports whether no start is left, given the number of the newest run.
--- a/ashtiller/src/workflow/core/crashes.rs
+++ b/ashtiller/src/workflow/core/crashes.rs
@@ -141,7 +141,7 @@
             let live = self.runs.get(&lost.run);
             let started = live.is_some_and(|live| matches!(live.stage, Stage::Started(_)));
             let suspect = suspects.get(&lost.run.task);
-            started && suspect.is_some_and(Suspect::is_on_last_start)
+            started && suspect.is_some_and(|suspect| suspect.ends_with(lost))
         };
         let exhausted = lost_runs.iter().filter(|_| at_once).find(is_exhausted);
         exhausted.map(|lost| lost.run.task)
--- a/ashtiller/tests/owner/blame.rs
+++ b/ashtiller/tests/owner/blame.rs
@@ -200,3 +200,21 @@
     assert_eq!(suspect.crashes, 3);
     assert!(!suspect.has_no_starts_left(6));
 }
+
+/// An owner may count a lost run as a crash before its worker is known to have crashed. If that run
+/// is then found to have been there until the end, it is not a crash beside the three that were
+/// counted, and a start is left.
+#[test]
+fn a_run_that_was_counted_before_does_not_end_the_starts() {
+    let uncertain = |number| LostRun {
+        begun: false,
+        ..lost_run(0, number, 10, LIGHT)
+    };
+    let mut suspect = Suspect::default();
+    suspect.note(&uncertain(1));
+    suspect.note(&uncertain(2));
+    assert!(!suspect.ends_with(&uncertain(3)), "a third crash");
+    suspect.note(&uncertain(3));
+    assert!(!suspect.ends_with(&uncertain(3)), "the same crash");
+    assert!(suspect.ends_with(&uncertain(4)));
+}
