--- a/ashtiller/tests/owner/parts.rs
+++ b/ashtiller/tests/owner/parts.rs
@@ -213,3 +213,71 @@
     ];
     assert_eq!(records, expected);
 }
+
+/// A snapshot that ends with the suspects was written before unconfirmed starts were added.
+#[test]
+fn a_snapshot_without_unconfirmed_starts_is_readable() {
+    let mut state = LogState::default();
+    let accepted = LogRecord::Accepted(Box::new(job("1", vec![step(2)])), policy(), 7);
+    state.apply(&accepted, MS);
+    state.apply(&LogRecord::Crashed("w0".into(), vec![crash_of(0, 1)]), MS);
+    let bytes = postcard::to_stdvec(&state).unwrap();
+    let bytes = postcard::to_extend(state.suspects(), bytes).unwrap();
+    let read = snapshot::decode(&bytes).unwrap();
+    assert_eq!(read.suspects().len(), 1);
+    assert!(read.unconfirmed().is_empty());
+}
+
+/// The next owner must know of each start that its predecessor sent without a reply, also if it
+/// reads them from a snapshot. It counts their time from its own beginning.
+#[test]
+fn unconfirmed_starts_outlast_a_snapshot() {
+    let run = crash_of(0, 1).run;
+    let records = [
+        LogRecord::Accepted(Box::new(job("1", vec![step(2)])), policy(), 7),
+        LogRecord::Placed(run, "w0@5".into(), "".into()),
+        LogRecord::StartUnconfirmed(run, "w0@5".into()),
+        LogRecord::Ended(run, End::Stopped, "".into()),
+    ];
+    let mut state = LogState::default();
+    for record in &records {
+        state.apply(record, MS);
+    }
+    let bytes = snapshot::encode(&state).unwrap();
+    let mut read = snapshot::decode(&bytes).unwrap();
+    read.index(9 * MS);
+    let [start] = &read.unconfirmed()[&run.task][..] else {
+        panic!("{:?}", read.unconfirmed());
+    };
+    assert_eq!((start.run, start.worker.as_str()), (1, "w0@5"));
+    assert_eq!(start.since, 9 * MS);
+    read.apply(&LogRecord::StartSettled(run), 9 * MS);
+    assert!(read.unconfirmed().is_empty());
+}
+
+/// An unconfirmed start is of no interest once its task is done, or where copies are allowed.
+#[test]
+fn starts_of_done_or_copied_tasks_are_not_kept() {
+    let copied = Step {
+        speculative: true,
+        ..step(1)
+    };
+    let mut state = LogState::default();
+    let accepted = LogRecord::Accepted(Box::new(job("1", vec![step(1), copied])), policy(), 7);
+    state.apply(&accepted, MS);
+    let first = crash_of(0, 0).run;
+    let second = Run {
+        task: Task {
+            step: 1,
+            ..first.task
+        },
+        number: 1,
+    };
+    for run in [first, second] {
+        state.apply(&LogRecord::Placed(run, "w0".into(), "".into()), MS);
+        state.apply(&LogRecord::StartUnconfirmed(run, "w0".into()), MS);
+    }
+    assert_eq!(state.unconfirmed().len(), 1);
+    state.apply(&LogRecord::Ended(first, End::Done, "".into()), MS);
+    assert!(state.unconfirmed().is_empty());
+}
