Tests that force further orders of late starts

The rule that a task stays with the worker of an unanswered start was checked along the paths that end a run, send a start or forget one. Eleven orders of events break it, or make a task wait for longer than it has to: a start that an unlisted incarnation carries out, a run that ends at the next incarnation before its call fails, a listed run at a change of owner, a start of a former owner whose leases have ended, a restart after the list that rejected the start, a listed run of an ended job, a worker that gets no start, a worker that fails each run, an end that overtakes the answer, a retry behind a long poll, and needless records.

Change: late_starts_review.rs, a child module of late_starts.rs. Its harness can lose all starts to a worker, let all runs on one fail, answer late, and use other time limits; its cases are unchanged.

--- a/ashtiller/tests/owner/late_starts.rs
+++ b/ashtiller/tests/owner/late_starts.rs
@@ -12,7 +12,9 @@
 
 use ashtiller::failure::Failure;
 use ashtiller::resources::Resources;
-use ashtiller::workflow::agents::{Order, OrderReply, Poll, PollReply, Refusal, Target, TaskName};
+use ashtiller::workflow::agents::{
+    EndReason, Order, OrderReply, Poll, PollReply, Refusal, Target, TaskName,
+};
 use ashtiller::workflow::config::{Config, ListedWorker, Queue};
 use ashtiller::workflow::core::{Core, Effect, Now, RequestToken};
 use ashtiller::workflow::evacuations::Zones;
@@ -35,6 +37,8 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(350);
 /// Longest wait of a poll, shorter than the platform's so that a restart is noticed soon.
 const POLL_WAIT: Duration = Duration::from_millis(200);
+/// Time after which an order is answered late, but not too late.
+const SLOW_ANSWER: Duration = Duration::from_millis(300);
 /// Time after the start of a process at which it answers its first poll.
 const FIRST_LIST: Duration = Duration::from_millis(150);
 /// Delay of the polls of a slow incarnation.
@@ -56,6 +60,10 @@
     Lost,
     /// Delivered and answered after the worker's process has been replaced.
     AfterRestart,
+    /// The same, with the held starts delivered before it.
+    AfterHeld,
+    /// Delivered at once, but answered after [`SLOW_ANSWER`].
+    AnsweredLate,
 }
 
 /// An event of an owner is dropped once that owner was replaced.
@@ -92,6 +100,14 @@
     held: Vec<(Duration, Target, Order)>,
     /// Incarnation whose polls arrive late, by [`SLOW_POLL`].
     slow: Option<Incarnation>,
+    /// Worker to which all starts are lost.
+    deaf: Option<Arc<str>>,
+    /// Worker on which all runs fail.
+    failing: Option<Arc<str>>,
+    /// Time after which the caller of a lost order gives up.
+    timeout: Duration,
+    /// Longest wait of a poll.
+    poll_wait: Duration,
     duration: Duration,
     /// Starts that were sent: worker id, run, time.
     sent: Vec<(Arc<str>, Run, Duration)>,
@@ -121,6 +137,10 @@
             fates: VecDeque::new(),
             held: Vec::new(),
             slow: None,
+            deaf: None,
+            failing: None,
+            timeout: ORDER_TIMEOUT,
+            poll_wait: POLL_WAIT,
             duration: 3 * SECOND,
             sent: Vec::new(),
             violations: BTreeSet::new(),
@@ -295,7 +315,7 @@
                 let slow = self.slow.as_ref() == Some(&target.incarnation);
                 let event = Event::Poll(owner, self.now.at, target, poll.clone());
                 let delay = if slow { SLOW_POLL } else { Duration::ZERO };
-                self.schedule(poll.wait.min(POLL_WAIT).max(STEP) + delay, event);
+                self.schedule(poll.wait.min(self.poll_wait).max(STEP) + delay, event);
             }
             Effect::Reply(..) | Effect::Advise(_) | Effect::MachineOrder(..) => {}
         }
@@ -306,6 +326,9 @@
         let mut fate = Fate::Prompt;
         if let Order::Start(_) = order {
             fate = self.fates.pop_front().unwrap_or(Fate::Prompt);
+            if self.deaf.as_ref() == Some(&id) {
+                fate = Fate::Lost;
+            }
             self.sent.push((id.clone(), run, self.now.at));
         }
         tracing::info!(worker = %target.incarnation, fence = target.fence, index = run.task.index,
@@ -319,14 +342,21 @@
                 self.begin(&id);
                 (STEP, self.deliver(&target, &order).ok_or(refused))
             }
+            Fate::AfterHeld => {
+                self.end(&id);
+                self.begin(&id);
+                self.deliver_held();
+                (STEP, self.deliver(&target, &order).ok_or(refused))
+            }
+            Fate::AnsweredLate => (SLOW_ANSWER, self.deliver(&target, &order).ok_or(refused)),
             Fate::Unanswered => {
                 self.deliver(&target, &order);
-                (ORDER_TIMEOUT, Err(unanswered))
+                (self.timeout, Err(unanswered))
             }
-            Fate::Lost => (ORDER_TIMEOUT, Err(unanswered)),
+            Fate::Lost => (self.timeout, Err(unanswered)),
             Fate::Held => {
                 self.held.push((self.now.at, target.clone(), order.clone()));
-                (ORDER_TIMEOUT, Err(unanswered))
+                (self.timeout, Err(unanswered))
             }
         };
         let event = Event::OrderReply(self.epoch, target.incarnation, run, order, reply);
@@ -440,7 +470,14 @@
             return;
         }
         let mut reply = worker.poll(target.fence, &poll, now);
-        if let PollReply::Report { active, .. } = &reply {
+        if let PollReply::Report {
+            active, finished, ..
+        } = &mut reply
+        {
+            if self.failing.as_ref() == Some(&id) {
+                let done = finished.iter_mut().filter(|it| it.how == EndReason::Done);
+                done.for_each(|end| end.how = EndReason::Failed);
+            }
             process.fence = process.fence.max(target.fence);
             if worker.incarnation != target.incarnation {
                 tracing::info!(worker = %worker.incarnation, ?active, "fleet: other incarnation answers");
@@ -940,3 +977,6 @@
     a_worker_that_drained_gets_work_after_its_restart,
     entry_before_the_restart_is_noticed
 );
+
+#[path = "late_starts_review.rs"]
+mod review;
