--- a/ashtiller/src/workflow/core/allocation.rs
+++ b/ashtiller/src/workflow/core/allocation.rs
@@ -31,6 +31,9 @@
         if allocated.fits_within(capacity) {
             return FitsWhen::Now;
         }
+        if self.orphans.has_any(id) {
+            return FitsWhen::Later;
+        }
         let withdrawn = worker.runs.iter().filter(|other| {
             let live = self.runs.get(other);
             **other != run
--- a/ashtiller/src/workflow/core/incarnations.rs
+++ b/ashtiller/src/workflow/core/incarnations.rs
@@ -285,6 +285,9 @@
             self.end_run(run, End::Lost, &Arc::from(""), now);
         }
         for run in moved {
+            if let Some(live) = self.runs.get(&run).cloned() {
+                self.note_awaited_start(run, &live, End::Lost, now);
+            }
             if !number_learned {
                 self.note_adopted_start(run, former, now);
             }
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -18,7 +18,7 @@
 /// Delay before an order that the worker temporarily refused is sent again.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Unanswered starts after which a run is withdrawn from its worker.
-const UNANSWERED_MAX: u32 = 4;
+pub(super) const UNANSWERED_MAX: u32 = 4;
 /// Largest fraction of the drain time (for which a departing worker still accepts starts) that one
 /// order may take. The rest is left for the news of the departure to arrive.
 const ORDER_TIMEOUT_FRACTION: f64 = 0.4;
@@ -112,7 +112,9 @@
             return None;
         }
         if let Stage::Recorded(position) = live.stage {
-            if position > self.durable {
+            // Nothing was sent before the placement is durable, so there is nothing to stop either.
+            let may_run = live.sent > 0 && live.stop != Stop::None;
+            if position > self.durable && !may_run {
                 return None;
             }
             live.stage = Stage::Starting;
@@ -156,7 +158,8 @@
                 return None;
             }
         }
-        let rejects = self.rejects_former_runs(run, worker);
+        let rejects = self.rejects_former_runs(run, worker)
+            && !(self.log_state.excludes_copies(run.task) && self.orphans.has_task(run.task));
         let worker = self.workers.get_mut(id)?;
         // The worker's next reply wakes the runs that wait here.
         if !worker.answers || !rejects {
--- a/ashtiller/src/workflow/core/orphan_runs.rs
+++ b/ashtiller/src/workflow/core/orphan_runs.rs
@@ -39,8 +39,10 @@
     pub(super) fn set_orphans(&mut self, worker: &Incarnation, listed: &[Run]) {
         self.clear_orphans(worker);
         let orphans = listed.iter().filter_map(|run| {
-            let (job, _) = self.log_state.task(run.task)?;
-            let resources = job.step(run.task)?.reserved();
+            let known = self.log_state.task(run.task);
+            let step = known.and_then(|(job, _)| job.step(run.task));
+            let capacity = || Some(*self.workers.get(worker)?.pool.capacity());
+            let resources = step.map_or_else(capacity, |step| Some(step.reserved()))?;
             Some(OrphanRun {
                 run: *run,
                 resources,
--- a/ashtiller/src/workflow/core/polls.rs
+++ b/ashtiller/src/workflow/core/polls.rs
@@ -93,7 +93,9 @@
             let live = self.runs.get(run);
             live.is_some_and(|live| matches!(live.stop, Stop::Confirmed(_)))
         });
-        let wait = if stopping || self.orphans.has_any(incarnation) {
+        // A start may wait for a list that follows a failed call.
+        let rejects = worker.answered_fence >= fence;
+        let wait = if stopping || !rejects || self.orphans.has_any(incarnation) {
             wait.min(Duration::from_millis(100))
         } else {
             wait
--- a/ashtiller/src/workflow/core/unconfirmed_starts.rs
+++ b/ashtiller/src/workflow/core/unconfirmed_starts.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-use crate::workflow::core::{Core, Now, incarnations};
+use crate::workflow::core::{Core, Now, incarnations, orders};
 use crate::workflow::incarnation::Incarnation;
 use crate::workflow::lease;
 use crate::workflow::live_run::{LiveRun, Stage};
@@ -17,6 +17,9 @@
 use crate::workflow::state::UnconfirmedStart;
 use crate::workflow::worker::{LATE_MAX, Worker};
 
+/// Time within which a new incarnation is listed.
+const LISTING_MAX: Duration = Duration::from_secs(3);
+
 /// Where the next run of a task may be placed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum Site {
@@ -56,7 +59,8 @@
 
     /// Records the start of a run that ends while its reply is still awaited.
     pub(super) fn note_awaited_start(&mut self, run: Run, live: &LiveRun, end: End, now: Now) {
-        if end != End::Done && live.ordering && live.stage == Stage::Starting {
+        let listed = end == End::Failed && self.has_single_start(live);
+        if end != End::Done && !listed && live.ordering && live.stage == Stage::Starting {
             self.note_unconfirmed_start(run, &live.worker, now);
         }
     }
@@ -94,9 +98,13 @@
         let Some(live) = self.runs.get(&run) else {
             return;
         };
-        let mut starts = starts.iter().filter(|start| start.run == run.number);
+        let mut starts = starts
+            .iter()
+            .filter(|start| start.run == run.number)
+            .peekable();
+        let unconfirmed = starts.peek().is_some();
         let here = starts.all(|start| start.worker == live.worker);
-        if !here || !self.has_single_start(live) {
+        if !unconfirmed || !here || !self.has_single_start(live) {
             return;
         }
         self.record(LogRecord::StartSettled(run), now);
@@ -153,7 +161,7 @@
             .filter(|worker| worker.unlisted_since.is_none());
         let mut heard = workers.filter(|worker| worker.answers && worker.answered_poll >= last);
         heard.next().is_some()
-            || listed.next().is_none()
+            || (listed.next().is_none() && now.at >= last + LISTING_MAX)
             || now.at >= last + lease::worst_case_elapsed(self.tuning.hold)
     }
 
@@ -172,7 +180,12 @@
             return Site::Any;
         };
         let same = |start: &UnconfirmedStart| start.worker.is_same_worker(&first.worker);
-        if !starts.iter().all(same) {
+        if !starts.iter().all(same) || starts.len() >= orders::UNANSWERED_MAX as usize {
+            return Site::Nowhere;
+        }
+        let failed_on = self.log_state.task(task).map(|(_, state)| &state.failed_on);
+        let failed_there = |id: &Incarnation| id.is_same_worker(&first.worker);
+        if failed_on.is_some_and(|them| them.iter().any(failed_there)) {
             return Site::Nowhere;
         }
         let latest = starts.iter().map(|start| start.run).max().unwrap_or(0);
