A refused start of a former owner's run is in doubt

Cause: an owner recorded an unanswered start at 65.025 s and a confirmed stop at 67.905 s, but the store was slow and neither was durable when the next owner took over at 67.935 s. That one sent the start again, was told that the run had ended there, and placed the next run elsewhere at 70.005 s. The first copy was carried out at 72.380 s by an incarnation that had just begun. Change: such a refusal tells that an earlier owner had sent the start, so it counts as unconfirmed. Test: owner/late_starts_review.rs, a_refused_start_of_a_former_owner_is_in_doubt, both cases red with the change taken out.

--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -270,6 +270,9 @@
 
     fn handle_start_reply(&mut self, run: Run, reply: Result<OrderReply, Failure>, now: Now) {
         let mut refused = None;
+        if let Ok(OrderReply::Refused(Refusal::Old)) = reply {
+            self.note_former_start(run, now);
+        }
         let listed = self.is_only_start_listed(run);
         let Some(live) = self.runs.get_mut(&run) else {
             return;
--- a/ashtiller/src/workflow/core/unconfirmed_starts.rs
+++ b/ashtiller/src/workflow/core/unconfirmed_starts.rs
@@ -74,6 +74,14 @@
         }
     }
 
+    /// Records the start of an earlier owner's run that its worker refuses because the run has ended
+    /// there. That owner has sent the start, and ended before it could record what became of it.
+    pub(super) fn note_former_start(&mut self, run: Run, now: Now) {
+        if let Some(worker) = self.runs.get(&run).map(|live| live.worker.clone()) {
+            self.note_adopted_start(run, &worker, now);
+        }
+    }
+
     /// Returns whether an earlier owner may have sent a start that can still be carried out.
     pub(super) fn may_have_earlier_start(&self, live: &LiveRun, now: Now) -> bool {
         live.placed <= self.began && now.at < self.earlier_starts_end()
--- a/ashtiller/tests/owner/late_starts_review.rs
+++ b/ashtiller/tests/owner/late_starts_review.rs
@@ -266,3 +266,29 @@
     a_lost_start_behind_one_in_doubt_is_repeated_soon,
     retry_beside_long_polls
 );
+
+/// The owner ends before its record of the unanswered start and of the confirmed stop is written.
+/// The worker refuses the next owner's start of that run, since it has ended there, which tells that
+/// a start was sent before.
+fn refused_to_the_next_owner(births: bool) {
+    let mut fleet = hold_start(births, vec![step(1)]);
+    fleet.duration = 15 * SECOND;
+    let placed = fleet.log.iter().position(|records| {
+        let mut records = records.iter();
+        records.any(|record| matches!(record, LogRecord::Placed(..)))
+    });
+    fleet.log.truncate(placed.unwrap() + 1);
+    fleet.relist("w0");
+    fleet.replace_owner();
+    fleet.run_for(300 * MS);
+    fleet.add_worker(1);
+    fleet.drain("w0");
+    fleet.run_for(SECOND);
+    restart_and_deliver(&mut fleet);
+    fleet.assert_correct();
+}
+
+scenario!(
+    a_refused_start_of_a_former_owner_is_in_doubt,
+    refused_to_the_next_owner
+);
