Names of what closes an unconfirmed start

Cause: a field rejected said neither what nor by whom, answered_poll was a time beside answered_fence, a token, and one comment had no antecedent. Change: ended_runs, poll_sent, note_ended_run, forget_tasks; the comments say why.

--- a/ashtiller/src/workflow/core/fences.rs
+++ b/ashtiller/src/workflow/core/fences.rs
@@ -104,10 +104,10 @@
     /// Raises the fence of a worker after a call that failed or that another incarnation answered.
     pub(super) fn raise_fence(&mut self, incarnation: &Incarnation, now: Now) {
         self.fences.raise(incarnation, now.at);
-        // Whether an incarnation still rejects them, or another one has taken its place, is open.
+        // Another incarnation may have taken the worker's place, and it knows of no ended run.
         for id in incarnations::incarnations_of_id(&self.workers, incarnation.id()) {
             if let Some(worker) = self.workers.get_mut(&id) {
-                worker.rejected.clear();
+                worker.ended_runs.clear();
             }
         }
     }
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -442,7 +442,7 @@
         }
         if end == End::Stopped {
             let id = live.worker.clone();
-            self.note_rejected(run, &id);
+            self.note_ended_run(run, &id);
         }
         self.end_run(run, end, &Arc::from(""), now);
     }
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -212,7 +212,7 @@
                 }
             }
             self.settle_listed_start(run, now);
-            self.note_rejected(run, id);
+            self.note_ended_run(run, id);
             self.update_worker_health(id, run, how, now);
             self.end_run(run, how, &end.checkpoint, now);
         }
--- a/ashtiller/src/workflow/core/unconfirmed_starts.rs
+++ b/ashtiller/src/workflow/core/unconfirmed_starts.rs
@@ -17,7 +17,7 @@
 use crate::workflow::state::UnconfirmedStart;
 use crate::workflow::worker::{LATE_MAX, Worker};
 
-/// Time within which a new incarnation is listed.
+/// Time within which a new incarnation is listed, unless the store is unavailable.
 const LISTING_MAX: Duration = Duration::from_secs(3);
 
 /// Where the next run of a task may be placed.
@@ -121,12 +121,12 @@
         }
     }
 
-    /// Records that an incarnation rejects all starts of a run, which ended or was stopped there.
-    pub(super) fn note_rejected(&mut self, run: Run, worker: &Incarnation) {
+    /// Records that a run has ended or was stopped on an incarnation, which then rejects its starts.
+    pub(super) fn note_ended_run(&mut self, run: Run, worker: &Incarnation) {
         if self.log_state.unconfirmed().contains_key(&run.task)
             && let Some(worker) = self.workers.get_mut(worker)
         {
-            let latest = worker.rejected.entry(run.task).or_default();
+            let latest = worker.ended_runs.entry(run.task).or_default();
             *latest = run.number.max(*latest);
         }
     }
@@ -167,7 +167,7 @@
         let mut listed = workers
             .clone()
             .filter(|worker| worker.unlisted_since.is_none());
-        let mut heard = workers.filter(|worker| worker.answers && worker.answered_poll >= last);
+        let mut heard = workers.filter(|worker| worker.answers && worker.poll_sent >= last);
         heard.next().is_some()
             || (listed.next().is_none() && now.at >= last + LISTING_MAX)
             || now.at >= last + lease::worst_case_elapsed(self.tuning.hold)
@@ -191,6 +191,7 @@
         if !starts.iter().all(same) || starts.len() >= orders::UNANSWERED_MAX as usize {
             return Site::Nowhere;
         }
+        // The next attempt would fail there as well.
         let failed_on = self.log_state.task(task).map(|(_, state)| &state.failed_on);
         let failed_there = |id: &Incarnation| id.is_same_worker(&first.worker);
         if failed_on.is_some_and(|them| them.iter().any(failed_there)) {
@@ -217,8 +218,8 @@
 
     /// Returns whether a worker rejects the starts of a run that were sent before.
     fn rejects_starts(&self, run: Run, worker: &Worker) -> bool {
-        let rejected = worker.rejected.get(&run.task);
-        rejected.is_some_and(|latest| *latest >= run.number)
+        let ended = worker.ended_runs.get(&run.task);
+        ended.is_some_and(|latest| *latest >= run.number)
             || self.fences.rejects_earlier_calls(worker)
     }
 
--- a/ashtiller/src/workflow/log_state.rs
+++ b/ashtiller/src/workflow/log_state.rs
@@ -233,7 +233,7 @@
     }
 
     /// Drops what is known only for further runs of the tasks of an ended job.
-    fn remove_doubts(&mut self, number: u32) {
+    fn forget_tasks(&mut self, number: u32) {
         self.suspects.retain(|task, _| task.job != number);
         self.unconfirmed.retain(|task, _| task.job != number);
     }
@@ -368,7 +368,7 @@
         job.outcome = Some(outcome);
         self.scheduled.remove(&number);
         self.ended.insert(number, now);
-        self.remove_doubts(number);
+        self.forget_tasks(number);
         self.compact_ended(number);
         Effect::Ended(number, outcome)
     }
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -88,8 +88,9 @@
     pub fenced: bool,
     /// Highest fencing token of a poll that it has answered: it rejects all calls with a lower one.
     pub answered_fence: u64,
-    /// Time at which the last poll that it has answered was sent.
-    pub answered_poll: Duration,
+    /// Time at which the last poll that it has answered was sent. Its list shows all runs that began
+    /// before then.
+    pub poll_sent: Duration,
     /// Highest fencing token of unanswered polls, sent to this incarnation or an earlier one, that
     /// may still acknowledge ends.
     unanswered_fence: u64,
@@ -133,7 +134,7 @@
     pub stale_ack_until: Option<Duration>,
     /// Latest run of each task that has ended or was stopped on this incarnation, for tasks with
     /// starts that may still be carried out.
-    pub rejected: BTreeMap<Task, u32>,
+    pub ended_runs: BTreeMap<Task, u32>,
     /// Number of latency-sensitive runs on the worker.
     pub serving: u32,
     /// Number of best-effort runs on the worker.
@@ -176,7 +177,7 @@
             lease: Lease::new(bound),
             fenced: false,
             answered_fence: 0,
-            answered_poll: Duration::ZERO,
+            poll_sent: Duration::ZERO,
             unanswered_fence: 0,
             answers: false,
             last_answer: Duration::ZERO,
@@ -195,7 +196,7 @@
             renewing: None,
             acknowledging: None,
             stale_ack_until: None,
-            rejected: BTreeMap::new(),
+            ended_runs: BTreeMap::new(),
             serving: 0,
             filling: 0,
             filled: 0,
@@ -218,7 +219,7 @@
             // Starts may have waited for this.
             self.wake();
         }
-        self.answered_poll = self.answered_poll.max(poll.sent);
+        self.poll_sent = self.poll_sent.max(poll.sent);
         if poll.fence > self.unanswered_fence {
             self.stale_ack_until = None;
         }
