--- a/ashtiller/tests/owner/takeover.rs
+++ b/ashtiller/tests/owner/takeover.rs
@@ -35,6 +35,30 @@
     Driver::replay(&records, 1, policy())
 }
 
+/// Returns a new owner of a log with a long-running task on `w0`, beside `w1`. Both workers are
+/// listed, and no earlier owner grants leases any more.
+fn replace_owner_of_listed_workers(gone: &[&str]) -> Driver {
+    let mut driver = Driver::replay(&records_of_task_on("w0"), 0, policy());
+    for id in gone {
+        driver.crash(&(*id).into());
+    }
+    driver.core.list_all(vec![listed(0), listed(1)], driver.now);
+    driver.core.note_predecessor_ended(FORMER, driver.now);
+    driver
+}
+
+fn records_of_task_on(worker: &str) -> [LogRecord; 3] {
+    let long_running = Step {
+        long_running: true,
+        ..step(1)
+    };
+    [
+        LogRecord::Cleared(FORMER),
+        LogRecord::Accepted(Box::new(job("1", vec![long_running])), policy(), 1_000_000),
+        placed(1, worker),
+    ]
+}
+
 fn placed(number: u32, worker: &str) -> LogRecord {
     LogRecord::Placed(run(number), worker.into(), Arc::from(""))
 }
@@ -136,3 +160,31 @@
     driver.run_for(1000 * MS);
     assert_eq!(driver.starts().len(), 1);
 }
+
+/// Guards against long-running tasks that stay away for 23 s because their worker was lost just
+/// before a change of owner. The new owner took each listed worker with runs of the former owner
+/// for one that had restarted under its id, whose next incarnation may still carry out starts.
+#[test]
+fn a_task_on_a_worker_lost_before_a_change_of_owner_starts_soon() {
+    let mut driver = replace_owner_of_listed_workers(&["w0"]);
+    driver.run_for(1100 * MS);
+    driver.core.unlist_worker(&"w0".into(), driver.now);
+    driver.run_for(7900 * MS);
+    assert_eq!(driver.starts(), [("w1".into(), run(2))]);
+}
+
+/// As above, but the worker has answered the new owner before it is lost, which bounds its lease.
+#[test]
+fn a_task_on_a_worker_lost_after_a_change_of_owner_starts_soon() {
+    let mut driver = replace_owner_of_listed_workers(&[]);
+    driver.run_for(1500 * MS);
+    assert_eq!(driver.starts(), [("w0".into(), run(1))]);
+    driver.crash(&"w0".into());
+    driver.run_for(1100 * MS);
+    driver.core.unlist_worker(&"w0".into(), driver.now);
+    driver.run_for(7900 * MS);
+    assert_eq!(
+        driver.starts(),
+        [("w0".into(), run(1)), ("w1".into(), run(2))]
+    );
+}
