A listed worker is no former incarnation of itself

Symptom: a long-running task whose worker is lost within seconds of a change of owner does not run for 23.3 s, although other workers have room. Cause: a new owner adds the former incarnations of each listed worker that runs of an earlier owner are placed on. It did so before the listed incarnation was known, and the runs of a worker that never restarted name just that one: it was added as its own predecessor and marked as replaced for good. The runs of replaced workers outlast the lease, because the next incarnation may have carried out a late start: 13 s and the longest lease from the owner's begin. Change: the listed incarnation is left out of its own predecessors. The mark then stands only where another incarnation of the id is listed.

--- a/ashtiller/src/workflow/core/incarnations.rs
+++ b/ashtiller/src/workflow/core/incarnations.rs
@@ -105,7 +105,10 @@
     /// Adds former incarnations of a listed worker that runs of an earlier owner are placed on.
     /// They may have ended before this owner learned of them, which a poll tells.
     pub(super) fn add_former_incarnations(&mut self, listed: &ListedWorker, now: Now) {
-        for incarnation in self.adopted.incarnations_of_id(listed.incarnation.id()) {
+        let mut former = self.adopted.incarnations_of_id(listed.incarnation.id());
+        // The listed incarnation may have such runs as well, and nothing has replaced it.
+        former.retain(|incarnation| *incarnation != listed.incarnation);
+        for incarnation in former {
             if self.workers.contains_key(&incarnation) {
                 continue;
             }
