--- a/ashtiller/tests/links/main.rs
+++ b/ashtiller/tests/links/main.rs
@@ -12,6 +12,7 @@
 #[path = "../../../platform/job.rs"]
 mod job;
 mod lists;
+mod memory_store;
 mod net;
 mod peer;
 mod relays;
