A late proof about the former owner prolongs no wait

Symptom: a task on a worker that is gone waits 22.3 s instead of 17.3 s where the former owner is known to have ended only after 16 s. Cause: once there is a proof, the leases of earlier owners were counted from its time. An owner that has lost the store renews none after 11 s anyway, so a proof that comes later than that moved the end of the leases, and of late starts, back. Change: earlier owners make no calls after the proof or the horizon, whichever comes first.

--- a/ashtiller/src/workflow/core/unconfirmed_starts.rs
+++ b/ashtiller/src/workflow/core/unconfirmed_starts.rs
@@ -94,8 +94,7 @@
 
     /// Returns when no start that an earlier owner sent can be carried out any more.
     fn earlier_starts_end(&self) -> Duration {
-        let sent = self.predecessor_ended_at;
-        sent.unwrap_or(self.began + self.tuning.horizon) + LATE_MAX
+        self.earlier_calls_end() + LATE_MAX
     }
 
     /// Settles the only start of a run once the incarnation that it was sent to lists the run.
--- a/ashtiller/src/workflow/core/worker_list.rs
+++ b/ashtiller/src/workflow/core/worker_list.rs
@@ -84,10 +84,14 @@
 
     /// Returns when all leases granted by earlier owners have ended.
     pub(super) fn earlier_leases_end(&self) -> Duration {
-        let granted = self
-            .predecessor_ended_at
-            .unwrap_or(self.began + self.tuning.horizon);
-        granted + lease::worst_case_elapsed(self.tuning.lease)
+        self.earlier_calls_end() + lease::worst_case_elapsed(self.tuning.lease)
+    }
+
+    /// Returns the time from which no earlier owner makes calls any more. Without the store none
+    /// continues for longer than the horizon, however late its end is known.
+    pub(super) fn earlier_calls_end(&self) -> Duration {
+        let limit = self.began + self.tuning.horizon;
+        self.predecessor_ended_at.map_or(limit, |at| at.min(limit))
     }
 
     /// Records that the preceding owner, whose epoch was `former` (0 if there was none), has ended.
