Each earlier owner is asked whether it has ended

Symptom: a long-running task whose worker is gone runs again 17.3 s after the last of several changes of owner, although workers have room and each earlier owner can be asked. Cause: a new owner asked only the one that it replaced, and took its end for proof only if the log said that all owners before that one had ended. An owner that was replaced before it had recorded its proof, even one that handed the log over at once, broke the proof for all that followed. Evidence: tests of real instances, nine red before: the start is ordered 17.29 s after the begin. Change: the transaction that replaces an owner also writes a record of it, so that also owners without entries are known. A new owner follows these records back to the epoch that the log names, asks each owner in between, and records the oldest one that may be active. Where a record is missing (an earlier version, an unreadable key) the log alone proves the end of the owners before, as it did. Records of ended owners are removed by the next owner. Earlier versions read the lead key and the log as before. Measured: the 17 tests of succession green, at 6.29 s where proof is there at once; starts wait as before where an owner is active, dark or unknown. The tests of links and of the owner are as before.

--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -25,6 +25,7 @@
 mod pacing;
 mod plan;
 mod polls;
+mod predecessors;
 mod relocation;
 mod reports;
 mod runs;
@@ -167,8 +168,7 @@
     superseded: bool,
     fences: fences::Fences,
     began: Duration,
-    /// When it became certain that no earlier owner grants leases.
-    predecessor_ended_at: Option<Duration>,
+    predecessors: predecessors::Predecessors,
     store_returned_at: Option<Duration>,
     /// Time as of which the list of workers was last known to be complete.
     listed_at: Duration,
@@ -254,7 +254,7 @@
             superseded: false,
             fences: fences::Fences::new(epoch),
             began: now.at,
-            predecessor_ended_at: None,
+            predecessors: predecessors::Predecessors::default(),
             store_returned_at: None,
             listed_at: Duration::ZERO,
             evacuation: evacuation::Evacuation::default(),
--- /dev/null
+++ b/ashtiller/src/workflow/core/predecessors.rs
@@ -0,0 +1,110 @@
+//! Earlier owners of the log, which may still grant leases and send starts.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::workflow::core::{Core, Now};
+use crate::workflow::lease;
+use crate::workflow::record::LogRecord;
+
+/// What is known of the earlier owners.
+#[derive(Debug, Default)]
+pub(super) struct Predecessors {
+    /// Whether each known one has ended, by epoch.
+    ended: BTreeMap<u64, bool>,
+    /// When it became certain that all have ended.
+    pub all_ended_at: Option<Duration>,
+}
+
+/// Which earlier owners are proved to have ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Proof {
+    /// None beyond those that the log names.
+    Nothing,
+    /// All before this epoch.
+    Before(u64),
+    /// All.
+    All,
+}
+
+impl Predecessors {
+    /// Returns what is proved if all owners before the epoch `cleared` have ended.
+    fn proof(&self, cleared: u64) -> Proof {
+        let oldest = self.ended.keys().next();
+        if oldest.is_none_or(|oldest| cleared < *oldest) {
+            // Nothing is known of the owners before the oldest one.
+            return Proof::Nothing;
+        }
+        match self.ended.iter().find(|(_, ended)| !**ended) {
+            None => Proof::All,
+            Some((running, _)) if *running > cleared => Proof::Before(*running),
+            Some(_) => Proof::Nothing,
+        }
+    }
+}
+
+impl Core {
+    /// Sets the epochs of the earlier owners that are not known to have ended.
+    pub fn set_predecessors(&mut self, epochs: &[u64]) {
+        tracing::info!(
+            ?epochs,
+            cleared = self.log_state.cleared,
+            bound_ms = self
+                .earlier_leases_end()
+                .saturating_sub(self.began)
+                .as_millis(),
+            "earlier owners may still grant leases"
+        );
+        let running = epochs.iter().map(|epoch| (*epoch, false));
+        self.predecessors.ended.extend(running);
+    }
+
+    /// Records that the earlier owner at epoch `predecessor` has ended; 0 stands for none. Once this
+    /// is known of all earlier owners, their grants end within one lease. Without this proof the new
+    /// owner has to wait 17 s, the longest time for which an owner without the store may have
+    /// continued, and tasks of lost workers run nowhere meanwhile.
+    pub fn note_predecessor_ended(&mut self, predecessor: u64, now: Now) {
+        if self.predecessors.all_ended_at.is_some() {
+            return;
+        }
+        self.predecessors.ended.insert(predecessor, true);
+        match self.predecessors.proof(self.log_state.cleared) {
+            Proof::Nothing => {}
+            // A later owner then needs no proof of those before.
+            Proof::Before(epoch) => self.record(LogRecord::Cleared(epoch), now),
+            Proof::All => self.end_predecessors(predecessor, now),
+        }
+    }
+
+    fn end_predecessors(&mut self, last: u64, now: Now) {
+        self.record_predecessors_ended(now);
+        let bound = self.earlier_leases_end();
+        tracing::info!(
+            former = last,
+            bound_ms = bound.as_millis(),
+            "no earlier owner grants leases any more"
+        );
+        for worker in self.workers.values_mut().filter(|worker| !worker.fenced) {
+            worker.lease.fence(now.at, self.tuning.lease);
+        }
+    }
+
+    /// Records for later owners that all earlier ones have ended.
+    pub(super) fn record_predecessors_ended(&mut self, now: Now) {
+        self.predecessors.all_ended_at = Some(now.at);
+        self.record(LogRecord::Cleared(self.epoch), now);
+    }
+
+    /// Returns when all leases granted by earlier owners have ended.
+    pub(super) fn earlier_leases_end(&self) -> Duration {
+        self.earlier_calls_end() + lease::worst_case_elapsed(self.tuning.lease)
+    }
+
+    /// Returns the time from which no earlier owner makes calls any more. Without the store none
+    /// continues for longer than the horizon, however late its end is known.
+    pub(super) fn earlier_calls_end(&self) -> Duration {
+        let limit = self.began + self.tuning.horizon;
+        let ended = self.predecessors.all_ended_at;
+        ended.map_or(limit, |at| at.min(limit))
+    }
+}
--- a/ashtiller/src/workflow/core/worker_list.rs
+++ b/ashtiller/src/workflow/core/worker_list.rs
@@ -9,7 +9,7 @@
 use crate::workflow::incarnation::Incarnation;
 use crate::workflow::lease;
 use crate::workflow::live_run::{Stage, Stop, StopReason};
-use crate::workflow::record::{End, LogRecord, Run};
+use crate::workflow::record::{End, Run};
 use crate::workflow::worker::{LATE_MAX, Worker};
 
 /// How long an unlisted worker without runs is remembered.
@@ -82,44 +82,6 @@
         })
     }
 
-    /// Returns when all leases granted by earlier owners have ended.
-    pub(super) fn earlier_leases_end(&self) -> Duration {
-        self.earlier_calls_end() + lease::worst_case_elapsed(self.tuning.lease)
-    }
-
-    /// Returns the time from which no earlier owner makes calls any more. Without the store none
-    /// continues for longer than the horizon, however late its end is known.
-    pub(super) fn earlier_calls_end(&self) -> Duration {
-        let limit = self.began + self.tuning.horizon;
-        self.predecessor_ended_at.map_or(limit, |at| at.min(limit))
-    }
-
-    /// Records that the preceding owner, whose epoch was `former` (0 if there was none), has ended.
-    /// Its grants end within one lease from now, and so do those of owners before it if it knew
-    /// that they had ended. Without this proof the new owner has to wait 17 s, the longest time for
-    /// which an owner without the store may have continued, and tasks of lost workers run nowhere
-    /// meanwhile.
-    pub fn note_predecessor_ended(&mut self, former: u64, now: Now) {
-        if self.predecessor_ended_at.is_some() || self.log_state.cleared < former {
-            return;
-        }
-        self.record_predecessor_ended(now);
-        let bound = self.earlier_leases_end();
-        tracing::info!(
-            former,
-            bound_ms = bound.as_millis(),
-            "no earlier owner grants leases any more"
-        );
-        for worker in self.workers.values_mut().filter(|worker| !worker.fenced) {
-            worker.lease.fence(now.at, self.tuning.lease);
-        }
-    }
-
-    fn record_predecessor_ended(&mut self, now: Now) {
-        self.predecessor_ended_at = Some(now.at);
-        self.record(LogRecord::Cleared(self.epoch), now);
-    }
-
     /// Charges the runs of earlier owners against the capacity of their worker.
     pub(super) fn allocate_adopted_runs(&mut self, id: &Incarnation) {
         for run in self.adopted.take(id) {
@@ -206,8 +168,8 @@
         if self.awaits_unlisted_workers && now.at >= self.earlier_leases_end() {
             self.awaits_unlisted_workers = false;
             self.lose_runs_of_unlisted_workers(now);
-            if self.predecessor_ended_at.is_none() {
-                self.record_predecessor_ended(now);
+            if self.predecessors.all_ended_at.is_none() {
+                self.record_predecessors_ended(now);
             }
         }
         let over = self.workers.values().filter(|worker| {
--- a/ashtiller/src/workflow/log/compaction.rs
+++ b/ashtiller/src/workflow/log/compaction.rs
@@ -85,9 +85,7 @@
         if let Some(head) = previous {
             obsolete.extend((0..head.parts).map(|part| self.part_key(head.position, part)));
         }
-        for keys in obsolete.chunks(MAX_REMOVED_KEYS) {
-            self.remove_fenced(epoch, keys.to_vec()).await?;
-        }
+        self.remove_all_fenced(epoch, &obsolete).await?;
         tracing::info!(
             position,
             bytes = snapshot.len(),
@@ -118,7 +116,7 @@
         };
         match self.store.commit(&txn).await? {
             Committed::Done(_) => Ok(()),
-            Committed::Conflict(_) => Err(superseded(&self.prefix)),
+            Committed::Conflict(_) => Err(superseded("compact log", &self.prefix)),
         }
     }
 
@@ -183,7 +181,7 @@
             Some(item) if !item.value.is_empty() && rest.starts_with(&item.value) => {
                 Ok(item.value.len())
             }
-            _ => Err(superseded(&self.prefix)),
+            _ => Err(superseded("compact log", &self.prefix)),
         }
     }
 
@@ -227,6 +225,18 @@
         Ok(parts.concat())
     }
 
+    /// Removes keys on the condition that the owner at `epoch` was not replaced.
+    pub(super) async fn remove_all_fenced(
+        &self,
+        epoch: u64,
+        keys: &[String],
+    ) -> Result<(), Failure> {
+        for keys in keys.chunks(MAX_REMOVED_KEYS) {
+            self.remove_fenced(epoch, keys.to_vec()).await?;
+        }
+        Ok(())
+    }
+
     async fn remove_fenced(&self, epoch: u64, keys: Vec<String>) -> Result<(), Failure> {
         let txn = Txn {
             expect: vec![(self.lead_key(), epoch)],
@@ -235,11 +245,11 @@
         };
         match self.store.commit(&txn).await? {
             Committed::Done(_) => Ok(()),
-            Committed::Conflict(_) => Err(superseded(&self.prefix)),
+            Committed::Conflict(_) => Err(superseded("remove keys", &self.prefix)),
         }
     }
 }
 
-fn superseded(prefix: &str) -> Failure {
-    Failure::no_effect("compact log", prefix, "another owner or a newer snapshot")
+fn superseded(step: &'static str, prefix: &str) -> Failure {
+    Failure::no_effect(step, prefix, "another owner or a newer snapshot")
 }
--- a/ashtiller/src/workflow/log/mod.rs
+++ b/ashtiller/src/workflow/log/mod.rs
@@ -5,6 +5,7 @@
 //! process has written the lead key, its writes fail, however late they arrive.
 
 mod compaction;
+pub mod predecessors;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -141,6 +142,7 @@
     }
 
     /// Tries to make `mine` the owner in place of the owner at epoch `former`; 0 stands for none.
+    /// The owner that `mine` names as its predecessor is recorded as replaced.
     ///
     /// # Errors
     /// The store did not answer; the lead key may have been written.
@@ -148,11 +150,14 @@
         let key = self.lead_key();
         let value = postcard::to_stdvec(mine)
             .map_err(|error| Failure::no_effect("encode lead", &key, error))?;
-        let txn = Txn {
+        let mut txn = Txn {
             expect: vec![(key.clone(), former)],
             put: vec![(key.clone(), value.into())],
             remove: Vec::new(),
         };
+        if let Some(predecessor) = &mine.former {
+            txn.put.push(self.encode_predecessor(predecessor)?);
+        }
         match self.store.commit(&txn).await? {
             Committed::Done(revision) => Ok(Acquisition::Acquired(revision)),
             Committed::Conflict(items) => {
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -3,7 +3,7 @@
 mod effects;
 mod events;
 mod hand_over;
-mod predecessor;
+mod predecessors;
 mod unreadable;
 
 use std::collections::{BTreeSet, HashMap};
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use futures_util::future;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{self, JoinHandle};
 use tokio::time::{self, Instant};
@@ -23,6 +24,7 @@
 use crate::workflow::core::{Core, Counts, Now, RequestToken};
 use crate::workflow::follow::{self, StoreUpdate};
 use crate::workflow::incarnation::Incarnation;
+use crate::workflow::log::predecessors::ReplacedOwner;
 use crate::workflow::log::{AppendError, Replayed, Written};
 use crate::workflow::machines::{Done, MachineOrder};
 use crate::workflow::message::{PeerRequest, Reply};
@@ -64,7 +66,7 @@
     WaveStatusWritten(u64, bool, bool),
     /// Whether another instance took over.
     HandoverFinished(bool),
-    /// The owner at this epoch, which this process replaced, has ended.
+    /// The earlier owner at this epoch has ended.
     PredecessorEnded(u64),
 }
 
@@ -84,7 +86,7 @@
 async fn run(node: Rc<Node>, log_owner: LogOwner, request_receiver: mpsc::Receiver<OwnerRequest>) {
     let start = Moment::now();
     announce(&node, &log_owner);
-    let replayed = loop {
+    let (replayed, replaced_owners) = loop {
         match replay(&node, &log_owner).await {
             Ok(Some(replayed)) => break replayed,
             Ok(None) => {
@@ -141,6 +143,7 @@
         last_published: Instant::now(),
         stopped: false,
     };
+    owner.watch_predecessors(&replaced_owners);
     owner.serve().await;
     let counts = owner.core.counts();
     tracing::warn!(
@@ -153,15 +156,22 @@
     owner.reject_pending();
 }
 
-/// Replays the log; returns `None` if it has another owner by now.
-async fn replay(node: &Rc<Node>, log_owner: &LogOwner) -> Result<Option<Replayed>, Failure> {
+/// Replays the log and reads the records of replaced owners; returns `None` if it has another owner
+/// by now.
+async fn replay(
+    node: &Rc<Node>,
+    log_owner: &LogOwner,
+) -> Result<Option<(Replayed, Vec<ReplacedOwner>)>, Failure> {
     if let Some(known) = node.log.read_owner(false).await?
         && known.epoch != log_owner.epoch
     {
         node.adopt_log_owner(&known);
         return Ok(None);
     }
-    node.log.replay(Duration::ZERO).await.map(Some)
+    let replayed = node.log.replay(Duration::ZERO);
+    future::try_join(replayed, node.log.read_replaced_owners())
+        .await
+        .map(Some)
 }
 
 fn now_since(start: Moment) -> Now {
@@ -214,7 +224,6 @@
 impl Owner {
     async fn serve(&mut self) {
         self.follow_workers();
-        self.watch_predecessor();
         let mut waves = self.node.watch_waves();
         waves.mark_changed();
         let mut evacuations = self.node.watch_evacuations();
--- a/ashtiller/src/workflow/owner/predecessor.rs
+++ b/ashtiller/src/workflow/owner/predecessors.rs
@@ -1,4 +1,4 @@
-//! Polls the replaced owner until it is known to have ended.
+//! Asks earlier owners whether they have ended.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -6,6 +6,7 @@
 use tokio::task;
 use tokio::time;
 
+use crate::workflow::log::predecessors::{self, ReplacedOwner};
 use crate::workflow::message::{PeerRequest, Reply};
 use crate::workflow::node::Node;
 use crate::workflow::owner::{Event, Owner};
@@ -18,14 +19,33 @@
 const QUERY_INTERVAL: Duration = Duration::from_millis(250);
 
 impl Owner {
-    /// Sends [`Event::PredecessorEnded`] once the owner that this one replaced is known to have
-    /// ended.
-    pub(super) fn watch_predecessor(&mut self) {
-        let Some(predecessor) = self.ownership.former else {
+    /// Asks each earlier owner until it is known to have ended; the log names an epoch before which
+    /// all have. `replaced` are the records of replaced owners.
+    pub(super) fn watch_predecessors(&mut self, replaced: &[ReplacedOwner]) {
+        let Some(former) = self.ownership.former else {
             let now = self.now();
             self.core.note_predecessor_ended(0, now);
             return;
         };
+        let cleared = self.core.log_state().cleared;
+        let mut running = predecessors::trace_predecessors(replaced, self.ownership.epoch);
+        running.retain(|predecessor| predecessor.epoch >= cleared);
+        if running.is_empty() {
+            running.push(former);
+        }
+        let epochs: Vec<u64> = running
+            .iter()
+            .map(|predecessor| predecessor.epoch)
+            .collect();
+        self.core.set_predecessors(&epochs);
+        for predecessor in running {
+            self.watch_predecessor(predecessor);
+        }
+        self.remove_ended_owners(replaced, cleared);
+    }
+
+    /// Sends [`Event::PredecessorEnded`] once an earlier owner is known to have ended.
+    fn watch_predecessor(&self, predecessor: PreviousOwner) {
         let (node, sender) = (self.node.clone(), self.event_sender.clone());
         task::spawn_local(async move {
             let ended = async {
@@ -41,6 +61,20 @@
             }
         });
     }
+
+    /// Removes the records of owners before the epoch `cleared`.
+    fn remove_ended_owners(&self, replaced: &[ReplacedOwner], cleared: u64) {
+        let (log, epoch, replaced) = (
+            self.node.log.clone(),
+            self.ownership.epoch,
+            replaced.to_vec(),
+        );
+        task::spawn_local(async move {
+            if let Err(failure) = log.remove_replaced_owners(epoch, &replaced, cleared).await {
+                tracing::info!(%failure, "records of ended owners not removed; a later owner will");
+            }
+        });
+    }
 }
 
 /// Returns whether an owner is known to have ended: its process says so, another process answers
--- a/ashtiller/tests/owner/takeover.rs
+++ b/ashtiller/tests/owner/takeover.rs
@@ -200,3 +200,36 @@
         [("w0".into(), run(1)), ("w1".into(), run(2))]
     );
 }
+
+/// Earlier owners may end in any order. The log names the oldest one that may be active, so that a
+/// later owner need not ask those before it again.
+#[test]
+fn each_earlier_owner_that_ends_is_recorded_once_all_before_it_have_ended() {
+    let mut driver = replace_owner(&[LogRecord::Cleared(2)]);
+    driver.core.set_predecessors(&[FORMER, 3, 2]);
+    let cleared = |driver: &mut Driver, ended: u64| {
+        driver.core.note_predecessor_ended(ended, driver.now);
+        driver.run_for(100 * MS);
+        driver.core.log_state().cleared
+    };
+    assert_eq!(cleared(&mut driver, 3), 2);
+    assert_eq!(cleared(&mut driver, 2), FORMER);
+    assert_eq!(cleared(&mut driver, FORMER), 5);
+    driver.run_for(9000 * MS);
+    assert_eq!(driver.starts().len(), 1);
+}
+
+/// An owner of which there is no record may still be active, although all others have ended.
+#[test]
+fn the_end_of_all_known_owners_does_not_prove_the_end_of_unknown_ones() {
+    let mut driver = replace_owner(&[LogRecord::Cleared(1)]);
+    driver.core.set_predecessors(&[FORMER, 3, 2]);
+    for epoch in [2, 3, FORMER] {
+        driver.core.note_predecessor_ended(epoch, driver.now);
+    }
+    driver.run_for(17_000 * MS);
+    assert_eq!(driver.core.log_state().cleared, 1);
+    assert!(driver.starts().is_empty(), "an unknown owner may be active");
+    driver.run_for(1000 * MS);
+    assert_eq!(driver.starts().len(), 1);
+}
--- a/ashtiller/tests/succession/main.rs
+++ b/ashtiller/tests/succession/main.rs
@@ -11,6 +11,7 @@
 #[allow(dead_code, reason = "these tests use a part of it")]
 mod net;
 mod process;
+mod records;
 mod series;
 mod workers;
 
