What runs on silent workers wait for in logs, metrics and dumps

Cause: while a worker is silent its runs count as active until its leases have expired. No line and no metric told for how long and for what: a lease of this owner, earlier owners, or starts that may be carried out late. Change: one line each 5 s for lasting tasks that wait for over 3 s, one when the leases of a worker have expired, one for each earlier owner that has ended; a gauge of held runs and a histogram of the waits, by cause; the dump has earlier owners and each worker's hold and time left.

--- a/ashtiller/src/workflow/core/dump.rs
+++ b/ashtiller/src/workflow/core/dump.rs
@@ -29,6 +29,8 @@
                 "silent_ms": u64::try_from(now.at.saturating_sub(worker.last_answer).as_millis()).unwrap_or(u64::MAX),
                 "draining": worker.draining_since.is_some(), "listed": worker.unlisted_since.is_none(),
                 "gate": self.eligibility(worker, now).name(),
+                "lease_left_ms": u64::try_from(worker.lease.bound().saturating_sub(now.at).as_millis()).unwrap_or(u64::MAX),
+                "hold": (!worker.answers && !worker.runs.is_empty()).then(|| self.lease_hold(worker, now).name()),
                 "free": worker.pool.free().to_string(),
             })
         });
@@ -43,7 +45,7 @@
             })
         });
         serde_json::json!({
-            "epoch": self.epoch, "durable": self.durable, "position": self.position,
+            "epoch": self.epoch, "earlier_owners": self.running_predecessors(), "durable": self.durable, "position": self.position,
             "stalled_ms": u64::try_from(self.stalled_for(now).as_millis()).unwrap_or(u64::MAX),
             "list_age_ms": u64::try_from(self.list_age(now).as_millis()).unwrap_or(u64::MAX),
             "evacuated_zones": self.evacuated_zones().keys().map(|zone| &**zone).collect::<Vec<_>>(),
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -18,6 +18,7 @@
 mod fences;
 mod freed_capacity;
 mod incarnations;
+pub mod lease_waits;
 mod location_index;
 mod log_entries;
 mod orders;
@@ -201,6 +202,10 @@
     freed_workers: BTreeSet<Incarnation>,
     /// When the wait of a step was last logged.
     wait_logged_at: BTreeMap<StepKey, Duration>,
+    /// When runs on silent workers are checked next for a log line.
+    next_held_log: Duration,
+    /// Waits for leases that ended and are not counted yet.
+    ended_lease_waits: Vec<lease_waits::LeaseWait>,
     /// When an overdue step was last placed first.
     last_rescue: Duration,
     services: BTreeSet<Arc<str>>,
@@ -275,6 +280,8 @@
             reserved: None,
             freed_workers: BTreeSet::new(),
             wait_logged_at: BTreeMap::new(),
+            next_held_log: Duration::ZERO,
+            ended_lease_waits: Vec::new(),
             last_rescue: now.at,
             services: BTreeSet::new(),
             job_timings: times::JobTimings::default(),
@@ -385,6 +392,7 @@
             self.congestion.forget_old(now.at);
             self.log_congestion();
             self.fences.raise_pending(now.at);
+            self.log_held_runs(now);
             self.expire_leases(now);
             self.expire_orphans(now);
             self.settle_expired_starts(now);
--- a/ashtiller/src/workflow/core/predecessors.rs
+++ b/ashtiller/src/workflow/core/predecessors.rs
@@ -68,6 +68,12 @@
             return;
         }
         self.predecessors.ended.insert(predecessor, true);
+        tracing::info!(
+            epoch = predecessor,
+            after_ms = now.at.saturating_sub(self.began).as_millis(),
+            running = ?self.running_predecessors(),
+            "earlier owner has ended"
+        );
         match self.predecessors.proof(self.log_state.cleared) {
             Proof::Nothing => {}
             // A later owner then needs no proof of those before.
@@ -76,6 +82,14 @@
         }
     }
 
+    /// Returns the epochs of the known earlier owners that may be active, for a dump.
+    pub(super) fn running_predecessors(&self) -> Vec<u64> {
+        let is_open = self.predecessors.all_ended_at.is_none();
+        let known = self.predecessors.ended.iter();
+        let running = known.filter(|(_, ended)| is_open && !**ended);
+        running.map(|(epoch, _)| *epoch).collect()
+    }
+
     fn end_predecessors(&mut self, last: u64, now: Now) {
         self.record_predecessors_ended(now);
         let bound = self.earlier_leases_end();
--- a/ashtiller/src/workflow/core/worker_list.rs
+++ b/ashtiller/src/workflow/core/worker_list.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::workflow::config::ListedWorker;
+use crate::workflow::core::lease_waits::LeaseHold;
 use crate::workflow::core::{Core, Now};
 use crate::workflow::incarnation::Incarnation;
 use crate::workflow::lease;
@@ -141,12 +142,9 @@
     /// Ends the runs of earlier owners on workers that were never listed, after the longest lease
     /// that these owners may have granted.
     fn lose_runs_of_unlisted_workers(&mut self, now: Now) {
-        let lost: Vec<Run> = self
-            .runs
-            .iter()
-            .filter(|(_, live)| !self.workers.contains_key(&live.worker))
-            .map(|(run, _)| *run)
-            .collect();
+        let lost = self.runs_of_unlisted_workers();
+        let waited = now.at.saturating_sub(self.began);
+        self.note_leases_expired(&lost, LeaseHold::EarlierOwners, waited);
         self.suspect_lost_runs(&Incarnation::from(""), &lost, now);
         self.adopted.clear();
         for run in lost {
@@ -154,6 +152,13 @@
         }
     }
 
+    /// Returns the runs on workers that this owner does not know.
+    pub(super) fn runs_of_unlisted_workers(&self) -> Vec<Run> {
+        let runs = self.runs.iter();
+        let unlisted = runs.filter(|(_, live)| !self.workers.contains_key(&live.worker));
+        unlisted.map(|(run, _)| *run).collect()
+    }
+
     /// Returns the shared string of a service's name.
     pub(super) fn intern_service(&mut self, name: &Arc<str>) -> Arc<str> {
         if let Some(known) = self.services.get(name) {
@@ -180,6 +185,17 @@
             let worker = &self.workers[&id];
             let over = |run: &Run| !(worker.replaced && self.may_outlast(*run, now));
             let runs: Vec<Run> = worker.runs.iter().copied().filter(over).collect();
+            if runs.is_empty() {
+                continue;
+            }
+            let hold = match self.lease_hold(worker, now) {
+                _ if worker.replaced => LeaseHold::LateStarts,
+                hold => hold,
+            };
+            let waited = self.silence_of(worker, now);
+            tracing::info!(worker = %id, runs = runs.len(), hold = hold.name(),
+                waited_ms = waited.as_millis(), "leases of a silent worker have expired");
+            self.note_leases_expired(&runs, hold, waited);
             self.suspect_lost_runs(&id, &runs, now);
             for run in runs {
                 self.end_run(run, End::Lost, &Arc::from(""), now);
@@ -191,7 +207,7 @@
     /// this one has expired. That incarnation may have carried out an unanswered start, and then
     /// holds a lease by its own clock. For starts of earlier owners it is unknown whether they were
     /// answered.
-    fn may_outlast(&self, run: Run, now: Now) -> bool {
+    pub(super) fn may_outlast(&self, run: Run, now: Now) -> bool {
         let Some(live) = self.runs.get(&run) else {
             return false;
         };
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -12,6 +12,7 @@
 use crate::workflow::congestion::Congestion;
 use crate::workflow::core::Counts;
 use crate::workflow::core::eligibility::Eligibility;
+use crate::workflow::core::lease_waits::{HeldRuns, LeaseHold, LeaseWait};
 use crate::workflow::core::times::TimeBreakdown;
 use crate::workflow::core::wait_report::WaitSummary;
 use crate::workflow::message::Reply;
@@ -22,6 +23,54 @@
     0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0,
 ];
 
+/// Bucket bounds in seconds of the waits for leases: from the shortest lease to the longest wait
+/// for those of unknown owners and for late starts.
+const LEASE_WAIT_BOUNDS: [f64; 8] = [2.0, 4.0, 6.0, 7.0, 9.0, 13.0, 18.0, 25.0];
+
+/// Metrics of runs on silent workers.
+pub struct LeaseMetrics {
+    held: IntGaugeVec,
+    waits: HistogramVec,
+}
+
+impl LeaseMetrics {
+    fn open(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let held = opts(
+            "held_runs",
+            "runs on silent workers whose leases have not expired",
+        );
+        let waits = opts(
+            "lease_wait_seconds",
+            "time from the last answer of a lost worker until its lasting tasks may start elsewhere",
+        );
+        let waits = HistogramOpts::from(waits).buckets(LEASE_WAIT_BOUNDS.to_vec());
+        let metrics = Self {
+            held: IntGaugeVec::new(held, &["hold"])?,
+            waits: HistogramVec::new(waits, &["hold"])?,
+        };
+        registry.register(Box::new(metrics.held.clone()))?;
+        registry.register(Box::new(metrics.waits.clone()))?;
+        Ok(metrics)
+    }
+
+    /// Sets the gauge of runs on silent workers.
+    pub fn note_held_runs(&self, held: &BTreeMap<LeaseHold, HeldRuns>) {
+        self.held.reset();
+        for (hold, sum) in held {
+            let runs = self.held.with_label_values(&[hold.name()]);
+            runs.set(sum.runs.into());
+        }
+    }
+
+    /// Records a wait of long-running tasks for leases, once for each task.
+    pub fn note_wait(&self, wait: &LeaseWait) {
+        let waits = self.waits.with_label_values(&[wait.hold.name()]);
+        for _ in 0..wait.tasks {
+            waits.observe(wait.waited.as_secs_f64());
+        }
+    }
+}
+
 /// Metrics of one process.
 pub struct Metrics {
     registry: Registry,
@@ -32,6 +81,7 @@
     takeovers: Histogram,
     times: HistogramVec,
     events: IntCounterVec,
+    leases: LeaseMetrics,
     waiting: IntGaugeVec,
     waited: GaugeVec,
     workers: IntGaugeVec,
@@ -58,6 +108,7 @@
     pub fn open() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
         let metrics = Self {
+            leases: LeaseMetrics::open(&registry)?,
             calls: HistogramVec::new(
                 histogram("call_seconds", "time to answer a client"),
                 &["call"],
@@ -218,6 +269,12 @@
         }
     }
 
+    /// Returns the metrics of runs on silent workers.
+    #[must_use]
+    pub fn leases(&self) -> &LeaseMetrics {
+        &self.leases
+    }
+
     /// Sets the gauges of orders in flight and of relayed calls.
     #[expect(clippy::cast_precision_loss, reason = "counts for a gauge")]
     pub fn note_pressure(&self, pressure: &Congestion, relays: usize, relayed: u64) {
@@ -235,6 +292,7 @@
 
     /// Resets the gauges that only the owner of the log sets.
     pub fn forget_waits(&self) {
+        self.leases.held.reset();
         self.waiting.reset();
         self.waited.reset();
         self.workers.reset();
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -320,6 +320,11 @@
         for times in self.core.drain_job_times() {
             self.node.metrics.note_times(&times);
         }
+        let leases = self.node.metrics.leases();
+        leases.note_held_runs(&self.core.held_runs(now));
+        for wait in self.core.drain_lease_waits() {
+            leases.note_wait(&wait);
+        }
         self.last_counts = counts;
         let eligibility = self.core.workers_by_eligibility(now);
         self.node
