An owner outlasts the return of the store before it hands over

Cause: an owner without the store hands its log to a member that reaches it. When the store returns for all, the first instance that happens to notice proves just that, some milliseconds before the owner's own call is retried. Evidence: the handover came 6.19 s into the outage and 4.5 ms before the owner dropped its silent connection; the heir, started 0.27 s before, had been in touch for 0.25 s. It replayed the log for 3.9 s. Change: if a member has reached the store since the owner lost it, the log is handed over at once, as before. If members reach it only later, the owner has 1.4 s for its own call, more than the longest timeout of a write.

--- a/ashtiller/src/workflow/membership/handover.rs
+++ b/ashtiller/src/workflow/membership/handover.rs
@@ -4,10 +4,14 @@
 use std::time::Duration;
 
 use crate::workflow::membership::member::{MAX_STORE_AGE_MS, Member};
+use crate::workflow::node::PROBE_INTERVAL;
 
 /// Time without an answer of the store after which the log is handed over to an instance that
 /// reaches it: above the slowest answers seen, which took 0.35 s.
 const HANDOVER_STALL: Duration = Duration::from_millis(800);
+/// Time within which an owner that can reach the store again does: its pending call times out after
+/// at most 1.2 s and is then retried.
+const RECONNECT_TIME: Duration = Duration::from_millis(1400);
 /// Time by which answers to calls in flight may arrive after the store became unreachable.
 const LATE_REPLY_MARGIN: Duration = Duration::from_millis(100);
 /// Latency of the store in milliseconds from which on it counts as slow for all instances.
@@ -39,9 +43,16 @@
 impl CutDetector {
     /// Returns whether this owner is cut off from the store, after it has waited for `stalled`;
     /// `reached` tells whether a member reaches the store.
-    pub fn is_cut(&mut self, _stalled: Duration, reached: bool) -> bool {
-        self.reached_at = None;
-        reached
+    pub fn is_cut(&mut self, stalled: Duration, reached: bool) -> bool {
+        if !reached {
+            self.reached_at = None;
+            return false;
+        }
+        let reached_at = *self.reached_at.get_or_insert(stalled);
+        // A member reaches the store again after an outage for all: this owner will as well, with
+        // its next call.
+        let returned = reached_at > HANDOVER_STALL + PROBE_INTERVAL;
+        !returned || stalled >= reached_at + RECONNECT_TIME
     }
 }
 
--- a/ashtiller/src/workflow/node/mod.rs
+++ b/ashtiller/src/workflow/node/mod.rs
@@ -36,6 +36,8 @@
 use crate::workflow::relay::server::RelayServer;
 use crate::workflow::settings::Settings;
 
+pub use store_watch::PROBE_INTERVAL;
+
 /// Prefix of all keys that this project writes to the store.
 const STORE_PREFIX: &str = "ashtiller/flow/";
 
--- a/ashtiller/src/workflow/node/store_watch.rs
+++ b/ashtiller/src/workflow/node/store_watch.rs
@@ -14,7 +14,7 @@
 use crate::workflow::node::Node;
 
 /// Interval at which the lead key is read, which also checks that the store is reachable.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
 impl Node {
     pub(super) async fn follow_config(self: Rc<Self>) {
