Tests: a late proof must not prolong the wait for earlier leases (red)

Callers see: a long-running task of a worker that is not listed runs nowhere for up to 23.5 s after a change of owner, although nothing can hold a lease after 17.3 s.

Cause: earlier_leases_end takes the time of the proof in place of the horizon, even if the proof comes more than 11 s after the owner began. A machine that was dark and is back 12 to 17 s later thus makes the wait longer than no proof would.

--- /dev/null
+++ b/ashtiller/tests/owner/lease_bounds.rs
@@ -0,0 +1,77 @@
+//! How long a new owner waits for the runs of a worker that is gone.
+//!
+//! A bound that is too long keeps a long-running task away for more than the 9 s that the platform
+//! allows. One that is too short lets a task run twice.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashtiller::workflow::incarnation::Incarnation;
+use ashtiller::workflow::job::Step;
+use ashtiller::workflow::record::{LogRecord, Run, Task};
+
+use crate::driver::{Driver, MS, job, policy, step};
+
+const SECOND: Duration = Duration::from_secs(1);
+/// Epoch of the owner that was replaced; it knew that no earlier one granted leases.
+const FORMER: u64 = 4;
+
+fn run(number: u32) -> Run {
+    let task = Task {
+        job: 0,
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    Run { task, number }
+}
+
+fn long_running() -> Vec<Step> {
+    vec![Step {
+        long_running: true,
+        ..step(1)
+    }]
+}
+
+/// Returns the log of an owner that placed a long-running task on this incarnation.
+fn log_with_run_on(worker: &Incarnation) -> Vec<LogRecord> {
+    vec![
+        LogRecord::Cleared(FORMER),
+        LogRecord::Accepted(Box::new(job("1", long_running())), policy(), 1_000_000),
+        LogRecord::Placed(run(1), worker.clone(), Arc::from("")),
+    ]
+}
+
+/// Asserts that a worker other than `lost` gets a start within `limit`.
+fn assert_starts_elsewhere(driver: &mut Driver, lost: &Incarnation, limit: Duration) {
+    let since = driver.now.at;
+    while driver.now.at < since + limit {
+        driver.run_for(100 * MS);
+        if starts_elsewhere(driver, lost) {
+            return;
+        }
+    }
+    panic!("not started elsewhere within {limit:?}");
+}
+
+fn starts_elsewhere(driver: &Driver, lost: &Incarnation) -> bool {
+    let starts = driver.starts();
+    starts
+        .iter()
+        .any(|(worker, _)| !worker.is_same_worker(lost))
+}
+
+/// Guards against a proof that makes the wait longer. Leases of earlier owners end 17.3 s after an
+/// owner began, even if nothing is known of its predecessor. When the machine of the predecessor
+/// was back shortly before that and proved its end, the owner waited for another lease from then:
+/// up to 23.5 s.
+#[test]
+fn late_proof_does_not_prolong_the_wait_for_earlier_leases() {
+    let gone = Incarnation::from("gone");
+    let mut driver = Driver::replay(&log_with_run_on(&gone), 1, policy());
+    driver.run_for(16_000 * MS);
+    driver.core.note_predecessor_ended(FORMER, driver.now);
+    driver.run_for(SECOND);
+    assert!(driver.starts().is_empty(), "an earlier lease may be active");
+    assert_starts_elsewhere(&mut driver, &gone, SECOND);
+}
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -16,6 +16,7 @@
 mod kept;
 mod late_ends;
 mod late_starts;
+mod lease_bounds;
 mod leaving;
 mod listing;
 mod lives;
