Tests: starts of earlier owners end 24 s after an owner began (red)

Callers see: a long-running task whose worker restarts 25 s after a change of owner and is then gone runs elsewhere after 16.1 s instead of at once.

Cause: when the leases of earlier owners have ended without proof, expire_leases records that moment, 17.3 s after the owner began, as the end of its predecessor. earlier_starts_end adds 13 s to it, so starts of earlier owners count as possible until 30.3 s instead of 24: the run is moved to the next incarnation, in doubt, and its task stays with the worker.

--- a/ashtiller/tests/owner/lease_bounds.rs
+++ b/ashtiller/tests/owner/lease_bounds.rs
@@ -6,13 +6,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashtiller::workflow::config::ListedWorker;
 use ashtiller::workflow::incarnation::Incarnation;
 use ashtiller::workflow::job::Step;
 use ashtiller::workflow::record::{LogRecord, Run, Task};
+use ashtiller::workflow::tuning::Tuning;
+use ashtiller::workflow::worker::LATE_MAX;
 
-use crate::driver::{Driver, MS, job, policy, step};
+use crate::driver::{Driver, MS, job, listed, policy, step};
 
 const SECOND: Duration = Duration::from_secs(1);
+/// Time within which a long-running task of a lost worker runs again.
+const AWAY_MAX: Duration = Duration::from_secs(9);
 /// Epoch of the owner that was replaced; it knew that no earlier one granted leases.
 const FORMER: u64 = 4;
 
@@ -26,6 +31,13 @@
     Run { task, number }
 }
 
+fn started_at(number: u16, at: u64) -> ListedWorker {
+    ListedWorker {
+        incarnation: Incarnation::new(&format!("w{number}"), Some(at)),
+        ..listed(number)
+    }
+}
+
 fn long_running() -> Vec<Step> {
     vec![Step {
         long_running: true,
@@ -75,3 +87,21 @@
     assert!(driver.starts().is_empty(), "an earlier lease may be active");
     assert_starts_elsewhere(&mut driver, &gone, SECOND);
 }
+
+/// A former owner sends starts for 11 s at most, and each is carried out within 13 s. When the
+/// leases of earlier owners had ended without any other proof, the owner took that moment for the
+/// end of its predecessor, and expected starts for 30.3 s instead of 24. A worker that restarted
+/// meanwhile kept its tasks.
+#[test]
+fn starts_of_earlier_owners_end_by_the_time_the_last_one_may_have_sent_them() {
+    let former = started_at(0, 1000).incarnation;
+    let mut driver = Driver::replay(&log_with_run_on(&former), 0, policy());
+    let both = vec![started_at(0, 1000), started_at(1, 1000)];
+    driver.core.list_all(both, driver.now);
+    driver.run_for(Tuning::default().horizon + LATE_MAX + SECOND);
+    assert!(driver.core.log_state().is_live(run(1)));
+    let next = started_at(0, 2000).incarnation;
+    driver.crashed.insert(next.clone());
+    driver.restarted.insert(former.clone(), next);
+    assert_starts_elsewhere(&mut driver, &former, AWAY_MAX);
+}
