Tests: a worker that answers as itself does not count as replaced (red)

Callers see: long-running tasks of a lost worker run nowhere for up to 23.3 s after a change of owner.

Cause: Worker::replaced is set by any entry under the same id that names another incarnation, or none, and never taken back, also when the worker is listed again as before and answers polls. may_outlast then holds its adopted runs until 23.3 s after the owner began. A foreign entry without a start time that is read before the worker's own has the same effect by add_former_incarnations.

--- a/ashtiller/tests/owner/lease_bounds.rs
+++ b/ashtiller/tests/owner/lease_bounds.rs
@@ -105,3 +105,51 @@
     driver.restarted.insert(former.clone(), next);
     assert_starts_elsewhere(&mut driver, &former, AWAY_MAX);
 }
+
+/// An entry of an earlier incarnation was read once, after which the worker was listed again as
+/// before and answered. The owner continued to assume that another incarnation was listed, and
+/// waited for 13 s and the longest lease from its beginning when the worker was lost.
+#[test]
+fn an_old_entry_that_was_replaced_does_not_delay_the_tasks_of_a_lost_worker() {
+    let worker = started_at(0, 1000).incarnation;
+    let mut driver = Driver::replay(&log_with_run_on(&worker), 0, policy());
+    driver.core.note_predecessor_ended(FORMER, driver.now);
+    let both = vec![started_at(0, 1000), started_at(1, 1000)];
+    driver.core.list_all(both.clone(), driver.now);
+    driver.run_for(SECOND);
+    let old = started_at(0, 900);
+    driver
+        .restarted
+        .insert(old.incarnation.clone(), worker.clone());
+    driver.core.list_worker(old, driver.now);
+    driver.run_for(200 * MS);
+    driver.core.list_all(both, driver.now);
+    driver.run_for(5 * SECOND);
+    driver.crash(&worker);
+    driver.core.unlist_worker(&worker, driver.now);
+    assert_starts_elsewhere(&mut driver, &worker, AWAY_MAX);
+}
+
+/// Another program had written an entry without a start time in the place of a worker's own. The
+/// new owner read it first, and took the worker that has the runs for a former incarnation. The
+/// worker wrote its entry again and answered, but continued to count as replaced.
+#[test]
+fn a_foreign_entry_that_was_read_first_does_not_delay_the_tasks_of_a_lost_worker() {
+    let worker = started_at(0, 1000).incarnation;
+    let mut driver = Driver::replay(&log_with_run_on(&worker), 0, policy());
+    driver.core.note_predecessor_ended(FORMER, driver.now);
+    let foreign = listed(0);
+    driver.displaced.insert(foreign.incarnation.clone());
+    driver
+        .core
+        .list_all(vec![foreign, started_at(1, 1000)], driver.now);
+    driver.run_for(200 * MS);
+    let both = vec![started_at(0, 1000), started_at(1, 1000)];
+    driver.core.list_all(both, driver.now);
+    driver.run_for(2 * SECOND);
+    assert!(driver.core.log_state().is_live(run(1)));
+    assert!(driver.stops().is_empty(), "{:?}", driver.stops());
+    driver.crash(&worker);
+    driver.core.unlist_worker(&worker, driver.now);
+    assert_starts_elsewhere(&mut driver, &worker, AWAY_MAX);
+}
