Tests: a lease meant for a predecessor ends by an incarnation's age (red)

Callers see: long-running tasks of a worker that was lost right after it first answered a new owner run elsewhere after 10.4 s instead of 6.3 s, if the worker was less than 27 s old.

Cause: record_poll_reply extends the lease by the longest one a worker grants whenever the clock reads less than 27 s. The last such lease is accepted at 17 s and ends at 27 s, so at most 27 s less the clock is left: 5 s at the age of 22 s.

--- a/ashtiller/tests/owner/lease_bounds.rs
+++ b/ashtiller/tests/owner/lease_bounds.rs
@@ -153,3 +153,23 @@
     driver.core.unlist_worker(&worker, driver.now);
     assert_starts_elsewhere(&mut driver, &worker, AWAY_MAX);
 }
+
+/// A recent incarnation may hold a lease that was meant for its predecessor, which it accepted by
+/// the age of 17 s and which lasts for 10 s. At the age of 22 s it has at most 5 s left, but the
+/// owner assumed 10.4 s, so that the tasks of a worker that was lost after its first answer waited
+/// for more than 9 s.
+#[test]
+fn a_lease_meant_for_the_predecessor_ends_by_the_age_of_the_incarnation() {
+    let worker = started_at(0, 1000).incarnation;
+    let mut driver = Driver::replay(&log_with_run_on(&worker), 0, policy());
+    driver.core.note_predecessor_ended(FORMER, driver.now);
+    driver.clock_start = driver.now.at.saturating_sub(22 * SECOND);
+    driver
+        .core
+        .list_all(vec![started_at(0, 1000), started_at(1, 1000)], driver.now);
+    driver.run_for(50 * MS);
+    assert!(driver.core.workers()[&worker].fenced, "it has answered");
+    driver.crash(&worker);
+    driver.core.unlist_worker(&worker, driver.now);
+    assert_starts_elsewhere(&mut driver, &worker, AWAY_MAX);
+}
