Tests: the wait for an unanswered start must not begin anew (red)

Callers see: a task whose start went unanswered by a worker that then vanished waits for 16 s from the beginning of each owner. With owners that are replaced every 12 s it runs nowhere.

Cause: LogState::index and apply set `since` of each unconfirmed start to the time at which the owner replays the log. The log says nothing of the time that earlier owners held it.

--- a/ashtiller/tests/owner/lease_bounds.rs
+++ b/ashtiller/tests/owner/lease_bounds.rs
@@ -9,7 +9,7 @@
 use ashtiller::workflow::config::ListedWorker;
 use ashtiller::workflow::incarnation::Incarnation;
 use ashtiller::workflow::job::Step;
-use ashtiller::workflow::record::{LogRecord, Run, Task};
+use ashtiller::workflow::record::{End, LogRecord, Run, Task};
 use ashtiller::workflow::tuning::Tuning;
 use ashtiller::workflow::worker::LATE_MAX;
 
@@ -173,3 +173,25 @@
     driver.core.unlist_worker(&worker, driver.now);
     assert_starts_elsewhere(&mut driver, &worker, AWAY_MAX);
 }
+
+/// Each owner takes the starts that got no reply for sent as it began. A task whose start went
+/// unanswered by a worker that then vanished waits for 16 s; with owners that are replaced every
+/// 12 s it runs nowhere for good.
+#[test]
+fn the_wait_for_an_unanswered_start_does_not_begin_anew_with_each_owner() {
+    let gone = Incarnation::from("gone");
+    let mut records = log_with_run_on(&gone);
+    records.extend([
+        LogRecord::StartUnconfirmed(run(1), gone.clone()),
+        LogRecord::Ended(run(1), End::Lost, Arc::from("")),
+    ]);
+    let mut driver = Driver::replay(&records, 1, policy());
+    driver.core.note_predecessor_ended(FORMER, driver.now);
+    driver.run_for(12 * SECOND);
+    assert!(driver.starts().is_empty(), "it may still be carried out");
+    records.append(&mut driver.records);
+    let epoch = driver.core.epoch();
+    let mut successor = Driver::replay(&records, 1, policy());
+    successor.core.note_predecessor_ended(epoch, successor.now);
+    assert_starts_elsewhere(&mut successor, &gone, AWAY_MAX);
+}
