Tests: an old entry must not extend the lease of a worker that answers (red)

Callers see: long-running tasks of a worker that is lost within 4 s of an old entry under its id run elsewhere after up to 10.4 s instead of 6.3 s.

Cause: the poll of the incarnation that the old entry names is answered by the one that has been answering all along. replace_incarnation takes this for a restart and extends its lease by the longest one that a worker grants, though nothing was ever granted to the listed name.

Evidence: the worker is lost 0.1 s after it was listed again; the task runs elsewhere after 10.2 s.

--- a/ashtiller/tests/owner/lease_bounds.rs
+++ b/ashtiller/tests/owner/lease_bounds.rs
@@ -154,6 +154,34 @@
     assert_starts_elsewhere(&mut driver, &worker, AWAY_MAX);
 }
 
+/// A poll for an earlier incarnation, named by an old entry, was answered by the one that had been
+/// answering all along. The owner took that for a restart and extended the lease of the worker to
+/// 10.4 s, so that the tasks of a worker that was then lost waited for more than 9 s.
+#[test]
+fn an_old_entry_does_not_extend_the_lease_of_a_worker_that_answers() {
+    let worker = started_at(0, 1000).incarnation;
+    let mut driver = Driver::new(0, policy());
+    let both = vec![started_at(0, 1000), started_at(1, 1000)];
+    driver.core.list_all(vec![both[0].clone()], driver.now);
+    driver.core.note_predecessor_ended(0, driver.now);
+    driver.run_for(100 * MS);
+    driver.submit(job("1", long_running()));
+    driver.run_for(20 * SECOND);
+    assert_eq!(driver.starts()[0].0, worker);
+    let old = started_at(0, 900);
+    driver
+        .restarted
+        .insert(old.incarnation.clone(), worker.clone());
+    driver.core.list_worker(old, driver.now);
+    driver.run_for(100 * MS);
+    driver.core.list_all(both, driver.now);
+    driver.run_for(100 * MS);
+    assert!(driver.core.log_state().is_live(run(1)));
+    driver.crash(&worker);
+    driver.core.unlist_worker(&worker, driver.now);
+    assert_starts_elsewhere(&mut driver, &worker, AWAY_MAX);
+}
+
 /// A recent incarnation may hold a lease that was meant for its predecessor, which it accepted by
 /// the age of 17 s and which lasts for 10 s. At the age of 22 s it has at most 5 s left, but the
 /// owner assumed 10.4 s, so that the tasks of a worker that was lost after its first answer waited
