Tests: a young incarnation that never answered may hold 10 s (red)

Callers see: a task may run on two workers for up to 4 s after a change of owner.

Cause: an incarnation may accept a lease meant for its predecessor, which lasts for 10 s by its own clock. A new owner allows for that once the incarnation has answered, by its clock. One that is cut off before, listed or not, is given 6.3 s after the proof, though its start time tells its age. What the former owner knew of such calls is not in the log.

Evidence: an incarnation 1 s old; the task is started elsewhere within 9.8 s. A worker 27 s old or older is not concerned.

--- a/ashtiller/tests/owner/lease_bounds.rs
+++ b/ashtiller/tests/owner/lease_bounds.rs
@@ -223,3 +223,33 @@
     successor.core.note_predecessor_ended(epoch, successor.now);
     assert_starts_elsewhere(&mut successor, &gone, AWAY_MAX);
 }
+
+/// An incarnation that began a second ago may have accepted a lease meant for its predecessor, for
+/// 10 s by its own clock. The owner knows its age from its start time, but allowed for such a lease
+/// only once the incarnation had answered.
+#[test]
+fn a_young_incarnation_that_never_answered_may_hold_the_longest_lease() {
+    let tuning = Tuning::default();
+    let young = started_at(0, 999_000);
+    let worker = young.incarnation.clone();
+    let mut driver = Driver::replay(&log_with_run_on(&worker), 0, policy());
+    driver.crashed.insert(worker.clone());
+    driver
+        .core
+        .list_all(vec![young, started_at(1, 1000)], driver.now);
+    driver.core.note_predecessor_ended(FORMER, driver.now);
+    driver.run_for(tuning.hold.saturating_sub(200 * MS));
+    assert!(!starts_elsewhere(&driver, &worker), "it may still run");
+}
+
+/// The same for an incarnation that the owner knows from the log only, as its entry was gone.
+#[test]
+fn a_young_incarnation_that_was_never_listed_may_hold_the_longest_lease() {
+    let tuning = Tuning::default();
+    let worker = started_at(0, 999_000).incarnation;
+    let mut driver = Driver::replay(&log_with_run_on(&worker), 0, policy());
+    driver.core.list_all(vec![started_at(1, 1000)], driver.now);
+    driver.core.note_predecessor_ended(FORMER, driver.now);
+    driver.run_for(tuning.hold.saturating_sub(200 * MS));
+    assert!(!starts_elsewhere(&driver, &worker), "it may still run");
+}
