Tests: proof must not shorten an incarnation's own bound (red)

Callers see: a task may run on two workers for up to 4 s.

Cause: note_predecessor_ended lowers the lease bound of every worker that has not answered to 6.3 s after the proof. Such a worker may be the next incarnation of one that this owner has called: its bound of 10.4 s, or of 13 s more for an unanswered renewal, covers calls of this owner, about which the end of the former one says nothing.

Evidence: a start of this owner is carried out by the next incarnation, which is then cut off; the proof arrives 0.3 s later. The task is started elsewhere before the lease of 10 s is over.

--- a/ashtiller/tests/owner/lease_bounds.rs
+++ b/ashtiller/tests/owner/lease_bounds.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashtiller::workflow::agents::{Order, OrderReply};
 use ashtiller::workflow::config::ListedWorker;
+use ashtiller::workflow::core::Effect;
 use ashtiller::workflow::incarnation::Incarnation;
 use ashtiller::workflow::job::Step;
 use ashtiller::workflow::record::{End, LogRecord, Run, Task};
@@ -202,6 +204,48 @@
     assert_starts_elsewhere(&mut driver, &worker, AWAY_MAX);
 }
 
+/// The end of the former owner bounds its own grants, not those of this owner. A start of this
+/// owner was carried out by the worker's next incarnation, which may hold that lease for 10 s by
+/// its own clock. Then the proof that the former owner had ended arrived, and the bound fell to one
+/// usual lease: the task was started elsewhere 3.7 s too soon.
+#[test]
+fn proof_does_not_shorten_the_leases_of_an_incarnation_that_has_not_answered() {
+    let tuning = Tuning::default();
+    let former = started_at(0, 1000).incarnation;
+    let next = started_at(0, 2000).incarnation;
+    let mut driver = Driver::new(0, policy());
+    driver.core.list_all(vec![started_at(0, 1000)], driver.now);
+    driver.run_for(100 * MS);
+    driver.submit(job("1", long_running()));
+    let mut carried_out = false;
+    while !carried_out {
+        driver.now.at += 5 * MS;
+        driver.core.note_complete_listing(driver.now.at);
+        for effect in driver.core.advance(driver.now) {
+            match effect {
+                Effect::Order(target, run, order @ Order::Start(_)) => {
+                    let reply = Ok(OrderReply::Done(500));
+                    let core = &mut driver.core;
+                    core.handle_order_reply(&target.incarnation, run, &order, reply, driver.now);
+                    carried_out = true;
+                }
+                other => driver.carry_out(other),
+            }
+        }
+    }
+    let began = driver.now.at;
+    driver.restarted.insert(former.clone(), next.clone());
+    driver.crashed.insert(next);
+    driver
+        .core
+        .list_all(vec![started_at(0, 1000), started_at(1, 1000)], driver.now);
+    driver.run_for(300 * MS);
+    assert_eq!(driver.core.counts().restarts, 1);
+    driver.core.note_predecessor_ended(0, driver.now);
+    driver.run_for((began + tuning.hold).saturating_sub(driver.now.at));
+    assert!(!starts_elsewhere(&driver, &former), "it may still run");
+}
+
 /// Each owner takes the starts that got no reply for sent as it began. A task whose start went
 /// unanswered by a worker that then vanished waits for 16 s; with owners that are replaced every
 /// 12 s it runs nowhere for good.
