Tests: the former owner may send starts after its successor began (red)

Callers see: a task may run on two workers, if its worker restarted around a change of owner and the former owner is not known to have ended.

Cause: may_outlast counts 13 s from the beginning of the new owner. Until its horizon, 11 s later, a former owner that is alive may send starts of runs that are in the log, as earlier_starts_end knows: 34.3 s instead of 23.3 s. The same holds for a proof that comes later than the beginning.

--- a/ashtiller/tests/owner/lease_bounds.rs
+++ b/ashtiller/tests/owner/lease_bounds.rs
@@ -11,6 +11,7 @@
 use ashtiller::workflow::core::Effect;
 use ashtiller::workflow::incarnation::Incarnation;
 use ashtiller::workflow::job::Step;
+use ashtiller::workflow::lease;
 use ashtiller::workflow::record::{End, LogRecord, Run, Task};
 use ashtiller::workflow::tuning::Tuning;
 use ashtiller::workflow::worker::LATE_MAX;
@@ -246,6 +247,28 @@
     assert!(!starts_elsewhere(&driver, &former), "it may still run");
 }
 
+/// A former owner that is not known to have ended may send a start for 11 s, which the worker's
+/// next incarnation may carry out 13 s later and then run for the longest lease. The owner reckoned
+/// as if all starts had been sent before it began.
+#[test]
+fn a_listed_incarnation_may_carry_out_a_start_that_the_former_owner_sent_last() {
+    let tuning = Tuning::default();
+    let former = started_at(0, 1000).incarnation;
+    let next = started_at(0, 2000);
+    let mut driver = Driver::replay(&log_with_run_on(&former), 0, policy());
+    driver
+        .crashed
+        .extend([former.clone(), next.incarnation.clone()]);
+    driver
+        .core
+        .list_all(vec![next, started_at(1, 1000)], driver.now);
+    let last = tuning.horizon + LATE_MAX + tuning.hold;
+    driver.run_for(last.saturating_sub(200 * MS));
+    assert!(!starts_elsewhere(&driver, &former), "it may still run");
+    driver.run_for(lease::worst_case_elapsed(tuning.hold).saturating_sub(tuning.hold) + SECOND);
+    assert!(starts_elsewhere(&driver, &former));
+}
+
 /// Each owner takes the starts that got no reply for sent as it began. A task whose start went
 /// unanswered by a worker that then vanished waits for 16 s; with owners that are replaced every
 /// 12 s it runs nowhere for good.
