Tests: a slow poll rejected by the owner's own fence proves nothing (red)

Callers see: an owner gives up the log although there is no other one; starts and renewals wait for the next owner.

Cause: note_fenced_reply takes any rejection more than 3 s after the fence rose for that of a later owner. A poll may take 4 s, and carries the fence of the time when it was sent, which the owner knows (PendingPoll::fence) and does not compare.

Evidence: a poll rejected 3.4 s after an order failed; is_superseded is true.

--- a/ashtiller/tests/owner/fences.rs
+++ b/ashtiller/tests/owner/fences.rs
@@ -150,6 +150,25 @@
     assert!(!driver.core.is_superseded());
 }
 
+/// A poll waits for 2 s and may take 2 s more where replies queue. One that is rejected 3.4 s after
+/// the fence rose was sent before, with a lower one, and does not prove that there is another owner
+/// either: the owner gave up the log.
+#[test]
+fn a_slow_poll_rejected_by_its_own_fence_does_not_prove_another_owner() {
+    let (mut driver, polled) = with_ack_in_flight(listed(0));
+    driver.submit(job("2", vec![step(1)]));
+    let (first, run, order) = await_call(&mut driver, starts);
+    note_entry(&mut driver, 1);
+    let failure = Failure::unknown_effect("order", &first.incarnation, "no answer in time");
+    let core = &mut driver.core;
+    core.handle_order_reply(&first.incarnation, run, &order, Err(failure), driver.now);
+    driver.run_for(3400 * MS);
+    driver
+        .core
+        .handle_poll_reply(&polled.incarnation, Ok(PollReply::Fenced), driver.now);
+    assert!(!driver.core.is_superseded());
+}
+
 /// The next incarnation used to wait for 13 s, until no acknowledgement meant for the previous one
 /// could arrive.
 #[test]
