Tests: stops that a former owner ordered and did not record

Two guards, green on: a new owner learns of such a stop from the first list of the worker, which keeps the end until it is acknowledged; a run that a draining worker lists neither as active nor as ended is stopped there and starts elsewhere within 1 s. Neither speaks of a worker that has left: its runs wait for the leases of earlier owners.

--- a/ashtiller/tests/owner/lease_bounds.rs
+++ b/ashtiller/tests/owner/lease_bounds.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ashtiller::workflow::agents::{Order, OrderReply};
+use ashtiller::workflow::agents::{EndReason, Order, OrderReply};
 use ashtiller::workflow::config::ListedWorker;
 use ashtiller::workflow::core::Effect;
 use ashtiller::workflow::incarnation::Incarnation;
@@ -320,3 +320,33 @@
     driver.run_for(tuning.hold.saturating_sub(200 * MS));
     assert!(!starts_elsewhere(&driver, &worker), "it may still run");
 }
+
+/// Returns a new owner that finds a long-running task on a worker that is draining. The former owner
+/// had ordered its stop, and could not record the end.
+fn replace_owner_that_ordered_a_stop(ends: bool) -> (Driver, Incarnation) {
+    let worker = started_at(0, 1000).incarnation;
+    let mut driver = Driver::replay(&log_with_run_on(&worker), 0, policy());
+    if ends {
+        driver.reported_ends = driver.ends(run(1), EndReason::Stopped, 1);
+    }
+    let draining = ListedWorker {
+        draining: true,
+        remaining: Some(SECOND),
+        ..started_at(0, 1000)
+    };
+    let both = vec![draining, started_at(1, 1000)];
+    driver.core.list_all(both, driver.now);
+    (driver, worker)
+}
+
+#[test]
+fn a_stop_that_the_former_owner_did_not_record_ends_with_the_first_list() {
+    let (mut driver, worker) = replace_owner_that_ordered_a_stop(true);
+    assert_starts_elsewhere(&mut driver, &worker, SECOND);
+}
+
+#[test]
+fn a_run_that_a_draining_worker_does_not_list_starts_elsewhere_at_once() {
+    let (mut driver, worker) = replace_owner_that_ordered_a_stop(false);
+    assert_starts_elsewhere(&mut driver, &worker, SECOND);
+}
