A worker that answers as itself is not replaced

Symptom: a lasting task stays away for 17 to 21 s although other workers have room, where an old or foreign entry of its worker was read once. Cause: an entry of another incarnation under a worker's id marks the worker as replaced, as the next incarnation may have carried out a late start. The mark was never taken back. Change: the answer to a poll that was sent after that entry was read shows that the incarnation is still there, and takes the mark back. Answers to earlier polls do not: they may have been sent before the worker restarted.

--- a/ashtiller/src/workflow/core/incarnations.rs
+++ b/ashtiller/src/workflow/core/incarnations.rs
@@ -97,7 +97,9 @@
         for incarnation in self.find_former_incarnations(listed) {
             if let Some(worker) = self.workers.get_mut(&incarnation) {
                 worker.next_poll = worker.next_poll.min(now.at);
-                worker.replaced |= incarnation.is_same_worker(&listed.incarnation);
+                if incarnation.is_same_worker(&listed.incarnation) {
+                    worker.replaced_since = Some(now.at);
+                }
             }
         }
     }
@@ -118,7 +120,7 @@
             };
             let mut worker = Worker::new(known, self.earlier_leases_end());
             worker.unlisted_since = Some(now.at);
-            worker.replaced = true;
+            worker.replaced_since = Some(now.at);
             self.add_worker(worker);
             self.allocate_adopted_runs(&incarnation);
         }
--- a/ashtiller/src/workflow/core/lease_waits.rs
+++ b/ashtiller/src/workflow/core/lease_waits.rs
@@ -65,7 +65,9 @@
     /// Returns what holds the runs of a silent worker.
     pub(super) fn lease_hold(&self, worker: &Worker, now: Now) -> LeaseHold {
         let outlasts = |run: &Run| self.may_outlast(*run, now);
-        if worker.lease.bound() < now.at && worker.replaced && worker.runs.iter().any(outlasts) {
+        let is_over = worker.lease.bound() < now.at;
+        let replaced = worker.replaced_since.is_some();
+        if is_over && replaced && worker.runs.iter().any(outlasts) {
             LeaseHold::LateStarts
         } else if worker.fenced {
             LeaseHold::Lease
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -152,6 +152,13 @@
             self.needs_planning = true;
         }
         worker.note_answered(poll);
+        if worker
+            .replaced_since
+            .is_some_and(|since| since <= poll.sent)
+        {
+            // The other entry under its id was an old or a foreign one.
+            worker.replaced_since = None;
+        }
         if worker.doubted.is_some_and(|until| until <= poll.sent) {
             worker.doubted = None;
             self.needs_planning = true;
--- a/ashtiller/src/workflow/core/worker_list.rs
+++ b/ashtiller/src/workflow/core/worker_list.rs
@@ -183,13 +183,14 @@
         let over: Vec<Incarnation> = over.map(|worker| worker.incarnation().clone()).collect();
         for id in over {
             let worker = &self.workers[&id];
-            let over = |run: &Run| !(worker.replaced && self.may_outlast(*run, now));
+            let over =
+                |run: &Run| !(worker.replaced_since.is_some() && self.may_outlast(*run, now));
             let runs: Vec<Run> = worker.runs.iter().copied().filter(over).collect();
             if runs.is_empty() {
                 continue;
             }
             let hold = match self.lease_hold(worker, now) {
-                _ if worker.replaced => LeaseHold::LateStarts,
+                _ if worker.replaced_since.is_some() => LeaseHold::LateStarts,
                 hold => hold,
             };
             let waited = self.silence_of(worker, now);
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -77,8 +77,8 @@
     pub unlisted_since: Option<Duration>,
     /// Time since which it is draining.
     pub draining_since: Option<Duration>,
-    /// Whether another incarnation of the worker is listed.
-    pub replaced: bool,
+    /// Time since which another incarnation of the worker is listed, unless it has answered since.
+    pub replaced_since: Option<Duration>,
     /// Whether the draining flag came from the previous incarnation, on a platform that reports no
     /// start times.
     pub former_drains: bool,
@@ -169,7 +169,7 @@
         Self {
             pool: Pool::new(listed.capacity),
             draining_since: None,
-            replaced: false,
+            replaced_since: None,
             former_drains: false,
             listed,
             has_entry: false,
