Test of relayed results for a former process, red

The last owner got a report of i-34eafeb7b0 with runs that the log does not place there and a clock of 6,177,503 ms, ended nine of its runs as lost and started them again; the next answer said 170,866 ms. Measured: the test fails, a poll is answered by the result of a call that the former process at the same address made.

--- a/ashtiller/tests/links/relays.rs
+++ b/ashtiller/tests/links/relays.rs
@@ -165,6 +165,18 @@
         calls.iter().map(|(from, ..)| *from).collect()
     }
 
+    /// Replaces the owner by a new process at the same address, which owns the log as well.
+    fn restart_owner(&mut self) {
+        let agents = Arc::new(InstanceClient {
+            workers: self.workers.clone(),
+            from: "owner",
+        });
+        self.client = RelayClient::new(agents, self.net.links(), address(1));
+        self.net
+            .host(address(1), Rc::new(Owner(self.client.clone())));
+        self.client.choose_relays(MIN_RELAYED_WORKERS, &[member()]);
+    }
+
     /// Replaces the relay by a new process at the same address.
     fn restart_relay(&self) {
         let client = InstanceClient {
@@ -443,3 +455,30 @@
         assert!(cluster.start(50).await.is_ok());
     });
 }
+
+/// Guards against two runs of one task: an owner ended runs of a worker that it took for lost,
+/// because the answer of another worker counted as that worker's. The process that called that one
+/// had owned the log before, at the same address, and the numbers of its calls were the same.
+#[test]
+fn results_of_calls_of_a_former_process_answer_no_call() {
+    run_paused(async {
+        let mut cluster = Cluster::open(MIN_RELAYED_WORKERS);
+        let poll = Poll {
+            until: None,
+            ends_recorded: 0,
+            wait: LIMIT,
+        };
+        let former = cluster.client.clone();
+        let call = task::spawn_local({
+            let poll = poll.clone();
+            async move { former.poll(&target(0), &poll).await }
+        });
+        time::sleep(LIMIT / 2).await;
+        cluster.restart_owner();
+        let started = time::Instant::now();
+        let reply = cluster.client.poll(&target(1), &poll).await;
+        assert!(reply.is_ok(), "{reply:?}");
+        assert!(started.elapsed() >= LIMIT, "answered by another call");
+        call.abort();
+    });
+}
