Relayed results answer only calls of their own session

Symptom: two runs of a task. Callers' work ran twice or was stopped: an owner ended nine runs of a healthy worker as lost and started their tasks again. Cause: calls over relays are numbered from 1 in each process, and results were matched by number alone. A relay sends the results of calls that a former owner made to its address. If the process there was restarted and owns the log again within the time of a poll, they answered its calls to other workers. Evidence: in the log of that owner one report of the worker names runs of others and a clock of 6,177,503 ms, the next 170,866 ms; the process at its address had owned the log until 0.9 s before it began. Change: a call remembers the session in which it was sent, and a result of another session answers nothing. Sessions are random numbers of the process.

--- a/ashtiller/src/workflow/relay/client.rs
+++ b/ashtiller/src/workflow/relay/client.rs
@@ -47,6 +47,8 @@
 /// A call in flight.
 struct PendingCall {
     relay: SocketAddr,
+    /// Session in which it was sent.
+    session: Option<u64>,
     answer: oneshot::Sender<Outcome>,
 }
 
@@ -189,7 +191,11 @@
         let number = self.next_number.get();
         self.next_number.set(number + 1);
         let (answer, outcome) = oneshot::channel();
-        let pending = PendingCall { relay, answer };
+        let pending = PendingCall {
+            relay,
+            session: None,
+            answer,
+        };
         self.pending.borrow_mut().insert(number, pending);
         self.enqueue(
             relay,
@@ -286,11 +292,18 @@
             queue.sending = false;
             return None;
         }
+        let calls: Vec<RelayedCall> = queue.calls.drain(..).map(|(_, relayed)| relayed).collect();
+        let mut pending = self.pending.borrow_mut();
+        for relayed in &calls {
+            if let Some(pending) = pending.get_mut(&relayed.number) {
+                pending.session = Some(queue.session);
+            }
+        }
         Some(CallBatch {
             owner: self.own_address,
             session: queue.session,
             payloads: std::mem::take(&mut queue.payloads),
-            calls: queue.calls.drain(..).map(|(_, relayed)| relayed).collect(),
+            calls,
         })
     }
 
@@ -321,10 +334,15 @@
         }
     }
 
-    /// Delivers the results of calls to their callers.
+    /// Delivers the results of calls to their callers. A relay may send results of calls that a
+    /// former process at this address made; its sessions tell them apart.
     pub fn deliver_results(&self, results: ResultBatch) {
         let mut pending = self.pending.borrow_mut();
         for (number, outcome) in results.results {
+            let is_own = |call: &PendingCall| call.session == Some(results.session);
+            if !pending.get(&number).is_some_and(is_own) {
+                continue;
+            }
             if let Some(pending) = pending.remove(&number) {
                 // The caller may have given up.
                 let _ = pending.answer.send(outcome);
