An owner without the store still hands over at once to an equal

Cause: waiting for the owner's own call pays only where the heir needs long to replay the log. Change: when the store returns for all, only a smaller instance has to wait.

--- a/ashtiller/src/workflow/membership/handover.rs
+++ b/ashtiller/src/workflow/membership/handover.rs
@@ -89,6 +89,12 @@
         }
     }
 
+    /// Returns whether a member is smaller than this owner by the ratio above.
+    #[must_use]
+    pub fn is_larger_than(&self, member: &Member) -> bool {
+        self.processors * LARGER_RATIO.1 >= member.processors * LARGER_RATIO.0
+    }
+
     /// Returns whether a member is larger than this owner by the ratio above.
     #[must_use]
     pub fn is_smaller_than(&self, member: &Member) -> bool {
--- a/ashtiller/src/workflow/owner/hand_over.rs
+++ b/ashtiller/src/workflow/owner/hand_over.rs
@@ -33,14 +33,17 @@
         let own = &self.node.settings.instance.name;
         let members = self.node.members();
         let successor = handover::choose(own, &health, reason, &members).cloned();
-        if let HandoverReason::Cut(stalled) = reason
-            && !self.cut_detector.is_cut(stalled, successor.is_some())
-        {
-            return;
-        }
+        let is_cut = match reason {
+            HandoverReason::Cut(stalled) => self.cut_detector.is_cut(stalled, successor.is_some()),
+            HandoverReason::Leaving | HandoverReason::Small => true,
+        };
         let Some(successor) = successor else {
             return;
         };
+        // A smaller instance may need seconds to replay the log.
+        if !is_cut && health.is_larger_than(&successor) {
+            return;
+        }
         self.last_handover = Some(Instant::now());
         tracing::warn!(heir = %successor.name, heir_store_age_ms = successor.store_age, ?reason,
             stalled_ms = health.stalled.as_millis(), store_age_ms = health.store_age.as_millis(),
--- a/ashtiller/tests/membership/handover.rs
+++ b/ashtiller/tests/membership/handover.rs
@@ -164,3 +164,19 @@
     assert!(!detector.is_cut(3700 * MS, false));
     assert!(!detector.is_cut(4400 * MS, true));
 }
+
+#[test]
+fn instances_of_about_the_same_size_count_as_equal() {
+    let owner = OwnerHealth {
+        processors: 250,
+        ..healthy()
+    };
+    let member = |processors| Member {
+        processors,
+        ..fleet(1).remove(0)
+    };
+    assert!(owner.is_larger_than(&member(120)));
+    assert!(!owner.is_larger_than(&member(200)));
+    assert!(!owner.is_smaller_than(&member(300)));
+    assert!(owner.is_smaller_than(&member(400)));
+}
