Late starts of a former owner are counted from its last call

Symptom: a task could run twice where a worker restarted around a change of owner, is listed and does not answer, and the former owner is not known to have ended. Cause: the runs of earlier owners on such a worker were held until 13 s and the longest lease after the new owner began. A former owner without the store may send starts for 11 s more. Change: they are held from the time at which no earlier owner makes calls any more, as elsewhere. Where the former owner is known to have ended at once nothing changes.

--- a/ashtiller/src/workflow/core/unconfirmed_starts.rs
+++ b/ashtiller/src/workflow/core/unconfirmed_starts.rs
@@ -93,7 +93,7 @@
     }
 
     /// Returns when no start that an earlier owner sent can be carried out any more.
-    fn earlier_starts_end(&self) -> Duration {
+    pub(super) fn earlier_starts_end(&self) -> Duration {
         self.earlier_calls_end() + LATE_MAX
     }
 
--- a/ashtiller/src/workflow/core/worker_list.rs
+++ b/ashtiller/src/workflow/core/worker_list.rs
@@ -11,7 +11,7 @@
 use crate::workflow::lease;
 use crate::workflow::live_run::{Stage, Stop, StopReason};
 use crate::workflow::record::{End, Run};
-use crate::workflow::worker::{LATE_MAX, Worker};
+use crate::workflow::worker::Worker;
 
 /// How long an unlisted worker without runs is remembered.
 const FORGET_AFTER: Duration = Duration::from_secs(10);
@@ -212,7 +212,7 @@
         let Some(live) = self.runs.get(&run) else {
             return false;
         };
-        let adopted = (live.placed <= self.began).then_some(self.began + LATE_MAX);
+        let adopted = (live.placed <= self.began).then_some(self.earlier_starts_end());
         let doubt = live.in_doubt.max(adopted);
         doubt.is_some_and(|until| now.at < until + lease::worst_case_elapsed(self.tuning.hold))
     }
