Proof about earlier owners lowers no bound of this owner's calls

Symptom: a task could run twice where a worker restarted, carried out a start of this owner that was meant for its predecessor, and the end of the former owner became known after that. Cause: the proof lowered the bound of each worker that had not answered yet to one usual lease, also where it covers this owner's own calls, which such an incarnation may hold for the longest lease. Change: a bound that was extended is not lowered by the proof.

--- a/ashtiller/src/workflow/core/predecessors.rs
+++ b/ashtiller/src/workflow/core/predecessors.rs
@@ -99,7 +99,7 @@
             "no earlier owner grants leases any more"
         );
         for worker in self.workers.values_mut().filter(|worker| !worker.fenced) {
-            worker.lease.fence(now.at, self.tuning.lease);
+            worker.lease.end_earlier_grants(now.at, self.tuning.lease);
         }
     }
 
--- a/ashtiller/src/workflow/lease.rs
+++ b/ashtiller/src/workflow/lease.rs
@@ -18,6 +18,8 @@
     bound: Duration,
     /// Latest end of a grant, on the worker's clock.
     until: u64,
+    /// Whether the bound covers more than the grants of earlier owners.
+    extended: bool,
 }
 
 /// Returns the time on the local clock within which a worker's clock has certainly advanced by
@@ -35,6 +37,7 @@
             last_reading: None,
             bound,
             until: 0,
+            extended: false,
         }
     }
 
@@ -56,6 +59,14 @@
         self.bound = self.bound.min(now + worst_case_elapsed(longest));
     }
 
+    /// Lowers a bound that covers only the grants of earlier owners, which last at most `longest` from
+    /// now.
+    pub fn end_earlier_grants(&mut self, now: Duration, longest: Duration) {
+        if !self.extended {
+            self.fence(now, longest);
+        }
+    }
+
     /// Reports whether `clock`, answered to a call sent at `sent`, is lower than an earlier
     /// reading. It is then the clock of another incarnation.
     #[must_use]
@@ -81,6 +92,7 @@
     /// Raises the bound: earlier grants that may still be carried out end by this time.
     pub fn extend(&mut self, bound: Duration) {
         self.bound = self.bound.max(bound);
+        self.extended = true;
     }
 
     /// Records a reading of the worker's clock.
