A lease meant for a predecessor ends by the age of the incarnation

Symptom: a lasting task waits for 10.4 s where its worker, which started 17 to 27 s ago, answers a new owner once and is then lost. Cause: such an incarnation may hold a lease that was meant for its predecessor. It accepted it by the age of 17 s, and it lasts for 10 s, but the full 10 s were counted up to the age of 27 s. Change: what can be left of it at that age is counted.

--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -141,13 +141,19 @@
             worker.lease.fence(now.at, self.tuning.lease);
             // A recent incarnation may have accepted a grant that an earlier owner made to its
             // predecessor, whose clock had a higher reading.
-            let hold = lease::worst_case_elapsed(self.tuning.hold);
-            if Duration::from_millis(clock) < FORMER_GRANT_AGE_MAX + self.tuning.hold {
-                worker.lease.extend(now.at + hold);
+            let last_end = FORMER_GRANT_AGE_MAX + self.tuning.hold;
+            let left = last_end.saturating_sub(Duration::from_millis(clock));
+            if !left.is_zero() {
+                let left = left.min(self.tuning.hold);
+                worker
+                    .lease
+                    .extend(now.at + lease::worst_case_elapsed(left));
             }
             // This fence does not reject calls that this owner made to the predecessor.
             if let Some(until) = worker.renewing {
-                worker.lease.extend(until + hold);
+                worker
+                    .lease
+                    .extend(until + lease::worst_case_elapsed(self.tuning.hold));
             }
             self.needs_planning = true;
         }
