--- a/ashtiller/tests/owner/late_starts_review.rs
+++ b/ashtiller/tests/owner/late_starts_review.rs
@@ -248,6 +248,28 @@
     in_flight_at_a_change_of_owner
 );
 
+/// As above, but the worker stays listed: its process is replaced under its id, with the entry of
+/// the former one until then.
+fn in_flight_at_a_change_of_owner_listed(births: bool) {
+    let mut fleet = Fleet::new(births);
+    fleet.run_for(EARLIER_LEASES);
+    fleet.fates.push_back(Fate::Held);
+    fleet.duration = 15 * SECOND;
+    fleet.submit(vec![step(1)]);
+    assert!(fleet.run_until(SECOND, |it| !it.held.is_empty()));
+    fleet.end("w0");
+    fleet.replace_owner();
+    fleet.add_worker(1);
+    fleet.run_for(8 * SECOND);
+    restart_and_deliver(&mut fleet);
+    fleet.assert_correct();
+}
+
+scenario!(
+    a_start_of_the_former_owner_to_a_listed_worker_stays_in_doubt,
+    in_flight_at_a_change_of_owner_listed
+);
+
 /// A start in doubt binds the next run to its worker, and the first start of that run is lost as
 /// well. The worker is healthy and answers polls, but each of them may wait for 2 s, and the second
 /// start waits for the end of one that carries a newer fence.
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -33,6 +33,7 @@
 mod stops;
 mod strangers;
 mod takeover;
+mod takeover_review;
 #[path = "../simulation/trace.rs"]
 mod trace;
 mod trial;
--- a/ashtiller/tests/succession/main.rs
+++ b/ashtiller/tests/succession/main.rs
@@ -12,6 +12,7 @@
 mod net;
 mod process;
 mod records;
+mod review;
 mod series;
 mod workers;
 
--- a/ashtiller/tests/succession/series.rs
+++ b/ashtiller/tests/succession/series.rs
@@ -230,13 +230,33 @@
         revision
     }
 
+    /// Removes the lead key.
+    pub async fn remove_lead(&self) {
+        let txn = Txn {
+            remove: vec![LEAD_KEY.into()],
+            ..Txn::default()
+        };
+        let committed = self.store.commit(&txn).await;
+        committed.expect("the lead key should be removed");
+    }
+
+    /// Writes the first entry of the log for its newest owner, without any proof: a job whose task
+    /// runs on a worker that is gone.
+    pub async fn write_entry_without_proof(&self) {
+        self.append_entry(records().to_vec()).await;
+    }
+
     /// Writes the first entry of the log for its newest owner: a job whose task runs on a worker
     /// that is gone, and the proof that all owners before `cleared` have ended.
     pub async fn write_entry(&self, cleared: u64) {
-        let owner = self.newest.expect("the log should have an owner");
-        let log = Log::new(self.store.clone(), PREFIX, owner.incarnation);
         let mut entry = vec![LogRecord::Cleared(cleared)];
         entry.extend(records());
+        self.append_entry(entry).await;
+    }
+
+    async fn append_entry(&self, entry: Vec<LogRecord>) {
+        let owner = self.newest.expect("the log should have an owner");
+        let log = Log::new(self.store.clone(), PREFIX, owner.incarnation);
         let value = log.encode(entry).expect("the entry should be encoded");
         log.append(owner.epoch, 1, value)
             .await
