--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -35,6 +35,7 @@
 mod stops;
 mod strangers;
 mod takeover;
+mod takeover_review;
 #[path = "../simulation/trace.rs"]
 mod trace;
 mod trial;
