A removed lead key proves nothing about earlier owners

Symptom: a task could run twice after another program has removed the lead key: the next owner took its absence for proof that there was none before. Cause: an owner without predecessor counted as the first one of its log. Change: that holds only for a log without entries. Any other owner waits for the longest time that an earlier one may continue. The lead key is written last in its transaction, so that its revision is the one that is answered also on a store that counts each key.

--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -151,6 +151,8 @@
     config: Arc<Config>,
     arrivals: Vec<(Job, Vec<RequestToken>)>,
     pending_records: Vec<LogRecord>,
+    /// Position of this owner's first entry.
+    first_position: u64,
     position: u64,
     in_flight: Option<(u64, Duration)>,
     durable: u64,
@@ -243,6 +245,7 @@
             config: Arc::default(),
             arrivals: Vec::new(),
             pending_records: Vec::new(),
+            first_position: position,
             position,
             in_flight: None,
             durable: position.saturating_sub(1),
@@ -328,6 +331,12 @@
         self.epoch
     }
 
+    /// Returns whether the log had entries when this owner began.
+    #[must_use]
+    pub fn has_history(&self) -> bool {
+        self.first_position > 1
+    }
+
     /// Returns the position of the newest durable entry.
     #[must_use]
     pub fn durable_position(&self) -> u64 {
--- a/ashtiller/src/workflow/log/mod.rs
+++ b/ashtiller/src/workflow/log/mod.rs
@@ -150,14 +150,17 @@
         let key = self.lead_key();
         let value = postcard::to_stdvec(mine)
             .map_err(|error| Failure::no_effect("encode lead", &key, error))?;
-        let mut txn = Txn {
+        let mut put = Vec::new();
+        if let Some(predecessor) = &mine.former {
+            put.push(self.encode_predecessor(predecessor)?);
+        }
+        // The last one, so that it has the revision of the answer in any case.
+        put.push((key.clone(), value.into()));
+        let txn = Txn {
             expect: vec![(key.clone(), former)],
-            put: vec![(key.clone(), value.into())],
+            put,
             remove: Vec::new(),
         };
-        if let Some(predecessor) = &mine.former {
-            txn.put.push(self.encode_predecessor(predecessor)?);
-        }
         match self.store.commit(&txn).await? {
             Committed::Done(revision) => Ok(Acquisition::Acquired(revision)),
             Committed::Conflict(items) => {
--- a/ashtiller/src/workflow/owner/predecessors.rs
+++ b/ashtiller/src/workflow/owner/predecessors.rs
@@ -23,8 +23,11 @@
     /// all have. `replaced` are the records of replaced owners.
     pub(super) fn watch_predecessors(&mut self, replaced: &[ReplacedOwner]) {
         let Some(former) = self.ownership.former else {
-            let now = self.now();
-            self.core.note_predecessor_ended(0, now);
+            // Without a lead key a log with entries had owners all the same: the key was removed.
+            if !self.core.has_history() {
+                let now = self.now();
+                self.core.note_predecessor_ended(0, now);
+            }
             return;
         };
         let cleared = self.core.log_state().cleared;
