A poll with an earlier fence proves no other owner

Symptom: an owner gives its log up, and nothing is placed until another has replayed it, because a worker rejected a poll that took over 3 s. Cause: after an owner has raised a worker's fence, its own earlier calls are rejected. Replies to them were expected for 3 s; a poll may take 4 s. Change: a rejected poll counts only if it carried the worker's newest fence. Measured: the test red before, green now, with all others on fences.

--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -82,7 +82,10 @@
             }
             Ok(PollReply::OtherIncarnation(next)) => self.note_other_incarnation(id, next, now),
             Ok(PollReply::Fenced) => {
-                self.note_fenced_reply(id, now);
+                // A poll sent before the fence rose is rejected by that fence.
+                if poll.fence >= self.fences.of(id) {
+                    self.note_fenced_reply(id, now);
+                }
                 self.note_missed_poll(id, false, now);
             }
             Ok(PollReply::Busy) => self.note_missed_poll(id, false, now),
