An old entry extends no lease of a worker that has answered

Symptom: a lasting task waits for over 10 s beside room where an old entry of its worker was read shortly before the worker was lost. Cause: the entry adds the incarnation that it names. When the worker answered in its place, that counted as a restart, and its lease as the longest one. Change: a worker that has answered this owner keeps its bound if nothing was sent to the other incarnation and that one never answered. Measured: the test red before, green now, with the tests of restarts.

--- a/ashtiller/src/workflow/core/incarnations.rs
+++ b/ashtiller/src/workflow/core/incarnations.rs
@@ -282,8 +282,12 @@
             self.add_worker(Worker::new(old.listed.clone(), bound));
         }
         if let Some(worker) = self.workers.get_mut(next) {
-            // It may have been listed already, with a bound that knows nothing of these runs.
-            worker.lease.extend(bound);
+            // It may have been listed already, with a bound that knows nothing of these runs. If it
+            // has answered, and nothing was sent to the other one, there is nothing to know.
+            let unused = !old.fenced && old.ordered.is_zero();
+            if !(worker.fenced && unused) {
+                worker.lease.extend(bound);
+            }
             worker.take_over_from(&mut old, self.tuning.hold);
         }
         for run in lost {
