Ownership is proved as of the read of the lead key, not of the replay's end

Symptom: a task could run twice where an owner was replaced during a replay of seconds and then lost the store. Cause: a new owner took the end of its replay for its last proof, and acted for up to 11 s from then without the store. Its successor expects that from its own beginning, which may lie before. Change: the proof dates from the read of the lead key that begins the replay. Measured: a test of an owner whose proof is 12 s old: no start before its first entry, one after it.

--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -384,6 +384,12 @@
         &self.congestion
     }
 
+    /// Records when the call was sent that proved this ownership. A replay may take seconds, and
+    /// a later owner counts from its own beginning how long this one may act without the store.
+    pub fn note_ownership_proof(&mut self, sent: Duration) {
+        self.ownership_proved_at = sent;
+    }
+
     /// Returns the time since ownership was last proved.
     fn proof_age(&self, now: Now) -> Duration {
         now.at.saturating_sub(self.ownership_proved_at)
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -87,9 +87,11 @@
 async fn run(node: Rc<Node>, log_owner: LogOwner, request_receiver: mpsc::Receiver<OwnerRequest>) {
     let start = Moment::now();
     announce(&node, &log_owner);
-    let (replayed, replaced_owners) = loop {
+    let (replayed, replaced_owners, proved_at) = loop {
+        // A replay reads the lead key first.
+        let sent = start.elapsed();
         match replay(&node, &log_owner).await {
-            Ok(Some(replayed)) => break replayed,
+            Ok(Some((replayed, replaced_owners))) => break (replayed, replaced_owners, sent),
             Ok(None) => {
                 node.set_owner(None);
                 return;
@@ -118,13 +120,14 @@
     );
     let (event_sender, event_receiver) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let now = now_since(start);
-    let core = Core::new(
+    let mut core = Core::new(
         node.settings.tuning,
         log_owner.epoch,
         replayed.state,
         replayed.next_position,
         now,
     );
+    core.note_ownership_proof(proved_at);
     let mut owner = Owner {
         node: node.clone(),
         ownership: log_owner,
--- a/ashtiller/tests/owner/takeover.rs
+++ b/ashtiller/tests/owner/takeover.rs
@@ -233,3 +233,24 @@
     driver.run_for(1000 * MS);
     assert_eq!(driver.starts().len(), 1);
 }
+
+/// Guards against an owner that was replaced during a long replay and acts for 11 s after it, while
+/// its successor expects that from its own beginning.
+#[test]
+fn an_owner_acts_without_the_store_from_its_last_proof_on() {
+    let records = [
+        LogRecord::Accepted(Box::new(job("1", vec![step(1)])), policy(), 1_000_000),
+        placed(1, "w0"),
+    ];
+    let mut driver = Driver::replay(&records, 0, policy());
+    driver.store_available = false;
+    driver
+        .core
+        .note_ownership_proof(driver.now.at.saturating_sub(Duration::from_secs(12)));
+    driver.core.list_worker(listed(0), driver.now);
+    driver.run_for(2000 * MS);
+    assert!(driver.starts().is_empty(), "ownership is in doubt");
+    driver.restore_store();
+    driver.run_for(2000 * MS);
+    assert_eq!(driver.starts(), [("w0".into(), run(1))]);
+}
