--- a/ashtiller/src/workflow/core/predecessors.rs
+++ b/ashtiller/src/workflow/core/predecessors.rs
@@ -19,7 +19,7 @@
 /// Which earlier owners are proved to have ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Proof {
-    /// None beyond those that the log names.
+    /// Nothing beyond what the log says.
     Nothing,
     /// All before this epoch.
     Before(u64),
@@ -78,7 +78,7 @@
             Proof::Nothing => {}
             // A later owner then needs no proof of those before.
             Proof::Before(epoch) => self.record(LogRecord::Cleared(epoch), now),
-            Proof::All => self.end_predecessors(predecessor, now),
+            Proof::All => self.confirm_all_ended(predecessor, now),
         }
     }
 
@@ -90,7 +90,7 @@
         running.map(|(epoch, _)| *epoch).collect()
     }
 
-    fn end_predecessors(&mut self, last: u64, now: Now) {
+    fn confirm_all_ended(&mut self, last: u64, now: Now) {
         self.record_predecessors_ended(now);
         let bound = self.earlier_leases_end();
         tracing::info!(
--- a/ashtiller/src/workflow/log_state.rs
+++ b/ashtiller/src/workflow/log_state.rs
@@ -38,7 +38,7 @@
     pub upkept: BTreeSet<(u64, Arc<str>)>,
     /// Maintenance waves that have ended.
     pub waves_over: BTreeSet<u64>,
-    /// All leases granted by owners before this epoch have ended.
+    /// All owners before this epoch have ended.
     pub cleared: u64,
     /// Tasks suspected of crashing workers; they have a section of their own in a snapshot.
     #[serde(skip)]
--- a/ashtiller/src/workflow/record.rs
+++ b/ashtiller/src/workflow/record.rs
@@ -90,7 +90,7 @@
     WaveOver(u64),
     /// Interference factors of images were learned.
     Learned(Vec<LearnedFactor>),
-    /// All leases granted by owners before this epoch have ended.
+    /// All owners before this epoch have ended: they grant no leases and send no starts any more.
     Cleared(u64),
     /// A worker crashed while these runs were active.
     Crashed(Incarnation, Vec<LostRun>),
