Explorer: lasting tasks whose workers are lost for good near changes of owner

Cause: no play had long-running jobs, every lost worker was replaced or became reachable again, and nothing asked that a lasting task runs again in time. So two ways to keep such tasks away for 17 to 23 s went unnoticed.

Change: a play of its own, with nine workers and ten jobs that never end. In three rounds one to three workers vanish, refuse connections or are cut off for good, up to 6 s before or after a change of owner, or two to four of these in series. Owners are killed, go dark, stand still for a while, or have a slow store at their begin. The check: no such task is absent for more than 9 s after 7 s of calm, unless a start of it is in doubt or no worker has room for it twice over. Outages are drawn from a generator of their own.

Ruled out: other plays change.

--- a/ashtiller/tests/simulation/mod.rs
+++ b/ashtiller/tests/simulation/mod.rs
@@ -1,6 +1,8 @@
 //! Simulates owners, a log and workers in virtual time, with faults drawn from a seed.
 
+mod absences;
 mod operators;
+pub mod outages;
 pub mod trace;
 #[path = "../../../platform/standin/worker.rs"]
 pub mod worker;
@@ -27,7 +29,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
+use absences::Absences;
 use operators::{EVACUATION, Operators, Reader};
+use outages::Outages;
 use worker::{DisabledSafeguards, Worker};
 use worker_entries::{Watch, WorkerEntries};
 
@@ -103,6 +107,10 @@
     WorkerLeaves(Arc<str>),
     Crash(Arc<str>),
     WorkerReturns(Arc<str>),
+    /// The entry of a lost worker lapses.
+    EntryLapses(Arc<str>),
+    /// A worker joins on a new machine.
+    WorkerJoins,
 }
 
 /// Owners, workers, the log and the faults of one seed.
@@ -121,6 +129,8 @@
     epoch: u64,
     /// Epoch of each owner.
     owner_epochs: Vec<u64>,
+    /// Time at which each owner began.
+    owner_begins: Vec<Duration>,
     owners: Vec<Option<Core>>,
     worker_entries: WorkerEntries,
     /// What each owner has read of the worker entries.
@@ -153,6 +163,9 @@
     former_capacities: BTreeMap<Arc<str>, Vec<(Resources, Duration)>>,
     /// Runs started by an order that was meant for an earlier incarnation of the worker.
     misdirected: BTreeSet<(TaskName, u32)>,
+    outages: Outages,
+    /// Long-running tasks and their absences.
+    pub absences: Absences,
     /// Number of workers that crashed.
     pub crashed: u64,
     /// Number of restarts of workers under their ids.
@@ -207,6 +220,7 @@
             revision: 0,
             epoch: 0,
             owner_epochs: Vec::new(),
+            owner_begins: Vec::new(),
             owners: Vec::new(),
             worker_entries: WorkerEntries::default(),
             watches: Vec::new(),
@@ -229,6 +243,8 @@
             machines: BTreeMap::new(),
             former_capacities: BTreeMap::new(),
             misdirected: BTreeSet::new(),
+            outages: Outages::default(),
+            absences: Absences::default(),
             crashed: 0,
             restarted: 0,
             violations: Vec::new(),
@@ -389,6 +405,7 @@
         self.revision += 1;
         self.epoch = self.revision;
         self.owner_epochs.push(self.epoch);
+        self.owner_begins.push(self.now);
         self.takeovers += 1;
         tracing::trace!(epoch = self.epoch, "simulation: new owner");
         let mut state = LogState::default();
@@ -427,7 +444,10 @@
         }
         let now = self.clock();
         for index in 0..self.owners.len() {
-            let ended = index == 0 || self.owners[index - 1].is_none();
+            if self.outages.is_paused(index, self.now) {
+                continue;
+            }
+            let ended = index == 0 || self.is_known_to_have_ended(index - 1);
             if let Some(core) = &mut self.owners[index]
                 && ended
             {
@@ -485,6 +505,7 @@
                 self.inject_faults();
             }
             self.check_workers();
+            self.check_absences();
             self.check_predecessors();
             self.advance_owners();
         }
@@ -613,6 +634,9 @@
     fn advance_owners(&mut self) {
         let now = self.clock();
         for index in 0..self.owners.len() {
+            if self.outages.is_paused(index, self.now) {
+                continue;
+            }
             let Some(core) = &mut self.owners[index] else {
                 continue;
             };
@@ -640,6 +664,7 @@
                 } else {
                     self.random_millis(2, 8)
                 };
+                let delay = delay + self.outages.store_wait(index, self.now);
                 let epoch = self.owners[index].as_ref().map_or(0, Core::epoch);
                 let sent = self.now;
                 self.schedule(delay, Event::Append(position, epoch, facts));
@@ -668,6 +693,7 @@
                 if reply == Reply::Accepted
                     && let Some(id) = self.tokens.remove(&token.0)
                 {
+                    self.expect_long_runs(&id);
                     self.accepted.insert(id);
                 }
             }
@@ -676,6 +702,10 @@
     }
 
     fn send_order(&mut self, index: usize, target: Target, run: Run, order: Order) {
+        if let Order::Start(start) = &order {
+            self.absences
+                .note_sent(&start.name, start.run, index, self.now);
+        }
         let lost = self.chance(self.faults.lost_percent);
         let delay = if lost && self.chance(self.faults.late_percent) {
             self.random_millis(2000, 12_000)
@@ -704,7 +734,12 @@
                 return;
             }
             self.queue.pop();
-            if let Some(event) = self.events.remove(&key) {
+            let Some(event) = self.events.remove(&key) else {
+                continue;
+            };
+            if let Some(pause) = self.outages.pause_before(&event, self.now) {
+                self.schedule(pause, event);
+            } else {
                 self.handle_event(event);
             }
         }
@@ -736,7 +771,7 @@
             }
             Event::OrderArrives(index, sent, target, run, order, answers) => {
                 let id: Arc<str> = target.incarnation.id().into();
-                let up = self.is_up(&id);
+                let up = self.may_time_out(&id);
                 let failure = self.failure("order", &id);
                 let reply = self.deliver_order(&target, sent, &order, answers);
                 if answers {
@@ -752,13 +787,20 @@
             }
             Event::OrderAnswered(index, id, run, order, reply) => {
                 if let Some(core) = &mut self.owners[index] {
+                    if let Order::Start(start) = &order
+                        && reply
+                            .as_ref()
+                            .map_or_else(Failure::is_connection_refused, |_| true)
+                    {
+                        self.absences.note_answered(&start.name, start.run, index);
+                    }
                     core.handle_order_reply(&id, run, &order, reply, now);
                 }
             }
             Event::PollArrives(index, target, poll) => {
                 let reply = self.poll_worker(&target, &poll);
                 let id = target.incarnation.id().into();
-                let (up, failure) = (self.is_up(&id), self.failure("look", &id));
+                let (up, failure) = (self.may_time_out(&id), self.failure("look", &id));
                 let delay = if reply.is_none() && up {
                     ORDER_TIMEOUT_MIN
                 } else {
@@ -781,6 +823,8 @@
             Event::WorkerLeaves(id) => self.replace_worker(&id),
             Event::Crash(id) => self.crash(&id),
             Event::WorkerReturns(id) => self.replace_crashed(&id),
+            Event::EntryLapses(id) => self.worker_entries.remove(&id),
+            Event::WorkerJoins => self.join_worker(),
         }
     }
 
@@ -788,9 +832,14 @@
         self.workers.contains_key(id)
     }
 
+    /// Returns whether calls to a worker time out unless it answers; else they are refused.
+    fn may_time_out(&self, id: &Arc<str>) -> bool {
+        self.is_up(id) || self.outages.is_silent(id)
+    }
+
     /// Returns the failure of a call that a worker did not answer.
     fn failure(&self, step: &'static str, id: &Arc<str>) -> Failure {
-        if self.is_up(id) {
+        if self.may_time_out(id) {
             Failure::unknown_effect(step, id, "no answer in time")
         } else {
             Failure::no_effect(step, id, "connection refused")
@@ -1037,6 +1086,11 @@
         core.state(id)
     }
 
+    /// Returns whether a job has long-running tasks.
+    pub fn is_long_running(&self, id: &Arc<str>) -> bool {
+        self.jobs[id].steps.iter().any(|step| step.long_running)
+    }
+
     /// Returns the number of evacuations.
     pub fn evacuations(&self) -> u64 {
         self.operators.evacuations()
--- a/ashtiller/tests/simulation/worker_entries.rs
+++ b/ashtiller/tests/simulation/worker_entries.rs
@@ -81,6 +81,11 @@
         self.put(listed);
     }
 
+    /// Returns whether a worker is listed and does not drain.
+    pub fn is_open(&self, id: &Arc<str>) -> bool {
+        self.entries.get(id).is_some_and(|entry| !entry.draining)
+    }
+
     /// Returns whether a worker must get no starts, because it has been draining for long.
     pub fn refuses_starts(&self, id: &Arc<str>, now: Duration) -> bool {
         let since = self.draining_since.get(id);
--- a/ashtiller/tests/workflow.rs
+++ b/ashtiller/tests/workflow.rs
@@ -14,7 +14,7 @@
 use ashtiller::workflow::record::Outcome;
 
 use simulation::worker::DisabledSafeguards;
-use simulation::{Faults, Restarts, Simulation, trace};
+use simulation::{Faults, Restarts, Simulation, outages, trace};
 
 /// Number of seeds by default; `ASHTILLER_SEEDS` sets another one.
 const DEFAULT_SEEDS: u64 = 40;
@@ -49,6 +49,22 @@
     },
 };
 
+const NO_FAULTS: Faults = Faults {
+    lost_percent: 0,
+    late_percent: 0,
+    replace_owners: false,
+    lose_workers: false,
+    slow_store: false,
+    drain_steps: 0,
+    capacity_steps: 0,
+    evacuation_steps: 0,
+    restarts: None,
+    weakness: DisabledSafeguards {
+        fences: false,
+        leases: false,
+    },
+};
+
 fn step(count: u32, processors: u64, after: Vec<u16>) -> Step {
     Step {
         count,
@@ -231,8 +247,8 @@
     fault: Option<String>,
 }
 
-/// Runs seeds on all cores, also after one has failed.
-fn run_seeds(seeds: Range<u64>, faults: Faults) -> Vec<SeedResult> {
+/// Runs seeds on all cores, also after one has failed, and returns the results in their order.
+fn run_seeds<T: Send>(seeds: Range<u64>, run: impl Fn(u64) -> T + Sync) -> Vec<T> {
     let next = AtomicU64::new(seeds.start);
     let run_some = || {
         let mut results = Vec::new();
@@ -241,7 +257,7 @@
             if seed >= seeds.end {
                 return results;
             }
-            results.push(evaluate(seed, &run_seed(seed, faults)));
+            results.push((seed, run(seed)));
         }
     };
     let threads = thread::available_parallelism().map_or(1, usize::from);
@@ -250,8 +266,8 @@
         let results = workers.into_iter().map(|worker| worker.join().unwrap());
         results.flatten().collect::<Vec<_>>()
     });
-    results.sort_by_key(|it| it.seed);
-    results
+    results.sort_by_key(|(seed, _)| *seed);
+    results.into_iter().map(|(_, result)| result).collect()
 }
 
 fn evaluate(seed: u64, simulation: &Simulation) -> SeedResult {
@@ -284,7 +300,9 @@
         let seed = first_seed();
         trace::print_logs(|| evaluate(seed, &run_seed(seed, faults)));
     }
-    let results = run_seeds(first_seed()..first_seed() + seeds(), faults);
+    let results = run_seeds(first_seed()..first_seed() + seeds(), |seed| {
+        evaluate(seed, &run_seed(seed, faults))
+    });
     let restarted: u64 = results.iter().map(|it| it.restarted).sum();
     let failed_jobs: u64 = results.iter().map(|it| it.failed_jobs).sum();
     println!("{restarted} restarts, {failed_jobs} failed jobs");
@@ -349,19 +367,7 @@
 
 #[test]
 fn each_task_starts_once_without_faults() {
-    let no_faults = Faults {
-        lost_percent: 0,
-        late_percent: 0,
-        replace_owners: false,
-        lose_workers: false,
-        slow_store: false,
-        drain_steps: 0,
-        capacity_steps: 0,
-        evacuation_steps: 0,
-        restarts: None,
-        weakness: DisabledSafeguards::default(),
-    };
-    let mut simulation = Simulation::new(7, no_faults);
+    let mut simulation = Simulation::new(7, NO_FAULTS);
     for number in 0..10 {
         let job = job(number, &mut simulation);
         simulation.submit(job, Duration::from_millis(700));
@@ -381,6 +387,120 @@
     );
 }
 
+/// Number of rounds of one seed, each with a loss of workers near a change of owner.
+const OUTAGE_ROUNDS: u32 = 3;
+/// Workers in addition to the six of each simulation.
+const OUTAGE_WORKERS: u32 = 3;
+
+/// Returns a job of tasks that run until it is cancelled.
+fn long_running_job(number: u32, simulation: &mut Simulation) -> Job {
+    let mut lasting = step(
+        2 + simulation.random_below(3),
+        500 + 500 * u64::from(simulation.random_below(2)),
+        Vec::new(),
+    );
+    lasting.long_running = true;
+    Job {
+        id: format!("{number:016x}").into(),
+        queue: "jobs/q/".into(),
+        payload: "serve".into(),
+        steps: vec![lasting],
+        schedule: None,
+    }
+}
+
+/// Runs a seed: workers with long-running tasks are lost for good near changes of owner. About half
+/// of the capacity stays free, so that the tasks have room elsewhere.
+fn run_seed_with_outages(seed: u64) -> Simulation {
+    let mut simulation = Simulation::new(seed, NO_FAULTS);
+    for _ in 0..OUTAGE_WORKERS {
+        simulation.join_worker();
+    }
+    // Ten jobs use 10 to 40 of 72 processors, 22 on average.
+    for number in 0..10 {
+        let job = long_running_job(number, &mut simulation);
+        simulation.submit(job, Duration::from_hours(24));
+    }
+    let mut rng = outages::generator(seed);
+    let mut number = 10;
+    let mut submit = |simulation: &mut Simulation| {
+        let mut job = job(number, simulation);
+        job.steps.truncate(1);
+        number += 1;
+        simulation.submit(job, Duration::from_millis(700));
+    };
+    for _ in 0..OUTAGE_ROUNDS {
+        simulation.run_outage(&mut rng, &mut submit);
+        simulation.resend();
+    }
+    simulation.run(Duration::from_secs(20), false);
+    simulation
+}
+
+/// Result of one seed with outages.
+struct OutageResult {
+    ended: u64,
+    longest: Duration,
+    doubted: u64,
+    crowded: u64,
+    fault: Option<String>,
+}
+
+fn evaluate_outages(seed: u64, simulation: &Simulation) -> OutageResult {
+    let (_, open) = partition_unfinished(simulation);
+    let short: Vec<_> = open
+        .iter()
+        .filter(|id| !simulation.is_long_running(id))
+        .collect();
+    let fault = match (&simulation.violations[..], &short[..]) {
+        ([], []) => None,
+        ([], open) => Some(format!("seed {seed}: unfinished {open:?}")),
+        (violations, _) => Some(format!("seed {seed}: {violations:?}")),
+    };
+    let absences = &simulation.absences;
+    OutageResult {
+        ended: absences.ended,
+        longest: absences.longest,
+        doubted: absences.doubted,
+        crowded: absences.crowded,
+        fault,
+    }
+}
+
+/// Workers are lost for good shortly before or after a change of owner, or some in series. All
+/// seeds run, so that a failing one hides no other.
+#[test]
+fn long_running_tasks_return_after_outages_of_workers_and_owners() {
+    let run = |seed| evaluate_outages(seed, &run_seed_with_outages(seed));
+    if seeds() == 1 {
+        trace::print_logs(|| run(first_seed()));
+    }
+    let results = run_seeds(first_seed()..first_seed() + seeds(), run);
+    let ended: u64 = results.iter().map(|it| it.ended).sum();
+    let longest = results.iter().map(|it| it.longest).max();
+    let doubted: u64 = results.iter().map(|it| it.doubted).sum();
+    let crowded: u64 = results.iter().map(|it| it.crowded).sum();
+    println!(
+        "{ended} absences ended, the longest after {longest:?}; excused: {doubted} in doubt, {crowded} without room"
+    );
+    let failing: Vec<&str> = results
+        .iter()
+        .filter_map(|it| it.fault.as_deref())
+        .collect();
+    assert!(
+        failing.is_empty(),
+        "{} seeds failed\n{}",
+        failing.len(),
+        failing.join("\n")
+    );
+    // The faults must be frequent enough to test anything.
+    assert!(ended > seeds() * 10, "{ended} absences ended");
+    assert!(
+        doubted + crowded < ended / 10,
+        "{doubted} and {crowded} absences excused"
+    );
+}
+
 /// Returns whether two of 300 seeds violate an invariant without a safeguard. One in fifty does (12
 /// of 600 seeds), so that one violation in 60 seeds would depend on chance.
 fn is_detected(weakness: DisabledSafeguards) -> bool {
