Explorer: a run that ends between two checks ends an absence

The absence counts from the last run.

Change: each start that a worker carries out begins the absence anew. Starts sent before a job's acceptance is confirmed are also recorded.

--- a/ashtiller/tests/simulation/absences.rs
+++ b/ashtiller/tests/simulation/absences.rs
@@ -63,13 +63,24 @@
 impl Absences {
     /// Records that a start was sent.
     pub fn note_sent(&mut self, name: &TaskName, run: u32, owner: usize, at: Duration) {
-        if !self.tasks.contains_key(name) {
-            return;
-        }
         let starts = self.unanswered.entry(name.clone()).or_default();
         starts.push(SentStart { owner, run, at });
     }
 
+    /// Records that a live worker has begun to run a task. A run may end before the next check.
+    pub fn note_begun(&mut self, name: &TaskName, now: Duration) {
+        let Some(Some(since)) = self.tasks.get_mut(name) else {
+            return;
+        };
+        let span = now.saturating_sub(*since);
+        *since = now;
+        self.excused.remove(name);
+        if span >= COUNTED_MIN {
+            self.ended += 1;
+            self.longest = self.longest.max(span);
+        }
+    }
+
     /// Records that an owner got an answer to a start, or a failure that excludes any effect.
     pub fn note_answered(&mut self, name: &TaskName, run: u32, owner: usize) {
         let Some(starts) = self.unanswered.get_mut(name) else {
@@ -99,18 +110,10 @@
     fn update(&mut self, active: &BTreeSet<&TaskName>, now: Duration) -> Vec<(TaskName, Duration)> {
         let mut absent = Vec::new();
         for (name, since) in &mut self.tasks {
-            if !active.contains(name) {
+            if active.contains(name) {
+                *since = None;
+            } else {
                 absent.push((name.clone(), *since.get_or_insert(now)));
-                continue;
-            }
-            let Some(began) = since.take() else {
-                continue;
-            };
-            self.excused.remove(name);
-            let span = now.saturating_sub(began);
-            if span >= COUNTED_MIN {
-                self.ended += 1;
-                self.longest = self.longest.max(span);
             }
         }
         absent
--- a/ashtiller/tests/simulation/mod.rs
+++ b/ashtiller/tests/simulation/mod.rs
@@ -910,6 +910,7 @@
             if !intended {
                 self.misdirected.insert((name.clone(), start.run));
             }
+            self.absences.note_begun(&name, self.now);
             self.check_start(&name, prompt);
             self.check_capacity(id, &name, prompt);
             self.record_crashing_start(id, &name, prompt);
