The explorer's owners ask each of their predecessors

Cause: the simulation told an owner only about the one before it, as the program did until now. Change: an owner begins with the earlier ones that the log does not prove to have ended, and learns of each that has. A repeated report is ignored. No check of the simulation is changed.

--- a/ashtiller/src/workflow/core/predecessors.rs
+++ b/ashtiller/src/workflow/core/predecessors.rs
@@ -64,7 +64,8 @@
     /// owner has to wait 17 s, the longest time for which an owner without the store may have
     /// continued, and tasks of lost workers run nowhere meanwhile.
     pub fn note_predecessor_ended(&mut self, predecessor: u64, now: Now) {
-        if self.predecessors.all_ended_at.is_some() {
+        let is_known = self.predecessors.ended.get(&predecessor) == Some(&true);
+        if is_known || self.predecessors.all_ended_at.is_some() {
             return;
         }
         self.predecessors.ended.insert(predecessor, true);
--- a/ashtiller/tests/simulation/mod.rs
+++ b/ashtiller/tests/simulation/mod.rs
@@ -422,6 +422,12 @@
         };
         let mut core = Core::new(tuning, self.epoch, state, next, now);
         core.set_config(self.config.clone());
+        let earlier = self.owner_epochs[..self.owners.len()].iter();
+        let cleared = core.log_state().cleared;
+        let earlier: Vec<u64> = earlier.copied().filter(|epoch| *epoch >= cleared).collect();
+        if !earlier.is_empty() {
+            core.set_predecessors(&earlier);
+        }
         let age = if self.faults.evacuation_steps > 0 {
             self.random_millis(0, 10_000)
         } else {
@@ -433,7 +439,7 @@
         self.newest = self.owners.len() - 1;
     }
 
-    /// Lets each owner check at intervals whether its predecessor has ended.
+    /// Lets each owner check at intervals which of its predecessors have ended.
     fn check_predecessors(&mut self) {
         if !self
             .now
@@ -447,12 +453,16 @@
             if self.outages.is_paused(index, self.now) || self.outages.withholds_proofs() {
                 continue;
             }
-            let ended = index == 0 || self.is_known_to_have_ended(index - 1);
-            if let Some(core) = &mut self.owners[index]
-                && ended
-            {
-                let former = index.checked_sub(1).map_or(0, |it| self.owner_epochs[it]);
-                core.note_predecessor_ended(former, now);
+            let ended: Vec<u64> = if index == 0 {
+                vec![0]
+            } else {
+                let earlier = (0..index).filter(|it| self.is_known_to_have_ended(*it));
+                earlier.map(|it| self.owner_epochs[it]).collect()
+            };
+            if let Some(core) = &mut self.owners[index] {
+                for epoch in ended {
+                    core.note_predecessor_ended(epoch, now);
+                }
             }
         }
     }
