A handover of a cell passes on what is left of the wait for earlier owners

Symptom: an owner that was cut off may renew leases for 45 min. If the next owner handed the cell over at once, the third one took all earlier leases for expired after 1 min and could start a task that still ran.

Cause: the handover entry cut the bound of earlier leases to 1 min. Its writer renews no leases after it, but the entry says nothing of the owners before, for which the writer itself may still have been waiting.

Change: an owner that hands over ends its log with a seal instead. Lease plus horizon in it is the later of the two ends: one lease, for what the owner granted itself, and what is left of its own wait by its own clock (rounded up by at most 1 ms). Handover entries of earlier versions still decode; they no longer shorten the bound of their writer's seal, since they hold no proof for it. So after such an entry a silent worker that is still listed counts as lost after horizon and lease, not after 1 min.

That one lease covers the grants of the owner holds only if none follows the last entry. The first lease after a worker's first answer was granted during a handover too, when the entry may be durable with its answer from the store still missing. It no longer is.

Not changed: the seal of a new owner still stands for all earlier owners by its own lease and horizon, which is right only while these settings are not lowered from one owner to the next; and the first lease after a worker's first answer is granted past the horizon as well.

--- a/ashtiller/src/task/events.rs
+++ b/ashtiller/src/task/events.rs
@@ -201,8 +201,11 @@
         }
         match change {
             Change::Superseded => self.step_down("a worker has a newer owner", &actor),
-            // The first lease is granted right after fencing, so that running tasks continue.
-            Change::Fenced | Change::Rebooted => self.call(&answered.worker, true, &actor),
+            // The first lease is granted right after fencing, so that running tasks continue. During
+            // a handover none is granted, as the entry that ends the ownership may be durable.
+            Change::Fenced | Change::Rebooted => {
+                self.call(&answered.worker, !self.handing_over, &actor);
+            }
             Change::Same | Change::Stale => {}
         }
         self.flush(&actor);
--- a/ashtiller/src/task/fact.rs
+++ b/ashtiller/src/task/fact.rs
@@ -73,20 +73,23 @@
 /// Content of a log entry.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Body {
-    /// A new owner took over; the durations are those that it uses for leases to workers.
+    /// A new owner took over, or the owner has handed the cell over. A successor waits for the sum of
+    /// lease and horizon before it takes the leases of earlier owners for expired.
     Seal {
         /// Name of the owner.
         owner: Arc<str>,
         /// Length of a lease plus the drift margin, in milliseconds.
         lease: u64,
-        /// Renewal horizon in milliseconds.
+        /// Renewal horizon in milliseconds. At a handover, the time beyond the lease for which leases
+        /// of earlier owners may still be valid.
         horizon: u64,
         /// Seconds since the Unix epoch, from which the age of the seal is computed.
         at: u64,
     },
     /// Events, in order.
     Facts(Vec<LogRecord>),
-    /// The owner has handed the cell over and renews no leases.
+    /// The owner has handed the cell over and renews no leases. Only earlier versions write this;
+    /// a handover is now a seal.
     Handover,
 }
 
--- a/ashtiller/src/task/journal.rs
+++ b/ashtiller/src/task/journal.rs
@@ -81,6 +81,7 @@
 pub struct Journal {
     store: Arc<dyn Store>,
     cell: Arc<str>,
+    owner: Arc<str>,
     writer: u64,
     epoch: u64,
     seals: BTreeMap<u64, u64>,
@@ -98,7 +99,7 @@
     pub cell: Cell,
     /// Position of the next entry.
     pub next_position: u64,
-    /// Maximum time for which leases of the previous owner stay valid after the seal.
+    /// Maximum time for which leases of earlier owners stay valid after the seal.
     pub former_lease_bound: Duration,
 }
 
@@ -136,6 +137,7 @@
     let mut journal = Journal {
         store,
         cell,
+        owner,
         writer,
         epoch: 0,
         seals: BTreeMap::new(),
@@ -146,14 +148,8 @@
     };
     loop {
         journal.epoch = replay.epoch + 1;
-        let seal = Body::Seal {
-            owner: owner.clone(),
-            lease: millis(terms.lease + terms.margin),
-            horizon: millis(horizon),
-            at: now_secs(),
-        };
         let position = replay.next_position;
-        let bytes = journal.encode(seal)?;
+        let bytes = journal.encode(journal.seal(terms, horizon))?;
         match journal.append(position, bytes).await {
             AppendOutcome::Durable => {
                 journal.seals = replay.seals;
@@ -250,10 +246,9 @@
                 replay.cell.apply(record, position, Duration::ZERO);
             }
         }
-        // The horizon does not count: after its handover entry the owner renews no leases.
-        Body::Handover => {
-            replay.former_lease_bound = replay.former_lease_bound.min(Duration::from_mins(1));
-        }
+        // The entry does not say how long its writer still had to wait for the leases of earlier
+        // owners, so the bound of the writer's seal stays.
+        Body::Handover => {}
     }
 }
 
@@ -288,6 +283,34 @@
         Ok(bytes.into())
     }
 
+    /// Encodes the last entry of this owner, which grants no lease from now on and may have to wait
+    /// for `former_wait` until the leases of earlier owners have expired.
+    ///
+    /// It is a seal, so that every version of the program reads the bound from it.
+    ///
+    /// # Errors
+    /// The entry cannot be serialized.
+    pub fn encode_handover(
+        &self,
+        terms: &LeaseTerms,
+        former_wait: Duration,
+    ) -> Result<Bytes, OpenError> {
+        // The successor waits for the sum of lease and horizon, which has to cover the later of the
+        // two ends. Seals count whole milliseconds.
+        let beyond_lease = former_wait.saturating_sub(terms.lease + terms.margin);
+        let horizon = Duration::from_millis(millis(beyond_lease).saturating_add(1));
+        self.encode(self.seal(terms, horizon))
+    }
+
+    fn seal(&self, terms: &LeaseTerms, horizon: Duration) -> Body {
+        Body::Seal {
+            owner: self.owner.clone(),
+            lease: millis(terms.lease + terms.margin),
+            horizon: millis(horizon),
+            at: now_secs(),
+        }
+    }
+
     /// Writes an entry and returns once the outcome is known, however long the store is down. After
     /// a write with an unknown outcome the position is read back, and the same bytes are written
     /// again only if it is still empty.
--- a/ashtiller/src/task/owner.rs
+++ b/ashtiller/src/task/owner.rs
@@ -254,13 +254,14 @@
         {
             return;
         }
-        let records = std::mem::take(&mut self.pending);
-        let body = if last {
-            Body::Handover
+        let encoded = if last {
+            let former_wait = self.former_leases_end.saturating_sub(self.now());
+            self.journal.encode_handover(&self.terms, former_wait)
         } else {
-            Body::Facts(records)
+            let records = std::mem::take(&mut self.pending);
+            self.journal.encode(Body::Facts(records))
         };
-        let bytes = match self.journal.encode(body) {
+        let bytes = match encoded {
             Ok(bytes) => bytes,
             Err(error) => {
                 tracing::error!(cell = %self.deps.name, %error, "log entry could not be encoded");
