--- a/ashtiller/src/workflow/core/worker_list.rs
+++ b/ashtiller/src/workflow/core/worker_list.rs
@@ -183,15 +183,16 @@
         let over: Vec<Incarnation> = over.map(|worker| worker.incarnation().clone()).collect();
         for id in over {
             let worker = &self.workers[&id];
-            let over =
-                |run: &Run| !(worker.replaced_since.is_some() && self.may_outlast(*run, now));
+            let is_replaced = worker.replaced_since.is_some();
+            let over = |run: &Run| !(is_replaced && self.may_outlast(*run, now));
             let runs: Vec<Run> = worker.runs.iter().copied().filter(over).collect();
             if runs.is_empty() {
                 continue;
             }
-            let hold = match self.lease_hold(worker, now) {
-                _ if worker.replaced_since.is_some() => LeaseHold::LateStarts,
-                hold => hold,
+            let hold = if is_replaced {
+                LeaseHold::LateStarts
+            } else {
+                self.lease_hold(worker, now)
             };
             let waited = self.silence_of(worker, now);
             tracing::info!(worker = %id, runs = runs.len(), hold = hold.name(),
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -87,11 +87,13 @@
 async fn run(node: Rc<Node>, log_owner: LogOwner, request_receiver: mpsc::Receiver<OwnerRequest>) {
     let start = Moment::now();
     announce(&node, &log_owner);
-    let (replayed, replaced_owners, proved_at) = loop {
-        // A replay reads the lead key first.
-        let sent = start.elapsed();
-        match replay(&node, &log_owner).await {
-            Ok(Some((replayed, replaced_owners))) => break (replayed, replaced_owners, sent),
+    let Takeover {
+        replayed,
+        replaced_owners,
+        proved_at,
+    } = loop {
+        match replay(&node, &log_owner, start).await {
+            Ok(Some(takeover)) => break takeover,
             Ok(None) => {
                 node.set_owner(None);
                 return;
@@ -161,12 +163,22 @@
     owner.reject_pending();
 }
 
+/// What a new owner reads before it begins.
+struct Takeover {
+    replayed: Replayed,
+    replaced_owners: Vec<ReplacedOwner>,
+    /// When the call was sent that proved the ownership, on the owner's clock.
+    proved_at: Duration,
+}
+
 /// Replays the log and reads the records of replaced owners; returns `None` if it has another owner
 /// by now.
 async fn replay(
     node: &Rc<Node>,
     log_owner: &LogOwner,
-) -> Result<Option<(Replayed, Vec<ReplacedOwner>)>, Failure> {
+    start: Moment,
+) -> Result<Option<Takeover>, Failure> {
+    let proved_at = start.elapsed();
     if let Some(known) = node.log.read_owner(false).await?
         && known.epoch != log_owner.epoch
     {
@@ -174,9 +186,13 @@
         return Ok(None);
     }
     let replayed = node.log.replay(Duration::ZERO);
-    future::try_join(replayed, node.log.read_replaced_owners())
-        .await
-        .map(Some)
+    let (replayed, replaced_owners) =
+        future::try_join(replayed, node.log.read_replaced_owners()).await?;
+    Ok(Some(Takeover {
+        replayed,
+        replaced_owners,
+        proved_at,
+    }))
 }
 
 fn now_since(start: Moment) -> Now {
