Starts need a recent proof of ownership

Callers could see a task with two runs: an owner that was replaced, but still read the store, sent starts for 11 s after its last proof of ownership, and its successor counted the 13 s in which they may be carried out from its own beginning.

Cause: starts had the limit of renewals of leases. The list of workers, which holds starts back after 1.65 s, stays fresh where only writes get no answer.

Evidence: owner/proof_age.rs on the code before: a refused start is sent again for 8 s without a proof; a task of an unconfirmed start is placed elsewhere 13 s after the new owner began, though the former owner is not known to have ended. Three of four tests red before. The fourth, that an owner with a slow replay starts runs at once, is red with the early entry taken out.

Change: an order must time out within `drain` of the last proof of ownership, as of the list of workers. A new owner expects starts of earlier ones until `drain` after it began, or until they are known to have ended.

The waits of runs without a record in the log are unchanged, and so are the tests that ask for them.

--- a/ashtiller/src/workflow/core/log_entries.rs
+++ b/ashtiller/src/workflow/core/log_entries.rs
@@ -101,7 +101,8 @@
         self.place_in_freed_capacity(now);
         self.forget_ended(now);
         self.record_lessons(now);
-        if self.pending_records.is_empty() && since < self.tuning.proof {
+        let proves = since >= self.tuning.proof || !self.is_ownership_current(now);
+        if self.pending_records.is_empty() && !proves {
             return;
         }
         let records = std::mem::take(&mut self.pending_records);
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -296,6 +296,9 @@
         };
         core.interference.import(&core.log_state.learned_factors);
         core.adopt_runs(now);
+        // Their owners may have sent them again since.
+        let last_start = core.last_earlier_start();
+        core.log_state.raise_unconfirmed(last_start);
         core
     }
 
--- a/ashtiller/src/workflow/core/predecessors.rs
+++ b/ashtiller/src/workflow/core/predecessors.rs
@@ -93,6 +93,7 @@
 
     fn confirm_all_ended(&mut self, last: u64, now: Now) {
         self.record_predecessors_ended(now);
+        self.log_state.limit_unconfirmed(now.at);
         let bound = self.earlier_leases_end();
         tracing::info!(
             former = last,
@@ -110,6 +111,14 @@
         self.record(LogRecord::Cleared(self.epoch), now);
     }
 
+    /// Returns the time by which earlier owners have sent their last start, if that is in the log.
+    /// None sends any longer than `drain` after it last proved its ownership, which it cannot do any
+    /// more.
+    pub(super) fn last_earlier_start(&self) -> Duration {
+        let last = self.began + self.tuning.drain;
+        last.min(self.earlier_calls_end())
+    }
+
     /// Returns when all leases granted by earlier owners have ended.
     pub(super) fn earlier_leases_end(&self) -> Duration {
         self.earlier_calls_end() + lease::worst_case_elapsed(self.tuning.lease)
--- a/ashtiller/src/workflow/core/start_hold.rs
+++ b/ashtiller/src/workflow/core/start_hold.rs
@@ -1,5 +1,5 @@
 //! Holds all starts while the list of workers or of evacuated zones is outdated, as either may have
-//! changed since, and while ownership is in doubt.
+//! changed since, and while ownership was not proved recently.
 
 use std::time::Duration;
 
@@ -27,14 +27,25 @@
 
     /// Returns whether runs may start.
     pub(super) fn may_start(&self, now: Now) -> bool {
-        self.may_renew(now) && self.is_list_current(now) && self.is_evacuation_known(now)
+        self.is_ownership_current(now) && self.is_list_current(now) && self.is_evacuation_known(now)
+    }
+
+    /// Returns whether ownership was proved recently enough for starts. Later owners rely on this
+    /// limit: see [`Core::last_earlier_start`].
+    pub(super) fn is_ownership_current(&self, now: Now) -> bool {
+        self.may_renew(now) && self.is_current(self.proof_age(now))
     }
 
     /// Returns whether a worker that announced its departure right after the list was read would
     /// still accept starts when an order sent now times out. A departing worker accepts them for
     /// `drain`.
     fn is_list_current(&self, now: Now) -> bool {
-        self.list_age(now) + self.order_timeout() < self.tuning.drain
+        self.is_current(self.list_age(now))
+    }
+
+    /// Returns whether an order sent now times out within `drain` of what was read `age` ago.
+    fn is_current(&self, age: Duration) -> bool {
+        age + self.order_timeout() < self.tuning.drain
     }
 
     /// Begins a hold on starts unless one is active.
--- a/ashtiller/src/workflow/log_state.rs
+++ b/ashtiller/src/workflow/log_state.rs
@@ -222,6 +222,20 @@
         });
     }
 
+    /// Takes all unconfirmed starts for sent no earlier than `sent`, on this owner's clock.
+    pub fn raise_unconfirmed(&mut self, sent: Duration) {
+        for start in self.unconfirmed.values_mut().flatten() {
+            start.since = start.since.max(sent);
+        }
+    }
+
+    /// Takes all unconfirmed starts for sent no later than `sent`, on this owner's clock.
+    pub fn limit_unconfirmed(&mut self, sent: Duration) {
+        for start in self.unconfirmed.values_mut().flatten() {
+            start.since = start.since.min(sent);
+        }
+    }
+
     fn settle(&mut self, run: Run) {
         let Some(starts) = self.unconfirmed.get_mut(&run.task) else {
             return;
--- a/ashtiller/src/workflow/state.rs
+++ b/ashtiller/src/workflow/state.rs
@@ -26,7 +26,8 @@
     pub run: u32,
     /// Worker to which the start was sent. A later incarnation of it may carry the start out.
     pub worker: Incarnation,
-    /// Time at which the start was known to be sent, on this owner's clock.
+    /// Time by which the start was sent, on this owner's clock. An earlier owner that is not known to
+    /// have ended may send it again for a while.
     #[serde(skip)]
     pub since: Duration,
 }
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -25,6 +25,7 @@
 mod parts;
 mod placing;
 mod pressure;
+mod proof_age;
 mod refill;
 mod refusals;
 mod room;
