The log tells later owners of starts in flight

Callers saw a task run on two workers: its owner ended within the time limit of a start, the next owner stopped the run and placed the task elsewhere, and the next process of the first worker carried the start out.

Cause: an owner recorded a start that got no reply, and nothing of one that was answered. An owner that ends in between leaves the placement alone, as it does for a start that was answered or never sent.

Change: a start is recorded as pending, with the epoch of its owner, in the entry of the placement, so durable before it is sent, and as answered in the next entry that is written anyway. A new owner takes a pending start for unconfirmed as its run ends, or before it starts the run again, which it records first. A list of the incarnation meant settles it. Runs without the record count as before.

--- a/ashtiller/src/workflow/core/adopted_runs.rs
+++ b/ashtiller/src/workflow/core/adopted_runs.rs
@@ -74,6 +74,14 @@
             }
             self.runs.insert(run, live);
         }
+        let in_flight = self.log_state.pending_starts().len();
+        if in_flight > 0 {
+            tracing::info!(
+                runs = in_flight,
+                adopted = self.runs.len(),
+                "starts of earlier owners may be in flight"
+            );
+        }
     }
 
     fn step_of(&self, run: Run) -> Option<Step> {
--- a/ashtiller/src/workflow/core/log_entries.rs
+++ b/ashtiller/src/workflow/core/log_entries.rs
@@ -102,7 +102,7 @@
         self.forget_ended(now);
         self.record_lessons(now);
         let proves = since >= self.tuning.proof || !self.is_ownership_current(now);
-        if self.pending_records.is_empty() && !proves {
+        if !self.has_urgent_records() && !proves {
             return;
         }
         let records = std::mem::take(&mut self.pending_records);
@@ -142,6 +142,11 @@
         }
     }
 
+    /// Returns whether a record is decided that may not wait for the next entry.
+    pub(super) fn has_urgent_records(&self) -> bool {
+        !self.pending_records.iter().all(LogRecord::may_wait)
+    }
+
     /// Applies a log record and adds it to the next log entry.
     pub(super) fn record(&mut self, record: LogRecord, now: Now) {
         let effect = self.log_state.apply(&record, now.at);
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -24,6 +24,7 @@
 mod orders;
 mod orphan_runs;
 mod pacing;
+mod pending_starts;
 mod plan;
 mod polls;
 mod predecessors;
@@ -187,6 +188,8 @@
     candidate_cache: candidates::CandidateCache,
     /// Runs that workers list although the log does not place them there.
     orphans: orphan_runs::OrphanRuns,
+    /// Runs whose first start by this owner is due, but not recorded yet.
+    unrecorded_starts: BTreeSet<Run>,
     /// Limits on outstanding calls to workers.
     congestion: Congestion,
     /// Whether replies were queueing at most workers when that was last checked.
@@ -274,6 +277,7 @@
             interference: Interference::default(),
             candidate_cache: candidates::CandidateCache::default(),
             orphans: orphan_runs::OrphanRuns::default(),
+            unrecorded_starts: BTreeSet::new(),
             congestion: Congestion::default(),
             was_congested: false,
             order_queue: VecDeque::new(),
@@ -352,10 +356,10 @@
         self.stalled_for(now) > self.tuning.stall
     }
 
-    /// Returns whether all decided records are durable.
+    /// Returns whether all decided records are durable, but for those that may wait.
     #[must_use]
     pub fn is_settled(&self) -> bool {
-        self.pending_records.is_empty() && self.in_flight.is_none()
+        !self.has_urgent_records() && self.in_flight.is_none()
     }
 
     /// Returns whether a worker has heard from a later owner.
@@ -421,6 +425,7 @@
             self.open_due_occurrences(now);
             self.advance_waves(now);
         }
+        self.record_due_starts(now);
         self.resume_starts(now);
         self.reject_arrivals(now);
         self.append_entry(now);
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -165,6 +165,10 @@
         if !worker.answers || !rejects {
             return None;
         }
+        if !self.is_start_recorded(run) {
+            return None;
+        }
+        let worker = self.workers.get_mut(id)?;
         let until = worker.lease.grant(now.at, self.tuning.lease)?;
         tracing::debug!(task = %run.task, run = run.number, worker = %id,
             list_age_ms = list_age.as_millis(), "sending start order");
@@ -271,9 +275,10 @@
     fn handle_start_reply(&mut self, run: Run, reply: Result<OrderReply, Failure>, now: Now) {
         let mut refused = None;
         if let Ok(OrderReply::Refused(Refusal::Old)) = reply {
-            self.note_former_start(run, now);
+            self.note_refused_start(run, now);
         }
         let listed = self.is_only_start_listed(run);
+        let has_urgent_records = self.has_urgent_records();
         let Some(live) = self.runs.get_mut(&run) else {
             return;
         };
@@ -313,7 +318,7 @@
                     live.in_doubt = until.filter(|_| !listed);
                     // A later owner must know of each start that may be carried out late, so the
                     // next one waits until this one is in the log.
-                    if live.stage == Stage::Starting && !self.pending_records.is_empty() {
+                    if live.stage == Stage::Starting && has_urgent_records {
                         live.stage = Stage::Recorded(self.position);
                         let wakes = (self.position, live.worker.clone());
                         self.workers_to_wake.insert(wakes);
@@ -334,6 +339,7 @@
                 }
             }
         }
+        self.note_answered_start(run, now);
         let Some(blame) = refused else {
             return;
         };
--- /dev/null
+++ b/ashtiller/src/workflow/core/pending_starts.rs
@@ -0,0 +1,88 @@
+//! Starts that may be in flight, as the log tells them to later owners.
+//!
+//! A start is recorded as pending before it is sent, and as answered once no start of the run is in
+//! flight any more. An owner that ends in between leaves the first record only. So the next one tells
+//! a start that may be carried out late from one that was answered.
+
+use crate::workflow::core::{Core, Now};
+use crate::workflow::incarnation::Incarnation;
+use crate::workflow::live_run::{Stage, Stop};
+use crate::workflow::record::{LogRecord, Run};
+
+impl Core {
+    /// Returns the epoch of the owner that sent the pending start of a run.
+    fn pending_epoch(&self, run: Run) -> Option<u64> {
+        let epoch = self.log_state.pending_starts().get(&run).copied();
+        epoch.filter(|_| self.log_state.excludes_copies(run.task))
+    }
+
+    /// Returns the epoch of the earlier owner that sent the pending start of a run, if one did.
+    fn former_epoch(&self, run: Run) -> Option<u64> {
+        self.pending_epoch(run).filter(|epoch| *epoch != self.epoch)
+    }
+
+    /// Records that a start of a run is about to be sent.
+    pub(super) fn record_pending_start(&mut self, run: Run, now: Now) {
+        if self.log_state.excludes_copies(run.task) {
+            self.record(LogRecord::StartPending(run, self.epoch), now);
+        }
+    }
+
+    /// Returns whether a later owner would know of a start that is sent now. If not, the start is
+    /// recorded in the next step.
+    pub(super) fn is_start_recorded(&mut self, run: Run) -> bool {
+        let is_recorded = self.pending_epoch(run) == Some(self.epoch);
+        if is_recorded || !self.log_state.excludes_copies(run.task) {
+            return true;
+        }
+        self.unrecorded_starts.insert(run);
+        false
+    }
+
+    /// Records the starts that are due for runs of earlier owners. They are sent once the records
+    /// are durable.
+    pub(super) fn record_due_starts(&mut self, now: Now) {
+        for run in std::mem::take(&mut self.unrecorded_starts) {
+            let Some(live) = self.runs.get_mut(&run) else {
+                continue;
+            };
+            if live.stage != Stage::Starting || live.stop != Stop::None {
+                continue;
+            }
+            live.stage = Stage::Recorded(self.position);
+            let worker = live.worker.clone();
+            self.workers_to_wake.insert((self.position, worker.clone()));
+            self.record_former_start(run, &worker, now);
+            self.record_pending_start(run, now);
+        }
+    }
+
+    /// Records that the pending start of an earlier owner, if there is one, may be carried out after
+    /// the run has ended or was started again.
+    pub(super) fn record_former_start(&mut self, run: Run, worker: &Incarnation, now: Now) {
+        if let Some(epoch) = self.former_epoch(run) {
+            let sent = self.last_earlier_start();
+            self.note_former_start(run, worker, (epoch, sent), now);
+            self.record(LogRecord::StartAnswered(run), now);
+        }
+    }
+
+    /// Records that no start of a run by this owner is in flight any more, if so.
+    pub(super) fn note_answered_start(&mut self, run: Run, now: Now) {
+        let Some(live) = self.runs.get(&run) else {
+            return;
+        };
+        let is_started = matches!(live.stage, Stage::Started(_)) && !live.ordering;
+        if is_started && self.pending_epoch(run) == Some(self.epoch) {
+            self.record(LogRecord::StartAnswered(run), now);
+        }
+    }
+
+    /// Records that the start of an earlier owner was carried out, as the incarnation that it was sent
+    /// to lists the run. That owner had recorded any start before it as unconfirmed.
+    pub(super) fn settle_former_start(&mut self, run: Run, now: Now) {
+        if self.former_epoch(run).is_some() {
+            self.record(LogRecord::StartAnswered(run), now);
+        }
+    }
+}
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -316,6 +316,7 @@
                 present.insert(run);
                 self.settle_listed_start(run, now);
                 self.note_progress(run, active_run, now);
+                self.note_answered_start(run, now);
             } else {
                 self.stop_unknown_run(id, active_run);
                 orphans.extend(run);
--- a/ashtiller/src/workflow/core/runs.rs
+++ b/ashtiller/src/workflow/core/runs.rs
@@ -68,6 +68,9 @@
         };
         self.release(run, &live);
         self.note_awaited_start(run, &live, end, now);
+        if end != End::Done {
+            self.record_former_start(run, &live.worker, now);
+        }
         self.note_fill_ended(&live, now);
         self.record_run_time(run, &live, now.at);
         match end {
--- a/ashtiller/src/workflow/core/unconfirmed_starts.rs
+++ b/ashtiller/src/workflow/core/unconfirmed_starts.rs
@@ -52,11 +52,37 @@
         if self.log_state.excludes_copies(run.task) {
             self.counts.unconfirmed += 1;
             tracing::info!(task = %run.task, run = run.number, %worker,
+                epoch = self.epoch, left_ms = LATE_MAX.as_millis(),
                 "start may still be carried out: the task stays with this worker");
             self.record(LogRecord::StartUnconfirmed(run, worker.clone()), now);
         }
     }
 
+    /// Records that a start of a run, sent by the owner at an earlier epoch by the given time, may
+    /// still be carried out.
+    pub(super) fn note_former_start(
+        &mut self,
+        run: Run,
+        worker: &Incarnation,
+        (epoch, sent): (u64, Duration),
+        now: Now,
+    ) {
+        self.counts.unconfirmed += 1;
+        let left = (sent + LATE_MAX).saturating_sub(now.at);
+        tracing::info!(task = %run.task, run = run.number, %worker,
+            epoch, left_ms = left.as_millis(),
+            "start of an earlier owner may still be carried out: the task stays with this worker");
+        self.record(LogRecord::StartUnconfirmed(run, worker.clone()), now);
+        self.log_state.date_unconfirmed(run, sent);
+    }
+
+    /// Returns whether a start of a run is recorded as unconfirmed.
+    pub(super) fn has_unconfirmed_start(&self, run: Run) -> bool {
+        let starts = self.log_state.unconfirmed().get(&run.task);
+        let mut starts = starts.into_iter().flatten();
+        starts.any(|start| start.run == run.number)
+    }
+
     /// Records the start of a run that ends while its reply is still awaited.
     pub(super) fn note_awaited_start(&mut self, run: Run, live: &LiveRun, end: End, now: Now) {
         let listed = end == End::Failed && self.has_single_start(live);
@@ -68,7 +94,11 @@
     /// Records that the start of an earlier owner's run may still be carried out by its worker, which
     /// has restarted.
     pub(super) fn note_adopted_start(&mut self, run: Run, former: &Incarnation, now: Now) {
-        let live = self.runs.get(&run);
+        self.record_former_start(run, former, now);
+        let live = self
+            .runs
+            .get(&run)
+            .filter(|_| !self.has_unconfirmed_start(run));
         if live.is_some_and(|live| self.may_have_earlier_start(live, now)) {
             self.note_unconfirmed_start(run, former, now);
         }
@@ -76,7 +106,7 @@
 
     /// Records the start of an earlier owner's run that its worker refuses because the run has ended
     /// there. That owner has sent the start, and ended before it could record what became of it.
-    pub(super) fn note_former_start(&mut self, run: Run, now: Now) {
+    pub(super) fn note_refused_start(&mut self, run: Run, now: Now) {
         if let Some(worker) = self.runs.get(&run).map(|live| live.worker.clone()) {
             self.note_adopted_start(run, &worker, now);
         }
@@ -99,6 +129,7 @@
 
     /// Settles the only start of a run once the incarnation that it was sent to lists the run.
     pub(super) fn settle_listed_start(&mut self, run: Run, now: Now) {
+        self.settle_former_start(run, now);
         let Some(starts) = self.log_state.unconfirmed().get(&run.task) else {
             return;
         };
--- a/ashtiller/src/workflow/log/mod.rs
+++ b/ashtiller/src/workflow/log/mod.rs
@@ -20,6 +20,7 @@
 use crate::workflow::kv::{Committed, Store, Txn};
 use crate::workflow::log_state::LogState;
 use crate::workflow::record::{LogOwner, LogRecord};
+use crate::workflow::snapshot;
 
 pub use compaction::PartSize;
 
@@ -43,7 +44,8 @@
     parts: u32,
 }
 
-/// The value of one entry of the log.
+/// The value of one entry of the log. A section of optional records follows it, which versions that
+/// do not know them ignore.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct Entry {
     /// Incarnation of the writer, by which it recognizes its own entries.
@@ -54,6 +56,31 @@
     records: Vec<LogRecord>,
 }
 
+impl Entry {
+    /// Encodes an entry with its optional records, which are the last ones.
+    fn encode(incarnation: u64, records: Vec<LogRecord>) -> Result<Vec<u8>, postcard::Error> {
+        let (optional, records): (Vec<LogRecord>, Vec<LogRecord>) =
+            records.into_iter().partition(LogRecord::is_optional);
+        let entry = Self {
+            incarnation,
+            records,
+        };
+        let bytes = postcard::to_stdvec(&entry)?;
+        if optional.is_empty() {
+            return Ok(bytes);
+        }
+        postcard::to_extend(&optional, bytes)
+    }
+
+    /// Decodes an entry and its optional records, of which earlier versions wrote none.
+    fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let (mut entry, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        let (optional, _) = snapshot::take_section::<Vec<LogRecord>>(rest)?;
+        entry.records.extend(optional);
+        Ok(entry)
+    }
+}
+
 /// Position of the newest entry, and when it was read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LogTail {
@@ -200,7 +227,7 @@
                     );
                     continue;
                 }
-                let entry: Entry = postcard::from_bytes(&item.value)
+                let entry = Entry::decode(&item.value)
                     .map_err(|error| Failure::no_effect("decode entry", &item.key, error))?;
                 for record in &entry.records {
                     log_state.apply(record, now);
@@ -260,11 +287,7 @@
     /// # Errors
     /// The entry cannot be encoded.
     pub fn encode(&self, records: Vec<LogRecord>) -> Result<Bytes, Failure> {
-        let entry = Entry {
-            incarnation: self.incarnation,
-            records,
-        };
-        postcard::to_stdvec(&entry)
+        Entry::encode(self.incarnation, records)
             .map(Bytes::from)
             .map_err(|error| Failure::no_effect("encode entry", &*self.prefix, error))
     }
--- a/ashtiller/src/workflow/log_state.rs
+++ b/ashtiller/src/workflow/log_state.rs
@@ -46,6 +46,9 @@
     /// Starts that may still be carried out; they have a section of their own in a snapshot.
     #[serde(skip)]
     unconfirmed: BTreeMap<Task, Vec<UnconfirmedStart>>,
+    /// Runs with a start that may be in flight; they have a section of their own in a snapshot.
+    #[serde(skip)]
+    pending_starts: BTreeMap<Run, u64>,
     #[serde(skip)]
     by_id: BTreeMap<Arc<str>, u32>,
     #[serde(skip)]
@@ -165,6 +168,15 @@
             }
             LogRecord::StartUnconfirmed(run, worker) => self.add_unconfirmed(*run, worker, now),
             LogRecord::StartSettled(run) => self.settle(*run),
+            LogRecord::StartPending(run, epoch) => {
+                // The run may have ended by a record of the same entry.
+                if self.is_live(*run) {
+                    self.pending_starts.insert(*run, *epoch);
+                }
+            }
+            LogRecord::StartAnswered(run) => {
+                self.pending_starts.remove(run);
+            }
         }
         Effect::None
     }
@@ -222,6 +234,15 @@
         });
     }
 
+    /// Sets when the newest unconfirmed start of a run was sent at the latest, on this owner's clock.
+    pub fn date_unconfirmed(&mut self, run: Run, sent: Duration) {
+        let starts = self.unconfirmed.get_mut(&run.task);
+        let mut starts = starts.into_iter().flatten();
+        if let Some(start) = starts.rfind(|start| start.run == run.number) {
+            start.since = sent;
+        }
+    }
+
     /// Takes all unconfirmed starts for sent no earlier than `sent`, on this owner's clock.
     pub fn raise_unconfirmed(&mut self, sent: Duration) {
         for start in self.unconfirmed.values_mut().flatten() {
@@ -236,6 +257,17 @@
         }
     }
 
+    /// Returns the runs with a start that may be in flight, and the epoch of the owner that sent it.
+    #[must_use]
+    pub fn pending_starts(&self) -> &BTreeMap<Run, u64> {
+        &self.pending_starts
+    }
+
+    /// Sets the runs with a start that may be in flight, which a snapshot stores separately.
+    pub fn set_pending_starts(&mut self, starts: BTreeMap<Run, u64>) {
+        self.pending_starts = starts;
+    }
+
     fn settle(&mut self, run: Run) {
         let Some(starts) = self.unconfirmed.get_mut(&run.task) else {
             return;
@@ -250,6 +282,7 @@
     fn forget_tasks(&mut self, number: u32) {
         self.suspects.retain(|task, _| task.job != number);
         self.unconfirmed.retain(|task, _| task.job != number);
+        self.pending_starts.retain(|run, _| run.task.job != number);
     }
 
     fn accept(&mut self, job: &Job, policy: &Policy, wall: u64) {
@@ -318,6 +351,7 @@
         let worker = match task.live.iter().position(|live| live.number == run.number) {
             Some(place) => {
                 job.live -= 1;
+                self.pending_starts.remove(&run);
                 Some(task.live.swap_remove(place).worker)
             }
             None => None,
--- a/ashtiller/src/workflow/record.rs
+++ b/ashtiller/src/workflow/record.rs
@@ -101,6 +101,28 @@
     StartUnconfirmed(Run, Incarnation),
     /// The unconfirmed starts of a run can no longer be carried out.
     StartSettled(Run),
+    /// A start of a run is about to be sent by the owner at this epoch. It counts as in flight until
+    /// a later record of the run.
+    StartPending(Run, u64),
+    /// The pending start of a run was answered, or the worker lists the run, or the start is recorded
+    /// as unconfirmed. Earlier ones remain unconfirmed.
+    StartAnswered(Run),
+}
+
+impl LogRecord {
+    /// Reports whether owners of versions that do not know this record can do without it. Such
+    /// records are stored where these versions do not look, and apply after the other records of
+    /// their entry.
+    #[must_use]
+    pub fn is_optional(&self) -> bool {
+        matches!(self, Self::StartPending(..) | Self::StartAnswered(_))
+    }
+
+    /// Reports whether the record may wait for the next entry that is written anyway.
+    #[must_use]
+    pub fn may_wait(&self) -> bool {
+        matches!(self, Self::StartAnswered(_))
+    }
 }
 
 /// An owner that was replaced by another.
--- a/ashtiller/src/workflow/snapshot.rs
+++ b/ashtiller/src/workflow/snapshot.rs
@@ -9,11 +9,12 @@
 
 use crate::workflow::blame::Suspect;
 use crate::workflow::log_state::LogState;
-use crate::workflow::record::Task;
+use crate::workflow::record::{Run, Task};
 use crate::workflow::state::UnconfirmedStart;
 
 type Suspects = BTreeMap<Task, Suspect>;
 type Unconfirmed = BTreeMap<Task, Vec<UnconfirmedStart>>;
+type PendingStarts = BTreeMap<Run, u64>;
 
 /// Encodes the state of a log.
 ///
@@ -22,24 +23,27 @@
 pub fn encode(state: &LogState) -> Result<Vec<u8>, postcard::Error> {
     let bytes = postcard::to_stdvec(state)?;
     let bytes = postcard::to_extend(state.suspects(), bytes)?;
-    postcard::to_extend(state.unconfirmed(), bytes)
+    let bytes = postcard::to_extend(state.unconfirmed(), bytes)?;
+    postcard::to_extend(state.pending_starts(), bytes)
 }
 
-/// Decodes a snapshot, including one from before suspects or unconfirmed starts were added.
+/// Decodes a snapshot, including one from before a section was added.
 ///
 /// # Errors
 /// Fails if the bytes are no valid snapshot.
 pub fn decode(bytes: &[u8]) -> Result<LogState, postcard::Error> {
     let (mut state, rest) = postcard::take_from_bytes::<LogState>(bytes)?;
     let (suspects, rest) = take_section::<Suspects>(rest)?;
-    let (unconfirmed, _) = take_section::<Unconfirmed>(rest)?;
+    let (unconfirmed, rest) = take_section::<Unconfirmed>(rest)?;
+    let (pending_starts, _) = take_section::<PendingStarts>(rest)?;
     state.set_suspects(suspects);
     state.set_unconfirmed(unconfirmed);
+    state.set_pending_starts(pending_starts);
     Ok(state)
 }
 
 /// Decodes the next section, which is empty in a snapshot that ends before it.
-fn take_section<'a, T: Default + Deserialize<'a>>(
+pub(super) fn take_section<'a, T: Default + Deserialize<'a>>(
     bytes: &'a [u8],
 ) -> Result<(T, &'a [u8]), postcard::Error> {
     if bytes.is_empty() {
--- a/ashtiller/tests/owner/late_starts.rs
+++ b/ashtiller/tests/owner/late_starts.rs
@@ -22,6 +22,7 @@
 use ashtiller::workflow::job::Step;
 use ashtiller::workflow::log_state::LogState;
 use ashtiller::workflow::record::{LogRecord, Outcome, Run};
+use ashtiller::workflow::snapshot;
 use ashtiller::workflow::tuning::Tuning;
 use ashtiller::workflow::worker::LATE_MAX;
 
@@ -218,14 +219,19 @@
 
     /// Replaces the owner; the former one makes no further call.
     fn replace_owner(&mut self) {
-        let former = self.epoch;
-        self.revision += 1;
-        self.epoch = self.revision;
-        tracing::info!(epoch = self.epoch, "fleet: new owner");
         let mut state = LogState::default();
         for record in self.log.iter().flatten() {
             state.apply(record, self.now.at);
         }
+        self.replace_owner_of(state);
+    }
+
+    /// Replaces the owner by one that has read this state.
+    fn replace_owner_of(&mut self, state: LogState) {
+        let former = self.epoch;
+        self.revision += 1;
+        self.epoch = self.revision;
+        tracing::info!(epoch = self.epoch, "fleet: new owner");
         let position = self.log.len() as u64 + 1;
         self.core = Core::new(Tuning::default(), self.epoch, state, position, self.now);
         self.configure();
@@ -980,3 +986,6 @@
 
 #[path = "late_starts_review.rs"]
 mod review;
+
+#[path = "late_starts_handover.rs"]
+mod handover;
--- a/ashtiller/tests/owner/parts.rs
+++ b/ashtiller/tests/owner/parts.rs
@@ -255,6 +255,51 @@
     assert!(read.unconfirmed().is_empty());
 }
 
+/// Returns the state of a log with a start that may be in flight.
+fn state_with_pending_start() -> LogState {
+    let run = crash_of(0, 1).run;
+    let records = [
+        LogRecord::Accepted(Box::new(job("1", vec![step(2)])), policy(), 7),
+        LogRecord::Placed(run, "w0@5".into(), "".into()),
+        LogRecord::StartPending(run, 3),
+    ];
+    let mut state = LogState::default();
+    for record in &records {
+        state.apply(record, MS);
+    }
+    state
+}
+
+/// A snapshot that ends with the unconfirmed starts was written before pending starts were added.
+/// Such versions read a newer one without its last section.
+#[test]
+fn snapshots_with_and_without_pending_starts_are_readable() {
+    let state = state_with_pending_start();
+    let bytes = postcard::to_stdvec(&state).unwrap();
+    let bytes = postcard::to_extend(state.suspects(), bytes).unwrap();
+    let bytes = postcard::to_extend(state.unconfirmed(), bytes).unwrap();
+    let read = snapshot::decode(&bytes).unwrap();
+    assert_eq!(read.jobs[&0].live, 1);
+    assert!(read.pending_starts().is_empty());
+    let newer = snapshot::encode(&state).unwrap();
+    assert!(newer.starts_with(&bytes));
+    let read = snapshot::decode(&newer).unwrap();
+    assert_eq!(read.pending_starts(), state.pending_starts());
+}
+
+/// A run whose end is recorded has no start in flight: what outlasts the run is recorded as
+/// unconfirmed.
+#[test]
+fn the_end_of_a_run_or_its_job_ends_a_pending_start() {
+    let run = crash_of(0, 1).run;
+    let mut state = state_with_pending_start();
+    state.apply(&LogRecord::Ended(run, End::Lost, "".into()), MS);
+    assert!(state.pending_starts().is_empty());
+    let mut state = state_with_pending_start();
+    state.apply(&LogRecord::Cancelled(0), MS);
+    assert!(state.pending_starts().is_empty());
+}
+
 /// An unconfirmed start is of no interest once its task is done, or where copies are allowed.
 #[test]
 fn starts_of_done_or_copied_tasks_are_not_kept() {
--- a/ashtiller/tests/succession/main.rs
+++ b/ashtiller/tests/succession/main.rs
@@ -5,6 +5,7 @@
 //! ended before its first entry left no proof about those before it, and its successors asked only
 //! their immediate predecessor.
 
+mod entries;
 #[path = "../links/memory_store.rs"]
 mod memory_store;
 #[path = "../links/net.rs"]
--- a/ashtiller/tests/succession/series.rs
+++ b/ashtiller/tests/succession/series.rs
@@ -86,7 +86,7 @@
 }
 
 /// Returns the records of a job whose task was placed on a worker that is gone.
-fn records() -> [LogRecord; 2] {
+pub fn records() -> [LogRecord; 2] {
     let task = Task {
         job: 0,
         occurrence: 0,
