A start of a former owner counts from the first later owner known

Callers would see lasting tasks away for longer than before where owners follow each other within seconds: each counted the time in which a start in flight may be carried out from its own beginning.

Cause: an owner knew only that its predecessors had lost the log by the time that it began itself. Most instances had learned before of an owner in between, and an owner cannot prove its ownership once a later one exists.

--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -173,6 +173,8 @@
     fences: fences::Fences,
     began: Duration,
     predecessors: predecessors::Predecessors,
+    /// Owners known before this one began, by epoch, and for how long.
+    known_owners: Vec<(u64, Duration)>,
     store_returned_at: Option<Duration>,
     /// Time as of which the list of workers was last known to be complete.
     listed_at: Duration,
@@ -266,6 +268,7 @@
             fences: fences::Fences::new(epoch),
             began: now.at,
             predecessors: predecessors::Predecessors::default(),
+            known_owners: Vec::new(),
             store_returned_at: None,
             listed_at: Duration::ZERO,
             evacuation: evacuation::Evacuation::default(),
@@ -301,7 +304,7 @@
         core.interference.import(&core.log_state.learned_factors);
         core.adopt_runs(now);
         // Their owners may have sent them again since.
-        let last_start = core.last_earlier_start();
+        let last_start = core.last_start_of(epoch);
         core.log_state.raise_unconfirmed(last_start);
         core
     }
--- a/ashtiller/src/workflow/core/pending_starts.rs
+++ b/ashtiller/src/workflow/core/pending_starts.rs
@@ -61,7 +61,7 @@
     /// the run has ended or was started again.
     pub(super) fn record_former_start(&mut self, run: Run, worker: &Incarnation, now: Now) {
         if let Some(epoch) = self.former_epoch(run) {
-            let sent = self.last_earlier_start();
+            let sent = self.last_start_of(epoch);
             self.note_former_start(run, worker, (epoch, sent), now);
             self.record(LogRecord::StartAnswered(run), now);
         }
--- a/ashtiller/src/workflow/core/predecessors.rs
+++ b/ashtiller/src/workflow/core/predecessors.rs
@@ -111,12 +111,20 @@
         self.record(LogRecord::Cleared(self.epoch), now);
     }
 
-    /// Returns the time by which earlier owners have sent their last start, if that is in the log.
-    /// None sends any longer than `drain` after it last proved its ownership, which it cannot do any
-    /// more.
-    pub(super) fn last_earlier_start(&self) -> Duration {
+    /// Returns the time by which the owner at an earlier epoch has sent its last start, if that is in
+    /// the log. It sends none longer than `drain` after it last proved its ownership, and it cannot
+    /// prove it once a later owner is known.
+    pub(super) fn last_start_of(&self, epoch: u64) -> Duration {
+        let later = self.known_owners.iter();
+        let later = later.filter(|(known, _)| *known > epoch);
+        let known_for = later.map(|(_, age)| *age).max().unwrap_or_default();
         let last = self.began + self.tuning.drain;
-        last.min(self.earlier_calls_end())
+        last.saturating_sub(known_for).min(self.earlier_calls_end())
+    }
+
+    /// Sets which owners of the log were known before this one began, by epoch, and for how long.
+    pub fn set_known_owners(&mut self, owners: Vec<(u64, Duration)>) {
+        self.known_owners = owners;
     }
 
     /// Returns when all leases granted by earlier owners have ended.
--- a/ashtiller/src/workflow/core/start_hold.rs
+++ b/ashtiller/src/workflow/core/start_hold.rs
@@ -31,7 +31,7 @@
     }
 
     /// Returns whether ownership was proved recently enough for starts. Later owners rely on this
-    /// limit: see [`Core::last_earlier_start`].
+    /// limit: see [`Core::last_start_of`].
     pub(super) fn is_ownership_current(&self, now: Now) -> bool {
         self.may_renew(now) && self.is_current(self.proof_age(now))
     }
--- a/ashtiller/src/workflow/node/mod.rs
+++ b/ashtiller/src/workflow/node/mod.rs
@@ -27,6 +27,7 @@
 use crate::workflow::membership::election;
 use crate::workflow::membership::member::{Member, MembershipUpdate, Version};
 use crate::workflow::membership::members::Members;
+use crate::workflow::membership::owner_history::OwnerHistory;
 use crate::workflow::message::Heartbeat;
 use crate::workflow::metrics::Metrics;
 use crate::workflow::owner::OwnerRequest;
@@ -68,6 +69,7 @@
     /// Random number that identifies this process until it ends.
     pub incarnation: u64,
     log_owner: watch::Sender<Option<LogOwner>>,
+    owner_history: RefCell<OwnerHistory>,
     config: watch::Sender<Arc<Config>>,
     waves: watch::Sender<BTreeMap<u64, Wave>>,
     evacuations: watch::Sender<Evacuations>,
@@ -125,6 +127,7 @@
             metrics,
             incarnation: own_incarnation,
             log_owner: watch::Sender::new(None),
+            owner_history: RefCell::default(),
             config: watch::Sender::new(Arc::default()),
             waves: watch::Sender::new(BTreeMap::new()),
             evacuations: watch::Sender::default(),
@@ -261,10 +264,18 @@
             newer
         });
         if adopted {
+            let mut history = self.owner_history.borrow_mut();
+            history.note(lead.epoch, Moment::now());
             tracing::info!(owner = %lead.name, epoch = lead.epoch, "owner of the log");
         }
     }
 
+    /// Returns the epochs of the newest known owners, and for how long each has been known.
+    #[must_use]
+    pub fn known_owners(&self) -> Vec<(u64, Duration)> {
+        self.owner_history.borrow().ages()
+    }
+
     /// Returns the record that makes this process the owner in place of `former`. Its epoch is 0
     /// until the store has assigned one.
     #[must_use]
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -121,6 +121,7 @@
         "log replayed"
     );
     let (event_sender, event_receiver) = mpsc::channel(EVENT_QUEUE_CAPACITY);
+    let known_owners = node.known_owners();
     let now = now_since(start);
     let mut core = Core::new(
         node.settings.tuning,
@@ -130,6 +131,7 @@
         now,
     );
     core.note_ownership_proof(proved_at);
+    core.set_known_owners(known_owners);
     let mut owner = Owner {
         node: node.clone(),
         ownership: log_owner,
--- a/ashtiller/tests/membership/main.rs
+++ b/ashtiller/tests/membership/main.rs
@@ -3,6 +3,7 @@
 mod failover;
 mod handover;
 mod list;
+mod owners;
 
 use std::sync::Arc;
 
--- a/ashtiller/tests/owner/late_starts_handover.rs
+++ b/ashtiller/tests/owner/late_starts_handover.rs
@@ -85,14 +85,17 @@
 
 /// The worker restarts while a start of a former owner is in doubt. That owner has sent none since, so
 /// the time in which the start may be carried out does not begin anew.
-fn restart_in_doubt(births: bool) {
+fn restart_in_doubt(births: bool, known_for: Duration) {
     let mut fleet = Fleet::new(births);
     fleet.fates.push_back(Fate::Lost);
     send_starts(&mut fleet, 1);
     fleet.end("w0");
     fleet.replace_owner();
+    fleet
+        .core
+        .set_known_owners(vec![(1, 30 * SECOND), (2, known_for)]);
     fleet.add_worker(1);
-    let began = fleet.now.at;
+    let began = fleet.now.at.saturating_sub(known_for);
     fleet.run_for(5 * SECOND);
     fleet.begin("w0");
     fleet.relist("w0");
@@ -106,7 +109,12 @@
 
 scenario!(
     the_doubt_of_a_former_start_does_not_begin_anew_with_a_restart,
-    restart_in_doubt
+    |births| restart_in_doubt(births, Duration::ZERO)
+);
+
+scenario!(
+    the_doubt_of_a_former_start_counts_from_the_first_later_owner_that_was_known,
+    |births| restart_in_doubt(births, 4 * SECOND)
 );
 
 /// The only start began the run, but the owner ended before it was answered. Once the incarnation
