--- a/ashtiller/src/workflow/core/pending_starts.rs
+++ b/ashtiller/src/workflow/core/pending_starts.rs
@@ -8,6 +8,7 @@
 use crate::workflow::incarnation::Incarnation;
 use crate::workflow::live_run::{Stage, Stop};
 use crate::workflow::record::{LogRecord, Run};
+use crate::workflow::worker::LATE_MAX;
 
 impl Core {
     /// Returns the epoch of the owner that sent the pending start of a run.
@@ -57,14 +58,20 @@
         }
     }
 
-    /// Records that the pending start of an earlier owner, if there is one, may be carried out after
-    /// the run has ended or was started again.
+    /// Records the pending start of an earlier owner, if there is one, as unconfirmed: it may be
+    /// carried out after the run has ended or was started again.
     pub(super) fn record_former_start(&mut self, run: Run, worker: &Incarnation, now: Now) {
-        if let Some(epoch) = self.former_epoch(run) {
-            let sent = self.last_start_of(epoch);
-            self.note_former_start(run, worker, (epoch, sent), now);
-            self.record(LogRecord::StartAnswered(run), now);
-        }
+        let Some(epoch) = self.former_epoch(run) else {
+            return;
+        };
+        let sent = self.last_start_of(epoch);
+        let left = (sent + LATE_MAX).saturating_sub(now.at);
+        self.counts.unconfirmed += 1;
+        tracing::info!(task = %run.task, run = run.number, %worker, epoch, left_ms = left.as_millis(),
+            "start of an earlier owner may still be carried out: the task stays with this worker");
+        self.record(LogRecord::StartUnconfirmed(run, worker.clone()), now);
+        self.log_state.date_unconfirmed(run, sent);
+        self.record(LogRecord::StartAnswered(run), now);
     }
 
     /// Records that no start of a run by this owner is in flight any more, if so.
--- a/ashtiller/src/workflow/core/unconfirmed_starts.rs
+++ b/ashtiller/src/workflow/core/unconfirmed_starts.rs
@@ -58,24 +58,6 @@
         }
     }
 
-    /// Records that a start of a run, sent by the owner at an earlier epoch by the given time, may
-    /// still be carried out.
-    pub(super) fn note_former_start(
-        &mut self,
-        run: Run,
-        worker: &Incarnation,
-        (epoch, sent): (u64, Duration),
-        now: Now,
-    ) {
-        self.counts.unconfirmed += 1;
-        let left = (sent + LATE_MAX).saturating_sub(now.at);
-        tracing::info!(task = %run.task, run = run.number, %worker,
-            epoch, left_ms = left.as_millis(),
-            "start of an earlier owner may still be carried out: the task stays with this worker");
-        self.record(LogRecord::StartUnconfirmed(run, worker.clone()), now);
-        self.log_state.date_unconfirmed(run, sent);
-    }
-
     /// Returns whether a start of a run is recorded as unconfirmed.
     pub(super) fn has_unconfirmed_start(&self, run: Run) -> bool {
         let starts = self.log_state.unconfirmed().get(&run.task);
--- a/ashtiller/tests/owner/late_starts_handover.rs
+++ b/ashtiller/tests/owner/late_starts_handover.rs
@@ -29,17 +29,23 @@
     restart_and_deliver(fleet);
 }
 
+/// Replaces the owner, and the next one once it has sent a start of its own. Checks that no start
+/// that was held runs beside the next run.
+fn replace_owner_twice(fleet: &mut Fleet) {
+    fleet.replace_owner();
+    assert!(fleet.run_until(2 * SECOND, |it| it.sent.len() == 2));
+    fleet.replace_owner();
+    drain_and_deliver(fleet);
+    fleet.assert_correct();
+}
+
 /// Two owners in a row end while a start of theirs is in flight. The second one's record must not
 /// hide the start of the first.
 fn left_by_two_owners(births: bool) {
     let mut fleet = Fleet::new(births);
     fleet.fates.extend([Fate::Held, Fate::Held]);
     send_starts(&mut fleet, 1);
-    fleet.replace_owner();
-    assert!(fleet.run_until(2 * SECOND, |it| it.sent.len() == 2));
-    fleet.replace_owner();
-    drain_and_deliver(&mut fleet);
-    fleet.assert_correct();
+    replace_owner_twice(&mut fleet);
 }
 
 scenario!(
@@ -71,11 +77,7 @@
     fleet.fates.extend([Fate::Lost, Fate::Held]);
     send_starts(&mut fleet, 1);
     remove_optional_records(&mut fleet);
-    fleet.replace_owner();
-    assert!(fleet.run_until(2 * SECOND, |it| it.sent.len() == 2));
-    fleet.replace_owner();
-    drain_and_deliver(&mut fleet);
-    fleet.assert_correct();
+    replace_owner_twice(&mut fleet);
 }
 
 scenario!(
