Test that a known end of the former owner shortens a doubt

The wait for a start of the log counts from the known end of its owner where that is sooner than the limit on the age of proofs.

--- a/ashtiller/tests/owner/proof_age.rs
+++ b/ashtiller/tests/owner/proof_age.rs
@@ -16,6 +16,9 @@
 /// Time in which an owner that may send starts does so.
 const START_TIME: Duration = Duration::from_millis(200);
 
+/// Epoch of the owner that was replaced; it knew that all earlier ones had ended.
+const FORMER: u64 = 4;
+
 fn run(number: u32) -> Run {
     let task = Task {
         job: 0,
@@ -81,11 +84,11 @@
     assert_eq!(driver.starts(), [("w0".into(), run(1))]);
 }
 
-/// The log holds an unanswered start of an owner that is not known to have ended, and may send
-/// others for a while. The time in which they are carried out counts from the last one.
-#[test]
-fn an_unconfirmed_start_is_in_doubt_until_the_former_owner_cannot_send_another() {
-    let mut records = log_with_run();
+/// Returns a new owner of a log with an unanswered start, and the time at which it began. The worker of
+/// the start drains, so its task needs another one.
+fn find_unconfirmed_start() -> (Driver, Duration) {
+    let mut records = vec![LogRecord::Cleared(FORMER)];
+    records.extend(log_with_run());
     records.extend([
         LogRecord::StartUnconfirmed(run(1), "w0".into()),
         LogRecord::Ended(run(1), End::Lost, Arc::from("")),
@@ -98,12 +101,31 @@
     };
     let began = driver.now.at.saturating_sub(100 * MS);
     driver.core.list_all(vec![draining, listed(1)], driver.now);
-    let last = Tuning::default().drain + LATE_MAX;
-    while driver.now.at < began + last {
-        driver.run_for(100 * MS);
-        let late = driver.now.at < began + last;
-        assert!(!late || driver.starts().is_empty());
-    }
+    (driver, began)
+}
+
+/// Asserts that the task starts elsewhere at this time, and no sooner.
+fn assert_starts_at(driver: &mut Driver, at: Duration) {
+    driver.run_for(at.saturating_sub(driver.now.at + START_TIME));
+    assert!(driver.starts().is_empty(), "it may still be carried out");
     driver.run_for(SECOND);
     assert_eq!(driver.starts(), [("w1".into(), run(2))]);
 }
+
+/// The former owner is not known to have ended, and may send other starts for a while. The time in
+/// which they are carried out counts from the last one.
+#[test]
+fn an_unconfirmed_start_is_in_doubt_until_the_former_owner_cannot_send_another() {
+    let (mut driver, began) = find_unconfirmed_start();
+    let last = Tuning::default().drain;
+    assert_starts_at(&mut driver, began + last + LATE_MAX);
+}
+
+#[test]
+fn an_unconfirmed_start_counts_from_the_known_end_of_the_former_owner() {
+    let (mut driver, _) = find_unconfirmed_start();
+    driver.run_for(300 * MS);
+    driver.core.note_predecessor_ended(FORMER, driver.now);
+    let ended = driver.now.at;
+    assert_starts_at(&mut driver, ended + LATE_MAX);
+}
