--- a/ashtiller/src/workflow/core/adopted_runs.rs
+++ b/ashtiller/src/workflow/core/adopted_runs.rs
@@ -72,7 +72,7 @@
             if let Some(reason) = stop_reason {
                 live.want_stop(reason);
             }
-            self.runs.insert(run, live);
+            self.add_run(run, live);
         }
         let in_flight = self.log_state.pending_starts().len();
         if in_flight > 0 {
--- a/ashtiller/src/workflow/core/allocation.rs
+++ b/ashtiller/src/workflow/core/allocation.rs
@@ -137,7 +137,7 @@
         live.ticket = ticket;
         self.record(LogRecord::Placed(run, id.clone(), saved), now);
         self.record_pending_start(run, now);
-        self.runs.insert(run, live);
+        self.add_run(run, live);
         self.workers_to_wake.insert((self.position, id.clone()));
         self.allocate(run, id);
     }
--- a/ashtiller/src/workflow/core/candidates.rs
+++ b/ashtiller/src/workflow/core/candidates.rs
@@ -373,6 +373,16 @@
         self.closed
     }
 
+    /// Returns the capacity of the worker.
+    pub fn capacity(&self) -> &Resources {
+        &self.capacity
+    }
+
+    /// Returns the processors, in thousandths, that services and short runs leave idle.
+    pub fn idle_processors(&self) -> f64 {
+        (self.processors() - self.busy).max(0.0)
+    }
+
     fn processors(&self) -> f64 {
         #[expect(clippy::cast_precision_loss, reason = "thousandths of processors")]
         let processors = self.capacity.processors as f64;
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -19,6 +19,7 @@
 mod freed_capacity;
 mod incarnations;
 pub mod lease_waits;
+mod load;
 mod location_index;
 mod log_entries;
 mod orders;
@@ -56,6 +57,7 @@
 use crate::workflow::interference::Interference;
 use crate::workflow::job::{Job, Sharing, Step};
 use crate::workflow::live_run::{LiveRun, RunSharing, StopReason};
+use crate::workflow::load::account::LoadAccount;
 use crate::workflow::log_state::LogState;
 use crate::workflow::machines::MachineOrder;
 use crate::workflow::message::Reply;
@@ -147,6 +149,8 @@
     /// Incarnations of workers by address and machine.
     locations: location_index::LocationIndex,
     runs: BTreeMap<Run, LiveRun>,
+    /// Demand for capacity, and the capacity of workers that may get runs.
+    load: LoadAccount,
     /// Runs of earlier owners whose workers are not listed yet.
     adopted: adopted_runs::AdoptedRuns,
     config: Arc<Config>,
@@ -246,6 +250,7 @@
             workers: BTreeMap::new(),
             locations: location_index::LocationIndex::default(),
             runs: BTreeMap::new(),
+            load: LoadAccount::default(),
             adopted: adopted_runs::AdoptedRuns::default(),
             config: Arc::default(),
             arrivals: Vec::new(),
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -122,6 +122,7 @@
     pub(super) fn place_tasks(&mut self, now: Now) {
         self.freed_workers.clear();
         let mut waiting = self.collect_waiting_steps(now);
+        self.read_waiting(&waiting, now);
         self.backlog = u32::try_from(waiting.len()).unwrap_or(u32::MAX);
         if !self.tuning.switches.short_first {
             let long_running = waiting
@@ -143,6 +144,7 @@
             return;
         }
         let fleet = self.collect_candidates(now);
+        self.read_capacities(&fleet, now);
         let trials = self.count_trials(&fleet, now);
         let mut round = PlacementRound::new(fleet, trials);
         if self.tuning.switches.room_in_time {
--- a/ashtiller/src/workflow/core/runs.rs
+++ b/ashtiller/src/workflow/core/runs.rs
@@ -63,7 +63,7 @@
 
     /// Records the end of a run and acts on it.
     pub(super) fn end_run(&mut self, run: Run, end: End, checkpoint: &Arc<str>, now: Now) {
-        let Some(live) = self.runs.remove(&run) else {
+        let Some(live) = self.remove_run(run, end, now) else {
             return;
         };
         self.release(run, &live);
--- a/ashtiller/src/workflow/log/mod.rs
+++ b/ashtiller/src/workflow/log/mod.rs
@@ -19,7 +19,7 @@
 use crate::failure::Failure;
 use crate::workflow::kv::{Committed, Store, Txn};
 use crate::workflow::log_state::LogState;
-use crate::workflow::record::{LogOwner, LogRecord};
+use crate::workflow::record::{LogOwner, LogRecord, Section};
 use crate::workflow::snapshot;
 
 pub use compaction::PartSize;
@@ -44,8 +44,8 @@
     parts: u32,
 }
 
-/// The value of one entry of the log. A section of optional records follows it, which versions that
-/// do not know them ignore.
+/// The value of one entry of the log. Two sections follow it, which versions that do not know them
+/// ignore: one of optional records, and one of optional records that are encoded one by one.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct Entry {
     /// Incarnation of the writer, by which it recognizes its own entries.
@@ -57,26 +57,43 @@
 }
 
 impl Entry {
-    /// Encodes an entry with its optional records, which are the last ones.
+    /// Encodes an entry. Its records are in the order of their sections.
     fn encode(incarnation: u64, records: Vec<LogRecord>) -> Result<Vec<u8>, postcard::Error> {
-        let (optional, records): (Vec<LogRecord>, Vec<LogRecord>) =
-            records.into_iter().partition(LogRecord::is_optional);
+        let (required, optional): (Vec<LogRecord>, Vec<LogRecord>) = records
+            .into_iter()
+            .partition(|record| record.section() == Section::Required);
+        let (starts, extension): (Vec<LogRecord>, Vec<LogRecord>) = optional
+            .into_iter()
+            .partition(|record| record.section() == Section::Starts);
         let entry = Self {
             incarnation,
-            records,
+            records: required,
         };
         let bytes = postcard::to_stdvec(&entry)?;
-        if optional.is_empty() {
+        if starts.is_empty() && extension.is_empty() {
             return Ok(bytes);
         }
-        postcard::to_extend(&optional, bytes)
+        let bytes = postcard::to_extend(&starts, bytes)?;
+        if extension.is_empty() {
+            return Ok(bytes);
+        }
+        let encoded: Result<Vec<Vec<u8>>, _> = extension.iter().map(postcard::to_stdvec).collect();
+        postcard::to_extend(&encoded?, bytes)
     }
 
-    /// Decodes an entry and its optional records, of which earlier versions wrote none.
+    /// Decodes an entry and its optional records, of which earlier versions wrote none. Skips
+    /// records of the last section that this version does not know.
     fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let (mut entry, rest) = postcard::take_from_bytes::<Self>(bytes)?;
-        let (optional, _) = snapshot::take_section::<Vec<LogRecord>>(rest)?;
-        entry.records.extend(optional);
+        let (starts, rest) = snapshot::take_section::<Vec<LogRecord>>(rest)?;
+        let (encoded, _) = snapshot::take_section::<Vec<Vec<u8>>>(rest)?;
+        entry.records.extend(starts);
+        for bytes in encoded {
+            match postcard::from_bytes(&bytes) {
+                Ok(record) => entry.records.push(record),
+                Err(error) => tracing::debug!(%error, "unknown record of a log entry skipped"),
+            }
+        }
         Ok(entry)
     }
 }
--- a/ashtiller/src/workflow/log_state.rs
+++ b/ashtiller/src/workflow/log_state.rs
@@ -14,6 +14,7 @@
 use crate::workflow::interference::LearnedFactor;
 use crate::workflow::job::{Job, Policy};
 use crate::workflow::record::{End, LogRecord, Outcome, Run, Task};
+use crate::workflow::snapshot::Extensions;
 use crate::workflow::state::{JobState, PlacedRun, StepState, TaskState, UnconfirmedStart};
 
 /// Change by a record that the caller has to act on.
@@ -268,6 +269,22 @@
         self.pending_starts = starts;
     }
 
+    /// Returns the values of a snapshot's last section.
+    ///
+    /// # Errors
+    /// Fails if a value cannot be encoded.
+    pub fn extensions(&self) -> Result<Extensions, postcard::Error> {
+        Ok(Extensions::new())
+    }
+
+    /// Sets the values of a snapshot's last section. Unknown numbers are skipped.
+    ///
+    /// # Errors
+    /// Fails if a value cannot be decoded.
+    pub fn set_extensions(&mut self, _extensions: &Extensions) -> Result<(), postcard::Error> {
+        Ok(())
+    }
+
     fn settle(&mut self, run: Run) {
         let Some(starts) = self.unconfirmed.get_mut(&run.task) else {
             return;
--- a/ashtiller/src/workflow/mod.rs
+++ b/ashtiller/src/workflow/mod.rs
@@ -3,7 +3,7 @@
 //! - Data: [`job`], [`record`], [`config`], [`evacuations`] and [`tuning`].
 //! - Decisions: [`log_state`] applies records to [`state`] and [`core`] decides. [`worker`],
 //!   [`incarnation`], [`lease`] and [`live_run`] are its view of the workers, and [`blame`]
-//!   attributes worker crashes to tasks.
+//!   attributes worker crashes to tasks. [`load`] records demand and capacity.
 //! - Execution: [`log`] writes entries and [`owner`] runs the state machine. [`membership`] tracks
 //!   the instances and elects the owner, [`node`] is the process, and [`peers`] sends requests to
 //!   other instances over [`link`].
@@ -26,6 +26,7 @@
 pub mod lease;
 pub mod link;
 pub mod live_run;
+pub mod load;
 pub mod log;
 pub mod log_state;
 pub mod machines;
--- a/ashtiller/src/workflow/record.rs
+++ b/ashtiller/src/workflow/record.rs
@@ -68,6 +68,17 @@
     Cancelled,
 }
 
+/// Section of a log entry.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Section {
+    /// Records that every version knows.
+    Required,
+    /// Records of starts that may be in flight.
+    Starts,
+    /// Records that are encoded one by one, so that a version skips those that it does not know.
+    Extension,
+}
+
 /// One record of the log.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum LogRecord {
@@ -110,12 +121,21 @@
 }
 
 impl LogRecord {
-    /// Reports whether owners of versions that do not know this record can do without it. Such
-    /// records are stored where these versions do not look, and apply after the other records of
-    /// their entry.
+    /// Returns the section of a log entry that holds the record. Versions that do not know the
+    /// records of a later section can do without them. The records of a section apply after those
+    /// of the sections before it.
+    #[must_use]
+    pub fn section(&self) -> Section {
+        match self {
+            Self::StartPending(..) | Self::StartAnswered(_) => Section::Starts,
+            _ => Section::Required,
+        }
+    }
+
+    /// Reports whether owners of versions that do not know this record can do without it.
     #[must_use]
     pub fn is_optional(&self) -> bool {
-        matches!(self, Self::StartPending(..) | Self::StartAnswered(_))
+        self.section() != Section::Required
     }
 
     /// Reports whether the record may wait for the next entry that is written anyway.
--- a/ashtiller/src/workflow/switches.rs
+++ b/ashtiller/src/workflow/switches.rs
@@ -26,6 +26,14 @@
     pub follow_slopes: bool,
     /// Best-effort steps are at first placed only beside services with much headroom.
     pub select_workers: bool,
+    /// Capacity is kept free for short runs when long-running ones would take all of it.
+    pub capacity_reserve: bool,
+    /// Jobs that cannot end in time under overload are refused, and late ones get a limited share.
+    pub admission_control: bool,
+    /// Waiting steps of equal priority get workers by the shares of their callers.
+    pub fair_shares: bool,
+    /// Run times are learned, and correct the estimates of clients.
+    pub learned_run_times: bool,
 }
 
 impl Default for Switches {
@@ -40,6 +48,10 @@
             keep_headroom: true,
             follow_slopes: true,
             select_workers: true,
+            capacity_reserve: true,
+            admission_control: true,
+            fair_shares: true,
+            learned_run_times: true,
         }
     }
 }
