Learn the run times of tasks by queue and kind of step

Clients' estimates are off by a factor between 0.1 and 1.9, and lateness and slack follow from them.

--- a/ashtiller/src/workflow/job.rs
+++ b/ashtiller/src/workflow/job.rs
@@ -175,9 +175,16 @@
     /// of the job.
     #[must_use]
     pub fn chains(&self) -> Vec<Duration> {
+        self.chains_by(|step| step.estimate)
+    }
+
+    /// Returns, for each step, the longest chain of these run times from its start to the end of the
+    /// job.
+    #[must_use]
+    pub fn chains_by(&self, run_time: impl Fn(&Step) -> Duration) -> Vec<Duration> {
         let mut left = vec![Duration::ZERO; self.steps.len()];
         for (number, step) in self.steps.iter().enumerate().rev() {
-            left[number] += step.estimate;
+            left[number] += run_time(step);
             let remaining = left[number];
             for earlier in &step.depends_on {
                 let chain = &mut left[usize::from(*earlier)];
--- a/ashtiller/src/workflow/log_state.rs
+++ b/ashtiller/src/workflow/log_state.rs
@@ -14,6 +14,7 @@
 use crate::workflow::interference::LearnedFactor;
 use crate::workflow::job::{Job, Policy};
 use crate::workflow::record::{End, LogRecord, Outcome, Run, Task};
+use crate::workflow::run_times::recorded::{EncodedModels, RecordedModels};
 use crate::workflow::snapshot::Extensions;
 use crate::workflow::state::{JobState, PlacedRun, StepState, TaskState, UnconfirmedStart};
 
@@ -26,6 +27,9 @@
     Ended(u32, Outcome),
 }
 
+/// Number of the learned run times in the last section of a snapshot.
+const EXTENSION_RUN_TIMES: u8 = 2;
+
 /// State of one log: all its jobs, and what was learned about workers and images.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct LogState {
@@ -50,6 +54,9 @@
     /// Runs with a start that may be in flight; they have a section of their own in a snapshot.
     #[serde(skip)]
     pending_starts: BTreeMap<Run, u64>,
+    /// Learned run times; they are in the last section of a snapshot.
+    #[serde(skip)]
+    run_times: RecordedModels,
     #[serde(skip)]
     by_id: BTreeMap<Arc<str>, u32>,
     #[serde(skip)]
@@ -178,6 +185,7 @@
             LogRecord::StartAnswered(run) => {
                 self.pending_starts.remove(run);
             }
+            LogRecord::RunTimesLearned(models) => self.run_times.apply(models),
         }
         Effect::None
     }
@@ -274,17 +282,35 @@
     /// # Errors
     /// Fails if a value cannot be encoded.
     pub fn extensions(&self) -> Result<Extensions, postcard::Error> {
-        Ok(Extensions::new())
+        let mut extensions = Extensions::new();
+        if !self.run_times.is_empty() {
+            let models = postcard::to_stdvec(&self.run_times.encode()?)?;
+            extensions.insert(EXTENSION_RUN_TIMES, models);
+        }
+        Ok(extensions)
     }
 
     /// Sets the values of a snapshot's last section. Unknown numbers are skipped.
     ///
     /// # Errors
     /// Fails if a value cannot be decoded.
-    pub fn set_extensions(&mut self, _extensions: &Extensions) -> Result<(), postcard::Error> {
+    pub fn set_extensions(&mut self, extensions: &Extensions) -> Result<(), postcard::Error> {
+        if let Some(bytes) = extensions.get(&EXTENSION_RUN_TIMES) {
+            // Run times can be learned again, so those that do not decode are no reason to fail.
+            match postcard::from_bytes::<EncodedModels>(bytes) {
+                Ok(models) => self.run_times.apply(&models),
+                Err(error) => tracing::warn!(%error, "learned run times of a snapshot skipped"),
+            }
+        }
         Ok(())
     }
 
+    /// Returns the learned run times as last recorded.
+    #[must_use]
+    pub fn run_times(&self) -> &RecordedModels {
+        &self.run_times
+    }
+
     fn settle(&mut self, run: Run) {
         let Some(starts) = self.unconfirmed.get_mut(&run.task) else {
             return;
--- a/ashtiller/src/workflow/record.rs
+++ b/ashtiller/src/workflow/record.rs
@@ -9,6 +9,7 @@
 use crate::workflow::incarnation::Incarnation;
 use crate::workflow::interference::LearnedFactor;
 use crate::workflow::job::{Job, Policy};
+use crate::workflow::run_times::recorded::EncodedModels;
 
 /// Id of one task of a job.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -118,6 +119,8 @@
     /// The pending start of a run was answered, or the worker lists the run, or the start is recorded
     /// as unconfirmed. Earlier ones remain unconfirmed.
     StartAnswered(Run),
+    /// Run times of some kinds of steps were learned.
+    RunTimesLearned(EncodedModels),
 }
 
 impl LogRecord {
@@ -128,6 +131,7 @@
     pub fn section(&self) -> Section {
         match self {
             Self::StartPending(..) | Self::StartAnswered(_) => Section::Starts,
+            Self::RunTimesLearned(_) => Section::Extension,
             _ => Section::Required,
         }
     }
@@ -141,7 +145,7 @@
     /// Reports whether the record may wait for the next entry that is written anyway.
     #[must_use]
     pub fn may_wait(&self) -> bool {
-        matches!(self, Self::StartAnswered(_))
+        matches!(self, Self::StartAnswered(_) | Self::RunTimesLearned(_))
     }
 }
 
