Use learned run times for lateness, slack, drains and stragglers

The chain of a job, from which its objective and the slack of its steps follow, takes the learned run times: the usual one of a task for the objective, that of the slowest task for the time left. A run on a leaving worker that has not progressed yet is expected to end by its learned remaining time. A run of a known kind of step that is not best-effort counts as stalled after a fifth of its usual time, at least 0.5 s and at most the 1.1 s of before. A run that is expected to take more than twice as long as a new one gets a copy if its step allows copies; so far only runs on silent workers did.

Only runs that were done count, from a start that was answered to the end, without the time lost to throttling. Runs that may have been restored from a checkpoint, are far from their data or were adopted from an earlier owner do not. With learned_run_times off, decisions are as before.

--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -31,6 +31,7 @@
 mod predecessors;
 mod relocation;
 mod reports;
+pub mod run_times;
 mod runs;
 mod selectivity;
 mod start_hold;
@@ -224,6 +225,7 @@
     /// Times of ended jobs that are not counted yet.
     ended_job_times: Vec<times::TimeBreakdown>,
     lessons_recorded_at: Duration,
+    learned_run_times: run_times::LearnedRunTimes,
     /// Entries that name an incarnation that is not there, with the time until which each is
     /// ignored.
     stale_entries: BTreeMap<Incarnation, (ListedWorker, Duration)>,
@@ -243,6 +245,7 @@
         now: Now,
     ) -> Self {
         log_state.index(now.at);
+        let learned_run_times = run_times::LearnedRunTimes::restore(&log_state, now.at);
         let mut core = Self {
             tuning: terms,
             epoch,
@@ -302,6 +305,7 @@
             job_timings: times::JobTimings::default(),
             ended_job_times: Vec::new(),
             lessons_recorded_at: now.at,
+            learned_run_times,
             stale_entries: BTreeMap::new(),
             crashes: crash_record::CrashRecord::default(),
             counts: Counts::default(),
@@ -471,6 +475,7 @@
         }
         self.advice_states.retain(|key, _| key.0 != number);
         self.headroom_history.remove(&number);
+        self.learned_run_times.forget_job(number);
         self.wait_logged_at.retain(|key, _| key.0 != number);
         self.stop_job(number, StopReason::Over);
     }
--- a/ashtiller/src/workflow/core/relocation.rs
+++ b/ashtiller/src/workflow/core/relocation.rs
@@ -1,7 +1,7 @@
 //! Runs that should continue on another worker: fills that are throttled for the services beside
-//! them, and copies of runs whose worker does not answer.
+//! them, and copies of runs that are slow or whose worker does not answer.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::workflow::core::candidates::{self, PlacementRequest};
@@ -19,7 +19,8 @@
 const LOST_PROGRESS_MAX_PERCENT: u32 = 20;
 
 impl Core {
-    /// Returns tasks that may have copies and whose only run is on a worker that does not answer.
+    /// Returns tasks that may have copies and whose only run is on a worker that does not answer, or
+    /// is much slower than usual.
     pub(super) fn collect_copyable_tasks(&self) -> Vec<Task> {
         let silent = self
             .workers
@@ -35,10 +36,14 @@
                 may_copy && job.outcome.is_none() && has_single_run && !self.is_suspect(run.task)
             })
         });
-        copyable.map(|run| run.task).collect()
+        let straggling = self.collect_straggling_tasks();
+        let copyable = copyable.map(|run| run.task);
+        let tasks: BTreeSet<Task> = copyable.chain(straggling).collect();
+        tasks.into_iter().collect()
     }
 
-    /// Places a copy of a task instead of waiting until the lease of its silent worker expires.
+    /// Places a copy of a task instead of waiting for its run, which is much slower than usual, or
+    /// until the lease of its silent worker expires.
     pub(super) fn place_copy(&mut self, task: Task, round: &mut PlacementRound, now: Now) {
         let Some((job, state)) = self.log_state.task(task) else {
             return;
@@ -61,7 +66,8 @@
             failed_on,
             runs_per_worker: candidates::count_runs_per_worker(self, task),
             tickets: None,
-            excluded: None,
+            // A copy beside a slow run would share its cause.
+            excluded: state.live.first().map(|live| live.worker.clone()),
             only: None,
             suspect: false,
             selectivity: 0.0,
@@ -75,7 +81,7 @@
         }
         let number = self.next_run_number(task);
         tracing::info!(%task, run = number, worker = %id,
-            "starting a copy of a run whose worker does not answer");
+            "starting a copy of a run that is slow or whose worker does not answer");
         self.place_run(Run { task, number }, &id, None, now);
     }
 
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -364,6 +364,13 @@
         };
         let (serves, fills) = (step.target().is_some(), step.fills());
         let long_running = step.long_running;
+        // A best-effort fill may find no idle processors for a while.
+        let limit = if fills {
+            STALL_TIMEOUT_FILL
+        } else {
+            STALL_TIMEOUT
+        };
+        let limit = self.stall_timeout(run, limit, now);
         let Some(live) = self.runs.get_mut(&run) else {
             return;
         };
@@ -389,12 +396,6 @@
             // A throttled run is not stalled; its timer starts when it may run at full speed.
             live.progressed_at = now.at;
         }
-        // A best-effort fill may find no idle processors for a while.
-        let limit = if fills {
-            STALL_TIMEOUT_FILL
-        } else {
-            STALL_TIMEOUT
-        };
         let stalled = now.at.saturating_sub(live.progressed_at) > limit;
         if becomes_ready {
             let id = live.worker.clone();
@@ -417,5 +418,6 @@
                 worker.quarantine(now.at);
             }
         }
+        self.note_straggler(run, now);
     }
 }
--- a/ashtiller/src/workflow/core/runs.rs
+++ b/ashtiller/src/workflow/core/runs.rs
@@ -73,6 +73,7 @@
         }
         self.note_fill_ended(&live, now);
         self.record_run_time(run, &live, now.at);
+        self.learn_run_time(run, &live, end, now);
         match end {
             End::Done => self.counts.done += 1,
             End::Failed => self.counts.failed += 1,
--- a/ashtiller/src/workflow/core/step_priority.rs
+++ b/ashtiller/src/workflow/core/step_priority.rs
@@ -58,7 +58,7 @@
                 continue;
             }
             for (index, occurrence) in &job.occurrences {
-                collect_waiting_of(&mut found, *number, *index, job, occurrence, now);
+                self.collect_waiting_of(&mut found, (*number, *index), job, occurrence, now);
             }
         }
         found
@@ -83,55 +83,55 @@
         let Some(job) = self.log_state.jobs.get(&task.job) else {
             return 0;
         };
-        let (due, objective) = objective_of(job, task.occurrence);
+        let chains = self.chains_of(job, now);
+        let (due, objective) = objective_of(job, task.occurrence, chains.longest);
         lateness(due, objective, Duration::ZERO, now).0
     }
+
+    fn collect_waiting_of(
+        &self,
+        found: &mut Vec<WaitingStep>,
+        (number, index): (u32, u32),
+        job: &JobState,
+        occurrence: &Occurrence,
+        now: Now,
+    ) {
+        if occurrence.steps.iter().all(|state| state.waiting == 0) {
+            return;
+        }
+        let chains = self.chains_of(job, now);
+        let (due, objective) = objective_of(job, index, chains.longest);
+        for (step, (state, chain)) in (0..).zip(occurrence.steps.iter().zip(&chains.left)) {
+            let spec: &Step = &job.job.steps[usize::from(step)];
+            if state.waiting == 0 || !occurrence.may_begin(spec) {
+                continue;
+            }
+            let (late, slack) = lateness(due, objective, *chain, now);
+            let urgency = Urgency {
+                lateness: if spec.long_running { TOO_LATE } else { late },
+                priority: job.policy.priority,
+                slack: if spec.long_running { i64::MAX } else { slack },
+            };
+            found.push(WaitingStep {
+                urgency,
+                job: number,
+                occurrence: index,
+                step,
+            });
+        }
+    }
 }
 
 /// Returns when a job is due, in milliseconds since the Unix epoch, and the time from then within
-/// which it is on time.
-fn objective_of(job: &JobState, index: u32) -> (u64, Duration) {
+/// which it is on time. `longest` is the longest chain of run times in the job.
+fn objective_of(job: &JobState, index: u32, longest: Duration) -> (u64, Duration) {
     let due = job.job.schedule.map_or(job.accepted, |it| it.due(index));
-    let longest = job.job.chains().into_iter().max().unwrap_or_default();
     (
         due,
         longest.mul_f64(job.policy.extension) + job.policy.target,
     )
 }
 
-fn collect_waiting_of(
-    found: &mut Vec<WaitingStep>,
-    number: u32,
-    index: u32,
-    job: &JobState,
-    occurrence: &Occurrence,
-    now: Now,
-) {
-    if occurrence.steps.iter().all(|state| state.waiting == 0) {
-        return;
-    }
-    let chains = job.job.chains();
-    let (due, objective) = objective_of(job, index);
-    for (step, (state, chain)) in (0..).zip(occurrence.steps.iter().zip(&chains)) {
-        let spec: &Step = &job.job.steps[usize::from(step)];
-        if state.waiting == 0 || !occurrence.may_begin(spec) {
-            continue;
-        }
-        let (late, slack) = lateness(due, objective, *chain, now);
-        let urgency = Urgency {
-            lateness: if spec.long_running { TOO_LATE } else { late },
-            priority: job.policy.priority,
-            slack: if spec.long_running { i64::MAX } else { slack },
-        };
-        found.push(WaitingStep {
-            urgency,
-            job: number,
-            occurrence: index,
-            step,
-        });
-    }
-}
-
 /// Returns the lateness class and the milliseconds left until the step must start.
 fn lateness(due: u64, objective: Duration, chain: Duration, now: Now) -> (u8, i64) {
     let millis = |time: Duration| i64::try_from(time.as_millis()).unwrap_or(i64::MAX / 8);
--- a/ashtiller/src/workflow/core/worker_list.rs
+++ b/ashtiller/src/workflow/core/worker_list.rs
@@ -300,7 +300,9 @@
             return false;
         }
         let Some(remaining) = self.remaining_time(run, now) else {
-            return left < step.estimate;
+            return self
+                .expected_remaining(run, now)
+                .is_none_or(|remaining| left < remaining);
         };
         remaining > left && (left < DRAIN_MARGIN || !step.checkpoints)
     }
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -13,6 +13,7 @@
 use crate::workflow::core::Counts;
 use crate::workflow::core::eligibility::Eligibility;
 use crate::workflow::core::lease_waits::{HeldRuns, LeaseHold, LeaseWait};
+use crate::workflow::core::run_times::RunTimeRatio;
 use crate::workflow::core::times::TimeBreakdown;
 use crate::workflow::core::wait_report::WaitSummary;
 use crate::workflow::message::Reply;
@@ -27,6 +28,10 @@
 /// for those of unknown owners and for late starts.
 const LEASE_WAIT_BOUNDS: [f64; 8] = [2.0, 4.0, 6.0, 7.0, 9.0, 13.0, 18.0, 25.0];
 
+/// Bucket bounds of the ratios of actual to predicted run times: estimates are off by a factor
+/// between 0.1 and 1.9, and some runs take seven times as long as others.
+const RATIO_BOUNDS: [f64; 10] = [0.25, 0.5, 0.7, 0.85, 1.15, 1.4, 2.0, 4.0, 7.0, 12.0];
+
 /// Metrics of runs on silent workers.
 pub struct LeaseMetrics {
     held: IntGaugeVec,
@@ -80,6 +85,7 @@
     commits: Histogram,
     takeovers: Histogram,
     times: HistogramVec,
+    run_time_ratios: HistogramVec,
     events: IntCounterVec,
     leases: LeaseMetrics,
     waiting: IntGaugeVec,
@@ -133,6 +139,14 @@
                 histogram("job_seconds", "where the time of jobs that ended went"),
                 &["part"],
             )?,
+            run_time_ratios: HistogramVec::new(
+                HistogramOpts::from(opts(
+                    "run_time_ratio",
+                    "run times of tasks divided by the client's estimate and by the learned time",
+                ))
+                .buckets(RATIO_BOUNDS.to_vec()),
+                &["class", "to"],
+            )?,
             events: IntCounterVec::new(
                 opts("events", "what the owner of the log did"),
                 &["event"],
@@ -178,6 +192,7 @@
             Box::new(metrics.commits.clone()),
             Box::new(metrics.takeovers.clone()),
             Box::new(metrics.times.clone()),
+            Box::new(metrics.run_time_ratios.clone()),
             Box::new(metrics.events.clone()),
             Box::new(metrics.waiting.clone()),
             Box::new(metrics.waited.clone()),
@@ -254,6 +269,18 @@
         }
     }
 
+    /// Records how far a run time was from the client's estimate and from the learned time.
+    pub fn note_run_time_ratio(&self, ratio: &RunTimeRatio) {
+        for (to, value) in [
+            ("estimate", ratio.to_estimate),
+            ("learned", ratio.to_learned),
+        ] {
+            self.run_time_ratios
+                .with_label_values(&[ratio.class.name(), to])
+                .observe(value);
+        }
+    }
+
     /// Sets the gauges of waiting tasks and of workers by whether they may get runs.
     pub fn note_waits(&self, waits: &[(&str, WaitSummary)], gates: &BTreeMap<Eligibility, u32>) {
         for (kind, waits) in waits {
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -344,6 +344,9 @@
         for times in self.core.drain_job_times() {
             self.node.metrics.note_times(&times);
         }
+        for ratio in self.core.drain_run_time_ratios() {
+            self.node.metrics.note_run_time_ratio(&ratio);
+        }
         let leases = self.node.metrics.leases();
         leases.note_held_runs(&self.core.held_runs(now));
         for wait in self.core.drain_lease_waits() {
--- /dev/null
+++ b/ashtiller/tests/run_times/core.rs
@@ -0,0 +1,133 @@
+//! Learned run times in the decisions of a log owner.
+
+use std::time::Duration;
+
+use ashtiller::workflow::agents::{Active, EndReason};
+use ashtiller::workflow::job::Step;
+use ashtiller::workflow::record::{LogRecord, Run};
+use ashtiller::workflow::switches::Switches;
+use ashtiller::workflow::tuning::Tuning;
+
+use crate::driver::{Driver, MS, job, policy, step};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A step whose tasks take a worker each and 0.5 s, by their estimate.
+fn whole_worker(count: u32) -> Step {
+    let mut step = step(count);
+    step.needs.processors = 4000;
+    step
+}
+
+/// Runs jobs one after the other, of `took` each.
+fn run_jobs(driver: &mut Driver, jobs: u32, took: Duration) {
+    for number in 0..jobs {
+        driver.submit(job(&format!("before-{number}"), vec![whole_worker(1)]));
+        driver.run_for(200 * MS);
+        let (worker, run) = driver.starts().last().expect("a start").clone();
+        driver.run_for(took.saturating_sub(200 * MS));
+        driver.end(&worker, run, EndReason::Done, u64::from(number) + 1);
+    }
+}
+
+fn expected(driver: &Driver) -> Duration {
+    let queue = "jobs/q/".into();
+    let models = driver.core.run_times();
+    models.expected(&queue, &whole_worker(1), driver.now.at)
+}
+
+/// Guards against estimates that are taken for run times although runs take twice as long, and
+/// against a new owner that has to learn that again.
+#[test]
+fn run_times_are_learned_recorded_and_known_to_the_next_owner() {
+    let mut driver = Driver::new(1, policy());
+    run_jobs(&mut driver, 20, SECOND);
+    let learned = expected(&driver);
+    assert!(learned > 800 * MS && learned < 1100 * MS, "{learned:?}");
+    driver.run_for(4 * SECOND);
+    let is_learned = |record: &&LogRecord| matches!(record, LogRecord::RunTimesLearned(_));
+    let records = driver.records.iter().filter(is_learned).count();
+    assert!(records > 0 && records < 12, "{records} in about 26 s");
+    let next = Driver::replay(&driver.records, 1, policy());
+    let known = expected(&next);
+    assert!(known.abs_diff(learned) < 100 * MS, "{known:?}");
+    let dump = next.core.dump(next.now);
+    assert_eq!(dump["run_times"][0]["queue"], "jobs/q/");
+    assert!(driver.core.drain_run_time_ratios().len() >= 20);
+}
+
+/// Guards against decisions of a mechanism that is switched off.
+#[test]
+fn nothing_is_learned_while_switched_off() {
+    let tuning = Tuning {
+        switches: Switches {
+            learned_run_times: false,
+            ..Switches::default()
+        },
+        ..Tuning::default()
+    };
+    let mut driver = Driver::with_tuning(&tuning, &[], 1, policy());
+    run_jobs(&mut driver, 10, SECOND);
+    driver.run_for(4 * SECOND);
+    assert_eq!(expected(&driver), 500 * MS);
+    let is_learned = |record: &LogRecord| matches!(record, LogRecord::RunTimesLearned(_));
+    assert!(!driver.records.iter().any(is_learned));
+}
+
+/// Guards against runs that were stopped or restored counting as whole ones.
+#[test]
+fn only_whole_runs_that_are_done_count() {
+    let mut driver = Driver::new(1, policy());
+    for number in 0..10u64 {
+        driver.submit(job(&format!("{number}"), vec![whole_worker(1)]));
+        driver.run_for(200 * MS);
+        let (worker, run) = driver.starts().last().expect("a start").clone();
+        driver.end(&worker, run, EndReason::Stopped, 2 * number + 1);
+    }
+    assert_eq!(expected(&driver), 500 * MS);
+}
+
+/// Reports a run as active until its worker is polled next.
+fn report(driver: &mut Driver, run: Run, percent: u32) {
+    let (worker, _) = driver.starts()[0].clone();
+    let name = driver.name(run);
+    driver.running = vec![(
+        worker,
+        Active {
+            name,
+            run: run.number,
+            checkpoint: "".into(),
+            percent,
+            figure: None,
+        },
+    )];
+    driver.run_for(50 * MS);
+}
+
+/// Guards against jobs that wait for a run on a bad worker although their step allows copies.
+#[test]
+fn a_straggler_that_may_be_copied_is_copied_once_elsewhere() {
+    for speculative in [true, false] {
+        let mut driver = Driver::new(1, policy());
+        run_jobs(&mut driver, 20, 500 * MS);
+        let known = driver.starts().len();
+        let step = Step {
+            speculative,
+            ..whole_worker(1)
+        };
+        driver.submit(job("slow", vec![step]));
+        driver.run_for(100 * MS);
+        let (bad, run) = driver.starts()[known].clone();
+        driver
+            .core
+            .list_worker(crate::driver::listed(7), driver.now);
+        // It works at a seventh of the usual speed.
+        for percent in 2..30 {
+            report(&mut driver, run, percent);
+        }
+        let starts = driver.starts();
+        assert_eq!(starts.len(), known + 1 + usize::from(speculative));
+        let copy = starts.last().expect("a start");
+        assert!(!speculative || (copy.0 != bad && copy.1.task == run.task));
+    }
+}
