Place waiting steps by the shares of queues and origins

A burst of one queue made the callers of all queues wait alike: steps of one lateness class and priority were ordered by slack alone.

A placement round orders steps of equal lateness and priority by slack plus an allowance that grows with the share of the queue and, within it, of the origin; what is placed in the round counts at once.

--- a/ashtiller/src/workflow/core/admission.rs
+++ b/ashtiller/src/workflow/core/admission.rs
@@ -34,6 +34,7 @@
 
     /// Records the jobs that were submitted since the last log entry.
     pub(super) fn record_arrivals(&mut self, now: Now) {
+        let mut origins = self.shares.take_arriving();
         for (job, tickets) in std::mem::take(&mut self.arrivals) {
             let Some(queue) = self.config.queue(&job.queue) else {
                 for ticket in tickets {
@@ -46,7 +47,9 @@
             tracing::info!(job = %job.id, number, queue = %job.queue, steps = %StepSummary(&job),
                 position = self.position, config = self.config.version, "job accepted");
             self.undurable_jobs.insert(number, self.position);
+            let origin = origins.remove(&job.id);
             self.record(LogRecord::Accepted(Box::new(job), policy, now.wall), now);
+            self.record_origin(number, origin, now);
             self.counts.accepted += 1;
             self.needs_planning = true;
             for ticket in tickets {
@@ -66,6 +69,7 @@
             return;
         }
         let refused = self.retry_later_reply();
+        self.shares.take_arriving();
         for (job, tickets) in std::mem::take(&mut self.arrivals) {
             tracing::info!(job = %job.id, stalled_ms = self.stalled_for(now).as_millis(),
                 "job rejected: the store does not answer");
--- a/ashtiller/src/workflow/core/load.rs
+++ b/ashtiller/src/workflow/core/load.rs
@@ -20,11 +20,11 @@
     }
 
     /// Returns the key under which the demand of a job's step is counted.
-    pub(super) fn demand_key(job: &JobState, step: &Step) -> DemandKey {
+    pub(super) fn demand_key(&self, number: u32, job: &JobState, step: &Step) -> DemandKey {
         DemandKey {
             service: job.policy.service.clone(),
             queue: job.job.queue.clone(),
-            origin: "".into(),
+            origin: self.origin_of(number),
             class: WorkClass::of(step),
         }
     }
@@ -34,8 +34,8 @@
         if let Some((job, _)) = self.log_state.task(run.task)
             && let Some(step) = job.step(run.task)
         {
-            let key = Self::demand_key(job, step);
-            self.load.add_run(&key, &step.needs);
+            let (key, needs) = (self.demand_key(run.task.job, job, step), step.needs);
+            self.load.add_run(&key, &needs);
         }
         self.runs.insert(run, live);
     }
@@ -46,12 +46,12 @@
         if let Some((job, _)) = self.log_state.task(run.task)
             && let Some(step) = job.step(run.task)
         {
-            let key = Self::demand_key(job, step);
+            let (key, needs) = (self.demand_key(run.task.job, job, step), step.needs);
             let work = match live.stage {
                 Stage::Started(at) if end == End::Done => Some(now.at.saturating_sub(at)),
                 _ => None,
             };
-            self.load.remove_run(&key, &step.needs, work);
+            self.load.remove_run(&key, &needs, work);
         }
         Some(live)
     }
@@ -63,7 +63,9 @@
             let job = &self.log_state.jobs[&pending.job];
             let step = &job.job.steps[usize::from(pending.step)];
             let state = &job.occurrences[&pending.occurrence].steps[usize::from(pending.step)];
-            let usage = reading.entry(Self::demand_key(job, step)).or_default();
+            let usage = reading
+                .entry(self.demand_key(pending.job, job, step))
+                .or_default();
             usage.add(state.waiting, &step.needs);
         }
         self.load.set_waiting(reading, now.at);
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -33,6 +33,7 @@
 mod reports;
 mod runs;
 mod selectivity;
+mod shares;
 mod start_hold;
 mod starvation;
 mod step_priority;
@@ -151,6 +152,8 @@
     runs: BTreeMap<Run, LiveRun>,
     /// Demand for capacity, and the capacity of workers that may get runs.
     load: LoadAccount,
+    /// Shares of queues and origins in the capacity.
+    shares: shares::FairShares,
     /// Runs of earlier owners whose workers are not listed yet.
     adopted: adopted_runs::AdoptedRuns,
     config: Arc<Config>,
@@ -251,6 +254,7 @@
             locations: location_index::LocationIndex::default(),
             runs: BTreeMap::new(),
             load: LoadAccount::default(),
+            shares: shares::FairShares::default(),
             adopted: adopted_runs::AdoptedRuns::default(),
             config: Arc::default(),
             arrivals: Vec::new(),
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -152,15 +152,20 @@
             self.promote_oldest_late(&mut waiting, &mut round, now);
         }
         waiting.sort_unstable();
-        for pending in waiting {
+        let mut order = self.order_by_shares(&waiting, now);
+        while let Some(pending) = order.take_next() {
+            let waited = self.waiting_tasks(pending).len();
             self.place_step(pending, &mut round, now);
-            if self.waiting_tasks(pending).is_empty() {
+            let left = self.waiting_tasks(pending).len();
+            order.charge(self.share_of_tasks(pending, waited.saturating_sub(left)));
+            if left == 0 {
                 self.job_timings.note_placed(pending.key());
                 self.wait_logged_at.remove(&pending.key());
             } else {
                 self.log_wait(pending, &round, now);
             }
         }
+        self.log_shares(order.reordered(), now);
         for task in copyable {
             self.place_copy(task, &mut round, now);
         }
--- a/ashtiller/src/workflow/core/step_priority.rs
+++ b/ashtiller/src/workflow/core/step_priority.rs
@@ -43,6 +43,11 @@
         self.urgency.slack = i64::MIN;
     }
 
+    /// Returns whether the step was moved ahead of all others of its priority.
+    pub fn is_promoted(&self) -> bool {
+        self.urgency.slack <= i64::MIN + 1
+    }
+
     /// Moves the step behind those of equal urgency.
     pub fn yield_to_equals(&mut self) {
         self.urgency.slack = self.urgency.slack.saturating_add(1);
--- a/ashtiller/src/workflow/link.rs
+++ b/ashtiller/src/workflow/link.rs
@@ -53,6 +53,15 @@
 pub trait RequestHandler {
     /// Handles one request.
     fn answer(self: Rc<Self>, ask: PeerRequest) -> LocalBoxFuture<'static, Reply>;
+
+    /// Handles one request with the section that follows it, which is empty for most requests.
+    fn answer_with_section(
+        self: Rc<Self>,
+        ask: PeerRequest,
+        _section: &[u8],
+    ) -> LocalBoxFuture<'static, Reply> {
+        self.answer(ask)
+    }
 }
 
 struct EntryServer<A> {
@@ -66,11 +75,11 @@
         mut results: entry::AskResults,
     ) -> Result<(), capnp::Error> {
         let request = params.get()?.get_request()?;
-        let ask: PeerRequest = postcard::from_bytes(request)
+        let (ask, section) = postcard::take_from_bytes::<PeerRequest>(request)
             .map_err(|error| capnp::Error::failed(format!("decode request: {error}")))?;
         let kind = ask.kind();
         traffic::note(kind, Way::Received, request.len());
-        let reply = self.handler.clone().answer(ask).await;
+        let reply = self.handler.clone().answer_with_section(ask, section).await;
         let bytes = postcard::to_stdvec(&reply)
             .map_err(|error| capnp::Error::failed(format!("encode reply: {error}")))?;
         traffic::note(kind, Way::Sent, bytes.len());
--- a/ashtiller/src/workflow/load/account.rs
+++ b/ashtiller/src/workflow/load/account.rs
@@ -78,6 +78,12 @@
         });
     }
 
+    /// Adds the tasks of another usage.
+    pub fn add_usage(&mut self, other: &Self) {
+        self.tasks += other.tasks;
+        self.resources = self.resources.plus(&other.resources);
+    }
+
     fn remove_task(&mut self, resources: &Resources) {
         self.tasks = self.tasks.saturating_sub(1);
         self.resources = self.resources.minus(resources);
@@ -176,8 +182,7 @@
                 (&mut sum.used, &demand.used),
                 (&mut sum.waiting, &demand.waiting),
             ] {
-                total.tasks += part.tasks;
-                total.resources = total.resources.plus(&part.resources);
+                total.add_usage(part);
             }
             sum.completed += demand.completed;
         }
--- a/ashtiller/src/workflow/log_state.rs
+++ b/ashtiller/src/workflow/log_state.rs
@@ -14,6 +14,7 @@
 use crate::workflow::interference::LearnedFactor;
 use crate::workflow::job::{Job, Policy};
 use crate::workflow::record::{End, LogRecord, Outcome, Run, Task};
+use crate::workflow::shares::origins::{self, Origins};
 use crate::workflow::snapshot::Extensions;
 use crate::workflow::state::{JobState, PlacedRun, StepState, TaskState, UnconfirmedStart};
 
@@ -50,6 +51,9 @@
     /// Runs with a start that may be in flight; they have a section of their own in a snapshot.
     #[serde(skip)]
     pending_starts: BTreeMap<Run, u64>,
+    /// Origins of jobs; they are among the extensions of a snapshot.
+    #[serde(skip)]
+    origins: Origins,
     #[serde(skip)]
     by_id: BTreeMap<Arc<str>, u32>,
     #[serde(skip)]
@@ -178,6 +182,11 @@
             LogRecord::StartAnswered(run) => {
                 self.pending_starts.remove(run);
             }
+            LogRecord::Origin(number, zone) => {
+                if self.jobs.contains_key(number) {
+                    self.origins.insert(*number, zone);
+                }
+            }
         }
         Effect::None
     }
@@ -274,17 +283,30 @@
     /// # Errors
     /// Fails if a value cannot be encoded.
     pub fn extensions(&self) -> Result<Extensions, postcard::Error> {
-        Ok(Extensions::new())
+        let mut extensions = Extensions::new();
+        if !self.origins.is_empty() {
+            extensions.insert(origins::EXTENSION, self.origins.encode()?);
+        }
+        Ok(extensions)
     }
 
     /// Sets the values of a snapshot's last section. Unknown numbers are skipped.
     ///
     /// # Errors
     /// Fails if a value cannot be decoded.
-    pub fn set_extensions(&mut self, _extensions: &Extensions) -> Result<(), postcard::Error> {
+    pub fn set_extensions(&mut self, extensions: &Extensions) -> Result<(), postcard::Error> {
+        if let Some(bytes) = extensions.get(&origins::EXTENSION) {
+            self.origins = Origins::decode(bytes)?;
+        }
         Ok(())
     }
 
+    /// Returns the origins of jobs.
+    #[must_use]
+    pub fn origins(&self) -> &Origins {
+        &self.origins
+    }
+
     fn settle(&mut self, run: Run) {
         let Some(starts) = self.unconfirmed.get_mut(&run.task) else {
             return;
@@ -459,6 +481,7 @@
     }
 
     fn forget(&mut self, number: u32) {
+        self.origins.remove(number);
         if let Some(job) = self.jobs.remove(&number) {
             self.by_id.remove(&job.job.id);
         }
--- a/ashtiller/src/workflow/node/forward.rs
+++ b/ashtiller/src/workflow/node/forward.rs
@@ -1,5 +1,6 @@
 //! Forwards requests to the owner of the log.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::oneshot;
@@ -9,6 +10,7 @@
 use crate::workflow::message::{PeerRequest, Reply};
 use crate::workflow::node::Node;
 use crate::workflow::owner::OwnerRequest;
+use crate::workflow::shares::origins::SubmitSection;
 
 /// Delay between two attempts to reach the owner.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
@@ -57,7 +59,10 @@
     ) -> Result<Reply, Failure> {
         let remaining = deadline.saturating_duration_since(Instant::now());
         if self.owns() {
-            return Ok(self.ask_local_owner(request.clone(), remaining).await);
+            let origin = self.settings.instance.zone.clone();
+            return Ok(self
+                .ask_local_owner(request.clone(), origin, remaining)
+                .await);
         }
         let Some(owner) = self
             .log_owner()
@@ -65,18 +70,37 @@
         else {
             return Ok(Reply::NotOwner);
         };
+        let section = self.section_after(request)?;
         self.links
-            .ask(
+            .ask_with_section(
                 "ask owner",
                 owner.address,
                 request,
+                &section,
                 remaining.min(REQUEST_TIMEOUT),
             )
             .await
     }
 
-    /// Sends a request to the owner of the log in this process.
-    pub(super) async fn ask_local_owner(&self, request: PeerRequest, timeout: Duration) -> Reply {
+    /// Returns the encoded section after a request to the owner: the origin of a submission.
+    fn section_after(&self, request: &PeerRequest) -> Result<Vec<u8>, Failure> {
+        if !matches!(request, PeerRequest::Submit(_)) || !self.settings.tuning.switches.fair_shares
+        {
+            return Ok(Vec::new());
+        }
+        let origin = self.settings.instance.zone.clone();
+        let section = SubmitSection { origin }.encode();
+        section.map_err(|error| Failure::no_effect("encode origin", request.kind(), error))
+    }
+
+    /// Sends a request to the owner of the log in this process. A job of it was taken from its caller
+    /// in zone `origin`; empty if unknown.
+    pub(super) async fn ask_local_owner(
+        &self,
+        request: PeerRequest,
+        origin: Arc<str>,
+        timeout: Duration,
+    ) -> Reply {
         let Some(owner) = self.owner.borrow().clone() else {
             return Reply::NotOwner;
         };
@@ -84,6 +108,7 @@
         if owner
             .try_send(OwnerRequest {
                 request,
+                origin,
                 reply: sender,
             })
             .is_err()
--- a/ashtiller/src/workflow/node/peer_handler.rs
+++ b/ashtiller/src/workflow/node/peer_handler.rs
@@ -11,6 +11,7 @@
 use crate::workflow::message::{Heartbeat, HeartbeatReply, PeerRequest, Reply};
 use crate::workflow::node::Node;
 use crate::workflow::node::forward::REQUEST_TIMEOUT;
+use crate::workflow::shares::origins::SubmitSection;
 
 impl Node {
     /// Builds the reply to a heartbeat.
@@ -80,8 +81,23 @@
                     self.relay_client.deliver_results(*results);
                     Reply::Noted
                 }
-                request => self.ask_local_owner(request, REQUEST_TIMEOUT).await,
+                request => {
+                    let origin = Arc::default();
+                    self.ask_local_owner(request, origin, REQUEST_TIMEOUT).await
+                }
             }
         })
     }
+
+    fn answer_with_section(
+        self: Rc<Self>,
+        request: PeerRequest,
+        section: &[u8],
+    ) -> LocalBoxFuture<'static, Reply> {
+        if !matches!(request, PeerRequest::Submit(_)) {
+            return self.answer(request);
+        }
+        let SubmitSection { origin } = SubmitSection::decode(section);
+        Box::pin(async move { self.ask_local_owner(request, origin, REQUEST_TIMEOUT).await })
+    }
 }
--- a/ashtiller/src/workflow/owner/events.rs
+++ b/ashtiller/src/workflow/owner/events.rs
@@ -155,6 +155,7 @@
     pub(super) fn handle_request(&mut self, request: OwnerRequest) {
         let OwnerRequest {
             request,
+            origin,
             reply: sender,
         } = request;
         let now = self.now();
@@ -165,7 +166,7 @@
             PeerRequest::Pending(queue) => self.core.count_pending(&queue),
             PeerRequest::Submit(job) => {
                 self.pending_replies.insert(ticket, sender);
-                self.core.submit(*job, ticket, now);
+                self.core.submit_from(*job, &origin, ticket, now);
                 return;
             }
             PeerRequest::Cancel(id) => {
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -51,6 +51,9 @@
 pub struct OwnerRequest {
     /// Request to the owner.
     pub request: PeerRequest,
+    /// Availability zone of the instance that took a submitted job from its caller; empty if
+    /// unknown.
+    pub origin: Arc<str>,
     /// Channel for the reply.
     pub reply: oneshot::Sender<Reply>,
 }
--- a/ashtiller/src/workflow/peers.rs
+++ b/ashtiller/src/workflow/peers.rs
@@ -52,9 +52,11 @@
 }
 
 impl Connection {
-    async fn ask(&self, ask: &PeerRequest) -> Result<Reply, capnp::Error> {
-        let bytes = postcard::to_stdvec(ask)
+    /// Sends a request followed by a section, which is empty for most requests.
+    async fn ask(&self, ask: &PeerRequest, section: &[u8]) -> Result<Reply, capnp::Error> {
+        let mut bytes = postcard::to_stdvec(ask)
             .map_err(|error| capnp::Error::failed(format!("encode request: {error}")))?;
+        bytes.extend_from_slice(section);
         let mut request = self.client.ask_request();
         request.get().set_request(&bytes);
         traffic::note(ask.kind(), Way::Sent, bytes.len());
@@ -115,12 +117,27 @@
         address: SocketAddr,
         ask: &PeerRequest,
         limit: Duration,
+    ) -> Result<Reply, Failure> {
+        self.ask_with_section(step, address, ask, &[], limit).await
+    }
+
+    /// Sends a request followed by a section, which older versions ignore.
+    ///
+    /// # Errors
+    /// As for [`PeerConnections::ask`].
+    pub async fn ask_with_section(
+        self: &Rc<Self>,
+        step: &'static str,
+        address: SocketAddr,
+        ask: &PeerRequest,
+        section: &[u8],
+        limit: Duration,
     ) -> Result<Reply, Failure> {
         let link = self.connect(step, address).await?;
         let sent = Instant::now();
         let cause = tokio::select! {
             biased;
-            answer = time::timeout(limit, link.ask(ask)) => match answer {
+            answer = time::timeout(limit, link.ask(ask, section)) => match answer {
                 Ok(Ok(reply)) => return Ok(reply),
                 Ok(Err(error)) => error.to_string(),
                 // Another answer since then shows that the connection works.
@@ -161,13 +178,13 @@
     async fn check(self: Rc<Self>, step: &'static str, link: Rc<Connection>) {
         let replacement = async {
             let replacement = self.open(step, link.address).await.ok()?;
-            replacement.ask(&PeerRequest::Lead).await.ok()?;
+            replacement.ask(&PeerRequest::Lead, &[]).await.ok()?;
             Some(replacement)
         };
         tokio::select! {
             biased;
             // The connection works, or it is broken, which its calls notice themselves.
-            _ = link.ask(&PeerRequest::Lead) => {}
+            _ = link.ask(&PeerRequest::Lead, &[]) => {}
             answered = time::timeout(CHECK_TIMEOUT, replacement) => {
                 if let Ok(Some(replacement)) = answered {
                     self.replace(step, &link, replacement);
--- a/ashtiller/src/workflow/record.rs
+++ b/ashtiller/src/workflow/record.rs
@@ -118,6 +118,8 @@
     /// The pending start of a run was answered, or the worker lists the run, or the start is recorded
     /// as unconfirmed. Earlier ones remain unconfirmed.
     StartAnswered(Run),
+    /// The instance that took this job from its caller is in this availability zone.
+    Origin(u32, Arc<str>),
 }
 
 impl LogRecord {
@@ -128,6 +130,7 @@
     pub fn section(&self) -> Section {
         match self {
             Self::StartPending(..) | Self::StartAnswered(_) => Section::Starts,
+            Self::Origin(..) => Section::Extension,
             _ => Section::Required,
         }
     }
--- /dev/null
+++ b/ashtiller/tests/shares/failures.rs
@@ -0,0 +1,1 @@
+//! Failures.
