--- a/ashtiller/src/workflow/core/dump.rs
+++ b/ashtiller/src/workflow/core/dump.rs
@@ -55,6 +55,7 @@
             "open_jobs": self.log_state.open().len(), "runs": self.runs.len(),
             "waiting": self.dump_waits(DUMP_MAX, now), "kept": self.reserved_worker(),
             "run_times": self.dump_run_times(now),
+            "shares": self.dump_shares(),
             "unconfirmed_starts": unconfirmed.take(DUMP_MAX).collect::<Vec<_>>(),
             "jobs": jobs.collect::<Vec<_>>(), "workers": workers.collect::<Vec<_>>(),
         })
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -34,6 +34,7 @@
 pub mod run_times;
 mod runs;
 mod selectivity;
+mod shares;
 mod start_hold;
 mod starvation;
 mod step_priority;
@@ -137,6 +138,8 @@
     pub convicted: u64,
     /// Tasks cleared of the suspicion of crashing workers.
     pub absolved: u64,
+    /// Steps placed before one with less slack, for the shares of their queues and origins.
+    pub reordered: u64,
 }
 
 /// The state machine of a log's owner.
@@ -152,6 +155,8 @@
     runs: BTreeMap<Run, LiveRun>,
     /// Demand for capacity, and the capacity of workers that may get runs.
     load: LoadAccount,
+    /// Shares of queues and origins in the capacity.
+    shares: shares::FairShares,
     /// Runs of earlier owners whose workers are not listed yet.
     adopted: adopted_runs::AdoptedRuns,
     config: Arc<Config>,
@@ -254,6 +259,7 @@
             locations: location_index::LocationIndex::default(),
             runs: BTreeMap::new(),
             load: LoadAccount::default(),
+            shares: shares::FairShares::default(),
             adopted: adopted_runs::AdoptedRuns::default(),
             config: Arc::default(),
             arrivals: Vec::new(),
--- a/ashtiller/src/workflow/log_state.rs
+++ b/ashtiller/src/workflow/log_state.rs
@@ -15,6 +15,7 @@
 use crate::workflow::job::{Job, Policy};
 use crate::workflow::record::{End, LogRecord, Outcome, Run, Task};
 use crate::workflow::run_times::recorded::{EncodedModels, RecordedModels};
+use crate::workflow::shares::origins::{self, Origins};
 use crate::workflow::snapshot::Extensions;
 use crate::workflow::state::{JobState, PlacedRun, StepState, TaskState, UnconfirmedStart};
 
@@ -57,6 +58,9 @@
     /// Learned run times; they are in the last section of a snapshot.
     #[serde(skip)]
     run_times: RecordedModels,
+    /// Origins of jobs; they are among the extensions of a snapshot.
+    #[serde(skip)]
+    origins: Origins,
     #[serde(skip)]
     by_id: BTreeMap<Arc<str>, u32>,
     #[serde(skip)]
@@ -186,6 +190,11 @@
                 self.pending_starts.remove(run);
             }
             LogRecord::RunTimesLearned(models) => self.run_times.apply(models),
+            LogRecord::Origin(number, zone) => {
+                if self.jobs.contains_key(number) {
+                    self.origins.insert(*number, zone);
+                }
+            }
         }
         Effect::None
     }
@@ -287,6 +296,9 @@
             let models = postcard::to_stdvec(&self.run_times.encode()?)?;
             extensions.insert(EXTENSION_RUN_TIMES, models);
         }
+        if !self.origins.is_empty() {
+            extensions.insert(origins::EXTENSION, self.origins.encode()?);
+        }
         Ok(extensions)
     }
 
@@ -302,6 +314,9 @@
                 Err(error) => tracing::warn!(%error, "learned run times of a snapshot skipped"),
             }
         }
+        if let Some(bytes) = extensions.get(&origins::EXTENSION) {
+            self.origins = Origins::decode(bytes)?;
+        }
         Ok(())
     }
 
@@ -311,6 +326,12 @@
         &self.run_times
     }
 
+    /// Returns the origins of jobs.
+    #[must_use]
+    pub fn origins(&self) -> &Origins {
+        &self.origins
+    }
+
     fn settle(&mut self, run: Run) {
         let Some(starts) = self.unconfirmed.get_mut(&run.task) else {
             return;
@@ -485,6 +506,7 @@
     }
 
     fn forget(&mut self, number: u32) {
+        self.origins.remove(number);
         if let Some(job) = self.jobs.remove(&number) {
             self.by_id.remove(&job.job.id);
         }
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -17,6 +17,7 @@
 use crate::workflow::core::times::TimeBreakdown;
 use crate::workflow::core::wait_report::WaitSummary;
 use crate::workflow::message::Reply;
+use crate::workflow::shares::ledger::{Share, ShareKey};
 use crate::workflow::traffic;
 
 /// Bucket bounds of the histograms in seconds: from a call within a zone to the wait of a client.
@@ -31,6 +32,8 @@
 /// Bucket bounds of the ratios of actual to predicted run times: estimates are off by a factor
 /// between 0.1 and 1.9, and some runs take seven times as long as others.
 const RATIO_BOUNDS: [f64; 10] = [0.25, 0.5, 0.7, 0.85, 1.15, 1.4, 2.0, 4.0, 7.0, 12.0];
+/// Most queues and origins with gauges of their own.
+const SHARES_MAX: usize = 200;
 
 /// Metrics of runs on silent workers.
 pub struct LeaseMetrics {
@@ -92,6 +95,7 @@
     waited: GaugeVec,
     workers: IntGaugeVec,
     pressure: GaugeVec,
+    shares: GaugeVec,
     silent: IntCounter,
     unreadable: IntCounter,
 }
@@ -173,6 +177,13 @@
                 ),
                 &["what"],
             )?,
+            shares: GaugeVec::new(
+                opts(
+                    "share",
+                    "part of the capacity of a service that a queue and origin use, used and wait for",
+                ),
+                &["service", "class", "queue", "origin", "what"],
+            )?,
             silent: IntCounter::with_opts(opts(
                 "silent_links",
                 "connections to peers that went silent while new ones worked",
@@ -198,6 +209,7 @@
             Box::new(metrics.waited.clone()),
             Box::new(metrics.workers.clone()),
             Box::new(metrics.pressure.clone()),
+            Box::new(metrics.shares.clone()),
             Box::new(web::silent_connections()),
             Box::new(messages),
             Box::new(bytes),
@@ -317,6 +329,22 @@
         }
     }
 
+    /// Sets the gauges of the shares of queues and origins; a whole queue has the origin `*`.
+    pub fn note_shares<'a>(&self, shares: impl Iterator<Item = (&'a ShareKey, &'a Share)>) {
+        self.shares.reset();
+        for (key, share) in shares.take(SHARES_MAX) {
+            let origin = key.origin.as_deref().unwrap_or("*");
+            for (what, figure) in [
+                ("used", share.used),
+                ("past", share.past),
+                ("waiting", share.waiting),
+            ] {
+                let labels = [&*key.service, key.class.name(), &*key.queue, origin, what];
+                self.shares.with_label_values(&labels).set(figure);
+            }
+        }
+    }
+
     /// Resets the gauges that only the owner of the log sets.
     pub fn forget_waits(&self) {
         self.leases.held.reset();
@@ -324,6 +352,7 @@
         self.waited.reset();
         self.workers.reset();
         self.pressure.reset();
+        self.shares.reset();
     }
 
     /// Counts an entry of a worker that cannot be decoded.
@@ -349,6 +378,7 @@
             ("crashes", now.crashes - before.crashes),
             ("convicted", now.convicted - before.convicted),
             ("absolved", now.absolved - before.absolved),
+            ("reordered", now.reordered - before.reordered),
         ];
         for (event, change) in changes {
             self.events.with_label_values(&[event]).inc_by(change);
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -51,6 +51,9 @@
 pub struct OwnerRequest {
     /// Request to the owner.
     pub request: PeerRequest,
+    /// Availability zone of the instance that took a submitted job from its caller; empty if
+    /// unknown.
+    pub origin: Arc<str>,
     /// Channel for the reply.
     pub reply: oneshot::Sender<Reply>,
 }
@@ -363,6 +366,7 @@
             client.relays().len(),
             client.relayed_count(),
         );
+        self.node.metrics.note_shares(self.core.shares());
         self.node.publish_dump(&self.core.dump(now));
     }
 
--- a/ashtiller/src/workflow/record.rs
+++ b/ashtiller/src/workflow/record.rs
@@ -121,6 +121,8 @@
     StartAnswered(Run),
     /// Run times of some kinds of steps were learned.
     RunTimesLearned(EncodedModels),
+    /// The instance that took this job from its caller is in this availability zone.
+    Origin(u32, Arc<str>),
 }
 
 impl LogRecord {
@@ -132,6 +134,7 @@
         match self {
             Self::StartPending(..) | Self::StartAnswered(_) => Section::Starts,
             Self::RunTimesLearned(_) => Section::Extension,
+            Self::Origin(..) => Section::Extension,
             _ => Section::Required,
         }
     }
