Refuse jobs under overload that could not end while worth anything

Change: per service and class, rounds that leave tasks without a worker for 450 ms are overload. While it lasts, a job is refused whose predicted end (work ahead by the order of triage, divided by the measured rate, plus its chain) is beyond three objectives, or for which more work was accepted than the bound on the end of each job allows. Refused ids are remembered in a table of fixed size; their return times are spread by the rate. While capacity is short, jobs that have begun and can be in time come first, and jobs worth nothing get a tenth of the placements of their class, oldest first. Other instances get the state with the replies to heartbeats. All of it is off with admission_control = no.

The test of refusals while the store is away expects the delay of its job instead of the constant, as delays now differ between jobs.

--- a/ashtiller/src/workflow/core/admission.rs
+++ b/ashtiller/src/workflow/core/admission.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use crate::workflow::admission::refusals;
 use crate::workflow::core::{Core, Effect, Now, OnDurable, RequestToken};
 use crate::workflow::job::{Job, Sharing, Step};
 use crate::workflow::live_run::Stage;
@@ -29,6 +30,10 @@
             self.effects.push(Effect::Reply(ticket, reply));
             return;
         }
+        if let Some(reply) = self.refuse_for_overload(&job, now) {
+            self.effects.push(Effect::Reply(ticket, reply));
+            return;
+        }
         self.arrivals.push((job, vec![ticket]));
     }
 
@@ -46,7 +51,8 @@
             tracing::info!(job = %job.id, number, queue = %job.queue, steps = %StepSummary(&job),
                 position = self.position, config = self.config.version, "job accepted");
             self.undurable_jobs.insert(number, self.position);
-            self.record(LogRecord::Accepted(Box::new(job), policy, now.wall), now);
+            let since = self.first_attempt(&job.id, now);
+            self.record(LogRecord::Accepted(Box::new(job), policy, since), now);
             self.counts.accepted += 1;
             self.needs_planning = true;
             for ticket in tickets {
@@ -65,25 +71,30 @@
         if self.arrivals.is_empty() || !self.is_stalled(now) {
             return;
         }
-        let refused = self.retry_later_reply();
         for (job, tickets) in std::mem::take(&mut self.arrivals) {
             tracing::info!(job = %job.id, stalled_ms = self.stalled_for(now).as_millis(),
                 "job rejected: the store does not answer");
             for ticket in tickets {
-                self.effects.push(Effect::Reply(ticket, refused.clone()));
+                let refused = self.retry_later_reply(&job.id);
+                self.effects.push(Effect::Reply(ticket, refused));
             }
         }
     }
 
-    fn retry_later_reply(&self) -> Reply {
-        let retry = self.tuning.retry.as_millis();
-        Reply::Refused(u32::try_from(retry).unwrap_or(u32::MAX))
+    /// Returns the refusal for reasons other than overload. The retry delay differs between callers.
+    fn retry_later_reply(&self, id: &str) -> Reply {
+        let retry = if self.tuning.switches.admission_control {
+            refusals::spread_delay(id, self.tuning.retry)
+        } else {
+            self.tuning.retry
+        };
+        Reply::Refused(refusals::millis(retry))
     }
 
     /// Returns the reason to reject a job, or `None` if it can be accepted.
     fn check_admission(&self, job: &Job, now: Now) -> Option<Reply> {
         if self.is_stalled(now) || self.log_state.open().len() >= self.tuning.jobs {
-            return Some(self.retry_later_reply());
+            return Some(self.retry_later_reply(&job.id));
         }
         if let Err(reason) = job.check() {
             return Some(Reply::Invalid(reason.into()));
--- a/ashtiller/src/workflow/core/dump.rs
+++ b/ashtiller/src/workflow/core/dump.rs
@@ -53,6 +53,7 @@
             "usual_delay_ms": u64::try_from(self.congestion.usual().as_millis()).unwrap_or(u64::MAX),
             "orders_under_way": self.congestion.under_way(), "orders_window": self.congestion.window(),
             "open_jobs": self.log_state.open().len(), "runs": self.runs.len(),
+            "admission": self.dump_admission(now),
             "waiting": self.dump_waits(DUMP_MAX, now), "kept": self.reserved_worker(),
             "unconfirmed_starts": unconfirmed.take(DUMP_MAX).collect::<Vec<_>>(),
             "jobs": jobs.collect::<Vec<_>>(), "workers": workers.collect::<Vec<_>>(),
--- a/ashtiller/src/workflow/core/freed_capacity.rs
+++ b/ashtiller/src/workflow/core/freed_capacity.rs
@@ -57,6 +57,7 @@
         let urgency = Urgency {
             lateness: 0,
             priority: state.policy.priority,
+            band: 0,
             slack: self.starvation_rank(key),
         };
         Some(WaitingStep {
--- a/ashtiller/src/workflow/core/load.rs
+++ b/ashtiller/src/workflow/core/load.rs
@@ -52,6 +52,13 @@
                 _ => None,
             };
             self.load.remove_run(&key, &step.needs, work);
+            let work = (end == End::Done).then(|| Self::work_of(step, 1));
+            self.note_run_end(
+                key,
+                Self::processor_seconds(step, &live, end, now),
+                work,
+                now,
+            );
         }
         Some(live)
     }
--- a/ashtiller/src/workflow/core/log_entries.rs
+++ b/ashtiller/src/workflow/core/log_entries.rs
@@ -97,6 +97,7 @@
             self.needs_planning = false;
             self.last_planning = now.at;
             self.place_tasks(now);
+            self.end_admission_reading(now);
         }
         self.place_in_freed_capacity(now);
         self.forget_ended(now);
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -5,6 +5,7 @@
 //! record is deferred until the entry that holds it is durable.
 
 mod admission;
+mod admission_control;
 mod adopted_runs;
 pub mod advice;
 mod allocation;
@@ -47,6 +48,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::workflow::admission::catalog::Catalog;
+use crate::workflow::admission::control::Control;
 use crate::workflow::agents::{Order, Poll, Target};
 use crate::workflow::config::{Config, ListedWorker};
 use crate::workflow::congestion::Congestion;
@@ -136,6 +139,14 @@
     pub convicted: u64,
     /// Tasks cleared of the suspicion of crashing workers.
     pub absolved: u64,
+    /// Jobs refused for overload, without repeats before their time.
+    pub refused: u64,
+    /// Refused ids that were repeated before their time and refused again.
+    pub refused_early: u64,
+    /// Jobs accepted after a refusal.
+    pub readmitted: u64,
+    /// Steps of jobs worth nothing any more that were placed ahead of others.
+    pub promoted: u64,
 }
 
 /// The state machine of a log's owner.
@@ -151,6 +162,10 @@
     runs: BTreeMap<Run, LiveRun>,
     /// Demand for capacity, and the capacity of workers that may get runs.
     load: LoadAccount,
+    /// Admission control under overload.
+    admission: Control,
+    /// What the known workers could run if they were empty, and when it was last read.
+    catalog: (Catalog, Option<Duration>),
     /// Runs of earlier owners whose workers are not listed yet.
     adopted: adopted_runs::AdoptedRuns,
     config: Arc<Config>,
@@ -251,6 +266,8 @@
             locations: location_index::LocationIndex::default(),
             runs: BTreeMap::new(),
             load: LoadAccount::default(),
+            admission: Control::default(),
+            catalog: (Catalog::default(), None),
             adopted: adopted_runs::AdoptedRuns::default(),
             config: Arc::default(),
             arrivals: Vec::new(),
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -41,8 +41,8 @@
     unplaceable: Vec<Demand>,
     /// Worker that gets no short runs until a long-running one fits there.
     pub reserved: Option<Incarnation>,
-    /// Step that is too late to earn anything and is placed first in this round.
-    pub promoted_late: Option<StepKey>,
+    /// Steps that are too late to earn anything and are placed first in this round.
+    pub promoted_late: BTreeSet<StepKey>,
     /// Isolated runs of tasks that are suspected of crashing workers.
     pub trials: ActiveTrials,
 }
@@ -53,7 +53,7 @@
             candidates: fleet,
             unplaceable: Vec::new(),
             reserved: None,
-            promoted_late: None,
+            promoted_late: BTreeSet::new(),
             trials,
         }
     }
@@ -121,6 +121,7 @@
     /// moves runs that are slowed down.
     pub(super) fn place_tasks(&mut self, now: Now) {
         self.freed_workers.clear();
+        self.admission.begin_reading();
         let mut waiting = self.collect_waiting_steps(now);
         self.read_waiting(&waiting, now);
         self.backlog = u32::try_from(waiting.len()).unwrap_or(u32::MAX);
@@ -149,11 +150,16 @@
         let mut round = PlacementRound::new(fleet, trials);
         if self.tuning.switches.room_in_time {
             self.promote_long_running(&mut waiting, &mut round, now);
-            self.promote_oldest_late(&mut waiting, &mut round, now);
+            if !self.tuning.switches.admission_control {
+                self.promote_oldest_late(&mut waiting, &mut round, now);
+            }
         }
+        self.apply_triage(&mut waiting, &mut round, now);
         waiting.sort_unstable();
         for pending in waiting {
+            let before = self.count_waiting(pending);
             self.place_step(pending, &mut round, now);
+            self.note_placement(pending, before, &round, now);
             if self.waiting_tasks(pending).is_empty() {
                 self.job_timings.note_placed(pending.key());
                 self.wait_logged_at.remove(&pending.key());
@@ -170,7 +176,7 @@
     }
 
     /// Returns the requirements of the tasks of a waiting step.
-    fn demand_of(&mut self, pending: WaitingStep, now: Now) -> Demand {
+    pub(super) fn demand_of(&mut self, pending: WaitingStep, now: Now) -> Demand {
         let job = &self.log_state.jobs[&pending.job];
         let (service, spec) = (job.policy.service.clone(), job.job.clone());
         let step = &spec.steps[usize::from(pending.step)];
@@ -207,7 +213,7 @@
             return;
         };
         let tickets = asks_advisor.then(|| self.tickets(first, now));
-        let is_promoted = round.promoted_late == Some(pending.key());
+        let is_promoted = round.promoted_late.contains(&pending.key());
         let mut request = PlacementRequest {
             service: &demand.service,
             step,
--- a/ashtiller/src/workflow/core/starvation.rs
+++ b/ashtiller/src/workflow/core/starvation.rs
@@ -189,7 +189,7 @@
             return;
         };
         oldest.promote();
-        round.promoted_late = Some(oldest.key());
+        round.promoted_late.insert(oldest.key());
         if round.reserved.is_none() && !self.has_capacity(oldest, &round.candidates) {
             round.reserved = self.find_worker_to_reserve(oldest, &round.candidates);
         }
@@ -198,7 +198,7 @@
     /// Returns the worker with the fewest short runs that, once they end, leave enough capacity
     /// for a task of a step. Workers that may get no runs, or none of this step, are left out, as
     /// reserving them would be useless.
-    fn find_worker_to_reserve(
+    pub(super) fn find_worker_to_reserve(
         &self,
         pending: &WaitingStep,
         fleet: &[Candidate],
--- a/ashtiller/src/workflow/core/step_priority.rs
+++ b/ashtiller/src/workflow/core/step_priority.rs
@@ -2,24 +2,24 @@
 
 use std::time::Duration;
 
+use crate::workflow::admission::triage::WORTH_OBJECTIVES;
 use crate::workflow::core::advice::StepKey;
 use crate::workflow::core::{Core, Now};
-use crate::workflow::job::Step;
+use crate::workflow::job::{Policy, Step};
 use crate::workflow::record::Task;
 use crate::workflow::state::{JobState, Occurrence};
 
-/// Multiple of a job's time objective up to which a late job still earns something.
-const LATE_FACTOR: u32 = 3;
-
 /// Lateness class of a step whose job is too late to earn anything.
 pub(super) const TOO_LATE: u8 = 2;
 
 /// Sort key of a waiting step: jobs that can still be on time first, then by priority, then by
-/// the time left until the step must start.
+/// the time left until the step must start. While capacity is short, triage sets the band, and the
+/// order within it in place of the time left.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct Urgency {
     pub lateness: u8,
     pub priority: u32,
+    pub band: u8,
     pub slack: i64,
 }
 
@@ -40,6 +40,7 @@
     /// Moves the step ahead of all others of its priority.
     pub fn promote(&mut self) {
         self.urgency.lateness = 0;
+        self.urgency.band = 0;
         self.urgency.slack = i64::MIN;
     }
 
@@ -90,13 +91,15 @@
 
 /// Returns when a job is due, in milliseconds since the Unix epoch, and the time from then within
 /// which it is on time.
-fn objective_of(job: &JobState, index: u32) -> (u64, Duration) {
+pub(super) fn objective_of(job: &JobState, index: u32) -> (u64, Duration) {
     let due = job.job.schedule.map_or(job.accepted, |it| it.due(index));
     let longest = job.job.chains().into_iter().max().unwrap_or_default();
-    (
-        due,
-        longest.mul_f64(job.policy.extension) + job.policy.target,
-    )
+    (due, objective_for(longest, &job.policy))
+}
+
+/// Returns the time within which a job with this longest chain is on time.
+pub(super) fn objective_for(longest: Duration, policy: &Policy) -> Duration {
+    longest.mul_f64(policy.extension) + policy.target
 }
 
 fn collect_waiting_of(
@@ -121,6 +124,7 @@
         let urgency = Urgency {
             lateness: if spec.long_running { TOO_LATE } else { late },
             priority: job.policy.priority,
+            band: 0,
             slack: if spec.long_running { i64::MAX } else { slack },
         };
         found.push(WaitingStep {
@@ -133,11 +137,11 @@
 }
 
 /// Returns the lateness class and the milliseconds left until the step must start.
-fn lateness(due: u64, objective: Duration, chain: Duration, now: Now) -> (u8, i64) {
+pub(super) fn lateness(due: u64, objective: Duration, chain: Duration, now: Now) -> (u8, i64) {
     let millis = |time: Duration| i64::try_from(time.as_millis()).unwrap_or(i64::MAX / 8);
     let elapsed = i64::try_from(now.wall.saturating_sub(due)).unwrap_or(i64::MAX / 8);
     let slack = millis(objective) - elapsed - millis(chain);
-    let late_slack = millis(objective * LATE_FACTOR) - elapsed - millis(chain);
+    let late_slack = millis(objective * WORTH_OBJECTIVES) - elapsed - millis(chain);
     let class = match (slack >= 0, late_slack >= 0) {
         (true, _) => 0,
         (false, true) => 1,
--- a/ashtiller/src/workflow/link.rs
+++ b/ashtiller/src/workflow/link.rs
@@ -17,6 +17,7 @@
 use crate::meter;
 use crate::peer_calls;
 use crate::schema::entry_capnp::entry;
+use crate::workflow::admission::copy::OverloadCopy;
 use crate::workflow::message::{PeerRequest, Reply};
 use crate::workflow::traffic::{self, Way};
 
@@ -53,6 +54,12 @@
 pub trait RequestHandler {
     /// Handles one request.
     fn answer(self: Rc<Self>, ask: PeerRequest) -> LocalBoxFuture<'static, Reply>;
+
+    /// Returns the section that follows a reply, if it has one. Versions that do not know it ignore
+    /// the bytes after the reply.
+    fn section(&self, _reply: &Reply) -> Option<OverloadCopy> {
+        None
+    }
 }
 
 struct EntryServer<A> {
@@ -71,8 +78,11 @@
         let kind = ask.kind();
         traffic::note(kind, Way::Received, request.len());
         let reply = self.handler.clone().answer(ask).await;
-        let bytes = postcard::to_stdvec(&reply)
-            .map_err(|error| capnp::Error::failed(format!("encode reply: {error}")))?;
+        let failed = |error| capnp::Error::failed(format!("encode reply: {error}"));
+        let mut bytes = postcard::to_stdvec(&reply).map_err(failed)?;
+        if let Some(section) = self.handler.section(&reply) {
+            bytes = postcard::to_extend(&section, bytes).map_err(failed)?;
+        }
         traffic::note(kind, Way::Sent, bytes.len());
         results.get().set_reply(&bytes);
         Ok(())
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -322,6 +322,10 @@
             ("crashes", now.crashes - before.crashes),
             ("convicted", now.convicted - before.convicted),
             ("absolved", now.absolved - before.absolved),
+            ("refused", now.refused - before.refused),
+            ("refused_early", now.refused_early - before.refused_early),
+            ("readmitted", now.readmitted - before.readmitted),
+            ("promoted", now.promoted - before.promoted),
         ];
         for (event, change) in changes {
             self.events.with_label_values(&[event]).inc_by(change);
--- a/ashtiller/src/workflow/mod.rs
+++ b/ashtiller/src/workflow/mod.rs
@@ -3,13 +3,15 @@
 //! - Data: [`job`], [`record`], [`config`], [`evacuations`] and [`tuning`].
 //! - Decisions: [`log_state`] applies records to [`state`] and [`core`] decides. [`worker`],
 //!   [`incarnation`], [`lease`] and [`live_run`] are its view of the workers, and [`blame`]
-//!   attributes worker crashes to tasks. [`load`] records demand and capacity.
+//!   attributes worker crashes to tasks. [`load`] records demand and capacity, and [`admission`]
+//!   decides which jobs are accepted under overload.
 //! - Execution: [`log`] writes entries and [`owner`] runs the state machine. [`membership`] tracks
 //!   the instances and elects the owner, [`node`] is the process, and [`peers`] sends requests to
 //!   other instances over [`link`].
 //! - Interfaces: [`kv`], [`agents`] and [`advisor`] are traits. [`follow`] watches the store, at
 //!   intervals set by [`store_latency`].
 
+pub mod admission;
 pub mod advisor;
 pub mod agents;
 pub mod blame;
--- a/ashtiller/src/workflow/node/forward.rs
+++ b/ashtiller/src/workflow/node/forward.rs
@@ -6,6 +6,7 @@
 use tokio::time::{self, Instant};
 
 use crate::failure::{Failure, RemoteEffect};
+use crate::workflow::admission::refusals;
 use crate::workflow::message::{PeerRequest, Reply};
 use crate::workflow::node::Node;
 use crate::workflow::owner::OwnerRequest;
@@ -38,11 +39,10 @@
                 }
             }
             if Instant::now() + RETRY_DELAY >= deadline {
-                let retry_after = self.settings.tuning.retry.as_millis();
                 return if uncertain_epoch.is_some() {
                     Reply::Unknown
                 } else {
-                    Reply::Refused(u32::try_from(retry_after).unwrap_or(u32::MAX))
+                    self.refusal(request)
                 };
             }
             let mut owner = self.watch_log_owner();
@@ -50,6 +50,19 @@
         }
     }
 
+    /// Returns the refusal of a request that no owner has decided. The retry delay differs between
+    /// jobs, so that callers who were refused at one moment do not return at one moment.
+    fn refusal(&self, request: &PeerRequest) -> Reply {
+        let tuning = &self.settings.tuning;
+        let delay = match request {
+            PeerRequest::Submit(job) if tuning.switches.admission_control => {
+                self.links.retry_delay(&job.id, tuning.retry)
+            }
+            _ => tuning.retry,
+        };
+        Reply::Refused(refusals::millis(delay))
+    }
+
     async fn send_to_owner(
         &self,
         request: &PeerRequest,
@@ -80,6 +93,7 @@
         let Some(owner) = self.owner.borrow().clone() else {
             return Reply::NotOwner;
         };
+        let refusal = self.refusal(&request);
         let (sender, reply) = oneshot::channel();
         if owner
             .try_send(OwnerRequest {
@@ -88,7 +102,7 @@
             })
             .is_err()
         {
-            return Reply::Refused(1000);
+            return refusal;
         }
         match time::timeout(timeout, reply).await {
             Ok(Ok(reply)) => reply,
--- a/ashtiller/src/workflow/node/mod.rs
+++ b/ashtiller/src/workflow/node/mod.rs
@@ -15,6 +15,7 @@
 use tokio::task;
 
 use crate::clock::Moment;
+use crate::workflow::admission::copy::OverloadCopy;
 use crate::workflow::advisor::Advisor;
 use crate::workflow::agents::WorkerClient;
 use crate::workflow::config::{Config, PlatformCodec};
@@ -81,6 +82,8 @@
     position: Cell<u64>,
     leaving: Cell<bool>,
     dump: watch::Sender<Arc<str>>,
+    /// State of admission as this process, as the owner, last published it.
+    overload: RefCell<Option<(OverloadCopy, Moment)>>,
 }
 
 /// Clients of the services that the process depends on.
@@ -139,6 +142,7 @@
             position: Cell::default(),
             leaving: Cell::new(false),
             dump: watch::Sender::new(Arc::from("{}")),
+            overload: RefCell::default(),
         }))
     }
 
@@ -196,6 +200,24 @@
         self.dump.send_replace(dump.to_string().into());
     }
 
+    /// Publishes the state of admission of the log that this process owns, for other instances.
+    pub fn publish_overload(&self, copy: OverloadCopy) {
+        *self.overload.borrow_mut() = Some((copy, Moment::now()));
+    }
+
+    /// Returns the published state of admission with its present age.
+    fn overload_copy(&self) -> OverloadCopy {
+        let published = self.overload.borrow();
+        let aged = published.as_ref().map(|(copy, at)| {
+            let age = copy.age(at.elapsed()).as_millis();
+            OverloadCopy {
+                age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+                classes: copy.classes.clone(),
+            }
+        });
+        aged.unwrap_or_default()
+    }
+
     /// Returns whether a planned shutdown has begun.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
--- a/ashtiller/src/workflow/node/peer_handler.rs
+++ b/ashtiller/src/workflow/node/peer_handler.rs
@@ -5,6 +5,7 @@
 
 use futures_util::future::LocalBoxFuture;
 
+use crate::workflow::admission::copy::OverloadCopy;
 use crate::workflow::link::RequestHandler;
 use crate::workflow::membership::election;
 use crate::workflow::membership::member::Version;
@@ -49,6 +50,11 @@
 }
 
 impl RequestHandler for Node {
+    fn section(&self, reply: &Reply) -> Option<OverloadCopy> {
+        let welcome = matches!(reply, Reply::Welcome(_));
+        (welcome && self.owns()).then(|| self.overload_copy())
+    }
+
     fn answer(self: Rc<Self>, request: PeerRequest) -> LocalBoxFuture<'static, Reply> {
         Box::pin(async move {
             match request {
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -42,6 +42,8 @@
 const MIN_STEP_INTERVAL: Duration = Duration::from_millis(2);
 /// Interval at which the counters and the dump are updated.
 const PUBLISH_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval at which the state of admission is published: that of heartbeats.
+const OVERLOAD_INTERVAL: Duration = Duration::from_millis(250);
 /// Timeout of a request to another instance to take over, or of an announcement.
 const TAKEOVER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay before a handover or a write of a wave status is tried again.
@@ -150,6 +152,7 @@
         unreadable: unreadable::UnreadableEntries::default(),
         last_counts: Counts::default(),
         last_published: Instant::now(),
+        overload_published: Instant::now(),
         stopped: false,
     };
     owner.watch_predecessors(&replaced_owners);
@@ -242,6 +245,7 @@
     unreadable: unreadable::UnreadableEntries,
     last_counts: Counts,
     last_published: Instant,
+    overload_published: Instant,
     stopped: bool,
 }
 
@@ -287,6 +291,7 @@
             for effect in self.core.advance(now) {
                 self.execute(effect);
             }
+            self.publish_overload(now);
             self.consider_hand_over(now);
             self.publish_state(now);
             self.stopped |= self.core.is_superseded();
@@ -333,6 +338,14 @@
         });
     }
 
+    /// Publishes the state of admission for the replies to heartbeats.
+    fn publish_overload(&mut self, now: Now) {
+        if self.overload_published.elapsed() >= OVERLOAD_INTERVAL {
+            self.overload_published = Instant::now();
+            self.node.publish_overload(self.core.overload_copy(now));
+        }
+    }
+
     /// Updates the metrics and the dump.
     fn publish_state(&mut self, now: Now) {
         if self.last_published.elapsed() < PUBLISH_INTERVAL {
--- a/ashtiller/src/workflow/peers.rs
+++ b/ashtiller/src/workflow/peers.rs
@@ -21,8 +21,10 @@
 use crate::meter;
 use crate::peer_calls;
 use crate::schema::entry_capnp::entry;
+use crate::workflow::admission::copy::OverloadCopy;
 use crate::workflow::link::Dial;
 use crate::workflow::message::{PeerRequest, Reply};
+use crate::workflow::snapshot;
 use crate::workflow::traffic::{self, Way};
 
 /// Timeout for connecting to another instance: a few times the delay to another zone.
@@ -52,7 +54,8 @@
 }
 
 impl Connection {
-    async fn ask(&self, ask: &PeerRequest) -> Result<Reply, capnp::Error> {
+    /// Sends a request; returns the reply and the section after it.
+    async fn ask(&self, ask: &PeerRequest) -> Result<(Reply, OverloadCopy), capnp::Error> {
         let bytes = postcard::to_stdvec(ask)
             .map_err(|error| capnp::Error::failed(format!("encode request: {error}")))?;
         let mut request = self.client.ask_request();
@@ -62,8 +65,11 @@
         self.last_answer.set(Instant::now());
         let bytes = response.get()?.get_reply()?;
         traffic::note(ask.kind(), Way::Received, bytes.len());
-        postcard::from_bytes(bytes)
-            .map_err(|error| capnp::Error::failed(format!("decode reply: {error}")))
+        let (reply, rest) = postcard::take_from_bytes(bytes)
+            .map_err(|error| capnp::Error::failed(format!("decode reply: {error}")))?;
+        // A section of a version that this one cannot read counts as none.
+        let (section, _) = snapshot::take_section(rest).unwrap_or_default();
+        Ok((reply, section))
     }
 
     /// Returns the time since which a call sent at `sent` has seen no answer on this connection.
@@ -78,6 +84,8 @@
     open: RefCell<HashMap<SocketAddr, Rc<Connection>>>,
     bytes: Arc<meter::ByteCounts>,
     silent: IntCounter,
+    /// Section of the newest reply to a heartbeat, with its time of arrival.
+    overload: RefCell<Option<(OverloadCopy, Instant)>>,
 }
 
 impl PeerConnections {
@@ -90,9 +98,19 @@
             open: RefCell::default(),
             bytes: Arc::default(),
             silent,
+            overload: RefCell::default(),
         })
     }
 
+    /// Returns the retry delay of a caller for whom no owner answers, by the state of admission
+    /// that came with the newest reply to a heartbeat.
+    #[must_use]
+    pub fn retry_delay(&self, id: &str, default: Duration) -> Duration {
+        let overload = self.overload.borrow();
+        let copy = overload.as_ref().map(|(copy, at)| (copy, at.elapsed()));
+        OverloadCopy::retry_delay(copy, id, default)
+    }
+
     /// Returns the milliseconds since the last answer of each peer on its connection.
     #[must_use]
     pub fn ages(&self) -> BTreeMap<String, u64> {
@@ -121,7 +139,12 @@
         let cause = tokio::select! {
             biased;
             answer = time::timeout(limit, link.ask(ask)) => match answer {
-                Ok(Ok(reply)) => return Ok(reply),
+                Ok(Ok((reply, section))) => {
+                    if matches!(reply, Reply::Welcome(_)) {
+                        *self.overload.borrow_mut() = Some((section, Instant::now()));
+                    }
+                    return Ok(reply);
+                }
                 Ok(Err(error)) => error.to_string(),
                 // Another answer since then shows that the connection works.
                 Err(_) if link.last_answer.get() >= sent => {
