--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -5,6 +5,7 @@
 //! record is deferred until the entry that holds it is durable.
 
 mod admission;
+mod admission_control;
 mod adopted_runs;
 pub mod advice;
 mod allocation;
@@ -49,6 +50,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::workflow::admission::catalog::Catalog;
+use crate::workflow::admission::control::Control;
 use crate::workflow::agents::{Order, Poll, Target};
 use crate::workflow::config::{Config, ListedWorker};
 use crate::workflow::congestion::Congestion;
@@ -140,6 +143,14 @@
     pub absolved: u64,
     /// Steps placed before one with less slack, for the shares of their queues and origins.
     pub reordered: u64,
+    /// Jobs refused for overload, without repeats before their time.
+    pub refused: u64,
+    /// Refused ids that were repeated before their time and refused again.
+    pub refused_early: u64,
+    /// Jobs accepted after a refusal.
+    pub readmitted: u64,
+    /// Steps of jobs worth nothing any more that were placed ahead of others.
+    pub promoted: u64,
 }
 
 /// The state machine of a log's owner.
@@ -157,6 +168,10 @@
     load: LoadAccount,
     /// Shares of queues and origins in the capacity.
     shares: shares::FairShares,
+    /// Admission control under overload.
+    admission: Control,
+    /// What the known workers could run if they were empty, and when it was last read.
+    catalog: (Catalog, Option<Duration>),
     /// Runs of earlier owners whose workers are not listed yet.
     adopted: adopted_runs::AdoptedRuns,
     config: Arc<Config>,
@@ -260,6 +275,8 @@
             runs: BTreeMap::new(),
             load: LoadAccount::default(),
             shares: shares::FairShares::default(),
+            admission: Control::default(),
+            catalog: (Catalog::default(), None),
             adopted: adopted_runs::AdoptedRuns::default(),
             config: Arc::default(),
             arrivals: Vec::new(),
--- a/ashtiller/src/workflow/core/shares.rs
+++ b/ashtiller/src/workflow/core/shares.rs
@@ -91,6 +91,7 @@
             let group = Group {
                 lateness: pending.urgency.lateness,
                 priority: pending.urgency.priority,
+                band: pending.urgency.band,
                 service: key.service.clone(),
                 class: key.class,
             };
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -379,6 +379,10 @@
             ("convicted", now.convicted - before.convicted),
             ("absolved", now.absolved - before.absolved),
             ("reordered", now.reordered - before.reordered),
+            ("refused", now.refused - before.refused),
+            ("refused_early", now.refused_early - before.refused_early),
+            ("readmitted", now.readmitted - before.readmitted),
+            ("promoted", now.promoted - before.promoted),
         ];
         for (event, change) in changes {
             self.events.with_label_values(&[event]).inc_by(change);
--- a/ashtiller/src/workflow/shares/order.rs
+++ b/ashtiller/src/workflow/shares/order.rs
@@ -32,6 +32,8 @@
     pub lateness: u8,
     /// Priority.
     pub priority: u32,
+    /// Band of the triage while capacity is short, 0 otherwise.
+    pub band: u8,
     /// Service whose workers run the work.
     pub service: Arc<str>,
     /// Class of the work.
