Soak plays bursts beside long-running jobs, and checks refusals

Cause: the soak submitted 4 jobs a second, so neither refusals nor a fleet full of wide jobs were played, and its check of refused jobs looked at running tasks every 10 ms.

New checks, on all runs of the soak: each start counts as the job having run; a refusal carries both delays, which agree, and comes within the time limit; the state of an accepted job is never answered with 410 or 404 before its end; no run starts on two workers and no task again after its end was recorded; long-running tasks start where a worker has room for two. A crash under a worker's lock took the injector's and the worker's lock in the other order than a start; it now takes them in the same.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -5,17 +5,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashtiller::resources::Resources;
 use ashtiller::workflow::agents::TaskName;
 use ashtiller::workflow::incarnation::Incarnation;
 use ashtiller::workflow::record::LogOwner;
-use hyper::{Method, StatusCode};
+use hyper::{Method, Response, StatusCode};
 use parking_lot::Mutex;
 use tokio::task::JoinSet;
 use tokio::time::{self, Instant};
 
 use crate::client::Client;
 use crate::health::{EntryHealth, SLACK};
+use crate::long_running::{Sighting, StartRule};
 use crate::proxy::Proxy;
+use crate::refusals;
 use crate::standin::store::Store;
 use crate::standin::worker_server::WorkerServer;
 
@@ -23,6 +26,10 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Time between two calls by which an entry's configuration is checked.
 const CONFIG_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two questions for the states of accepted jobs.
+const STATE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Jobs whose state is asked for at a time.
+const STATES_AT_ONCE: usize = 20;
 /// Time from the store's acceptance of a worker's drain notice until no task may start there.
 const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 /// Time from the store's acceptance of an evacuation until no task may start in the zone.
@@ -58,12 +65,18 @@
     pub unclear: BTreeSet<Arc<str>>,
     /// Jobs of which at least one task ran.
     pub ran: BTreeSet<Arc<str>>,
+    /// Accepted jobs that were seen to have ended.
+    pub ended: BTreeSet<Arc<str>>,
+    /// Long-running jobs by the number of their tasks, each with the resources of one task.
+    pub long_running: BTreeMap<Arc<str>, (u16, Resources)>,
     /// Descriptions of violated invariants.
     pub broken: Vec<String>,
     /// Entry numbers by the fencing token that they held as owners of the log.
     owners: BTreeMap<u64, usize>,
     /// Runs already reported as started too late on a draining worker or in an evacuated zone.
     late: BTreeSet<(TaskName, u32)>,
+    /// Accepted jobs already reported as unknown.
+    unknown: BTreeSet<Arc<str>>,
 }
 
 impl Observations {
@@ -71,14 +84,36 @@
     pub fn take_answer(&mut self, id: &Arc<str>, status: Option<StatusCode>) -> bool {
         match status {
             Some(StatusCode::OK) => self.accepted.insert(id.clone()),
-            Some(StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) => {
-                self.refused.insert(id.clone())
-            }
+            Some(status) if refusals::is_refusal(status) => self.refused.insert(id.clone()),
             _ => self.unclear.insert(id.clone()),
         };
         status == Some(StatusCode::OK)
     }
 
+    /// Records the answer to a question for the state of an accepted job. Ended jobs may be
+    /// forgotten, others may not.
+    pub fn take_state(&mut self, id: &Arc<str>, status: StatusCode, body: &[u8]) {
+        let ended = ["complete", "failed", "cancelled"];
+        let mut ended = ended.iter().map(|it| format!(r#"{{"state":"{it}"}}"#));
+        if ended.any(|it| it.as_bytes() == body) {
+            self.ended.insert(id.clone());
+        }
+        let is_unknown = matches!(status, StatusCode::GONE | StatusCode::NOT_FOUND);
+        if is_unknown && !self.ended.contains(id) && self.unknown.insert(id.clone()) {
+            let text = format!("{id} was accepted, and its state is answered with {status}");
+            self.broken.push(text);
+        }
+    }
+
+    /// Returns the jobs that were refused in every attempt and of which a task was started.
+    #[must_use]
+    pub fn refused_and_started(&self, started: &BTreeSet<Arc<str>>) -> Vec<Arc<str>> {
+        let mut never = self.never_accepted();
+        never.retain(|id| !self.unclear.contains(id));
+        never.retain(|id| started.contains(id) || self.ran.contains(id));
+        never
+    }
+
     /// Returns the jobs that were refused at least once and never accepted.
     #[must_use]
     pub fn never_accepted(&self) -> Vec<Arc<str>> {
@@ -119,6 +154,7 @@
     pub fn spawn(&self, entries: &[SocketAddr]) -> JoinSet<()> {
         let mut tasks = JoinSet::new();
         tasks.spawn(self.clone().watch_workers());
+        tasks.spawn(self.clone().watch_states(entries.to_vec()));
         for (number, address) in entries.iter().enumerate() {
             tasks.spawn(self.clone().watch_config(number, *address));
         }
@@ -126,13 +162,114 @@
     }
 
     async fn watch_workers(self) {
+        let mut rule = StartRule::default();
         loop {
             self.note_owner();
             self.check_workers();
+            self.check_long_running(&mut rule);
             time::sleep(CHECK_INTERVAL).await;
         }
     }
 
+    /// Submits a job once and checks the answer if it is a refusal. Returns the status, and the
+    /// time after which a refused caller may come back.
+    pub async fn submit(
+        &self,
+        (entry, address): (usize, SocketAddr),
+        path: &str,
+        id: &Arc<str>,
+        body: String,
+    ) -> (Option<StatusCode>, Duration) {
+        let sent = self.start.elapsed();
+        let to = format!("{path}{id}");
+        let answer = self.client.send(address, Method::POST, &to, body).await;
+        let took = self.start.elapsed().saturating_sub(sent);
+        let mut seen = self.seen.lock();
+        let status = answer.as_ref().map(Response::status).ok();
+        seen.take_answer(id, status);
+        let Ok(answer) = answer else {
+            return (None, Duration::ZERO);
+        };
+        if !refusals::is_refusal(answer.status()) {
+            return (status, Duration::ZERO);
+        }
+        let found = refusals::retry_delay(&answer);
+        // A suspended process answers when it goes on.
+        let late =
+            refusals::describe_late(took).filter(|_| self.health.lock().has_run_since(entry, sent));
+        let delay = *found.as_ref().unwrap_or(&Duration::ZERO);
+        for text in found.err().into_iter().chain(late) {
+            seen.broken.push(format!("entry {entry}: {id} was {text}"));
+        }
+        (status, delay)
+    }
+
+    /// Asks entries in turn for the states of accepted jobs that have not ended.
+    async fn watch_states(self, entries: Vec<SocketAddr>) {
+        let mut after: Option<Arc<str>> = None;
+        for entry in entries.iter().cycle() {
+            time::sleep(STATE_CHECK_INTERVAL).await;
+            let open: Vec<Arc<str>> = {
+                let seen = self.seen.lock();
+                let open = seen.accepted.difference(&seen.ended);
+                let next = open.filter(|id| after.as_ref().is_none_or(|after| *id > after));
+                next.take(STATES_AT_ONCE).cloned().collect()
+            };
+            after = open.last().cloned();
+            for id in open {
+                let path = format!("/q/{id}");
+                let answer = self.client.call(*entry, Method::GET, &path, String::new());
+                if let Ok((status, body)) = answer.await {
+                    self.seen.lock().take_state(&id, status, &body);
+                }
+            }
+        }
+    }
+
+    /// Checks that long-running tasks start where there is room for two of them.
+    fn check_long_running(&self, rule: &mut StartRule) {
+        let mut seen = self.seen.lock();
+        if seen.long_running.is_empty() {
+            return;
+        }
+        let now = self.start.elapsed();
+        let mut sighting = Sighting {
+            calm: self.health.lock().all_healthy(now),
+            owner: seen.owners.last_key_value().map(|(fence, _)| *fence),
+            ..Sighting::default()
+        };
+        let mut needs = Resources::default();
+        for (id, (count, each)) in &seen.long_running {
+            if seen.accepted.contains(id) && !seen.ended.contains(id) {
+                sighting.wanted.extend((0..*count).map(|index| TaskName {
+                    job: id.clone(),
+                    occurrence: 0,
+                    step: 0,
+                    index,
+                }));
+            }
+            needs = each.plus(each);
+        }
+        for member in self.fleet.lock().values() {
+            if *member.server.unreachable.lock() {
+                continue;
+            }
+            let worker = member.server.worker.lock();
+            sighting.present.insert(worker.incarnation.clone());
+            let names = worker.runs.keys().map(|(name, _)| name);
+            let lasting = names.filter(|name| seen.long_running.contains_key(&name.job));
+            sighting.running.extend(lasting.cloned());
+            let is_open = member.drained.is_none()
+                && worker.capacity_changed_at.is_none()
+                && !self.evacuated.lock().contains_key(member.zone);
+            if is_open && worker.used().plus(&needs).fits_within(&worker.capacity) {
+                sighting.roomy.insert(worker.incarnation.clone());
+            }
+        }
+        let late = rule.take(now, &sighting);
+        seen.broken.extend(late);
+    }
+
     /// Reads the log owner's fencing token and entry number from the store.
     #[must_use]
     pub fn find_owner(&self) -> Option<(u64, usize)> {
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Method, Request, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
@@ -17,6 +17,9 @@
 /// Timeout of one call, the same as that of the platform's clients.
 const CALL_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Time limit that is sent with each request.
+pub const DEADLINE: Duration = Duration::from_secs(3);
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// Client that reuses a connection until it closes or a call on it fails.
@@ -38,6 +41,21 @@
         path: &str,
         body: String,
     ) -> anyhow::Result<(StatusCode, Bytes)> {
+        let response = self.send(to, method, path, body).await?;
+        Ok((response.status(), response.into_body()))
+    }
+
+    /// Sends one request and reads the whole response with its headers.
+    ///
+    /// # Errors
+    /// Fails as [`Self::call`] does.
+    pub async fn send(
+        &self,
+        to: SocketAddr,
+        method: Method,
+        path: &str,
+        body: String,
+    ) -> anyhow::Result<Response<Bytes>> {
         time::timeout(CALL_TIMEOUT, self.exchange(to, method, path, body))
             .await
             .context("no answer in time")?
@@ -49,21 +67,21 @@
         method: Method,
         path: &str,
         body: String,
-    ) -> anyhow::Result<(StatusCode, Bytes)> {
+    ) -> anyhow::Result<Response<Bytes>> {
         let request = Request::builder()
             .method(method)
             .uri(path)
             .header("host", "jobs.example")
-            .header("x-deadline-ms", "3000")
+            .header("x-deadline-ms", DEADLINE.as_millis().to_string())
             .body(Full::new(Bytes::from(body)))?;
         let mut sender = self.connect(to).await?;
         let response = sender.send_request(request).await?;
-        let status = response.status();
-        let body = response.into_body().collect().await?.to_bytes();
+        let (head, body) = response.into_parts();
+        let body = body.collect().await?.to_bytes();
         if sender.ready().await.is_ok() {
             self.idle.lock().insert(to, sender);
         }
-        Ok((status, body))
+        Ok(Response::from_parts(head, body))
     }
 
     async fn connect(&self, to: SocketAddr) -> anyhow::Result<Sender> {
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -17,9 +17,15 @@
 impl World {
     pub async fn disturb(&mut self) -> anyhow::Result<usize> {
         let (begin, seed, span) = (Instant::now(), self.plan.seed, self.plan.span);
-        let events = schedule::draw(seed, span, self.sites.len(), self.plan.workers);
+        let fault_set = schedule::fault_set(seed);
+        let mut events = schedule::draw(seed, span, self.sites.len(), self.plan.workers);
+        let mut others = fault_set != FaultSet::Links;
+        if self.plan.bursts && fault_set != FaultSet::Both {
+            // Only the faults that accompany the bursts, which leave calm periods.
+            events.clear();
+            others = false;
+        }
         let mut events = events.into_iter().peekable();
-        let others = schedule::fault_set(seed) != FaultSet::Links;
         // Draws depend on the number of the step, not on the clock, so that a seed always
         // draws the same.
         let mut next = Duration::from_secs(1);
@@ -37,6 +43,7 @@
             self.revive()?;
             self.disturb_workers();
             self.evacuate();
+            faults += self.play_bursts(now)?;
             self.bring_back().await?;
             if others && now >= next {
                 self.play_fault().await?;
@@ -146,7 +153,7 @@
         self.add_worker(worker).await
     }
 
-    fn kill(&mut self, index: usize) -> anyhow::Result<()> {
+    pub fn kill(&mut self, index: usize) -> anyhow::Result<()> {
         self.mark_down(index);
         self.sites[index].entry.kill()
     }
@@ -159,6 +166,20 @@
         });
     }
 
+    /// Tells an entry to stop.
+    pub fn stop(&mut self, index: usize) -> anyhow::Result<()> {
+        self.mark_down(index);
+        self.sites[index].entry.signal(Signal::SIGTERM)
+    }
+
+    /// Suspends an entry's process.
+    pub fn suspend(&mut self, index: usize) -> anyhow::Result<()> {
+        let now = self.now();
+        let mut health = self.checks.health.lock();
+        health.change(index, now, |state| state.frozen = true);
+        self.sites[index].entry.signal(Signal::SIGSTOP)
+    }
+
     async fn play_fault(&mut self) -> anyhow::Result<()> {
         let index = self.rng.random_range(0..self.sites.len());
         let worker = self.rng.random_range(0..self.plan.workers);
@@ -166,16 +187,8 @@
         self.note(&format!("fault {fault}, entry {index}, worker {worker}"));
         match fault {
             0 | 1 => self.kill(index)?,
-            2 => {
-                self.mark_down(index);
-                self.sites[index].entry.signal(Signal::SIGTERM)?;
-            }
-            3 => {
-                let now = self.now();
-                let mut health = self.checks.health.lock();
-                health.change(index, now, |state| state.frozen = true);
-                self.sites[index].entry.signal(Signal::SIGSTOP)?;
-            }
+            2 => self.stop(index)?,
+            3 => self.suspend(index)?,
             4 => self.thaw()?,
             5 => self.set_path(index, Path::OneWay),
             6 => self.set_path(index, Path::Reset),
--- a/soak/src/health.rs
+++ b/soak/src/health.rs
@@ -18,6 +18,8 @@
     pub disturbed: bool,
     /// Time of the last change or momentary fault.
     changed: Duration,
+    /// Time of the last change of `down` or `frozen`.
+    process_changed: Duration,
 }
 
 impl FaultState {
@@ -46,8 +48,13 @@
 
     /// Records a change of an entry's faults, or a momentary fault if `change` does nothing.
     pub fn change(&mut self, entry: usize, now: Duration, change: impl FnOnce(&mut FaultState)) {
-        change(&mut self.entries[entry]);
-        self.entries[entry].changed = now;
+        let state = &mut self.entries[entry];
+        let before = (state.down, state.frozen);
+        change(state);
+        state.changed = now;
+        if before != (state.down, state.frozen) {
+            state.process_changed = now;
+        }
     }
 
     /// Records the same change at all entries.
@@ -57,6 +64,19 @@
         }
     }
 
+    /// Returns whether all entries are healthy.
+    #[must_use]
+    pub fn all_healthy(&self, at: Duration) -> bool {
+        (0..self.entries.len()).all(|entry| self.is_healthy(entry, at))
+    }
+
+    /// Returns whether the entry's process has been running without interruption since a time.
+    #[must_use]
+    pub fn has_run_since(&self, entry: usize, since: Duration) -> bool {
+        let entry = self.entries.get(entry);
+        entry.is_some_and(|it| !it.down && !it.frozen && it.process_changed < since)
+    }
+
     /// Records that a disturbance of the store begins or ends.
     pub fn change_store(&mut self, now: Duration, disturbed: bool) {
         self.store.disturbed = disturbed;
--- a/soak/src/jobs.rs
+++ b/soak/src/jobs.rs
@@ -1,10 +1,11 @@
 //! Client jobs: submitted during the faults and awaited after them.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use ashtiller::resources::Resources;
-use hyper::Method;
+use hyper::{Method, StatusCode};
 use rand::RngExt;
 use tokio::time::{self, Instant};
 
@@ -37,17 +38,15 @@
             steps.push(wire_step(count, length, &[0]));
         }
         let body = wire_job(&steps);
-        let addresses: Vec<_> = self.sites.iter().map(|site| site.clients.address).collect();
+        let addresses = self.client_addresses();
         let first = self.rng.random_range(0..addresses.len());
-        let (client, seen) = (self.checks.client.clone(), self.checks.seen.clone());
+        let checks = self.checks.clone();
         tokio::spawn(async move {
             for attempt in 0..12 {
-                let to = addresses[(first + attempt) % addresses.len()];
-                let answer = client
-                    .call(to, Method::POST, &format!("/q/{id}"), body.clone())
-                    .await;
-                let status = answer.map(|(status, _)| status).ok();
-                if seen.lock().take_answer(&id, status) {
+                let entry = (first + attempt) % addresses.len();
+                let to = (entry, addresses[entry]);
+                let (status, _) = checks.submit(to, "/q/", &id, body.clone()).await;
+                if status == Some(StatusCode::OK) {
                     return;
                 }
                 time::sleep(Duration::from_millis(400)).await;
@@ -59,8 +58,12 @@
     pub async fn finish(&mut self) -> anyhow::Result<Vec<Arc<str>>> {
         let end = Instant::now() + FINISH_TIMEOUT;
         loop {
-            let accepted: Vec<Arc<str>> =
-                self.checks.seen.lock().accepted.iter().cloned().collect();
+            let accepted: Vec<Arc<str>> = {
+                let seen = self.checks.seen.lock();
+                let accepted = seen.accepted.iter();
+                let short = accepted.filter(|id| !seen.long_running.contains_key(*id));
+                short.cloned().collect()
+            };
             let mut open = Vec::new();
             for id in accepted {
                 let to = self.sites[0].entry.clients;
@@ -77,7 +80,10 @@
                     open.push(id);
                 }
             }
-            if open.is_empty() || Instant::now() >= end {
+            if open.is_empty() {
+                return self.finish_long_running(end).await;
+            }
+            if Instant::now() >= end {
                 return Ok(open);
             }
             // An entry that received SIGTERM may exit only now.
@@ -86,4 +92,61 @@
             time::sleep(Duration::from_millis(500)).await;
         }
     }
+
+    /// Waits for all tasks of the accepted long-running jobs to run, cancels the jobs and waits for
+    /// them to end. Returns those that did not run or end.
+    async fn finish_long_running(&mut self, end: Instant) -> anyhow::Result<Vec<Arc<str>>> {
+        let mut cancelled = BTreeSet::new();
+        loop {
+            let open: Vec<(Arc<str>, u16)> = {
+                let seen = self.checks.seen.lock();
+                let jobs = seen.long_running.iter();
+                let open = jobs.filter(|(id, _)| seen.accepted.contains(*id));
+                let open = open.filter(|(id, _)| !seen.ended.contains(*id));
+                open.map(|(id, (count, _))| (id.clone(), *count)).collect()
+            };
+            if open.is_empty() || Instant::now() >= end {
+                return Ok(open.into_iter().map(|(id, _)| id).collect());
+            }
+            for (id, count) in open {
+                if !cancelled.contains(&id) && self.count_running(&id) < usize::from(count) {
+                    continue;
+                }
+                let to = self.sites[0].entry.clients;
+                let path = format!("/q/{id}");
+                let method = if cancelled.contains(&id) {
+                    Method::GET
+                } else {
+                    Method::DELETE
+                };
+                let cancels = method == Method::DELETE;
+                let answer = self.checks.client.call(to, method, &path, String::new());
+                match answer.await {
+                    Ok((StatusCode::OK, _)) if cancels => {
+                        cancelled.insert(id);
+                    }
+                    Ok((status, body)) if !cancels => {
+                        self.checks.seen.lock().take_state(&id, status, &body);
+                    }
+                    _ => {}
+                }
+            }
+            self.start_ended()?;
+            time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    /// Counts the tasks of a job that workers run.
+    fn count_running(&self, id: &Arc<str>) -> usize {
+        let fleet = self.checks.fleet.lock();
+        let counts = fleet.values().map(|member| {
+            let worker = member.server.worker.lock();
+            worker
+                .runs
+                .keys()
+                .filter(|(name, _)| name.job == *id)
+                .count()
+        });
+        counts.sum()
+    }
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -9,6 +9,7 @@
 //! permanently. Entries call each other without a proxy, because they listen on the
 //! addresses that they advertise.
 
+pub mod bursts;
 pub mod checks;
 pub mod client;
 pub mod entry;
@@ -16,8 +17,10 @@
 mod faults;
 pub mod health;
 mod jobs;
+pub mod long_running;
 pub mod network;
 pub mod proxy;
+pub mod refusals;
 pub mod schedule;
 mod shaky;
 pub mod world;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -15,10 +15,12 @@
 usage:
   soak run --seed N [--seconds S] [--entries E] [--workers W] [--folder DIR] [--shaky]
   soak run --minutes M [--seed N] ...     fresh seeds, counted up from N
+  soak run --seeds K [--seed N] ...       K seeds, counted up from N
   soak replay FILE                        the seeds in a file, one a line; words behind are ignored
 
 --shaky: jobs crash their workers, rooms change, others write among the workers' entries,
 and availability zones are evacuated
+--bursts: bursts of wide jobs beside long-running ones, with faults around them
 
 A seed that breaks a rule leaves its schedule, settings and logs in DIR/seed-N.";
 
@@ -45,6 +47,8 @@
         .opt_value_from_str("--folder")?
         .unwrap_or_else(|| "target/soak".into());
     let shaky = args.contains("--shaky");
+    let bursts = args.contains("--bursts");
+    let seeds: u64 = args.opt_value_from_str("--seeds")?.unwrap_or(1);
     let plan = |seed: u64| -> anyhow::Result<Plan> {
         Ok(Plan {
             seed,
@@ -54,6 +58,7 @@
             program: world::find_program()?,
             folder: folder.join(format!("seed-{seed}")),
             shaky,
+            bursts,
         })
     };
     let mut good = true;
@@ -64,7 +69,8 @@
             loop {
                 good &= play_seed(plan(next)?).await?;
                 next += 1;
-                if end.is_none_or(|end| Instant::now() >= end) {
+                let is_last = next >= seed + seeds;
+                if end.map_or(is_last, |end| Instant::now() >= end) {
                     return Ok(good);
                 }
             }
--- a/soak/src/shaky.rs
+++ b/soak/src/shaky.rs
@@ -205,10 +205,13 @@
             continue;
         };
         if let Some(member) = fleet.remove(&machine) {
+            // Workers lock the injector while they hold their own state.
+            let worker = member.server.worker.lock();
             let mut injector = injector.lock();
             injector.crashed += 1;
-            injector.record_worker_loss(&member.server.worker.lock());
+            injector.record_worker_loss(&worker);
             drop(injector);
+            drop(worker);
             crashed_workers
                 .lock()
                 .push((id, machine, now + RESTART_DELAY));
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -1,6 +1,7 @@
 //! Plays one seed: starts processes and stand-ins, injects faults and collects the verdict.
 
 use std::fs;
+use std::net::SocketAddr;
 use std::path::{Path as File, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,13 +17,15 @@
 use tokio::net::TcpListener;
 use tokio::time::{self, Instant};
 
+use crate::bursts::{self, Bursts};
 use crate::checks::{self, Checks, Fleet, Member, Observations};
 use crate::entry::{Entry, EntryParams};
 use crate::evacuations;
 use crate::health::EntryHealth;
 use crate::network::Network;
-use crate::proxy::Proxy;
+use crate::proxy::{Path, Proxy};
 use crate::shaky::{CrashedWorkers, Draws};
+use crate::standin::crash_injector::CrashInjector;
 use crate::standin::store::{Store, zone_of};
 use crate::standin::worker_server::{SharedCrashInjector, TaskProfiles, WorkerServer};
 
@@ -49,6 +52,8 @@
     /// Whether jobs crash their workers, capacities change, foreign worker records are written
     /// and availability zones are evacuated.
     pub shaky: bool,
+    /// Whether bursts of wide jobs are submitted beside long-running jobs.
+    pub bursts: bool,
 }
 
 /// Result of one seed's run.
@@ -90,6 +95,8 @@
     pub shaky: Option<Draws>,
     /// Generator for evacuations, if the plan has them.
     pub evacuations: Option<evacuations::Draws>,
+    /// Bursts of submissions, if the plan has them.
+    pub bursts: Option<Bursts>,
     incarnations: usize,
     schedule: Vec<String>,
 }
@@ -110,36 +117,42 @@
     let open = world.finish().await?;
     watch.abort();
     drop(checks);
-    let violations = std::mem::take(&mut world.injector.lock().violations);
-    world.checks.seen.lock().broken.extend(violations);
     fs::write(
         world.plan.folder.join("schedule.txt"),
         world.schedule.join("\n"),
     )
     .context("write schedule")?;
-    let crashed = world.injector.lock().crashed;
-    let verdict = judge(&mut world.checks.seen.lock(), open, faults);
-    Ok(Verdict { crashed, ..verdict })
+    let injector = world.injector.lock();
+    Ok(judge(
+        &mut world.checks.seen.lock(),
+        &injector,
+        open,
+        faults,
+    ))
 }
 
-fn judge(seen: &mut Observations, open: Vec<Arc<str>>, faults: usize) -> Verdict {
+fn judge(
+    seen: &mut Observations,
+    injector: &CrashInjector,
+    open: Vec<Arc<str>>,
+    faults: usize,
+) -> Verdict {
     for id in open {
         seen.broken
             .push(format!("{id} was accepted and did not end"));
     }
-    let never = seen.never_accepted();
-    for id in &never {
-        if seen.ran.contains(id) && !seen.unclear.contains(id) {
-            seen.broken
-                .push(format!("{id} ran, and every answer said that it would not"));
-        }
+    for id in seen.refused_and_started(&injector.starts.jobs) {
+        seen.broken
+            .push(format!("{id} ran, and every answer said that it would not"));
     }
+    let found = injector.violations.iter().chain(&injector.starts.repeated);
+    seen.broken.extend(found.cloned());
     Verdict {
         broken: seen.broken.clone(),
         accepted: seen.accepted.len(),
-        refused: never.len(),
+        refused: seen.never_accepted().len(),
         faults,
-        crashed: 0,
+        crashed: injector.crashed,
     }
 }
 
@@ -177,6 +190,9 @@
             crashed_workers: CrashedWorkers::default(),
             shaky: plan.shaky.then(|| Draws::new(plan.seed)),
             evacuations: plan.shaky.then(|| evacuations::Draws::new(plan.seed)),
+            bursts: plan
+                .bursts
+                .then(|| Bursts::new(plan.seed, plan.span, plan.entries.into())),
             incarnations: 0,
             schedule: Vec::new(),
             plan,
@@ -192,7 +208,7 @@
         Ok(world)
     }
 
-    async fn start_site(&self, number: u8, store: std::net::SocketAddr) -> anyhow::Result<Site> {
+    async fn start_site(&self, number: u8, store: SocketAddr) -> anyhow::Result<Site> {
         let store = Proxy::spawn(store).await?;
         let entry = Entry::start(&EntryParams {
             folder: &self.plan.folder,
@@ -258,6 +274,7 @@
         let version = configs.len() + 1;
         let mut prefixes: Vec<String> = (1..=version).map(checks::name_prefix).collect();
         prefixes.push("/q/".to_owned());
+        prefixes.push(bursts::QUEUE.to_owned());
         let store = &self.checks.store;
         store.put_config(version as u64, "jobs.example", &prefixes);
         configs.push(self.checks.start.elapsed());
@@ -294,6 +311,9 @@
         self.note("all faults end");
         self.heal_store();
         self.cancel_evacuations();
+        for site in &self.sites {
+            site.clients.set_path(Path::Open);
+        }
         self.thaw()?;
         for number in 0..self.plan.workers {
             // Draining workers take no tasks; the open jobs need enough workers to finish.
@@ -305,6 +325,12 @@
         self.start_ended()
     }
 
+    /// Returns the addresses at which clients reach the entries.
+    pub fn client_addresses(&self) -> Vec<SocketAddr> {
+        let sites = self.sites.iter();
+        sites.map(|site| site.clients.address).collect()
+    }
+
     /// Starts the entries that have exited.
     pub fn start_ended(&mut self) -> anyhow::Result<()> {
         for index in 0..self.sites.len() {
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -60,6 +60,7 @@
         entries: 3,
         workers: 4,
         shaky: false,
+        bursts: false,
         program: world::find_program().expect("the program"),
         folder: std::env::temp_dir().join(name),
     }
