--- a/soak/src/bursts.rs
+++ b/soak/src/bursts.rs
@@ -1,6 +1,7 @@
 //! Bursts of submissions to one queue, drawn from a seed, and the faults that accompany them.
 //! They have a random generator of their own, so that seeds without them play as before.
 
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,8 +24,9 @@
 const SALT: u64 = 0x6275_7273;
 /// Time of the first burst: by then the entries have elected an owner and jobs run.
 const FIRST: Duration = Duration::from_millis(1500);
-/// Times that a caller repeats a submission.
-const REPEATS: usize = 4;
+/// Largest number of times that a caller repeats a submission. Some callers give up earlier, so that
+/// jobs are refused for good.
+const REPEATS_MAX: usize = 4;
 /// First numbers of the jobs of bursts and of the long-running jobs in their ids.
 const BURST_NUMBERS: u32 = 0x8000_0000;
 const LONG_RUNNING_NUMBERS: u32 = 0xc000_0000;
@@ -95,8 +97,8 @@
         };
         // Large tasks run one at a time on a worker.
         let factor = match shape {
-            Shape::Large => rng.random_range(2..4),
-            _ => rng.random_range(4..7),
+            Shape::Large => rng.random_range(3..6),
+            _ => rng.random_range(5..9),
         };
         let companion = match rng.random_range(0..12) {
             0..3 => Companion::Calm,
@@ -200,7 +202,9 @@
         bursts.bursty_jobs += 1;
         let first = bursts.rng.random_range(0..self.sites.len());
         let run_time = Duration::from_millis(millis);
-        self.call(QUEUE, number, &step, (processors, run_time), first);
+        let repeats = bursts.rng.random_range(0..=REPEATS_MAX);
+        let attempts = first..=first + repeats;
+        self.call(QUEUE, number, &step, (processors, run_time), attempts);
     }
 
     fn submit_long_running(&mut self, bursts: &mut Bursts) {
@@ -209,20 +213,21 @@
         let number = LONG_RUNNING_NUMBERS + bursts.long_running_jobs;
         bursts.long_running_jobs += 1;
         let first = bursts.rng.random_range(0..self.sites.len());
-        let id = self.call("/q/", number, &step, (1000, ENDLESS), first);
+        let attempts = first..=first + REPEATS_MAX;
+        let id = self.call("/q/", number, &step, (1000, ENDLESS), attempts);
         let mut seen = self.checks.seen.lock();
         seen.long_running
             .insert(id, (LONG_RUNNING_TASKS, needs(1000)));
     }
 
-    /// Submits a job of one step as the platform's clients do.
+    /// Submits a job of one step as the platform's clients do, at the entries in turn.
     fn call(
         &self,
         queue: &'static str,
         number: u32,
         step: &Value,
         (processors, run_time): (u64, Duration),
-        first: usize,
+        attempts: RangeInclusive<usize>,
     ) -> Arc<str> {
         let id: Arc<str> = format!("{:08x}{number:08x}", self.plan.seed).into();
         let profile = (needs(processors), run_time);
@@ -231,7 +236,7 @@
         let addresses = self.client_addresses();
         let (checks, name) = (self.checks.clone(), id.clone());
         tokio::spawn(async move {
-            for attempt in first..=first + REPEATS {
+            for attempt in attempts {
                 let entry = attempt % addresses.len();
                 let to = (entry, addresses[entry]);
                 match checks.submit(to, queue, &name, body.clone()).await {
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -100,9 +100,10 @@
     let (seed, folder) = (plan.seed, plan.folder.clone());
     let verdict = world::run(plan).await?;
     println!(
-        "seed {seed}: {} accepted, {} refused, {} faults, {} workers crashed, {} broken",
+        "seed {seed}: {} accepted, {} refused ({} at least once), {} faults, {} workers crashed, {} broken",
         verdict.accepted,
         verdict.refused,
+        verdict.refused_once,
         verdict.faults,
         verdict.crashed,
         verdict.broken.len()
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -65,6 +65,8 @@
     pub accepted: usize,
     /// Number of jobs that were refused and never accepted.
     pub refused: usize,
+    /// Number of jobs that were refused in at least one attempt.
+    pub refused_once: usize,
     /// Number of faults that were played.
     pub faults: usize,
     /// Number of workers that crashed under jobs.
@@ -151,6 +153,7 @@
         broken: seen.broken.clone(),
         accepted: seen.accepted.len(),
         refused: seen.never_accepted().len(),
+        refused_once: seen.refused.len(),
         faults,
         crashed: injector.crashed,
     }
--- a/soak/tests/schedule.rs
+++ b/soak/tests/schedule.rs
@@ -3,7 +3,9 @@
 
 use std::time::Duration;
 
+use soak::bursts::{self, Companion, Shape};
 use soak::schedule::{self, Event, FaultSet, Links};
+use soak::standin::store::Mode;
 
 const SPAN: Duration = Duration::from_secs(12);
 
@@ -46,3 +48,27 @@
     assert!(has(|event| *event == Event::Configure));
     assert!(has(|event| matches!(event, Event::Kill(_))));
 }
+
+#[test]
+fn bursts_are_drawn_the_same_each_time_and_of_each_kind() {
+    let mut drawn = Vec::new();
+    for seed in 0..50 {
+        let bursts = bursts::draw(seed, SPAN, 3);
+        assert_eq!(bursts, bursts::draw(seed, SPAN, 3));
+        assert!(bursts.windows(2).all(|pair| pair[0].until < pair[1].from));
+        drawn.extend(bursts);
+    }
+    for shape in [Shape::Small, Shape::Large, Shape::Fills] {
+        assert!(drawn.iter().any(|burst| burst.shape == shape), "{shape:?}");
+    }
+    let has = |wanted: fn(&Companion) -> bool| drawn.iter().any(|burst| wanted(&burst.companion));
+    assert!(has(|it| *it == Companion::Calm));
+    assert!(has(|it| *it == Companion::Store(Mode::Unresponsive)));
+    assert!(has(|it| *it == Companion::Store(Mode::Unavailable)));
+    assert!(has(|it| *it == Companion::Store(Mode::LosesAnswers)));
+    assert!(has(|it| *it == Companion::OwnerKilled));
+    assert!(has(|it| *it == Companion::OwnerStopped));
+    assert!(has(|it| *it == Companion::OwnerSuspended));
+    assert!(has(|it| matches!(it, Companion::AnswersLost(_))));
+    assert!(has(|it| *it == Companion::ClientsSilenced));
+}
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -86,3 +86,21 @@
     let broken = play_kept(FaultSet::Links, LINKS_SPAN).await;
     assert!(broken.is_empty(), "{broken:#?}");
 }
+
+/// Bursts of wide jobs beside long-running ones: one while the owner is killed, one while the
+/// store is silent, so that submissions are refused.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bursts_break_nothing() {
+    let (mut broken, mut refused) = (Vec::new(), 0);
+    for seed in [22, 28] {
+        let plan = Plan {
+            bursts: true,
+            ..plan(seed, SPAN)
+        };
+        let verdict = world::run(plan).await.expect("a verdict");
+        broken.extend(verdict.broken);
+        refused += verdict.refused_once;
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+    assert!(refused > 0, "no job was refused");
+}
