bench rounds: cost of one placement round and of the record of demand

Cause: docs/CAPACITY.md needs the cost of each part's decisions, and bench decisions gives only the processor time of all of an owner's work.

Change: bench rounds drives the core through its public calls: a warm-up in which run times can be learned, a task on each worker that leaves too little room for any other, then 0, 300 or 2,000 waiting jobs of one step, a third of each class. It also times readings of LoadAccount and measures its memory.

--- a/bench/src/decisions.rs
+++ b/bench/src/decisions.rs
@@ -28,6 +28,12 @@
 const STORE: Duration = Duration::from_millis(6);
 /// Time between two polls.
 const POLL: Duration = Duration::from_millis(2);
+/// Capacity of a worker.
+const CAPACITY: Resources = Resources {
+    processors: 16_000,
+    memory: 62 << 30,
+    accelerators: 0,
+};
 /// Jobs a second for each thousand workers: short, filling and lasting ones.
 const RATES: [f64; 3] = [14.6, 16.7, 1.08];
 
@@ -47,9 +53,11 @@
     waits: Option<Duration>,
 }
 
-struct Fleet {
-    core: Core,
-    now: Duration,
+pub(crate) struct Fleet {
+    pub core: Core,
+    pub now: Duration,
+    /// Jobs a second, as in [`RATES`].
+    pub rates: [f64; 3],
     events: BTreeMap<(Duration, u64), Event>,
     order: BinaryHeap<Reverse<(Duration, u64)>>,
     number: u64,
@@ -68,7 +76,7 @@
     };
     println!("workers  starts/s  looks/s  orders/s  cores  us a start");
     for workers in sizes {
-        let mut fleet = Fleet::new(workers);
+        let mut fleet = Fleet::new(workers, &Tuning::default(), CAPACITY);
         fleet.play(Duration::from_secs(10));
         let (spent, starts, counts) = (fleet.spent, fleet.starts, fleet.core.counts());
         fleet.play(Duration::from_secs(u64::from(seconds)));
@@ -88,12 +96,12 @@
 }
 
 impl Fleet {
-    fn new(workers: u16) -> Self {
+    pub fn new(workers: u16, tuning: &Tuning, capacity: Resources) -> Self {
         let now = Now {
             at: Duration::from_mins(1),
             wall: 60_000,
         };
-        let mut core = Core::new(Tuning::default(), 5, LogState::default(), 1, now);
+        let mut core = Core::new(*tuning, 5, LogState::default(), 1, now);
         let queues = ["short", "fill", "last"].map(|name| Queue {
             host: "jobs".into(),
             prefix: format!("/{name}/").into(),
@@ -111,11 +119,13 @@
             queues: queues.into(),
             ..Config::default()
         }));
+        let listed = |number| listed(number, capacity);
         core.list_all((0..workers).map(listed).collect(), now);
         let names = (0..workers).map(|number| (listed(number).incarnation, Worker::default()));
         Self {
             core,
             now: now.at,
+            rates: RATES,
             events: BTreeMap::new(),
             order: BinaryHeap::new(),
             number: 0,
@@ -140,41 +150,53 @@
         self.order.push(Reverse(key));
     }
 
-    fn play(&mut self, span: Duration) {
+    pub fn play(&mut self, span: Duration) {
         let end = self.now + span;
         while self.now < end {
-            self.now += POLL;
-            self.arrive();
-            while self.order.peek().is_some_and(|it| it.0.0 <= self.now) {
-                let Some(Reverse(key)) = self.order.pop() else {
-                    break;
-                };
-                if let Some(event) = self.events.remove(&key) {
-                    self.happen(event);
-                }
-            }
-            let now = self.clock();
-            let began = Instant::now();
-            self.core.note_complete_listing(self.now);
-            let effects = self.core.advance(now);
-            self.spent += began.elapsed();
-            for effect in effects {
-                self.carry_out(effect);
+            self.step_to(self.now + POLL);
+        }
+    }
+
+    /// Plays what happens until then and advances the owner once. Returns the time that took it.
+    pub fn step_to(&mut self, at: Duration) -> Duration {
+        self.now = at;
+        self.arrive();
+        while self.order.peek().is_some_and(|it| it.0.0 <= self.now) {
+            let Some(Reverse(key)) = self.order.pop() else {
+                break;
+            };
+            if let Some(event) = self.events.remove(&key) {
+                self.happen(event);
             }
         }
+        let now = self.clock();
+        let began = Instant::now();
+        self.core.note_complete_listing(self.now);
+        let effects = self.core.advance(now);
+        let took = began.elapsed();
+        self.spent += took;
+        for effect in effects {
+            self.carry_out(effect);
+        }
+        took
+    }
+
+    /// Submits a job.
+    pub fn submit(&mut self, job: Job) {
+        self.number += 1;
+        let (ticket, now) = (RequestToken(self.number), self.clock());
+        let began = Instant::now();
+        self.core.submit(job, ticket, now);
+        self.spent += began.elapsed();
     }
 
     #[expect(clippy::cast_precision_loss, reason = "some thousand workers")]
     fn arrive(&mut self) {
         let share = self.workers.len() as f64 / 1000.0 * POLL.as_secs_f64();
-        for (kind, rate) in RATES.into_iter().enumerate() {
+        for (kind, rate) in self.rates.into_iter().enumerate() {
             if self.rng.random_bool((rate * share).min(1.0)) {
-                self.number += 1;
-                let job = make_job(kind, self.number, &mut self.rng);
-                let (ticket, now) = (RequestToken(self.number), self.clock());
-                let began = Instant::now();
-                self.core.submit(job, ticket, now);
-                self.spent += began.elapsed();
+                let job = make_job(kind, self.number + 1, &mut self.rng);
+                self.submit(job);
             }
         }
     }
@@ -196,8 +218,11 @@
         match order {
             Order::Start(start) => {
                 self.starts += 1;
-                let lasting = start.name.job.starts_with("last");
-                let length = if lasting { 30_000 } else { 800 };
+                let length = match &start.name.job {
+                    job if job.starts_with("last") => 30_000,
+                    job if job.starts_with("hold") => 3_600_000,
+                    _ => 800,
+                };
                 let length = MS * self.rng.random_range(length / 2..length * 2);
                 let end = Event::End(id.clone(), start.name.clone(), start.run);
                 self.at(length, end);
@@ -302,7 +327,8 @@
 
 /// Percent of a run's work that is done; one that lasts is at work.
 fn progress(end: Duration, now: Duration, job: &str) -> u32 {
-    if job.starts_with("last") {
+    // A run below 100 that makes no progress is stopped.
+    if job.starts_with("last") || job.starts_with("hold") {
         return 100;
     }
     let left = u32::try_from(end.saturating_sub(now).as_millis() / 20).unwrap_or(99);
@@ -351,18 +377,14 @@
     }
 }
 
-fn listed(number: u16) -> ListedWorker {
+fn listed(number: u16, capacity: Resources) -> ListedWorker {
     ListedWorker {
         incarnation: format!("i-{number:04x}").into(),
         machine: Some(format!("m{number}").into()),
         service: "fleet".into(),
         address: ([10, 0, 0, 1], number + 1).into(),
         zone: "bern".into(),
-        capacity: Resources {
-            processors: 16_000,
-            memory: 62 << 30,
-            accelerators: 0,
-        },
+        capacity,
         labels: ["a".into(), format!("r{}", number / 20).into()].into(),
         draining: false,
         remaining: None,
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -8,6 +8,7 @@
 mod decisions;
 mod price;
 mod replays;
+mod rounds;
 mod routing;
 mod slopes;
 #[path = "../../platform/standin/worker.rs"]
@@ -31,6 +32,9 @@
       decisions a second of a cell's owner, in memory
   bench decisions [--workers N] [--seconds 20]
       processor time of the decisions of a log's owner, for 300, 1,000 and 3,000 workers
+  bench rounds [--workers N] [--rounds 40] [--off NAME,...]
+      processor time of one placement round for 350, 1,000 and 3,000 workers and 0, 300 and
+      2,000 waiting steps, with switches of [policy] off; cost of the record of demand
   bench crashes [--seeds 4] [--delay-ms 10] [--tasks 1] [--flaky 0] [--load 0.6]
       jobs whose tasks crash their workers: workers taken, and what it costs the others
   bench compare --bench PROGRAM --folder DIR --site FILE... --day DAY... [--seed N...]
@@ -45,6 +49,7 @@
 fn main() -> anyhow::Result<()> {
     let mut args = Arguments::from_env();
     match args.subcommand()?.as_deref() {
+        Some("rounds") => rounds::run(args),
         Some("routing") => block_on(routing::run(args)),
         Some("overload") => block_on(routing::run_overload(args)),
         Some("price") => block_on(price::run(args)),
