--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -92,7 +92,7 @@
 
     /// Records the answer to a question for the state of an accepted job. Ended jobs may be
     /// forgotten, others may not.
-    pub fn take_state(&mut self, id: &Arc<str>, status: StatusCode, body: &[u8]) {
+    pub fn take_state(&mut self, id: &Arc<str>, by: &str, status: StatusCode, body: &[u8]) {
         let ended = ["complete", "failed", "cancelled"];
         let mut ended = ended.iter().map(|it| format!(r#"{{"state":"{it}"}}"#));
         if ended.any(|it| it.as_bytes() == body) {
@@ -100,7 +100,7 @@
         }
         let is_unknown = matches!(status, StatusCode::GONE | StatusCode::NOT_FOUND);
         if is_unknown && !self.ended.contains(id) && self.unknown.insert(id.clone()) {
-            let text = format!("{id} was accepted, and its state is answered with {status}");
+            let text = format!("{id} was accepted, and {by} answers its state with {status}");
             self.broken.push(text);
         }
     }
@@ -207,7 +207,7 @@
     /// Asks entries in turn for the states of accepted jobs that have not ended.
     async fn watch_states(self, entries: Vec<SocketAddr>) {
         let mut after: Option<Arc<str>> = None;
-        for entry in entries.iter().cycle() {
+        for (number, entry) in entries.iter().enumerate().cycle() {
             time::sleep(STATE_CHECK_INTERVAL).await;
             let open: Vec<Arc<str>> = {
                 let seen = self.seen.lock();
@@ -220,7 +220,11 @@
                 let path = format!("/q/{id}");
                 let answer = self.client.call(*entry, Method::GET, &path, String::new());
                 if let Ok((status, body)) = answer.await {
-                    self.seen.lock().take_state(&id, status, &body);
+                    let by = format!(
+                        "entry {number} at {:.3}",
+                        self.start.elapsed().as_secs_f64()
+                    );
+                    self.seen.lock().take_state(&id, &by, status, &body);
                 }
             }
         }
--- a/soak/src/jobs.rs
+++ b/soak/src/jobs.rs
@@ -126,7 +126,10 @@
                         cancelled.insert(id);
                     }
                     Ok((status, body)) if !cancels => {
-                        self.checks.seen.lock().take_state(&id, status, &body);
+                        self.checks
+                            .seen
+                            .lock()
+                            .take_state(&id, "entry 0", status, &body);
                     }
                     _ => {}
                 }
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -93,14 +93,14 @@
 fn an_accepted_job_that_is_unknown_before_its_end_is_found() {
     let id: Arc<str> = "a".into();
     let mut lost = seen(&[Some(StatusCode::OK)]);
-    lost.take_state(&id, StatusCode::GATEWAY_TIMEOUT, b"");
-    lost.take_state(&id, StatusCode::OK, br#"{"state":"running"}"#);
+    lost.take_state(&id, "entry 0", StatusCode::GATEWAY_TIMEOUT, b"");
+    lost.take_state(&id, "entry 0", StatusCode::OK, br#"{"state":"running"}"#);
     assert!(lost.broken.is_empty());
-    lost.take_state(&id, StatusCode::GONE, b"");
+    lost.take_state(&id, "entry 0", StatusCode::GONE, b"");
     assert_eq!(lost.broken.len(), 1);
     let mut ended = seen(&[Some(StatusCode::OK)]);
-    ended.take_state(&id, StatusCode::OK, br#"{"state":"complete"}"#);
-    ended.take_state(&id, StatusCode::GONE, b"");
+    ended.take_state(&id, "entry 0", StatusCode::OK, br#"{"state":"complete"}"#);
+    ended.take_state(&id, "entry 0", StatusCode::GONE, b"");
     assert!(ended.broken.is_empty(), "ended jobs may be forgotten");
 }
 
