Add the capacity reserve for short work

Long-running work takes nearly all capacity that can be reserved, and short jobs that arrive in waves then wait for a worker. The owner now learns the demand of short tasks by service and queue (peak over 16 s, decaying afterwards, fastest rise, shapes of recent steps), and a long-running task starts only where the gaps that this demand needs remain, or where a worker has its resources free twice over. Bound tasks and gangs are exempt.

--- a/ashtiller/src/workflow/core/advice.rs
+++ b/ashtiller/src/workflow/core/advice.rs
@@ -119,6 +119,7 @@
             only: request.only.clone(),
             failed_on: BTreeSet::new(),
             runs_per_worker: BTreeMap::new(),
+            reserve: request.reserve.clone(),
             ..*request
         };
         let mut candidates: Vec<&Candidate> = fleet
--- a/ashtiller/src/workflow/core/candidates.rs
+++ b/ashtiller/src/workflow/core/candidates.rs
@@ -15,7 +15,9 @@
 use crate::workflow::interference::{Image, Interference, NeighborFill};
 use crate::workflow::job::Step;
 use crate::workflow::live_run::RunSharing;
+use crate::workflow::load::account::WorkClass;
 use crate::workflow::record::{Run, Task};
+use crate::workflow::reserve::plan::{Offer, ServiceReserve};
 use crate::workflow::switches::Switches;
 use crate::workflow::worker::Worker;
 
@@ -53,6 +55,9 @@
 const OTHER_IMAGE_COST: f64 = 2.0;
 /// Cost reduction for services of the same image on a worker, for a service.
 const SAME_IMAGE_BONUS: f64 = 1.0;
+/// Cost of taking a gap of the capacity reserve, for a long-running run. It exceeds what services
+/// gain beside one of their image, but not the cost of a worker on which the task has failed.
+const RESERVE_COST: f64 = 3.5;
 /// Cost reduction per share of the worker in use, for a run that is neither a service nor a fill.
 /// It packs such runs onto few workers.
 const PACKING_BONUS: f64 = 0.3;
@@ -70,6 +75,8 @@
     pub id: Incarnation,
     pub service: Arc<str>,
     pub free: Resources,
+    /// Resources that short runs have reserved.
+    short: Resources,
     capacity: Resources,
     failures: u32,
     /// Whether it may get a single run only, after a quarantine.
@@ -145,6 +152,8 @@
     pub suspect: bool,
     /// Selectivity of a best-effort run about the services beside it, from 0 to 1.
     pub selectivity: f64,
+    /// Capacity that the task has to leave to short ones, if it is long-running.
+    pub reserve: Option<Arc<ServiceReserve>>,
 }
 
 impl Core {
@@ -194,6 +203,7 @@
             id: worker.incarnation().clone(),
             service: worker.listed.service.clone(),
             free: worker.pool.free(),
+            short: self.short_reservations(worker),
             capacity: *worker.pool.capacity(),
             failures: worker.failures(),
             on_probation: worker.on_probation(),
@@ -235,6 +245,19 @@
         candidate
     }
 
+    /// Returns the resources that short runs have reserved on a worker.
+    fn short_reservations(&self, worker: &Worker) -> Resources {
+        let mut sum = Resources::default();
+        for run in &worker.runs {
+            let task = self.log_state.task(run.task);
+            let step = task.and_then(|(job, _)| job.step(run.task));
+            if let Some(step) = step.filter(|step| WorkClass::of(step) == WorkClass::Short) {
+                sum = sum.plus(&step.reserved());
+            }
+        }
+        sum
+    }
+
     /// Returns the index of the cheapest candidate for a task.
     pub(super) fn choose_worker(
         &self,
@@ -265,6 +288,10 @@
         let near = request.step.rack.as_ref();
         let far = near.is_some_and(|rack| !candidate.has_label(rack));
         let cost = if far { cost + self.tuning.far } else { cost };
+        let reserve = request.reserve.as_ref();
+        let avoided =
+            reserve.is_some_and(|it| it.is_better_avoided(&candidate.offer(), &request.resources));
+        let cost = if avoided { cost + RESERVE_COST } else { cost };
         cost.is_finite().then_some(cost)
     }
 
@@ -279,6 +306,31 @@
         })
     }
 
+    /// Removes and returns the best candidate of a ranking, which is made if there is none. With a
+    /// reserve, each placement may raise the costs of other workers or rule them out, and never
+    /// lowers them.
+    pub(super) fn choose_ranked(
+        &self,
+        ranking: &mut Option<CandidateRanking>,
+        candidates: &[Candidate],
+        request: &PlacementRequest<'_>,
+    ) -> Option<usize> {
+        let ranking = ranking.get_or_insert_with(|| self.rank_candidates(candidates, request));
+        if request.reserve.is_none() {
+            return ranking.pop_best(candidates);
+        }
+        while let Some(best) = ranking.0.pop() {
+            let Some(cost) = self.placement_cost(&candidates[best.index], request) else {
+                continue;
+            };
+            if cost <= best.cost {
+                return Some(best.index);
+            }
+            ranking.0.push(RankedCandidate { cost, ..best });
+        }
+        None
+    }
+
     /// Adds a candidate again that was popped as the best and has changed since.
     pub(super) fn rerank_candidate(
         &self,
@@ -316,6 +368,7 @@
             .as_ref()
             .is_none_or(|only| *only == candidate.id)
         && satisfies_constraints(candidate, request.step, &request.runs_per_worker)
+        && request.leaves_reserve(candidate)
         && advised.is_none_or(|tickets| tickets.contains_key(&candidate.id))
 }
 
@@ -373,6 +426,17 @@
         self.closed
     }
 
+    /// Returns what the worker offers. One on probation gets a single run, whatever its size.
+    pub fn offer(&self) -> Offer<'_> {
+        Offer {
+            free: self.free,
+            short: self.short,
+            capacity: self.capacity,
+            labels: &self.labels,
+            takes_many: !self.on_probation,
+        }
+    }
+
     /// Returns the capacity of the worker.
     pub fn capacity(&self) -> &Resources {
         &self.capacity
@@ -489,6 +553,9 @@
         interference: &Interference,
     ) -> bool {
         self.free = self.free.minus(&request.resources);
+        if WorkClass::of(request.step) == WorkClass::Short {
+            self.short = self.short.plus(&request.resources);
+        }
         self.runs += 1;
         self.placed_this_round = true;
         self.suspects += u32::from(request.suspect);
--- a/ashtiller/src/workflow/core/dump.rs
+++ b/ashtiller/src/workflow/core/dump.rs
@@ -54,6 +54,7 @@
             "orders_under_way": self.congestion.under_way(), "orders_window": self.congestion.window(),
             "open_jobs": self.log_state.open().len(), "runs": self.runs.len(),
             "waiting": self.dump_waits(DUMP_MAX, now), "kept": self.reserved_worker(),
+            "reserve": self.dump_reserve(now),
             "unconfirmed_starts": unconfirmed.take(DUMP_MAX).collect::<Vec<_>>(),
             "jobs": jobs.collect::<Vec<_>>(), "workers": workers.collect::<Vec<_>>(),
         })
--- a/ashtiller/src/workflow/core/freed_capacity.rs
+++ b/ashtiller/src/workflow/core/freed_capacity.rs
@@ -16,6 +16,7 @@
             return;
         }
         let starved = self.collect_starved(now).into_iter();
+        let starved = starved.filter(|key| self.may_use_freed(*key, &freed));
         let waiting = starved.filter_map(|key| self.find_waiting(key));
         let mut waiting: Vec<WaitingStep> = waiting.collect();
         if waiting.is_empty() {
@@ -23,9 +24,11 @@
         }
         waiting.sort_unstable();
         let mut fleet = self.collect_candidates(now);
+        let reserve = self.plan_reserve(&fleet, &waiting, now);
         fleet.retain(|candidate| freed.contains(&candidate.id));
         let trials = self.count_trials(&fleet, now);
         let mut round = PlacementRound::new(fleet, trials);
+        round.reserve = reserve;
         for pending in waiting {
             if !self.has_capacity(&pending, &round.candidates) {
                 continue;
@@ -41,7 +44,9 @@
     /// Returns whether runs have freed capacity since the last log entry while long-running tasks
     /// wait for it.
     pub(super) fn has_freed_capacity(&self, now: Now) -> bool {
-        !self.freed_workers.is_empty() && !self.collect_starved(now).is_empty()
+        let mut starved = self.collect_starved(now).into_iter();
+        !self.freed_workers.is_empty()
+            && starved.any(|key| self.may_use_freed(key, &self.freed_workers))
     }
 
     /// Returns a long-running step that waited in the last round, if tasks of it still wait. Its
--- a/ashtiller/src/workflow/core/log_entries.rs
+++ b/ashtiller/src/workflow/core/log_entries.rs
@@ -101,6 +101,7 @@
         self.place_in_freed_capacity(now);
         self.forget_ended(now);
         self.record_lessons(now);
+        self.record_demand(now);
         let proves = since >= self.tuning.proof || !self.is_ownership_current(now);
         if !self.has_urgent_records() && !proves {
             return;
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -31,6 +31,7 @@
 mod predecessors;
 mod relocation;
 mod reports;
+pub mod reserve;
 mod runs;
 mod selectivity;
 mod start_hold;
@@ -151,6 +152,8 @@
     runs: BTreeMap<Run, LiveRun>,
     /// Demand for capacity, and the capacity of workers that may get runs.
     load: LoadAccount,
+    /// Capacity that long-running work leaves to short work.
+    reserve: reserve::ReserveState,
     /// Runs of earlier owners whose workers are not listed yet.
     adopted: adopted_runs::AdoptedRuns,
     config: Arc<Config>,
@@ -243,6 +246,8 @@
         now: Now,
     ) -> Self {
         log_state.index(now.at);
+        let is_enabled = terms.switches.capacity_reserve;
+        let reserve = reserve::ReserveState::new(log_state.learned_demand(), is_enabled, now);
         let mut core = Self {
             tuning: terms,
             epoch,
@@ -251,6 +256,7 @@
             locations: location_index::LocationIndex::default(),
             runs: BTreeMap::new(),
             load: LoadAccount::default(),
+            reserve,
             adopted: adopted_runs::AdoptedRuns::default(),
             config: Arc::default(),
             arrivals: Vec::new(),
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -13,6 +13,7 @@
 use crate::workflow::incarnation::Incarnation;
 use crate::workflow::live_run::RunSharing;
 use crate::workflow::record::{Run, Task};
+use crate::workflow::reserve::plan::{ReservePlan, ServiceReserve};
 
 /// Requirements of a task, used to remember which requirements no worker meets.
 #[derive(Clone)]
@@ -22,6 +23,8 @@
     pub resources: Resources,
     /// Selectivity about services beside it for a best-effort task, 0 for others.
     pub selectivity: f64,
+    /// Whether the capacity reserve applies.
+    pub leaves_reserve: bool,
 }
 
 impl Demand {
@@ -31,6 +34,7 @@
             && self.share == other.share
             && self.resources.fits_within(&other.resources)
             && self.selectivity <= other.selectivity
+            && self.leaves_reserve <= other.leaves_reserve
     }
 }
 
@@ -45,6 +49,8 @@
     pub promoted_late: Option<StepKey>,
     /// Isolated runs of tasks that are suspected of crashing workers.
     pub trials: ActiveTrials,
+    /// Capacity that long-running tasks leave to short ones.
+    pub reserve: ReservePlan,
 }
 
 impl PlacementRound {
@@ -55,6 +61,7 @@
             reserved: None,
             promoted_late: None,
             trials,
+            reserve: ReservePlan::default(),
         }
     }
 
@@ -65,6 +72,12 @@
             .any(|unplaceable| unplaceable.is_within(demand))
     }
 
+    /// Returns the reserve that applies to a task with these requirements.
+    fn reserve_for(&self, demand: &Demand) -> Option<Arc<ServiceReserve>> {
+        let reserve = self.reserve.of(&demand.service);
+        reserve.filter(|_| demand.leaves_reserve).cloned()
+    }
+
     /// Records that no worker meets these requirements.
     pub fn note_unplaceable(&mut self, demand: Demand) {
         self.unplaceable.push(demand);
@@ -123,6 +136,7 @@
         self.freed_workers.clear();
         let mut waiting = self.collect_waiting_steps(now);
         self.read_waiting(&waiting, now);
+        self.observe_short_demand(&waiting, now);
         self.backlog = u32::try_from(waiting.len()).unwrap_or(u32::MAX);
         if !self.tuning.switches.short_first {
             let long_running = waiting
@@ -147,6 +161,7 @@
         self.read_capacities(&fleet, now);
         let trials = self.count_trials(&fleet, now);
         let mut round = PlacementRound::new(fleet, trials);
+        round.reserve = self.plan_reserve(&round.candidates, &waiting, now);
         if self.tuning.switches.room_in_time {
             self.promote_long_running(&mut waiting, &mut round, now);
             self.promote_oldest_late(&mut waiting, &mut round, now);
@@ -184,6 +199,7 @@
             } else {
                 0.0
             },
+            leaves_reserve: Self::is_reserve_bound(step),
         }
     }
 
@@ -195,8 +211,8 @@
         now: Now,
     ) {
         let demand = self.demand_of(pending, now);
-        if round.is_known_unplaceable(&demand) {
-            return;
+        if round.is_known_unplaceable(&demand) && !self.has_bound_tasks(pending) {
+            return self.note_held_step(pending, round, now);
         }
         let job = &self.log_state.jobs[&pending.job];
         let spec = job.job.clone();
@@ -223,6 +239,7 @@
             only: None,
             suspect: tasks.iter().any(|task| self.is_suspect(*task)),
             selectivity: demand.selectivity,
+            reserve: round.reserve_for(&demand),
         };
         if step.gang {
             if !self.place_gang(&tasks, &request, round, now) {
@@ -235,8 +252,10 @@
             request.runs_per_worker = candidates::count_runs_per_worker(self, first);
         }
         let mut ranking = None;
+        let mut is_held = false;
         for (placed, task) in tasks.iter().enumerate() {
             request.only = match self.site_of(*task) {
+                Site::Any if is_held => continue,
                 Site::Any => None,
                 Site::Only(worker) => Some(worker),
                 Site::Nowhere => continue,
@@ -249,14 +268,13 @@
             }
             // The ranking holds for tasks without restrictions of their own.
             let is_ranked = request.failed_on.is_empty() && request.only.is_none();
+            let fleet = &round.candidates;
             let index = if is_ranked {
-                let ranking = ranking
-                    .get_or_insert_with(|| self.rank_candidates(&round.candidates, &request));
-                ranking.pop_best(&round.candidates)
+                self.choose_ranked(&mut ranking, fleet, &request)
             } else {
-                self.choose_worker(&round.candidates, &request)
+                self.choose_worker(fleet, &request)
             };
-            debug_assert_eq!(index, self.choose_worker(&round.candidates, &request));
+            debug_assert_eq!(index, self.choose_worker(fleet, &request));
             let Some(index) = index else {
                 self.advise_on(&tasks[placed..], &request, round, now);
                 if request.only.is_some() {
@@ -265,15 +283,17 @@
                 if uniform {
                     round.note_unplaceable(demand.clone());
                 }
-                return;
+                if request.reserve.is_none() {
+                    return;
+                }
+                // The reserve does not apply to tasks that are bound to a worker.
+                self.note_held_step(pending, round, now);
+                is_held = true;
+                continue;
             };
-            let id = round.candidates[index].id.clone();
-            let takes_more = round.candidates[index].add_run(&request, &self.interference);
-            if step.spread > 0 {
-                *request.runs_per_worker.entry(id.clone()).or_insert(0) += 1;
-            }
-            if !takes_more {
-                round.candidates[index].close();
+            let id = self.add_to_candidate(index, &mut request, round);
+            if request.reserve.is_some() {
+                request.reserve = round.reserve_for(&demand);
             }
             match &mut ranking {
                 Some(ranking) if is_ranked => {
@@ -282,13 +302,12 @@
                 // The worker's state has changed, so the ranking is out of date.
                 _ => ranking = None,
             }
+            let number = self.next_run_number(*task);
             let run = Run {
                 task: *task,
-                number: self.next_run_number(*task),
+                number,
             };
-            let ticket = tickets
-                .as_ref()
-                .and_then(|tickets| tickets.get(&id).cloned());
+            let ticket = tickets.as_ref().and_then(|it| it.get(&id).cloned());
             self.place_run(run, &id, ticket, now);
             if is_promoted {
                 self.last_rescue = now.at;
@@ -296,6 +315,24 @@
         }
     }
 
+    /// Accounts for a run that is placed on a candidate, and returns the worker.
+    fn add_to_candidate(
+        &self,
+        index: usize,
+        request: &mut PlacementRequest<'_>,
+        round: &mut PlacementRound,
+    ) -> Incarnation {
+        let id = round.candidates[index].id.clone();
+        let takes_more = round.add_run(index, request, &self.interference);
+        if request.step.spread > 0 {
+            *request.runs_per_worker.entry(id.clone()).or_insert(0) += 1;
+        }
+        if !takes_more {
+            round.candidates[index].close();
+        }
+        id
+    }
+
     /// Asks the advisor about workers for tasks that were not placed, if their step needs advice.
     fn advise_on(
         &mut self,
@@ -362,9 +399,8 @@
                 .max()
                 .unwrap_or(1);
             for (task, index) in tasks.iter().zip(&chosen) {
-                let candidate = &mut round.candidates[*index];
-                candidate.add_run(request, &self.interference);
-                let id = candidate.id.clone();
+                round.add_run(*index, request, &self.interference);
+                let id = round.candidates[*index].id.clone();
                 let ticket = request
                     .tickets
                     .and_then(|tickets| tickets.get(&id).cloned());
--- a/ashtiller/src/workflow/core/relocation.rs
+++ b/ashtiller/src/workflow/core/relocation.rs
@@ -65,6 +65,7 @@
             only: None,
             suspect: false,
             selectivity: 0.0,
+            reserve: None,
         };
         let Some(index) = self.choose_worker(&round.candidates, &request) else {
             return;
@@ -112,6 +113,7 @@
             share: live.share,
             resources: step.reserved(),
             selectivity,
+            leaves_reserve: false,
         };
         if round.is_known_unplaceable(&demand) {
             return;
@@ -128,6 +130,7 @@
             only: None,
             suspect: false,
             selectivity,
+            reserve: None,
         };
         let Some(index) = self.choose_worker(&round.candidates, &request) else {
             round.note_unplaceable(demand);
--- a/ashtiller/src/workflow/core/starvation.rs
+++ b/ashtiller/src/workflow/core/starvation.rs
@@ -115,7 +115,7 @@
             }
         }
         self.passed_over = trackers;
-        round.reserved = self.reserve(waiting, &round.candidates, now);
+        round.reserved = self.reserve_worker(waiting, round, now);
     }
 
     /// Returns whether all waiting tasks of a step are strong suspects, to be run in isolation.
@@ -127,19 +127,23 @@
                 .all(|task| self.is_strong_suspect(*task))
     }
 
-    /// Reserves a worker for the long-running step that has waited longest without capacity.
-    fn reserve(
+    /// Reserves a worker for the long-running step that has waited longest without capacity. A
+    /// worker that the step could not use once it is empty, because of the capacity reserve, keeps
+    /// its short runs.
+    fn reserve_worker(
         &mut self,
         waiting: &mut [WaitingStep],
-        fleet: &[Candidate],
+        round: &PlacementRound,
         now: Now,
     ) -> Option<Incarnation> {
+        let fleet = &round.candidates;
         if let Some(reservation) = self.reserved.take()
             && now.at < reservation.since + RESERVATION_MAX
             && let Some(pending) = waiting
                 .iter_mut()
                 .find(|pending| pending.key() == reservation.step)
             && let Some(candidate) = fleet.iter().find(|it| it.id == reservation.worker)
+            && !self.is_held_back(pending, candidate, &round.reserve)
         {
             if self.fits_step(pending, candidate) {
                 pending.promote();
@@ -160,7 +164,7 @@
         starved.sort_unstable();
         // A step for which no worker can be emptied must not block the others.
         let (pending, worker) = starved.into_iter().find_map(|(_, pending)| {
-            Some((pending, self.find_worker_to_reserve(pending, fleet)?))
+            Some((pending, self.find_worker_to_reserve(pending, round)?))
         })?;
         tracing::debug!(job = pending.job, %worker, "worker reserved for a lasting task");
         self.reserved = Some(WorkerReservation {
@@ -191,7 +195,7 @@
         oldest.promote();
         round.promoted_late = Some(oldest.key());
         if round.reserved.is_none() && !self.has_capacity(oldest, &round.candidates) {
-            round.reserved = self.find_worker_to_reserve(oldest, &round.candidates);
+            round.reserved = self.find_worker_to_reserve(oldest, round);
         }
     }
 
@@ -201,17 +205,19 @@
     fn find_worker_to_reserve(
         &self,
         pending: &WaitingStep,
-        fleet: &[Candidate],
+        round: &PlacementRound,
     ) -> Option<Incarnation> {
         let job = &self.log_state.jobs[&pending.job];
         let step = &job.job.steps[usize::from(pending.step)];
         let resources = step.reserved();
         let spread = self.count_step_runs(pending);
-        let open = fleet
+        let open = round
+            .candidates
             .iter()
             .filter(|it| it.service == job.policy.service && !it.is_closed())
             .filter(|it| candidates::satisfies_constraints(it, step, &spread))
             .filter(|it| !self.is_forbidden(pending.key(), &it.id))
+            .filter(|it| !self.is_held_back(pending, it, &round.reserve))
             .filter_map(|it| self.workers.get(&it.id));
         let suitable = open.filter_map(|worker| {
             let mut free = worker.pool.free();
@@ -233,6 +239,20 @@
         suitable.min().map(|(_, id)| id.clone())
     }
 
+    /// Returns whether there was capacity for a long-running step when this round began.
+    pub(super) fn had_capacity(
+        &self,
+        pending: &WaitingStep,
+        fleet: &[Candidate],
+        now: Now,
+    ) -> bool {
+        let tracker = self.passed_over.get(&pending.key());
+        tracker.map_or_else(
+            || self.has_capacity(pending, fleet),
+            |tracker| tracker.last_capacity == now.at,
+        )
+    }
+
     /// Returns the long-running steps that have waited long enough to be placed first.
     pub(super) fn collect_starved(&self, now: Now) -> Vec<StepKey> {
         let trackers = self.passed_over.iter();
--- a/ashtiller/src/workflow/load/account.rs
+++ b/ashtiller/src/workflow/load/account.rs
@@ -78,6 +78,17 @@
         });
     }
 
+    /// Returns the resources that a task requests on average.
+    #[must_use]
+    pub fn mean(&self) -> Resources {
+        let tasks = self.tasks.max(1);
+        Resources {
+            processors: self.resources.processors / u64::from(tasks),
+            memory: self.resources.memory / u64::from(tasks),
+            accelerators: self.resources.accelerators / tasks,
+        }
+    }
+
     fn remove_task(&mut self, resources: &Resources) {
         self.tasks = self.tasks.saturating_sub(1);
         self.resources = self.resources.minus(resources);
--- a/ashtiller/src/workflow/log_state.rs
+++ b/ashtiller/src/workflow/log_state.rs
@@ -17,6 +17,9 @@
 use crate::workflow::snapshot::Extensions;
 use crate::workflow::state::{JobState, PlacedRun, StepState, TaskState, UnconfirmedStart};
 
+/// Number of the learned demand among the extensions of a snapshot.
+const DEMAND_EXTENSION: u8 = 3;
+
 /// Change by a record that the caller has to act on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Effect {
@@ -50,6 +53,9 @@
     /// Runs with a start that may be in flight; they have a section of their own in a snapshot.
     #[serde(skip)]
     pending_starts: BTreeMap<Run, u64>,
+    /// Encoded demand of short tasks; it is an extension of a snapshot.
+    #[serde(skip)]
+    learned_demand: Vec<u8>,
     #[serde(skip)]
     by_id: BTreeMap<Arc<str>, u32>,
     #[serde(skip)]
@@ -178,6 +184,7 @@
             LogRecord::StartAnswered(run) => {
                 self.pending_starts.remove(run);
             }
+            LogRecord::DemandLearned(demand) => self.learned_demand.clone_from(demand),
         }
         Effect::None
     }
@@ -269,19 +276,31 @@
         self.pending_starts = starts;
     }
 
+    /// Returns the encoded demand of short tasks that was recorded last.
+    #[must_use]
+    pub fn learned_demand(&self) -> &[u8] {
+        &self.learned_demand
+    }
+
     /// Returns the values of a snapshot's last section.
     ///
     /// # Errors
     /// Fails if a value cannot be encoded.
     pub fn extensions(&self) -> Result<Extensions, postcard::Error> {
-        Ok(Extensions::new())
+        let mut extensions = Extensions::new();
+        if !self.learned_demand.is_empty() {
+            extensions.insert(DEMAND_EXTENSION, self.learned_demand.clone());
+        }
+        Ok(extensions)
     }
 
     /// Sets the values of a snapshot's last section. Unknown numbers are skipped.
     ///
     /// # Errors
     /// Fails if a value cannot be decoded.
-    pub fn set_extensions(&mut self, _extensions: &Extensions) -> Result<(), postcard::Error> {
+    pub fn set_extensions(&mut self, extensions: &Extensions) -> Result<(), postcard::Error> {
+        let demand = extensions.get(&DEMAND_EXTENSION).cloned();
+        self.learned_demand = demand.unwrap_or_default();
         Ok(())
     }
 
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -13,6 +13,7 @@
 use crate::workflow::core::Counts;
 use crate::workflow::core::eligibility::Eligibility;
 use crate::workflow::core::lease_waits::{HeldRuns, LeaseHold, LeaseWait};
+use crate::workflow::core::reserve::ReserveSummary;
 use crate::workflow::core::times::TimeBreakdown;
 use crate::workflow::core::wait_report::WaitSummary;
 use crate::workflow::message::Reply;
@@ -85,6 +86,7 @@
     waiting: IntGaugeVec,
     waited: GaugeVec,
     workers: IntGaugeVec,
+    reserve: IntGaugeVec,
     pressure: GaugeVec,
     silent: IntCounter,
     unreadable: IntCounter,
@@ -152,6 +154,13 @@
                 ),
                 &["gate"],
             )?,
+            reserve: IntGaugeVec::new(
+                opts(
+                    "reserve",
+                    "gaps for short tasks: demanded, reserved and present, and long-running steps held back",
+                ),
+                &["service", "what"],
+            )?,
             pressure: GaugeVec::new(
                 opts(
                     "pressure",
@@ -182,6 +191,7 @@
             Box::new(metrics.waiting.clone()),
             Box::new(metrics.waited.clone()),
             Box::new(metrics.workers.clone()),
+            Box::new(metrics.reserve.clone()),
             Box::new(metrics.pressure.clone()),
             Box::new(web::silent_connections()),
             Box::new(messages),
@@ -269,6 +279,21 @@
         }
     }
 
+    /// Sets the gauges of the capacity reserve from the gaps that each service's whole demand needs.
+    pub fn note_reserve(&self, reserves: &[ReserveSummary], held: usize) {
+        self.reserve.reset();
+        let gauge = |service: &str, what: &str, figure: u64| {
+            let gauge = self.reserve.with_label_values(&[service, what]);
+            gauge.set(i64::try_from(figure).unwrap_or(i64::MAX));
+        };
+        for reserve in reserves.iter().filter(|it| it.covers_all) {
+            gauge(&reserve.service, "wanted", reserve.wanted);
+            gauge(&reserve.service, "reserved", reserve.reserved);
+            gauge(&reserve.service, "present", reserve.present);
+        }
+        gauge("", "held_steps", held as u64);
+    }
+
     /// Returns the metrics of runs on silent workers.
     #[must_use]
     pub fn leases(&self) -> &LeaseMetrics {
@@ -296,6 +321,7 @@
         self.waiting.reset();
         self.waited.reset();
         self.workers.reset();
+        self.reserve.reset();
         self.pressure.reset();
     }
 
--- a/ashtiller/src/workflow/mod.rs
+++ b/ashtiller/src/workflow/mod.rs
@@ -3,7 +3,8 @@
 //! - Data: [`job`], [`record`], [`config`], [`evacuations`] and [`tuning`].
 //! - Decisions: [`log_state`] applies records to [`state`] and [`core`] decides. [`worker`],
 //!   [`incarnation`], [`lease`] and [`live_run`] are its view of the workers, and [`blame`]
-//!   attributes worker crashes to tasks. [`load`] records demand and capacity.
+//!   attributes worker crashes to tasks. [`load`] records demand and capacity, and [`reserve`] keeps
+//!   capacity for short work.
 //! - Execution: [`log`] writes entries and [`owner`] runs the state machine. [`membership`] tracks
 //!   the instances and elects the owner, [`node`] is the process, and [`peers`] sends requests to
 //!   other instances over [`link`].
@@ -38,6 +39,7 @@
 pub mod peers;
 pub mod record;
 pub mod relay;
+pub mod reserve;
 pub mod settings;
 pub mod snapshot;
 pub mod state;
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -354,6 +354,10 @@
         self.node
             .metrics
             .note_waits(&self.core.summarize_waits(now), &eligibility);
+        self.node.metrics.note_reserve(
+            &self.core.reserve_summaries(now),
+            self.core.held_back_steps(),
+        );
         let client = &self.node.relay_client;
         self.node.metrics.note_pressure(
             self.core.congestion(),
--- a/ashtiller/src/workflow/record.rs
+++ b/ashtiller/src/workflow/record.rs
@@ -118,6 +118,8 @@
     /// The pending start of a run was answered, or the worker lists the run, or the start is recorded
     /// as unconfirmed. Earlier ones remain unconfirmed.
     StartAnswered(Run),
+    /// Demand of short tasks was learned; encoded as by `DemandHistory::export`.
+    DemandLearned(Vec<u8>),
 }
 
 impl LogRecord {
@@ -128,6 +130,7 @@
     pub fn section(&self) -> Section {
         match self {
             Self::StartPending(..) | Self::StartAnswered(_) => Section::Starts,
+            Self::DemandLearned(_) => Section::Extension,
             _ => Section::Required,
         }
     }
@@ -141,7 +144,7 @@
     /// Reports whether the record may wait for the next entry that is written anyway.
     #[must_use]
     pub fn may_wait(&self) -> bool {
-        matches!(self, Self::StartAnswered(_))
+        matches!(self, Self::StartAnswered(_) | Self::DemandLearned(_))
     }
 }
 
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -28,6 +28,8 @@
 mod proof_age;
 mod refill;
 mod refusals;
+mod reserve;
+mod reserve_demand;
 mod room;
 mod selective;
 mod sharing;
