Keep the costs of candidates from falling in a round

The property test of the rule on long-running starts found a ranking that was out of date: a task of another size than the waiting ones raised the count of protected gaps, which lowered the cost of other workers. The count now only falls within a round.

--- a/ashtiller/src/workflow/reserve/plan.rs
+++ b/ashtiller/src/workflow/reserve/plan.rs
@@ -186,7 +186,10 @@
             gaps.present = (gaps.present + left).saturating_sub(had);
             let left = gaps.count(after, &after.protected(&self.lasting));
             let had = gaps.count(before, &before.protected(&self.lasting));
-            gaps.protected = (gaps.protected + left).saturating_sub(had);
+            // A task of another size than the waiting ones may add to it. Rankings of candidates rely
+            // on costs that never fall in a round.
+            let protected = (gaps.protected + left).saturating_sub(had);
+            gaps.protected = gaps.protected.min(protected);
         }
     }
 
