--- a/ashtiller/src/workflow/core/admission_control.rs
+++ b/ashtiller/src/workflow/core/admission_control.rs
@@ -133,7 +133,7 @@
                     && round.reserved.is_none()
                     && !self.has_capacity(pending, &round.candidates)
                 {
-                    round.reserved = self.find_worker_to_reserve(pending, &round.candidates);
+                    round.reserved = self.find_worker_to_reserve(pending, round);
                 }
             }
         }
--- a/ashtiller/src/workflow/core/dump.rs
+++ b/ashtiller/src/workflow/core/dump.rs
@@ -57,6 +57,7 @@
             "waiting": self.dump_waits(DUMP_MAX, now), "kept": self.reserved_worker(),
             "run_times": self.dump_run_times(now),
             "shares": self.dump_shares(),
+            "reserve": self.dump_reserve(now),
             "unconfirmed_starts": unconfirmed.take(DUMP_MAX).collect::<Vec<_>>(),
             "jobs": jobs.collect::<Vec<_>>(), "workers": workers.collect::<Vec<_>>(),
         })
--- a/ashtiller/src/workflow/core/log_entries.rs
+++ b/ashtiller/src/workflow/core/log_entries.rs
@@ -103,6 +103,7 @@
         self.forget_ended(now);
         self.record_lessons(now);
         self.record_run_times(now);
+        self.record_demand(now);
         let proves = since >= self.tuning.proof || !self.is_ownership_current(now);
         if !self.has_urgent_records() && !proves {
             return;
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -32,6 +32,7 @@
 mod predecessors;
 mod relocation;
 mod reports;
+pub mod reserve;
 pub mod run_times;
 mod runs;
 mod selectivity;
@@ -172,6 +173,8 @@
     admission: Control,
     /// What the known workers could run if they were empty, and when it was last read.
     catalog: (Catalog, Option<Duration>),
+    /// Capacity that long-running work leaves to short work.
+    reserve: reserve::ReserveState,
     /// Runs of earlier owners whose workers are not listed yet.
     adopted: adopted_runs::AdoptedRuns,
     config: Arc<Config>,
@@ -266,6 +269,8 @@
     ) -> Self {
         log_state.index(now.at);
         let learned_run_times = run_times::LearnedRunTimes::restore(&log_state, now.at);
+        let is_enabled = terms.switches.capacity_reserve;
+        let reserve = reserve::ReserveState::new(log_state.learned_demand(), is_enabled, now);
         let mut core = Self {
             tuning: terms,
             epoch,
@@ -277,6 +282,7 @@
             shares: shares::FairShares::default(),
             admission: Control::default(),
             catalog: (Catalog::default(), None),
+            reserve,
             adopted: adopted_runs::AdoptedRuns::default(),
             config: Arc::default(),
             arrivals: Vec::new(),
--- a/ashtiller/src/workflow/log_state.rs
+++ b/ashtiller/src/workflow/log_state.rs
@@ -19,6 +19,9 @@
 use crate::workflow::snapshot::Extensions;
 use crate::workflow::state::{JobState, PlacedRun, StepState, TaskState, UnconfirmedStart};
 
+/// Number of the learned demand among the extensions of a snapshot.
+const DEMAND_EXTENSION: u8 = 3;
+
 /// Change by a record that the caller has to act on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Effect {
@@ -61,6 +64,9 @@
     /// Origins of jobs; they are among the extensions of a snapshot.
     #[serde(skip)]
     origins: Origins,
+    /// Encoded demand of short tasks; it is an extension of a snapshot.
+    #[serde(skip)]
+    learned_demand: Vec<u8>,
     #[serde(skip)]
     by_id: BTreeMap<Arc<str>, u32>,
     #[serde(skip)]
@@ -195,6 +201,7 @@
                     self.origins.insert(*number, zone);
                 }
             }
+            LogRecord::DemandLearned(demand) => self.learned_demand.clone_from(demand),
         }
         Effect::None
     }
@@ -286,6 +293,12 @@
         self.pending_starts = starts;
     }
 
+    /// Returns the encoded demand of short tasks that was recorded last.
+    #[must_use]
+    pub fn learned_demand(&self) -> &[u8] {
+        &self.learned_demand
+    }
+
     /// Returns the values of a snapshot's last section.
     ///
     /// # Errors
@@ -299,6 +312,9 @@
         if !self.origins.is_empty() {
             extensions.insert(origins::EXTENSION, self.origins.encode()?);
         }
+        if !self.learned_demand.is_empty() {
+            extensions.insert(DEMAND_EXTENSION, self.learned_demand.clone());
+        }
         Ok(extensions)
     }
 
@@ -315,8 +331,14 @@
             }
         }
         if let Some(bytes) = extensions.get(&origins::EXTENSION) {
-            self.origins = Origins::decode(bytes)?;
+            // Jobs without an origin are counted together, so that is no reason to fail.
+            match Origins::decode(bytes) {
+                Ok(origins) => self.origins = origins,
+                Err(error) => tracing::warn!(%error, "origins of a snapshot skipped"),
+            }
         }
+        let demand = extensions.get(&DEMAND_EXTENSION).cloned();
+        self.learned_demand = demand.unwrap_or_default();
         Ok(())
     }
 
--- a/ashtiller/src/workflow/mod.rs
+++ b/ashtiller/src/workflow/mod.rs
@@ -4,8 +4,8 @@
 //! - Decisions: [`log_state`] applies records to [`state`] and [`core`] decides. [`worker`],
 //!   [`incarnation`], [`lease`] and [`live_run`] are its view of the workers, and [`blame`]
 //!   attributes worker crashes to tasks. [`load`] records demand and capacity, [`run_times`]
-//!   learns how long tasks take, [`shares`] divides capacity between callers, and [`admission`]
-//!   decides which jobs are accepted under overload.
+//!   learns how long tasks take, [`reserve`] keeps capacity for short work, [`shares`] divides
+//!   capacity between callers, and [`admission`] decides which jobs are accepted under overload.
 //! - Execution: [`log`] writes entries and [`owner`] runs the state machine. [`membership`] tracks
 //!   the instances and elects the owner, [`node`] is the process, and [`peers`] sends requests to
 //!   other instances over [`link`].
@@ -41,6 +41,7 @@
 pub mod peers;
 pub mod record;
 pub mod relay;
+pub mod reserve;
 pub mod run_times;
 pub mod settings;
 pub mod shares;
--- a/ashtiller/src/workflow/record.rs
+++ b/ashtiller/src/workflow/record.rs
@@ -123,6 +123,8 @@
     RunTimesLearned(EncodedModels),
     /// The instance that took this job from its caller is in this availability zone.
     Origin(u32, Arc<str>),
+    /// Demand of short tasks was learned; encoded as by `DemandHistory::export`.
+    DemandLearned(Vec<u8>),
 }
 
 impl LogRecord {
@@ -133,8 +135,9 @@
     pub fn section(&self) -> Section {
         match self {
             Self::StartPending(..) | Self::StartAnswered(_) => Section::Starts,
-            Self::RunTimesLearned(_) => Section::Extension,
-            Self::Origin(..) => Section::Extension,
+            Self::RunTimesLearned(_) | Self::Origin(..) | Self::DemandLearned(_) => {
+                Section::Extension
+            }
             _ => Section::Required,
         }
     }
@@ -148,7 +151,10 @@
     /// Reports whether the record may wait for the next entry that is written anyway.
     #[must_use]
     pub fn may_wait(&self) -> bool {
-        matches!(self, Self::StartAnswered(_) | Self::RunTimesLearned(_))
+        matches!(
+            self,
+            Self::StartAnswered(_) | Self::RunTimesLearned(_) | Self::DemandLearned(_)
+        )
     }
 }
 
