--- a/ashtiller/src/workflow/core/relocation.rs
+++ b/ashtiller/src/workflow/core/relocation.rs
@@ -56,6 +56,12 @@
             job.job.clone(),
             state.failed_on.clone(),
         );
+        // A copy beside a run that is slow would share its cause.
+        let number = state.live.first().map_or(0, |live| live.number);
+        let slow_on = self.runs.get(&Run { task, number });
+        let slow_on = slow_on
+            .map(|live| live.worker.clone())
+            .filter(|id| self.workers.get(id).is_some_and(|it| it.answers));
         let step = &spec.steps[usize::from(task.step)];
         let (share, _) = sharing_of(&mut self.interference, step);
         let request = PlacementRequest {
@@ -66,8 +72,7 @@
             failed_on,
             runs_per_worker: candidates::count_runs_per_worker(self, task),
             tickets: None,
-            // A copy beside a slow run would share its cause.
-            excluded: state.live.first().map(|live| live.worker.clone()),
+            excluded: slow_on.clone(),
             only: None,
             suspect: false,
             selectivity: 0.0,
@@ -76,6 +81,9 @@
             return;
         };
         let id = round.candidates[index].id.clone();
+        if slow_on.is_some() && round.reserved.as_ref() == Some(&id) {
+            return;
+        }
         if !round.candidates[index].add_run(&request, &self.interference) {
             round.candidates[index].close();
         }
--- a/ashtiller/tests/run_times/core.rs
+++ b/ashtiller/tests/run_times/core.rs
@@ -67,32 +67,29 @@
     assert!(driver.core.drain_run_time_ratios().len() >= 20);
 }
 
-/// Guards against decisions of a mechanism that is switched off.
-#[test]
-fn nothing_is_learned_while_switched_off() {
-    let mut driver = Driver::with_tuning(&tuning(false), &[], 1, policy());
-    run_jobs(&mut driver, 10, SECOND);
-    driver.run_for(4 * SECOND);
-    assert_eq!(expected(&driver), 500 * MS);
-    let is_learned = |record: &LogRecord| matches!(record, LogRecord::RunTimesLearned(_));
-    assert!(!driver.records.iter().any(is_learned));
-}
-
-/// Guards against runs that were stopped or restored counting as whole ones.
+/// Guards against runs that were stopped, or resumed from a checkpoint, counting as whole ones.
 #[test]
 fn only_whole_runs_that_are_done_count() {
     let mut driver = Driver::new(1, policy());
     for number in 0..10u64 {
-        driver.submit(job(&format!("{number}"), vec![whole_worker(1)]));
-        driver.run_for(200 * MS);
-        let (worker, run) = driver.starts().last().expect("a start").clone();
-        driver.end(&worker, run, EndReason::Stopped, 2 * number + 1);
+        let step = Step {
+            checkpoints: true,
+            ..whole_worker(1)
+        };
+        driver.submit(job(&format!("{number}"), vec![step]));
+        for how in [EndReason::Stopped, EndReason::Done] {
+            driver.run_for(200 * MS);
+            let (worker, run) = driver.starts().last().expect("a start").clone();
+            let number = 2 * number + u64::from(run.number);
+            driver.end(&worker, run, how, number);
+        }
     }
+    assert_eq!(driver.core.counts().done, 10);
     assert_eq!(expected(&driver), 500 * MS);
 }
 
-/// Guards against an order by wrong estimates: of two jobs that are equally old, the one whose tasks
-/// take twice their estimate has less time left for its second step.
+/// Guards against an order by wrong estimates, and against learning while switched off: of two jobs
+/// of the same age, the one whose task takes three times its estimate has less time left.
 #[test]
 fn the_job_with_the_longer_learned_chain_goes_first() {
     for learns in [true, false] {
@@ -120,6 +117,8 @@
         let (_, run) = driver.starts()[known];
         let first = &driver.core.log_state().jobs[&run.task.job].job.id;
         assert_eq!(&**first == "known", learns, "{first}");
+        let is_learned = |record: &LogRecord| matches!(record, LogRecord::RunTimesLearned(_));
+        assert_eq!(driver.records.iter().any(is_learned), learns);
     }
 }
 
