--- a/ashtiller/tests/run_times/core.rs
+++ b/ashtiller/tests/run_times/core.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ashtiller::workflow::agents::{Active, EndReason};
-use ashtiller::workflow::job::Step;
+use ashtiller::workflow::job::{Policy, Step};
 use ashtiller::workflow::record::{LogRecord, Run};
 use ashtiller::workflow::switches::Switches;
 use ashtiller::workflow::tuning::Tuning;
@@ -19,6 +19,17 @@
     step
 }
 
+fn tuning(learned_run_times: bool) -> Tuning {
+    let switches = Switches {
+        learned_run_times,
+        ..Switches::default()
+    };
+    Tuning {
+        switches,
+        ..Tuning::default()
+    }
+}
+
 /// Runs jobs one after the other, of `took` each.
 fn run_jobs(driver: &mut Driver, jobs: u32, took: Duration) {
     for number in 0..jobs {
@@ -56,35 +67,85 @@
     assert!(driver.core.drain_run_time_ratios().len() >= 20);
 }
 
-/// Guards against decisions of a mechanism that is switched off.
+/// Guards against runs that were stopped, or resumed from a checkpoint, counting as whole ones.
 #[test]
-fn nothing_is_learned_while_switched_off() {
-    let tuning = Tuning {
-        switches: Switches {
-            learned_run_times: false,
-            ..Switches::default()
-        },
-        ..Tuning::default()
-    };
-    let mut driver = Driver::with_tuning(&tuning, &[], 1, policy());
-    run_jobs(&mut driver, 10, SECOND);
-    driver.run_for(4 * SECOND);
+fn only_whole_runs_that_are_done_count() {
+    let mut driver = Driver::new(1, policy());
+    for number in 0..10u64 {
+        let step = Step {
+            checkpoints: true,
+            ..whole_worker(1)
+        };
+        driver.submit(job(&format!("{number}"), vec![step]));
+        for how in [EndReason::Stopped, EndReason::Done] {
+            driver.run_for(200 * MS);
+            let (worker, run) = driver.starts().last().expect("a start").clone();
+            let number = 2 * number + u64::from(run.number);
+            driver.end(&worker, run, how, number);
+        }
+    }
+    assert_eq!(driver.core.counts().done, 10);
     assert_eq!(expected(&driver), 500 * MS);
-    let is_learned = |record: &LogRecord| matches!(record, LogRecord::RunTimesLearned(_));
-    assert!(!driver.records.iter().any(is_learned));
 }
 
-/// Guards against runs that were stopped or restored counting as whole ones.
+/// Guards against an order by wrong estimates, and against learning while switched off: of two jobs
+/// of the same age, the one whose task takes three times its estimate has less time left.
 #[test]
-fn only_whole_runs_that_are_done_count() {
-    let mut driver = Driver::new(1, policy());
-    for number in 0..10u64 {
-        driver.submit(job(&format!("{number}"), vec![whole_worker(1)]));
+fn the_job_with_the_longer_learned_chain_goes_first() {
+    for learns in [true, false] {
+        // On time within its chain and 250 ms, so that a longer chain does not buy time.
+        let policy = Policy {
+            extension: 0.5,
+            ..policy()
+        };
+        let mut driver = Driver::with_tuning(&tuning(learns), &[], 1, policy);
+        run_jobs(&mut driver, 20, 1500 * MS);
+        driver.submit(job("holds", vec![whole_worker(1)]));
         driver.run_for(200 * MS);
-        let (worker, run) = driver.starts().last().expect("a start").clone();
-        driver.end(&worker, run, EndReason::Stopped, 2 * number + 1);
+        let known = driver.starts().len();
+        let (worker, run) = driver.starts()[known - 1].clone();
+        // No model knows this kind of step, so its estimate holds.
+        let unknown = Step {
+            estimate: 700 * MS,
+            ..whole_worker(2)
+        };
+        driver.submit(job("unknown", vec![unknown]));
+        driver.submit(job("known", vec![whole_worker(1)]));
+        driver.run_for(100 * MS);
+        driver.end(&worker, run, EndReason::Done, 100);
+        driver.run_for(200 * MS);
+        let (_, run) = driver.starts()[known];
+        let first = &driver.core.log_state().jobs[&run.task.job].job.id;
+        assert_eq!(&**first == "known", learns, "{first}");
+        let is_learned = |record: &LogRecord| matches!(record, LogRecord::RunTimesLearned(_));
+        assert_eq!(driver.records.iter().any(is_learned), learns);
+    }
+}
+
+/// Guards against a stalled run of a short task that is found only after the limit for long ones, and
+/// against the learned limit without knowledge.
+#[test]
+fn a_stalled_run_of_a_known_kind_is_stopped_sooner() {
+    for known in [20, 2] {
+        let mut driver = Driver::new(1, policy());
+        run_jobs(&mut driver, known, 500 * MS);
+        let before = driver.starts().len();
+        driver.submit(job("stalls", vec![whole_worker(1)]));
+        driver.run_for(100 * MS);
+        let (_, run) = driver.starts()[before].clone();
+        report(&mut driver, run, 30);
+        let since = driver.now.at;
+        while !driver.stops().contains(&run) && driver.now.at < since + 3 * SECOND {
+            report(&mut driver, run, 30);
+        }
+        let took = driver.now.at.saturating_sub(since);
+        let bounds = if known == 20 {
+            450 * MS..750 * MS
+        } else {
+            SECOND..1400 * MS
+        };
+        assert!(bounds.contains(&took), "{known} known: {took:?}");
     }
-    assert_eq!(expected(&driver), 500 * MS);
 }
 
 /// Reports a run as active until its worker is polled next.
