Test the way of an origin to the log; cost of the account O(keys)

The section after a submission was tested at its ends only. A test now sends submissions to an owner of its own, to one on another instance, and as an older instance does, and reads the origins from the log.

The account of shares looked for the siblings of each key among all sets of siblings; it now keeps them in a map.

--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -158,7 +158,7 @@
             let waited = self.waiting_tasks(pending).len();
             self.place_step(pending, &mut round, now);
             let left = self.waiting_tasks(pending).len();
-            order.charge(self.share_of_tasks(pending, waited.saturating_sub(left)));
+            order.charge(self.charge_of_tasks(pending, waited.saturating_sub(left)));
             if left == 0 {
                 self.job_timings.note_placed(pending.key());
                 self.wait_logged_at.remove(&pending.key());
--- a/ashtiller/src/workflow/core/shares.rs
+++ b/ashtiller/src/workflow/core/shares.rs
@@ -140,15 +140,15 @@
         })
     }
 
-    /// Returns the share of its service's capacity that a number of tasks of a step requests.
-    pub(super) fn share_of_tasks(&self, pending: WaitingStep, tasks: usize) -> f64 {
+    /// Returns by how much the shares of its queue and origin rise with a number of tasks of a step.
+    pub(super) fn charge_of_tasks(&self, pending: WaitingStep, tasks: usize) -> f64 {
         let job = &self.log_state.jobs[&pending.job];
         let step = &job.job.steps[usize::from(pending.step)];
         let capacity = self.load.capacity(&job.policy.service);
         let (capacity, _) = capacity.unwrap_or_default();
         #[expect(clippy::cast_precision_loss, reason = "at most 10,000 tasks")]
         let tasks = tasks as f64;
-        step.needs.dominant_share_of(&capacity.total) * tasks
+        Share::level_of_use(step.needs.dominant_share_of(&capacity.total) * tasks)
     }
 
     /// Logs the shares of the queues and origins that wait, if steps were placed before others with
--- a/ashtiller/src/workflow/shares/ledger.rs
+++ b/ashtiller/src/workflow/shares/ledger.rs
@@ -76,18 +76,16 @@
         }
     }
 
-    /// Returns whether both compete directly: queues of one class, or origins of one queue.
-    fn is_sibling(&self, other: &Self) -> bool {
-        self.service == other.service
-            && self.class == other.class
-            && match (&self.origin, &other.origin) {
-                (None, None) => true,
-                (Some(_), Some(_)) => self.queue == other.queue,
-                _ => false,
-            }
+    /// Returns what it competes within: a class of a service, or one of its queues.
+    fn family(&self) -> Family {
+        let queue = self.origin.as_ref().map(|_| self.queue.clone());
+        (self.service.clone(), self.class, queue)
     }
 }
 
+/// Keys that compete directly: the queues of a class of a service, or the origins of one queue.
+type Family = (Arc<str>, WorkClass, Option<Arc<str>>);
+
 /// Usage of one key, in shares of the service's capacity.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Share {
@@ -107,6 +105,12 @@
     pub fn level(&self) -> f64 {
         f64::midpoint(self.used, self.past)
     }
+
+    /// Returns by how much the level rises with additional runs that use this share.
+    #[must_use]
+    pub fn level_of_use(used: f64) -> f64 {
+        f64::midpoint(used, 0.0)
+    }
 }
 
 /// Usage of all keys.
@@ -136,12 +140,12 @@
         for key in current.keys() {
             self.shares.entry(key.clone()).or_default();
         }
-        let contended = self.lowest_waiting_past();
+        let contended = self.contended();
         for (key, share) in &mut self.shares {
-            let before = share.used;
+            let lowest = contended.get(&key.family());
             share.past *= kept;
-            if contended.iter().any(|(other, _)| other.is_sibling(key)) {
-                share.past += before * gained;
+            if lowest.is_some() {
+                share.past += share.used * gained;
             }
             let (used, waiting) = current.remove(key).unwrap_or_default();
             let capacity = load.capacity(&key.service).map(|(it, _)| it.total);
@@ -150,39 +154,27 @@
             };
             share.used = share_of(&used);
             share.waiting = share_of(&waiting);
+            // Time in which a key asked for nothing is no shortage to be compensated.
+            let waited = std::mem::replace(&mut share.waits, waiting.tasks > 0);
+            if share.waits && !waited {
+                share.past = lowest.map_or(share.past, |lowest| share.past.max(lowest * kept));
+            }
         }
-        self.forgive_idle_time(&contended);
         self.shares
-            .retain(|_, share| share.past > NEGLIGIBLE || share.used > 0.0 || share.waiting > 0.0);
+            .retain(|_, share| share.past > NEGLIGIBLE || share.used > 0.0 || share.waits);
     }
 
-    /// Returns, for each set of siblings of which one waited in the last round, one of them and the
-    /// lowest past usage of those that waited.
-    fn lowest_waiting_past(&self) -> Vec<(ShareKey, f64)> {
-        let mut found: Vec<(ShareKey, f64)> = Vec::new();
-        // Siblings are not adjacent in the map, but there are few sets of them.
+    /// Returns the families of which a key waited in the last round, with the lowest past usage of
+    /// those that waited.
+    fn contended(&self) -> BTreeMap<Family, f64> {
+        let mut found = BTreeMap::new();
         for (key, share) in self.shares.iter().filter(|(_, share)| share.waits) {
-            match found.iter_mut().find(|(other, _)| other.is_sibling(key)) {
-                Some((_, lowest)) => *lowest = lowest.min(share.past),
-                None => found.push((key.clone(), share.past)),
-            }
+            let lowest = found.entry(key.family()).or_insert(share.past);
+            *lowest = share.past.min(*lowest);
         }
         found
     }
 
-    /// Raises the past usage of a key that begins to wait to the lowest one among those that waited
-    /// already: time in which it asked for nothing is no shortage to be compensated.
-    fn forgive_idle_time(&mut self, contended: &[(ShareKey, f64)]) {
-        for (key, share) in &mut self.shares {
-            let waits = share.waiting > 0.0;
-            if waits && !share.waits {
-                let floor = contended.iter().find(|(other, _)| other.is_sibling(key));
-                share.past = floor.map_or(share.past, |(_, floor)| share.past.max(*floor));
-            }
-            share.waits = waits;
-        }
-    }
-
     /// Returns the usage of a key.
     #[must_use]
     pub fn share(&self, key: &ShareKey) -> Share {
--- a/ashtiller/src/workflow/shares/order.rs
+++ b/ashtiller/src/workflow/shares/order.rs
@@ -289,7 +289,7 @@
         self.reordered
     }
 
-    /// Adds what the step that was returned last got, as a share of the capacity of the service.
+    /// Adds what the step that was returned last got to the levels of its queue and origin.
     pub fn charge(&mut self, share: f64) {
         if share <= 0.0 {
             return;
--- a/ashtiller/tests/links/clients.rs
+++ b/ashtiller/tests/links/clients.rs
@@ -26,7 +26,7 @@
 const QUERY: &str = "GET /q/00000000000000a1 HTTP/1.1\r\nhost: jobs\r\n\
      x-deadline-ms: 100000\r\n\r\n";
 
-fn config() -> Config {
+pub fn config() -> Config {
     let policy = Policy {
         service: "fleet".into(),
         priority: 0,
--- a/ashtiller/tests/links/main.rs
+++ b/ashtiller/tests/links/main.rs
@@ -14,6 +14,7 @@
 mod lists;
 mod memory_store;
 mod net;
+mod origins;
 mod peer;
 mod relays;
 #[path = "../../../platform/store.rs"]
--- a/ashtiller/tests/links/peer.rs
+++ b/ashtiller/tests/links/peer.rs
@@ -30,6 +30,8 @@
     pub heartbeats: RefCell<Vec<Instant>>,
     /// Number of clients' requests that arrived.
     pub request_count: Cell<usize>,
+    /// Section after the newest submission.
+    pub last_section: RefCell<Vec<u8>>,
 }
 
 impl Peer {
@@ -78,4 +80,15 @@
             }
         })
     }
+
+    fn answer_with_section(
+        self: Rc<Self>,
+        request: PeerRequest,
+        section: &[u8],
+    ) -> LocalBoxFuture<'static, Reply> {
+        if matches!(request, PeerRequest::Submit(_)) {
+            *self.last_section.borrow_mut() = section.to_vec();
+        }
+        self.answer(request)
+    }
 }
--- a/ashtiller/tests/shares/main.rs
+++ b/ashtiller/tests/shares/main.rs
@@ -1,5 +1,6 @@
 //! Fair shares: load patterns in virtual time, and failures around the origins of jobs.
 
+mod decisions;
 mod failures;
 mod fleet;
 mod patterns;
