--- a/ashtiller/tests/shares/failures.rs
+++ b/ashtiller/tests/shares/failures.rs
@@ -1,7 +1,6 @@
 //! Origins that are missing, repeated or lost, and changes of owner.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use ashtiller::workflow::load::account::WorkClass;
 use ashtiller::workflow::log_state::LogState;
@@ -10,9 +9,7 @@
 use ashtiller::workflow::shares::origins::SubmitSection;
 use ashtiller::workflow::snapshot;
 
-use crate::fleet::{Fleet, MS, SECOND, job, step};
-
-const QUEUES: [&str; 2] = ["/a/", "/b/"];
+use crate::fleet::{BEGIN, Fleet, MS, QUEUES, SECOND, job, step};
 
 fn origins(records: &[LogRecord]) -> Vec<(u32, Arc<str>)> {
     let origins = records.iter().filter_map(|record| match record {
@@ -37,11 +34,11 @@
 /// before or after the first submission is in the log.
 #[test]
 fn a_repeated_job_keeps_its_first_origin() {
-    let mut fleet = Fleet::new(&QUEUES, true);
-    fleet.submit(job("1", "/a/", vec![step(1)]), "n", 0);
-    fleet.submit(job("1", "/a/", vec![step(1)]), "e", 0);
+    let mut fleet = Fleet::new(true);
+    fleet.submit(job("1", "/a/", step(1)), "n", 0);
+    fleet.submit(job("1", "/a/", step(1)), "e", 0);
     fleet.run(&mut [], 100 * MS);
-    fleet.submit(job("1", "/a/", vec![step(1)]), "s", 0);
+    fleet.submit(job("1", "/a/", step(1)), "s", 0);
     fleet.run(&mut [], 100 * MS);
     assert_eq!(origins(&fleet.records), [(0, "n".into())]);
 }
@@ -52,9 +49,9 @@
 fn a_job_without_an_origin_is_accepted() {
     assert_eq!(SubmitSection::decode(&[]), SubmitSection::default());
     assert_eq!(SubmitSection::decode(&[200, 1]), SubmitSection::default());
-    let mut fleet = Fleet::new(&QUEUES, true);
-    fleet.submit(job("1", "/a/", vec![step(8)]), "", 0);
-    fleet.submit(job("2", "/a/", vec![step(8)]), &"z".repeat(65), 0);
+    let mut fleet = Fleet::new(true);
+    fleet.submit(job("1", "/a/", step(8)), "", 0);
+    fleet.submit(job("2", "/a/", step(8)), &"z".repeat(65), 0);
     fleet.run(&mut [], 300 * MS);
     assert_eq!(origins(&fleet.records), []);
     assert_eq!(usage(&fleet, "/a/", Some(""))[0], 10);
@@ -64,7 +61,7 @@
 /// Guards against an older owner that cannot read a submission with an origin.
 #[test]
 fn an_older_owner_reads_a_submission_with_an_origin() {
-    let request = PeerRequest::Submit(Box::new(job("1", "/a/", vec![step(1)])));
+    let request = PeerRequest::Submit(Box::new(job("1", "/a/", step(1))));
     let section = SubmitSection { origin: "n".into() };
     let mut bytes = postcard::to_stdvec(&request).expect("encodes");
     bytes.extend(section.encode().expect("encodes"));
@@ -77,9 +74,9 @@
 /// or an older owner in between that makes the log unreadable.
 #[test]
 fn origins_survive_a_snapshot_and_may_be_lost_to_an_older_owner() {
-    let mut fleet = Fleet::new(&QUEUES, true);
+    let mut fleet = Fleet::new(true);
     for (id, zone) in [("1", "n"), ("2", "e"), ("3", "n")] {
-        fleet.submit(job(id, "/a/", vec![step(1)]), zone, 0);
+        fleet.submit(job(id, "/a/", step(1)), zone, 0);
     }
     fleet.run(&mut [], 100 * MS);
     let bytes = snapshot::encode(fleet.core.log_state()).expect("encodes");
@@ -96,8 +93,8 @@
     let bytes = snapshot::encode(&older).expect("encodes");
     let decoded = snapshot::decode(&bytes).expect("decodes");
     assert_eq!(zones(&decoded), ["", "", ""]);
-    let mut next = Fleet::with_state(decoded, &QUEUES, true);
-    next.submit(job("4", "/a/", vec![step(1)]), "s", 0);
+    let mut next = Fleet::with_state(decoded, true);
+    next.submit(job("4", "/a/", step(1)), "s", 0);
     next.run(&mut [], 100 * MS);
     assert_eq!(origins(&next.records), [(3, "s".into())]);
 }
@@ -105,9 +102,9 @@
 /// Guards against memory that grows with past jobs, and against a name of a zone for each job.
 #[test]
 fn the_origin_of_a_forgotten_job_is_dropped() {
-    let mut fleet = Fleet::new(&QUEUES, true);
-    fleet.submit(job("1", "/a/", vec![step(1)]), "n", 0);
-    fleet.submit(job("2", "/a/", vec![step(1)]), "n", 0);
+    let mut fleet = Fleet::new(true);
+    fleet.submit(job("1", "/a/", step(1)), "n", 0);
+    fleet.submit(job("2", "/a/", step(1)), "n", 0);
     fleet.run(&mut [], 100 * MS);
     let origins = fleet.core.log_state().origins();
     assert!(Arc::ptr_eq(&origins.of(0), &origins.of(1)));
@@ -119,9 +116,9 @@
 /// nothing of the past.
 #[test]
 fn a_new_owner_knows_the_usage_of_adopted_runs() {
-    let mut fleet = Fleet::new(&QUEUES, true);
+    let mut fleet = Fleet::new(true);
     for number in 0..60 {
-        fleet.submit(job(&format!("{number}"), "/a/", vec![step(8)]), "n", 0);
+        fleet.submit(job(&format!("{number}"), "/a/", step(8)), "n", 0);
     }
     fleet.run(&mut [], 600 * MS);
     let past = usage(&fleet, "/a/", Some("n"))[1];
@@ -129,9 +126,13 @@
     // Each of 160 processors runs one task.
     let used = demand.used.tasks * 100 / 160;
     assert!(used > 50 && past > 5, "{used} {past}");
-    let mut next = Fleet::replay(&fleet.records, &QUEUES, true);
+    let mut state = LogState::default();
+    for record in &fleet.records {
+        state.apply(record, BEGIN);
+    }
+    let mut next = Fleet::with_state(state, true);
     next.fates = fleet.fates.clone();
-    while next.core.shares().count() == 0 && next.now < Duration::from_secs(63) {
+    while next.core.shares().count() == 0 && next.now < BEGIN + 3 * SECOND {
         next.run(&mut [], 5 * MS);
     }
     // Workers that the new owner has not heard yet do not count as capacity.
@@ -147,10 +148,10 @@
 /// Guards against the switch that leaves something of the fair shares on.
 #[test]
 fn nothing_is_recorded_or_reordered_while_the_switch_is_off() {
-    let mut fleet = Fleet::new(&QUEUES, false);
+    let mut fleet = Fleet::new(false);
     for number in 0..60 {
         let queue = QUEUES[usize::from(number > 50)];
-        fleet.submit(job(&format!("{number}"), queue, vec![step(8)]), "n", 0);
+        fleet.submit(job(&format!("{number}"), queue, step(8)), "n", 0);
     }
     fleet.run(&mut [], 2 * SECOND);
     assert_eq!(origins(&fleet.records), []);
