--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -178,7 +178,7 @@
             self.place_step(pending, &mut round, now);
             self.note_placement(pending, before, &round, now);
             let left = self.count_waiting(pending);
-            order.charge(self.share_of_tasks(pending, (before - left) as usize));
+            order.charge(self.charge_of_tasks(pending, (before - left) as usize));
             if left == 0 {
                 self.job_timings.note_placed(pending.key());
                 self.wait_logged_at.remove(&pending.key());
