--- a/ashtiller/src/workflow/admission/control.rs
+++ b/ashtiller/src/workflow/admission/control.rs
@@ -10,7 +10,8 @@
 use crate::workflow::admission::rate::RateMeter;
 use crate::workflow::admission::refusals::{self, RefusalTable, Refused, Schedule};
 use crate::workflow::admission::triage::{
-    ACCEPTED_OBJECTIVES, WORTH_OBJECTIVES, WORTHLESS_SHARE, WorthlessShare,
+    ACCEPTED_OBJECTIVES, ACCEPTED_OBJECTIVES_LATE, WORTH_OBJECTIVES, WORTHLESS_SHARE,
+    WorthlessShare,
 };
 use crate::workflow::load::account::WorkClass;
 
@@ -18,6 +19,10 @@
 /// counts as overloaded. Two of the longest intervals between rounds, and shorter than the time
 /// that a short job may wait and still be in time.
 pub const OVERLOAD_AFTER: Duration = Duration::from_millis(450);
+/// Time for which an overload lasts when only tasks of jobs worth nothing are left without a
+/// worker. Otherwise, at ten times the load, half a second of work would be admitted in each
+/// round after all work that is worth anything has found workers.
+pub const OVERLOAD_LASTS: Duration = Duration::from_secs(2);
 /// Factor on the measured rate in a prediction. It favours accepting: a refusal while the job could
 /// have been served is the worse mistake, and rates vary by a fifth within seconds.
 pub const RATE_MARGIN: f64 = 1.25;
@@ -116,9 +121,16 @@
     backlog: Backlog,
     /// Requests of tasks that no worker took in the last round.
     unplaced: Vec<Resources>,
+    /// Whether one of them is of a job that is worth anything. The others yield to new jobs, and
+    /// do not show that there is no capacity for them.
+    pressed: bool,
     /// Time since which every round has left such tasks.
     short_since: Option<Duration>,
+    /// Time since which every round has left tasks of jobs worth anything.
+    pressed_since: Option<Duration>,
     overloaded: bool,
+    /// Time of the last round in overload that left tasks of jobs worth anything.
+    last_pressed: Option<Duration>,
     /// Work of refused callers that are due and may go ahead of newcomers.
     due: f64,
     rate: RateMeter,
@@ -206,12 +218,16 @@
     pub fn begin_reading(&mut self) {
         for state in self.classes.values_mut() {
             state.unplaced.clear();
+            state.pressed = false;
         }
     }
 
-    /// Records a request of a task that no worker took, although one could if it were empty.
-    pub fn note_unplaced(&mut self, key: &ClassKey, needs: &Resources) {
-        let unplaced = &mut self.class_mut(key).unplaced;
+    /// Records a request of a task that no worker took, although one could if it were empty, and
+    /// whether its job is worth nothing any more.
+    pub fn note_unplaced(&mut self, key: &ClassKey, needs: &Resources, worthless: bool) {
+        let state = self.class_mut(key);
+        state.pressed |= !worthless;
+        let unplaced = &mut state.unplaced;
         if unplaced.iter().any(|known| known.fits_within(needs)) {
             return;
         }
@@ -249,16 +265,25 @@
         }
         let mut changes = Vec::new();
         for (key, state) in &mut self.classes {
-            let since = match (state.unplaced.is_empty(), state.short_since) {
-                (true, _) => None,
-                (false, since) => Some(since.unwrap_or(now)),
-            };
-            state.short_since = since;
+            let short = !state.unplaced.is_empty();
+            let since =
+                |before: Option<Duration>, holds: bool| holds.then(|| before.unwrap_or(now));
+            state.short_since = since(state.short_since, short);
+            state.pressed_since = since(state.pressed_since, state.pressed);
             state.due = self.refused.due_work(key, now);
             if state.backlog.worthless() <= 0.0 {
                 state.share.settle(now);
             }
-            let overloaded = since.is_some_and(|since| now >= since + OVERLOAD_AFTER);
+            let begins = state
+                .pressed_since
+                .is_some_and(|since| now >= since + OVERLOAD_AFTER);
+            let lasts = state
+                .last_pressed
+                .is_some_and(|last| now < last + OVERLOAD_LASTS);
+            let overloaded = short && (begins || state.overloaded && lasts);
+            if overloaded && state.pressed {
+                state.last_pressed = Some(now);
+            }
             if std::mem::replace(&mut state.overloaded, overloaded) != overloaded {
                 changes.push(Change {
                     class: key.clone(),
@@ -371,7 +396,13 @@
         let wait = seconds(ahead / (state.rate_for_newcomers(rate) * RATE_MARGIN));
         let predicted = wait.saturating_add(job.chain);
         let accepted = state.backlog.accepted_before(job.priority, job.objective);
-        let accepted_max = (job.objective * ACCEPTED_OBJECTIVES).as_secs_f64() * rate;
+        let elapsed = (job.objective * WORTH_OBJECTIVES).saturating_sub(limit);
+        let objectives = if elapsed + job.chain <= job.objective {
+            ACCEPTED_OBJECTIVES
+        } else {
+            ACCEPTED_OBJECTIVES_LATE
+        };
+        let accepted_max = (job.objective * objectives).as_secs_f64() * rate;
         let (reason, excess) = match () {
             () if predicted > limit => (Reason::PredictedEnd, predicted.saturating_sub(limit)),
             () if accepted > accepted_max => (
--- a/ashtiller/src/workflow/core/admission_control.rs
+++ b/ashtiller/src/workflow/core/admission_control.rs
@@ -178,7 +178,8 @@
         let demand = self.demand_of(pending, now);
         // A selective step waits for a better worker, not for capacity.
         if demand.selectivity <= 0.0 && round.is_known_unplaceable(&demand) {
-            self.admission.note_unplaced(&key, &needs);
+            let worthless = promoted || pending.urgency.lateness == TOO_LATE;
+            self.admission.note_unplaced(&key, &needs, worthless);
         }
     }
 
--- /dev/null
+++ b/ashtiller/tests/admission/main.rs
@@ -0,0 +1,4 @@
+//! Admission control and triage under overload, in virtual time.
+
+mod model;
+mod orders;
