--- a/ashtiller/src/workflow/admission/control.rs
+++ b/ashtiller/src/workflow/admission/control.rs
@@ -23,6 +23,9 @@
 /// worker. Otherwise, at ten times the load, half a second of work would be admitted in each
 /// round after all work that is worth anything has found workers.
 pub const OVERLOAD_LASTS: Duration = Duration::from_secs(2);
+/// Time after the refusal of a job that could be in time for which jobs that cannot be in time are
+/// admitted only with little work waiting. After it, refused callers go ahead of newcomers again.
+pub const LATE_YIELD: Duration = Duration::from_secs(1);
 /// Factor on the measured rate in a prediction. It favours accepting: a refusal while the job could
 /// have been served is the worse mistake, and rates vary by a fifth within seconds.
 pub const RATE_MARGIN: f64 = 1.25;
@@ -135,6 +138,8 @@
     due: f64,
     rate: RateMeter,
     schedule: Schedule,
+    /// Time of the last refusal of a job that could still be in time.
+    refused_in_time: Option<Duration>,
     share: WorthlessShare,
 }
 
@@ -361,7 +366,11 @@
         };
         let key = (job.service.clone(), refusal.class);
         let own = seconds(work / refusal.rate);
-        refusal.retry = self.class_mut(&key).schedule.next_delay(excess, own, now);
+        let state = self.class_mut(&key);
+        if now + job.chain <= first + job.objective {
+            state.refused_in_time = Some(now);
+        }
+        refusal.retry = state.schedule.next_delay(excess, own, now);
         let returns = now + refusal.retry;
         let in_time = returns + job.chain <= first + job.objective;
         let entry = Refused {
@@ -397,10 +406,14 @@
         let predicted = wait.saturating_add(job.chain);
         let accepted = state.backlog.accepted_before(job.priority, job.objective);
         let elapsed = (job.objective * WORTH_OBJECTIVES).saturating_sub(limit);
-        let objectives = if elapsed + job.chain <= job.objective {
-            ACCEPTED_OBJECTIVES
-        } else {
+        let yields = elapsed + job.chain > job.objective
+            && state
+                .refused_in_time
+                .is_some_and(|at| now < at + LATE_YIELD);
+        let objectives = if yields {
             ACCEPTED_OBJECTIVES_LATE
+        } else {
+            ACCEPTED_OBJECTIVES
         };
         let accepted_max = (job.objective * objectives).as_secs_f64() * rate;
         let (reason, excess) = match () {
--- a/ashtiller/tests/admission/model.rs
+++ b/ashtiller/tests/admission/model.rs
@@ -128,6 +128,8 @@
     pub bound_used: f64,
     /// Refusals by the second of the run.
     pub refusals: BTreeMap<u64, u32>,
+    /// The same of jobs that were not refused before.
+    pub first_refusals: BTreeMap<u64, u32>,
 }
 
 impl Totals {
@@ -236,6 +238,10 @@
                     Verdict::Refuse(refusal) => {
                         totals.refused += 1;
                         *totals.refusals.entry((now - start).as_secs()).or_insert(0) += 1;
+                        if job.attempts == 0 {
+                            let second = (now - start).as_secs();
+                            *totals.first_refusals.entry(second).or_insert(0) += 1;
+                        }
                         job.attempts += 1;
                         if job.attempts <= RETRIES {
                             returning.insert((now + refusal.retry + 4 * MS, serial), job);
