--- a/bench/src/rounds.rs
+++ b/bench/src/rounds.rs
@@ -55,14 +55,16 @@
         Some(workers) => vec![workers],
         None => vec![350, 1000, 3000],
     };
-    println!("switched off: {}", off.as_deref().unwrap_or("none"));
+    // First, since memory that the fleets have freed would be used again.
+    show_account()?;
+    println!("\nswitched off: {}", off.as_deref().unwrap_or("none"));
     println!("workers  jobs  waiting  round us: median     p95  other us  load us  keys");
     for workers in sizes {
         for jobs in [0, 300, 2000] {
             println!("{}", measure(workers, jobs, rounds, &tuning)?);
         }
     }
-    show_account()
+    Ok(())
 }
 
 fn turn_off(switches: &mut Switches, name: &str) -> anyhow::Result<()> {
@@ -250,7 +252,7 @@
         (0..REPEAT).for_each(|_| work());
         micros(began.elapsed() / REPEAT)
     };
-    println!("\naccount of {} keys:", keys.len());
+    println!("account of {} keys:", keys.len());
     println!("  reading of all classes {:8.2} us", micros(read(&account)));
     let runs = time(&mut || {
         for key in &keys {
