--- a/ashtiller/src/workflow/core/admission_control.rs
+++ b/ashtiller/src/workflow/core/admission_control.rs
@@ -221,7 +221,7 @@
                     let work = self.runnable_work(job, occurrence, class);
                     if work > 0.0 {
                         let key = (job.policy.service.clone(), class);
-                        let chains = self.chains_of(job, now);
+                        let chains = self.chains_of(&job.job, now);
                         found.push((key, job_work(job, *index, occurrence, work, &chains, now)));
                     }
                 }
