--- a/ashtiller/src/workflow/core/reserve.rs
+++ b/ashtiller/src/workflow/core/reserve.rs
@@ -189,7 +189,7 @@
             return plan;
         }
         for service in self.reserve.history.services() {
-            let needs = self.reserve.history.needs(service);
+            let needs = self.reserve.history.needs(service, now.at);
             let workers = fleet.iter().filter(|it| it.service == *service);
             let offers: Vec<Offer<'_>> = workers.map(Candidate::offer).collect();
             let lasting = lasting.get(service).map(Usage::mean).unwrap_or_default();
@@ -216,20 +216,17 @@
                 .any(|task| matches!(self.site_of(*task), Site::Only(_)))
     }
 
-    /// Returns whether the reserve would be less than whole after a task of a long-running step was
-    /// placed on a worker, once there is room for it.
-    pub(super) fn is_held_back(
+    /// Returns the reserve that may hold a step back, if there is one.
+    pub(super) fn reserve_against<'a>(
         &self,
         pending: &WaitingStep,
-        candidate: &Candidate,
-        plan: &ReservePlan,
-    ) -> bool {
+        plan: &'a ReservePlan,
+    ) -> Option<&'a ServiceReserve> {
         let job = &self.log_state.jobs[&pending.job];
         let step = &job.job.steps[usize::from(pending.step)];
-        let reserve = plan.of(&job.policy.service);
-        let reserve = reserve.filter(|_| Self::is_reserve_bound(step));
-        reserve.is_some_and(|it| !it.remains_after(&candidate.offer(), &step.reserved()))
-            && !self.has_bound_tasks(*pending)
+        let reserve = plan.of(&job.policy.service)?;
+        let applies = Self::is_reserve_bound(step) && !self.has_bound_tasks(*pending);
+        applies.then_some(&**reserve)
     }
 
     /// Records that tasks of a long-running step were not placed, if there was room for one that
--- a/ashtiller/src/workflow/core/starvation.rs
+++ b/ashtiller/src/workflow/core/starvation.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use crate::resources::Resources;
 use crate::workflow::core::advice::StepKey;
 use crate::workflow::core::candidates::{self, Candidate, RunsPerWorker};
 use crate::workflow::core::plan::PlacementRound;
@@ -143,7 +144,7 @@
                 .iter_mut()
                 .find(|pending| pending.key() == reservation.step)
             && let Some(candidate) = fleet.iter().find(|it| it.id == reservation.worker)
-            && !self.is_held_back(pending, candidate, &round.reserve)
+            && self.may_empty(pending, candidate, round)
         {
             if self.fits_step(pending, candidate) {
                 pending.promote();
@@ -162,9 +163,20 @@
         });
         let mut starved: Vec<(Duration, &WaitingStep)> = starved.collect();
         starved.sort_unstable();
-        // A step for which no worker can be emptied must not block the others.
+        // A step for which no worker can be emptied must not block the others. While the capacity
+        // reserve is in force there may be many, and one that asks for as much finds none either.
+        let mut held: Vec<(&str, Resources)> = Vec::new();
         let (pending, worker) = starved.into_iter().find_map(|(_, pending)| {
-            Some((pending, self.find_worker_to_reserve(pending, round)?))
+            let asks = self.unrestricted_request(pending, round);
+            let is_held = |(service, least): &(&str, Resources)| {
+                asks.is_some_and(|(of, needs)| of == *service && least.fits_within(&needs))
+            };
+            if held.iter().any(is_held) {
+                return None;
+            }
+            let worker = self.find_worker_to_reserve(pending, round);
+            held.extend(asks.filter(|_| worker.is_none()));
+            Some((pending, worker?))
         })?;
         tracing::debug!(job = pending.job, %worker, "worker reserved for a lasting task");
         self.reserved = Some(WorkerReservation {
@@ -175,6 +187,34 @@
         Some(worker)
     }
 
+    /// Returns the service and the resources of a step that the capacity reserve may hold back, if any
+    /// worker of the service may run it.
+    fn unrestricted_request(
+        &self,
+        pending: &WaitingStep,
+        round: &PlacementRound,
+    ) -> Option<(&str, Resources)> {
+        self.reserve_against(pending, &round.reserve)?;
+        let job = &self.log_state.jobs[&pending.job];
+        let step = &job.job.steps[usize::from(pending.step)];
+        let restricted = step.label.is_some() || step.spread > 0 || job.policy.advice.is_some();
+        (!restricted).then(|| (&*job.policy.service, step.reserved()))
+    }
+
+    /// Returns whether a worker may be emptied of short runs for a step: the capacity reserve remains
+    /// whole once a task of the step has started there.
+    fn may_empty(
+        &self,
+        pending: &WaitingStep,
+        candidate: &Candidate,
+        round: &PlacementRound,
+    ) -> bool {
+        let job = &self.log_state.jobs[&pending.job];
+        let resources = job.job.steps[usize::from(pending.step)].reserved();
+        let reserve = self.reserve_against(pending, &round.reserve);
+        reserve.is_none_or(|kept| kept.remains_after(&candidate.offer(), &resources))
+    }
+
     /// Promotes the oldest short step that is too late to earn anything, once in a while, so that
     /// it still ends while newer steps keep arriving.
     pub(super) fn promote_oldest_late(
@@ -211,13 +251,14 @@
         let step = &job.job.steps[usize::from(pending.step)];
         let resources = step.reserved();
         let spread = self.count_step_runs(pending);
+        let reserve = self.reserve_against(pending, &round.reserve);
         let open = round
             .candidates
             .iter()
             .filter(|it| it.service == job.policy.service && !it.is_closed())
             .filter(|it| candidates::satisfies_constraints(it, step, &spread))
             .filter(|it| !self.is_forbidden(pending.key(), &it.id))
-            .filter(|it| !self.is_held_back(pending, it, &round.reserve))
+            .filter(|it| reserve.is_none_or(|kept| kept.remains_after(&it.offer(), &resources)))
             .filter_map(|it| self.workers.get(&it.id));
         let suitable = open.filter_map(|worker| {
             let mut free = worker.pool.free();
--- a/ashtiller/src/workflow/reserve/demand.rs
+++ b/ashtiller/src/workflow/reserve/demand.rs
@@ -18,7 +18,7 @@
 const PEAK_BUCKET: Duration = Duration::from_secs(2);
 /// Number of these parts. Traffic varies with periods of 11 to 13 s, so that 16 s always hold the
 /// peak of a wave. A shorter memory gives the reserve away in each trough.
-const PEAK_BUCKETS: usize = 8;
+const PEAK_BUCKETS: u32 = 8;
 /// Time in which a peak that has left the window decays to 1/e.
 const PEAK_DECAY: Duration = Duration::from_secs(8);
 /// Time over which a rise of demand is measured. A burst reaches its height within about the run
@@ -30,6 +30,9 @@
 /// Factor on the peak, for a burst that is higher than those before. Bursts multiply traffic by 1.4
 /// to 2.6, but of one queue at a time, and most waves are within the window.
 const PEAK_MARGIN: f64 = 1.3;
+/// The same factor for a queue that was first seen less than a window ago: its peak may be yet to
+/// come. Traffic that varies by 55 % has peaks of 1.55 times the mean, before any burst.
+const YOUNG_PEAK_MARGIN: f64 = 2.0;
 /// Time for which the shape of a step counts as recent: several periods of the traffic.
 const SHAPE_LIFETIME: Duration = Duration::from_secs(40);
 /// Limit of the queues that are remembered.
@@ -82,7 +85,7 @@
 /// Maximum over a window of time, with a decaying tail.
 #[derive(Clone, Debug, Default)]
 struct Peak {
-    buckets: [Amounts; PEAK_BUCKETS],
+    buckets: [Amounts; PEAK_BUCKETS as usize],
     /// Number of the newest bucket, counted from time zero.
     newest: u64,
     /// Largest amounts before the window, at the end of the newest bucket.
@@ -93,7 +96,9 @@
     /// Moves the window to `now`.
     fn advance(&mut self, now: Duration) {
         let newest = u64::try_from(now.as_millis() / PEAK_BUCKET.as_millis()).unwrap_or(u64::MAX);
-        let skipped = newest.saturating_sub(self.newest).min(PEAK_BUCKETS as u64);
+        let skipped = newest
+            .saturating_sub(self.newest)
+            .min(u64::from(PEAK_BUCKETS));
         for step in (0..skipped).rev() {
             let bucket = &mut self.buckets[index_of(newest - step)];
             let left = std::mem::take(bucket);
@@ -120,7 +125,7 @@
     reason = "less than the number of buckets"
 )]
 fn index_of(bucket: u64) -> usize {
-    (bucket % PEAK_BUCKETS as u64) as usize
+    (bucket % u64::from(PEAK_BUCKETS)) as usize
 }
 
 /// A number of tasks of one size that a step needs to start at once.
@@ -234,9 +239,18 @@
     /// Demand as of the last measurement of its growth.
     rise_base: Option<(Duration, Amounts)>,
     shapes: Vec<Shape>,
+    /// Time until which the peak may be yet to come.
+    young_until: Duration,
 }
 
 impl QueueDemand {
+    fn new(now: Duration) -> Self {
+        Self {
+            young_until: now + PEAK_BUCKET * PEAK_BUCKETS,
+            ..Self::default()
+        }
+    }
+
     fn observe(&mut self, usage: &Usage, now: Duration) {
         self.present = Amounts::of(usage);
         self.peak.advance(now);
@@ -270,11 +284,16 @@
         shape.recent.note(extent);
     }
 
-    /// Returns the number of tasks to expect: the peak, or the present demand after the fastest
-    /// recent rise if that is more.
-    fn expected_tasks(&self) -> f64 {
+    /// Returns the number of tasks to reserve for: the peak, or the present demand after the fastest
+    /// recent rise if that is more, with a margin.
+    fn expected_tasks(&self, now: Duration) -> f64 {
         let risen = self.present.tasks + self.rise.value().tasks * RISE_LEAD;
-        self.peak.value().tasks.max(risen)
+        let margin = if now < self.young_until {
+            YOUNG_PEAK_MARGIN
+        } else {
+            PEAK_MARGIN
+        };
+        self.peak.value().tasks.max(risen) * margin
     }
 
     fn is_over(&self) -> bool {
@@ -331,7 +350,7 @@
     pub fn observe(&mut self, reading: &DemandReading, now: Duration) {
         for (key, usage) in reading {
             if !self.queues.contains_key(key) && usage.tasks > 0 {
-                self.add_queue(key, usage);
+                self.add_queue(key, usage, now);
             }
         }
         let none = Usage::default();
@@ -342,7 +361,7 @@
     }
 
     /// Adds a queue, in place of the one with the fewest tasks if there are too many.
-    fn add_queue(&mut self, key: &(Arc<str>, Arc<str>), usage: &Usage) {
+    fn add_queue(&mut self, key: &(Arc<str>, Arc<str>), usage: &Usage, now: Duration) {
         if self.queues.len() >= QUEUES_MAX {
             let peaks = self
                 .queues
@@ -357,7 +376,7 @@
             let smallest = smallest.clone();
             self.queues.remove(&smallest);
         }
-        self.queues.insert(key.clone(), QueueDemand::default());
+        self.queues.insert(key.clone(), QueueDemand::new(now));
     }
 
     /// Records the shape of a short step that can start.
@@ -374,7 +393,7 @@
     /// Returns the gaps that the short tasks of a service need: in sum at the expected peak, and
     /// for each shape of a recent step as many as that step needs at once.
     #[must_use]
-    pub fn needs(&self, service: &str) -> Vec<GapNeed> {
+    pub fn needs(&self, service: &str, now: Duration) -> Vec<GapNeed> {
         let queues = self.queues.iter();
         let queues = queues.filter(|((name, _), _)| **name == *service);
         let mut peaks = Amounts::default();
@@ -383,7 +402,7 @@
         for (_, demand) in queues {
             let peak = demand.peak.value();
             peaks = peaks.map_with(&peak, |sum, amount| sum + amount);
-            expected += demand.expected_tasks();
+            expected += demand.expected_tasks(now);
             let mut accelerators = 0;
             for shape in &demand.shapes {
                 let Extents([processors, memory, devices, widest]) = shape.extents();
@@ -404,7 +423,7 @@
                 GapNeed {
                     place: Place::default(),
                     unit,
-                    count: whole(expected * PEAK_MARGIN),
+                    count: whole(expected),
                     covers_all: true,
                 },
             );
