--- a/ashtiller/tests/owner/reserve.rs
+++ b/ashtiller/tests/owner/reserve.rs
@@ -482,3 +482,127 @@
     driver.run_for(SECOND);
     assert_eq!(started(&driver, "lasts"), 40);
 }
+
+/// What came of waves of short jobs beside long-running work that always asks for more.
+struct Waves {
+    /// Waits of short tasks for a worker, in increasing order.
+    waits: Vec<Duration>,
+    /// Mean number of long-running tasks with a worker.
+    lasting: f64,
+}
+
+/// Runs waves with a period of 12 s and bursts of 4 s on 16 workers for 60 s. Short tasks take 0.8 s.
+/// After the first wave, 20 long-running tasks more than fit wait at any time; each ends after 20 s.
+fn run_contended(reserves: bool) -> Waves {
+    const TICK: Duration = Duration::from_millis(50);
+    let mut driver = open_with(&tuning(reserves), &[], (0..16).map(worker).collect());
+    let mut numbers: BTreeMap<Incarnation, u64> = BTreeMap::new();
+    let mut submitted: BTreeMap<u32, Duration> = BTreeMap::new();
+    let mut running: Vec<(Duration, Incarnation, Run)> = Vec::new();
+    let (mut waits, mut known, mut job_count) = (Vec::new(), 0, 0);
+    let (mut lasting_sum, mut ticks) = (0.0, 0.0);
+    let began = driver.now.at;
+    while driver.now.at < began + 60 * SECOND {
+        let elapsed = driver.now.at.saturating_sub(began);
+        let waiting = driver.core.summarize_waits(driver.now)[0].1.tasks;
+        if waiting < 20 && elapsed >= 12 * SECOND {
+            job_count += 1;
+            let step = lasting(8, amounts(16, 1, 0));
+            driver.submit(job(&format!("lasts-{job_count}"), vec![step]));
+        }
+        let interval = if elapsed.as_secs() % 12 < 4 {
+            200
+        } else {
+            1000
+        };
+        if elapsed.as_millis() / interval > elapsed.saturating_sub(TICK).as_millis() / interval {
+            job_count += 1;
+            let id = format!("short-{job_count}");
+            driver.submit(job(&id, vec![short(4, amounts(8, 1, 0))]));
+            driver.run_for(35 * MS);
+            let number = driver.core.log_state().find(&id).expect("accepted");
+            submitted.insert(number, driver.now.at.saturating_sub(35 * MS));
+        }
+        driver.run_for(TICK.saturating_sub(35 * MS));
+        let now = driver.now.at;
+        let starts = driver.starts();
+        for (id, run) in &starts[known..] {
+            let since = submitted.get(&run.task.job);
+            waits.extend(since.map(|since| now.saturating_sub(*since)));
+            let span = if since.is_some() {
+                800 * MS
+            } else {
+                20 * SECOND
+            };
+            running.push((now + span, id.clone(), *run));
+        }
+        known = starts.len();
+        let is_over = |it: &(Duration, Incarnation, Run)| it.0 <= now;
+        let over: Vec<_> = running.iter().filter(|it| is_over(it)).cloned().collect();
+        running.retain(|it| !is_over(it));
+        for (_, id, run) in over {
+            let number = numbers.entry(id.clone()).or_insert(0);
+            *number += 1;
+            let is_short = submitted.contains_key(&run.task.job);
+            let how = if is_short {
+                EndReason::Done
+            } else {
+                EndReason::Stopped
+            };
+            driver.end(&id, run, how, *number);
+        }
+        let short = |it: &&(Duration, Incarnation, Run)| submitted.contains_key(&it.2.task.job);
+        let lasts = running.len() - running.iter().filter(short).count();
+        #[expect(clippy::cast_precision_loss, reason = "small counts")]
+        let lasts = lasts as f64;
+        if elapsed >= 12 * SECOND {
+            lasting_sum += lasts;
+            ticks += 1.0;
+        }
+    }
+    waits.sort_unstable();
+    Waves {
+        waits,
+        lasting: lasting_sum / ticks,
+    }
+}
+
+/// Guards against waves of short jobs that wait behind long-running work on a full fleet, and
+/// against a reserve that costs more long-running work than the short work needs.
+#[test]
+fn short_jobs_in_waves_start_soon_beside_long_running_work() {
+    let mean = |waits: &[Duration]| {
+        waits.iter().sum::<Duration>() / u32::try_from(waits.len()).expect("small")
+    };
+    let [with, without] = [true, false].map(run_contended);
+    let late = |waves: &Waves| waves.waits[waves.waits.len() * 95 / 100];
+    assert!(mean(&with.waits) <= 100 * MS, "{:?}", mean(&with.waits));
+    assert!(late(&with) <= 300 * MS, "{:?}", late(&with));
+    assert!(mean(&without.waits) > SECOND, "{:?}", mean(&without.waits));
+    // The waves need 160 processors of 1024 at their peaks.
+    assert!(with.lasting > 0.78 * without.lasting, "{}", with.lasting);
+}
+
+/// Guards against a start that waits for a full round when capacity for two tasks is freed: with
+/// 600 waiting steps, these rounds are 60 ms and more apart.
+#[test]
+fn a_task_that_was_held_back_starts_at_once_where_two_fit() {
+    let mut driver = open(10);
+    run_short(&mut driver, "before", short(40, amounts(8, 1, 0)));
+    driver.submit(job("lasts", vec![lasting(60, amounts(16, 1, 0))]));
+    driver.run_for(SECOND);
+    for number in 0..600 {
+        let step = short(1, amounts(17, 1, 0));
+        driver.submit(job(&format!("short-{number}"), vec![step]));
+    }
+    driver.run_for(5 * SECOND);
+    let placed = started(&driver, "lasts");
+    assert_eq!((placed, driver.core.held_back_steps()), (30, 1));
+    for (number, moment) in (1..=4).zip([0, 35, 70, 105]) {
+        driver.run_for(500 * MS + moment * MS);
+        let (id, run) = driver.starts()[40 + number as usize].clone();
+        driver.end(&id, run, EndReason::Stopped, 100 + number);
+        driver.run_for(40 * MS);
+        assert_eq!(started(&driver, "lasts"), placed + number as usize);
+    }
+}
