--- a/ashtiller/src/workflow/core/allocation.rs
+++ b/ashtiller/src/workflow/core/allocation.rs
@@ -7,6 +7,7 @@
 use crate::workflow::incarnation::Incarnation;
 use crate::workflow::job::Sharing;
 use crate::workflow::live_run::{LiveRun, Stage, Stop};
+use crate::workflow::load::account::WorkClass;
 use crate::workflow::record::{LogRecord, Run};
 
 /// Whether a placed run still fits into its worker's capacity.
@@ -68,6 +69,9 @@
             return;
         };
         worker.pool.allocate(&step.reserved());
+        if WorkClass::of(step) == WorkClass::Short {
+            worker.short = worker.short.plus(&step.reserved());
+        }
         worker.runs.insert(run);
         match step.sharing {
             Sharing::Serves(_) => worker.serving += 1,
@@ -103,6 +107,9 @@
             worker.wake();
         }
         worker.pool.release(&step.reserved());
+        if WorkClass::of(step) == WorkClass::Short {
+            worker.short = worker.short.minus(&step.reserved());
+        }
         match step.sharing {
             Sharing::Serves(_) => worker.serving -= 1,
             Sharing::Fills => {
--- a/ashtiller/src/workflow/core/candidates.rs
+++ b/ashtiller/src/workflow/core/candidates.rs
@@ -203,7 +203,7 @@
             id: worker.incarnation().clone(),
             service: worker.listed.service.clone(),
             free: worker.pool.free(),
-            short: self.short_reservations(worker),
+            short: worker.short,
             capacity: *worker.pool.capacity(),
             failures: worker.failures(),
             on_probation: worker.on_probation(),
@@ -245,19 +245,6 @@
         candidate
     }
 
-    /// Returns the resources that short runs have reserved on a worker.
-    fn short_reservations(&self, worker: &Worker) -> Resources {
-        let mut sum = Resources::default();
-        for run in &worker.runs {
-            let task = self.log_state.task(run.task);
-            let step = task.and_then(|(job, _)| job.step(run.task));
-            if let Some(step) = step.filter(|step| WorkClass::of(step) == WorkClass::Short) {
-                sum = sum.plus(&step.reserved());
-            }
-        }
-        sum
-    }
-
     /// Returns the index of the cheapest candidate for a task.
     pub(super) fn choose_worker(
         &self,
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -141,6 +141,8 @@
     pub filling: u32,
     /// Processors requested by the best-effort runs, in thousandths.
     pub filled: u64,
+    /// Resources that short runs have reserved.
+    pub short: Resources,
     /// Best-effort runs that ended recently: their image, the share of the worker's processors that
     /// they used, and the time of their end.
     pub recent_fills: Vec<(Image, f64, Duration)>,
@@ -200,6 +202,7 @@
             serving: 0,
             filling: 0,
             filled: 0,
+            short: Resources::default(),
             recent_fills: Vec::new(),
             over_target_since: None,
             last_within_target: Duration::ZERO,
--- a/ashtiller/tests/owner/reserve.rs
+++ b/ashtiller/tests/owner/reserve.rs
@@ -600,9 +600,9 @@
     assert_eq!((placed, driver.core.held_back_steps()), (30, 1));
     for (number, moment) in (1..=4).zip([0, 35, 70, 105]) {
         driver.run_for(500 * MS + moment * MS);
-        let (id, run) = driver.starts()[40 + number as usize].clone();
-        driver.end(&id, run, EndReason::Stopped, 100 + number);
+        let (id, run) = driver.starts()[40 + number].clone();
+        driver.end(&id, run, EndReason::Stopped, 100 + number as u64);
         driver.run_for(40 * MS);
-        assert_eq!(started(&driver, "lasts"), placed + number as usize);
+        assert_eq!(started(&driver, "lasts"), placed + number);
     }
 }
