--- a/ashtiller/src/workflow/core/reserve.rs
+++ b/ashtiller/src/workflow/core/reserve.rs
@@ -189,6 +189,9 @@
             return plan;
         }
         for service in self.reserve.history.services() {
+            if self.reserve.history.is_idle(service) && self.has_evacuated_workers(service) {
+                continue;
+            }
             let needs = self.reserve.history.needs(service, now.at);
             let workers = fleet.iter().filter(|it| it.service == *service);
             let offers: Vec<Offer<'_>> = workers.map(Candidate::offer).collect();
@@ -201,6 +204,14 @@
         plan
     }
 
+    /// Returns whether a zone with workers of a service is evacuated. Its capacity may be given back
+    /// before this owner knows, and long-running tasks are to start within 3 s from then on, so they
+    /// do not wait for a reserve that nobody uses at the time.
+    fn has_evacuated_workers(&self, service: &str) -> bool {
+        let mut workers = self.workers.values();
+        workers.any(|worker| *worker.listed.service == *service && self.is_evacuated(worker))
+    }
+
     /// Returns whether the reserve applies to the tasks of a step that are not bound to a worker. All
     /// members of a gang start together, which a reserve could prevent for ever.
     pub(super) fn is_reserve_bound(step: &Step) -> bool {
--- a/ashtiller/tests/owner/reserve.rs
+++ b/ashtiller/tests/owner/reserve.rs
@@ -119,6 +119,20 @@
     }
 }
 
+/// Guards against long-running tasks that wait for the reserve after all short work has stopped,
+/// while an evacuated zone, with room for them, may be given back at any time.
+#[test]
+fn an_idle_service_with_an_evacuated_zone_holds_nothing_back() {
+    let mut workers: Vec<_> = (0..10).map(worker).collect();
+    workers[9].zone = "olten".into();
+    let mut driver = open_with(&tuning(true), &[], workers);
+    driver.evacuated = Some([("olten".into(), 1)].into());
+    run_waves(&mut driver, &short(10, amounts(8, 1, 0)));
+    driver.submit(job("lasts", vec![lasting(60, amounts(16, 1, 0))]));
+    driver.run_for(4 * SECOND);
+    assert_eq!(started(&driver, "lasts"), 36);
+}
+
 /// Guards against a reserve that changes anything while there is capacity for all.
 #[test]
 fn nothing_changes_while_capacity_is_plentiful() {
--- a/ashtiller/tests/shares/decisions.rs
+++ b/ashtiller/tests/shares/decisions.rs
@@ -23,6 +23,7 @@
         let group = Group {
             lateness: 0,
             priority: 0,
+            band: 0,
             service: "fleet".into(),
             class: WorkClass::Short,
         };
