--- a/ashtiller/src/workflow/core/admission_control.rs
+++ b/ashtiller/src/workflow/core/admission_control.rs
@@ -121,14 +121,16 @@
                 .iter()
                 .map(|index| self.waiting_work(waiting[*index]))
                 .collect();
-            for chosen in self.admission.choose_worthless(&key, &work, now.at) {
+            let chosen = self.admission.choose_worthless(&key, &work, now.at);
+            for (place, chosen) in chosen.into_iter().enumerate() {
                 let pending = &mut waiting[steps[chosen]];
                 pending.promote();
                 // Long-running steps that are promoted come first.
                 pending.urgency.slack = i64::MIN + 1;
                 pending.urgency.priority = first_priorities[&key];
                 round.promoted_late.insert(pending.key());
-                if key.1 == WorkClass::Short
+                if place == 0
+                    && key.1 == WorkClass::Short
                     && round.reserved.is_none()
                     && !self.has_capacity(pending, &round.candidates)
                 {
--- a/ashtiller/tests/links/main.rs
+++ b/ashtiller/tests/links/main.rs
@@ -24,6 +24,7 @@
 use std::time::Duration;
 
 use ashtiller::failure::RemoteEffect;
+use ashtiller::workflow::admission::copy::{ClassReading, OverloadCopy};
 use ashtiller::workflow::message::{PeerRequest, Reply, State};
 use futures_util::future;
 use net::Net;
@@ -141,6 +142,32 @@
     LocalSet::new().run_until(scenario).await;
 }
 
+/// Guards against a state of admission that does not arrive with heartbeats, stays in use after
+/// they stop, or keeps an owner without it from being followed.
+#[tokio::test(start_paused = true)]
+async fn a_follower_holds_a_fresh_copy_of_the_overload() {
+    let scenario = async {
+        let (net, peer) = (Rc::new(Net::default()), Rc::new(Peer::default()));
+        let (node, _store) = follower::open(&net, &peer).await;
+        let default = OverloadCopy::retry_delay(None, "a", MS * 1000);
+        assert_eq!(node.links.retry_delay("a", MS * 1000), default);
+        let class = ClassReading {
+            waiting: 180.0,
+            rate: 100.0,
+        };
+        *peer.section.borrow_mut() = Some(OverloadCopy {
+            age_ms: 0,
+            classes: vec![class],
+        });
+        time::sleep(MS * 600).await;
+        assert!(node.links.retry_delay("a", MS * 1000) >= MS * 1800);
+        peer.is_frozen.set(true);
+        time::sleep(MS * 3500).await;
+        assert_eq!(node.links.retry_delay("a", MS * 1000), default);
+    };
+    LocalSet::new().run_until(scenario).await;
+}
+
 /// Guards against a client's call that spends its whole time (1,350 ms) on a connection that has
 /// just gone silent and ends as unknown, though the owner answers on any new connection.
 #[tokio::test(start_paused = true)]
--- a/ashtiller/tests/links/peer.rs
+++ b/ashtiller/tests/links/peer.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ashtiller::workflow::admission::copy::OverloadCopy;
 use ashtiller::workflow::link::RequestHandler;
 use ashtiller::workflow::message::{HeartbeatReply, PeerRequest, Reply, State};
 use ashtiller::workflow::record::LogOwner;
@@ -28,6 +29,8 @@
     pub replies: RefCell<VecDeque<Reply>>,
     /// Arrival times of heartbeats.
     pub heartbeats: RefCell<Vec<Instant>>,
+    /// Section after the replies to heartbeats.
+    pub section: RefCell<Option<OverloadCopy>>,
     /// Number of clients' requests that arrived.
     pub request_count: Cell<usize>,
 }
@@ -65,6 +68,11 @@
 }
 
 impl RequestHandler for Peer {
+    fn section(&self, reply: &Reply) -> Option<OverloadCopy> {
+        let section = self.section.borrow().clone();
+        section.filter(|_| matches!(reply, Reply::Welcome(_)))
+    }
+
     fn answer(self: Rc<Self>, request: PeerRequest) -> LocalBoxFuture<'static, Reply> {
         Box::pin(async move {
             if self.is_frozen.get() {
