--- a/ashtiller/tests/admission/copies.rs
+++ b/ashtiller/tests/admission/copies.rs
@@ -1,7 +1,12 @@
-//! The copy of the overload state that instances hold.
+//! The copy of the overload state that instances hold, and the table of refused ids.
 
 use std::time::Duration;
 
+use ashtiller::resources::Resources;
+use ashtiller::workflow::admission::backlog::{JobWork, Standing};
+use ashtiller::workflow::admission::control::{
+    Control, JobPart, Newcomer, OVERLOAD_AFTER, Verdict,
+};
 use ashtiller::workflow::admission::copy::{COPY_MAX_AGE, ClassReading, OverloadCopy};
 use ashtiller::workflow::admission::refusals::{REFUSED_MAX, RETRY_MAX, RefusalTable, Refused};
 use ashtiller::workflow::load::account::WorkClass;
@@ -72,3 +77,59 @@
     assert!(table.get(0).is_none());
     assert!(table.get(10 * REFUSED_MAX as u64 - 1).is_some());
 }
+
+fn newcomer(id: &str) -> Newcomer<'_> {
+    Newcomer {
+        id,
+        service: "fleet".into(),
+        priority: 0,
+        objective: 1250 * MS,
+        chain: 500 * MS,
+        parts: vec![JobPart {
+            class: WorkClass::Short,
+            work: 12.0,
+            needs: vec![Resources::default()],
+        }],
+        exempt: false,
+    }
+}
+
+/// Guards against newcomers that take the capacity for which refused callers return.
+#[test]
+fn a_refused_caller_that_is_due_goes_ahead_of_newcomers() {
+    let class = ("fleet".into(), WorkClass::Short);
+    let mut control = Control::default();
+    for _ in 0..40 {
+        control.note_end(&class, 1.0, Some(1.0), Duration::ZERO);
+    }
+    let read = |control: &mut Control, work, now| {
+        let work = JobWork {
+            priority: 0,
+            objective: 1250 * MS,
+            standing: Standing::Begun,
+            work,
+        };
+        control.begin_reading();
+        control.note_unplaced(&class, &Resources::default(), false);
+        control.end_reading(&[(class.clone(), work)], now);
+    };
+    // 10 processor-seconds complete per second: 40.6 may be ahead of a newcomer.
+    let decide = |control: &mut Control, id: &str, now| {
+        let verdict = control.decide(&newcomer(id), |_| 10.0, now);
+        match verdict {
+            Verdict::Admit { .. } => None,
+            Verdict::Refuse(refusal) => Some(refusal.retry),
+        }
+    };
+    read(&mut control, 45.0, Duration::ZERO);
+    read(&mut control, 45.0, OVERLOAD_AFTER);
+    let retry = decide(&mut control, "first", OVERLOAD_AFTER).expect("a refusal");
+    let due = OVERLOAD_AFTER + retry;
+    read(&mut control, 30.0, due);
+    assert!(decide(&mut control, "newcomer", due).is_some());
+    assert_eq!(decide(&mut control, "first", due), None);
+    // Without a caller that is due, a newcomer is admitted.
+    let later = due + 10 * OVERLOAD_AFTER;
+    read(&mut control, 30.0, later);
+    assert_eq!(decide(&mut control, "another", later), None);
+}
