--- a/ashtiller/src/workflow/core/admission_control.rs
+++ b/ashtiller/src/workflow/core/admission_control.rs
@@ -106,8 +106,11 @@
                     worthless.entry(key.clone()).or_default().push(index);
                 }
             } else {
-                let work = remaining_work(job, &job.occurrences[&pending.occurrence], key.1);
-                let (band, order) = triage::rank(job.begun, work);
+                let occurrence = &job.occurrences[&pending.occurrence];
+                let work = self.remaining_work(job, occurrence, key.1, now);
+                // In seconds that the class needs for it, which shares compare with slack.
+                let processors = self.processors_in_use(&key).max(1.0);
+                let (band, order) = triage::rank(job.begun, work / processors);
                 pending.urgency.band = band;
                 if pending.urgency.lateness == 0 {
                     pending.urgency.slack = order;
@@ -141,6 +144,23 @@
         }
     }
 
+    /// Returns the work of a job in a class that has no worker yet, by learned run times.
+    fn remaining_work(
+        &self,
+        job: &JobState,
+        occurrence: &Occurrence,
+        class: WorkClass,
+        now: Now,
+    ) -> f64 {
+        let steps = job.job.steps.iter().zip(&occurrence.steps);
+        let steps = steps.filter(|(step, _)| WorkClass::of(step) == class);
+        let work = steps.map(|(step, state)| {
+            let each = self.run_time_of(&job.job.queue, step, now).as_secs_f64();
+            processors_of(step) * each * f64::from(state.waiting)
+        });
+        work.sum()
+    }
+
     fn waiting_work(&self, pending: WaitingStep) -> f64 {
         let step = &self.log_state.jobs[&pending.job].job.steps[usize::from(pending.step)];
         Self::work_of(step, self.count_waiting(pending))
@@ -258,7 +278,7 @@
             return None;
         }
         let policy = &self.config.queue(&job.queue)?.policy;
-        let chain = job.chains().into_iter().max().unwrap_or_default();
+        let chain = self.chains_of(job, now).longest;
         let catalog = &self.catalog.0;
         // The sizes of workers are unknown until a round has read them.
         let exempt = job.schedule.is_some()
@@ -371,15 +391,6 @@
     parts.filter(|part| !part.needs.is_empty()).collect()
 }
 
-/// Returns the work of a job in a class that has no worker yet.
-fn remaining_work(job: &JobState, occurrence: &Occurrence, class: WorkClass) -> f64 {
-    let steps = job.job.steps.iter().zip(&occurrence.steps);
-    let steps = steps.filter(|(step, _)| WorkClass::of(step) == class);
-    steps
-        .map(|(step, state)| Core::work_of(step, state.waiting))
-        .sum()
-}
-
 fn job_work(
     job: &JobState,
     index: u32,
--- a/ashtiller/src/workflow/core/reserve.rs
+++ b/ashtiller/src/workflow/core/reserve.rs
@@ -189,7 +189,10 @@
             return plan;
         }
         for service in self.reserve.history.services() {
-            if self.reserve.history.is_idle(service) && self.has_evacuated_workers(service) {
+            if self.reserve.history.is_idle(service)
+                && self.has_evacuated_workers(service)
+                && self.has_starved_steps(service, now)
+            {
                 continue;
             }
             let needs = self.reserve.history.needs(service, now.at);
@@ -212,6 +215,15 @@
         workers.any(|worker| *worker.listed.service == *service && self.is_evacuated(worker))
     }
 
+    /// Returns whether a long-running step of a service has waited for long.
+    fn has_starved_steps(&self, service: &str, now: Now) -> bool {
+        let starved = self.collect_starved(now);
+        let mut jobs = starved
+            .iter()
+            .filter_map(|key| self.log_state.jobs.get(&key.0));
+        jobs.any(|job| *job.policy.service == *service)
+    }
+
     /// Returns whether the reserve applies to the tasks of a step that are not bound to a worker. All
     /// members of a gang start together, which a reserve could prevent for ever.
     pub(super) fn is_reserve_bound(step: &Step) -> bool {
--- a/ashtiller/src/workflow/core/run_times.rs
+++ b/ashtiller/src/workflow/core/run_times.rs
@@ -1,11 +1,12 @@
 //! Learned run times in the decisions of the log owner.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::workflow::core::advice::StepKey;
 use crate::workflow::core::{Core, Now};
-use crate::workflow::job::Job;
+use crate::workflow::job::{Job, Step};
 use crate::workflow::live_run::{LiveRun, Stage, Stop};
 use crate::workflow::load::account::WorkClass;
 use crate::workflow::log_state::LogState;
@@ -36,12 +37,12 @@
     pub to_learned: f64,
 }
 
-/// Chains of expected run times in a job.
+/// Chains of expected run times in a job. With the run times of the slowest tasks instead of the
+/// usual ones, more jobs would count as late than are, and yield to others.
 pub(super) struct JobChains {
-    /// Longest chain of the job, with the usual run time of a task in each step.
+    /// Longest chain of the job.
     pub longest: Duration,
-    /// For each step, the longest chain from its start to the end of the job, with the run time of
-    /// the slowest task in each step.
+    /// For each step, the longest chain from its start to the end of the job.
     pub left: Vec<Duration>,
 }
 
@@ -105,24 +106,24 @@
 
     /// Returns the chains of run times of a job, by learned run times or the client's estimates.
     pub(super) fn chains_of(&self, job: &Job, now: Now) -> JobChains {
-        let maximum = |chains: &[Duration]| chains.iter().max().copied().unwrap_or_default();
-        if !self.learns_run_times() {
-            let left = job.chains();
-            return JobChains {
-                longest: maximum(&left),
-                left,
-            };
-        }
-        let models = self.run_times();
-        let times = job
+        let times: Vec<Duration> = job
             .steps
             .iter()
-            .map(|step| models.step_times(&job.queue, step, now.at));
-        let (expected, slowest): (Vec<Duration>, Vec<Duration>) = times.unzip();
+            .map(|step| self.run_time_of(&job.queue, step, now))
+            .collect();
+        let left = job.chains_of(&times);
         JobChains {
-            longest: maximum(&job.chains_of(&expected)),
-            left: job.chains_of(&slowest),
+            longest: left.iter().max().copied().unwrap_or_default(),
+            left,
+        }
+    }
+
+    /// Returns the usual run time of the tasks of a step, learned or as the client estimates it.
+    pub(super) fn run_time_of(&self, queue: &Arc<str>, step: &Step, now: Now) -> Duration {
+        if !self.learns_run_times() {
+            return step.estimate;
         }
+        self.run_times().expected(queue, step, now.at)
     }
 
     /// Returns the expected time left to a run whose progress tells nothing yet.
