--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -203,32 +203,36 @@
             ))?,
             registry,
         };
+        for collector in metrics.collectors() {
+            metrics.registry.register(collector)?;
+        }
+        Ok(metrics)
+    }
+
+    /// Returns the metrics to be registered.
+    fn collectors(&self) -> Vec<Box<dyn prometheus::core::Collector>> {
         let [messages, bytes] = traffic::counters();
-        let all: Vec<Box<dyn prometheus::core::Collector>> = vec![
-            Box::new(metrics.unreadable.clone()),
-            Box::new(metrics.calls.clone()),
-            Box::new(metrics.answers.clone()),
-            Box::new(metrics.orders.clone()),
-            Box::new(metrics.commits.clone()),
-            Box::new(metrics.takeovers.clone()),
-            Box::new(metrics.times.clone()),
-            Box::new(metrics.run_time_ratios.clone()),
-            Box::new(metrics.events.clone()),
-            Box::new(metrics.waiting.clone()),
-            Box::new(metrics.waited.clone()),
-            Box::new(metrics.workers.clone()),
-            Box::new(metrics.reserve.clone()),
-            Box::new(metrics.pressure.clone()),
-            Box::new(metrics.shares.clone()),
+        vec![
+            Box::new(self.unreadable.clone()),
+            Box::new(self.calls.clone()),
+            Box::new(self.answers.clone()),
+            Box::new(self.orders.clone()),
+            Box::new(self.commits.clone()),
+            Box::new(self.takeovers.clone()),
+            Box::new(self.times.clone()),
+            Box::new(self.run_time_ratios.clone()),
+            Box::new(self.events.clone()),
+            Box::new(self.waiting.clone()),
+            Box::new(self.waited.clone()),
+            Box::new(self.workers.clone()),
+            Box::new(self.reserve.clone()),
+            Box::new(self.pressure.clone()),
+            Box::new(self.shares.clone()),
             Box::new(web::silent_connections()),
             Box::new(messages),
             Box::new(bytes),
-            Box::new(metrics.silent.clone()),
-        ];
-        for collector in all {
-            metrics.registry.register(collector)?;
-        }
-        Ok(metrics)
+            Box::new(self.silent.clone()),
+        ]
     }
 
     /// Returns the registry, for the operators' endpoint.
