Triage orders by remaining work alone, without the scale of slack

In units of slack, the allowances of fair shares outweighed the order of triage while capacity is short.

--- a/ashtiller/src/workflow/core/admission_control.rs
+++ b/ashtiller/src/workflow/core/admission_control.rs
@@ -108,9 +108,7 @@
             } else {
                 let occurrence = &job.occurrences[&pending.occurrence];
                 let work = self.remaining_work(job, occurrence, key.1, now);
-                // In seconds that the class needs for it, which shares compare with slack.
-                let processors = self.processors_in_use(&key).max(1.0);
-                let (band, order) = triage::rank(job.begun, work / processors);
+                let (band, order) = triage::rank(job.begun, work);
                 pending.urgency.band = band;
                 if pending.urgency.lateness == 0 {
                     pending.urgency.slack = order;
