--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -210,7 +210,7 @@
             } else {
                 0.0
             },
-            leaves_reserve: Self::is_reserve_bound(step),
+            leaves_reserve: self.is_reserve_bound(pending.key(), step),
         }
     }
 
--- a/ashtiller/src/workflow/core/reserve.rs
+++ b/ashtiller/src/workflow/core/reserve.rs
@@ -33,6 +33,8 @@
     /// Encoded history as last recorded, and when.
     recorded: Vec<u8>,
     recorded_at: Duration,
+    /// Long-running steps that have waited for as long as the reserve may hold a step back.
+    expired_steps: BTreeSet<StepKey>,
     /// Long-running steps that were held back in the last placement round.
     held_steps: BTreeSet<StepKey>,
     /// Current holds by service.
@@ -96,6 +98,7 @@
         }
         self.end_holds(now);
         self.reserve.held_steps.clear();
+        self.reserve.expired_steps = self.collect_expired_steps(waiting, now);
         let mut reading = DemandReading::new();
         for (key, demand) in self.load.demands() {
             if key.class == WorkClass::Short {
@@ -136,6 +139,17 @@
         }
     }
 
+    /// Returns the long-running steps that wait for longer than the reserve may hold one back. They
+    /// may start wherever they fit: the platform asks for a start within 3 s if there is capacity.
+    fn collect_expired_steps(&self, waiting: &[WaitingStep], now: Now) -> BTreeSet<StepKey> {
+        let keys = waiting.iter().map(WaitingStep::key);
+        let expired = keys.filter(|key| {
+            let since = self.job_timings.ready_since(*key);
+            since.is_some_and(|since| now.at >= since + self.tuning.reserve_hold)
+        });
+        expired.collect()
+    }
+
     /// Returns the largest capacity by service, and by label for the labels that short steps ask for:
     /// tasks that no worker can ever run must not raise the reserve.
     fn largest_workers(
@@ -180,7 +194,7 @@
         for pending in waiting {
             let job = &self.log_state.jobs[&pending.job];
             let step = &job.job.steps[usize::from(pending.step)];
-            if Self::is_reserve_bound(step) {
+            if self.is_reserve_bound(pending.key(), step) {
                 let sum = lasting.entry(job.policy.service.clone()).or_default();
                 sum.add(1, &step.reserved());
             }
@@ -189,12 +203,6 @@
             return plan;
         }
         for service in self.reserve.history.services() {
-            if self.reserve.history.is_idle(service)
-                && self.has_evacuated_workers(service)
-                && self.has_starved_steps(service, now)
-            {
-                continue;
-            }
             let needs = self.reserve.history.needs(service, now.at);
             let workers = fleet.iter().filter(|it| it.service == *service);
             let offers: Vec<Offer<'_>> = workers.map(Candidate::offer).collect();
@@ -207,27 +215,10 @@
         plan
     }
 
-    /// Returns whether a zone with workers of a service is evacuated. Its capacity may be given back
-    /// before this owner knows, and long-running tasks are to start within 3 s from then on, so they
-    /// do not wait for a reserve that nobody uses at the time.
-    fn has_evacuated_workers(&self, service: &str) -> bool {
-        let mut workers = self.workers.values();
-        workers.any(|worker| *worker.listed.service == *service && self.is_evacuated(worker))
-    }
-
-    /// Returns whether a long-running step of a service has waited for long.
-    fn has_starved_steps(&self, service: &str, now: Now) -> bool {
-        let starved = self.collect_starved(now);
-        let mut jobs = starved
-            .iter()
-            .filter_map(|key| self.log_state.jobs.get(&key.0));
-        jobs.any(|job| *job.policy.service == *service)
-    }
-
     /// Returns whether the reserve applies to the tasks of a step that are not bound to a worker. All
     /// members of a gang start together, which a reserve could prevent for ever.
-    pub(super) fn is_reserve_bound(step: &Step) -> bool {
-        step.long_running && !step.gang
+    pub(super) fn is_reserve_bound(&self, key: StepKey, step: &Step) -> bool {
+        step.long_running && !step.gang && !self.reserve.expired_steps.contains(&key)
     }
 
     /// Returns whether a task of a step is bound to one worker.
@@ -248,7 +239,7 @@
         let job = &self.log_state.jobs[&pending.job];
         let step = &job.job.steps[usize::from(pending.step)];
         let reserve = plan.of(&job.policy.service)?;
-        let applies = Self::is_reserve_bound(step) && !self.has_bound_tasks(*pending);
+        let applies = self.is_reserve_bound(pending.key(), step) && !self.has_bound_tasks(*pending);
         applies.then_some(&**reserve)
     }
 
@@ -266,7 +257,9 @@
         let Some(reserve) = round.reserve.of(&service) else {
             return;
         };
-        if !Self::is_reserve_bound(step) || !self.had_capacity(&pending, &round.candidates, now) {
+        if !self.is_reserve_bound(pending.key(), step)
+            || !self.had_capacity(&pending, &round.candidates, now)
+        {
             return;
         }
         let figures = describe(reserve);
--- a/ashtiller/src/workflow/reserve/demand.rs
+++ b/ashtiller/src/workflow/reserve/demand.rs
@@ -39,9 +39,6 @@
 const QUEUES_MAX: usize = 32;
 /// Limit of the shapes that are remembered of a queue.
 const SHAPES_MAX: usize = 6;
-/// Time without any demand after which a service counts as idle: several times the run time of a
-/// short task, and less than the 3 s within which long-running tasks are to start.
-const IDLE_AFTER: Duration = Duration::from_secs(2);
 /// Number of tasks below which the peak of a queue is forgotten.
 const PEAK_MIN: f64 = 0.5;
 /// First byte of an encoded history. Histories with another one are ignored.
@@ -244,10 +241,6 @@
     shapes: Vec<Shape>,
     /// Time until which the peak may be yet to come.
     young_until: Duration,
-    /// Time at which there was demand last.
-    active_at: Duration,
-    /// Whether there had been no demand for a while at the last reading.
-    is_idle: bool,
 }
 
 impl QueueDemand {
@@ -260,10 +253,6 @@
 
     fn observe(&mut self, usage: &Usage, now: Duration) {
         self.present = Amounts::of(usage);
-        if usage.tasks > 0 {
-            self.active_at = now;
-        }
-        self.is_idle = now >= self.active_at + IDLE_AFTER;
         self.peak.advance(now);
         self.peak.note(&self.present);
         self.rise.advance(now);
@@ -442,13 +431,6 @@
         needs
     }
 
-    /// Returns whether there has been no short demand for a service for a while.
-    #[must_use]
-    pub fn is_idle(&self, service: &str) -> bool {
-        let mut queues = self.queues.iter();
-        queues.all(|((name, _), demand)| **name != *service || demand.is_idle)
-    }
-
     /// Returns the services with demand.
     pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
         let services: BTreeSet<_> = self.queues.keys().map(|(service, _)| service).collect();
@@ -493,10 +475,7 @@
             Vec::new()
         });
         let queues = records.into_iter().take(QUEUES_MAX).map(|record| {
-            let mut demand = QueueDemand {
-                active_at: now,
-                ..QueueDemand::default()
-            };
+            let mut demand = QueueDemand::default();
             demand.peak.advance(now);
             demand.peak.note(&Amounts {
                 tasks: record.tasks as f64 / 1000.0,
--- a/ashtiller/src/workflow/settings.rs
+++ b/ashtiller/src/workflow/settings.rs
@@ -148,6 +148,11 @@
         drain: section.duration("drain", Some(defaults.drain), DRAIN_MIN..=MINUTE),
         evacuation: section.optional_duration("evacuation", EVACUATION_MIN..=MINUTE),
         turn: section.duration("turn", Some(defaults.turn), 10 * MILLISECOND..=HOUR),
+        reserve_hold: section.duration(
+            "reserve_hold",
+            Some(defaults.reserve_hold),
+            Duration::ZERO..=HOUR,
+        ),
         switches: read_switches(document),
         ..defaults
     }
--- a/ashtiller/src/workflow/tuning.rs
+++ b/ashtiller/src/workflow/tuning.rs
@@ -61,6 +61,8 @@
     pub evacuation: Option<Duration>,
     /// Time between the orders of two owners to one machine.
     pub turn: Duration,
+    /// Longest time for which the capacity reserve holds a long-running step back.
+    pub reserve_hold: Duration,
     /// Optional policy mechanisms that are enabled.
     pub switches: Switches,
 }
@@ -108,6 +110,8 @@
             drain: Duration::from_secs(2),
             evacuation: None,
             turn: Duration::from_secs(4),
+            // The platform asks for a start within 3 s if there is capacity.
+            reserve_hold: Duration::from_millis(1500),
             switches: Switches::default(),
         }
     }
