--- a/ashtiller/src/workflow/admission/triage.rs
+++ b/ashtiller/src/workflow/admission/triage.rs
@@ -18,8 +18,8 @@
 /// time in which a job ends.
 pub const ACCEPTED_OBJECTIVES: u32 = 4;
 /// The same multiple for a job that can no longer be in time when it arrives, as its caller was
-/// refused before, while jobs are refused that could be. At ten times the load most arrivals are such callers; with the larger multiple
-/// they took a fifth of the capacity from jobs in time.
+/// refused before, while jobs are refused that could be. At ten times the load most arrivals are
+/// such callers; with the larger multiple they took a fifth of the capacity from jobs in time.
 pub const ACCEPTED_OBJECTIVES_LATE: u32 = 1;
 /// Time after which the next step gets a turn if none of the promoted ones could be placed.
 pub const PROMOTION_PATIENCE: Duration = Duration::from_secs(2);
