--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A runner that was cut off has more than 500 ends to tell."""
+"""Runners that were cut off have more than 500 ends each to tell."""
 
 import asyncio
 import os
@@ -8,8 +8,13 @@
 sys.path.insert(0, os.path.dirname(HERE))
 from standins import Runner, World, main, now  # noqa: E402
 
-TASKS = 1300
-WORK_S = 12.0
+RUNNERS = 10
+TASKS = 3000
+# Of the runners, at most: twice the dose of the site file.
+CUT_SHARE = 0.34
+# From the submission to the first and to the last end; tasks end in steps between.
+FIRST_END_S = 14.0
+LAST_END_S = 16.0
 CUT_S = 3.4
 
 
@@ -25,33 +30,44 @@
     await world.begin()
     record = world.record
     record.say(f"trouble: {trouble}")
-    # Two runners of about 64 cores and 250 GB.
-    capacity = {"cpu": 80000, "mem_mb": 250000, "gpu": 0}
-    for number in range(2):
+    began = []
+
+    def length(spec, task):
+        share = int(task.rsplit(".", 1)[1]) % 40 / 40
+        end = began[0] + FIRST_END_S + (LAST_END_S - FIRST_END_S) * share
+        return max(0.0, end - now())
+
+    capacity = {"cpu": 64000, "mem_mb": 250000, "gpu": 0}
+    for number in range(RUNNERS):
         runner = Runner(record, world.store, number, "huvo11a", "atl-dock", capacity,
-                        lambda spec, task: WORK_S, labels=("a", f"r1-{number}"))
+                        length, labels=("a", f"r1-{number}"))
         world.runners.append(await runner.listen())
     await world.ready()
     path = "/pufi791/5c0e7a21d94b36f8"
     body = {"spec": "reconcile", "steps": [
-        {"count": TASKS, "cpu": 100, "mem_mb": 100, "estimate_ms": int(WORK_S * 1000)}]}
+        {"count": TASKS, "cpu": 60, "mem_mb": 80, "estimate_ms": int(FIRST_END_S * 1000)}]}
+    began.append(now())
     if await world.client.submit(path, body) is not True:
-        record.say("the submission was not accepted")
-        return None
-    limit = now() + 10
+        raise RuntimeError("the submission was not accepted")
+    limit = now() + 12
     while sum(len(r.starts) for r in world.runners) < TASKS and now() < limit:
         await asyncio.sleep(0.02)
     for runner in world.runners:
-        span = [start["at"] for start in runner.starts]
-        record.say(f"{runner.id}: {len(span)} starts from {min(span):.2f} to {max(span):.2f}")
-    chosen = max(world.runners, key=lambda r: len(r.starts))
-    first = min(start["at"] for start in chosen.starts) + WORK_S
-    await asyncio.sleep(max(0.0, first - 0.1 - now()))
+        if runner.starts:
+            span = [start["at"] for start in runner.starts]
+            record.say(f"{runner.id}: {len(span)} starts from {min(span):.2f} to {max(span):.2f}")
+    await asyncio.sleep(max(0.0, began[0] + FIRST_END_S - 0.1 - now()))
     if trouble:
-        chosen.set_cut(True)
+        chosen = sorted(world.runners, key=lambda runner: -len(runner.active))
+        chosen = [runner for runner in chosen[:int(RUNNERS * CUT_SHARE)] if len(runner.active) > 500]
+        if not chosen:
+            raise RuntimeError("no runner has over 500 runs at work")
+        for runner in chosen:
+            runner.set_cut(True)
         await asyncio.sleep(CUT_S)
-        chosen.set_cut(False)
-        record.say(f"{chosen.id} has {len(chosen.finished)} ends to tell")
+        for runner in chosen:
+            runner.set_cut(False)
+            record.say(f"{runner.id} has {len(runner.finished)} ends to tell")
     else:
         await asyncio.sleep(CUT_S)
     limit = now() + 40
--- a/review/standins.py
+++ b/review/standins.py
@@ -24,6 +24,8 @@
 HEARTBEAT_S = 1.1
 VALUE_BYTES = 1048576
 STORE_ANSWER_S = 0.004
+# What an answer with 500 ends takes on its way.
+LONG_ANSWER_S = 0.05
 
 
 class CannotRun(Exception):
@@ -429,8 +431,11 @@
                 share = min(99, int((at - state["start"]) * 100 / state["length"]))
             rows.append([task, run, "", share, 0])
         # The rest is sent again: 500 at once.
-        return 200, {"clock_ms": self.clock(), "active": rows,
-                     "finished": [list(end) for end in self.finished[:500]]}
+        told = [list(end) for end in self.finished[:500]]
+        answer = {"clock_ms": self.clock(), "active": rows, "finished": told}
+        if len(told) == 500:
+            await asyncio.sleep(LONG_ANSWER_S)
+        return 200, answer
 
     def set_cut(self, cut):
         """Cuts the runner off from all machines of the system; it runs on."""
