--- a/review/standins.py
+++ b/review/standins.py
@@ -584,7 +584,7 @@
     def __init__(self, folder, entries=3):
         self.record = Record(folder)
         self.count = entries
-        self.runners, self.entries = [], []
+        self.runners, self.entries, self.temp = [], [], None
 
     async def begin(self):
         if not os.path.exists(os.path.join(ROOT, "target/release/ashtiller")):
@@ -625,7 +625,8 @@
                 with open(entry.log) as source, \
                         open(os.path.join(keep, f"{entry.name}.log"), "w") as target:
                     target.write(source.read())
-        self.temp.cleanup()
+        if self.temp is not None:
+            self.temp.cleanup()
 
 
 def main(folder, case):
