--- a/review/standins.py
+++ b/review/standins.py
@@ -632,13 +632,17 @@
 def main(folder, case):
     """Runs `case(trouble)`, which returns True if the rule held, and exits with its verdict."""
     async def run():
-        return await asyncio.wait_for(case(os.environ.get("TROUBLE", "1") != "0"), 118)
+        # Whoever stops the script ends the processes that it started as well.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await asyncio.wait_for(case(os.environ.get("TROUBLE", "1") != "0"), 115)
     try:
         held = asyncio.run(run())
     except CannotRun as error:
         print(f"cannot run: {error}")
         sys.exit(2)
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"cannot run: {type(error).__name__}: {error}")
         sys.exit(2)
     print("the rule held" if held else "THE RULE WAS BROKEN")
