--- a/ashtiller/src/workflow/core/candidates.rs
+++ b/ashtiller/src/workflow/core/candidates.rs
@@ -10,6 +10,7 @@
 
 use crate::resources::Resources;
 use crate::workflow::core::eligibility::Eligibility;
+use crate::workflow::core::plan::Demand;
 use crate::workflow::core::{Core, Now};
 use crate::workflow::incarnation::Incarnation;
 use crate::workflow::interference::{Image, Interference, NeighborFill};
@@ -440,6 +441,26 @@
         processors.max(1.0)
     }
 
+    /// Returns the relative cost of a task of a step here, without those of its history; infinite if
+    /// it must not be placed here.
+    pub fn demand_cost(&self, step: &Step, demand: &Demand, core: &Core) -> f64 {
+        let request = PlacementRequest {
+            service: &demand.service,
+            step,
+            share: demand.share,
+            resources: demand.resources,
+            failed_on: BTreeSet::new(),
+            runs_per_worker: RunsPerWorker::new(),
+            tickets: None,
+            excluded: None,
+            only: None,
+            suspect: false,
+            selectivity: demand.selectivity,
+            reserve: None,
+        };
+        self.cost(&request, &core.interference, core.tuning.switches)
+    }
+
     /// Returns the relative cost of placing a run on this worker.
     fn cost(
         &self,
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -237,6 +237,8 @@
     freed_workers: BTreeSet<Incarnation>,
     /// When the wait of a step was last logged.
     wait_logged_at: BTreeMap<StepKey, Duration>,
+    /// When the wait of a step that is not long-running may be logged next.
+    next_short_wait_log: Duration,
     /// When runs on silent workers are checked next for a log line.
     next_held_log: Duration,
     /// Waits for leases that ended and are not counted yet.
@@ -327,6 +329,7 @@
             reserved: None,
             freed_workers: BTreeSet::new(),
             wait_logged_at: BTreeMap::new(),
+            next_short_wait_log: Duration::ZERO,
             next_held_log: Duration::ZERO,
             ended_lease_waits: Vec::new(),
             last_rescue: now.at,
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -28,6 +28,11 @@
 }
 
 impl Demand {
+    /// Returns a description for log messages.
+    pub fn describe(&self) -> String {
+        format!("{:?} of {}", self.share, self.resources)
+    }
+
     /// Returns whether these requirements are at most those of `other`.
     fn is_within(&self, other: &Self) -> bool {
         self.service == other.service
@@ -43,6 +48,8 @@
     pub candidates: Vec<Candidate>,
     /// Requirements for which no worker was found.
     unplaceable: Vec<Demand>,
+    /// Steps that were not tried, with the index of the unplaceable requirements that theirs exceed.
+    passed_over: BTreeMap<StepKey, usize>,
     /// Worker that gets no short runs until a long-running one fits there.
     pub reserved: Option<Incarnation>,
     /// Steps that are too late to earn anything and are placed first in this round.
@@ -58,6 +65,7 @@
         Self {
             candidates: fleet,
             unplaceable: Vec::new(),
+            passed_over: BTreeMap::new(),
             reserved: None,
             promoted_late: BTreeSet::new(),
             trials,
@@ -67,9 +75,19 @@
 
     /// Returns whether no worker was found for the same or smaller requirements in this round.
     pub fn is_known_unplaceable(&self, demand: &Demand) -> bool {
-        self.unplaceable
-            .iter()
-            .any(|unplaceable| unplaceable.is_within(demand))
+        self.find_unplaceable(demand).is_some()
+    }
+
+    /// Returns the index of requirements that are at most these and for which no worker was found.
+    fn find_unplaceable(&self, demand: &Demand) -> Option<usize> {
+        let mut unplaceable = self.unplaceable.iter();
+        unplaceable.position(|unplaceable| unplaceable.is_within(demand))
+    }
+
+    /// Returns the requirements because of which a step was not tried in this round, if so.
+    pub fn passed_over_for(&self, step: StepKey) -> Option<&Demand> {
+        let index = *self.passed_over.get(&step)?;
+        self.unplaceable.get(index)
     }
 
     /// Returns the reserve that applies to a task with these requirements.
@@ -222,7 +240,10 @@
         now: Now,
     ) {
         let demand = self.demand_of(pending, now);
-        if round.is_known_unplaceable(&demand) && !self.has_bound_tasks(pending) {
+        if let Some(index) = round.find_unplaceable(&demand)
+            && !self.has_bound_tasks(pending)
+        {
+            round.passed_over.insert(pending.key(), index);
             return self.note_held_step(pending, round, now);
         }
         let job = &self.log_state.jobs[&pending.job];
--- a/ashtiller/src/workflow/core/wait_report.rs
+++ b/ashtiller/src/workflow/core/wait_report.rs
@@ -3,7 +3,8 @@
 
 use std::time::Duration;
 
-use crate::workflow::core::plan::PlacementRound;
+use crate::workflow::core::candidates::Candidate;
+use crate::workflow::core::plan::{Demand, PlacementRound};
 use crate::workflow::core::step_priority::WaitingStep;
 use crate::workflow::core::unconfirmed_starts::Site;
 use crate::workflow::core::{Core, Now};
@@ -35,9 +36,12 @@
             .wait_logged_at
             .get(&pending.key())
             .map_or(since + WAIT_LOG_DELAY, |at| *at + WAIT_LOG_INTERVAL);
-        if now.at < due || !self.is_long_running(&pending) {
+        if now.at < due {
             return;
         }
+        if !self.is_long_running(&pending) {
+            return self.log_short_wait(pending, since, round, now);
+        }
         self.wait_logged_at.insert(pending.key(), now.at);
         let job = &self.log_state.jobs[&pending.job];
         let service = &job.policy.service;
@@ -56,6 +60,38 @@
             kept = self.reserved_worker().unwrap_or_default(), "lasting task waits");
     }
 
+    /// Logs why the tasks of a step that is not long-running wait although workers have room, for one
+    /// such step at a time.
+    fn log_short_wait(
+        &mut self,
+        pending: WaitingStep,
+        since: Duration,
+        round: &PlacementRound,
+        now: Now,
+    ) {
+        if now.at < self.next_short_wait_log || !self.has_capacity(&pending, &round.candidates) {
+            return;
+        }
+        self.next_short_wait_log = now.at + WAIT_LOG_INTERVAL;
+        self.wait_logged_at.insert(pending.key(), now.at);
+        let demand = self.demand_of(pending, now);
+        let job = &self.log_state.jobs[&pending.job];
+        let step = &job.job.steps[usize::from(pending.step)];
+        let fitting = round.candidates.iter();
+        let fitting: Vec<&Candidate> = fitting.filter(|it| self.fits_step(&pending, it)).collect();
+        let costs = fitting.iter().map(|it| it.demand_cost(step, &demand, self));
+        let lowest = costs.reduce(f64::min).unwrap_or(f64::INFINITY);
+        let tasks = self.waiting_tasks(pending);
+        let bound = tasks.iter().filter(|it| self.site_of(**it) != Site::Any);
+        let suspected = tasks.iter().filter(|it| self.is_strong_suspect(**it));
+        tracing::info!(job = %job.job.id, number = pending.job, time = pending.occurrence,
+            step = pending.step, tasks = tasks.len(), bound = bound.count(),
+            suspected = suspected.count(), waited_ms = now.at.saturating_sub(since).as_millis(),
+            asks = %step.needs, share = ?demand.share, with_room = fitting.len(), lowest_cost = lowest,
+            passed_over_for = round.passed_over_for(pending.key()).map(Demand::describe),
+            kept = self.reserved_worker().unwrap_or_default(), "task waits although workers have room");
+    }
+
     /// Returns a summary of the waiting tasks of long-running steps and one of all others.
     #[must_use]
     pub fn summarize_waits(&self, now: Now) -> [(&'static str, WaitSummary); 2] {
