Date an unanswered start by its sender, not by each owner's beginning

What callers saw: after several changes of owner some 8 s apart, a lasting task whose run had failed or was lost with its worker did not run again for 25 to 35 s, although workers had room.

Cause: a start that got no answer keeps its task with one worker for 13 s. The log did not hold by whom it was sent, so each new owner dated every such start of the log by its own beginning and 2 s, and the wait began anew with each. Its class: a bound that each holder counts from its own beginning, because the log holds no time.

Why it works: an owner sends starts for 2 s after its last proof at most, and has none after the first later owner. The sender's epoch follows from the pending record of the start. A new owner dates the start by when a later owner was first known, to its process or, by a new record, to an owner before it; durations need no common clock. Six tests carry out a start of a suspended owner at the last moment, after two more owners, at a listed worker, at a process that is not listed yet, and after a wait for a relay: no task has two runs; they also hold on the code of before. A worker counts as gone only by a list that is recent enough, as the bound may now lie before the owner's beginning.

--- a/ashtiller/src/workflow/core/log_entries.rs
+++ b/ashtiller/src/workflow/core/log_entries.rs
@@ -104,6 +104,7 @@
         self.record_lessons(now);
         self.record_run_times(now);
         self.record_demand(now);
+        self.record_known_owners(now);
         let proves = since >= self.tuning.proof || !self.is_ownership_current(now);
         if !self.has_urgent_records() && !proves {
             return;
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -202,7 +202,9 @@
     began: Duration,
     predecessors: predecessors::Predecessors,
     /// Owners known before this one began, by epoch, and for how long.
-    known_owners: Vec<(u64, Duration)>,
+    known_owners: BTreeMap<u64, Duration>,
+    /// When it was last recorded how long owners have been known.
+    owners_recorded_at: Option<Duration>,
     store_returned_at: Option<Duration>,
     /// Time as of which the list of workers was last known to be complete.
     listed_at: Duration,
@@ -307,7 +309,8 @@
             fences: fences::Fences::new(epoch),
             began: now.at,
             predecessors: predecessors::Predecessors::default(),
-            known_owners: Vec::new(),
+            known_owners: BTreeMap::new(),
+            owners_recorded_at: None,
             store_returned_at: None,
             listed_at: Duration::ZERO,
             evacuation: evacuation::Evacuation::default(),
@@ -344,9 +347,7 @@
         };
         core.interference.import(&core.log_state.learned_factors);
         core.adopt_runs(now);
-        // Their owners may have sent them again since.
-        let last_start = core.last_start_of(epoch);
-        core.log_state.raise_unconfirmed(last_start);
+        core.set_known_owners(Vec::new(), now);
         core
     }
 
--- a/ashtiller/src/workflow/core/predecessors.rs
+++ b/ashtiller/src/workflow/core/predecessors.rs
@@ -1,11 +1,15 @@
 //! Earlier owners of the log, which may still grant leases and send starts.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::workflow::core::{Core, Now};
 use crate::workflow::lease;
 use crate::workflow::record::LogRecord;
+use crate::workflow::worker::LATE_MAX;
+
+/// Interval at which it is recorded how long owners have been known.
+const KNOWN_OWNERS_INTERVAL: Duration = Duration::from_millis(500);
 
 /// What is known of the earlier owners.
 #[derive(Debug, Default)]
@@ -115,16 +119,79 @@
     /// the log. It sends none longer than `drain` after it last proved its ownership, and it cannot
     /// prove it once a later owner is known.
     pub(super) fn last_start_of(&self, epoch: u64) -> Duration {
-        let later = self.known_owners.iter();
-        let later = later.filter(|(known, _)| *known > epoch);
-        let known_for = later.map(|(_, age)| *age).max().unwrap_or_default();
+        let mut later = self.known_owners.range(epoch.saturating_add(1)..);
+        let known_for = later.next().map_or(Duration::ZERO, |(_, age)| *age);
         let last = self.began + self.tuning.drain;
         last.saturating_sub(known_for).min(self.earlier_calls_end())
     }
 
-    /// Sets which owners of the log were known before this one began, by epoch, and for how long.
-    pub fn set_known_owners(&mut self, owners: Vec<(u64, Duration)>) {
-        self.known_owners = owners;
+    /// Sets which owners of the log this process knew before this one began, by epoch, and for how
+    /// long. The log may have known them for longer.
+    pub fn set_known_owners(&mut self, owners: Vec<(u64, Duration)>, now: Now) {
+        let mut known: BTreeMap<u64, Duration> = self.log_state.known_owners().ages().collect();
+        for (epoch, age) in owners {
+            let longest = known.entry(epoch).or_default();
+            *longest = age.max(*longest);
+        }
+        // An owner has been known for at least as long as any later one.
+        let mut longest = Duration::ZERO;
+        for age in known.values_mut().rev() {
+            longest = longest.max(*age);
+            *age = longest;
+        }
+        self.known_owners = known;
+        self.date_unconfirmed_starts(now);
+    }
+
+    /// Dates the unconfirmed starts of the log by their senders. One without a known sender may have
+    /// been sent by the last owner.
+    fn date_unconfirmed_starts(&mut self, now: Now) {
+        let senders = self.log_state.unconfirmed().values().flatten();
+        let senders: BTreeSet<Option<u64>> = senders.map(|start| start.sender).collect();
+        if senders.is_empty() {
+            return;
+        }
+        let sent = |sender: Option<u64>| self.last_start_of(sender.unwrap_or(self.epoch));
+        let sent: BTreeMap<Option<u64>, Duration> = senders
+            .into_iter()
+            .map(|sender| (sender, sent(sender)))
+            .collect();
+        for (sender, sent) in &sent {
+            let left = (*sent + LATE_MAX).saturating_sub(now.at);
+            tracing::info!(?sender, left_ms = left.as_millis(), epoch = self.epoch,
+                known_owners = ?self.known_owners, "unanswered starts of earlier owners");
+        }
+        self.log_state.date_all_unconfirmed(|sender| sent[&sender]);
+    }
+
+    /// Returns whether a start of an earlier owner may still be carried out.
+    fn has_former_starts(&self) -> bool {
+        let pending = self.log_state.pending_starts().values().copied();
+        let unconfirmed = self.log_state.unconfirmed().values().flatten();
+        let mut senders = unconfirmed
+            .map(|start| start.sender)
+            .chain(pending.map(Some));
+        senders.any(|sender| sender != Some(self.epoch))
+    }
+
+    /// Records how long owners have been known, while starts of earlier owners may be carried out: a
+    /// later owner dates these starts by it.
+    pub(super) fn record_known_owners(&mut self, now: Now) {
+        let is_due = |at: Duration| now.at >= at + KNOWN_OWNERS_INTERVAL;
+        if !self.owners_recorded_at.is_none_or(is_due) || !self.has_former_starts() {
+            return;
+        }
+        self.owners_recorded_at = Some(now.at);
+        let held = now.at.saturating_sub(self.began);
+        let known = self.known_owners.iter().map(|(epoch, age)| (*epoch, *age));
+        let known = known
+            .chain([(self.epoch, Duration::ZERO)])
+            .map(|(epoch, age)| {
+                let age = u64::try_from((age + held).as_millis()).unwrap_or(u64::MAX);
+                (epoch, age)
+            });
+        let known: Vec<(u64, u64)> = known.collect();
+        self.record(LogRecord::OwnersKnown(self.epoch, known), now);
     }
 
     /// Returns when all leases granted by earlier owners have ended.
--- a/ashtiller/src/workflow/core/unconfirmed_starts.rs
+++ b/ashtiller/src/workflow/core/unconfirmed_starts.rs
@@ -14,12 +14,18 @@
 use crate::workflow::lease;
 use crate::workflow::live_run::{LiveRun, Stage};
 use crate::workflow::record::{End, LogRecord, Run, Task};
+use crate::workflow::relay::MAX_QUEUE_DELAY;
+use crate::workflow::relay::client::MIN_RELAYED_WORKERS;
 use crate::workflow::state::UnconfirmedStart;
 use crate::workflow::worker::{LATE_MAX, Worker};
 
 /// Time within which a new incarnation is listed, unless the store is unavailable.
 const LISTING_MAX: Duration = Duration::from_secs(3);
 
+/// Number of workers from which on an earlier owner may have sent starts over relays. The fleet may
+/// have shrunk since.
+const RELAYED_WORKERS_MIN: usize = MIN_RELAYED_WORKERS / 2;
+
 /// Where the next run of a task may be placed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum Site {
@@ -160,7 +166,14 @@
         let mut expired: Vec<Run> = expired.collect();
         expired.dedup();
         for run in expired {
-            tracing::info!(task = %run.task, run = run.number, "unanswered start can no longer be carried out");
+            let starts = self.log_state.unconfirmed().get(&run.task);
+            let starts = starts.into_iter().flatten();
+            let since = starts
+                .filter(|start| start.run == run.number)
+                .map(|start| start.since);
+            let age = since.max().map(|since| now.at.saturating_sub(since));
+            tracing::info!(task = %run.task, run = run.number, age_ms = age.map(|age| age.as_millis()),
+                "unanswered start can no longer be carried out");
             self.record(LogRecord::StartSettled(run), now);
             self.needs_planning = true;
         }
@@ -170,7 +183,7 @@
     /// it began unnoticed: an incarnation of the worker has listed its runs since, none is left, or
     /// the lease that came with the start has expired.
     fn has_expired(&self, start: &UnconfirmedStart, now: Now) -> bool {
-        let last = start.since + LATE_MAX;
+        let last = self.last_sending_of(start) + LATE_MAX;
         if now.at < last {
             return false;
         }
@@ -181,10 +194,21 @@
             .filter(|worker| worker.unlisted_since.is_none());
         let mut heard = workers.filter(|worker| worker.answers && worker.poll_sent >= last);
         heard.next().is_some()
-            || (listed.next().is_none() && now.at >= last + LISTING_MAX)
+            || (listed.next().is_none() && self.listed_at >= last + LISTING_MAX)
             || now.at >= last + lease::worst_case_elapsed(self.tuning.hold)
     }
 
+    /// Returns the time by which a start has left for its worker. In a large fleet a start of an earlier
+    /// owner may have waited for its relay.
+    fn last_sending_of(&self, start: &UnconfirmedStart) -> Duration {
+        let is_relayed = self.workers.len() >= RELAYED_WORKERS_MIN;
+        if start.sender == Some(self.epoch) || !is_relayed {
+            return start.since;
+        }
+        let latest = (self.began + self.tuning.drain).min(self.earlier_calls_end());
+        start.since.max(latest.min(start.since + MAX_QUEUE_DELAY))
+    }
+
     /// Returns where the next run of a task may be placed.
     pub(super) fn site_of(&self, task: Task) -> Site {
         let starts = self.log_state.unconfirmed().get(&task);
--- a/ashtiller/src/workflow/log_state.rs
+++ b/ashtiller/src/workflow/log_state.rs
@@ -13,15 +13,23 @@
 use crate::workflow::incarnation::Incarnation;
 use crate::workflow::interference::LearnedFactor;
 use crate::workflow::job::{Job, Policy};
+use crate::workflow::known_owners::KnownOwners;
 use crate::workflow::record::{End, LogRecord, Outcome, Run, Task};
 use crate::workflow::run_times::recorded::{EncodedModels, RecordedModels};
 use crate::workflow::shares::origins::{self, Origins};
 use crate::workflow::snapshot::Extensions;
 use crate::workflow::state::{JobState, PlacedRun, StepState, TaskState, UnconfirmedStart};
 
+/// Number of the senders of unconfirmed starts among the extensions of a snapshot.
+const SENDERS_EXTENSION: u8 = 4;
+/// Number of the known owners among the extensions of a snapshot.
+const OWNERS_EXTENSION: u8 = 5;
 /// Number of the learned demand among the extensions of a snapshot.
 const DEMAND_EXTENSION: u8 = 3;
 
+/// Epochs of the senders of each task's unconfirmed starts.
+type Senders = BTreeMap<Task, Vec<Option<u64>>>;
+
 /// Change by a record that the caller has to act on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Effect {
@@ -67,6 +75,9 @@
     /// Encoded demand of short tasks; it is an extension of a snapshot.
     #[serde(skip)]
     learned_demand: Vec<u8>,
+    /// How long owners had been known at least; it is an extension of a snapshot.
+    #[serde(skip)]
+    known_owners: KnownOwners,
     #[serde(skip)]
     by_id: BTreeMap<Arc<str>, u32>,
     #[serde(skip)]
@@ -202,6 +213,7 @@
                 }
             }
             LogRecord::DemandLearned(demand) => self.learned_demand.clone_from(demand),
+            LogRecord::OwnersKnown(writer, ages) => self.note_known_owners(*writer, ages),
         }
         Effect::None
     }
@@ -251,14 +263,33 @@
         if !self.excludes_copies(run.task) {
             return;
         }
+        let sender = self.pending_starts.get(&run).copied();
         let starts = self.unconfirmed.entry(run.task).or_default();
         starts.push(UnconfirmedStart {
             run: run.number,
             worker: worker.clone(),
+            sender,
             since: now,
         });
     }
 
+    /// Adds what an owner knows of itself and others. A start that is recorded by then was sent by an
+    /// earlier owner, and a later one would have recorded its own.
+    fn note_known_owners(&mut self, writer: u64, ages: &[(u64, u64)]) {
+        if self.known_owners.note(writer, ages) {
+            let starts = self.unconfirmed.values_mut().flatten();
+            for start in starts.filter(|start| start.sender.is_none()) {
+                start.sender = Some(writer.saturating_sub(1));
+            }
+        }
+    }
+
+    /// Returns how long owners had been known at least when that was last recorded, by epoch.
+    #[must_use]
+    pub fn known_owners(&self) -> &KnownOwners {
+        &self.known_owners
+    }
+
     /// Sets when the newest unconfirmed start of a run was sent at the latest, on this owner's clock.
     pub fn date_unconfirmed(&mut self, run: Run, sent: Duration) {
         let starts = self.unconfirmed.get_mut(&run.task);
@@ -268,10 +299,11 @@
         }
     }
 
-    /// Takes all unconfirmed starts for sent no earlier than `sent`, on this owner's clock.
-    pub fn raise_unconfirmed(&mut self, sent: Duration) {
+    /// Sets when each unconfirmed start was sent at the latest, on this owner's clock, from the epoch
+    /// of its sender.
+    pub fn date_all_unconfirmed(&mut self, sent: impl Fn(Option<u64>) -> Duration) {
         for start in self.unconfirmed.values_mut().flatten() {
-            start.since = start.since.max(sent);
+            start.since = sent(start.sender);
         }
     }
 
@@ -315,6 +347,16 @@
         if !self.learned_demand.is_empty() {
             extensions.insert(DEMAND_EXTENSION, self.learned_demand.clone());
         }
+        let senders = self.unconfirmed.iter();
+        let senders: Senders = senders
+            .map(|(task, starts)| (*task, starts.iter().map(|start| start.sender).collect()))
+            .collect();
+        if !senders.is_empty() {
+            extensions.insert(SENDERS_EXTENSION, postcard::to_stdvec(&senders)?);
+        }
+        if !self.known_owners.is_empty() {
+            extensions.insert(OWNERS_EXTENSION, postcard::to_stdvec(&self.known_owners)?);
+        }
         Ok(extensions)
     }
 
@@ -339,9 +381,35 @@
         }
         let demand = extensions.get(&DEMAND_EXTENSION).cloned();
         self.learned_demand = demand.unwrap_or_default();
+        // Without either, starts count as sent by the last owner, so that is no reason to fail.
+        if let Some(bytes) = extensions.get(&SENDERS_EXTENSION) {
+            match postcard::from_bytes::<Senders>(bytes) {
+                Ok(senders) => self.set_senders(&senders),
+                Err(error) => tracing::warn!(%error, "senders of starts of a snapshot skipped"),
+            }
+        }
+        if let Some(bytes) = extensions.get(&OWNERS_EXTENSION) {
+            match postcard::from_bytes(bytes) {
+                Ok(owners) => self.known_owners = owners,
+                Err(error) => tracing::warn!(%error, "known owners of a snapshot skipped"),
+            }
+        }
         Ok(())
     }
 
+    /// Sets the senders of the unconfirmed starts, in the order of the starts of each task.
+    fn set_senders(&mut self, senders: &Senders) {
+        for (task, senders) in senders {
+            let starts = self.unconfirmed.get_mut(task);
+            let Some(starts) = starts.filter(|starts| starts.len() == senders.len()) else {
+                continue;
+            };
+            for (start, sender) in starts.iter_mut().zip(senders) {
+                start.sender = *sender;
+            }
+        }
+    }
+
     /// Returns the learned run times as last recorded.
     #[must_use]
     pub fn run_times(&self) -> &RecordedModels {
--- a/ashtiller/src/workflow/mod.rs
+++ b/ashtiller/src/workflow/mod.rs
@@ -25,6 +25,7 @@
 pub mod incarnation;
 pub mod interference;
 pub mod job;
+pub mod known_owners;
 pub mod kv;
 pub mod lease;
 pub mod link;
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -136,7 +136,7 @@
         now,
     );
     core.note_ownership_proof(proved_at);
-    core.set_known_owners(known_owners);
+    core.set_known_owners(known_owners, now);
     let mut owner = Owner {
         node: node.clone(),
         ownership: log_owner,
--- a/ashtiller/src/workflow/record.rs
+++ b/ashtiller/src/workflow/record.rs
@@ -125,6 +125,9 @@
     Origin(u32, Arc<str>),
     /// Demand of short tasks was learned; encoded as by `DemandHistory::export`.
     DemandLearned(Vec<u8>),
+    /// The owner at this epoch has known these owners, by epoch, for at least this many milliseconds.
+    /// All records before the first of these were written by earlier owners.
+    OwnersKnown(u64, Vec<(u64, u64)>),
 }
 
 impl LogRecord {
@@ -135,9 +138,10 @@
     pub fn section(&self) -> Section {
         match self {
             Self::StartPending(..) | Self::StartAnswered(_) => Section::Starts,
-            Self::RunTimesLearned(_) | Self::Origin(..) | Self::DemandLearned(_) => {
-                Section::Extension
-            }
+            Self::RunTimesLearned(_)
+            | Self::Origin(..)
+            | Self::DemandLearned(_)
+            | Self::OwnersKnown(..) => Section::Extension,
             _ => Section::Required,
         }
     }
@@ -153,7 +157,10 @@
     pub fn may_wait(&self) -> bool {
         matches!(
             self,
-            Self::StartAnswered(_) | Self::RunTimesLearned(_) | Self::DemandLearned(_)
+            Self::StartAnswered(_)
+                | Self::RunTimesLearned(_)
+                | Self::DemandLearned(_)
+                | Self::OwnersKnown(..)
         )
     }
 }
--- a/ashtiller/src/workflow/state.rs
+++ b/ashtiller/src/workflow/state.rs
@@ -26,6 +26,9 @@
     pub run: u32,
     /// Worker to which the start was sent. A later incarnation of it may carry the start out.
     pub worker: Incarnation,
+    /// Epoch of the latest owner that may have sent it, if known. Snapshots store it separately.
+    #[serde(skip)]
+    pub sender: Option<u64>,
     /// Time by which the start was sent, on this owner's clock. An earlier owner that is not known to
     /// have ended may send it again for a while.
     #[serde(skip)]
--- a/ashtiller/tests/owner/late_starts.rs
+++ b/ashtiller/tests/owner/late_starts.rs
@@ -989,3 +989,6 @@
 
 #[path = "late_starts_handover.rs"]
 mod handover;
+
+#[path = "late_starts_series.rs"]
+mod series;
--- a/ashtiller/tests/owner/late_starts_handover.rs
+++ b/ashtiller/tests/owner/late_starts_handover.rs
@@ -95,7 +95,7 @@
     fleet.replace_owner();
     fleet
         .core
-        .set_known_owners(vec![(1, 30 * SECOND), (2, known_for)]);
+        .set_known_owners(vec![(1, 30 * SECOND), (2, known_for)], fleet.now);
     fleet.add_worker(1);
     let began = fleet.now.at.saturating_sub(known_for);
     fleet.run_for(5 * SECOND);
