Let an owner date what happened before it began

The clock of an owner began at zero as it took over, so a start that had been sent long before counted as sent at that moment: 13 s more with each owner. The clock begins at one hour.

succession::a_start_of_an_owner_that_was_replaced_long_ago_is_not_in_doubt runs a real instance; with a clock from zero it fails.

--- a/ashtiller/src/workflow/owner/events.rs
+++ b/ashtiller/src/workflow/owner/events.rs
@@ -9,7 +9,7 @@
 use crate::workflow::kv::{Change, Item};
 use crate::workflow::log::{AppendError, Written};
 use crate::workflow::message::{PeerRequest, Reply};
-use crate::workflow::owner::{Event, Owner, OwnerRequest};
+use crate::workflow::owner::{Event, Owner, OwnerRequest, reading};
 
 /// Events or requests handled before the state machine makes its next step.
 const MAX_BATCH: usize = 128;
@@ -43,7 +43,7 @@
                 self.node.note_store_contact();
                 self.node.note_position(position);
                 self.node.metrics.note_commit(sent.elapsed());
-                let sent = sent.since(self.start);
+                let sent = reading(sent, self.start);
                 self.core.note_revision(revision);
                 self.core.note_durable(position, sent, now);
                 self.compact(position);
@@ -105,7 +105,7 @@
                 as_of
             }
         };
-        let as_of = as_of.since(self.start);
+        let as_of = reading(as_of, self.start);
         self.core.note_complete_listing(as_of);
     }
 
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -60,6 +60,9 @@
     pub reply: oneshot::Sender<Reply>,
 }
 
+/// Reading of an owner's clock as it begins.
+const CLOCK_START: Duration = Duration::from_hours(1);
+
 /// A result from outside the state machine.
 enum Event {
     WorkerPolled(Incarnation, Result<PollReply, Failure>),
@@ -186,7 +189,7 @@
     log_owner: &LogOwner,
     start: Moment,
 ) -> Result<Option<Takeover>, Failure> {
-    let proved_at = start.elapsed();
+    let proved_at = reading(Moment::now(), start);
     if let Some(known) = node.log.read_owner(false).await?
         && known.epoch != log_owner.epoch
     {
@@ -203,12 +206,18 @@
     }))
 }
 
+/// Returns the reading of the owner's clock at a moment. An owner dates what happened long before it
+/// began.
+fn reading(moment: Moment, start: Moment) -> Duration {
+    CLOCK_START + moment.since(start)
+}
+
 fn now_since(start: Moment) -> Now {
     let wall = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
     Now {
-        at: start.elapsed(),
+        at: reading(Moment::now(), start),
         wall: u64::try_from(wall.as_millis()).unwrap_or(u64::MAX),
     }
 }
--- a/ashtiller/tests/succession/main.rs
+++ b/ashtiller/tests/succession/main.rs
@@ -329,3 +329,20 @@
     };
     LocalSet::new().run_until(scenario).await;
 }
+
+/// A start got no answer, and its owner was replaced 30 s before the last owner began. The clock of an
+/// owner began at zero as it took over, and everything from before counted as of that moment.
+#[tokio::test(start_paused = true)]
+async fn a_start_of_an_owner_that_was_replaced_long_ago_is_not_in_doubt() {
+    let scenario = async {
+        let mut series = Series::open().await;
+        series.acquire(1).await;
+        let second = series.acquire(2).await;
+        series.write_unanswered_start(Duration::from_secs(30)).await;
+        series.host(&second, second.incarnation, true);
+        let begin = series.begin().await;
+        let delay = series.start_delay(begin).await;
+        assert!(delay <= ORDER_LIMIT, "too late: {delay:?}");
+    };
+    LocalSet::new().run_until(scenario).await;
+}
--- a/ashtiller/tests/succession/series.rs
+++ b/ashtiller/tests/succession/series.rs
@@ -13,7 +13,7 @@
 use ashtiller::workflow::log::{Acquisition, Log};
 use ashtiller::workflow::node::{Dependencies, Node};
 use ashtiller::workflow::peers::PeerConnections;
-use ashtiller::workflow::record::{LogOwner, LogRecord, PreviousOwner, Run, Task};
+use ashtiller::workflow::record::{End, LogOwner, LogRecord, PreviousOwner, Run, Task};
 use ashtiller::workflow::settings::Settings;
 use bytes::Bytes;
 use prometheus::IntCounter;
@@ -254,6 +254,25 @@
         self.append_entry(entry).await;
     }
 
+    /// Writes the first entry of the log for its newest owner, which has known itself for `age`: a job
+    /// whose run was lost, and a start of it without an answer.
+    pub async fn write_unanswered_start(&self, age: Duration) {
+        let owner = self.newest.expect("the log should have an owner");
+        let [accepted, placed] = records();
+        let LogRecord::Placed(run, worker, _) = placed.clone() else {
+            panic!("a placed run: {placed:?}");
+        };
+        let age = u64::try_from(age.as_millis()).expect("the age should be valid");
+        self.append_entry(vec![
+            accepted,
+            placed,
+            LogRecord::StartUnconfirmed(run, worker),
+            LogRecord::Ended(run, End::Lost, "".into()),
+            LogRecord::OwnersKnown(owner.epoch, vec![(owner.epoch, age)]),
+        ])
+        .await;
+    }
+
     async fn append_entry(&self, entry: Vec<LogRecord>) {
         let owner = self.newest.expect("the log should have an owner");
         let log = Log::new(self.store.clone(), PREFIX, owner.incarnation);
