Start a best-effort job that has waited long where services lose least

Cause: a best-effort task is placed where the headroom that it takes from services costs less than a limit. What it takes is learned while both run side by side, so where the estimate is above the limit everywhere, nothing runs, nothing is learned, and the wait has no end. Its class: a refusal by an estimate that only acceptance can correct. Besides, a step was passed over for an earlier one of its image with less memory, though that one asked for more processors: best-effort tasks reserve none.

Evidence: the line "task waits although workers have room" names 418 to 436 workers with room and no finite cost, factors of 3 to 6 where 0.64 is usual, and steps that were passed over with a finite cost (0.32 after 32 s).

Change: a job without any run may take, after 2 s, a worker whose services stay within their targets, and after 10 s the one whose services lose least; one task at a time, and its pace protects the services as before. Requirements for which no worker was found hold for another best-effort step only if that one uses as many processors.

owner/overdue_fills: three tests, all red on the code of before.

--- a/ashtiller/src/workflow/core/candidates.rs
+++ b/ashtiller/src/workflow/core/candidates.rs
@@ -11,6 +11,7 @@
 use crate::resources::Resources;
 use crate::workflow::core::eligibility::Eligibility;
 use crate::workflow::core::plan::Demand;
+use crate::workflow::core::selectivity::Tolerance;
 use crate::workflow::core::{Core, Now};
 use crate::workflow::incarnation::Incarnation;
 use crate::workflow::interference::{Image, Interference, NeighborFill};
@@ -153,6 +154,8 @@
     pub suspect: bool,
     /// Selectivity of a best-effort run about the services beside it, from 0 to 1.
     pub selectivity: f64,
+    /// What a best-effort run may take from the services beside it.
+    pub tolerance: Tolerance,
     /// Capacity that the task has to leave to short ones, if it is long-running.
     pub reserve: Option<Arc<ServiceReserve>>,
 }
@@ -456,6 +459,7 @@
             only: None,
             suspect: false,
             selectivity: demand.selectivity,
+            tolerance: demand.tolerance,
             reserve: None,
         };
         self.cost(&request, &core.interference, core.tuning.switches)
@@ -482,13 +486,7 @@
             .dominant_share_of(&self.capacity);
         match request.share {
             RunSharing::Fills(image) => {
-                cost += self.fill_cost(
-                    image,
-                    requested_processors(request.step),
-                    request.selectivity,
-                    interference,
-                    switches,
-                );
+                cost += self.fill_cost(image, request, interference, switches);
             }
             // Services of one image tolerate the same fills, so they share workers; filling
             // up workers leaves others free.
@@ -521,11 +519,11 @@
     fn fill_cost(
         &self,
         image: Image,
-        requested: f64,
-        selectivity: f64,
+        request: &PlacementRequest<'_>,
         interference: &Interference,
         switches: Switches,
     ) -> f64 {
+        let requested = requested_processors(request.step);
         let share = requested / self.processors();
         let unused = (self.processors() - self.busy).max(self.processors() * UNUSED_SHARE_MIN);
         let contention = (self.fill_demand + requested) / unused;
@@ -535,23 +533,25 @@
         }
         let [minimum, initial] = HEADROOM_GOAL;
         let goal = if switches.keep_headroom {
-            minimum + (initial - minimum) * selectivity
+            minimum + (initial - minimum) * request.selectivity
         } else {
             0.0
         };
-        let mut headroom_cost = 0.0;
+        let (mut headroom_cost, mut exceeds_target) = (0.0, false);
         for (serves, spare) in &self.serving {
             let pressure = interference.factor(*serves, image) * share;
             let reserve = goal * (1.0 - interference.floor(*serves)).max(0.0);
+            exceeds_target |= pressure > *spare;
             headroom_cost += HEADROOM_DEFICIT_COST * (pressure + reserve - spare).max(0.0)
                 + HEADROOM_USE_COST * pressure;
         }
         let cost = headroom_cost + (contention - 1.0).max(0.0) + FILL_CONTENTION_COST * contention;
-        if cost > FILL_COST_MAX {
-            f64::INFINITY
-        } else {
-            cost
-        }
+        let is_tolerated = match request.tolerance {
+            Tolerance::Usual => cost <= FILL_COST_MAX,
+            Tolerance::WithinTargets => !exceeds_target,
+            Tolerance::Any => true,
+        };
+        if is_tolerated { cost } else { f64::INFINITY }
     }
 
     /// Accounts for a run that was placed here. Returns false if the worker may get no more runs.
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -6,11 +6,13 @@
 use crate::resources::Resources;
 use crate::workflow::core::advice::StepKey;
 use crate::workflow::core::candidates::{self, Candidate, PlacementRequest};
+use crate::workflow::core::selectivity::Tolerance;
 use crate::workflow::core::step_priority::WaitingStep;
 use crate::workflow::core::trials::{ActiveTrials, TrialResult};
 use crate::workflow::core::unconfirmed_starts::Site;
 use crate::workflow::core::{Core, Now, sharing_of};
 use crate::workflow::incarnation::Incarnation;
+use crate::workflow::job::Step;
 use crate::workflow::live_run::RunSharing;
 use crate::workflow::record::{Run, Task};
 use crate::workflow::reserve::plan::{ReservePlan, ServiceReserve};
@@ -25,6 +27,10 @@
     pub selectivity: f64,
     /// Whether the capacity reserve applies.
     pub leaves_reserve: bool,
+    /// Processors that the task uses beside services, in thousandths, if it is a best-effort one.
+    pub fill_processors: u64,
+    /// What a best-effort task may take from services beside it.
+    pub tolerance: Tolerance,
 }
 
 impl Demand {
@@ -38,8 +44,10 @@
         self.service == other.service
             && self.share == other.share
             && self.resources.fits_within(&other.resources)
+            && self.fill_processors <= other.fill_processors
             && self.selectivity <= other.selectivity
             && self.leaves_reserve <= other.leaves_reserve
+            && self.tolerance >= other.tolerance
     }
 }
 
@@ -96,6 +104,31 @@
         reserve.filter(|_| demand.leaves_reserve).cloned()
     }
 
+    /// Returns a request for the tasks of a step, without what is known of single tasks.
+    fn request_for<'a>(
+        &self,
+        service: &'a Arc<str>,
+        step: &'a Step,
+        demand: &Demand,
+        tickets: Option<&'a BTreeMap<Incarnation, Arc<str>>>,
+    ) -> PlacementRequest<'a> {
+        PlacementRequest {
+            service,
+            step,
+            share: demand.share,
+            resources: demand.resources,
+            failed_on: BTreeSet::new(),
+            runs_per_worker: BTreeMap::new(),
+            tickets,
+            excluded: None,
+            only: None,
+            suspect: false,
+            selectivity: demand.selectivity,
+            tolerance: demand.tolerance,
+            reserve: self.reserve_for(demand),
+        }
+    }
+
     /// Records that no worker meets these requirements.
     pub fn note_unplaceable(&mut self, demand: Demand) {
         self.unplaceable.push(demand);
@@ -219,16 +252,23 @@
         let (service, spec) = (job.policy.service.clone(), job.job.clone());
         let step = &spec.steps[usize::from(pending.step)];
         let (share, _) = sharing_of(&mut self.interference, step);
+        let fills = step.fills();
         Demand {
             service: self.intern_service(&service),
             share,
             resources: step.reserved(),
-            selectivity: if step.fills() {
+            selectivity: if fills {
                 self.selectivity(pending.key(), now)
             } else {
                 0.0
             },
             leaves_reserve: self.is_reserve_bound(pending.key(), step),
+            fill_processors: if fills { step.needs.processors } else { 0 },
+            tolerance: if fills {
+                self.tolerance(pending.key(), now)
+            } else {
+                Tolerance::Usual
+            },
         }
     }
 
@@ -239,7 +279,7 @@
         round: &mut PlacementRound,
         now: Now,
     ) {
-        let demand = self.demand_of(pending, now);
+        let mut demand = self.demand_of(pending, now);
         if let Some(index) = round.find_unplaceable(&demand)
             && !self.has_bound_tasks(pending)
         {
@@ -255,24 +295,14 @@
             return;
         };
         let tickets = asks_advisor.then(|| self.tickets(first, now));
+        let service = demand.service.clone();
         let is_promoted = round.promoted_late.contains(&pending.key());
-        let mut request = PlacementRequest {
-            service: &demand.service,
-            step,
-            share: demand.share,
-            resources: demand.resources,
-            failed_on: BTreeSet::new(),
-            runs_per_worker: BTreeMap::new(),
-            tickets: tickets.as_ref(),
-            excluded: round
-                .reserved
-                .clone()
-                .filter(|_| !step.long_running && !step.fills() && !is_promoted),
-            only: None,
-            suspect: tasks.iter().any(|task| self.is_suspect(*task)),
-            selectivity: demand.selectivity,
-            reserve: round.reserve_for(&demand),
-        };
+        let mut request = round.request_for(&service, step, &demand, tickets.as_ref());
+        request.excluded = round
+            .reserved
+            .clone()
+            .filter(|_| !step.long_running && !step.fills() && !is_promoted);
+        request.suspect = tasks.iter().any(|task| self.is_suspect(*task));
         if step.gang {
             if !self.place_gang(&tasks, &request, round, now) {
                 self.advise_on(&tasks, &request, round, now);
@@ -324,6 +354,11 @@
                 continue;
             };
             let id = self.add_to_candidate(index, &mut request, round);
+            if request.tolerance != Tolerance::Usual {
+                // The job has a run now; its other tasks wait for better workers.
+                (demand.tolerance, request.tolerance) = (Tolerance::Usual, Tolerance::Usual);
+                ranking = None;
+            }
             if request.reserve.is_some() {
                 request.reserve = round.reserve_for(&demand);
             }
--- a/ashtiller/src/workflow/core/relocation.rs
+++ b/ashtiller/src/workflow/core/relocation.rs
@@ -6,6 +6,7 @@
 
 use crate::workflow::core::candidates::{self, PlacementRequest};
 use crate::workflow::core::plan::{Demand, PlacementRound};
+use crate::workflow::core::selectivity::Tolerance;
 use crate::workflow::core::unconfirmed_starts::Site;
 use crate::workflow::core::{Core, Now, sharing_of};
 use crate::workflow::live_run::{Stop, StopReason};
@@ -76,6 +77,7 @@
             only: None,
             suspect: false,
             selectivity: 0.0,
+            tolerance: Tolerance::Usual,
             reserve: None,
         };
         let Some(index) = self.choose_worker(&round.candidates, &request) else {
@@ -128,6 +130,8 @@
             resources: step.reserved(),
             selectivity,
             leaves_reserve: false,
+            fill_processors: step.needs.processors,
+            tolerance: Tolerance::Usual,
         };
         if round.is_known_unplaceable(&demand) {
             return;
@@ -144,6 +148,7 @@
             only: None,
             suspect: false,
             selectivity,
+            tolerance: Tolerance::Usual,
             reserve: None,
         };
         let Some(index) = self.choose_worker(&round.candidates, &request) else {
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -22,6 +22,7 @@
 mod listing;
 mod lives;
 mod news;
+mod overdue_fills;
 mod parts;
 mod placing;
 mod pressure;
