Log the unanswered starts of earlier owners once, and only those in doubt

An owner logged them twice as it began, with all known owners in each line. Now one line for each sender whose starts may still be carried out: left_ms, and replaced_ms, for how long a later owner has been known.

--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -347,7 +347,7 @@
         };
         core.interference.import(&core.log_state.learned_factors);
         core.adopt_runs(now);
-        core.set_known_owners(Vec::new(), now);
+        core.merge_known_owners(Vec::new());
         core
     }
 
--- a/ashtiller/src/workflow/core/predecessors.rs
+++ b/ashtiller/src/workflow/core/predecessors.rs
@@ -126,44 +126,64 @@
     }
 
     /// Sets which owners of the log this process knew before this one began, by epoch, and for how
-    /// long. The log may have known them for longer.
+    /// long.
     pub fn set_known_owners(&mut self, owners: Vec<(u64, Duration)>, now: Now) {
+        self.merge_known_owners(owners);
+        self.log_unconfirmed_starts(now);
+    }
+
+    /// Adds owners to those that the log knows, which may have known them for longer, and dates the
+    /// unconfirmed starts by them.
+    pub(super) fn merge_known_owners(&mut self, owners: Vec<(u64, Duration)>) {
         let mut known: BTreeMap<u64, Duration> = self.log_state.known_owners().ages().collect();
         for (epoch, age) in owners {
             let longest = known.entry(epoch).or_default();
             *longest = age.max(*longest);
         }
-        // An owner has been known for at least as long as any later one.
+        // An owner has been there for at least as long as any later one.
         let mut longest = Duration::ZERO;
         for age in known.values_mut().rev() {
             longest = longest.max(*age);
             *age = longest;
         }
         self.known_owners = known;
-        self.date_unconfirmed_starts(now);
+        self.date_unconfirmed_starts();
     }
 
     /// Dates the unconfirmed starts of the log by their senders. One without a known sender may have
     /// been sent by the last owner.
-    fn date_unconfirmed_starts(&mut self, now: Now) {
-        let senders = self.log_state.unconfirmed().values().flatten();
-        let senders: BTreeSet<Option<u64>> = senders.map(|start| start.sender).collect();
-        if senders.is_empty() {
-            return;
-        }
+    fn date_unconfirmed_starts(&mut self) {
         let sent = |sender: Option<u64>| self.last_start_of(sender.unwrap_or(self.epoch));
+        let senders = self.senders_of_unconfirmed();
         let sent: BTreeMap<Option<u64>, Duration> = senders
             .into_iter()
             .map(|sender| (sender, sent(sender)))
             .collect();
-        for (sender, sent) in &sent {
-            let left = (*sent + LATE_MAX).saturating_sub(now.at);
-            tracing::info!(?sender, left_ms = left.as_millis(), epoch = self.epoch,
-                known_owners = ?self.known_owners, "unanswered starts of earlier owners");
-        }
         self.log_state.date_all_unconfirmed(|sender| sent[&sender]);
     }
 
+    fn senders_of_unconfirmed(&self) -> BTreeSet<Option<u64>> {
+        let starts = self.log_state.unconfirmed().values().flatten();
+        starts.map(|start| start.sender).collect()
+    }
+
+    /// Logs until when the starts of each sender may be carried out, unless they cannot any more.
+    fn log_unconfirmed_starts(&self, now: Now) {
+        for sender in self.senders_of_unconfirmed() {
+            let sent = self.last_start_of(sender.unwrap_or(self.epoch));
+            let left = (sent + LATE_MAX).saturating_sub(now.at);
+            if !left.is_zero() {
+                let known_for = sender.and_then(|it| self.known_owners.range(it + 1..).next());
+                tracing::info!(
+                    sender,
+                    left_ms = left.as_millis(),
+                    replaced_ms = known_for.map(|(_, age)| age.as_millis()),
+                    "unanswered starts of an earlier owner may still be carried out"
+                );
+            }
+        }
+    }
+
     /// Returns whether a start of an earlier owner may still be carried out.
     fn has_former_starts(&self) -> bool {
         let pending = self.log_state.pending_starts().values().copied();
