Date a start that its sender has outlived by the time since

The sender counted 13 s from its own time limit; the next owner knew only that the sender may have sent starts until it was replaced.

Change: the records of how long owners have been known also tell the time that lies between records. A start is dated by them if its sender has recorded that it sends no other one, and has written as the owner after that: a later owner may record the same while a suspended sender does not know of it, and the test for that case fails if it counts.

--- a/ashtiller/src/workflow/core/predecessors.rs
+++ b/ashtiller/src/workflow/core/predecessors.rs
@@ -6,6 +6,7 @@
 use crate::workflow::core::{Core, Now};
 use crate::workflow::lease;
 use crate::workflow::record::LogRecord;
+use crate::workflow::state::Resends;
 use crate::workflow::worker::LATE_MAX;
 
 /// Interval at which it is recorded how long owners have been known.
@@ -150,55 +151,62 @@
         self.date_unconfirmed_starts();
     }
 
-    /// Dates the unconfirmed starts of the log by their senders. One without a known sender may have
-    /// been sent by the last owner.
+    /// Dates the unconfirmed starts of the log.
     fn date_unconfirmed_starts(&mut self) {
+        let starts = self.log_state.unconfirmed().values().flatten();
+        let senders: BTreeSet<Option<u64>> = starts.map(|start| start.sending.sender).collect();
+        // One without a known sender may have been sent by the last owner.
         let sent = |sender: Option<u64>| self.last_start_of(sender.unwrap_or(self.epoch));
-        let senders = self.senders_of_unconfirmed();
         let sent: BTreeMap<Option<u64>, Duration> = senders
             .into_iter()
             .map(|sender| (sender, sent(sender)))
             .collect();
-        self.log_state.date_all_unconfirmed(|sender| sent[&sender]);
-    }
-
-    fn senders_of_unconfirmed(&self) -> BTreeSet<Option<u64>> {
-        let starts = self.log_state.unconfirmed().values().flatten();
-        starts.map(|start| start.sender).collect()
+        let (held, began) = (self.log_state.known_owners().held(), self.began);
+        self.log_state.date_all_unconfirmed(|sending| {
+            let last = sent[&sending.sender];
+            match sending.recorded {
+                Some(recorded) if sending.resends == Resends::None => {
+                    let age = Duration::from_millis(held.saturating_sub(recorded));
+                    last.min(began.saturating_sub(age))
+                }
+                _ => last,
+            }
+        });
     }
 
     /// Logs until when the starts of each sender may be carried out, unless they cannot any more.
     fn log_unconfirmed_starts(&self, now: Now) {
-        for sender in self.senders_of_unconfirmed() {
-            let sent = self.last_start_of(sender.unwrap_or(self.epoch));
-            let left = (sent + LATE_MAX).saturating_sub(now.at);
-            if !left.is_zero() {
-                let known_for = sender.and_then(|it| self.known_owners.range(it + 1..).next());
-                tracing::info!(
-                    sender,
-                    left_ms = left.as_millis(),
-                    replaced_ms = known_for.map(|(_, age)| age.as_millis()),
-                    "unanswered starts of an earlier owner may still be carried out"
-                );
-            }
+        let starts = self.log_state.unconfirmed().values().flatten();
+        let mut last: BTreeMap<Option<u64>, (usize, Duration)> = BTreeMap::new();
+        for start in starts.filter(|start| now.at < start.since + LATE_MAX) {
+            let (count, since) = last.entry(start.sending.sender).or_default();
+            *count += 1;
+            *since = start.since.max(*since);
+        }
+        for (sender, (starts, since)) in last {
+            let left = (since + LATE_MAX).saturating_sub(now.at);
+            let later = sender.and_then(|epoch| self.known_owners.range(epoch + 1..).next());
+            tracing::info!(
+                sender,
+                starts,
+                left_ms = left.as_millis(),
+                replaced_ms = later.map(|(_, age)| age.as_millis()),
+                "unanswered starts of an earlier owner may still be carried out"
+            );
         }
     }
 
-    /// Returns whether a start of an earlier owner may still be carried out.
-    fn has_former_starts(&self) -> bool {
-        let pending = self.log_state.pending_starts().values().copied();
-        let unconfirmed = self.log_state.unconfirmed().values().flatten();
-        let mut senders = unconfirmed
-            .map(|start| start.sender)
-            .chain(pending.map(Some));
-        senders.any(|sender| sender != Some(self.epoch))
+    /// Returns whether a later owner has to date starts: one is unconfirmed, or an earlier owner has
+    /// left one in flight.
+    fn has_starts_to_date(&self) -> bool {
+        let mut pending = self.log_state.pending_starts().values();
+        !self.log_state.unconfirmed().is_empty() || pending.any(|epoch| *epoch != self.epoch)
     }
 
-    /// Records how long owners have been known, while starts of earlier owners may be carried out: a
-    /// later owner dates these starts by it.
+    /// Records how long owners have been known, while a later owner may need it to date starts.
     pub(super) fn record_known_owners(&mut self, now: Now) {
         let is_due = |at: Duration| now.at >= at + KNOWN_OWNERS_INTERVAL;
-        if !self.owners_recorded_at.is_none_or(is_due) || !self.has_former_starts() {
+        if !self.owners_recorded_at.is_none_or(is_due) || !self.has_starts_to_date() {
             return;
         }
         self.owners_recorded_at = Some(now.at);
--- a/ashtiller/src/workflow/core/unconfirmed_starts.rs
+++ b/ashtiller/src/workflow/core/unconfirmed_starts.rs
@@ -202,7 +202,7 @@
     /// owner may have waited for its relay.
     fn last_sending_of(&self, start: &UnconfirmedStart) -> Duration {
         let is_relayed = self.workers.len() >= RELAYED_WORKERS_MIN;
-        if start.sender == Some(self.epoch) || !is_relayed {
+        if start.sending.sender == Some(self.epoch) || !is_relayed {
             return start.since;
         }
         let latest = (self.began + self.tuning.drain).min(self.earlier_calls_end());
--- a/ashtiller/src/workflow/log_state.rs
+++ b/ashtiller/src/workflow/log_state.rs
@@ -18,17 +18,19 @@
 use crate::workflow::run_times::recorded::{EncodedModels, RecordedModels};
 use crate::workflow::shares::origins::{self, Origins};
 use crate::workflow::snapshot::Extensions;
-use crate::workflow::state::{JobState, PlacedRun, StepState, TaskState, UnconfirmedStart};
+use crate::workflow::state::{
+    JobState, PlacedRun, Sending, StepState, TaskState, UnconfirmedStart,
+};
 
-/// Number of the senders of unconfirmed starts among the extensions of a snapshot.
-const SENDERS_EXTENSION: u8 = 4;
+/// Number of the sendings of unconfirmed starts among the extensions of a snapshot.
+const SENDINGS_EXTENSION: u8 = 4;
 /// Number of the known owners among the extensions of a snapshot.
 const OWNERS_EXTENSION: u8 = 5;
 /// Number of the learned demand among the extensions of a snapshot.
 const DEMAND_EXTENSION: u8 = 3;
 
-/// Epochs of the senders of each task's unconfirmed starts.
-type Senders = BTreeMap<Task, Vec<Option<u64>>>;
+/// What is known of the sending of each task's unconfirmed starts.
+type Sendings = BTreeMap<Task, Vec<Sending>>;
 
 /// Change by a record that the caller has to act on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -201,10 +203,13 @@
                 // The run may have ended by a record of the same entry.
                 if self.is_live(*run) {
                     self.pending_starts.insert(*run, *epoch);
+                    for start in starts_of(&mut self.unconfirmed, *run) {
+                        start.sending.reopen(*epoch);
+                    }
                 }
             }
             LogRecord::StartAnswered(run) => {
-                self.pending_starts.remove(run);
+                self.remove_pending_start(*run);
             }
             LogRecord::RunTimesLearned(models) => self.run_times.apply(models),
             LogRecord::Origin(number, zone) => {
@@ -268,7 +273,10 @@
         starts.push(UnconfirmedStart {
             run: run.number,
             worker: worker.clone(),
-            sender,
+            sending: Sending {
+                sender,
+                ..Sending::default()
+            },
             since: now,
         });
     }
@@ -276,11 +284,23 @@
     /// Adds what an owner knows of itself and others. A start that is recorded by then was sent by an
     /// earlier owner, and a later one would have recorded its own.
     fn note_known_owners(&mut self, writer: u64, ages: &[(u64, u64)]) {
-        if self.known_owners.note(writer, ages) {
-            let starts = self.unconfirmed.values_mut().flatten();
-            for start in starts.filter(|start| start.sender.is_none()) {
-                start.sender = Some(writer.saturating_sub(1));
+        let is_first = self.known_owners.note(writer, ages);
+        let held = self.known_owners.held();
+        for start in self.unconfirmed.values_mut().flatten() {
+            if is_first && start.sending.sender.is_none() {
+                start.sending.sender = Some(writer.saturating_sub(1));
             }
+            start.sending.note_time(writer, held);
+        }
+    }
+
+    /// Removes the pending start of a run: its sender sends no other one.
+    fn remove_pending_start(&mut self, run: Run) {
+        let Some(epoch) = self.pending_starts.remove(&run) else {
+            return;
+        };
+        for start in starts_of(&mut self.unconfirmed, run) {
+            start.sending.rule_out(epoch);
         }
     }
 
@@ -299,11 +319,11 @@
         }
     }
 
-    /// Sets when each unconfirmed start was sent at the latest, on this owner's clock, from the epoch
-    /// of its sender.
-    pub fn date_all_unconfirmed(&mut self, sent: impl Fn(Option<u64>) -> Duration) {
+    /// Sets when each unconfirmed start was sent at the latest, on this owner's clock, from what
+    /// the log says.
+    pub fn date_all_unconfirmed(&mut self, sent: impl Fn(&Sending) -> Duration) {
         for start in self.unconfirmed.values_mut().flatten() {
-            start.since = sent(start.sender);
+            start.since = sent(&start.sending);
         }
     }
 
@@ -348,11 +368,11 @@
             extensions.insert(DEMAND_EXTENSION, self.learned_demand.clone());
         }
         let senders = self.unconfirmed.iter();
-        let senders: Senders = senders
-            .map(|(task, starts)| (*task, starts.iter().map(|start| start.sender).collect()))
+        let senders: Sendings = senders
+            .map(|(task, starts)| (*task, starts.iter().map(|it| it.sending.clone()).collect()))
             .collect();
         if !senders.is_empty() {
-            extensions.insert(SENDERS_EXTENSION, postcard::to_stdvec(&senders)?);
+            extensions.insert(SENDINGS_EXTENSION, postcard::to_stdvec(&senders)?);
         }
         if !self.known_owners.is_empty() {
             extensions.insert(OWNERS_EXTENSION, postcard::to_stdvec(&self.known_owners)?);
@@ -382,9 +402,9 @@
         let demand = extensions.get(&DEMAND_EXTENSION).cloned();
         self.learned_demand = demand.unwrap_or_default();
         // Without either, starts count as sent by the last owner, so that is no reason to fail.
-        if let Some(bytes) = extensions.get(&SENDERS_EXTENSION) {
-            match postcard::from_bytes::<Senders>(bytes) {
-                Ok(senders) => self.set_senders(&senders),
+        if let Some(bytes) = extensions.get(&SENDINGS_EXTENSION) {
+            match postcard::from_bytes::<Sendings>(bytes) {
+                Ok(sendings) => self.set_sendings(sendings),
                 Err(error) => tracing::warn!(%error, "senders of starts of a snapshot skipped"),
             }
         }
@@ -397,15 +417,15 @@
         Ok(())
     }
 
-    /// Sets the senders of the unconfirmed starts, in the order of the starts of each task.
-    fn set_senders(&mut self, senders: &Senders) {
-        for (task, senders) in senders {
-            let starts = self.unconfirmed.get_mut(task);
-            let Some(starts) = starts.filter(|starts| starts.len() == senders.len()) else {
+    /// Sets what is known of the unconfirmed starts, in the order of the starts of each task.
+    fn set_sendings(&mut self, sendings: Sendings) {
+        for (task, sendings) in sendings {
+            let starts = self.unconfirmed.get_mut(&task);
+            let Some(starts) = starts.filter(|starts| starts.len() == sendings.len()) else {
                 continue;
             };
-            for (start, sender) in starts.iter_mut().zip(senders) {
-                start.sender = *sender;
+            for (start, sending) in starts.iter_mut().zip(sendings) {
+                start.sending = sending;
             }
         }
     }
@@ -492,6 +512,9 @@
         if !self.is_live(run) && !self.late_end_matters(run, end) {
             return Effect::None;
         }
+        if self.is_live(run) {
+            self.remove_pending_start(run);
+        }
         let Some(job) = self.jobs.get_mut(&number) else {
             return Effect::None;
         };
@@ -505,7 +528,6 @@
         let worker = match task.live.iter().position(|live| live.number == run.number) {
             Some(place) => {
                 job.live -= 1;
-                self.pending_starts.remove(&run);
                 Some(task.live.swap_remove(place).worker)
             }
             None => None,
@@ -605,6 +627,15 @@
     }
 }
 
+/// Returns the unconfirmed starts of a run.
+fn starts_of(
+    unconfirmed: &mut BTreeMap<Task, Vec<UnconfirmedStart>>,
+    run: Run,
+) -> impl Iterator<Item = &mut UnconfirmedStart> {
+    let starts = unconfirmed.get_mut(&run.task).into_iter().flatten();
+    starts.filter(move |start| start.run == run.number)
+}
+
 /// Applies the end of one gang member to all members: when one is done all are done, and all resume
 /// from the same checkpoint.
 fn apply_gang_end(step: &mut StepState, end: End, checkpoint: &Arc<str>) {
--- a/ashtiller/src/workflow/state.rs
+++ b/ashtiller/src/workflow/state.rs
@@ -26,15 +26,67 @@
     pub run: u32,
     /// Worker to which the start was sent. A later incarnation of it may carry the start out.
     pub worker: Incarnation,
-    /// Epoch of the latest owner that may have sent it, if known. Snapshots store it separately.
+    /// What the log says of when it was sent. Snapshots store it separately.
     #[serde(skip)]
-    pub sender: Option<u64>,
+    pub sending: Sending,
     /// Time by which the start was sent, on this owner's clock. An earlier owner that is not known to
     /// have ended may send it again for a while.
     #[serde(skip)]
     pub since: Duration,
 }
 
+/// What the log says of when a start was sent.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Sending {
+    /// Epoch of the latest owner that may have sent it, if known.
+    pub sender: Option<u64>,
+    /// Milliseconds for which the log had been held when it had certainly been recorded.
+    pub recorded: Option<u64>,
+    /// Whether the sender may send another one.
+    pub resends: Resends,
+}
+
+/// Whether the sender of a start may send another one of its run.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Resends {
+    /// It may.
+    #[default]
+    Possible,
+    /// A record rules it out, but a later owner may have written that before the sender knew of it.
+    RuledOut,
+    /// The sender itself has ruled it out.
+    None,
+}
+
+impl Sending {
+    /// Notes that a record rules out further starts by the owner at this epoch.
+    pub(super) fn rule_out(&mut self, epoch: u64) {
+        if self.sender == Some(epoch) && self.resends == Resends::Possible {
+            self.resends = Resends::RuledOut;
+        }
+    }
+
+    /// Notes that the owner at this epoch may send again.
+    pub(super) fn reopen(&mut self, epoch: u64) {
+        if self.sender == Some(epoch) {
+            self.resends = Resends::Possible;
+        }
+    }
+
+    /// Notes that the owner at `writer` had written all records before when the log had been held for
+    /// `held` milliseconds.
+    pub(super) fn note_time(&mut self, writer: u64, held: u64) {
+        self.recorded.get_or_insert(held);
+        if self.resends == Resends::RuledOut {
+            self.resends = if self.sender == Some(writer) {
+                Resends::None
+            } else {
+                Resends::Possible
+            };
+        }
+    }
+}
+
 /// State of one task.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct TaskState {
--- a/ashtiller/tests/owner/late_starts_series.rs
+++ b/ashtiller/tests/owner/late_starts_series.rs
@@ -197,6 +197,38 @@
     |births| worker_is_gone(births, Memory::Log)
 );
 
+/// The first owner goes on for a while after the start, and says that it sends no other one. The
+/// worker is lost just before the only change of owner.
+fn lost_long_after_the_start(births: bool) {
+    let mut fleet = Fleet::new(births);
+    fleet.run_for(EARLIER_LEASES);
+    fleet.fates.push_back(Fate::Lost);
+    fleet.duration = 60 * SECOND;
+    fleet.submit(vec![step(1)]);
+    assert!(fleet.run_until(2 * SECOND, |it| it.sent.len() == 2));
+    fleet.add_worker(1);
+    fleet.run_for(10 * SECOND);
+    let lost = fleet.now.at;
+    fleet.end("w0");
+    let gone = fleet.entries.remove("w0").unwrap().incarnation;
+    fleet.core.unlist_worker(&gone, fleet.now);
+    fleet.run_for(SECOND);
+    let mut series = Series::new(fleet, Memory::Log);
+    let former = series.fleet.epoch;
+    series.replace_owner();
+    let fleet = &mut series.fleet;
+    fleet.core.note_predecessor_ended(former, fleet.now);
+    let left = (lost + AWAY_MAX).saturating_sub(fleet.now.at);
+    let started = fleet.run_until(left, |it| it.runs_at("w1", 2));
+    assert!(started, "not started within {AWAY_MAX:?} of the loss");
+    assert!(fleet.violations.is_empty(), "{:?}", fleet.violations);
+}
+
+scenario!(
+    a_task_of_a_lost_worker_does_not_wait_for_a_start_that_its_owner_had_outlived,
+    lost_long_after_the_start
+);
+
 /// How the worker of a start that arrives at the last moment is known by then.
 #[derive(Clone, Copy, Eq, PartialEq)]
 enum Arrival {
@@ -266,6 +298,47 @@
     );
 }
 
+/// A later owner's list shows the run, so it records that no start is in flight. The suspended one knows
+/// nothing of that, and sends another start.
+fn sent_after_it_was_ruled_out(births: bool, memory: Memory) {
+    let mut fleet = Fleet::new(births);
+    fleet.run_for(EARLIER_LEASES);
+    fleet.fates.extend([Fate::Lost, Fate::Held]);
+    fleet.duration = 60 * SECOND;
+    fleet.submit(vec![step(1)]);
+    assert!(fleet.run_until(2 * SECOND, |it| !it.held.is_empty()));
+    let (_, target, order) = fleet.held.pop().unwrap();
+    fleet.deliver(&target, &order);
+    fleet.add_worker(1);
+    let mut series = Series::new(fleet, memory);
+    series.replace_owner();
+    let arrives = series.fleet.now.at + LAST_SENDING + LATE_MAX;
+    series.run_turn(|_| false);
+    series.fleet.end("w0");
+    let entry = series.fleet.entries.remove("w0").unwrap();
+    let fleet = &mut series.fleet;
+    fleet.core.unlist_worker(&entry.incarnation, fleet.now);
+    series.replace_owner();
+    let fleet = &mut series.fleet;
+    for (epoch, _) in &series.owners[..2] {
+        fleet.core.note_predecessor_ended(*epoch, fleet.now);
+    }
+    fleet.run_for(arrives.saturating_sub(fleet.now.at + 50 * MS));
+    fleet.entries.insert("w0".into(), entry);
+    fleet.begin("w0");
+    fleet.run_for(arrives.saturating_sub(fleet.now.at));
+    fleet.deliver(&target, &order);
+    fleet.run_for(2800 * MS);
+    fleet.relist("w0");
+    fleet.run_for(20 * SECOND);
+    assert!(fleet.violations.is_empty(), "{:?}", fleet.violations);
+}
+
+scenario!(
+    a_start_that_a_later_owner_had_ruled_out_runs_beside_no_other,
+    |births| sent_after_it_was_ruled_out(births, Memory::Process)
+);
+
 scenario!(
     a_start_at_the_last_moment_at_a_listed_worker_runs_beside_no_other,
     |births| last_moment(births, Memory::Process, Arrival::Listed, 2)
