--- a/ashtiller/src/workflow/core/dump.rs
+++ b/ashtiller/src/workflow/core/dump.rs
@@ -43,8 +43,8 @@
             starts.iter().map(|start| {
                 let age = now.at.saturating_sub(start.since).as_millis();
                 serde_json::json!({
-                    "task": task.to_string(), "run": start.run, "worker": start.worker.as_str(), "sender": start.sending.sender,
-                    "age_ms": u64::try_from(age).unwrap_or(u64::MAX),
+                    "task": task.to_string(), "run": start.run, "worker": start.worker.as_str(),
+                    "sender": start.sending.sender, "age_ms": u64::try_from(age).unwrap_or(u64::MAX),
                 })
             })
         });
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -37,6 +37,7 @@
 mod runs;
 mod selectivity;
 mod shares;
+mod start_dates;
 mod start_hold;
 mod starvation;
 mod step_priority;
--- a/ashtiller/src/workflow/core/unconfirmed_starts.rs
+++ b/ashtiller/src/workflow/core/unconfirmed_starts.rs
@@ -14,18 +14,12 @@
 use crate::workflow::lease;
 use crate::workflow::live_run::{LiveRun, Stage};
 use crate::workflow::record::{End, LogRecord, Run, Task};
-use crate::workflow::relay::MAX_QUEUE_DELAY;
-use crate::workflow::relay::client::MIN_RELAYED_WORKERS;
 use crate::workflow::state::UnconfirmedStart;
 use crate::workflow::worker::{LATE_MAX, Worker};
 
 /// Time within which a new incarnation is listed, unless the store is unavailable.
 const LISTING_MAX: Duration = Duration::from_secs(3);
 
-/// Number of workers from which on an earlier owner may have sent starts over relays. The fleet may
-/// have shrunk since.
-const RELAYED_WORKERS_MIN: usize = MIN_RELAYED_WORKERS / 2;
-
 /// Where the next run of a task may be placed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum Site {
@@ -198,17 +192,6 @@
             || now.at >= last + lease::worst_case_elapsed(self.tuning.hold)
     }
 
-    /// Returns the time by which a start has left for its worker. In a large fleet a start of an earlier
-    /// owner may have waited for its relay.
-    fn last_sending_of(&self, start: &UnconfirmedStart) -> Duration {
-        let is_relayed = self.workers.len() >= RELAYED_WORKERS_MIN;
-        if start.sending.sender == Some(self.epoch) || !is_relayed {
-            return start.since;
-        }
-        let latest = (self.began + self.tuning.drain).min(self.earlier_calls_end());
-        start.since.max(latest.min(start.since + MAX_QUEUE_DELAY))
-    }
-
     /// Returns where the next run of a task may be placed.
     pub(super) fn site_of(&self, task: Task) -> Site {
         let starts = self.log_state.unconfirmed().get(&task);
