Count a suspected task's trial as the run of its job for the wait of best-effort steps

A job without runs may place one best-effort task where services lose more than usual. If that task was placed as a trial, the next ones of the step had the same right in that round. The right now ends with the first run of the job, however it was placed.

--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -316,6 +316,11 @@
         let mut ranking = None;
         let mut is_held = false;
         for (placed, task) in tasks.iter().enumerate() {
+            if request.tolerance != Tolerance::Usual && self.has_runs(pending.job) {
+                // Its other tasks wait for better workers.
+                (demand.tolerance, request.tolerance) = (Tolerance::Usual, Tolerance::Usual);
+                ranking = None;
+            }
             request.only = match self.site_of(*task) {
                 Site::Any if is_held => continue,
                 Site::Any => None,
@@ -354,11 +359,6 @@
                 continue;
             };
             let id = self.add_to_candidate(index, &mut request, round);
-            if request.tolerance != Tolerance::Usual {
-                // The job has a run now; its other tasks wait for better workers.
-                (demand.tolerance, request.tolerance) = (Tolerance::Usual, Tolerance::Usual);
-                ranking = None;
-            }
             if request.reserve.is_some() {
                 request.reserve = round.reserve_for(&demand);
             }
--- a/ashtiller/src/workflow/core/selectivity.rs
+++ b/ashtiller/src/workflow/core/selectivity.rs
@@ -40,8 +40,7 @@
     /// Returns what the next task of a best-effort step may take from services. Its pace protects them
     /// afterwards.
     pub(super) fn tolerance(&self, step: StepKey, now: Now) -> Tolerance {
-        let job = self.log_state.jobs.get(&step.0);
-        if job.is_none_or(|job| job.live > 0) {
+        if self.has_runs(step.0) {
             return Tolerance::Usual;
         }
         match self.waited(step, now) {
@@ -51,6 +50,14 @@
         }
     }
 
+    /// Returns whether a job has runs that may be active.
+    pub(super) fn has_runs(&self, job: u32) -> bool {
+        self.log_state
+            .jobs
+            .get(&job)
+            .is_some_and(|job| job.live > 0)
+    }
+
     fn waited(&self, step: StepKey, now: Now) -> Duration {
         let since = self.job_timings.ready_since(step);
         since.map_or(Duration::ZERO, |since| now.at.saturating_sub(since))
