Answer queries only after a proof of ownership that is younger

Cause: the owner of the log answers states, numbers of pending jobs and cancellations of unknown jobs from memory, and handles the calls that wait before it looks for a later owner.

Such a query now waits for a proof of ownership that was requested after it had arrived: the next entry, or one read of the lead key for all that wait. It is then answered from the state as of then, so the answer was true at some time after the question, whenever the process is suspended. A read that names another owner ends the ownership, and the queries go to that owner within the callers' timeout; without a proof the caller is told to retry. The read permits neither starts nor renewals, since it does not show that entries can be written.

--- a/ashtiller/src/workflow/core/admission.rs
+++ b/ashtiller/src/workflow/core/admission.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use crate::workflow::admission::refusals;
+use crate::workflow::core::queries::Query;
 use crate::workflow::core::{Core, Effect, Now, OnDurable, RequestToken};
 use crate::workflow::job::{Job, Sharing, Step};
 use crate::workflow::live_run::Stage;
@@ -43,7 +44,7 @@
         for (job, tickets) in std::mem::take(&mut self.arrivals) {
             let Some(queue) = self.config.queue(&job.queue) else {
                 for ticket in tickets {
-                    self.effects.push(Effect::Reply(ticket, Reply::Missing));
+                    self.query(Query::Queue, ticket, now);
                 }
                 continue;
             };
@@ -106,15 +107,21 @@
         None
     }
 
-    /// Cancels a job. The client is answered once the cancellation is durable.
+    /// Cancels a job. The client is answered once the cancellation is durable. A later owner may know
+    /// a job that is unknown here.
     pub fn cancel(&mut self, id: &str, ticket: RequestToken, now: Now) {
+        if !self.cancel_known(id, ticket, now) {
+            self.query(Query::Cancel(id.into()), ticket, now);
+        }
+    }
+
+    /// Cancels a job; returns false if it is not in the log.
+    pub(super) fn cancel_known(&mut self, id: &str, ticket: RequestToken, now: Now) -> bool {
         if self.arrivals.iter().any(|(job, _)| *job.id == *id) {
             self.record_arrivals(now);
         }
         let Some(number) = self.log_state.find(id) else {
-            tracing::info!(job = id, "cancellation of an unknown job");
-            self.effects.push(Effect::Reply(ticket, Reply::Missing));
-            return;
+            return false;
         };
         if self.log_state.jobs[&number].outcome.is_none() {
             tracing::info!(job = id, number, position = self.position, "job cancelled");
@@ -124,9 +131,11 @@
         }
         let position = self.undurable_jobs.get(&number).copied().unwrap_or(0);
         self.defer(position, OnDurable::Reply(ticket, Reply::Accepted), now);
+        true
     }
 
-    /// Returns the state of a job. An outcome is reported only once it is durable.
+    /// Returns the state of a job, as far as this process knows; [`Core::query`] also proves that it
+    /// owns the log. An outcome is reported only once it is durable.
     #[must_use]
     pub fn state(&self, id: &str) -> Reply {
         let Some(number) = self.log_state.find(id) else {
@@ -147,7 +156,8 @@
         Reply::State(state)
     }
 
-    /// Returns the number of accepted jobs of a queue that have not started.
+    /// Returns the number of accepted jobs of a queue that have not started, as far as this process
+    /// knows.
     #[must_use]
     pub fn count_pending(&self, queue: &str) -> Reply {
         let jobs = self
--- a/ashtiller/src/workflow/core/log_entries.rs
+++ b/ashtiller/src/workflow/core/log_entries.rs
@@ -45,6 +45,7 @@
             };
             self.run_deferred(action, now);
         }
+        self.answer_queries(sent, now);
     }
 
     /// Runs an action once the entry at `position` is durable.
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -30,6 +30,7 @@
 mod plan;
 mod polls;
 mod predecessors;
+pub mod queries;
 mod relocation;
 mod reports;
 pub mod reserve;
@@ -103,6 +104,8 @@
     MachineOrder(Arc<str>, MachineOrder),
     /// Replies to a waiting caller.
     Reply(RequestToken, Reply),
+    /// Reads whether this process still owns the log.
+    ConfirmOwnership,
 }
 
 /// A follow-up that is deferred until an entry is durable.
@@ -189,6 +192,8 @@
     last_append: Duration,
     ownership_proved_at: Duration,
     deferred: VecDeque<(u64, OnDurable)>,
+    /// Queries that wait for a proof of ownership.
+    queries: queries::WaitingQueries,
     undurable_jobs: BTreeMap<u32, u64>,
     /// Workers with an order that waits for the entry at this position.
     workers_to_wake: BTreeSet<(u64, Incarnation)>,
@@ -299,6 +304,7 @@
             last_append: now.at,
             ownership_proved_at: now.at,
             deferred: VecDeque::new(),
+            queries: queries::WaitingQueries::default(),
             undurable_jobs: BTreeMap::new(),
             workers_to_wake: BTreeSet::new(),
             needs_planning: true,
@@ -475,6 +481,7 @@
         self.resume_starts(now);
         self.reject_arrivals(now);
         self.append_entry(now);
+        self.confirm_ownership(now);
         self.dispatch_orders(now);
         self.send_due_polls(now);
         std::mem::take(&mut self.effects)
--- a/ashtiller/src/workflow/owner/effects.rs
+++ b/ashtiller/src/workflow/owner/effects.rs
@@ -3,12 +3,14 @@
 use tokio::task;
 use tokio::time::{self, Instant};
 
+use crate::clock::Moment;
 use crate::failure::Failure;
-use crate::workflow::core::Effect;
 use crate::workflow::core::advice::AdviceRequest;
+use crate::workflow::core::{Effect, RequestToken};
 use crate::workflow::kv::Txn;
 use crate::workflow::log::Log;
 use crate::workflow::machines::Holder;
+use crate::workflow::message::Reply;
 use crate::workflow::owner::{Event, HANDOVER_RETRY_DELAY, Owner};
 use crate::workflow::record::LogRecord;
 use crate::workflow::snapshot;
@@ -17,9 +19,15 @@
     pub(super) fn execute(&mut self, effect: Effect) {
         match effect {
             Effect::Reply(ticket, reply) => {
-                if let Some(waiting) = self.pending_replies.remove(&ticket) {
-                    let _ = waiting.send(reply);
-                }
+                self.reply(ticket, reply);
+            }
+            Effect::ConfirmOwnership => {
+                let (log, sender) = (self.node.log.clone(), self.event_sender.clone());
+                task::spawn_local(async move {
+                    let sent = Moment::now();
+                    let read = log.read_owner(false).await;
+                    let _ = sender.send(Event::OwnerRead(sent, read)).await;
+                });
             }
             Effect::Append(position, records) => self.append(position, records),
             Effect::Order(target, run, order) => {
@@ -89,6 +97,13 @@
         }
     }
 
+    /// Replies to a waiting caller, which may have given up.
+    pub(super) fn reply(&mut self, ticket: RequestToken, reply: Reply) {
+        if let Some(waiting) = self.pending_replies.remove(&ticket) {
+            let _ = waiting.send(reply);
+        }
+    }
+
     pub(super) fn append(&mut self, position: u64, records: Vec<LogRecord>) {
         if Log::is_snapshot_due(position) {
             match snapshot::encode(self.core.log_state()) {
--- a/ashtiller/src/workflow/owner/events.rs
+++ b/ashtiller/src/workflow/owner/events.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
+use crate::clock::Moment;
+use crate::failure::Failure;
 use crate::workflow::config::ListedWorker;
+use crate::workflow::core::queries::Query;
 use crate::workflow::core::{Now, RequestToken};
 use crate::workflow::evacuations::Evacuations;
 use crate::workflow::follow::StoreUpdate;
@@ -10,6 +13,7 @@
 use crate::workflow::log::{AppendError, Written};
 use crate::workflow::message::{PeerRequest, Reply};
 use crate::workflow::owner::{Event, Owner, OwnerRequest, reading};
+use crate::workflow::record::LogOwner;
 
 /// Events or requests handled before the state machine makes its next step.
 const MAX_BATCH: usize = 128;
@@ -70,9 +74,53 @@
             }
             Event::HandoverFinished(handed_over) => self.stopped |= handed_over,
             Event::PredecessorEnded(former) => self.core.note_predecessor_ended(former, now),
+            Event::OwnerRead(sent, read) => self.handle_owner_read(sent, read, now),
         }
     }
 
+    fn handle_owner_read(
+        &mut self,
+        sent: Moment,
+        read: Result<Option<LogOwner>, Failure>,
+        now: Now,
+    ) {
+        match read {
+            Ok(Some(owner)) if owner.epoch == self.ownership.epoch => {
+                self.node.note_store_contact();
+                let sent = reading(sent, self.start);
+                self.core.note_ownership_confirmed(sent, now);
+            }
+            Ok(owner) => {
+                tracing::warn!(
+                    epoch = self.ownership.epoch,
+                    next = owner.as_ref().map(|owner| owner.epoch),
+                    queries = self.core.waiting_queries().len(),
+                    "replaced by another owner, which answers the waiting queries"
+                );
+                if let Some(owner) = owner {
+                    self.node.adopt_log_owner(&owner);
+                }
+                self.stopped = true;
+            }
+            Err(failure) => {
+                tracing::info!(%failure, queries = self.core.waiting_queries().len(),
+                    "ownership of the log not confirmed; queries wait");
+                self.core.note_confirmation_failed(now);
+            }
+        }
+    }
+
+    /// Drops the queries whose callers have given up.
+    pub(super) fn drop_abandoned_queries(&mut self) {
+        let waiting = &self.pending_replies;
+        let waits = |ticket: &RequestToken| {
+            let reply = waiting.get(ticket);
+            reply.is_some_and(|reply| !reply.is_closed())
+        };
+        self.core.retain_queries(waits);
+        self.pending_replies.retain(|_, reply| !reply.is_closed());
+    }
+
     pub(super) fn handle_worker_listing(&mut self, update: StoreUpdate, now: Now) {
         self.node.note_store_contact();
         let as_of = match update {
@@ -161,22 +209,13 @@
         let now = self.now();
         let ticket = RequestToken(self.next_ticket);
         self.next_ticket += 1;
-        let reply = match request {
-            PeerRequest::State(id) => self.core.state(&id),
-            PeerRequest::Pending(queue) => self.core.count_pending(&queue),
-            PeerRequest::Submit(job) => {
-                self.pending_replies.insert(ticket, sender);
-                self.core.submit_from(*job, &origin, ticket, now);
-                return;
-            }
-            PeerRequest::Cancel(id) => {
-                self.pending_replies.insert(ticket, sender);
-                self.core.cancel(&id, ticket, now);
-                return;
-            }
-            _ => Reply::NotOwner,
-        };
-        // The requester may have given up.
-        let _ = sender.send(reply);
+        self.pending_replies.insert(ticket, sender);
+        match request {
+            PeerRequest::State(id) => self.core.query(Query::State(id), ticket, now),
+            PeerRequest::Pending(queue) => self.core.query(Query::Pending(queue), ticket, now),
+            PeerRequest::Submit(job) => self.core.submit_from(*job, &origin, ticket, now),
+            PeerRequest::Cancel(id) => self.core.cancel(&id, ticket, now),
+            _ => self.reply(ticket, Reply::NotOwner),
+        }
     }
 }
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -77,6 +77,8 @@
     HandoverFinished(bool),
     /// The earlier owner at this epoch has ended.
     PredecessorEnded(u64),
+    /// The owner that the store names, in reply to a read that was sent then.
+    OwnerRead(Moment, Result<Option<LogOwner>, Failure>),
 }
 
 /// Starts the tasks of the owner of the log; `log_owner` is the record that names this process.
@@ -364,6 +366,7 @@
             return;
         }
         self.last_published = Instant::now();
+        self.drop_abandoned_queries();
         let counts = self.core.counts();
         self.node.metrics.note_counts(&self.last_counts, &counts);
         for times in self.core.drain_job_times() {
@@ -397,8 +400,13 @@
     }
 
     /// Answers all waiting requests: those whose entry was not confirmed get `Unknown`, because the
-    /// entry may have been written.
+    /// entry may have been written. Queries have had no effect, so the next owner can answer them.
     fn reject_pending(&mut self) {
+        for ticket in self.core.waiting_queries() {
+            if let Some(reply) = self.pending_replies.remove(&ticket) {
+                let _ = reply.send(Reply::NotOwner);
+            }
+        }
         for (_, reply) in self.pending_replies.drain() {
             let _ = reply.send(Reply::Unknown);
         }
--- a/ashtiller/tests/admission/fleet.rs
+++ b/ashtiller/tests/admission/fleet.rs
@@ -180,7 +180,7 @@
             Effect::Reply(token, reply) => {
                 self.replies.insert(token.0, reply);
             }
-            Effect::Advise(_) | Effect::MachineOrder(..) => {}
+            Effect::Advise(_) | Effect::MachineOrder(..) | Effect::ConfirmOwnership => {}
         }
     }
 }
--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -353,6 +353,7 @@
             }
             Effect::Poll(target, _) => self.report_running(&target.incarnation),
             Effect::Reply(token, reply) => self.replies.push((token, reply)),
+            Effect::ConfirmOwnership => self.confirm_ownership(),
             Effect::Advise(request) if self.advisor == Advisor::Works => {
                 self.advice_requests.push(request);
             }
@@ -381,6 +382,15 @@
         }
     }
 
+    /// Answers a confirmation of the ownership, unless the store is away.
+    fn confirm_ownership(&mut self) {
+        if self.store_available {
+            self.core.note_ownership_confirmed(self.now.at, self.now);
+        } else {
+            self.core.note_confirmation_failed(self.now);
+        }
+    }
+
     /// Ends a worker's process, and with it all runs on that worker.
     pub fn crash(&mut self, id: &Incarnation) {
         self.crashed.insert(id.clone());
--- a/ashtiller/tests/owner/late_starts.rs
+++ b/ashtiller/tests/owner/late_starts.rs
@@ -323,7 +323,10 @@
                 let delay = if slow { SLOW_POLL } else { Duration::ZERO };
                 self.schedule(poll.wait.min(self.poll_wait).max(STEP) + delay, event);
             }
-            Effect::Reply(..) | Effect::Advise(_) | Effect::MachineOrder(..) => {}
+            Effect::Reply(..)
+            | Effect::Advise(_)
+            | Effect::MachineOrder(..)
+            | Effect::ConfirmOwnership => {}
         }
     }
 
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -27,6 +27,7 @@
 mod placing;
 mod pressure;
 mod proof_age;
+mod queries;
 mod refill;
 mod refusals;
 mod reserve;
--- a/ashtiller/tests/shares/fleet.rs
+++ b/ashtiller/tests/shares/fleet.rs
@@ -287,7 +287,10 @@
                 self.core
                     .handle_order_reply(&to.incarnation, run, &order, Ok(reply), now);
             }
-            Effect::Reply(..) | Effect::Advise(_) | Effect::MachineOrder(..) => {}
+            Effect::Reply(..)
+            | Effect::Advise(_)
+            | Effect::MachineOrder(..)
+            | Effect::ConfirmOwnership => {}
         }
     }
 }
--- a/ashtiller/tests/simulation/mod.rs
+++ b/ashtiller/tests/simulation/mod.rs
@@ -707,7 +707,7 @@
                     self.accepted.insert(id);
                 }
             }
-            Effect::Advise(_) | Effect::MachineOrder(..) => {}
+            Effect::Advise(_) | Effect::MachineOrder(..) | Effect::ConfirmOwnership => {}
         }
     }
 
--- a/ashtiller/tests/succession/main.rs
+++ b/ashtiller/tests/succession/main.rs
@@ -12,6 +12,7 @@
 #[allow(dead_code, reason = "these tests use a part of it")]
 mod net;
 mod process;
+mod queries;
 mod records;
 mod review;
 mod series;
--- a/ashtiller/tests/succession/process.rs
+++ b/ashtiller/tests/succession/process.rs
@@ -18,6 +18,23 @@
     pub incarnation: u64,
     /// Whether it still owns the log as far as it knows.
     pub owns: Cell<bool>,
+    /// Reply to calls of clients, if it serves them.
+    reply: RefCell<Option<Reply>>,
+}
+
+impl Process {
+    pub fn new(incarnation: u64, owns: bool) -> Rc<Self> {
+        Rc::new(Self {
+            incarnation,
+            owns: owns.into(),
+            reply: RefCell::default(),
+        })
+    }
+
+    /// Makes the process answer all calls of clients so.
+    pub fn reply_to_clients(&self, reply: Reply) {
+        *self.reply.borrow_mut() = Some(reply);
+    }
 }
 
 impl RequestHandler for Process {
@@ -32,6 +49,9 @@
                 ..HeartbeatReply::default()
             })),
             PeerRequest::Lead => Reply::Lead(None),
+            PeerRequest::Cancel(_) | PeerRequest::State(_) | PeerRequest::Pending(_) => {
+                self.reply.borrow().clone().unwrap_or(Reply::NotOwner)
+            }
             _ => Reply::Noted,
         };
         Box::pin(future::ready(reply))
--- a/ashtiller/tests/succession/series.rs
+++ b/ashtiller/tests/succession/series.rs
@@ -11,6 +11,7 @@
 use ashtiller::workflow::job::{Job, Policy, Step};
 use ashtiller::workflow::kv::{Committed, Store, Txn};
 use ashtiller::workflow::log::{Acquisition, Log};
+use ashtiller::workflow::message::{PeerRequest, Reply};
 use ashtiller::workflow::node::{Dependencies, Node};
 use ashtiller::workflow::peers::PeerConnections;
 use ashtiller::workflow::record::{End, LogOwner, LogRecord, PreviousOwner, Run, Task};
@@ -285,10 +286,7 @@
     /// Lets a process of this incarnation answer at the address of an owner. It takes itself for
     /// the owner of the log if `owns` is set.
     pub fn host(&self, owner: &PreviousOwner, incarnation: u64, owns: bool) -> Rc<Process> {
-        let process = Rc::new(Process {
-            incarnation,
-            owns: owns.into(),
-        });
+        let process = Process::new(incarnation, owns);
         self.network.net.host(owner.address, process.clone());
         process
     }
@@ -314,6 +312,11 @@
         Instant::now()
     }
 
+    /// Asks the owner of the log by way of the instance.
+    pub async fn ask(&self, request: &PeerRequest, deadline: Instant) -> Reply {
+        self.node.ask_owner(request, deadline).await
+    }
+
     /// Returns the epoch of the last owner.
     pub fn epoch(&self) -> u64 {
         let owner = self.node.log_owner();
--- a/bench/src/crashes.rs
+++ b/bench/src/crashes.rs
@@ -379,7 +379,10 @@
                 self.obey(target.incarnation, target.fence, run, order);
             }
             Effect::Poll(target, look) => self.at(2 * MS, Event::See(target.incarnation, look)),
-            Effect::Reply(..) | Effect::Advise(_) | Effect::MachineOrder(..) => {}
+            Effect::Reply(..)
+            | Effect::Advise(_)
+            | Effect::MachineOrder(..)
+            | Effect::ConfirmOwnership => {}
         }
     }
 
--- a/bench/src/decisions.rs
+++ b/bench/src/decisions.rs
@@ -209,7 +209,10 @@
                 self.at(WAY, Event::Answer(target.incarnation, run, order));
             }
             Effect::Poll(target, look) => self.look(&target.incarnation, &look),
-            Effect::Reply(..) | Effect::Advise(_) | Effect::MachineOrder(..) => {}
+            Effect::Reply(..)
+            | Effect::Advise(_)
+            | Effect::MachineOrder(..)
+            | Effect::ConfirmOwnership => {}
         }
     }
 
