Write the status of an upkeep wave only as the owner of the log

Operators could read an outdated status: the write had no condition, so an owner that was replaced while it was suspended, or whose call was carried out late, replaced what its successor had written, for example "running" after "complete".

The write now depends on the lead key, like each entry of the log.

succession::queries::a_replaced_owner_does_not_write_the_status_of_a_wave failed before: the status of a wave appeared after the replacement. Found by reading while the cause was searched on other paths; not seen in a run of real processes.

--- a/ashtiller/src/workflow/log/mod.rs
+++ b/ashtiller/src/workflow/log/mod.rs
@@ -371,6 +371,21 @@
         }
     }
 
+    /// Writes a key outside the log, on the condition that the owner at `epoch` was not replaced.
+    /// Returns false if it was.
+    ///
+    /// # Errors
+    /// The store did not answer; the key may be written later, unless the owner is replaced before.
+    pub async fn put_fenced(&self, epoch: u64, key: String, value: Bytes) -> Result<bool, Failure> {
+        let txn = Txn {
+            expect: vec![(self.lead_key(), epoch)],
+            put: vec![(key, value)],
+            remove: Vec::new(),
+        };
+        let committed = self.store.commit(&txn).await?;
+        Ok(matches!(committed, Committed::Done(_)))
+    }
+
     /// Returns whether a snapshot is due after the entry at this position.
     #[must_use]
     pub fn is_snapshot_due(position: u64) -> bool {
--- a/ashtiller/src/workflow/owner/effects.rs
+++ b/ashtiller/src/workflow/owner/effects.rs
@@ -7,7 +7,6 @@
 use crate::failure::Failure;
 use crate::workflow::core::advice::AdviceRequest;
 use crate::workflow::core::{Effect, RequestToken};
-use crate::workflow::kv::Txn;
 use crate::workflow::log::Log;
 use crate::workflow::machines::Holder;
 use crate::workflow::message::Reply;
@@ -157,7 +156,8 @@
         self.compaction = Some(compaction);
     }
 
-    /// Writes the status of upkeep waves to the store for operators, each state once.
+    /// Writes the status of upkeep waves to the store for operators, each state once. A later owner
+    /// may know more of a wave, so its status is not overwritten.
     pub(super) fn write_wave_status(&mut self) {
         let states = self.core.wave_states();
         for (number, finished) in states {
@@ -166,14 +166,19 @@
                 continue;
             }
             let (key, value) = self.node.codec.wave_status(number, finished);
-            let (store, sender) = (self.node.store.clone(), self.event_sender.clone());
+            let (log, epoch) = (self.node.log.clone(), self.ownership.epoch);
+            let sender = self.event_sender.clone();
             task::spawn_local(async move {
-                let txn = Txn {
-                    put: vec![(key, value)],
-                    ..Txn::default()
-                };
-                let written = match store.commit(&txn).await {
-                    Ok(_) => true,
+                let written = match log.put_fenced(epoch, key, value).await {
+                    Ok(true) => true,
+                    Ok(false) => {
+                        tracing::warn!(
+                            wave = number,
+                            epoch,
+                            "wave status not written: the log has another owner"
+                        );
+                        true
+                    }
                     Err(failure) => {
                         tracing::warn!(wave = number, %failure, "failed to write the wave status");
                         time::sleep(HANDOVER_RETRY_DELAY).await;
--- a/ashtiller/tests/succession/queries.rs
+++ b/ashtiller/tests/succession/queries.rs
@@ -88,3 +88,19 @@
     };
     LocalSet::new().run_until(scenario).await;
 }
+
+/// Operators read the status of a wave in the store. What a replaced owner knows of it may be outdated:
+/// the next one may have written that the wave is over.
+#[tokio::test(start_paused = true)]
+async fn a_replaced_owner_does_not_write_the_status_of_a_wave() {
+    let scenario = async {
+        let mut series = Series::open().await;
+        series.acquire_for_node().await;
+        series.begin().await;
+        time::sleep(SETTLE_TIME).await;
+        assert!(series.request_wave(1).await, "it owns the log");
+        series.acquire(2).await;
+        assert!(!series.request_wave(2).await, "it was replaced");
+    };
+    LocalSet::new().run_until(scenario).await;
+}
--- a/ashtiller/tests/succession/series.rs
+++ b/ashtiller/tests/succession/series.rs
@@ -37,6 +37,9 @@
 /// 17.3 s.
 const START_MAX: Duration = Duration::from_secs(30);
 
+/// Time within which the status of a wave is written.
+const WAVE_STATUS_TIME: Duration = Duration::from_millis(100);
+
 /// Value of the lead key as written by versions that leave no other key about a change of owner.
 #[derive(Serialize)]
 struct EarlierLead {
@@ -312,6 +315,20 @@
         Instant::now()
     }
 
+    /// Requests an upkeep wave; returns whether the owner wrote its status.
+    pub async fn request_wave(&self, number: u64) -> bool {
+        let request = Txn {
+            put: vec![(format!("{}{number}", workers::WAVE_PREFIX), Bytes::new())],
+            ..Txn::default()
+        };
+        let committed = self.store.commit(&request).await;
+        committed.expect("the wave should be requested");
+        time::sleep(WAVE_STATUS_TIME).await;
+        let key = workers::wave_status_key(number);
+        let status = self.store.get(&key, false).await;
+        status.expect("the status should be read").is_some()
+    }
+
     /// Asks the owner of the log by way of the instance.
     pub async fn ask(&self, request: &PeerRequest, deadline: Instant) -> Reply {
         self.node.ask_owner(request, deadline).await
--- a/ashtiller/tests/succession/workers.rs
+++ b/ashtiller/tests/succession/workers.rs
@@ -1,6 +1,7 @@
 //! A platform with one live worker, which carries out all orders.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use ashtiller::failure::Failure;
 use ashtiller::resources::Resources;
@@ -9,15 +10,23 @@
     Active, Order, OrderReply, Poll, PollReply, Start, Target, WorkerClient,
 };
 use ashtiller::workflow::config::{ListedWorker, OperatorEntry, PlatformCodec};
+use ashtiller::workflow::machines::Wave;
 use bytes::Bytes;
 use parking_lot::Mutex;
 use tokio::time::{self, Instant};
 
 /// Prefix of the workers' entries in the store.
 const PREFIX: &str = "workers/";
+/// Prefix of the operators' requests for upkeep waves.
+pub const WAVE_PREFIX: &str = "operators/wave/";
 /// Id of the live worker.
 pub const LIVE: &str = "live";
 
+/// Returns the key of the status of an upkeep wave.
+pub fn wave_status_key(number: u64) -> String {
+    format!("wave/{number}")
+}
+
 /// Returns the key and value of the live worker's entry.
 pub fn entry() -> (String, Bytes) {
     (
@@ -123,8 +132,16 @@
         "operators/"
     }
 
-    fn operated(&self, _: &str, _: &[u8]) -> anyhow::Result<OperatorEntry> {
-        Ok(OperatorEntry::Other)
+    fn operated(&self, key: &str, _: &[u8]) -> anyhow::Result<OperatorEntry> {
+        let Some(number) = key.strip_prefix(WAVE_PREFIX) else {
+            return Ok(OperatorEntry::Other);
+        };
+        Ok(OperatorEntry::Wave(Wave {
+            number: number.parse()?,
+            machines: Vec::new(),
+            duration: Duration::from_mins(1),
+            most: 1,
+        }))
     }
 
     fn evacuated(&self, _: &str) -> Option<Arc<str>> {
@@ -132,6 +149,6 @@
     }
 
     fn wave_status(&self, number: u64, _: bool) -> (String, Bytes) {
-        (format!("wave/{number}"), Bytes::new())
+        (wave_status_key(number), Bytes::new())
     }
 }
