Count leases from the last owner that may have granted them

Cause: a worker that a new owner cannot reach keeps its runs until all leases of earlier owners are over, and each owner counted these from its own beginning, 17.3 s, since its immediate predecessor might have renewed them. No start was in doubt, and there was room.

An owner cannot grant a lease to a worker that has not answered it, as the lease ends at a reading of the worker's clock. It now records which silent workers it has granted none, with an entry that is written anyway, and records the opposite before it grants one after all; that grant waits until the record is durable. A new owner follows the records of replaced owners back to the last one that may have granted the worker a lease, and counts from its successor, whose age the log knows already. Whatever is missing, an owner of an earlier version, a gap or an age, counts as before.

--- a/ashtiller/src/workflow/core/adopted_runs.rs
+++ b/ashtiller/src/workflow/core/adopted_runs.rs
@@ -24,6 +24,11 @@
         incarnations::incarnations_of_id(&self.0, id)
     }
 
+    /// Returns the incarnations that have such runs.
+    pub fn incarnations(&self) -> impl Iterator<Item = &Incarnation> {
+        self.0.keys()
+    }
+
     /// Removes and returns the runs of an incarnation.
     pub fn take(&mut self, incarnation: &Incarnation) -> Vec<Run> {
         self.0.remove(incarnation).unwrap_or_default()
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -17,6 +17,7 @@
 pub mod eligibility;
 mod evacuation;
 mod fences;
+mod former_grants;
 mod freed_capacity;
 mod incarnations;
 pub mod lease_waits;
@@ -205,6 +206,8 @@
     last_sweep: Duration,
     superseded: bool,
     fences: fences::Fences,
+    /// Leases that this owner has granted.
+    grants: former_grants::Grants,
     began: Duration,
     predecessors: predecessors::Predecessors,
     /// Owners known before this one began, by epoch, and for how long.
@@ -314,6 +317,7 @@
             last_sweep: now.at,
             superseded: false,
             fences: fences::Fences::new(epoch),
+            grants: former_grants::Grants::default(),
             began: now.at,
             predecessors: predecessors::Predecessors::default(),
             known_owners: BTreeMap::new(),
@@ -468,6 +472,7 @@
             self.fences.raise_pending(now.at);
             self.log_held_runs(now);
             self.expire_leases(now);
+            self.record_silent_workers(now);
             self.expire_orphans(now);
             self.settle_expired_starts(now);
             self.clear_surviving_suspects(now);
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -165,7 +165,7 @@
         if !worker.answers || !rejects {
             return None;
         }
-        if !self.is_start_recorded(run) {
+        if !self.is_start_recorded(run) || !self.may_grant(id, now) {
             return None;
         }
         let worker = self.workers.get_mut(id)?;
--- a/ashtiller/src/workflow/core/polls.rs
+++ b/ashtiller/src/workflow/core/polls.rs
@@ -69,9 +69,16 @@
             .collect()
     }
 
+    /// Returns whether a worker answers and has runs.
+    fn needs_lease(&self, incarnation: &Incarnation) -> bool {
+        let worker = self.workers.get(incarnation);
+        worker.is_some_and(|worker| worker.answers && !worker.runs.is_empty())
+    }
+
     /// Records that a worker is being polled and returns the request.
     fn prepare_poll(&mut self, incarnation: &Incarnation, now: Now) -> Option<Poll> {
-        let renew = self.may_renew(now);
+        let renews = self.may_renew(now) && self.needs_lease(incarnation);
+        let grants = renews && self.may_grant(incarnation, now);
         // A latency-sensitive service over its target must be relieved within 4 s, which leaves
         // time for fewer reports.
         let watch = if self.congestion.is_congested() {
@@ -100,7 +107,12 @@
         } else {
             wait
         };
-        let grants = renew && worker.answers && !worker.runs.is_empty();
+        // The lease follows once it may be granted.
+        let wait = if renews && !grants {
+            Duration::ZERO
+        } else {
+            wait
+        };
         let until = if grants {
             worker.lease.grant(now.at, self.tuning.lease)
         } else {
--- a/ashtiller/src/workflow/core/predecessors.rs
+++ b/ashtiller/src/workflow/core/predecessors.rs
@@ -1,6 +1,6 @@
 //! Earlier owners of the log, which may still grant leases and send starts.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::workflow::core::{Core, Now};
@@ -10,6 +10,8 @@
 /// What is known of the earlier owners.
 #[derive(Debug, Default)]
 pub(super) struct Predecessors {
+    /// Epochs of the earlier owners that are not known to have ended, without a gap up to this owner.
+    pub epochs: BTreeSet<u64>,
     /// Whether each known one has ended, by epoch.
     ended: BTreeMap<u64, bool>,
     /// When it became certain that all have ended.
@@ -44,7 +46,8 @@
 }
 
 impl Core {
-    /// Sets the epochs of the earlier owners that are not known to have ended.
+    /// Sets the epochs of the earlier owners that are not known to have ended: the immediate
+    /// predecessor, the one before it, and so on.
     pub fn set_predecessors(&mut self, epochs: &[u64]) {
         tracing::info!(
             ?epochs,
@@ -57,6 +60,7 @@
         );
         let running = epochs.iter().map(|epoch| (*epoch, false));
         self.predecessors.ended.extend(running);
+        self.predecessors.epochs.extend(epochs);
     }
 
     /// Records that the earlier owner at epoch `predecessor` has ended; 0 stands for none. Once this
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -203,6 +203,8 @@
         };
         if first {
             self.end_former_incarnations(id, now);
+            // The entry may be durable by the next poll, which grants the lease.
+            self.may_grant(id, now);
         }
     }
 
--- a/ashtiller/src/workflow/core/start_dates.rs
+++ b/ashtiller/src/workflow/core/start_dates.rs
@@ -101,17 +101,19 @@
         }
     }
 
-    /// Returns whether a later owner has to date starts: one is unconfirmed, or an earlier owner has
-    /// left one in flight.
-    fn has_starts_to_date(&self) -> bool {
+    /// Returns whether a later owner has to date calls of earlier ones: a start is unconfirmed, an
+    /// earlier owner has left one in flight, or workers have got leases from earlier owners only.
+    fn has_calls_to_date(&self) -> bool {
         let mut pending = self.log_state.pending_starts().values();
-        !self.log_state.unconfirmed().is_empty() || pending.any(|epoch| *epoch != self.epoch)
+        !self.log_state.unconfirmed().is_empty()
+            || !self.log_state.silent_workers().is_empty()
+            || pending.any(|epoch| *epoch != self.epoch)
     }
 
-    /// Records how long owners have been known, while a later owner may need it to date starts.
+    /// Records how long owners have been known, while a later owner may need it.
     pub(super) fn record_known_owners(&mut self, now: Now) {
         let is_due = |at: Duration| now.at >= at + KNOWN_OWNERS_INTERVAL;
-        if !self.owners_recorded_at.is_none_or(is_due) || !self.has_starts_to_date() {
+        if !self.owners_recorded_at.is_none_or(is_due) || !self.has_calls_to_date() {
             return;
         }
         self.owners_recorded_at = Some(now.at);
--- a/ashtiller/src/workflow/core/worker_list.rs
+++ b/ashtiller/src/workflow/core/worker_list.rs
@@ -44,7 +44,7 @@
         self.needs_planning = true;
         self.poll_former_incarnations(&listed, now);
         let incarnation = listed.incarnation.clone();
-        let bound = self.earlier_leases_end();
+        let bound = self.earlier_leases_end_of(&incarnation);
         let draining = listed.draining;
         self.candidate_cache.remove(&incarnation);
         self.add_former_incarnations(&listed, now);
@@ -143,10 +143,30 @@
     /// that these owners may have granted.
     fn lose_runs_of_unlisted_workers(&mut self, now: Now) {
         let lost = self.runs_of_unlisted_workers();
+        self.adopted.clear();
+        self.lose_adopted_runs(lost, now);
+    }
+
+    /// Ends such runs on workers whose leases have ended before those of others.
+    fn lose_runs_of_silent_workers(&mut self, now: Now) {
+        let incarnations = self.adopted.incarnations();
+        let over = incarnations.filter(|it| now.at >= self.earlier_leases_end_of(it));
+        let over: Vec<Incarnation> = over.cloned().collect();
+        let lost = over.iter().flat_map(|it| self.adopted.take(it)).collect();
+        self.lose_adopted_runs(lost, now);
+    }
+
+    fn lose_adopted_runs(&mut self, lost: Vec<Run>, now: Now) {
+        if lost.is_empty() {
+            return;
+        }
+        tracing::info!(
+            runs = lost.len(),
+            "leases of workers that are not listed have expired"
+        );
         let waited = now.at.saturating_sub(self.began);
         self.note_leases_expired(&lost, LeaseHold::EarlierOwners, waited);
         self.suspect_lost_runs(&Incarnation::from(""), &lost, now);
-        self.adopted.clear();
         for run in lost {
             self.end_run(run, End::Lost, &Arc::from(""), now);
         }
@@ -177,6 +197,9 @@
                 self.record_predecessors_ended(now);
             }
         }
+        if self.awaits_unlisted_workers {
+            self.lose_runs_of_silent_workers(now);
+        }
         let over = self.workers.values().filter(|worker| {
             !worker.runs.is_empty() && !worker.answers && worker.lease.bound() < now.at
         });
--- a/ashtiller/src/workflow/log_state.rs
+++ b/ashtiller/src/workflow/log_state.rs
@@ -17,6 +17,7 @@
 use crate::workflow::record::{End, LogRecord, Outcome, Run, Task};
 use crate::workflow::run_times::recorded::{EncodedModels, RecordedModels};
 use crate::workflow::shares::origins::{self, Origins};
+use crate::workflow::silent_workers::SilentWorkers;
 use crate::workflow::snapshot::Extensions;
 use crate::workflow::state::{
     JobState, PlacedRun, Sending, StepState, TaskState, UnconfirmedStart,
@@ -26,6 +27,8 @@
 const SENDINGS_EXTENSION: u8 = 4;
 /// Number of the known owners among the extensions of a snapshot.
 const OWNERS_EXTENSION: u8 = 5;
+/// Number of the silent workers among the extensions of a snapshot.
+const SILENT_EXTENSION: u8 = 6;
 /// Number of the learned demand among the extensions of a snapshot.
 const DEMAND_EXTENSION: u8 = 3;
 
@@ -80,6 +83,9 @@
     /// How long owners had been known at least; it is an extension of a snapshot.
     #[serde(skip)]
     known_owners: KnownOwners,
+    /// Workers without a lease from each owner; they are an extension of a snapshot.
+    #[serde(skip)]
+    silent_workers: SilentWorkers,
     #[serde(skip)]
     by_id: BTreeMap<Arc<str>, u32>,
     #[serde(skip)]
@@ -188,7 +194,10 @@
                 self.upkept.retain(|(other, _)| other != wave);
             }
             LogRecord::Learned(lessons) => self.learned_factors.clone_from(lessons),
-            LogRecord::Cleared(epoch) => self.cleared = self.cleared.max(*epoch),
+            LogRecord::Cleared(epoch) => {
+                self.cleared = self.cleared.max(*epoch);
+                self.silent_workers.forget_before(self.cleared);
+            }
             LogRecord::Crashed(_, lost_runs) => {
                 for lost in lost_runs {
                     self.add_suspect(lost);
@@ -219,6 +228,8 @@
             }
             LogRecord::DemandLearned(demand) => self.learned_demand.clone_from(demand),
             LogRecord::OwnersKnown(writer, ages) => self.note_known_owners(*writer, ages),
+            LogRecord::WorkersSilent(epoch, workers) => self.silent_workers.add(*epoch, workers),
+            LogRecord::WorkerHeard(epoch, worker) => self.silent_workers.remove(*epoch, worker),
         }
         Effect::None
     }
@@ -310,6 +321,12 @@
         &self.known_owners
     }
 
+    /// Returns the workers to which owners have granted no lease.
+    #[must_use]
+    pub fn silent_workers(&self) -> &SilentWorkers {
+        &self.silent_workers
+    }
+
     /// Sets when the newest unconfirmed start of a run was sent at the latest, on this owner's clock.
     pub fn date_unconfirmed(&mut self, run: Run, sent: Duration) {
         let starts = self.unconfirmed.get_mut(&run.task);
@@ -377,6 +394,10 @@
         if !self.known_owners.is_empty() {
             extensions.insert(OWNERS_EXTENSION, postcard::to_stdvec(&self.known_owners)?);
         }
+        if !self.silent_workers.is_empty() {
+            let silent = postcard::to_stdvec(&self.silent_workers)?;
+            extensions.insert(SILENT_EXTENSION, silent);
+        }
         Ok(extensions)
     }
 
@@ -414,6 +435,12 @@
                 Err(error) => tracing::warn!(%error, "known owners of a snapshot skipped"),
             }
         }
+        if let Some(bytes) = extensions.get(&SILENT_EXTENSION) {
+            match postcard::from_bytes(bytes) {
+                Ok(silent) => self.silent_workers = silent,
+                Err(error) => tracing::warn!(%error, "silent workers of a snapshot skipped"),
+            }
+        }
         Ok(())
     }
 
--- a/ashtiller/src/workflow/mod.rs
+++ b/ashtiller/src/workflow/mod.rs
@@ -46,6 +46,7 @@
 pub mod run_times;
 pub mod settings;
 pub mod shares;
+pub mod silent_workers;
 pub mod snapshot;
 pub mod state;
 pub mod store_latency;
--- a/ashtiller/src/workflow/record.rs
+++ b/ashtiller/src/workflow/record.rs
@@ -128,6 +128,10 @@
     /// The owner at this epoch has known these owners, by epoch, for at least this many milliseconds.
     /// All records before the first of these were written by earlier owners.
     OwnersKnown(u64, Vec<(u64, u64)>),
+    /// The owner at this epoch has granted no lease to the workers with these ids so far.
+    WorkersSilent(u64, Vec<Arc<str>>),
+    /// The owner at this epoch may grant leases to the worker with this id from now on.
+    WorkerHeard(u64, Arc<str>),
 }
 
 impl LogRecord {
@@ -141,7 +145,9 @@
             Self::RunTimesLearned(_)
             | Self::Origin(..)
             | Self::DemandLearned(_)
-            | Self::OwnersKnown(..) => Section::Extension,
+            | Self::OwnersKnown(..)
+            | Self::WorkersSilent(..)
+            | Self::WorkerHeard(..) => Section::Extension,
             _ => Section::Required,
         }
     }
@@ -161,6 +167,7 @@
                 | Self::RunTimesLearned(_)
                 | Self::DemandLearned(_)
                 | Self::OwnersKnown(..)
+                | Self::WorkersSilent(..)
         )
     }
 }
--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -119,6 +119,8 @@
     pub restarted: BTreeMap<Incarnation, Incarnation>,
     /// The number of the last recorded end that each poll acknowledged.
     pub acknowledged: Vec<(Incarnation, u64)>,
+    /// Workers to which polls have granted leases.
+    pub granted: Vec<Incarnation>,
     /// Number of polls by worker.
     pub poll_counts: BTreeMap<Incarnation, u32>,
     /// Rows that a poll of a worker reports in place of the default ones.
@@ -199,6 +201,7 @@
             displaced: BTreeSet::new(),
             restarted: BTreeMap::new(),
             acknowledged: Vec::new(),
+            granted: Vec::new(),
             poll_counts: BTreeMap::new(),
             running: Vec::new(),
             reported_ends: Vec::new(),
@@ -263,6 +266,9 @@
         if let Effect::Poll(target, poll) = &effect {
             self.acknowledged
                 .push((target.incarnation.clone(), poll.ends_recorded));
+            if poll.until.is_some() {
+                self.granted.push(target.incarnation.clone());
+            }
             *self
                 .poll_counts
                 .entry(target.incarnation.clone())
--- a/ashtiller/tests/owner/late_starts.rs
+++ b/ashtiller/tests/owner/late_starts.rs
@@ -103,6 +103,8 @@
     slow: Option<Incarnation>,
     /// Worker to which all starts are lost.
     deaf: Option<Arc<str>>,
+    /// Worker that the owner cannot reach; it continues.
+    cut_off: Option<Arc<str>>,
     /// Worker on which all runs fail.
     failing: Option<Arc<str>>,
     /// Time after which the caller of a lost order gives up.
@@ -139,6 +141,7 @@
             held: Vec::new(),
             slow: None,
             deaf: None,
+            cut_off: None,
             failing: None,
             timeout: ORDER_TIMEOUT,
             poll_wait: POLL_WAIT,
@@ -335,7 +338,7 @@
         let mut fate = Fate::Prompt;
         if let Order::Start(_) = order {
             fate = self.fates.pop_front().unwrap_or(Fate::Prompt);
-            if self.deaf.as_ref() == Some(&id) {
+            if self.deaf.as_ref() == Some(&id) || self.cut_off.as_ref() == Some(&id) {
                 fate = Fate::Lost;
             }
             self.sent.push((id.clone(), run, self.now.at));
@@ -457,6 +460,12 @@
     fn answer_poll(&mut self, owner: u64, sent: Duration, target: Target, poll: Poll) {
         let id: Arc<str> = target.incarnation.id().into();
         let now = self.now.at;
+        if self.cut_off.as_ref() == Some(&id) {
+            let silent = Failure::unknown_effect("look", &id, "no answer in time");
+            let event = Event::PollReply(owner, target.incarnation, Err(silent));
+            self.schedule(SLOW_POLL, event);
+            return;
+        }
         let Some(process) = self.processes.get_mut(&id) else {
             let refused = Failure::no_effect("look", &id, "connection refused");
             self.schedule(
@@ -995,3 +1004,6 @@
 
 #[path = "late_starts_series.rs"]
 mod series;
+
+#[path = "late_starts_leases.rs"]
+mod leases;
--- a/ashtiller/tests/owner/late_starts_series.rs
+++ b/ashtiller/tests/owner/late_starts_series.rs
@@ -9,7 +9,7 @@
 use super::*;
 
 /// Time from one owner to the next.
-const TURN: Duration = Duration::from_millis(8500);
+pub(super) const TURN: Duration = Duration::from_millis(8500);
 /// Time within which a long-running task runs again.
 const AWAY_MAX: Duration = Duration::from_secs(9);
 /// Time within which a former owner that was suspended finds that it was replaced.
@@ -21,7 +21,7 @@
 
 /// What a new owner knows of the earlier ones.
 #[derive(Clone, Copy, Eq, PartialEq)]
-enum Memory {
+pub(super) enum Memory {
     /// The owners that its process has known, and for how long.
     Process,
     /// What the log says: its process has just begun.
@@ -29,17 +29,17 @@
 }
 
 /// A fleet whose owners fall silent one after the other.
-struct Series {
-    fleet: Fleet,
+pub(super) struct Series {
+    pub(super) fleet: Fleet,
     memory: Memory,
     /// Epochs of the owners, and when each began.
-    owners: Vec<(u64, Duration)>,
+    pub(super) owners: Vec<(u64, Duration)>,
     /// Whether former owners answer after a while that they have ended.
     resumes: bool,
 }
 
 impl Series {
-    fn new(fleet: Fleet, memory: Memory) -> Self {
+    pub(super) fn new(fleet: Fleet, memory: Memory) -> Self {
         let owners = vec![(fleet.epoch, fleet.now.at)];
         Self {
             fleet,
@@ -50,7 +50,7 @@
     }
 
     /// Replaces an owner that has fallen silent.
-    fn replace_owner(&mut self) {
+    pub(super) fn replace_owner(&mut self) {
         let fleet = &mut self.fleet;
         let mut state = LogState::default();
         for entry in &fleet.log {
@@ -75,15 +75,15 @@
         let known = known.map(|(epoch, at)| (*epoch, fleet.now.at.saturating_sub(*at)));
         fleet.core.set_known_owners(known.collect(), fleet.now);
         fleet.configure();
-        let entries = fleet.entries.values().cloned().collect();
-        fleet.core.list_all(entries, fleet.now);
         let former: Vec<u64> = self.owners.iter().map(|(epoch, _)| *epoch).collect();
         let former = &former[..former.len() - 1];
         fleet.core.set_predecessors(former);
+        let entries = fleet.entries.values().cloned().collect();
+        fleet.core.list_all(entries, fleet.now);
     }
 
     /// Runs for the turn of one owner, or until a condition holds; returns whether it holds.
-    fn run_turn(&mut self, holds: impl Fn(&Fleet) -> bool) -> bool {
+    pub(super) fn run_turn(&mut self, holds: impl Fn(&Fleet) -> bool) -> bool {
         if self.fleet.run_until(RESUMED_AFTER, &holds) {
             return true;
         }
@@ -100,7 +100,11 @@
     }
 
     /// Replaces owners until a condition holds, for at most `limit`; returns whether it holds.
-    fn replace_until(&mut self, limit: Duration, holds: impl Fn(&Fleet) -> bool) -> bool {
+    pub(super) fn replace_until(
+        &mut self,
+        limit: Duration,
+        holds: impl Fn(&Fleet) -> bool,
+    ) -> bool {
         let end = self.fleet.now.at + limit;
         while self.fleet.now.at < end {
             self.replace_owner();
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -10,6 +10,7 @@
 mod fences;
 mod first_list;
 mod first_looks;
+mod former_leases;
 mod freshness;
 mod growth;
 mod jobs;
--- a/ashtiller/tests/simulation/mod.rs
+++ b/ashtiller/tests/simulation/mod.rs
@@ -3,6 +3,7 @@
 mod absences;
 mod operators;
 pub mod outages;
+mod partitions;
 pub mod trace;
 #[path = "../../../platform/standin/worker.rs"]
 pub mod worker;
@@ -32,6 +33,7 @@
 use absences::Absences;
 use operators::{EVACUATION, Operators, Reader};
 use outages::Outages;
+use partitions::Partitions;
 use worker::{DisabledSafeguards, Worker};
 use worker_entries::{Watch, WorkerEntries};
 
@@ -164,6 +166,7 @@
     /// Runs started by an order that was meant for an earlier incarnation of the worker.
     misdirected: BTreeSet<(TaskName, u32)>,
     outages: Outages,
+    partitions: Partitions,
     /// Long-running tasks and their absences.
     pub absences: Absences,
     /// Number of workers that crashed.
@@ -244,6 +247,7 @@
             former_capacities: BTreeMap::new(),
             misdirected: BTreeSet::new(),
             outages: Outages::default(),
+            partitions: Partitions::default(),
             absences: Absences::default(),
             crashed: 0,
             restarted: 0,
@@ -783,7 +787,9 @@
                 let id: Arc<str> = target.incarnation.id().into();
                 let up = self.may_time_out(&id);
                 let failure = self.failure("order", &id);
-                let reply = self.deliver_order(&target, sent, &order, answers);
+                let is_cut = self.partitions.is_cut(index, &id, self.now);
+                let reply = (!is_cut).then(|| self.deliver_order(&target, sent, &order, answers));
+                let reply = reply.flatten();
                 if answers {
                     let silent = reply.is_none() && up;
                     let answer = self.random_millis(1, 4);
@@ -808,8 +814,10 @@
                 }
             }
             Event::PollArrives(index, target, poll) => {
-                let reply = self.poll_worker(&target, &poll);
-                let id = target.incarnation.id().into();
+                let id: Arc<str> = target.incarnation.id().into();
+                let is_cut = self.partitions.is_cut(index, &id, self.now);
+                let reply = (!is_cut).then(|| self.poll_worker(&target, &poll));
+                let reply = reply.flatten();
                 let (up, failure) = (self.may_time_out(&id), self.failure("look", &id));
                 let delay = if reply.is_none() && up {
                     ORDER_TIMEOUT_MIN
--- a/ashtiller/tests/simulation/outages.rs
+++ b/ashtiller/tests/simulation/outages.rs
@@ -134,18 +134,25 @@
         self.outages.proofs_withheld = true;
     }
 
+    /// Lets the newest owner lose the store for this time. It goes on, and cannot be asked.
+    pub fn lose_store(&mut self, span: Duration) {
+        let outage = self.outages.owners.entry(self.newest).or_default();
+        outage.writable = self.now + span;
+    }
+
     /// Returns whether an owner has ended and its successors can know it.
     pub fn is_known_to_have_ended(&self, index: usize) -> bool {
         self.owners[index].is_none() && !self.outages.is_dark(index, self.now)
     }
 
     /// Records the time if a fault is active: there is no owner, the store does not answer the
-    /// newest one, or an earlier one is not known to have ended.
+    /// newest one, an earlier one is not known to have ended, or one does not reach a worker.
     pub fn note_active_faults(&mut self) {
         let (newest, now) = (self.newest, self.now);
         let unproved = (0..newest).any(|index| !self.is_known_to_have_ended(index));
         let stalled = !self.outages.store_wait(newest, now).is_zero();
-        if unproved || stalled || self.owners[newest].is_none() {
+        let is_cut = self.partitions.is_active(now);
+        if unproved || stalled || is_cut || self.owners[newest].is_none() {
             self.outages.last_fault = now;
         }
     }
--- a/ashtiller/tests/workflow.rs
+++ b/ashtiller/tests/workflow.rs
@@ -503,6 +503,45 @@
     );
 }
 
+/// Runs a seed: owners that go on without the store follow each other, and each reaches other workers.
+fn run_seed_with_partitions(seed: u64) -> Simulation {
+    let mut simulation = Simulation::new(seed, NO_FAULTS);
+    for number in 0..6 {
+        let job = long_running_job(number, &mut simulation);
+        simulation.submit(job, Duration::from_hours(24));
+    }
+    simulation.run(Duration::from_secs(4), false);
+    simulation.run_partitions(seed);
+    simulation
+}
+
+/// A later owner counts the leases of a worker that it does not reach from the last owner that may have
+/// granted one. A task must not start elsewhere while such an owner still renews the lease.
+#[test]
+fn long_running_tasks_run_once_while_owners_reach_different_workers() {
+    let run = |seed| {
+        let simulation = run_seed_with_partitions(seed);
+        let violations = &simulation.violations;
+        let fault = (!violations.is_empty()).then(|| format!("seed {seed}: {violations:?}"));
+        (simulation.starts, fault)
+    };
+    if seeds() == 1 {
+        trace::print_logs(|| run(first_seed()));
+    }
+    let results = run_seeds(first_seed()..first_seed() + seeds(), run);
+    let failing: Vec<&str> = results.iter().filter_map(|it| it.1.as_deref()).collect();
+    assert!(
+        failing.is_empty(),
+        "{} seeds failed\n{}",
+        failing.len(),
+        failing.join("\n")
+    );
+    // Tasks must start elsewhere often enough to test anything. Six jobs have 18 tasks on average.
+    let starts: u64 = results.iter().map(|it| it.0).sum();
+    println!("{starts} starts");
+    assert!(starts > seeds() * 22, "{starts} starts");
+}
+
 /// Without proof that earlier owners have ended, runs of lost workers are kept for 17 s.
 #[test]
 fn the_checks_detect_owners_that_wait_for_their_whole_horizon() {
