Tell callers of a query without an answer that it is unknown, as before

The change to queries also told callers whose query may have reached an owner that it was refused, not that its outcome is unknown. Both answers tell to retry, and nothing of the fault depends on the difference, so the answer is as it was.

--- a/ashtiller/src/workflow/message.rs
+++ b/ashtiller/src/workflow/message.rs
@@ -52,12 +52,6 @@
 }
 
 impl PeerRequest {
-    /// Returns whether the request changes nothing at the owner.
-    #[must_use]
-    pub fn is_query(&self) -> bool {
-        matches!(self, Self::State(_) | Self::Pending(_))
-    }
-
     /// Returns the label of the request in metrics.
     #[must_use]
     pub fn kind(&self) -> &'static str {
--- a/ashtiller/src/workflow/node/forward.rs
+++ b/ashtiller/src/workflow/node/forward.rs
@@ -20,8 +20,7 @@
 
 impl Node {
     /// Sends a request to the owner of the log, in this process or another one, and retries until
-    /// `deadline`. Returns `Unknown` if the request may have taken effect; a query has none, and is
-    /// to be repeated.
+    /// `deadline`. Returns `Unknown` if the request may have taken effect.
     pub async fn ask_owner(&self, request: &PeerRequest, deadline: Instant) -> Reply {
         // Epoch of the last owner that may have executed the request.
         let mut uncertain_epoch = None;
@@ -42,7 +41,7 @@
                 }
             }
             if Instant::now() + RETRY_DELAY >= deadline {
-                return if uncertain_epoch.is_some() && !request.is_query() {
+                return if uncertain_epoch.is_some() {
                     Reply::Unknown
                 } else {
                     self.refusal(request)
