Take no run for lost whose end a worker has not told yet

Cause: a worker lists its first 500 ends and sends the rest once these are acknowledged. The owner took a run that is neither active nor among them for lost, and placed its task again.

The adapter now says in a typed field whether more ends may follow. While they may, the owner concludes nothing from what is missing: not that a run is lost, that a confirmed stop has ended it, that a run is gone which the log does not place there, or what became of an unanswered start. The rest is read as soon as the first part is durable. Relays carry the field in a section after their results, which earlier versions ignore.

--- a/ashtiller/src/workflow/agents.rs
+++ b/ashtiller/src/workflow/agents.rs
@@ -180,8 +180,12 @@
         clock: u64,
         /// Active runs.
         active: Vec<Active>,
-        /// Ends that the worker has not forgotten.
+        /// Ends that the worker has not forgotten, from the lowest number on.
         finished: Vec<Finished>,
+        /// Whether more ends may follow once these are recorded. A run that is neither active nor
+        /// among these ends is then not known to be lost. Relays send it beside the reply.
+        #[serde(skip)]
+        more_ends: bool,
     },
     /// The worker knows a higher fencing token.
     Fenced,
--- a/ashtiller/src/workflow/core/orphan_runs.rs
+++ b/ashtiller/src/workflow/core/orphan_runs.rs
@@ -3,7 +3,7 @@
 //! A start that was given up may be carried out late. The worker is told to stop the run, which
 //! takes a while, and until the run is gone it uses capacity and its task must not run elsewhere.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::resources::Resources;
 use crate::workflow::core::{Core, Now};
@@ -27,6 +27,12 @@
         self.0.contains_key(worker)
     }
 
+    /// Returns those on a worker.
+    pub fn runs_on(&self, worker: &Incarnation) -> impl Iterator<Item = Run> {
+        let orphans = self.0.get(worker).into_iter().flatten();
+        orphans.map(|orphan| orphan.run)
+    }
+
     /// Returns whether a run of a task is among them.
     pub fn has_task(&self, task: Task) -> bool {
         let mut runs = self.0.values().flatten();
@@ -38,6 +44,7 @@
     /// Replaces the orphaned runs of a worker by those that it has just listed.
     pub(super) fn set_orphans(&mut self, worker: &Incarnation, listed: &[Run]) {
         self.clear_orphans(worker);
+        let listed: BTreeSet<Run> = listed.iter().copied().collect();
         let orphans = listed.iter().filter_map(|run| {
             let known = self.log_state.task(run.task);
             let step = known.and_then(|(job, _)| job.step(run.task));
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -69,11 +69,15 @@
                 clock,
                 active,
                 finished,
+                more_ends,
             }) => {
                 worker.ends_acknowledged = worker.ends_acknowledged.max(poll.ends_recorded);
                 if self.is_other_incarnation(id, clock, sent_at, &active, &finished) {
                     self.restart_in_place(id, now);
                 }
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.more_ends = more_ends;
+                }
                 self.record_poll_reply(id, clock, &poll, now);
                 self.record_ends(id, &finished, now);
                 self.update_active_runs(id, &active, sent_at, now);
@@ -238,7 +242,8 @@
             return;
         };
         if highest > worker.ends_recorded {
-            // The worker would list these ends again at once; the next poll acknowledges them.
+            // The worker would list these ends again at once; the next poll, which follows as soon as
+            // they are durable, acknowledges them.
             worker.next_poll = worker.next_poll.max(now.at + UNRECORDED_ENDS_PAUSE);
         }
         if highest > worker.ends_reported {
@@ -324,8 +329,12 @@
                 orphans.extend(run);
             }
         }
+        if self.workers.get(id).is_some_and(|worker| worker.more_ends) {
+            // The end of one that is not listed any more may follow, and may be that of a completed task.
+            orphans.extend(self.orphans.runs_on(id));
+        }
         self.set_orphans(id, &orphans);
-        let Some(worker) = self.workers.get(id) else {
+        let Some(worker) = self.workers.get(id).filter(|worker| !worker.more_ends) else {
             return;
         };
         let missing: Vec<Run> = worker.runs.difference(&present).copied().collect();
--- a/ashtiller/src/workflow/node/peer_handler.rs
+++ b/ashtiller/src/workflow/node/peer_handler.rs
@@ -1,5 +1,6 @@
 //! Handles requests of other instances.
 
+use std::future;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -100,10 +101,19 @@
         request: PeerRequest,
         section: &[u8],
     ) -> LocalBoxFuture<'static, Reply> {
-        if !matches!(request, PeerRequest::Submit(_)) {
-            return self.answer(request);
+        match request {
+            PeerRequest::Submit(_) => {
+                let SubmitSection { origin } = SubmitSection::decode(section);
+                Box::pin(
+                    async move { self.ask_local_owner(request, origin, REQUEST_TIMEOUT).await },
+                )
+            }
+            PeerRequest::RelayResults(results) => {
+                self.relay_client
+                    .deliver_results_with_section(*results, section);
+                Box::pin(future::ready(Reply::Noted))
+            }
+            request => self.answer(request),
         }
-        let SubmitSection { origin } = SubmitSection::decode(section);
-        Box::pin(async move { self.ask_local_owner(request, origin, REQUEST_TIMEOUT).await })
     }
 }
--- a/ashtiller/src/workflow/relay/client.rs
+++ b/ashtiller/src/workflow/relay/client.rs
@@ -20,7 +20,7 @@
 use crate::workflow::relay::route::Routes;
 use crate::workflow::relay::{
     BATCH_DELAY, Call, CallBatch, MAX_QUEUE_DELAY, MESSAGE_TIMEOUT, Outcome, RelayedCall,
-    ResultBatch,
+    ResultBatch, ResultSection,
 };
 
 /// Number of workers from which on calls go over relays. With fewer workers, the calls of one
@@ -334,6 +334,20 @@
         }
     }
 
+    /// Delivers the results of a relay with the section after them. If that cannot be decoded, the
+    /// calls count as unanswered.
+    pub fn deliver_results_with_section(&self, mut results: ResultBatch, section: &[u8]) {
+        match ResultSection::decode(section) {
+            Ok(section) => results.apply_section(&section),
+            Err(error) => {
+                let count = results.results.len();
+                tracing::warn!(%error, count, "results of a relay dropped: their section cannot be decoded");
+                return;
+            }
+        }
+        self.deliver_results(results);
+    }
+
     /// Delivers the results of calls to their callers. A relay may send results of calls that a
     /// former process at this address made; its sessions tell them apart.
     pub fn deliver_results(&self, results: ResultBatch) {
--- a/ashtiller/src/workflow/relay/mod.rs
+++ b/ashtiller/src/workflow/relay/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::failure::{Failure, RemoteEffect};
 use crate::workflow::agents::{Order, OrderReply, Poll, PollReply, Target};
+use crate::workflow::snapshot;
 
 /// Time for which calls or results are collected into one message: a fifth of the 30 ms for which
 /// records are collected into a log entry by default (`Tuning::commit`).
@@ -99,3 +100,62 @@
     /// Results by the numbers of their calls.
     pub results: Vec<(u64, Outcome)>,
 }
+
+impl ResultBatch {
+    /// Returns the section for what the encoding of the results lacks.
+    #[must_use]
+    pub fn section(&self) -> ResultSection {
+        let has_more = |outcome: &Outcome| {
+            matches!(
+                outcome,
+                Outcome::Looked(PollReply::Report {
+                    more_ends: true,
+                    ..
+                })
+            )
+        };
+        let results = self.results.iter();
+        let partial = results.filter(|(_, outcome)| has_more(outcome));
+        ResultSection {
+            partial: partial.map(|(number, _)| *number).collect(),
+        }
+    }
+
+    /// Adds what the section after the batch says.
+    pub fn apply_section(&mut self, section: &ResultSection) {
+        for (number, outcome) in &mut self.results {
+            if let Outcome::Looked(PollReply::Report { more_ends, .. }) = outcome {
+                *more_ends = section.partial.contains(number);
+            }
+        }
+    }
+}
+
+/// Section after the message
+/// [`PeerRequest::RelayResults`](crate::workflow::message::PeerRequest::RelayResults).
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ResultSection {
+    /// Numbers of the polls whose replies do not list all ends.
+    partial: Vec<u64>,
+}
+
+impl ResultSection {
+    /// Encodes the section; empty if it says nothing.
+    ///
+    /// # Errors
+    /// Fails if the section cannot be encoded.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        if self.partial.is_empty() {
+            return Ok(Vec::new());
+        }
+        postcard::to_stdvec(self)
+    }
+
+    /// Decodes the section. Older versions send none.
+    ///
+    /// # Errors
+    /// Fails if the section cannot be decoded.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        snapshot::take_section(bytes).map(|(section, _)| section)
+    }
+}
--- a/ashtiller/src/workflow/relay/server.rs
+++ b/ashtiller/src/workflow/relay/server.rs
@@ -144,12 +144,21 @@
     async fn send(&self, owner: SocketAddr, session: u64) {
         while let Some(results) = self.take_results(session) {
             let count = results.len();
-            let request = PeerRequest::RelayResults(Box::new(ResultBatch { session, results }));
+            let batch = ResultBatch { session, results };
+            let section = match batch.section().encode() {
+                Ok(section) => section,
+                Err(error) => {
+                    // Without the section, a part of the ends would count as all of them.
+                    tracing::error!(%error, count, "results not sent: their section cannot be encoded");
+                    continue;
+                }
+            };
+            let request = PeerRequest::RelayResults(Box::new(batch));
             // The owner polls again for lost results: finished runs stay listed until they are
             // acknowledged.
             if let Err(failure) = self
                 .links
-                .ask("send results", owner, &request, MESSAGE_TIMEOUT)
+                .ask_with_section("send results", owner, &request, &section, MESSAGE_TIMEOUT)
                 .await
             {
                 tracing::info!(%failure, count, "failed to send results to the owner");
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -86,10 +86,11 @@
     pub lease: Lease,
     /// Whether it has answered a call with this owner's fencing token.
     pub fenced: bool,
-    /// Highest fencing token of a poll that it has answered: it rejects all calls with a lower one.
+    /// Highest fencing token of a poll that it has answered with all its ends: it rejects all calls with
+    /// a lower one, and has told what became of them.
     pub answered_fence: u64,
-    /// Time at which the last poll that it has answered was sent. Its list shows all runs that began
-    /// before then.
+    /// Time at which the last poll that it has answered with all its ends was sent. The lists show all
+    /// runs that began before then.
     pub poll_sent: Duration,
     /// Highest fencing token of unanswered polls, sent to this incarnation or an earlier one, that
     /// may still acknowledge ends.
@@ -119,6 +120,8 @@
     pub pool: Pool,
     /// Runs that may be active on the worker.
     pub runs: BTreeSet<Run>,
+    /// Whether it may have more ends than its last answer lists.
+    pub more_ends: bool,
     /// Highest number of an end that the worker has reported.
     pub ends_reported: u64,
     /// Highest number of an end that is recorded in the log.
@@ -192,6 +195,7 @@
             order_due: Duration::ZERO,
             rank: None,
             runs: BTreeSet::new(),
+            more_ends: false,
             ends_reported: 0,
             ends_recorded: 0,
             ends_acknowledged: 0,
@@ -215,8 +219,12 @@
         }
     }
 
-    /// Records an answer to a poll.
+    /// Records an answer to a poll. One with a part of the ends does not show what became of earlier
+    /// calls.
     pub fn note_answered(&mut self, poll: &PendingPoll) {
+        if self.more_ends {
+            return;
+        }
         if poll.fence > self.answered_fence {
             self.answered_fence = poll.fence;
             // Starts may have waited for this.
--- a/ashtiller/tests/admission/fleet.rs
+++ b/ashtiller/tests/admission/fleet.rs
@@ -173,6 +173,7 @@
                     clock,
                     active: worker.running.iter().map(|(_, row)| row.clone()).collect(),
                     finished: worker.ended.clone(),
+                    more_ends: false,
                 };
                 self.core
                     .handle_poll_reply(&target.incarnation, Ok(reply), now);
--- a/ashtiller/tests/links/main.rs
+++ b/ashtiller/tests/links/main.rs
@@ -1,6 +1,8 @@
 //! Connections between entry instances, from clients and to the store that go silent without a
 //! reset.
 
+#[path = "../../../platform/agents.rs"]
+mod agents;
 #[path = "../../../platform/client_api.rs"]
 mod client_api;
 mod clients;
@@ -17,6 +19,7 @@
 mod origins;
 mod peer;
 mod relays;
+mod reports;
 #[path = "../../../platform/store.rs"]
 mod store;
 
--- a/ashtiller/tests/links/relays.rs
+++ b/ashtiller/tests/links/relays.rs
@@ -14,6 +14,7 @@
 use ashtiller::workflow::link::RequestHandler;
 use ashtiller::workflow::membership::member::Member;
 use ashtiller::workflow::message::{PeerRequest, Reply};
+use ashtiller::workflow::relay::ResultSection;
 use ashtiller::workflow::relay::client::{MIN_RELAYED_WORKERS, RelayClient};
 use ashtiller::workflow::relay::server::RelayServer;
 use futures_util::future::LocalBoxFuture;
@@ -32,6 +33,8 @@
     polls: Mutex<Vec<Target>>,
     /// Workers that refuse connections.
     down: Mutex<Vec<Target>>,
+    /// Workers with more ends than one reply lists.
+    partial: Mutex<Vec<Target>>,
     /// Name of the instance that reaches no worker.
     partitioned: Mutex<Option<&'static str>>,
 }
@@ -71,12 +74,14 @@
     fn poll<'a>(&'a self, to: &'a Target, poll: &'a Poll) -> CallFuture<'a, PollReply> {
         self.workers.polls.lock().push(to.clone());
         let wait = poll.wait;
+        let more_ends = self.workers.partial.lock().contains(to);
         Box::pin(async move {
             time::sleep(wait).await;
             Ok(PollReply::Report {
                 clock: 7,
                 active: Vec::new(),
                 finished: Vec::new(),
+                more_ends,
             })
         })
     }
@@ -113,6 +118,18 @@
         }
         Box::pin(async { Reply::Noted })
     }
+
+    fn answer_with_section(
+        self: Rc<Self>,
+        request: PeerRequest,
+        section: &[u8],
+    ) -> LocalBoxFuture<'static, Reply> {
+        if let PeerRequest::RelayResults(results) = request {
+            self.0.deliver_results_with_section(*results, section);
+            return Box::pin(async { Reply::Noted });
+        }
+        self.answer(request)
+    }
 }
 
 struct Cluster {
@@ -362,6 +379,43 @@
     });
 }
 
+/// Guards against runs that count as lost because their ends are not among those of the first reply.
+#[test]
+fn a_reply_that_lists_a_part_of_the_ends_stays_one_over_a_relay() {
+    run_paused(async {
+        let cluster = Cluster::open(MIN_RELAYED_WORKERS);
+        cluster.workers.partial.lock().push(target(0));
+        let poll = Poll {
+            until: None,
+            ends_recorded: 0,
+            wait: Duration::ZERO,
+        };
+        let polls = [0, 1].map(target);
+        let [partial, complete] = [&polls[0], &polls[1]];
+        let (partial, complete) = tokio::join!(
+            cluster.client.poll(partial, &poll),
+            cluster.client.poll(complete, &poll)
+        );
+        let more_ends = |reply| match reply {
+            Ok(PollReply::Report { more_ends, .. }) => more_ends,
+            other => panic!("not a report: {other:?}"),
+        };
+        assert!(more_ends(partial));
+        assert!(!more_ends(complete));
+    });
+}
+
+/// A relay of an earlier version sends no section.
+#[test]
+fn results_without_a_section_are_delivered() {
+    let bytes = ResultSection::default().encode().unwrap();
+    assert!(bytes.is_empty());
+    assert_eq!(
+        ResultSection::decode(&bytes).unwrap(),
+        ResultSection::default()
+    );
+}
+
 /// Guards against direct connections to all workers after a takeover: an owner of 3,000 workers
 /// held 4,169 files, where a small instance has 4,100. Relays are chosen every 250 ms by the
 /// number of known workers. A new owner knows none before its first list, which arrived right
--- a/ashtiller/tests/owner/asleep.rs
+++ b/ashtiller/tests/owner/asleep.rs
@@ -82,6 +82,7 @@
         clock,
         active: Vec::new(),
         finished: Vec::new(),
+        more_ends: false,
     };
     driver
         .core
--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -88,6 +88,7 @@
 }
 
 /// A core with a simulated store, workers and advisor, and the effects that the core requested.
+#[expect(clippy::struct_excessive_bools, reason = "each is a switch of its own")]
 pub struct Driver {
     pub core: Core,
     pub now: Now,
@@ -127,6 +128,10 @@
     pub running: Vec<(Incarnation, Active)>,
     /// Ends that every poll reports.
     pub reported_ends: Vec<Finished>,
+    /// Whether workers have more ends than they report.
+    pub more_ends: bool,
+    /// Whether runs that were started are not reported as active.
+    pub hides_runs: bool,
     /// Whether polls are answered only when their wait is over.
     pub long_polls: bool,
     /// Long polls, each with the time at which it is answered.
@@ -205,6 +210,8 @@
             poll_counts: BTreeMap::new(),
             running: Vec::new(),
             reported_ends: Vec::new(),
+            more_ends: false,
+            hides_runs: false,
             long_polls: false,
             waiting_polls: Vec::new(),
             store_available: true,
@@ -257,7 +264,13 @@
     fn report_running(&mut self, id: &Incarnation) {
         let rows = self.running.iter().filter(|(at, _)| at == id);
         let rows = rows.map(|(_, row)| row.clone()).collect();
-        let ends = self.reported_ends.clone();
+        let acknowledged = self.acknowledged.iter().filter(|(at, _)| at == id);
+        let acknowledged = acknowledged.map(|(_, number)| *number).max().unwrap_or(0);
+        let ends = self.reported_ends.iter();
+        let ends = ends
+            .filter(|end| end.number > acknowledged)
+            .cloned()
+            .collect();
         self.report(id, rows, ends);
     }
 
@@ -431,6 +444,7 @@
         // A run that was started there continues unless it was stopped or has finished.
         for (worker, run, order) in &self.orders {
             if let Order::Start(start) = order
+                && !self.hides_runs
                 && worker == id
                 && self.drops_orders.as_ref() != Some(worker)
                 && !finished
@@ -453,6 +467,7 @@
             clock: self.clock(),
             active,
             finished,
+            more_ends: self.more_ends,
         };
         self.core.handle_poll_reply(id, Ok(reply), self.now);
     }
--- a/ashtiller/tests/owner/first_looks.rs
+++ b/ashtiller/tests/owner/first_looks.rs
@@ -72,6 +72,7 @@
                     clock: 5000,
                     active: Vec::new(),
                     finished: Vec::new(),
+                    more_ends: false,
                 })
             } else {
                 Err(Failure::unknown_effect(
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -24,6 +24,7 @@
 mod lives;
 mod news;
 mod overdue_fills;
+mod partial_reports;
 mod parts;
 mod placing;
 mod pressure;
--- a/ashtiller/tests/simulation/mod.rs
+++ b/ashtiller/tests/simulation/mod.rs
@@ -79,6 +79,8 @@
     pub evacuation_steps: u32,
     /// Restarts of workers under their ids, if any. With them, lost polls may arrive late, too.
     pub restarts: Option<Restarts>,
+    /// Number of ends in one reply of a worker.
+    pub ends_per_reply: usize,
     /// Safeguards of workers that are disabled.
     pub weakness: DisabledSafeguards,
 }
@@ -177,6 +179,9 @@
     pub violations: Vec<String>,
     /// Number of runs that started.
     pub starts: u64,
+    /// Number of starts of tasks that were done, without those that may have copies. They are allowed
+    /// after leases have lapsed.
+    pub starts_after_done: u64,
     /// Number of owners so far.
     pub takeovers: u64,
 }
@@ -253,6 +258,7 @@
             restarted: 0,
             violations: Vec::new(),
             starts: 0,
+            starts_after_done: 0,
             takeovers: 0,
         };
         for number in 0..6 {
@@ -267,7 +273,8 @@
         let pace = self.rng.random_range(98..=100);
         let incarnation = self.new_incarnation(id);
         self.machines.insert(id.into(), machine.clone());
-        let worker = Worker::new(incarnation.clone(), capacity(), pace, self.faults.weakness);
+        let worker = Worker::new(incarnation.clone(), capacity(), pace, self.faults.weakness)
+            .with_ends_per_reply(self.faults.ends_per_reply);
         // Without restarts under the same ids, the workers' clocks have been running for long.
         let began = self.faults.restarts.map_or(Duration::ZERO, |_| self.now);
         self.workers
@@ -302,7 +309,8 @@
         let pace = self.rng.random_range(98..=100);
         let incarnation = self.new_incarnation(id);
         tracing::trace!(worker = %incarnation, "simulation: process starts again");
-        let worker = Worker::new(incarnation, capacity(), pace, self.faults.weakness);
+        let worker = Worker::new(incarnation, capacity(), pace, self.faults.weakness)
+            .with_ends_per_reply(self.faults.ends_per_reply);
         self.workers
             .insert(id.clone(), worker.with_start_time(self.now));
         let lag = self.random_millis(0, 1100);
@@ -637,6 +645,7 @@
                 interval_steps: u32::MAX,
                 ..it
             }),
+            ends_per_reply: self.faults.ends_per_reply,
             weakness: self.faults.weakness,
         };
         if self.owners[self.newest].is_none() {
@@ -1015,6 +1024,7 @@
         }
         let job = &self.jobs[&name.job];
         let step = &job.steps[usize::from(name.step)];
+        self.starts_after_done += u64::from(!step.speculative && self.done.contains(name));
         for earlier in &step.depends_on {
             let count = job.steps[usize::from(*earlier)].count;
             for index in 0..u16::try_from(count).unwrap() {
--- a/ashtiller/tests/succession/workers.rs
+++ b/ashtiller/tests/succession/workers.rs
@@ -73,6 +73,7 @@
             clock: self.clock(),
             active: active.collect(),
             finished: Vec::new(),
+            more_ends: false,
         }
     }
 }
--- a/ashtiller/tests/workflow.rs
+++ b/ashtiller/tests/workflow.rs
@@ -43,6 +43,7 @@
     capacity_steps: 0,
     evacuation_steps: 0,
     restarts: None,
+    ends_per_reply: 500,
     weakness: DisabledSafeguards {
         fences: false,
         leases: false,
@@ -59,6 +60,7 @@
     capacity_steps: 0,
     evacuation_steps: 0,
     restarts: None,
+    ends_per_reply: 500,
     weakness: DisabledSafeguards {
         fences: false,
         leases: false,
@@ -237,6 +239,64 @@
     assert!(evacuations > seeds() * 2, "{evacuations} evacuations");
 }
 
+/// Workers list one end in a reply, and the next one once that is recorded; some replies are lost. A run
+/// whose end is not listed yet must not be taken for lost. No lease lapses, so no task that is done starts
+/// again.
+#[test]
+fn no_task_starts_again_because_its_end_is_not_listed_yet() {
+    let faults = Faults {
+        lost_percent: 8,
+        ends_per_reply: 1,
+        ..NO_FAULTS
+    };
+    let run = |seed| {
+        let simulation = run_seed(seed, faults);
+        let again = simulation.starts_after_done;
+        let open = simulation.unfinished();
+        let fault = format!(
+            "{:?}, {again} starts, unfinished {open:?}",
+            simulation.violations
+        );
+        let is_correct = simulation.violations.is_empty() && again == 0 && open.is_empty();
+        (!is_correct).then(|| format!("seed {seed}: {fault}"))
+    };
+    if seeds() == 1 {
+        trace::print_logs(|| run(first_seed()));
+    }
+    let results = run_seeds(first_seed()..first_seed() + seeds(), run);
+    let failing: Vec<String> = results.into_iter().flatten().collect();
+    assert!(
+        failing.is_empty(),
+        "{} seeds failed\n{}",
+        failing.len(),
+        failing.join("\n")
+    );
+}
+
+/// The same with all base faults, after which the rest of the ends is read by other owners.
+#[test]
+fn jobs_survive_replies_that_list_a_part_of_the_ends() {
+    let faults = Faults {
+        ends_per_reply: 2,
+        ..BASE_FAULTS
+    };
+    let run = |seed| evaluate(seed, &run_seed(seed, faults));
+    if seeds() == 1 {
+        trace::print_logs(|| run(first_seed()));
+    }
+    let results = run_seeds(first_seed()..first_seed() + seeds(), run);
+    let failing = results
+        .iter()
+        .filter_map(|it| Some(format!("seed {}: {}", it.seed, it.fault.as_ref()?)));
+    let failing: Vec<String> = failing.collect();
+    assert!(
+        failing.is_empty(),
+        "{} seeds failed\n{}",
+        failing.len(),
+        failing.join("\n")
+    );
+}
+
 /// Result of one seed.
 struct SeedResult {
     seed: u64,
--- a/bench/src/decisions.rs
+++ b/bench/src/decisions.rs
@@ -321,6 +321,7 @@
             clock: now.wall,
             active: active.collect(),
             finished: worker.ends.clone(),
+            more_ends: false,
         };
         let began = Instant::now();
         self.core.handle_poll_reply(id, Ok(looked), now);
