--- a/ashtiller/tests/succession/entries.rs
+++ b/ashtiller/tests/succession/entries.rs
@@ -104,3 +104,17 @@
     assert!(!state.is_live(RUN));
     assert!(state.pending_starts().is_empty());
 }
+
+/// An owner of an earlier version reads the log as before, and later ones know which workers got no lease.
+#[tokio::test(start_paused = true)]
+async fn records_of_silent_workers_are_replayed_and_skipped_by_earlier_versions() {
+    let records = records_with(&[
+        LogRecord::WorkersSilent(7, vec!["w0".into(), "w1".into()]),
+        LogRecord::WorkerHeard(7, "w1".into()),
+    ]);
+    let entry: EarlierEntry = postcard::from_bytes(&encode(&records)).unwrap();
+    assert_eq!(entry.facts, series::records());
+    let state = replay(encode(&records)).await;
+    assert!(state.silent_workers().contains(7, "w0"));
+    assert!(!state.silent_workers().contains(7, "w1"));
+}
