--- a/ashtiller/src/command.rs
+++ b/ashtiller/src/command.rs
@@ -8,6 +8,7 @@
 
 use anyhow::Context;
 use ashtiller::apply::{self, Applied};
+use ashtiller::build_info;
 use ashtiller::consul;
 use ashtiller::gateway;
 use ashtiller::logs;
@@ -87,7 +88,7 @@
         return ExitCode::SUCCESS;
     }
     if args.contains(["-V", "--version"]) {
-        println!("ashtiller {}", env!("CARGO_PKG_VERSION"));
+        println!("ashtiller {}", build_info::get());
         return ExitCode::SUCCESS;
     }
     match run_command(args) {
--- a/ashtiller/src/lib.rs
+++ b/ashtiller/src/lib.rs
@@ -54,10 +54,12 @@
 //! - [`interference`]: [`interference_model`], [`throttling`], [`worker_report`],
 //!   [`placement`];
 //! - [`agreed`]: [`config_state`], [`config`], [`apply`], [`members`], [`membership`];
-//! - [`net`]: [`store`], [`service_catalog`], [`consul`], [`peer`], [`rpc`], [`ops`].
+//! - [`net`]: [`store`], [`service_catalog`], [`consul`], [`peer`], [`rpc`], [`ops`];
+//! - [`build_info`]: which commit is running.
 
 pub mod agreed;
 pub mod base;
+pub mod build_info;
 pub mod interference;
 pub mod net;
 pub mod request;
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -8,6 +8,7 @@
     Registry,
 };
 
+use crate::build_info;
 use crate::web;
 use crate::workflow::congestion::Congestion;
 use crate::workflow::core::Counts;
@@ -100,6 +101,7 @@
     shares: GaugeVec,
     silent: IntCounter,
     unreadable: IntCounter,
+    build: IntGaugeVec,
 }
 
 fn opts(name: &str, help: &str) -> Opts {
@@ -201,8 +203,19 @@
                 "unreadable_entries",
                 "entries of workers in the store that cannot be read",
             ))?,
+            build: IntGaugeVec::new(
+                opts(
+                    "build_info",
+                    "1 for the version and the commit that is running",
+                ),
+                &["version", "commit", "modified"],
+            )?,
             registry,
         };
+        let build = build_info::get();
+        let modified = build.modified.to_string();
+        let labels = [build.version, build.commit_name(), &modified];
+        metrics.build.with_label_values(&labels).set(1);
         for collector in metrics.collectors() {
             metrics.registry.register(collector)?;
         }
@@ -232,6 +245,7 @@
             Box::new(messages),
             Box::new(bytes),
             Box::new(self.silent.clone()),
+            Box::new(self.build.clone()),
         ]
     }
 
