Take the platform's list of machines as proof that a worker has ended

Cause: nothing was taken to prove that a *worker* has ended. So its runs waited for leases that an owner which is gone may have renewed (11 s and a lease, 17.3 s), for the lease of this owner (6.3 s), and unanswered starts for 13 s and more. The platform says it: its list of machines names the worker of each, and the adapter dropped that.

Change: while runs or unanswered starts wait for a worker that does not answer, the owner reads the list, at most each 500 ms and ever less often. A machine that runs another worker, or that a whole list lacks, ends the worker and its unanswered starts; one that is down ends its runs, but for those with a start in flight, as the next process may have the same id.

It found one fault before this landed: without start times ended a worker by a list from before it had started again; `a_worker_that_has_answered_since_the_request_and _is_silent_again_keeps_its_runs` guards against it. The soak's entries now have the interface, with refusals, silence and delays.

--- a/ashtiller/src/workflow/core/crashes.rs
+++ b/ashtiller/src/workflow/core/crashes.rs
@@ -78,7 +78,7 @@
         let worker = self.workers.get(id)?;
         let at = worker.silent_since.unwrap_or(now.at);
         let unseen = !worker.fenced && worker.runs.is_empty();
-        if unseen || self.ends_as_planned(worker, at) {
+        if unseen || worker.ended || self.ends_as_planned(worker, at) {
             return None;
         }
         if let Some(limit) = now.at.checked_sub(CRASH_MEMORY) {
--- a/ashtiller/src/workflow/core/incarnations.rs
+++ b/ashtiller/src/workflow/core/incarnations.rs
@@ -88,6 +88,7 @@
         let worker = self.workers.remove(incarnation)?;
         self.locations.remove(&worker.listed);
         self.candidate_cache.remove(incarnation);
+        self.note_former_machine(&worker.listed);
         Some(worker)
     }
 
@@ -133,7 +134,7 @@
     }
 
     /// Remembers an entry that is wrong or older than the incarnation that answered in its place.
-    fn note_stale_entry(&mut self, incarnation: &Incarnation, now: Now) {
+    pub(super) fn note_stale_entry(&mut self, incarnation: &Incarnation, now: Now) {
         let Some(worker) = self.workers.get(incarnation) else {
             return;
         };
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -24,6 +24,7 @@
 mod load;
 mod location_index;
 mod log_entries;
+mod machine_list;
 mod orders;
 mod orphan_runs;
 mod pacing;
@@ -103,6 +104,8 @@
     Advise(AdviceRequest),
     /// Sends an order to a machine.
     MachineOrder(Arc<str>, MachineOrder),
+    /// Lists all machines.
+    ListMachines,
     /// Replies to a waiting caller.
     Reply(RequestToken, Reply),
     /// Reads whether this process still owns the log.
@@ -143,6 +146,12 @@
     pub unconfirmed: u64,
     /// Workers that crashed.
     pub crashes: u64,
+    /// Silent workers whose machine is listed with another worker.
+    pub proved_replaced: u64,
+    /// Silent workers whose machine is not listed any more.
+    pub proved_gone: u64,
+    /// Silent workers whose machine is listed as down.
+    pub proved_down: u64,
     /// Jobs failed because workers crash under one of their tasks.
     pub convicted: u64,
     /// Tasks cleared of the suspicion of crashing workers.
@@ -208,6 +217,8 @@
     fences: fences::Fences,
     /// Leases that this owner has granted.
     grants: former_grants::Grants,
+    /// Lists of machines, and what they have proved.
+    machine_readings: machine_list::MachineReadings,
     began: Duration,
     predecessors: predecessors::Predecessors,
     /// Owners known before this one began, by epoch, and for how long.
@@ -318,6 +329,7 @@
             superseded: false,
             fences: fences::Fences::new(epoch),
             grants: former_grants::Grants::default(),
+            machine_readings: machine_list::MachineReadings::default(),
             began: now.at,
             predecessors: predecessors::Predecessors::default(),
             known_owners: BTreeMap::new(),
@@ -471,6 +483,7 @@
             self.log_congestion();
             self.fences.raise_pending(now.at);
             self.log_held_runs(now);
+            self.request_machine_list(now);
             self.expire_leases(now);
             self.record_silent_workers(now);
             self.expire_orphans(now);
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -165,6 +165,10 @@
             self.needs_planning = true;
         }
         worker.note_answered(poll);
+        self.note_answer_after_end(id);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
         if worker
             .replaced_since
             .is_some_and(|since| since <= poll.sent)
--- a/ashtiller/src/workflow/core/worker_list.rs
+++ b/ashtiller/src/workflow/core/worker_list.rs
@@ -144,7 +144,7 @@
     fn lose_runs_of_unlisted_workers(&mut self, now: Now) {
         let lost = self.runs_of_unlisted_workers();
         self.adopted.clear();
-        self.lose_adopted_runs(lost, now);
+        self.lose_adopted_runs(lost, "leases have expired", now);
     }
 
     /// Ends such runs on workers whose leases have ended before those of others.
@@ -153,16 +153,17 @@
         let over = incarnations.filter(|it| now.at >= self.earlier_leases_end_of(it));
         let over: Vec<Incarnation> = over.cloned().collect();
         let lost = over.iter().flat_map(|it| self.adopted.take(it)).collect();
-        self.lose_adopted_runs(lost, now);
+        self.lose_adopted_runs(lost, "leases have expired", now);
     }
 
-    fn lose_adopted_runs(&mut self, lost: Vec<Run>, now: Now) {
+    pub(super) fn lose_adopted_runs(&mut self, lost: Vec<Run>, cause: &str, now: Now) {
         if lost.is_empty() {
             return;
         }
         tracing::info!(
             runs = lost.len(),
-            "leases of workers that are not listed have expired"
+            cause,
+            "runs on workers that are not listed are lost"
         );
         let waited = now.at.saturating_sub(self.began);
         self.note_leases_expired(&lost, LeaseHold::EarlierOwners, waited);
--- a/ashtiller/src/workflow/machines.rs
+++ b/ashtiller/src/workflow/machines.rs
@@ -7,13 +7,15 @@
 
 use crate::store::CallFuture;
 
-/// Availability of a machine.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Phase {
-    /// It can run a worker.
-    Up,
-    /// It is moving to another pool, in maintenance, or down.
-    Away,
+/// What the platform says of the worker process on a machine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Process {
+    /// The worker with this id.
+    Running(Arc<str>),
+    /// None: the machine is down.
+    Ended,
+    /// Nothing certain.
+    Unknown,
 }
 
 /// A machine of the platform.
@@ -21,10 +23,17 @@
 pub struct Machine {
     /// Name of the machine.
     pub name: Arc<str>,
-    /// Service whose pool it belongs to.
-    pub pool: Arc<str>,
-    /// Its availability.
-    pub phase: Phase,
+    /// Worker process on it.
+    pub process: Process,
+}
+
+/// All machines of the platform.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct MachineList {
+    /// The machines.
+    pub machines: Vec<Machine>,
+    /// Whether they were read in several pages, between which machines may have come and gone.
+    pub paged: bool,
 }
 
 /// A planned maintenance of several machines.
@@ -73,8 +82,8 @@
 
 /// Client of the platform's machine interface.
 pub trait Machines: Send + Sync {
-    /// Lists all machines.
-    fn list(&self) -> CallFuture<'_, Vec<Machine>>;
+    /// Lists all machines, as of some time after the call.
+    fn list(&self) -> CallFuture<'_, MachineList>;
 
     /// Sends an order to a machine.
     fn order<'a>(
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -420,6 +420,12 @@
             ("restarts", now.restarts - before.restarts),
             ("unconfirmed", now.unconfirmed - before.unconfirmed),
             ("crashes", now.crashes - before.crashes),
+            (
+                "proved_replaced",
+                now.proved_replaced - before.proved_replaced,
+            ),
+            ("proved_gone", now.proved_gone - before.proved_gone),
+            ("proved_down", now.proved_down - before.proved_down),
             ("convicted", now.convicted - before.convicted),
             ("absolved", now.absolved - before.absolved),
             ("reordered", now.reordered - before.reordered),
--- a/ashtiller/src/workflow/owner/effects.rs
+++ b/ashtiller/src/workflow/owner/effects.rs
@@ -84,6 +84,20 @@
                         .await;
                 });
             }
+            Effect::ListMachines => {
+                let (machines, sender) = (self.node.machines.clone(), self.event_sender.clone());
+                task::spawn_local(async move {
+                    let result = match machines {
+                        Some(machines) => machines.list().await,
+                        None => Err(Failure::no_effect(
+                            "list machines",
+                            "platform",
+                            "the settings name no interface",
+                        )),
+                    };
+                    let _ = sender.send(Event::MachinesListed(result)).await;
+                });
+            }
             Effect::Poll(target, look) => {
                 let (calls, sender) = (self.node.relay_client.clone(), self.event_sender.clone());
                 task::spawn_local(async move {
--- a/ashtiller/src/workflow/owner/events.rs
+++ b/ashtiller/src/workflow/owner/events.rs
@@ -64,6 +64,7 @@
             Event::MachineOrderCompleted(machine, duty, result) => {
                 self.core.handle_machine_reply(&machine, &duty, result, now);
             }
+            Event::MachinesListed(result) => self.core.handle_machine_list(result, now),
             Event::WaveStatusWritten(number, finished, written) => {
                 if !written {
                     self.written_waves.remove(&(number, finished));
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -26,7 +26,7 @@
 use crate::workflow::incarnation::Incarnation;
 use crate::workflow::log::predecessors::ReplacedOwner;
 use crate::workflow::log::{AppendError, Replayed, Written};
-use crate::workflow::machines::{Done, MachineOrder};
+use crate::workflow::machines::{Done, MachineList, MachineOrder};
 use crate::workflow::membership::handover::CutDetector;
 use crate::workflow::message::{PeerRequest, Reply};
 use crate::workflow::node::Node;
@@ -71,6 +71,7 @@
     Workers(StoreUpdate),
     Advised(StepKey, Duration, Result<Tickets, Failure>),
     MachineOrderCompleted(Arc<str>, MachineOrder, Result<Done, Failure>),
+    MachinesListed(Result<MachineList, Failure>),
     /// The number of the wave, whether it has finished, and whether the write succeeded.
     WaveStatusWritten(u64, bool, bool),
     /// Whether another instance took over.
@@ -142,6 +143,9 @@
     );
     core.note_ownership_proof(proved_at);
     core.set_known_owners(known_owners, now);
+    if node.machines.is_some() {
+        core.enable_machine_list();
+    }
     let mut owner = Owner {
         node: node.clone(),
         ownership: log_owner,
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -95,6 +95,8 @@
     /// Highest fencing token of unanswered polls, sent to this incarnation or an earlier one, that
     /// may still acknowledge ends.
     unanswered_fence: u64,
+    /// Whether its process is known to have ended, and its runs were suspected as far as they may be.
+    pub ended: bool,
     /// Whether the last poll was answered.
     pub answers: bool,
     /// Time of the last answer to a poll.
@@ -184,6 +186,7 @@
             answered_fence: 0,
             poll_sent: Duration::ZERO,
             unanswered_fence: 0,
+            ended: false,
             answers: false,
             last_answer: Duration::ZERO,
             silent_since: None,
--- a/ashtiller/tests/admission/fleet.rs
+++ b/ashtiller/tests/admission/fleet.rs
@@ -181,7 +181,10 @@
             Effect::Reply(token, reply) => {
                 self.replies.insert(token.0, reply);
             }
-            Effect::Advise(_) | Effect::MachineOrder(..) | Effect::ConfirmOwnership => {}
+            Effect::Advise(_)
+            | Effect::MachineOrder(..)
+            | Effect::ListMachines
+            | Effect::ConfirmOwnership => {}
         }
     }
 }
--- a/ashtiller/tests/links/main.rs
+++ b/ashtiller/tests/links/main.rs
@@ -14,6 +14,9 @@
 #[path = "../../../platform/job.rs"]
 mod job;
 mod lists;
+#[path = "../../../platform/machines.rs"]
+mod machine_interface;
+mod machines;
 mod memory_store;
 mod net;
 mod origins;
--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -16,7 +16,7 @@
 use ashtiller::workflow::incarnation::Incarnation;
 use ashtiller::workflow::job::{Job, Policy, Step};
 use ashtiller::workflow::log_state::LogState;
-use ashtiller::workflow::machines::{Done, MachineOrder};
+use ashtiller::workflow::machines::{Done, MachineList, MachineOrder};
 use ashtiller::workflow::message::Reply;
 use ashtiller::workflow::record::{LogRecord, Run};
 use ashtiller::workflow::tuning::Tuning;
@@ -103,6 +103,11 @@
     pub machine_orders: Vec<(Arc<str>, MachineOrder)>,
     /// Reply of the machine management interface to each order; `None` while it is silent.
     pub machine_reply: Option<Done>,
+    /// The list of machines; `None` while the interface does not answer. Nothing is asked for
+    /// unless that is enabled.
+    pub machine_list: Option<MachineList>,
+    /// When the list of machines was asked for.
+    pub machine_list_requests: Vec<Duration>,
     pub records: Vec<LogRecord>,
     /// The only worker that the advisor allows for any run.
     pub advised_worker: Option<Incarnation>,
@@ -197,6 +202,8 @@
             advisor: Advisor::Answers,
             machine_orders: Vec::new(),
             machine_reply: Some(Done::Yes),
+            machine_list: None,
+            machine_list_requests: Vec::new(),
             records: Vec::new(),
             advised_worker: None,
             refusing_worker: None,
@@ -391,6 +398,12 @@
                 self.advice_requests.push(request);
                 self.core.handle_advice(key, asked_at, answer, self.now);
             }
+            Effect::ListMachines => {
+                self.machine_list_requests.push(self.now.at);
+                let failure = || Failure::unknown_effect("list machines", "platform", "no answer");
+                let list = self.machine_list.clone().ok_or_else(failure);
+                self.core.handle_machine_list(list, self.now);
+            }
             Effect::MachineOrder(machine, order) => {
                 let failure = Failure::unknown_effect("order machine", &machine, "no answer");
                 let reply = self.machine_reply.ok_or(failure);
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -22,6 +22,7 @@
 mod leaving;
 mod listing;
 mod lives;
+mod machine_list;
 mod news;
 mod overdue_fills;
 mod partial_reports;
--- a/ashtiller/tests/restarts.rs
+++ b/ashtiller/tests/restarts.rs
@@ -263,6 +263,7 @@
             Effect::Reply(..)
             | Effect::Advise(_)
             | Effect::MachineOrder(..)
+            | Effect::ListMachines
             | Effect::ConfirmOwnership => {}
         }
     }
--- a/ashtiller/tests/simulation/mod.rs
+++ b/ashtiller/tests/simulation/mod.rs
@@ -1,6 +1,7 @@
 //! Simulates owners, a log and workers in virtual time, with faults drawn from a seed.
 
 mod absences;
+mod machine_list;
 mod operators;
 pub mod outages;
 mod partitions;
@@ -24,6 +25,7 @@
 use ashtiller::workflow::incarnation::Incarnation;
 use ashtiller::workflow::job::{Job, Policy};
 use ashtiller::workflow::log_state::LogState;
+use ashtiller::workflow::machines::MachineList;
 use ashtiller::workflow::message::{Reply, State};
 use ashtiller::workflow::record::{End, LogRecord, Run};
 use ashtiller::workflow::tuning::Tuning;
@@ -31,6 +33,7 @@
 use rand_pcg::Pcg64;
 
 use absences::Absences;
+use machine_list::{Machines, Reading};
 use operators::{EVACUATION, Operators, Reader};
 use outages::Outages;
 use partitions::Partitions;
@@ -58,6 +61,7 @@
 
 /// Kinds and rates of faults.
 #[derive(Clone, Copy, Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "each is a switch of its own")]
 pub struct Faults {
     /// Percentage of orders whose reply is lost; half of it for polls.
     pub lost_percent: u32,
@@ -79,6 +83,8 @@
     pub evacuation_steps: u32,
     /// Restarts of workers under their ids, if any. With them, lost polls may arrive late, too.
     pub restarts: Option<Restarts>,
+    /// Whether owners can list the platform's machines.
+    pub lists_machines: bool,
     /// Number of ends in one reply of a worker.
     pub ends_per_reply: usize,
     /// Safeguards of workers that are disabled.
@@ -104,6 +110,9 @@
     /// A poll that timed out arrives at its worker.
     LatePoll(Target, Poll),
     PollAnswered(usize, Incarnation, Result<PollReply, Failure>),
+    /// An owner's request for the list of machines reaches the platform, or continues there.
+    MachinePage(usize, Reading),
+    MachinesListed(usize, Result<MachineList, Failure>),
     /// A worker's new process starts under the previous id.
     ProcessStarts(Arc<str>),
     /// A restarted worker writes its entry.
@@ -163,6 +172,7 @@
     lost_workers: BTreeMap<Arc<str>, BTreeMap<TaskName, u32>>,
     /// Machines by worker.
     machines: BTreeMap<Arc<str>, Arc<str>>,
+    platform: Machines,
     /// Capacities of workers before each change, with the time of the change.
     former_capacities: BTreeMap<Arc<str>, Vec<(Resources, Duration)>>,
     /// Runs started by an order that was meant for an earlier incarnation of the worker.
@@ -249,6 +259,7 @@
             crashes: BTreeMap::new(),
             lost_workers: BTreeMap::new(),
             machines: BTreeMap::new(),
+            platform: Machines::new(seed),
             former_capacities: BTreeMap::new(),
             misdirected: BTreeSet::new(),
             outages: Outages::default(),
@@ -273,6 +284,7 @@
         let pace = self.rng.random_range(98..=100);
         let incarnation = self.new_incarnation(id);
         self.machines.insert(id.into(), machine.clone());
+        self.platform.add(machine);
         let worker = Worker::new(incarnation.clone(), capacity(), pace, self.faults.weakness)
             .with_ends_per_reply(self.faults.ends_per_reply);
         // Without restarts under the same ids, the workers' clocks have been running for long.
@@ -434,6 +446,9 @@
         };
         let mut core = Core::new(tuning, self.epoch, state, next, now);
         core.set_config(self.config.clone());
+        if self.faults.lists_machines {
+            core.enable_machine_list();
+        }
         let earlier = self.owner_epochs[..self.owners.len()].iter();
         let cleared = core.log_state().cleared;
         let earlier: Vec<u64> = earlier.copied().filter(|epoch| *epoch >= cleared).collect();
@@ -612,6 +627,7 @@
         }
         tracing::trace!(worker = %id, "simulation: worker leaves");
         self.unreachable.remove(id);
+        self.platform.remove(&self.machines[id]);
         self.worker_entries.remove(id);
         let new_id = format!("w{}", self.sequence);
         self.add_worker(&new_id, &format!("m-{new_id}").into());
@@ -645,6 +661,7 @@
                 interval_steps: u32::MAX,
                 ..it
             }),
+            lists_machines: self.faults.lists_machines,
             ends_per_reply: self.faults.ends_per_reply,
             weakness: self.faults.weakness,
         };
@@ -720,6 +737,7 @@
                     self.accepted.insert(id);
                 }
             }
+            Effect::ListMachines => self.ask_for_machines(index),
             Effect::Advise(_) | Effect::MachineOrder(..) | Effect::ConfirmOwnership => {}
         }
     }
@@ -845,6 +863,12 @@
                 tracing::trace!(worker = %target.incarnation, fence = target.fence, look = ?poll, "simulation: late poll arrives");
                 self.poll_worker(&target, &poll);
             }
+            Event::MachinePage(index, reading) => self.read_machine_page(index, reading),
+            Event::MachinesListed(index, result) => {
+                if let Some(core) = &mut self.owners[index] {
+                    core.handle_machine_list(result, now);
+                }
+            }
             Event::ProcessStarts(id) => self.start_again(&id),
             Event::WriteEntry(id) => self.announce_restart(&id),
             Event::WorkerLeaves(id) => self.replace_worker(&id),
--- a/ashtiller/tests/simulation/outages.rs
+++ b/ashtiller/tests/simulation/outages.rs
@@ -119,6 +119,7 @@
     pub(super) fn pause_before(&self, event: &Event, now: Duration) -> Option<Duration> {
         let (Event::Durable(index, ..)
         | Event::OrderAnswered(index, ..)
+        | Event::MachinesListed(index, ..)
         | Event::PollAnswered(index, ..)) = event
         else {
             return None;
@@ -186,6 +187,11 @@
                 self.outages.cut_off.insert(id.clone());
             }
         }
+        match loss {
+            Loss::Vanished => self.platform.lose(&self.machines[id]),
+            Loss::Refusing => self.platform.remove(&self.machines[id]),
+            Loss::CutOff => {}
+        }
         let lapse = millis(rng, ENTRY_TTL - HEARTBEAT, ENTRY_TTL);
         self.schedule(lapse, Event::EntryLapses(id.clone()));
         self.schedule(millis(rng, 4000, 14_000), Event::WorkerJoins);
--- a/ashtiller/tests/workflow.rs
+++ b/ashtiller/tests/workflow.rs
@@ -43,6 +43,7 @@
     capacity_steps: 0,
     evacuation_steps: 0,
     restarts: None,
+    lists_machines: false,
     ends_per_reply: 500,
     weakness: DisabledSafeguards {
         fences: false,
@@ -60,6 +61,7 @@
     capacity_steps: 0,
     evacuation_steps: 0,
     restarts: None,
+    lists_machines: false,
     ends_per_reply: 500,
     weakness: DisabledSafeguards {
         fences: false,
@@ -195,9 +197,21 @@
 
 #[test]
 fn jobs_survive_worker_crashes_and_capacity_changes() {
+    check_crashes(CAPACITY_FAULTS);
+}
+
+#[test]
+fn jobs_survive_worker_crashes_while_machines_are_listed() {
+    check_crashes(Faults {
+        lists_machines: true,
+        ..CAPACITY_FAULTS
+    });
+}
+
+fn check_crashes(faults: Faults) {
     let (mut crashed, mut failed_jobs) = (0, 0);
-    for seed in 0..seeds() {
-        let simulation = run_seed_with_crashes(seed, CAPACITY_FAULTS);
+    for seed in first_seed()..first_seed() + seeds() {
+        let simulation = run_seed_with_crashes(seed, faults);
         assert!(
             simulation.violations.is_empty(),
             "seed {seed}: {:?}",
@@ -347,13 +361,14 @@
 
 /// Workers restart under their ids, in addition to the base faults. All seeds run, so that a
 /// failing one hides no other.
-fn check_restarts(report_born: bool) {
+fn check_restarts(report_born: bool, lists_machines: bool) {
     let interval_steps = 300;
     let faults = Faults {
         restarts: Some(Restarts {
             interval_steps,
             report_born,
         }),
+        lists_machines,
         ..BASE_FAULTS
     };
     if seeds() == 1 {
@@ -388,12 +403,24 @@
 
 #[test]
 fn jobs_survive_workers_that_start_again_under_their_ids() {
-    check_restarts(true);
+    check_restarts(true, false);
 }
 
 #[test]
 fn jobs_survive_workers_that_start_again_and_do_not_say_when_they_were_born() {
-    check_restarts(false);
+    check_restarts(false, false);
+}
+
+/// Owners also conclude from the list of machines that workers have ended. Where ids come back, the
+/// next process may carry out what was sent to the one before.
+#[test]
+fn jobs_survive_workers_that_start_again_while_machines_are_listed() {
+    check_restarts(true, true);
+}
+
+#[test]
+fn jobs_survive_workers_that_start_again_unborn_while_machines_are_listed() {
+    check_restarts(false, true);
 }
 
 /// Runs one seed in which workers restart under their ids.
@@ -530,8 +557,20 @@
 /// seeds run, so that a failing one hides no other.
 #[test]
 fn long_running_tasks_return_after_outages_of_workers_and_owners() {
+    check_outages(NO_FAULTS);
+}
+
+#[test]
+fn long_running_tasks_return_after_outages_while_machines_are_listed() {
+    check_outages(Faults {
+        lists_machines: true,
+        ..NO_FAULTS
+    });
+}
+
+fn check_outages(faults: Faults) {
     let run = |seed| {
-        let simulation = Simulation::new(seed, NO_FAULTS);
+        let simulation = Simulation::new(seed, faults);
         evaluate_outages(seed, &run_seed_with_outages(seed, simulation))
     };
     if seeds() == 1 {
@@ -564,8 +603,8 @@
 }
 
 /// Runs a seed: owners that go on without the store follow each other, and each reaches other workers.
-fn run_seed_with_partitions(seed: u64) -> Simulation {
-    let mut simulation = Simulation::new(seed, NO_FAULTS);
+fn run_seed_with_partitions(seed: u64, faults: Faults) -> Simulation {
+    let mut simulation = Simulation::new(seed, faults);
     for number in 0..6 {
         let job = long_running_job(number, &mut simulation);
         simulation.submit(job, Duration::from_hours(24));
@@ -579,8 +618,21 @@
 /// granted one. A task must not start elsewhere while such an owner still renews the lease.
 #[test]
 fn long_running_tasks_run_once_while_owners_reach_different_workers() {
+    check_partitions(NO_FAULTS);
+}
+
+/// A worker that is cut off and runs on is never taken for ended.
+#[test]
+fn long_running_tasks_run_once_on_unreachable_workers_while_machines_are_listed() {
+    check_partitions(Faults {
+        lists_machines: true,
+        ..NO_FAULTS
+    });
+}
+
+fn check_partitions(faults: Faults) {
     let run = |seed| {
-        let simulation = run_seed_with_partitions(seed);
+        let simulation = run_seed_with_partitions(seed, faults);
         let violations = &simulation.violations;
         let fault = (!violations.is_empty()).then(|| format!("seed {seed}: {violations:?}"));
         (simulation.starts, fault)
--- a/bench/src/crashes.rs
+++ b/bench/src/crashes.rs
@@ -382,6 +382,7 @@
             Effect::Reply(..)
             | Effect::Advise(_)
             | Effect::MachineOrder(..)
+            | Effect::ListMachines
             | Effect::ConfirmOwnership => {}
         }
     }
--- a/bench/src/decisions.rs
+++ b/bench/src/decisions.rs
@@ -212,6 +212,7 @@
             Effect::Reply(..)
             | Effect::Advise(_)
             | Effect::MachineOrder(..)
+            | Effect::ListMachines
             | Effect::ConfirmOwnership => {}
         }
     }
--- a/soak/src/entry.rs
+++ b/soak/src/entry.rs
@@ -37,6 +37,8 @@
     pub network: &'a Network,
     /// Address of the entry's proxy to the store.
     pub store: SocketAddr,
+    /// Address of the platform's machine interface.
+    pub machines: SocketAddr,
     /// Number of entries.
     pub entries: u8,
 }
@@ -52,6 +54,7 @@
             number,
             network,
             store,
+            machines,
             ..
         } = params;
         let own = |offset| network.entry(*number, offset);
@@ -62,7 +65,7 @@
             "[instance]\nname = entry-{number}\nregion = soak\navailability_zone = bern\n\
              [entry]\nhost = {}\nclients = {}\nreadiness = {}\n\
              operators = {}\nports = {},{}\nseeds = {}\ngrace = 4s\n\
-             [platform]\nstore = {store}\n[workers]\nlease = 4s\nhorizon = 5s\nevacuation = 5s\n",
+             [platform]\nstore = {store}\nmachines = {machines}\n[workers]\nlease = 4s\nhorizon = 5s\nevacuation = 5s\n",
             own(0).ip(),
             own(0),
             own(1),
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -26,6 +26,7 @@
 use crate::proxy::{Path, Proxy};
 use crate::shaky::{CrashedWorkers, Draws};
 use crate::standin::crash_injector::CrashInjector;
+use crate::standin::machine_server::{self, MachineRows, MachineServer};
 use crate::standin::store::{Store, zone_of};
 use crate::standin::worker_server::{SharedCrashInjector, TaskProfiles, WorkerServer};
 
@@ -34,6 +35,13 @@
 /// Time for the entries to start and discover each other.
 const START_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Faults of the machine interface.
+const MACHINE_FAULTS: machine_server::Faults = machine_server::Faults {
+    busy: 10,
+    silent: 10,
+    slow: 20,
+};
+
 /// Parameters of one seed's run.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -89,6 +97,7 @@
     pub sites: Vec<Site>,
     pub profiles: TaskProfiles,
     pub checks: Checks,
+    machines: MachineServer,
     /// Crashes workers under selected tasks.
     pub injector: SharedCrashInjector,
     /// Crashed workers that await their restart.
@@ -159,6 +168,17 @@
     }
 }
 
+/// Returns the machines of all workers; those of crashed workers are down.
+fn list_machines(fleet: &Fleet, workers: usize) -> MachineRows {
+    let fleet = fleet.lock();
+    let worker_on = |machine| {
+        let member: Option<&Member> = fleet.get(&machine);
+        member.map(|member| member.server.worker.lock().incarnation.id().to_owned())
+    };
+    let machines = (0..workers).map(|machine| (format!("m{machine}"), worker_on(machine)));
+    machines.collect()
+}
+
 /// Returns the initial capacity of each worker.
 pub(crate) fn worker_capacity() -> Resources {
     Resources {
@@ -183,12 +203,17 @@
             configs: Arc::default(),
             evacuated: Arc::default(),
         };
+        let (fleet, workers) = (checks.fleet.clone(), plan.workers);
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let rows = move || list_machines(&fleet, workers);
+        let machines = MachineServer::spawn(listener, rows, MACHINE_FAULTS, plan.seed)?;
         let mut world = Self {
             network,
             rng: Pcg64::seed_from_u64(plan.seed),
             sites: Vec::new(),
             profiles: TaskProfiles::default(),
             checks,
+            machines,
             injector: SharedCrashInjector::default(),
             crashed_workers: CrashedWorkers::default(),
             shaky: plan.shaky.then(|| Draws::new(plan.seed)),
@@ -219,6 +244,7 @@
             number,
             network: &self.network,
             store: store.address,
+            machines: self.machines.address,
             entries: self.plan.entries,
         })?;
         let clients = Proxy::spawn(entry.clients).await?;
