Record that a start was never sent when its connection was refused

Cause: an owner records a start as pending before it sends it. If the connection is refused, nothing was sent, and this owner knows it; but the record stayed, so that the next one took the start for one in flight and waited 13 s from then.

Change: a failure without effect withdraws the record, unless another start of the run may be in flight. The next attempt records it again and waits until that is durable, as any first start.

Tests: late_starts::handover::a_start_that_was_refused_is_not_in_doubt_for_the_next_owner is red without the change; a_start_that_was_refused_does_not_settle_the_one_before_it guards the other side.

--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -274,8 +274,12 @@
 
     fn handle_start_reply(&mut self, run: Run, reply: Result<OrderReply, Failure>, now: Now) {
         let mut refused = None;
-        if let Ok(OrderReply::Refused(Refusal::Old)) = reply {
-            self.note_refused_start(run, now);
+        match &reply {
+            Ok(OrderReply::Refused(Refusal::Old)) => self.note_refused_start(run, now),
+            Err(failure) if failure.effect == failure::RemoteEffect::None => {
+                self.note_unsent_start(run, now);
+            }
+            _ => {}
         }
         let listed = self.is_only_start_listed(run);
         let has_urgent_records = self.has_urgent_records();
@@ -311,9 +315,7 @@
             Ok(OrderReply::OtherIncarnation) => {}
             Err(failure) => {
                 tracing::info!(task = %run.task, run = run.number, worker = %live.worker, %failure, "start unanswered");
-                if failure.effect == failure::RemoteEffect::None {
-                    live.sent = live.sent.saturating_sub(1);
-                } else {
+                if failure.effect != failure::RemoteEffect::None {
                     let until = Some(now.at + LATE_MAX);
                     live.in_doubt = until.filter(|_| !listed);
                     // A later owner must know of each start that may be carried out late, so the
--- a/ashtiller/src/workflow/core/pending_starts.rs
+++ b/ashtiller/src/workflow/core/pending_starts.rs
@@ -82,6 +82,19 @@
         self.record(LogRecord::StartAnswered(run), now);
     }
 
+    /// Records that a start of a run certainly did not reach its worker, unless another one may have.
+    /// A later owner would otherwise wait until it can no longer be carried out.
+    pub(super) fn note_unsent_start(&mut self, run: Run, now: Now) {
+        let Some(live) = self.runs.get_mut(&run) else {
+            return;
+        };
+        live.sent = live.sent.saturating_sub(1);
+        let is_unsent = live.sent == 0 && live.in_doubt.is_none();
+        if is_unsent && self.pending_epoch(run) == Some(self.epoch) {
+            self.record(LogRecord::StartAnswered(run), now);
+        }
+    }
+
     /// Records that no start of a run by this owner is in flight any more, if so.
     pub(super) fn note_answered_start(&mut self, run: Run, now: Now) {
         let Some(live) = self.runs.get(&run) else {
--- a/ashtiller/tests/owner/late_starts.rs
+++ b/ashtiller/tests/owner/late_starts.rs
@@ -59,6 +59,8 @@
     Held,
     /// Not answered and never delivered.
     Lost,
+    /// The connection is refused, so that nothing was sent.
+    Refused,
     /// Delivered and answered after the worker's process has been replaced.
     AfterRestart,
     /// The same, with the held starts delivered before it.
@@ -367,6 +369,14 @@
                 (self.timeout, Err(unanswered))
             }
             Fate::Lost => (self.timeout, Err(unanswered)),
+            Fate::Refused => (
+                STEP,
+                Err(Failure::no_effect(
+                    "order",
+                    &target.incarnation,
+                    "connection refused",
+                )),
+            ),
             Fate::Held => {
                 self.held.push((self.now.at, target.clone(), order.clone()));
                 (self.timeout, Err(unanswered))
--- a/ashtiller/tests/owner/late_starts_handover.rs
+++ b/ashtiller/tests/owner/late_starts_handover.rs
@@ -219,3 +219,41 @@
         fleet.assert_correct();
     });
 }
+
+/// The connection of the only start is refused, as the worker is gone, and the owner ends soon after
+/// that. The next one waited for 13 s for a start that was never sent.
+fn refused_before_the_end(births: bool) {
+    let mut fleet = Fleet::new(births);
+    fleet.run_for(EARLIER_LEASES);
+    fleet.fates.push_back(Fate::Refused);
+    send_starts(&mut fleet, 1);
+    fleet.end("w0");
+    fleet.entries.remove("w0");
+    // The record goes with the next entry, which is written at the latest to prove the ownership.
+    fleet.run_for(Tuning::default().proof + SECOND);
+    fleet.replace_owner();
+    fleet.add_worker(1);
+    assert!(fleet.run_until(LEASES_OVER, |it| it.runs_at("w1", 2)));
+    fleet.assert_correct();
+}
+
+scenario!(
+    a_start_that_was_refused_is_not_in_doubt_for_the_next_owner,
+    refused_before_the_end
+);
+
+/// As above, but a start before it got no answer and may be carried out.
+fn refused_after_an_unanswered_one(births: bool) {
+    let mut fleet = Fleet::new(births);
+    fleet.fates.extend([Fate::Held, Fate::Refused]);
+    send_starts(&mut fleet, 2);
+    fleet.run_for(500 * MS);
+    fleet.replace_owner();
+    drain_and_deliver(&mut fleet);
+    fleet.assert_correct();
+}
+
+scenario!(
+    a_start_that_was_refused_does_not_settle_the_one_before_it,
+    refused_after_an_unanswered_one
+);
