Split what a list of machines proves from who reads it

machine_index.rs holds the list by machine and by worker, and the proofs; machine_list.rs the requests and what follows. An absent worker that has answered since the first of two lists in pages is left alone as well, as after a single list. Clearer names: paged lists, retired ids.

--- a/ashtiller/src/workflow/core/machine_list.rs
+++ b/ashtiller/src/workflow/core/machine_list.rs
@@ -3,15 +3,16 @@
 //! A worker's process that has ended never runs again, so an answer may be late. It proves nothing
 //! about a process that was not known when the list was asked for: it may name the one before.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::failure::Failure;
 use crate::workflow::config::ListedWorker;
+use crate::workflow::core::machine_index::{MachineIndex, Proof};
 use crate::workflow::core::{Core, Effect, Now};
 use crate::workflow::incarnation::Incarnation;
-use crate::workflow::machines::{MachineList, Process};
+use crate::workflow::machines::MachineList;
 use crate::workflow::record::{End, Run};
 
 /// Silence of a worker after which the list is read.
@@ -24,27 +25,6 @@
 /// a start may be in doubt.
 const MEMORY: Duration = Duration::from_mins(1);
 
-/// What proves that a worker's process has ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Proof {
-    /// Another worker runs on its machine.
-    Replaced,
-    /// Its machine does not exist any more.
-    Gone,
-    /// Its machine runs no worker. On some platforms the next one may have the same id.
-    Down,
-}
-
-impl Proof {
-    fn cause(self) -> &'static str {
-        match self {
-            Self::Replaced => "another worker runs on its machine",
-            Self::Gone => "its machine is not listed any more",
-            Self::Down => "its machine runs no worker",
-        }
-    }
-}
-
 /// A request for the list.
 #[derive(Debug)]
 struct Request {
@@ -55,9 +35,11 @@
     answering: Vec<Incarnation>,
 }
 
-/// A whole list, or one that is whole if the next one names its machines as well.
+/// A list that was read in several pages. It is whole if the next one names all of its machines again:
+/// then none was removed between two of its pages, and hid the one after it.
 #[derive(Debug)]
-struct FormerList {
+struct PagedList {
+    requested_at: Duration,
     machines: BTreeSet<Arc<str>>,
     /// Silent workers that it does not name.
     absent: BTreeSet<Incarnation>,
@@ -73,67 +55,13 @@
     /// Silent workers of the last request.
     known_silent: BTreeSet<Incarnation>,
     /// The last list, if it was read in several pages.
-    former: Option<FormerList>,
+    paged: Option<PagedList>,
     /// Ids of which no process will run again, and when that was learned.
-    over: BTreeMap<Arc<str>, Duration>,
+    retired: BTreeMap<Arc<str>, Duration>,
     /// Machines of workers that were removed, by id, and when.
     former_machines: BTreeMap<Arc<str>, (Arc<str>, Duration)>,
 }
 
-/// A list by name of machine and by id of worker.
-struct MachineIndex<'a> {
-    machines: HashMap<&'a str, &'a Process>,
-    running: BTreeSet<&'a str>,
-    /// Whether the worker of some machine is not told.
-    has_unknown: bool,
-}
-
-impl<'a> MachineIndex<'a> {
-    fn new(list: &'a MachineList) -> Self {
-        let mut index = Self {
-            machines: HashMap::new(),
-            running: BTreeSet::new(),
-            has_unknown: false,
-        };
-        for machine in &list.machines {
-            match &machine.process {
-                Process::Running(id) => {
-                    index.running.insert(id);
-                }
-                Process::Ended => {}
-                Process::Unknown => index.has_unknown = true,
-            }
-            let known = index.machines.insert(&machine.name, &machine.process);
-            if known.is_some_and(|known| *known != machine.process) {
-                // The machine changed while the pages were read.
-                index.machines.insert(&machine.name, &Process::Unknown);
-                index.has_unknown = true;
-            }
-        }
-        index
-    }
-
-    /// Returns what the list proves of the worker with this id, if its machine is listed.
-    fn find_proof(&self, id: &str, machine: &str) -> Option<Proof> {
-        if self.running.contains(id) {
-            return None;
-        }
-        match self.machines.get(machine)? {
-            Process::Running(_) => Some(Proof::Replaced),
-            Process::Ended => Some(Proof::Down),
-            Process::Unknown => None,
-        }
-    }
-
-    /// Returns whether no machine of the list may be the one that runs the worker with this id.
-    fn is_absent(&self, id: &str, machine: Option<&Arc<str>>) -> bool {
-        let elsewhere = machine.map_or(!self.has_unknown, |name| {
-            !self.machines.contains_key(&**name)
-        });
-        elsewhere && !self.running.contains(id)
-    }
-}
-
 impl Core {
     /// Allows requests for the list of machines.
     pub fn enable_machine_list(&mut self) {
@@ -141,8 +69,8 @@
     }
 
     /// Returns whether no process with this id will run again.
-    pub(super) fn is_id_over(&self, id: &str) -> bool {
-        self.machine_readings.over.contains_key(id)
+    pub(super) fn is_id_retired(&self, id: &str) -> bool {
+        self.machine_readings.retired.contains_key(id)
     }
 
     /// Remembers the machine of a worker that is removed.
@@ -156,9 +84,9 @@
 
     /// Withdraws the end of a worker that has answered since.
     pub(super) fn note_answer_after_end(&mut self, incarnation: &Incarnation) {
-        let is_over = self.machine_readings.over.remove(incarnation.id());
+        let was_retired = self.machine_readings.retired.remove(incarnation.id());
         if let Some(worker) = self.workers.get_mut(incarnation)
-            && (std::mem::take(&mut worker.ended) || is_over.is_some())
+            && (std::mem::take(&mut worker.ended) || was_retired.is_some())
         {
             tracing::warn!(worker = %incarnation, machine = worker.listed.machine.as_deref(),
                 "worker answers although its process was listed as ended");
@@ -183,7 +111,7 @@
         readings.requested_at = now.at;
         readings.interval = (readings.interval * 2).min(INTERVAL_MAX);
         readings.known_silent.clone_from(&silent);
-        readings.over.retain(|_, since| now.at < *since + MEMORY);
+        readings.retired.retain(|_, since| now.at < *since + MEMORY);
         let recent = |(_, since): &(Arc<str>, Duration)| now.at < *since + MEMORY;
         readings.former_machines.retain(|_, it| recent(it));
         let answering = self.workers.values().filter(|worker| worker.answers);
@@ -202,7 +130,7 @@
         let unconfirmed = self.log_state.unconfirmed().values().flatten();
         let unconfirmed = unconfirmed.map(|start| &start.worker);
         let unconfirmed: BTreeSet<&Incarnation> = unconfirmed
-            .filter(|worker| !self.is_id_over(worker.id()))
+            .filter(|worker| !self.is_id_retired(worker.id()))
             .collect();
         let silent = self.workers.iter().filter(|(incarnation, worker)| {
             let since = worker.last_answer.max(self.began);
@@ -245,8 +173,7 @@
             let Some(proof) = proof else {
                 continue;
             };
-            let worker = self.workers.get(incarnation);
-            if worker.is_some_and(|it| it.answers || it.last_answer >= request.sent) {
+            if self.has_answered_since(incarnation, request.sent) {
                 // It may have been started again, under its id, since the list was made.
                 tracing::warn!(worker = %incarnation, cause = proof.cause(),
                     "worker listed as ended has answered since");
@@ -256,6 +183,12 @@
         }
     }
 
+    /// Returns whether a worker answers, or has done so since.
+    fn has_answered_since(&self, incarnation: &Incarnation, since: Duration) -> bool {
+        let worker = self.workers.get(incarnation);
+        worker.is_some_and(|worker| worker.answers || worker.last_answer >= since)
+    }
+
     /// Returns the machine of a worker that is known or was.
     fn machine_of_id(&self, incarnation: &Incarnation) -> Option<Arc<str>> {
         if let Some(worker) = self.workers.get(incarnation) {
@@ -272,7 +205,7 @@
         list: &MachineList,
         index: &MachineIndex<'_>,
     ) -> BTreeSet<Incarnation> {
-        let former = self.machine_readings.former.take();
+        let former = self.machine_readings.paged.take();
         if let Some(missing) = self.find_unlisted_answering(request, index) {
             tracing::info!(worker = %missing, machines = list.machines.len(),
                 "list of machines lacks a worker that answers; absent ones prove nothing");
@@ -287,15 +220,16 @@
         if !list.paged {
             return absent;
         }
-        let remains = |name: &Arc<str>| index.machines.contains_key(&**name);
-        let gone = match former {
-            Some(former) if former.machines.iter().all(remains) => {
-                former.absent.intersection(&absent).cloned().collect()
-            }
-            _ => BTreeSet::new(),
-        };
+        let remains = |name: &Arc<str>| index.has_machine(name);
+        let former = former.filter(|former| former.machines.iter().all(remains));
+        let gone = former.map_or_else(BTreeSet::new, |former| {
+            let gone = former.absent.intersection(&absent);
+            let gone = gone.filter(|it| !self.has_answered_since(it, former.requested_at));
+            gone.cloned().collect()
+        });
         let machines = list.machines.iter().map(|machine| machine.name.clone());
-        self.machine_readings.former = Some(FormerList {
+        self.machine_readings.paged = Some(PagedList {
+            requested_at: request.sent,
             machines: machines.collect(),
             absent,
         });
@@ -314,14 +248,14 @@
             worker.is_some_and(|worker| worker.answers && worker.listed.machine.is_some())
         };
         let mut answering = request.answering.iter().filter(answers);
-        answering.find(|it| !index.running.contains(it.id()))
+        answering.find(|it| !index.has_worker(it.id()))
     }
 
     /// Ends a worker whose process is proved to have ended.
     fn end_process(&mut self, incarnation: &Incarnation, proof: Proof, now: Now) {
         if proof != Proof::Down {
             self.machine_readings
-                .over
+                .retired
                 .insert(incarnation.id().into(), now.at);
         }
         let Some(worker) = self.workers.get(incarnation) else {
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -24,6 +24,7 @@
 mod load;
 mod location_index;
 mod log_entries;
+mod machine_index;
 mod machine_list;
 mod orders;
 mod orphan_runs;
--- a/ashtiller/src/workflow/core/unconfirmed_starts.rs
+++ b/ashtiller/src/workflow/core/unconfirmed_starts.rs
@@ -177,7 +177,7 @@
     /// it began unnoticed: no process of this id runs any more, an incarnation of the worker has
     /// listed its runs since, none is left, or the lease that came with the start has expired.
     fn has_expired(&self, start: &UnconfirmedStart, now: Now) -> bool {
-        if self.is_id_over(start.worker.id()) {
+        if self.is_id_retired(start.worker.id()) {
             return true;
         }
         let last = self.last_sending_of(start) + LATE_MAX;
--- a/ashtiller/tests/owner/machine_list.rs
+++ b/ashtiller/tests/owner/machine_list.rs
@@ -235,9 +235,8 @@
     let mut driver = begin(Some(paged(&machines)));
     run_until_requested(&mut driver);
     driver.machine_list = Some(paged(&machines[..2]));
-    while driver.machine_list_requests.len() < 2 {
-        driver.run_for(5 * MS);
-    }
+    driver.run_for(1100 * MS);
+    assert_eq!(driver.machine_list_requests.len(), 2);
     driver.machine_list = None;
     driver.run_for(5 * SECOND);
     assert!(started_on(&driver, 2).is_empty());
