--- a/ashtiller/src/workflow/core/machine_list.rs
+++ b/ashtiller/src/workflow/core/machine_list.rs
@@ -303,26 +303,35 @@
         self.lose_worker(incarnation, proof.cause(), now);
     }
 
-    /// Ends the runs of a worker whose machine is down. What is in flight to the worker may reach the
-    /// next process under its id, so its state is kept, and its unanswered starts stay in doubt.
+    /// Ends the runs of a worker whose process has ended, but for those whose start may reach the next
+    /// process under its id. What is in flight to the worker may reach that process as well, so the
+    /// worker's state is kept.
     fn end_runs_of_down_worker(&mut self, incarnation: &Incarnation, now: Now) {
         self.clear_orphans(incarnation);
         let Some(worker) = self.workers.get(incarnation) else {
             return;
         };
-        let lost: Vec<Run> = worker.runs.iter().copied().collect();
+        let runs = worker.runs.iter().copied();
+        let (kept, lost): (Vec<Run>, Vec<Run>) =
+            runs.partition(|run| self.has_start_in_flight(*run, now));
         if lost.is_empty() {
             return;
         }
         let (hold, waited) = (self.lease_hold(worker, now), self.silence_of(worker, now));
         tracing::info!(worker = %incarnation, cause = Proof::Down.cause(), runs = lost.len(),
-            waited_ms = waited.as_millis(), "worker's process has ended");
+            kept = kept.len(), waited_ms = waited.as_millis(), "worker's process has ended");
         self.note_leases_expired(&lost, hold, waited);
         self.count_proof(Proof::Down, true);
-        let culprit = self.record_crash(incarnation, now);
-        if let Some(worker) = self.workers.get_mut(incarnation) {
-            worker.ended = true;
-        }
+        let culprit = if kept.is_empty() {
+            let culprit = self.record_crash(incarnation, now);
+            if let Some(worker) = self.workers.get_mut(incarnation) {
+                worker.ended = true;
+            }
+            culprit
+        } else {
+            self.suspect_lost_runs(incarnation, &lost, now);
+            None
+        };
         for run in lost {
             self.end_run(run, End::Lost, &Arc::from(""), now);
         }
--- a/ashtiller/src/workflow/core/pending_starts.rs
+++ b/ashtiller/src/workflow/core/pending_starts.rs
@@ -22,6 +22,14 @@
         self.pending_epoch(run).filter(|epoch| *epoch != self.epoch)
     }
 
+    /// Returns whether a start of a run may be in flight, by whichever owner.
+    pub(super) fn has_start_in_flight(&self, run: Run, now: Now) -> bool {
+        let live = self.runs.get(&run);
+        let in_doubt = live.and_then(|live| live.in_doubt);
+        self.log_state.pending_starts().contains_key(&run)
+            || in_doubt.is_some_and(|until| now.at < until)
+    }
+
     /// Records that a start of a run is about to be sent.
     pub(super) fn record_pending_start(&mut self, run: Run, now: Now) {
         if self.log_state.excludes_copies(run.task) {
