--- a/ashtiller/tests/workflow.rs
+++ b/ashtiller/tests/workflow.rs
@@ -424,13 +424,14 @@
 }
 
 /// Runs one seed in which workers restart under their ids.
-fn check_restart_seed(seed: u64, report_born: bool) {
+fn check_restart_seed(seed: u64, report_born: bool, lists_machines: bool) {
     let interval_steps = 300;
     let faults = Faults {
         restarts: Some(Restarts {
             interval_steps,
             report_born,
         }),
+        lists_machines,
         ..BASE_FAULTS
     };
     let simulation = run_seed(seed, faults);
@@ -449,7 +450,14 @@
 /// worker that was silent or whose state was uncertain.
 #[test]
 fn acknowledgements_go_only_to_an_incarnation_that_answers() {
-    check_restart_seed(1924, true);
+    check_restart_seed(1924, true, false);
+}
+
+/// Guards against two runs of a task on one worker. Its machine was down, the run was ended although a
+/// start of it was late, and that start reached a later process under the same id beside the next run.
+#[test]
+fn a_run_with_a_late_start_is_not_ended_because_its_machine_is_down() {
+    check_restart_seed(96_002_312, false, true);
 }
 
 #[test]
