Show the cost of placement rounds and the pieces of free capacity

A fleet without room for short tasks, one whose room is in pieces, and an owner that runs out of processor time looked alike in logs and metrics. A line every 5 s while steps wait, gauges of the free processors by the tasks of a size that fit, a histogram of the time of rounds and counters of their work tell them apart. Nothing is decided differently.

--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -37,6 +37,7 @@
 mod relocation;
 mod reports;
 pub mod reserve;
+pub mod round_report;
 pub mod run_times;
 mod runs;
 mod selectivity;
@@ -167,6 +168,12 @@
     pub readmitted: u64,
     /// Steps of jobs worth nothing any more that were placed ahead of others.
     pub promoted: u64,
+    /// Placement rounds in which steps waited.
+    pub rounds: u64,
+    /// Waiting steps that these rounds examined.
+    pub steps_examined: u64,
+    /// Workers that were compared for tasks of these steps.
+    pub candidates_compared: u64,
 }
 
 /// The state machine of a log's owner.
@@ -262,6 +269,8 @@
     wait_logged_at: BTreeMap<StepKey, Duration>,
     /// When the wait of a step that is not long-running may be logged next.
     next_short_wait_log: Duration,
+    /// When the free capacity may be logged next.
+    next_round_log: Duration,
     /// When runs on silent workers are checked next for a log line.
     next_held_log: Duration,
     /// Waits for leases that ended and are not counted yet.
@@ -357,6 +366,7 @@
             freed_workers: BTreeSet::new(),
             wait_logged_at: BTreeMap::new(),
             next_short_wait_log: Duration::ZERO,
+            next_round_log: Duration::ZERO,
             next_held_log: Duration::ZERO,
             ended_lease_waits: Vec::new(),
             last_rescue: now.at,
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -210,6 +210,8 @@
             self.hold_starts(now);
             return;
         }
+        self.counts.rounds += 1;
+        self.log_round(&waiting, now);
         let fleet = self.collect_candidates(now);
         self.read_capacities(&fleet, now);
         let trials = self.count_trials(&fleet, now);
@@ -279,6 +281,7 @@
         round: &mut PlacementRound,
         now: Now,
     ) {
+        self.counts.steps_examined += 1;
         let mut demand = self.demand_of(pending, now);
         if let Some(index) = round.find_unplaceable(&demand)
             && !self.has_bound_tasks(pending)
@@ -336,6 +339,9 @@
             // The ranking holds for tasks without restrictions of their own.
             let is_ranked = request.failed_on.is_empty() && request.only.is_none();
             let fleet = &round.candidates;
+            if !is_ranked || ranking.is_none() {
+                self.counts.candidates_compared += fleet.len() as u64;
+            }
             let index = if is_ranked {
                 self.choose_ranked(&mut ranking, fleet, &request)
             } else {
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics of an entry instance.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use prometheus::{
@@ -15,6 +16,7 @@
 use crate::workflow::core::eligibility::Eligibility;
 use crate::workflow::core::lease_waits::{HeldRuns, LeaseHold, LeaseWait};
 use crate::workflow::core::reserve::ReserveSummary;
+use crate::workflow::core::round_report::FreeProcessors;
 use crate::workflow::core::run_times::RunTimeRatio;
 use crate::workflow::core::times::TimeBreakdown;
 use crate::workflow::core::wait_report::WaitSummary;
@@ -89,6 +91,7 @@
     orders: HistogramVec,
     commits: Histogram,
     takeovers: Histogram,
+    rounds: Histogram,
     times: HistogramVec,
     run_time_ratios: HistogramVec,
     events: IntCounterVec,
@@ -97,6 +100,7 @@
     waited: GaugeVec,
     workers: IntGaugeVec,
     reserve: IntGaugeVec,
+    free: IntGaugeVec,
     pressure: GaugeVec,
     shares: GaugeVec,
     silent: IntCounter,
@@ -143,6 +147,10 @@
                 "takeover_seconds",
                 "time from owning the log to its replay",
             ))?,
+            rounds: Histogram::with_opts(histogram(
+                "round_seconds",
+                "time of a step of the owner with a placement round",
+            ))?,
             times: HistogramVec::new(
                 histogram("job_seconds", "where the time of jobs that ended went"),
                 &["part"],
@@ -181,6 +189,13 @@
                 ),
                 &["service", "what"],
             )?,
+            free: IntGaugeVec::new(
+                opts(
+                    "free_processors",
+                    "free processors of workers that may get runs: all, the most on one worker, and tasks of a size that fit",
+                ),
+                &["service", "what"],
+            )?,
             pressure: GaugeVec::new(
                 opts(
                     "pressure",
@@ -232,6 +247,7 @@
             Box::new(self.orders.clone()),
             Box::new(self.commits.clone()),
             Box::new(self.takeovers.clone()),
+            Box::new(self.rounds.clone()),
             Box::new(self.times.clone()),
             Box::new(self.run_time_ratios.clone()),
             Box::new(self.events.clone()),
@@ -239,6 +255,7 @@
             Box::new(self.waited.clone()),
             Box::new(self.workers.clone()),
             Box::new(self.reserve.clone()),
+            Box::new(self.free.clone()),
             Box::new(self.pressure.clone()),
             Box::new(self.shares.clone()),
             Box::new(web::silent_connections()),
@@ -294,6 +311,11 @@
         self.takeovers.observe(took.as_secs_f64());
     }
 
+    /// Records the time of a step of the owner with a placement round.
+    pub fn note_round(&self, took: Duration) {
+        self.rounds.observe(took.as_secs_f64());
+    }
+
     /// Records where the time of an ended job went.
     pub fn note_times(&self, times: &TimeBreakdown) {
         let parts = [
@@ -351,6 +373,22 @@
         gauge("", "held_steps", held as u64);
     }
 
+    /// Sets the gauges of free processors, in whole processors and in tasks of some sizes.
+    pub fn note_free_processors(&self, services: &BTreeMap<Arc<str>, FreeProcessors>) {
+        self.free.reset();
+        for (service, free) in services {
+            let gauge = |what: &str, figure: u64| {
+                let gauge = self.free.with_label_values(&[&**service, what]);
+                gauge.set(i64::try_from(figure).unwrap_or(i64::MAX));
+            };
+            gauge("all", free.total / 1000);
+            gauge("largest", free.largest / 1000);
+            for (size, pieces) in free.sizes() {
+                gauge(&format!("tasks_of_{size}"), pieces);
+            }
+        }
+    }
+
     /// Returns the metrics of runs on silent workers.
     #[must_use]
     pub fn leases(&self) -> &LeaseMetrics {
@@ -395,6 +433,7 @@
         self.waited.reset();
         self.workers.reset();
         self.reserve.reset();
+        self.free.reset();
         self.pressure.reset();
         self.shares.reset();
     }
@@ -433,6 +472,12 @@
             ("refused_early", now.refused_early - before.refused_early),
             ("readmitted", now.readmitted - before.readmitted),
             ("promoted", now.promoted - before.promoted),
+            ("rounds", now.rounds - before.rounds),
+            ("steps_examined", now.steps_examined - before.steps_examined),
+            (
+                "candidates_compared",
+                now.candidates_compared - before.candidates_compared,
+            ),
         ];
         for (event, change) in changes {
             self.events.with_label_values(&[event]).inc_by(change);
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -21,7 +21,7 @@
 use crate::workflow::advisor::Tickets;
 use crate::workflow::agents::{Order, OrderReply, PollReply};
 use crate::workflow::core::advice::StepKey;
-use crate::workflow::core::{Core, Counts, Now, RequestToken};
+use crate::workflow::core::{Core, Counts, Effect, Now, RequestToken};
 use crate::workflow::follow::{self, StoreUpdate};
 use crate::workflow::incarnation::Incarnation;
 use crate::workflow::log::predecessors::ReplacedOwner;
@@ -306,7 +306,7 @@
             }
             self.write_wave_status();
             self.choose_relays();
-            for effect in self.core.advance(now) {
+            for effect in self.advance_core(now) {
                 self.execute(effect);
             }
             self.publish_overload(now);
@@ -320,6 +320,16 @@
         }
     }
 
+    /// Advances the state machine, and records how long that took if tasks were placed.
+    fn advance_core(&mut self, now: Now) -> Vec<Effect> {
+        let (began, rounds) = (Instant::now(), self.core.counts().rounds);
+        let effects = self.core.advance(now);
+        if self.core.counts().rounds > rounds {
+            self.node.metrics.note_round(began.elapsed());
+        }
+        effects
+    }
+
     fn choose_relays(&self) {
         let client = &self.node.relay_client;
         let workers = self.core.workers().len();
@@ -393,6 +403,8 @@
             &self.core.reserve_summaries(now),
             self.core.held_back_steps(),
         );
+        let free = self.core.free_processors(now);
+        self.node.metrics.note_free_processors(&free);
         let client = &self.node.relay_client;
         self.node.metrics.note_pressure(
             self.core.congestion(),
