--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -541,6 +541,7 @@
         if let Some(job) = self.log_state.jobs.get(&number) {
             tracing::info!(job = %job.job.id, ?outcome, position = self.position,
                 room_ms = times.waiting.as_millis(), answer_ms = times.start_delay.as_millis(),
+                send_ms = times.send_delay.as_millis(),
                 work_ms = times.work.as_millis(), paced_ms = times.throttled.as_millis(), "job ended");
         }
         self.advice_states.retain(|key, _| key.0 != number);
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -75,7 +75,10 @@
             self.counts.orders += 1;
             if let Some(live) = self.runs.get_mut(&run) {
                 live.ordering = true;
-                live.sent += u32::from(matches!(order, Order::Start(_)));
+                if matches!(order, Order::Start(_)) {
+                    live.sent += 1;
+                    live.first_sent.get_or_insert(now.at);
+                }
             }
             let target = worker.target(fence, limit);
             self.effects.push(Effect::Order(target, run, order));
--- a/ashtiller/src/workflow/core/round_report.rs
+++ b/ashtiller/src/workflow/core/round_report.rs
@@ -90,7 +90,9 @@
                 long_running = count(WorkClass::LongRunning), short = count(WorkClass::Short),
                 best_effort = count(WorkClass::BestEffort), rounds = counts.rounds,
                 steps = counts.steps_examined, candidates = counts.candidates_compared,
-                placed = counts.placed, "steps wait for workers");
+                placed = counts.placed, orders = counts.orders, polls = counts.looks,
+                entries = counts.entries, done = counts.done, stopped = counts.stopped,
+                "steps wait for workers");
         }
     }
 }
--- a/ashtiller/src/workflow/core/times.rs
+++ b/ashtiller/src/workflow/core/times.rs
@@ -16,6 +16,8 @@
     pub waiting: Duration,
     /// Time from placement to the worker's confirmation of the start.
     pub start_delay: Duration,
+    /// Part of the start delay before the start was sent.
+    pub send_delay: Duration,
     /// Time from the confirmed start to the end of the run.
     pub work: Duration,
     /// Part of the running time that was lost to throttling.
@@ -26,6 +28,7 @@
     fn raise_to(&mut self, other: Self) {
         self.waiting = self.waiting.max(other.waiting);
         self.start_delay = self.start_delay.max(other.start_delay);
+        self.send_delay = self.send_delay.max(other.send_delay);
         self.work = self.work.max(other.work);
         self.throttled = self.throttled.max(other.throttled);
     }
@@ -33,6 +36,7 @@
     fn add(&mut self, other: Self) {
         self.waiting += other.waiting;
         self.start_delay += other.start_delay;
+        self.send_delay += other.send_delay;
         self.work += other.work;
         self.throttled += other.throttled;
     }
@@ -114,6 +118,9 @@
         let times = TimeBreakdown {
             waiting: Duration::ZERO,
             start_delay: at.saturating_sub(live.placed),
+            send_delay: live
+                .first_sent
+                .map_or(Duration::ZERO, |sent| sent.saturating_sub(live.placed)),
             work: now.saturating_sub(at),
             throttled: live.paced + live.paced_since(now),
         };
--- a/ashtiller/src/workflow/live_run.rs
+++ b/ashtiller/src/workflow/live_run.rs
@@ -94,6 +94,8 @@
     pub sent: u32,
     /// Time of placement.
     pub placed: Duration,
+    /// Time at which the first start was sent.
+    pub first_sent: Option<Duration>,
     /// Time at which the run was first seen active, and its progress then.
     pub began: Option<(Duration, u32)>,
     /// Progress in percent.
@@ -151,6 +153,7 @@
             isolated: false,
             sent: u32::from(stage == Stage::Starting),
             placed: now,
+            first_sent: None,
             began: None,
             percent: 0,
             progressed_at: now,
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -321,6 +321,7 @@
         let parts = [
             ("room", times.waiting),
             ("answer", times.start_delay),
+            ("send", times.send_delay),
             ("work", times.work),
             ("paced", times.throttled),
         ];
