Price the room that services take, and merge pieces of free capacity

Cause: the free processors lay in pieces. A service took a fresh piece of a worker of its own image's rather than one that fits it beside others, since grouping has a constant weight, whatever the placement takes from others; and pieces that were made early stayed as they were.

Change: the demand of short tasks is learned by size, and a placement of a long-running task pays for the pieces that it takes, in the unit of the other costs (room.rs). While short steps fit nowhere, long-running runs move to smaller pieces that fit them, within the limit of unavailable tasks of their step (core/defragmentation.rs, switch `defragment`).

The moves lose hardly any work: a service counts by the time that it is at work.

--- a/ashtiller/src/workflow/core/advice.rs
+++ b/ashtiller/src/workflow/core/advice.rs
@@ -120,6 +120,7 @@
             failed_on: BTreeSet::new(),
             runs_per_worker: BTreeMap::new(),
             reserve: request.reserve.clone(),
+            room: None,
             ..*request
         };
         let mut candidates: Vec<&Candidate> = fleet
--- a/ashtiller/src/workflow/core/candidates.rs
+++ b/ashtiller/src/workflow/core/candidates.rs
@@ -20,6 +20,7 @@
 use crate::workflow::load::account::WorkClass;
 use crate::workflow::record::{Run, Task};
 use crate::workflow::reserve::plan::{Offer, ServiceReserve};
+use crate::workflow::room::RoomPrice;
 use crate::workflow::switches::Switches;
 use crate::workflow::worker::Worker;
 
@@ -158,6 +159,8 @@
     pub tolerance: Tolerance,
     /// Capacity that the task has to leave to short ones, if it is long-running.
     pub reserve: Option<Arc<ServiceReserve>>,
+    /// Price of the room that the task takes from short ones, if it is long-running.
+    pub room: Option<Arc<RoomPrice>>,
 }
 
 impl Core {
@@ -283,6 +286,9 @@
         let avoided =
             reserve.is_some_and(|it| it.is_better_avoided(&candidate.offer(), &request.resources));
         let cost = if avoided { cost + RESERVE_COST } else { cost };
+        let room = request.room.as_ref();
+        let taken = room.map(|it| it.cost(&candidate.offer().for_short(), &request.resources));
+        let cost = cost + taken.unwrap_or_default();
         cost.is_finite().then_some(cost)
     }
 
@@ -461,6 +467,7 @@
             selectivity: demand.selectivity,
             tolerance: demand.tolerance,
             reserve: None,
+            room: None,
         };
         self.cost(&request, &core.interference, core.tuning.switches)
     }
--- a/ashtiller/src/workflow/core/freed_capacity.rs
+++ b/ashtiller/src/workflow/core/freed_capacity.rs
@@ -25,10 +25,12 @@
         waiting.sort_unstable();
         let mut fleet = self.collect_candidates(now);
         let reserve = self.plan_reserve(&fleet, &waiting, now);
+        let room = self.price_room(&fleet, &waiting);
         fleet.retain(|candidate| freed.contains(&candidate.id));
         let trials = self.count_trials(&fleet, now);
         let mut round = PlacementRound::new(fleet, trials);
         round.reserve = reserve;
+        round.room = room;
         for pending in waiting {
             if !self.has_capacity(&pending, &round.candidates) {
                 continue;
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -12,6 +12,7 @@
 mod candidates;
 mod crash_record;
 mod crashes;
+mod defragmentation;
 mod dispatch;
 mod dump;
 pub mod eligibility;
@@ -168,6 +169,8 @@
     pub readmitted: u64,
     /// Steps of jobs worth nothing any more that were placed ahead of others.
     pub promoted: u64,
+    /// Long-running runs moved to make room for short tasks.
+    pub defragmented: u64,
     /// Placement rounds in which steps waited.
     pub rounds: u64,
     /// Waiting steps that these rounds examined.
@@ -262,6 +265,8 @@
     /// Long-running steps that wait although there was capacity, by job, occurrence and step.
     passed_over: BTreeMap<StepKey, starvation::StarvationTracker>,
     reserved: Option<starvation::WorkerReservation>,
+    /// Moves that make room for short tasks.
+    defragmentation: defragmentation::Defragmentation,
     /// Workers on which runs have freed capacity since the last round while long-running steps
     /// wait.
     freed_workers: BTreeSet<Incarnation>,
@@ -363,6 +368,7 @@
             last_poll_scan: now.at,
             passed_over: BTreeMap::new(),
             reserved: None,
+            defragmentation: defragmentation::Defragmentation::default(),
             freed_workers: BTreeSet::new(),
             wait_logged_at: BTreeMap::new(),
             next_short_wait_log: Duration::ZERO,
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -5,7 +5,7 @@
 
 use crate::resources::Resources;
 use crate::workflow::core::advice::StepKey;
-use crate::workflow::core::candidates::{self, Candidate, PlacementRequest};
+use crate::workflow::core::candidates::{self, Candidate, CandidateRanking, PlacementRequest};
 use crate::workflow::core::selectivity::Tolerance;
 use crate::workflow::core::step_priority::WaitingStep;
 use crate::workflow::core::trials::{ActiveTrials, TrialResult};
@@ -16,9 +16,10 @@
 use crate::workflow::live_run::RunSharing;
 use crate::workflow::record::{Run, Task};
 use crate::workflow::reserve::plan::{ReservePlan, ServiceReserve};
+use crate::workflow::room::RoomPrices;
 
 /// Requirements of a task, used to remember which requirements no worker meets.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub(super) struct Demand {
     pub service: Arc<str>,
     pub share: RunSharing,
@@ -40,7 +41,7 @@
     }
 
     /// Returns whether these requirements are at most those of `other`.
-    fn is_within(&self, other: &Self) -> bool {
+    pub fn is_within(&self, other: &Self) -> bool {
         self.service == other.service
             && self.share == other.share
             && self.resources.fits_within(&other.resources)
@@ -66,6 +67,8 @@
     pub trials: ActiveTrials,
     /// Capacity that long-running tasks leave to short ones.
     pub reserve: ReservePlan,
+    /// Prices of the room that long-running tasks take from short ones.
+    pub room: RoomPrices,
 }
 
 impl PlacementRound {
@@ -78,6 +81,7 @@
             promoted_late: BTreeSet::new(),
             trials,
             reserve: ReservePlan::default(),
+            room: RoomPrices::new(),
         }
     }
 
@@ -126,6 +130,11 @@
             selectivity: demand.selectivity,
             tolerance: demand.tolerance,
             reserve: self.reserve_for(demand),
+            room: self
+                .room
+                .get(service)
+                .filter(|_| step.long_running)
+                .cloned(),
         }
     }
 
@@ -217,6 +226,7 @@
         let trials = self.count_trials(&fleet, now);
         let mut round = PlacementRound::new(fleet, trials);
         round.reserve = self.plan_reserve(&round.candidates, &waiting, now);
+        round.room = self.price_room(&round.candidates, &waiting);
         if self.tuning.switches.room_in_time {
             self.promote_long_running(&mut waiting, &mut round, now);
             if !self.tuning.switches.admission_control {
@@ -240,6 +250,7 @@
             }
         }
         self.log_shares(order.reordered(), now);
+        self.defragment(&waiting, &round, now);
         for task in copyable {
             self.place_copy(task, &mut round, now);
         }
@@ -324,31 +335,21 @@
                 (demand.tolerance, request.tolerance) = (Tolerance::Usual, Tolerance::Usual);
                 ranking = None;
             }
-            request.only = match self.site_of(*task) {
+            request.only = match self.site_in_round(*task, &demand, round, now) {
                 Site::Any if is_held => continue,
                 Site::Any => None,
                 Site::Only(worker) => Some(worker),
                 Site::Nowhere => continue,
             };
-            let state = self.log_state.task(*task).map(|(_, state)| state);
-            request.failed_on = state.map_or_else(BTreeSet::new, |it| it.failed_on.clone());
+            request.failed_on = self.failed_on(*task);
             match self.place_as_trial(*task, &request, round, now) {
                 TrialResult::None => {}
                 TrialResult::Placed | TrialResult::Waits => continue,
             }
             // The ranking holds for tasks without restrictions of their own.
             let is_ranked = request.failed_on.is_empty() && request.only.is_none();
-            let fleet = &round.candidates;
-            if !is_ranked || ranking.is_none() {
-                self.counts.candidates_compared += fleet.len() as u64;
-            }
-            let index = if is_ranked {
-                self.choose_ranked(&mut ranking, fleet, &request)
-            } else {
-                self.choose_worker(fleet, &request)
-            };
-            debug_assert_eq!(index, self.choose_worker(fleet, &request));
-            let Some(index) = index else {
+            let usable = is_ranked.then_some(&mut ranking);
+            let Some(index) = self.choose_candidate(usable, &round.candidates, &request) else {
                 self.advise_on(&tasks[placed..], &request, round, now);
                 if request.only.is_some() {
                     continue;
@@ -375,11 +376,7 @@
                 // The worker's state has changed, so the ranking is out of date.
                 _ => ranking = None,
             }
-            let number = self.next_run_number(*task);
-            let run = Run {
-                task: *task,
-                number,
-            };
+            let run = self.next_run(*task);
             let ticket = tickets.as_ref().and_then(|it| it.get(&id).cloned());
             self.place_run(run, &id, ticket, now);
             if is_promoted {
@@ -388,6 +385,45 @@
         }
     }
 
+    /// Returns the workers on which a task has failed.
+    fn failed_on(&self, task: Task) -> BTreeSet<Incarnation> {
+        let state = self.log_state.task(task).map(|(_, state)| state);
+        state.map_or_else(BTreeSet::new, |it| it.failed_on.clone())
+    }
+
+    fn next_run(&self, task: Task) -> Run {
+        let number = self.next_run_number(task);
+        Run { task, number }
+    }
+
+    /// Returns where a task may be placed: it may be bound to a worker, or move to one.
+    fn site_in_round(&self, task: Task, demand: &Demand, round: &PlacementRound, now: Now) -> Site {
+        match self.site_of(task) {
+            Site::Any => self
+                .destination_of(task, &demand.resources, round, now)
+                .map_or(Site::Any, Site::Only),
+            bound => bound,
+        }
+    }
+
+    /// Returns the index of the cheapest candidate for a task, by a ranking if it may be used.
+    fn choose_candidate(
+        &mut self,
+        ranking: Option<&mut Option<CandidateRanking>>,
+        fleet: &[Candidate],
+        request: &PlacementRequest<'_>,
+    ) -> Option<usize> {
+        if ranking.as_ref().is_none_or(|it| it.is_none()) {
+            self.counts.candidates_compared += fleet.len() as u64;
+        }
+        let index = match ranking {
+            Some(ranking) => self.choose_ranked(ranking, fleet, request),
+            None => self.choose_worker(fleet, request),
+        };
+        debug_assert_eq!(index, self.choose_worker(fleet, request));
+        index
+    }
+
     /// Accounts for a run that is placed on a candidate, and returns the worker.
     fn add_to_candidate(
         &self,
--- a/ashtiller/src/workflow/core/relocation.rs
+++ b/ashtiller/src/workflow/core/relocation.rs
@@ -79,6 +79,7 @@
             selectivity: 0.0,
             tolerance: Tolerance::Usual,
             reserve: None,
+            room: None,
         };
         let Some(index) = self.choose_worker(&round.candidates, &request) else {
             return;
@@ -150,6 +151,7 @@
             selectivity,
             tolerance: Tolerance::Usual,
             reserve: None,
+            room: None,
         };
         let Some(index) = self.choose_worker(&round.candidates, &request) else {
             round.note_unplaceable(demand);
--- a/ashtiller/src/workflow/core/reserve.rs
+++ b/ashtiller/src/workflow/core/reserve.rs
@@ -18,6 +18,7 @@
 use crate::workflow::record::LogRecord;
 use crate::workflow::reserve::demand::{DemandHistory, DemandReading};
 use crate::workflow::reserve::plan::{Offer, ReservePlan, ServiceReserve};
+use crate::workflow::room::{RoomDemand, RoomPrice, RoomPrices, SizeReading};
 
 /// Minimum time between two records of the learned demand.
 const RECORD_INTERVAL: Duration = Duration::from_secs(3);
@@ -30,6 +31,8 @@
 #[derive(Debug, Default)]
 pub(super) struct ReserveState {
     history: DemandHistory,
+    /// Demand of short tasks by service and size.
+    room: BTreeMap<Arc<str>, RoomDemand>,
     /// Encoded history as last recorded, and when.
     recorded: Vec<u8>,
     recorded_at: Duration,
@@ -99,6 +102,7 @@
         self.end_holds(now);
         self.reserve.held_steps.clear();
         self.reserve.expired_steps = self.collect_expired_steps(waiting, now);
+        let mut waiting_sizes: BTreeMap<Arc<str>, SizeReading> = BTreeMap::new();
         let mut reading = DemandReading::new();
         for (key, demand) in self.load.demands() {
             if key.class == WorkClass::Short {
@@ -123,6 +127,9 @@
             let place = (&*job.policy.service, step.label.as_deref());
             let limit = limits.get(&place).copied().unwrap_or_default();
             if step.needs.fits_within(&limit) {
+                let state = &job.occurrences[&pending.occurrence].steps[usize::from(pending.step)];
+                let sizes = waiting_sizes.entry(key.0.clone()).or_default();
+                sizes.add(state.waiting, &step.needs);
                 possible.push((key, job.job.clone(), pending.step));
             } else if let Some(sum) = reading.get_mut(&key) {
                 let state = &job.occurrences[&pending.occurrence].steps[usize::from(pending.step)];
@@ -132,6 +139,7 @@
                 sum.resources = sum.resources.minus(&waiting.resources);
             }
         }
+        self.observe_sizes(&waiting_sizes, now);
         self.reserve.history.observe(&reading, now.at);
         for (key, job, step) in possible {
             let step = &job.steps[usize::from(step)];
@@ -139,6 +147,54 @@
         }
     }
 
+    /// Learns the demand of short work by size.
+    fn observe_sizes(&mut self, waiting: &BTreeMap<Arc<str>, SizeReading>, now: Now) {
+        let none = SizeReading::default();
+        let running: BTreeMap<&Arc<str>, &SizeReading> = self.load.short_sizes().collect();
+        for service in running.keys().copied().chain(waiting.keys()) {
+            if !self.reserve.room.contains_key(service) {
+                self.reserve
+                    .room
+                    .insert(service.clone(), RoomDemand::default());
+            }
+        }
+        for (service, demand) in &mut self.reserve.room {
+            let running = running.get(service).copied().unwrap_or(&none);
+            demand.observe(running, waiting.get(service).unwrap_or(&none), now.at);
+        }
+    }
+
+    /// Returns the prices of the room that long-running tasks would take in a round, if any waits.
+    pub(super) fn price_room(&self, fleet: &[Candidate], waiting: &[WaitingStep]) -> RoomPrices {
+        let mut prices = RoomPrices::new();
+        let mut lasting: BTreeMap<Arc<str>, Usage> = BTreeMap::new();
+        for pending in waiting {
+            let job = &self.log_state.jobs[&pending.job];
+            let state = &job.occurrences[&pending.occurrence].steps[usize::from(pending.step)];
+            let step = &job.job.steps[usize::from(pending.step)];
+            let sum = lasting.entry(job.policy.service.clone()).or_default();
+            if step.long_running {
+                sum.add(state.waiting, &step.reserved());
+            }
+        }
+        if !self.tuning.switches.capacity_reserve {
+            return prices;
+        }
+        for (service, waiting) in lasting {
+            let workers = fleet.iter().filter(|it| it.service == service);
+            let rooms: Vec<Resources> = workers.clone().map(|it| it.offer().for_short()).collect();
+            let known = self.reserve.room.get(&service);
+            let expected = || {
+                let capacities: Vec<Resources> = workers.map(|it| *it.capacity()).collect();
+                RoomDemand::expected(&capacities)
+            };
+            let demand = known.cloned().unwrap_or_else(expected);
+            let price = RoomPrice::new(&demand, &rooms, &waiting.resources);
+            prices.insert(service, Arc::new(price));
+        }
+        prices
+    }
+
     /// Returns the long-running steps that wait for longer than the reserve may hold one back. They
     /// may start wherever they fit: the platform asks for a start within 3 s if there is capacity.
     fn collect_expired_steps(&self, waiting: &[WaitingStep], now: Now) -> BTreeSet<StepKey> {
--- a/ashtiller/src/workflow/live_run.rs
+++ b/ashtiller/src/workflow/live_run.rs
@@ -49,6 +49,8 @@
     Restarted,
     /// The worker's capacity has shrunk since the run was placed.
     Shrunk,
+    /// The run moves to a smaller piece of free capacity.
+    Defragmented,
     /// The run is throttled to a standstill for the services on its worker, and could make progress
     /// elsewhere.
     Crowded,
--- a/ashtiller/src/workflow/load/account.rs
+++ b/ashtiller/src/workflow/load/account.rs
@@ -9,6 +9,7 @@
 
 use crate::resources::Resources;
 use crate::workflow::job::Step;
+use crate::workflow::room::SizeReading;
 
 /// Class of work by the capacity that it takes.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -95,7 +96,8 @@
         }
     }
 
-    fn remove_task(&mut self, resources: &Resources) {
+    /// Removes a task.
+    pub fn remove_task(&mut self, resources: &Resources) {
         self.tasks = self.tasks.saturating_sub(1);
         self.resources = self.resources.minus(resources);
     }
@@ -135,6 +137,8 @@
 #[derive(Debug, Default)]
 pub struct LoadAccount {
     demands: BTreeMap<DemandKey, Demand>,
+    /// Runs of short tasks by service and size.
+    short_sizes: BTreeMap<Arc<str>, SizeReading>,
     capacities: CapacityReading,
     waiting_read_at: Duration,
     capacity_read_at: Option<Duration>,
@@ -144,10 +148,19 @@
     /// Records a run that may be active from now on.
     pub fn add_run(&mut self, key: &DemandKey, resources: &Resources) {
         self.demand_mut(key).used.add(1, resources);
+        if key.class == WorkClass::Short {
+            let sizes = self.short_sizes.entry(key.service.clone()).or_default();
+            sizes.add(1, resources);
+        }
     }
 
     /// Records that a run has ended. `work` is the time for which it was at work, if it is done.
     pub fn remove_run(&mut self, key: &DemandKey, resources: &Resources, work: Option<Duration>) {
+        if key.class == WorkClass::Short
+            && let Some(sizes) = self.short_sizes.get_mut(&key.service)
+        {
+            sizes.remove_task(resources);
+        }
         let demand = self.demand_mut(key);
         demand.used.remove_task(resources);
         if let Some(work) = work {
@@ -200,6 +213,11 @@
         sum
     }
 
+    /// Returns the runs of short tasks by service and size.
+    pub fn short_sizes(&self) -> impl Iterator<Item = (&Arc<str>, &SizeReading)> {
+        self.short_sizes.iter()
+    }
+
     /// Returns the capacity of a service as of the last reading, and the time of that reading.
     #[must_use]
     pub fn capacity(&self, service: &str) -> Option<(Capacity, Duration)> {
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -83,6 +83,53 @@
     }
 }
 
+/// Metrics of placement rounds and of the capacity that they find.
+pub struct PlacementMetrics {
+    rounds: Histogram,
+    free: IntGaugeVec,
+}
+
+impl PlacementMetrics {
+    fn open(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let rounds = histogram(
+            "round_seconds",
+            "time of a step of the owner with a placement round",
+        );
+        let free = opts(
+            "free_processors",
+            "free processors of workers that may get runs: all, the most on one worker, and tasks of a size that fit",
+        );
+        let metrics = Self {
+            rounds: Histogram::with_opts(rounds)?,
+            free: IntGaugeVec::new(free, &["service", "what"])?,
+        };
+        registry.register(Box::new(metrics.rounds.clone()))?;
+        registry.register(Box::new(metrics.free.clone()))?;
+        Ok(metrics)
+    }
+
+    /// Records the time of a step of the owner with a placement round.
+    pub fn note_round(&self, took: Duration) {
+        self.rounds.observe(took.as_secs_f64());
+    }
+
+    /// Sets the gauges of free processors, in whole processors and in tasks of some sizes.
+    pub fn note_free_processors(&self, services: &BTreeMap<Arc<str>, FreeProcessors>) {
+        self.free.reset();
+        for (service, free) in services {
+            let gauge = |what: &str, figure: u64| {
+                let gauge = self.free.with_label_values(&[&**service, what]);
+                gauge.set(i64::try_from(figure).unwrap_or(i64::MAX));
+            };
+            gauge("all", free.total / 1000);
+            gauge("largest", free.largest / 1000);
+            for (size, pieces) in free.sizes() {
+                gauge(&format!("tasks_of_{size}"), pieces);
+            }
+        }
+    }
+}
+
 /// Metrics of one process.
 pub struct Metrics {
     registry: Registry,
@@ -91,16 +138,15 @@
     orders: HistogramVec,
     commits: Histogram,
     takeovers: Histogram,
-    rounds: Histogram,
     times: HistogramVec,
     run_time_ratios: HistogramVec,
     events: IntCounterVec,
     leases: LeaseMetrics,
+    placement: PlacementMetrics,
     waiting: IntGaugeVec,
     waited: GaugeVec,
     workers: IntGaugeVec,
     reserve: IntGaugeVec,
-    free: IntGaugeVec,
     pressure: GaugeVec,
     shares: GaugeVec,
     silent: IntCounter,
@@ -127,6 +173,7 @@
         let registry = Registry::new();
         let metrics = Self {
             leases: LeaseMetrics::open(&registry)?,
+            placement: PlacementMetrics::open(&registry)?,
             calls: HistogramVec::new(
                 histogram("call_seconds", "time to answer a client"),
                 &["call"],
@@ -147,10 +194,6 @@
                 "takeover_seconds",
                 "time from owning the log to its replay",
             ))?,
-            rounds: Histogram::with_opts(histogram(
-                "round_seconds",
-                "time of a step of the owner with a placement round",
-            ))?,
             times: HistogramVec::new(
                 histogram("job_seconds", "where the time of jobs that ended went"),
                 &["part"],
@@ -189,13 +232,6 @@
                 ),
                 &["service", "what"],
             )?,
-            free: IntGaugeVec::new(
-                opts(
-                    "free_processors",
-                    "free processors of workers that may get runs: all, the most on one worker, and tasks of a size that fit",
-                ),
-                &["service", "what"],
-            )?,
             pressure: GaugeVec::new(
                 opts(
                     "pressure",
@@ -227,16 +263,23 @@
             )?,
             registry,
         };
-        let build = build_info::get();
-        let modified = build.modified.to_string();
-        let labels = [build.version, build.commit_name(), &modified];
-        metrics.build.with_label_values(&labels).set(1);
+        metrics.set_build_info();
         for collector in metrics.collectors() {
             metrics.registry.register(collector)?;
         }
         Ok(metrics)
     }
 
+    fn set_build_info(&self) {
+        let build = build_info::get();
+        let labels = [
+            build.version,
+            build.commit_name(),
+            &build.modified.to_string(),
+        ];
+        self.build.with_label_values(&labels).set(1);
+    }
+
     /// Returns the metrics to be registered.
     fn collectors(&self) -> Vec<Box<dyn prometheus::core::Collector>> {
         let [messages, bytes] = traffic::counters();
@@ -247,7 +290,6 @@
             Box::new(self.orders.clone()),
             Box::new(self.commits.clone()),
             Box::new(self.takeovers.clone()),
-            Box::new(self.rounds.clone()),
             Box::new(self.times.clone()),
             Box::new(self.run_time_ratios.clone()),
             Box::new(self.events.clone()),
@@ -255,7 +297,6 @@
             Box::new(self.waited.clone()),
             Box::new(self.workers.clone()),
             Box::new(self.reserve.clone()),
-            Box::new(self.free.clone()),
             Box::new(self.pressure.clone()),
             Box::new(self.shares.clone()),
             Box::new(web::silent_connections()),
@@ -311,11 +352,6 @@
         self.takeovers.observe(took.as_secs_f64());
     }
 
-    /// Records the time of a step of the owner with a placement round.
-    pub fn note_round(&self, took: Duration) {
-        self.rounds.observe(took.as_secs_f64());
-    }
-
     /// Records where the time of an ended job went.
     pub fn note_times(&self, times: &TimeBreakdown) {
         let parts = [
@@ -374,20 +410,10 @@
         gauge("", "held_steps", held as u64);
     }
 
-    /// Sets the gauges of free processors, in whole processors and in tasks of some sizes.
-    pub fn note_free_processors(&self, services: &BTreeMap<Arc<str>, FreeProcessors>) {
-        self.free.reset();
-        for (service, free) in services {
-            let gauge = |what: &str, figure: u64| {
-                let gauge = self.free.with_label_values(&[&**service, what]);
-                gauge.set(i64::try_from(figure).unwrap_or(i64::MAX));
-            };
-            gauge("all", free.total / 1000);
-            gauge("largest", free.largest / 1000);
-            for (size, pieces) in free.sizes() {
-                gauge(&format!("tasks_of_{size}"), pieces);
-            }
-        }
+    /// Returns the metrics of placement rounds.
+    #[must_use]
+    pub fn placement(&self) -> &PlacementMetrics {
+        &self.placement
     }
 
     /// Returns the metrics of runs on silent workers.
@@ -434,7 +460,7 @@
         self.waited.reset();
         self.workers.reset();
         self.reserve.reset();
-        self.free.reset();
+        self.placement.free.reset();
         self.pressure.reset();
         self.shares.reset();
     }
@@ -473,6 +499,7 @@
             ("refused_early", now.refused_early - before.refused_early),
             ("readmitted", now.readmitted - before.readmitted),
             ("promoted", now.promoted - before.promoted),
+            ("defragmented", now.defragmented - before.defragmented),
             ("rounds", now.rounds - before.rounds),
             ("steps_examined", now.steps_examined - before.steps_examined),
             (
--- a/ashtiller/src/workflow/mod.rs
+++ b/ashtiller/src/workflow/mod.rs
@@ -43,6 +43,7 @@
 pub mod record;
 pub mod relay;
 pub mod reserve;
+pub mod room;
 pub mod run_times;
 pub mod settings;
 pub mod shares;
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -325,7 +325,7 @@
         let (began, rounds) = (Instant::now(), self.core.counts().rounds);
         let effects = self.core.advance(now);
         if self.core.counts().rounds > rounds {
-            self.node.metrics.note_round(began.elapsed());
+            self.node.metrics.placement().note_round(began.elapsed());
         }
         effects
     }
@@ -404,7 +404,7 @@
             self.core.held_back_steps(),
         );
         let free = self.core.free_processors(now);
-        self.node.metrics.note_free_processors(&free);
+        self.node.metrics.placement().note_free_processors(&free);
         let client = &self.node.relay_client;
         self.node.metrics.note_pressure(
             self.core.congestion(),
--- a/ashtiller/src/workflow/reserve/plan.rs
+++ b/ashtiller/src/workflow/reserve/plan.rs
@@ -36,7 +36,8 @@
 
 impl Offer<'_> {
     /// Returns the resources that no other than short runs have reserved.
-    fn for_short(&self) -> Resources {
+    #[must_use]
+    pub fn for_short(&self) -> Resources {
         self.free.plus(&self.short)
     }
 
@@ -90,7 +91,8 @@
 }
 
 /// Returns how many tasks of one size fit within a limit.
-fn times_within(unit: &Resources, limit: &Resources) -> u64 {
+#[must_use]
+pub fn times_within(unit: &Resources, limit: &Resources) -> u64 {
     let times = |unit: u64, limit: u64| limit.checked_div(unit).unwrap_or(u64::MAX);
     let times = times(unit.processors, limit.processors)
         .min(times(unit.memory, limit.memory))
--- a/ashtiller/src/workflow/settings.rs
+++ b/ashtiller/src/workflow/settings.rs
@@ -172,6 +172,7 @@
         follow_slopes: section.flag("follow_slopes", Some(defaults.follow_slopes)),
         select_workers: section.flag("select_workers", Some(defaults.select_workers)),
         capacity_reserve: section.flag("capacity_reserve", Some(defaults.capacity_reserve)),
+        defragment: section.flag("defragment", Some(defaults.defragment)),
         admission_control: section.flag("admission_control", Some(defaults.admission_control)),
         fair_shares: section.flag("fair_shares", Some(defaults.fair_shares)),
         learned_run_times: section.flag("learned_run_times", Some(defaults.learned_run_times)),
--- a/ashtiller/src/workflow/switches.rs
+++ b/ashtiller/src/workflow/switches.rs
@@ -28,6 +28,8 @@
     pub select_workers: bool,
     /// Capacity is kept free for short runs when long-running ones would take all of it.
     pub capacity_reserve: bool,
+    /// Long-running runs move to smaller pieces of free capacity while short tasks fit nowhere.
+    pub defragment: bool,
     /// Jobs that cannot end in time under overload are refused, and late ones get a limited share.
     pub admission_control: bool,
     /// Waiting steps of equal priority get workers by the shares of their callers.
@@ -49,6 +51,7 @@
             follow_slopes: true,
             select_workers: true,
             capacity_reserve: true,
+            defragment: true,
             admission_control: true,
             fair_shares: true,
             learned_run_times: true,
--- a/ashtiller/tests/packing/fleet.rs
+++ b/ashtiller/tests/packing/fleet.rs
@@ -7,12 +7,13 @@
 use std::time::Duration;
 
 use ashtiller::resources::Resources;
-use ashtiller::workflow::agents::{Order, Poll, PollReply, Target};
+use ashtiller::workflow::agents::{Order, OrderReply, Poll, PollReply, Target};
 use ashtiller::workflow::config::{Config, ListedWorker, Queue};
 use ashtiller::workflow::core::{Core, Effect, Now, RequestToken};
 use ashtiller::workflow::job::{Job, Policy, Step};
 use ashtiller::workflow::load::account::WorkClass;
 use ashtiller::workflow::log_state::LogState;
+use ashtiller::workflow::record::Run;
 use ashtiller::workflow::tuning::Tuning;
 
 use crate::worker::{DisabledSafeguards, Worker};
@@ -96,9 +97,10 @@
     pub core: Core,
     pub now: Duration,
     pub fates: BTreeMap<Arc<str>, JobFate>,
-    /// Numbers of starts and of stops that were ordered.
-    pub starts: usize,
-    pub stops: usize,
+    /// Time after which an order is answered.
+    pub order_delay: Duration,
+    /// Answers to orders that are due later.
+    replies: Vec<(Duration, Target, Run, Order, OrderReply)>,
     workers: BTreeMap<SocketAddr, Worker>,
     /// Polls that wait at their workers, with the ends of their waits.
     polls: Vec<(Target, Poll, Duration)>,
@@ -123,8 +125,8 @@
             core,
             now: BEGIN,
             fates: BTreeMap::new(),
-            starts: 0,
-            stops: 0,
+            order_delay: Duration::ZERO,
+            replies: Vec::new(),
             workers: workers.collect(),
             polls: Vec::new(),
             tokens: 0,
@@ -187,7 +189,13 @@
             let worker = self.workers.get_mut(&to.address).expect("a known worker");
             let has_ends = worker.last_end_number() > worker.last_acknowledged();
             if has_ends || now.at >= until || poll.ends_recorded > worker.last_acknowledged() {
-                let reply = worker.poll(to.fence, &poll, now.at);
+                let mut reply = worker.poll(to.fence, &poll, now.at);
+                if let PollReply::Report { active, .. } = &mut reply {
+                    let services = active.iter_mut();
+                    let services = services.filter(|it| self.fates[&it.name.job].step.long_running);
+                    // The progress of a service is that of its warm-up.
+                    services.for_each(|it| it.percent = 100);
+                }
                 let ends =
                     matches!(&reply, PollReply::Report { finished, .. } if !finished.is_empty());
                 if ends || now.at >= until {
@@ -199,6 +207,14 @@
             }
             self.polls.push((to, poll, until));
         }
+        for (due, to, run, order, reply) in std::mem::take(&mut self.replies) {
+            if due > now.at {
+                self.replies.push((due, to, run, order, reply));
+                continue;
+            }
+            self.core
+                .handle_order_reply(&to.incarnation, run, &order, Ok(reply), now);
+        }
         self.core.note_complete_listing(now.at);
         for effect in self.core.advance(now) {
             self.carry_out(effect, now);
@@ -215,23 +231,18 @@
             Effect::Order(to, run, order) => {
                 let mut needs = Resources::default();
                 let mut run_time = Duration::ZERO;
-                match &order {
-                    Order::Start(start) => {
-                        let fate = self.fates.get_mut(&start.name.job).expect("a known job");
-                        (needs, run_time) = (fate.step.needs, fate.step.estimate);
-                        self.starts += 1;
-                        fate.unstarted = fate.unstarted.saturating_sub(1);
-                        if fate.unstarted == 0 {
-                            fate.started.get_or_insert(now.at);
-                        }
+                if let Order::Start(start) = &order {
+                    let fate = self.fates.get_mut(&start.name.job).expect("a known job");
+                    (needs, run_time) = (fate.step.reserved(), fate.step.estimate);
+                    fate.unstarted = fate.unstarted.saturating_sub(1);
+                    if fate.unstarted == 0 {
+                        fate.started.get_or_insert(now.at);
                     }
-                    Order::Stop(..) => self.stops += 1,
-                    Order::Pace(..) => {}
                 }
                 let worker = self.workers.get_mut(&to.address).expect("a known worker");
                 let reply = worker.order(to.fence, &order, needs, run_time, now.at);
-                self.core
-                    .handle_order_reply(&to.incarnation, run, &order, Ok(reply), now);
+                let due = now.at + self.order_delay;
+                self.replies.push((due, to, run, order, reply));
             }
             Effect::Reply(..)
             | Effect::Advise(_)
--- a/ashtiller/tests/packing/short_work.rs
+++ b/ashtiller/tests/packing/short_work.rs
@@ -134,7 +134,7 @@
         while fleet.now < end {
             let before = fleet.now;
             fleet.tick();
-            let passed = (fleet.now - before).as_secs_f64();
+            let passed = fleet.now.saturating_sub(before).as_secs_f64();
             services += passed * SERVICES_PER_SECOND;
             jobs += passed * SHORT_PER_SECOND;
             if services >= 1.0 {
@@ -177,7 +177,7 @@
     let (mut fleet, mut traffic) = fill(seed, share - ARRIVING, &tuning);
     let from = fleet.now + SETTLED;
     traffic.run(&mut fleet, SPAN, share);
-    let until = fleet.now - 2 * SECOND;
+    let until = fleet.now.saturating_sub(2 * SECOND);
     fleet.run_for(2 * SECOND);
     let fates = fleet.fates.into_values();
     let judged = fates.filter(|it| !it.step.long_running && (from..until).contains(&it.submitted));
@@ -201,7 +201,6 @@
     let all = part_in_time(fates.iter());
     let is_large = |fate: &&JobFate| fate.step.needs.processors >= LARGE;
     let large = part_in_time(fates.iter().filter(is_large));
-    println!("in time: {all:.3}, of the large ones {large:.3}");
     assert!(all >= FLOOR, "in time: {all:.3}");
     assert!(
         large >= all / 2.0,
