Bound what the clients of an entry instance hold, as a sum

Callers saw an entry process end: clients that it does not control took its memory. Heads and lines without end, many large bodies that stop short of their end, or chunks of any size were kept as long as the clients liked, and idle connections took all descriptors, so that the store and workers could not be called either. Of the configuration's limits only the size of bodies was read: a head of 500 kB was served, one of 150 short headers was refused, and an idle connection was closed after 5 s where 15 s are allowed.

Cause: the listeners commit memory and descriptors to what clients send with a limit for one request at most, and none for all. Admission decides on jobs, not on what a client holds before there is one.

net::ingress bounds the sum for all HTTP ports of an entry. Connections take at most a third of the descriptors and a quarter of the memory; a full listener closes the connection that has been idle for longest, then the slowest unfinished request. Bytes of heads and bodies beyond an allotment of 8 KiB for each connection are charged to a budget of an eighth of the memory, before a declared body is read and given back by a guard; small requests never need it. A head is handed to the parser once it is whole, so that it is parsed once, and is refused at the size and time of the configuration. Bodies are copied into one buffer. Times are checked four times a second by one task, not by timers of each request. Socket buffers are bounded, and the rest of a refused request is discarded for a second so that its client can read the response. Memory and descriptors come from the settings, else from the process's limits.

--- a/ashtiller/src/agreed/document.rs
+++ b/ashtiller/src/agreed/document.rs
@@ -240,6 +240,18 @@
         self.read(key, default, &allowed, parse).unwrap_or_default()
     }
 
+    /// Reads a size that may be missing.
+    pub fn optional_size(&mut self, key: &str, range: RangeInclusive<u64>) -> Option<u64> {
+        let text = self.value(key);
+        text.map(|_| self.size(key, None, range))
+    }
+
+    /// Reads a whole number that may be missing.
+    pub fn optional_count(&mut self, key: &str, range: RangeInclusive<u32>) -> Option<u32> {
+        let text = self.value(key);
+        text.map(|_| self.count(key, None, range))
+    }
+
     /// Reads a whole number within `range`.
     pub fn count(&mut self, key: &str, default: Option<u32>, range: RangeInclusive<u32>) -> u32 {
         let allowed = format!("a whole number from {} to {}", range.start(), range.end());
--- a/ashtiller/src/agreed/settings.rs
+++ b/ashtiller/src/agreed/settings.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use crate::balance;
-use crate::document::Document;
+use crate::document::{Document, Section};
+use crate::ingress::ProcessResources;
 use crate::mistake::Mistakes;
 
 /// Sections of a settings file.
@@ -59,8 +60,10 @@
     pub routing: balance::Kind,
     /// Largest number of connections to one endpoint.
     pub connections_per_endpoint: u32,
-    /// Largest number of connections from callers.
+    /// Largest number of connections from callers; memory and descriptors may allow fewer.
     pub max_callers: u32,
+    /// Memory and descriptors that the process may use; what callers may hold follows from them.
+    pub resources: ProcessResources,
     /// Largest request body.
     pub max_body_bytes: u64,
     /// Largest head of a request or a response.
@@ -175,6 +178,7 @@
             .unwrap_or(balance::Kind::Dealt),
         connections_per_endpoint: section.count("connections", Some(6), 1..=1000),
         max_callers: section.count("callers_max", Some(4096), 1..=1_000_000),
+        resources: read_resources(&mut section),
         max_body_bytes: section.size("body", Some(16 * MIB), 1..=1024 * MIB),
         max_head_bytes: section.size("head", Some(32 << 10), 8 << 10..=MIB),
         max_replay_bytes: section.size("replay", Some(64 << 10), 0..=16 * MIB),
@@ -187,6 +191,13 @@
     }
 }
 
+/// Reads what the process may use; what is missing is asked of the system.
+pub(crate) fn read_resources(section: &mut Section<'_>) -> ProcessResources {
+    let memory = section.optional_size("memory", 16 * MIB..=MIB * MIB);
+    let descriptors = section.optional_count("descriptors", 64..=10_000_000);
+    ProcessResources::detect(memory, descriptors.map(u64::from))
+}
+
 fn read_scheduler(document: &mut Document) -> Scheduler {
     let mut section = document.section("scheduler");
     Scheduler {
--- a/ashtiller/src/lib.rs
+++ b/ashtiller/src/lib.rs
@@ -54,7 +54,8 @@
 //! - [`interference`]: [`interference_model`], [`throttling`], [`worker_report`],
 //!   [`placement`];
 //! - [`agreed`]: [`config_state`], [`config`], [`apply`], [`members`], [`membership`];
-//! - [`net`]: [`store`], [`service_catalog`], [`consul`], [`peer`], [`rpc`], [`ops`];
+//! - [`net`]: [`store`], [`service_catalog`], [`consul`], [`peer`], [`rpc`], [`ops`], and [`ingress`],
+//!   which bounds what clients hold;
 //! - [`build_info`]: which commit is running.
 
 pub mod agreed;
@@ -73,7 +74,7 @@
 pub use base::{clock, counters, failure, logs, rendezvous, resources};
 pub use interference::{interference_model, placement, throttling, worker_report};
 pub use net::{
-    codec, consul, meter, ops, peer, peer_calls, peer_client, peer_server, rpc, schema,
+    codec, consul, ingress, meter, ops, peer, peer_calls, peer_client, peer_server, rpc, schema,
     service_catalog, service_watcher, store, web,
 };
 pub use request::{
--- /dev/null
+++ b/ashtiller/src/net/ingress/connection.rs
@@ -0,0 +1,496 @@
+//! One connection of a client: what it is doing, since when, and what it holds.
+
+use std::convert::Infallible;
+use std::pin::pin;
+use std::sync::Arc;
+use std::task::Waker;
+use std::time::Duration;
+
+use hyper::body::{Body as _, Incoming};
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+use super::body::Body;
+use super::budget::{ALLOTMENT, Exhausted, Reservation};
+use super::limits::RequestLimits;
+use super::metrics::Refusal;
+use super::response::GuardedResponse;
+use super::stream::IngressStream;
+use super::{Ingress, TICK};
+
+/// Longest pause between two parts of a body.
+const BODY_PAUSE_MAX: Duration = Duration::from_secs(10);
+/// Bytes of a body that must arrive in each second that is spent waiting for it.
+const BODY_RATE_MIN: u64 = 1024;
+/// Waiting time that the rate of a body does not count.
+const BODY_RATE_GRACE: Duration = Duration::from_secs(10);
+/// Time for which the rest of a refused request is discarded, so that its client can read the response.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Estimated size of a parsed header beside its text.
+const HEADER_BYTES: usize = 128;
+/// Copies of a body that exist while it is decoded and forwarded.
+const BODY_COPIES: usize = 2;
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Phase {
+    /// Waiting for the first byte of a request.
+    Idle,
+    /// Receiving a head.
+    Head,
+    /// A request is being received or handled, or its response is being written.
+    Request,
+    /// The response is the last one; what the client still sends is discarded.
+    Closing,
+}
+
+/// Rest of a body that the client owes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Owed {
+    /// Nothing.
+    Nothing,
+    /// This many bytes.
+    Bytes(usize),
+    /// Chunks up to the last one.
+    Chunks,
+}
+
+/// A body that is not complete.
+#[derive(Clone, Copy, Debug)]
+struct OwedBody {
+    /// Bytes left, if the client has declared them.
+    remaining: Option<u64>,
+    received: u64,
+    waiting_since: Option<u32>,
+    /// Ticks spent waiting before that.
+    waited: u32,
+}
+
+/// How well a connection deserves to be kept: the greatest one is closed first. The numbers are the
+/// ticks for which the process has waited for the client.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Standing {
+    Unread(u32),
+    Unfinished(u32),
+    Idle(u32),
+    Closing(u32),
+}
+
+struct State {
+    phase: Phase,
+    /// Tick at which the phase began.
+    since: u32,
+    body: Option<OwedBody>,
+    /// Since when the client has read none of the response.
+    blocked_since: Option<u32>,
+    refusal: Option<Refusal>,
+    reader: Option<Waker>,
+    reservation: Reservation,
+    /// Part of the reservation that the head takes.
+    head_charge: usize,
+    requests: u64,
+    /// Whether bytes of the next request wait for the end of this one.
+    has_next: bool,
+}
+
+/// State of a connection that its task and the listener share.
+pub struct Shared {
+    pub(super) ingress: Arc<Ingress>,
+    state: Mutex<State>,
+    closing: Notify,
+}
+
+impl Shared {
+    pub(super) fn new(ingress: Arc<Ingress>) -> Self {
+        let state = State {
+            phase: Phase::Idle,
+            since: ingress.now(),
+            body: None,
+            blocked_since: None,
+            refusal: None,
+            reader: None,
+            reservation: Reservation::new(ingress.budget.clone(), ALLOTMENT),
+            head_charge: 0,
+            requests: 0,
+            has_next: false,
+        };
+        Self {
+            ingress,
+            state: Mutex::new(state),
+            closing: Notify::new(),
+        }
+    }
+
+    /// Closes the connection without a response.
+    pub(super) fn close(&self) {
+        self.closing.notify_one();
+    }
+
+    /// Refuses the unfinished request; returns false if there is none or it is refused already.
+    pub(super) fn refuse(&self, refusal: Refusal) -> bool {
+        let mut state = self.state.lock();
+        let unfinished = state.phase != Phase::Closing;
+        if state.refusal.is_some() || !unfinished {
+            return false;
+        }
+        state.refusal = Some(refusal);
+        self.ingress.metrics.note(refusal);
+        if let Some(reader) = state.reader.take() {
+            reader.wake();
+        }
+        true
+    }
+
+    pub(super) fn refusal(&self) -> Option<Refusal> {
+        self.state.lock().refusal
+    }
+
+    pub(super) fn phase(&self) -> Phase {
+        self.state.lock().phase
+    }
+
+    /// Returns the number of requests that have begun.
+    pub(super) fn requests(&self) -> u64 {
+        self.state.lock().requests
+    }
+
+    /// Returns how well the connection deserves to be kept; `None` while the client waits for this
+    /// process.
+    pub(super) fn standing(&self, now: u32) -> Option<Standing> {
+        let state = self.state.lock();
+        let elapsed = |since: u32| now.wrapping_sub(since);
+        if let Some(since) = state.blocked_since {
+            return Some(Standing::Unread(elapsed(since)));
+        }
+        match state.phase {
+            Phase::Idle => Some(Standing::Idle(elapsed(state.since))),
+            Phase::Head => Some(Standing::Unfinished(elapsed(state.since))),
+            Phase::Closing => Some(Standing::Closing(elapsed(state.since))),
+            Phase::Request => {
+                let body = state.body?;
+                let waited = body.waited + elapsed(body.waiting_since?);
+                Some(Standing::Unfinished(waited))
+            }
+        }
+    }
+
+    /// Refuses or closes the connection if its client has taken too long; returns why it is closed.
+    pub(super) fn check_times(&self, now: u32, limits: &RequestLimits) -> Option<Refusal> {
+        match self.standing(now)? {
+            Standing::Unread(ticks) if exceeds(ticks, limits.idle_timeout) => {
+                self.close();
+                Some(Refusal::Unread)
+            }
+            Standing::Idle(ticks) if exceeds(ticks, limits.idle_timeout) => {
+                self.close();
+                Some(Refusal::Idle)
+            }
+            Standing::Closing(ticks) if exceeds(ticks, LINGER_TIMEOUT) => {
+                self.close();
+                None
+            }
+            Standing::Unfinished(ticks) => {
+                let phase = self.phase();
+                if phase == Phase::Head && exceeds(ticks, limits.head_timeout) {
+                    self.refuse(Refusal::HeadTooSlow);
+                } else if phase == Phase::Request && self.is_body_slow(now) {
+                    self.refuse(Refusal::BodyTooSlow);
+                }
+                None
+            }
+            _ => None,
+        }
+    }
+
+    fn is_body_slow(&self, now: u32) -> bool {
+        let state = self.state.lock();
+        let Some(body) = state.body else {
+            return false;
+        };
+        let pause = body
+            .waiting_since
+            .map_or(0, |since| now.wrapping_sub(since));
+        let waited = TICK * (body.waited + pause);
+        let expected = waited.saturating_sub(BODY_RATE_GRACE).as_secs() * BODY_RATE_MIN;
+        exceeds(pause, BODY_PAUSE_MAX) || body.received < expected
+    }
+
+    /// Notes that the first byte of a head has arrived.
+    pub(super) fn begin_head(&self) {
+        let mut state = self.state.lock();
+        if state.phase == Phase::Idle {
+            state.phase = Phase::Head;
+            state.since = self.ingress.now();
+        }
+    }
+
+    /// Charges the bytes of a head that is not complete.
+    pub(super) fn charge_partial_head(&self, bytes: usize) -> Result<(), Exhausted> {
+        self.state.lock().reservation.resize(bytes)
+    }
+
+    /// Charges a head until its request has ended.
+    pub(super) fn charge_head(&self, bytes: usize, lines: usize) -> Result<(), Exhausted> {
+        let mut state = self.state.lock();
+        let charge = bytes + lines * HEADER_BYTES;
+        state.reservation.resize(charge)?;
+        state.head_charge = charge;
+        Ok(())
+    }
+
+    /// Charges the buffer of a body until its request has ended.
+    pub(super) fn charge_body(&self, capacity: usize) -> Result<(), Exhausted> {
+        let mut state = self.state.lock();
+        let bytes = state.head_charge + capacity * BODY_COPIES;
+        state.reservation.resize(bytes)
+    }
+
+    /// Notes that the handling of a request begins; fails if it is refused.
+    fn begin_request(&self, body: &Incoming) -> Result<(), Refusal> {
+        let mut state = self.state.lock();
+        state.phase = Phase::Request;
+        state.requests += 1;
+        if let Some(refusal) = state.refusal {
+            return Err(refusal);
+        }
+        state.body = (!body.is_end_stream()).then(|| OwedBody {
+            remaining: body.size_hint().exact(),
+            received: 0,
+            waiting_since: None,
+            waited: 0,
+        });
+        Ok(())
+    }
+
+    /// Notes that the response has been handed over for writing, or will not be.
+    pub(super) fn end_request(&self) {
+        let mut state = self.state.lock();
+        let last = state.refusal.is_some() || state.body.is_some();
+        state.phase = if last { Phase::Closing } else { Phase::Idle };
+        state.since = self.ingress.now();
+        state.head_charge = 0;
+        state.reservation.clear();
+        if std::mem::take(&mut state.has_next)
+            && let Some(reader) = state.reader.take()
+        {
+            reader.wake();
+        }
+    }
+
+    /// Notes that bytes of the next request are held; `waker` is called when this one has ended.
+    pub(super) fn wait_for_turn(&self, waker: &Waker) {
+        let mut state = self.state.lock();
+        store_waker(&mut state.reader, waker);
+        state.has_next = true;
+    }
+
+    /// Returns what the client owes of a body.
+    pub(super) fn owed_body(&self) -> Owed {
+        match self.state.lock().body {
+            None => Owed::Nothing,
+            Some(body) => match body.remaining {
+                None => Owed::Chunks,
+                Some(0) => Owed::Nothing,
+                Some(bytes) => Owed::Bytes(usize::try_from(bytes).unwrap_or(usize::MAX)),
+            },
+        }
+    }
+
+    /// Notes bytes of the body.
+    pub(super) fn note_body(&self, bytes: usize) {
+        let mut state = self.state.lock();
+        if let Some(body) = &mut state.body {
+            body.received += bytes as u64;
+            if let Some(remaining) = &mut body.remaining {
+                *remaining = remaining.saturating_sub(bytes as u64);
+            }
+        }
+    }
+
+    /// Notes that the rest of a body is waited for, until `waker` is called.
+    pub(super) fn wait_for_body(&self, waker: &Waker) {
+        let now = self.ingress.now();
+        let mut state = self.state.lock();
+        store_waker(&mut state.reader, waker);
+        if let Some(body) = &mut state.body {
+            body.waiting_since.get_or_insert(now);
+        }
+    }
+
+    /// Notes that a part of the body has arrived.
+    pub(super) fn note_body_part(&self) {
+        let now = self.ingress.now();
+        let mut state = self.state.lock();
+        if let Some(body) = &mut state.body
+            && let Some(since) = body.waiting_since.take()
+        {
+            body.waited += now.wrapping_sub(since);
+        }
+    }
+
+    /// Notes that the body is complete.
+    pub(super) fn finish_body(&self) {
+        self.state.lock().body = None;
+    }
+
+    /// Notes who reads the connection, to be woken when its request is refused.
+    pub(super) fn wait_for_head(&self, waker: &Waker) {
+        store_waker(&mut self.state.lock().reader, waker);
+    }
+
+    /// Notes whether the client's receive window is full.
+    pub(super) fn set_blocked(&self, blocked: bool) {
+        let mut state = self.state.lock();
+        if blocked {
+            let now = self.ingress.now();
+            state.blocked_since.get_or_insert(now);
+        } else {
+            state.blocked_since = None;
+        }
+    }
+
+    pub(super) fn is_blocked(&self) -> bool {
+        self.state.lock().blocked_since.is_some()
+    }
+
+    /// Begins to discard what the client still sends; returns false if it has nothing to send.
+    pub(super) fn begin_linger(&self) -> bool {
+        let mut state = self.state.lock();
+        let lingers = state.refusal.is_some() || state.body.is_some();
+        if lingers && state.phase != Phase::Closing {
+            state.phase = Phase::Closing;
+            state.since = self.ingress.now();
+        }
+        lingers
+    }
+
+    fn clear(&self) {
+        self.state.lock().reservation.clear();
+    }
+}
+
+/// Returns whether more than this time has passed, given the number of ticks; a tick may have begun
+/// just before or after.
+fn exceeds(ticks: u32, limit: Duration) -> bool {
+    TICK * ticks.saturating_sub(1) > limit
+}
+
+fn store_waker(slot: &mut Option<Waker>, waker: &Waker) {
+    if !slot.as_ref().is_some_and(|known| known.will_wake(waker)) {
+        *slot = Some(waker.clone());
+    }
+}
+
+/// A connection of a client; dropping it closes it and gives back what it holds.
+pub struct Connection {
+    // Closed before its place is given to another connection.
+    stream: IngressStream,
+    registered: Registered,
+}
+
+/// Entry of a connection in its listener, removed on drop.
+struct Registered {
+    id: u64,
+    shared: Arc<Shared>,
+}
+
+impl Drop for Registered {
+    fn drop(&mut self) {
+        self.shared.clear();
+        self.shared.ingress.release(self.id);
+    }
+}
+
+impl Connection {
+    pub(super) fn new(id: u64, shared: Arc<Shared>, stream: TcpStream) -> Self {
+        Self {
+            stream: IngressStream::new(stream, shared.clone()),
+            registered: Registered { id, shared },
+        }
+    }
+
+    /// Serves requests until the connection is closed, or until `stop` completes and the request
+    /// under way has ended. The handler gets each request, or the reason to refuse one that could not
+    /// be received.
+    ///
+    /// # Errors
+    /// The client does not speak HTTP/1, or its connection failed.
+    pub async fn serve<H, F, B>(
+        self,
+        handler: H,
+        stop: impl Future<Output = ()>,
+    ) -> Result<(), hyper::Error>
+    where
+        H: Fn(Result<Request<Body>, Refusal>) -> F,
+        F: Future<Output = Response<B>>,
+        B: hyper::body::Body + Unpin + 'static,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let Self {
+            mut stream,
+            registered,
+        } = self;
+        let shared = &registered.shared;
+        let served = tokio::select! {
+            biased;
+            () = shared.closing.notified() => Ok(()),
+            served = serve_requests(&mut stream, shared, handler, stop) => served,
+        };
+        drop(stream);
+        served
+    }
+}
+
+async fn serve_requests<H, F, B>(
+    stream: &mut IngressStream,
+    shared: &Arc<Shared>,
+    handler: H,
+    stop: impl Future<Output = ()>,
+) -> Result<(), hyper::Error>
+where
+    H: Fn(Result<Request<Body>, Refusal>) -> F,
+    F: Future<Output = Response<B>>,
+    B: hyper::body::Body + Unpin + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut stop = pin!(stop);
+    let respond = |request: Request<Incoming>| {
+        let request = match shared.begin_request(request.body()) {
+            Ok(()) => Ok(request.map(|body| Body::new(body, shared.clone()))),
+            Err(refusal) => Err(refusal),
+        };
+        let (response, shared) = (handler(request), shared.clone());
+        async move {
+            let response = response.await;
+            Ok::<_, Infallible>(response.map(|body| GuardedResponse::new(body, shared)))
+        }
+    };
+    loop {
+        // Buffers are allocated once a head is complete.
+        let has_head = tokio::select! {
+            has_head = stream.receive_head() => has_head,
+            () = stop.as_mut() => false,
+        };
+        if !has_head {
+            return Ok(());
+        }
+        let builder = stream.configure(http1::Builder::new());
+        let io = TokioIo::new(&mut *stream);
+        let mut connection = pin!(builder.serve_connection(io, service::service_fn(&respond)));
+        tokio::select! {
+            served = connection.as_mut() => served?,
+            () = stop.as_mut() => {
+                connection.as_mut().graceful_shutdown();
+                return connection.await;
+            }
+        }
+        if !stream.take_restart() {
+            return Ok(());
+        }
+    }
+}
--- a/ashtiller/src/net/mod.rs
+++ b/ashtiller/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod codec;
 pub mod consul;
+pub mod ingress;
 pub mod meter;
 pub mod ops;
 pub mod peer;
--- a/ashtiller/src/workflow/config.rs
+++ b/ashtiller/src/workflow/config.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::ingress::RequestLimits;
 use crate::resources::Resources;
 use crate::workflow::incarnation::Incarnation;
 use crate::workflow::job::Policy;
@@ -33,6 +34,15 @@
     pub spare: bool,
 }
 
+/// Limits for clients, as the configuration carries them.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ClientLimits {
+    /// Version of the configuration.
+    pub version: u64,
+    /// Limits of heads and connections.
+    pub requests: RequestLimits,
+}
+
 /// A complete configuration.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Config {
@@ -97,8 +107,9 @@
 /// Decoded entry of an operator in the store.
 #[derive(Clone, Debug, PartialEq)]
 pub enum OperatorEntry {
-    /// Configuration.
-    Config(Config),
+    /// Configuration, with its limits for clients. Other instances get the configuration without
+    /// these: each reads them from the store.
+    Config(Config, ClientLimits),
     /// Maintenance wave.
     Wave(Wave),
     /// An entry that does not concern this process.
--- a/ashtiller/src/workflow/node/mod.rs
+++ b/ashtiller/src/workflow/node/mod.rs
@@ -18,7 +18,7 @@
 use crate::workflow::admission::copy::OverloadCopy;
 use crate::workflow::advisor::Advisor;
 use crate::workflow::agents::WorkerClient;
-use crate::workflow::config::{Config, PlatformCodec};
+use crate::workflow::config::{ClientLimits, Config, PlatformCodec};
 use crate::workflow::evacuations::Evacuations;
 use crate::workflow::follow;
 use crate::workflow::kv::Store;
@@ -72,6 +72,7 @@
     log_owner: watch::Sender<Option<LogOwner>>,
     owner_history: RefCell<OwnerHistory>,
     config: watch::Sender<Arc<Config>>,
+    client_limits: watch::Sender<Option<ClientLimits>>,
     waves: watch::Sender<BTreeMap<u64, Wave>>,
     evacuations: watch::Sender<Evacuations>,
     members: RefCell<Members>,
@@ -132,6 +133,7 @@
             log_owner: watch::Sender::new(None),
             owner_history: RefCell::default(),
             config: watch::Sender::new(Arc::default()),
+            client_limits: watch::Sender::new(None),
             waves: watch::Sender::new(BTreeMap::new()),
             evacuations: watch::Sender::default(),
             members: RefCell::default(),
@@ -244,6 +246,23 @@
         }
     }
 
+    /// Puts limits for clients in force, unless newer ones are.
+    fn adopt_client_limits(&self, limits: ClientLimits) {
+        self.client_limits.send_if_modified(|current| {
+            let newer = current.is_none_or(|known| limits.version > known.version);
+            if newer {
+                *current = Some(limits);
+            }
+            newer
+        });
+    }
+
+    /// Subscribes to the limits for clients; `None` until the store has told them.
+    #[must_use]
+    pub fn watch_client_limits(&self) -> watch::Receiver<Option<ClientLimits>> {
+        self.client_limits.subscribe()
+    }
+
     fn adopt_wave(&self, wave: Wave) {
         self.waves.send_modify(|waves| {
             waves.insert(wave.number, wave);
--- a/ashtiller/src/workflow/node/store_watch.rs
+++ b/ashtiller/src/workflow/node/store_watch.rs
@@ -38,7 +38,10 @@
             };
             for item in items {
                 match self.codec.operated(&item.key, &item.value) {
-                    Ok(OperatorEntry::Config(config)) => self.adopt_config(&Arc::new(config)),
+                    Ok(OperatorEntry::Config(config, limits)) => {
+                        self.adopt_client_limits(limits);
+                        self.adopt_config(&Arc::new(config));
+                    }
                     Ok(OperatorEntry::Wave(wave)) => self.adopt_wave(wave),
                     Ok(OperatorEntry::Other) => {}
                     Err(error) => {
--- a/ashtiller/src/workflow/settings.rs
+++ b/ashtiller/src/workflow/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::document::Document;
+use crate::ingress::ProcessResources;
 use crate::mistake::Mistakes;
 use crate::settings::{self, Instance};
 use crate::workflow::agents::ORDER_TIMEOUT_MIN;
@@ -42,6 +43,9 @@
     pub processors: u64,
     /// Time between SIGTERM and SIGKILL.
     pub grace: Duration,
+    /// Memory and descriptors that the process may use; what the clients of a listener may hold
+    /// follows from them.
+    pub resources: ProcessResources,
 }
 
 /// Addresses of the platform's services.
@@ -116,6 +120,7 @@
         seeds: seeds.iter().filter_map(|seed| seed.parse().ok()).collect(),
         processors: section.processors("processors", Some(1000)),
         grace: section.duration("grace", Some(6 * SECOND), SECOND..=10 * MINUTE),
+        resources: settings::read_resources(&mut section),
     }
 }
 
--- a/ashtiller/tests/links/clients.rs
+++ b/ashtiller/tests/links/clients.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashtiller::ingress::{Ingress, ProcessResources, RequestLimits};
 use ashtiller::workflow::config::{Config, Queue};
 use ashtiller::workflow::job::Policy;
+use prometheus::Registry;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{self, LocalSet};
@@ -47,6 +49,20 @@
     }
 }
 
+/// Opens the admission of a listener and enforces its times.
+fn open_ingress() -> Arc<Ingress> {
+    let resources = ProcessResources {
+        memory: 64 << 20,
+        descriptors: 256,
+    };
+    let limits = RequestLimits::default();
+    let capacity = resources.client_capacity();
+    let ingress = Ingress::open(capacity, limits, &Registry::new(), "test");
+    let ingress = ingress.expect("metrics in a registry of their own");
+    task::spawn_local(Ingress::enforce(vec![ingress.clone()]));
+    ingress
+}
+
 async fn read_to_end(mut stream: TcpStream) -> String {
     let mut answer = String::new();
     let read = stream.read_to_string(&mut answer);
@@ -84,7 +100,7 @@
         let address = listener
             .local_addr()
             .expect("the listener should have an address");
-        task::spawn_local(front.clone().serve(listener));
+        task::spawn_local(front.clone().serve(listener, open_ingress()));
         let mut client = TcpStream::connect(address)
             .await
             .expect("the connection should open");
@@ -113,7 +129,7 @@
         let address = listener
             .local_addr()
             .expect("the listener should have an address");
-        task::spawn_local(client_api::serve_readiness(node, listener));
+        task::spawn_local(client_api::serve_readiness(node, listener, open_ingress()));
         let balancer = TcpStream::connect(address)
             .await
             .expect("the connection should open");
@@ -139,7 +155,7 @@
         let address = listener
             .local_addr()
             .expect("the listener should have an address");
-        task::spawn_local(front.clone().serve(listener));
+        task::spawn_local(front.clone().serve(listener, open_ingress()));
         let mut client = TcpStream::connect(address)
             .await
             .expect("the connection should open");
