Bound what the callers of a gateway hold with the same module

Stop waits for requests whose callers owe the rest.

The listener uses net::ingress: bodies that are buffered for a replay are charged to the budget, a body that pauses for 10 s or comes with less than 1 KiB/s after 10 s is refused with 408, and a stop refuses what is unfinished. Refusals carry ashtiller-outcome: not-run, or unknown if a part of the body has been sent to an endpoint.

--- a/ashtiller/src/request/gateway.rs
+++ b/ashtiller/src/request/gateway.rs
@@ -93,7 +93,13 @@
         metrics.clone(),
         clock.clone(),
     );
-    let listener = listener::bind(&settings.gateway, router.clone(), metrics.clone()).await?;
+    let listener = listener::bind(
+        &settings.gateway,
+        router.clone(),
+        metrics.clone(),
+        &registry,
+    )
+    .await?;
     let shared = Arc::new(Shared {
         settings: settings.clone(),
         config: config.clone(),
--- a/ashtiller/src/request/listener.rs
+++ b/ashtiller/src/request/listener.rs
@@ -1,30 +1,29 @@
 //! HTTP listener for callers.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::header::{CONNECTION, HeaderValue};
-use hyper::server::conn::http1;
-use hyper::service;
-use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use hyper::{Request, Response};
+use prometheus::Registry;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time;
 use tokio_util::task::TaskTracker;
 
 use crate::failure::Failure;
 use crate::gateway_metrics::GatewayMetrics;
-use crate::pool;
+use crate::ingress::{self, Ingress, Refusal, RequestLimits};
+use crate::response_body::ResponseBody;
 use crate::router::Router;
 use crate::settings;
 
 /// Time limit for a caller to send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time that a caller's connection may be idle.
+const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// Stage of a graceful shutdown.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -44,6 +43,8 @@
     stage: watch::Sender<Stage>,
     tracker: TaskTracker,
     accept_task: JoinHandle<()>,
+    time_task: JoinHandle<()>,
+    ingress: Arc<Ingress>,
     abort: watch::Sender<bool>,
 }
 
@@ -52,43 +53,57 @@
     metrics: Arc<GatewayMetrics>,
     stage: watch::Receiver<Stage>,
     abort: watch::Receiver<bool>,
-    head: usize,
+    ingress: Arc<Ingress>,
 }
 
 /// Starts the listener for callers.
 ///
 /// # Errors
-/// The port cannot be bound.
+/// The port cannot be bound, or the listener's metrics are registered already.
 pub async fn bind(
     settings: &settings::Gateway,
     router: Arc<Router>,
     metrics: Arc<GatewayMetrics>,
-) -> Result<Listener, Failure> {
+    registry: &Registry,
+) -> anyhow::Result<Listener> {
     let failed = |error| Failure::no_effect("bind callers' port", settings.callers, error);
     let listener = TcpListener::bind(settings.callers).await.map_err(failed)?;
     let address = listener.local_addr().map_err(failed)?;
     let (stage, stage_changes) = watch::channel(Stage::Open);
     let (abort, aborted) = watch::channel(false);
-    let head = usize::try_from(settings.max_head_bytes).unwrap_or(usize::MAX);
+    Ingress::prepare(&listener);
+    let ingress = open_ingress(settings, registry)?;
     let shared = Arc::new(Shared {
         router,
         metrics,
         stage: stage_changes,
         abort: aborted,
-        head,
+        ingress: ingress.clone(),
     });
     let tracker = TaskTracker::new();
-    let permits = Arc::new(Semaphore::new(settings.max_callers as usize));
-    let accept_task = tokio::spawn(accept(listener, shared, tracker.clone(), permits));
+    let accept_task = tokio::spawn(accept(listener, shared, tracker.clone()));
     Ok(Listener {
         address,
         stage,
         tracker,
         accept_task,
+        time_task: tokio::spawn(Ingress::enforce(vec![ingress.clone()])),
+        ingress,
         abort,
     })
 }
 
+fn open_ingress(settings: &settings::Gateway, registry: &Registry) -> anyhow::Result<Arc<Ingress>> {
+    let mut capacity = settings.resources.client_capacity();
+    capacity.connections = capacity.connections.min(settings.max_callers as usize);
+    let limits = RequestLimits {
+        head_bytes: usize::try_from(settings.max_head_bytes).unwrap_or(usize::MAX),
+        head_timeout: HEAD_TIMEOUT,
+        idle_timeout: IDLE_TIMEOUT,
+    };
+    Ok(Ingress::open(capacity, limits, registry, "gateway")?)
+}
+
 impl Listener {
     /// Returns the address that the listener is bound to.
     #[must_use]
@@ -97,11 +112,12 @@
     }
 
     /// Shuts down gracefully: accepts connections for `drain` longer, then waits for
-    /// requests in flight.
+    /// requests in flight. Requests whose callers have not sent all of them are refused.
     pub async fn stop(&self, drain: Duration) {
         self.stage.send_replace(Stage::Draining);
         time::sleep(drain).await;
         self.stage.send_replace(Stage::Closing);
+        self.ingress.close_unfinished();
         self.tracker.close();
         self.tracker.wait().await;
     }
@@ -109,6 +125,7 @@
     /// Closes every connection at once, as a killed process does.
     pub fn abort(&self) {
         self.accept_task.abort();
+        self.time_task.abort();
         self.abort.send_replace(true);
     }
 
@@ -125,66 +142,30 @@
     }
 }
 
-async fn accept(
-    listener: TcpListener,
-    shared: Arc<Shared>,
-    tracker: TaskTracker,
-    permits: Arc<Semaphore>,
-) {
+async fn accept(listener: TcpListener, shared: Arc<Shared>, tracker: TaskTracker) {
     let mut stage = shared.stage.clone();
     loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else {
-            return;
-        };
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let connection = tokio::select! {
+            connection = shared.ingress.accept(&listener) => connection,
             () = wait_until(&mut stage, Stage::Closing) => return,
         };
-        let Ok((stream, _)) = accepted else {
-            time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let shared = shared.clone();
-        tracker.spawn(async move {
-            serve_connection(stream, shared).await;
-            drop(permit);
-        });
+        tracker.spawn(serve_connection(connection, shared.clone()));
     }
 }
 
-async fn serve_connection(stream: TcpStream, shared: Arc<Shared>) {
-    let _ = stream.set_nodelay(true);
+async fn serve_connection(connection: ingress::Connection, shared: Arc<Shared>) {
     shared.metrics.callers.inc();
     let (mut stage, mut abort) = (shared.stage.clone(), shared.abort.clone());
-    let service = service::service_fn({
-        let shared = shared.clone();
-        move |request| serve(shared.clone(), request)
-    });
-    let connection = http1::Builder::new()
-        .timer(pool::timer())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(shared.head)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let aborted = wait_until(&mut abort, true);
-    tokio::pin!(aborted);
-    let closing = tokio::select! {
-        ended = connection.as_mut() => {
+    let handler = |request| serve(shared.clone(), request);
+    let served = connection.serve(handler, wait_until(&mut stage, Stage::Closing));
+    tokio::select! {
+        served = served => {
             // hyper has already responded to a request that it could not parse.
-            if ended.is_err_and(|error| error.is_parse()) {
+            if served.is_err_and(|error| error.is_parse()) {
                 shared.metrics.rejected.inc();
             }
-            false
-        }
-        () = wait_until(&mut stage, Stage::Closing) => true,
-        () = aborted.as_mut() => false,
-    };
-    if closing {
-        connection.as_mut().graceful_shutdown();
-        tokio::select! {
-            _ = connection.as_mut() => {}
-            () = aborted.as_mut() => {}
         }
+        () = wait_until(&mut abort, true) => {}
     }
     shared.metrics.callers.dec();
 }
@@ -196,13 +177,16 @@
 
 async fn serve(
     shared: Arc<Shared>,
-    request: hyper::Request<hyper::body::Incoming>,
-) -> Result<hyper::Response<crate::response_body::ResponseBody>, Infallible> {
-    let mut response = shared.router.serve(request).await;
+    request: Result<Request<ingress::Body>, Refusal>,
+) -> Response<ResponseBody> {
+    let mut response = match request {
+        Ok(request) => shared.router.serve(request).await,
+        Err(refusal) => shared.router.refuse(refusal),
+    };
     if *shared.stage.borrow() != Stage::Open {
         response
             .headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response)
+    response
 }
--- a/ashtiller/src/request/outcome.rs
+++ b/ashtiller/src/request/outcome.rs
@@ -9,12 +9,16 @@
 use serde::Serialize;
 
 use crate::dispatch::{Refusal, RefusalCause};
+use crate::ingress;
 
 /// Header with the outcome of a request that no endpoint responded to.
 pub const HEADER: &str = "ashtiller-outcome";
 /// Header with the time to wait before a retry, in milliseconds, besides `Retry-After`.
 pub const RETRY_AFTER_MS: &str = "retry-after-ms";
 
+/// Time to retry a request for which there was no room.
+const NO_ROOM_RETRY: Duration = Duration::from_secs(1);
+
 /// Outcome of a request that has no response from an endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -104,6 +108,33 @@
         Self::not_run(status, reason, refusal.retry_after)
     }
 
+    /// Creates the response to a request that could not be received.
+    #[must_use]
+    pub fn from_ingress(refusal: ingress::Refusal) -> Self {
+        use ingress::Refusal;
+        let late = StatusCode::REQUEST_TIMEOUT;
+        match refusal {
+            Refusal::HeadTooLarge => Self::rejected(
+                StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+                "the head is too large",
+            ),
+            Refusal::BodyTooLarge => {
+                Self::rejected(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
+            }
+            Refusal::HeadTooSlow => Self::rejected(late, "the head came too late"),
+            Refusal::BodyTooSlow => Self::rejected(late, "the body came too late"),
+            Refusal::Memory
+            | Refusal::Connections
+            | Refusal::Idle
+            | Refusal::Unread
+            | Refusal::Stopping => Self::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "there is no room for the request",
+                NO_ROOM_RETRY,
+            ),
+        }
+    }
+
     /// Builds the HTTP response. `jitter`, from 0 to 1, lengthens the retry time by up to
     /// that factor, so that callers don't retry all at once.
     #[must_use]
--- a/ashtiller/src/request/replayable_body.rs
+++ b/ashtiller/src/request/replayable_body.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::StatusCode;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use tokio::time;
 
+use crate::ingress::{self, BodyError};
 use crate::outcome::LocalResponse;
 use crate::request_body::RequestBody;
 
@@ -16,7 +17,7 @@
     /// Buffered completely; it can be sent again.
     Buffered(Bytes),
     /// Streamed; it can be sent once.
-    Stream(Box<Incoming>),
+    Stream(Box<ingress::Body>),
     /// Already streamed.
     Consumed,
 }
@@ -38,7 +39,7 @@
     ///
     /// # Errors
     /// The body is too large, too slow or incomplete.
-    pub async fn open(body: Incoming, limits: BodyLimits) -> Result<Self, LocalResponse> {
+    pub async fn open(body: ingress::Body, limits: BodyLimits) -> Result<Self, LocalResponse> {
         let size = body.size_hint();
         if size.lower() > limits.max_bytes {
             return Err(LocalResponse::rejected(
@@ -54,11 +55,16 @@
         }
         let late =
             |_| LocalResponse::rejected(StatusCode::REQUEST_TIMEOUT, "the body came too late");
-        let incomplete = |_| LocalResponse::rejected(StatusCode::BAD_REQUEST, "the body broke off");
-        let read = time::timeout(limits.buffer_timeout, body.collect());
-        Ok(Self::Buffered(
-            read.await.map_err(late)?.map_err(incomplete)?.to_bytes(),
-        ))
+        let max = usize::try_from(limits.max_buffered_bytes).unwrap_or(usize::MAX);
+        let read = time::timeout(limits.buffer_timeout, body.collect_within(max));
+        let bytes = read.await.map_err(late)?.map_err(|error| match error {
+            BodyError::Refused(refusal) => LocalResponse::from_ingress(refusal),
+            BodyError::TooLarge => LocalResponse::from_ingress(ingress::Refusal::BodyTooLarge),
+            BodyError::Broken(_) => {
+                LocalResponse::rejected(StatusCode::BAD_REQUEST, "the body broke off")
+            }
+        })?;
+        Ok(Self::Buffered(bytes))
     }
 
     /// Returns whether the body was streamed and can't be sent again.
--- a/ashtiller/src/request/request_body.rs
+++ b/ashtiller/src/request/request_body.rs
@@ -6,7 +6,9 @@
 
 use bytes::{Buf, Bytes};
 use http_body_util::Full;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Frame, SizeHint};
+
+use crate::ingress;
 
 /// A request body, buffered for retries or streamed.
 #[derive(Debug)]
@@ -16,7 +18,7 @@
     /// Streamed from the caller, with a limit on its size.
     Stream {
         /// The caller's body.
-        body: Incoming,
+        body: ingress::Body,
         /// Remaining bytes allowed.
         left: u64,
     },
@@ -26,7 +28,7 @@
 #[derive(Debug)]
 pub enum RequestBodyError {
     /// The caller's connection failed.
-    Caller(hyper::Error),
+    Caller(ingress::BodyError),
     /// The body exceeds the limit.
     TooLarge,
 }
@@ -34,7 +36,7 @@
 impl fmt::Display for RequestBodyError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Caller(error) => write!(f, "reading the caller's body: {error}"),
+            Self::Caller(error) => error.fmt(f),
             Self::TooLarge => write!(f, "the body is larger than the limit"),
         }
     }
--- a/ashtiller/src/request/router.rs
+++ b/ashtiller/src/request/router.rs
@@ -25,10 +25,11 @@
 use crate::gateway_metrics::GatewayMetrics;
 use crate::headers;
 use crate::health::RequestResult;
+use crate::ingress;
 use crate::outcome::{self, LocalResponse, Outcome};
 use crate::pool::{Connection, PendingAttempt};
 use crate::replayable_body::{BodyLimits, ReplayableBody};
-use crate::request_body::RequestBody;
+use crate::request_body::{RequestBody, RequestBodyError};
 use crate::request_head;
 use crate::request_queue::AdmissionRequest;
 use crate::response_body::{Exchange, ResponseBody};
@@ -126,7 +127,7 @@
     }
 
     /// Serves one request and records its latency and result.
-    pub async fn serve(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+    pub async fn serve(&self, request: Request<ingress::Body>) -> Response<ResponseBody> {
         self.metrics.requests.inc();
         let started = self.clock.now();
         let served = self.try_serve(request).await;
@@ -141,6 +142,12 @@
         }
     }
 
+    /// Returns the response to a request that could not be received.
+    pub fn refuse(&self, refusal: ingress::Refusal) -> Response<ResponseBody> {
+        self.metrics.rejected.inc();
+        self.finish_locally(&LocalResponse::from_ingress(refusal))
+    }
+
     fn finish_locally(&self, response: &LocalResponse) -> Response<ResponseBody> {
         self.metrics
             .ended
@@ -152,7 +159,7 @@
 
     async fn try_serve(
         &self,
-        request: Request<Incoming>,
+        request: Request<ingress::Body>,
     ) -> Result<Response<ResponseBody>, LocalResponse> {
         let (head, incoming) = request.into_parts();
         let plan = self
@@ -546,13 +553,18 @@
 }
 
 fn connection_failed_response(error: &hyper::Error) -> LocalResponse {
-    let too_large = std::error::Error::source(error)
-        .and_then(|source| source.downcast_ref::<crate::request_body::RequestBodyError>())
-        .is_some_and(|error| matches!(error, crate::request_body::RequestBodyError::TooLarge));
-    if too_large {
-        return LocalResponse::unknown(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+    let source = std::error::Error::source(error);
+    match source.and_then(|source| source.downcast_ref::<RequestBodyError>()) {
+        Some(RequestBodyError::TooLarge) => {
+            LocalResponse::unknown(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
+        }
+        // Part of the body has been sent, so the endpoint may have run the request.
+        Some(RequestBodyError::Caller(ingress::BodyError::Refused(refusal))) => LocalResponse {
+            outcome: Outcome::Unknown,
+            ..LocalResponse::from_ingress(*refusal)
+        },
+        _ => LocalResponse::unknown(StatusCode::BAD_GATEWAY, "the endpoint's connection failed"),
     }
-    LocalResponse::unknown(StatusCode::BAD_GATEWAY, "the endpoint's connection failed")
 }
 
 fn status_class(status: StatusCode) -> &'static str {
