Bound what clients of the operators' port of both roles hold

The operators' port of gateways and schedulers accepted connections without a bound and closed none, so that whoever reaches it can take all descriptors of the process; a failed accept was retried at once, in a loop. It had no time for heads.

Not measured: there is no test with a crowd at this port of a gateway or scheduler; the entry's port, which runs the same module, has one.

--- a/ashtiller/src/net/ops.rs
+++ b/ashtiller/src/net/ops.rs
@@ -1,24 +1,22 @@
 //! The operators' HTTP port: metrics, health, state dump and commands of the role.
 
-use std::convert::Infallible;
+use std::future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::server::conn::http1;
-use hyper::service;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use prometheus::{Encoder, Registry, TextEncoder};
 use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::task::{JoinHandle, JoinSet};
 
 use crate::failure::Failure;
+use crate::ingress::{self, Capacity, Ingress, ProcessResources, Refusal, RequestLimits};
+use crate::outcome::LocalResponse;
 
 /// Response to a health check of the load balancer or an operator.
 #[derive(Clone, Copy, Debug, Serialize)]
@@ -101,34 +99,46 @@
     let bind_error = |error| Failure::no_effect("bind operators' port", address, error);
     let listener = TcpListener::bind(address).await.map_err(bind_error)?;
     let address = listener.local_addr().map_err(bind_error)?;
-    let listener = tokio::spawn(accept(listener, role));
+    let capacity = Capacity::side(&ProcessResources::detect(None, None));
+    let ingress = Ingress::open(
+        capacity,
+        RequestLimits::default(),
+        role.registry(),
+        "operators",
+    );
+    let ingress =
+        ingress.map_err(|error| Failure::no_effect("open operators' port", address, error))?;
+    let listener = tokio::spawn(accept(listener, role, ingress));
     Ok(OperatorServer { address, listener })
 }
 
-async fn accept(listener: TcpListener, role: Arc<dyn OperatorApi>) {
+async fn accept(listener: TcpListener, role: Arc<dyn OperatorApi>, ingress: Arc<Ingress>) {
     // Owned by this task, so that aborting it closes every connection.
     let mut connections = JoinSet::new();
+    connections.spawn(Ingress::enforce(vec![ingress.clone()]));
     loop {
         while connections.try_join_next().is_some() {}
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
+        let connection = ingress.accept(&listener).await;
         let role = role.clone();
-        let service = service::service_fn(move |request| respond(role.clone(), request));
         connections.spawn(async move {
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
+            let handler = |request| respond(role.clone(), request);
+            if let Err(error) = connection.serve(handler, future::pending()).await {
+                tracing::trace!(%error, "operator connection failed");
+            }
         });
     }
 }
 
 async fn respond(
     role: Arc<dyn OperatorApi>,
-    request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+    request: Result<Request<ingress::Body>, Refusal>,
+) -> Response<Full<Bytes>> {
+    let request = match request {
+        Ok(request) => request,
+        Err(refusal) => return LocalResponse::from_ingress(refusal).to_response(0.0),
+    };
     let json = "application/json";
-    Ok(match (request.method(), request.uri().path()) {
+    match (request.method(), request.uri().path()) {
         (&Method::GET, "/metrics") => response_of(
             StatusCode::OK,
             "text/plain; version=0.0.4",
@@ -157,10 +167,10 @@
                 r#"{"error":"no such command"}"#.to_owned(),
             ),
         },
-    })
+    }
 }
 
-fn parse_command(request: &Request<Incoming>) -> Command {
+fn parse_command(request: &Request<ingress::Body>) -> Command {
     Command {
         method: request.method().clone(),
         path: request
