--- a/ashtiller/src/workflow/job.rs
+++ b/ashtiller/src/workflow/job.rs
@@ -13,6 +13,14 @@
 pub const TASKS_MAX: u32 = 10_000;
 /// Size limit of a job's payload in bytes.
 pub const PAYLOAD_MAX: usize = 4_000;
+/// Size limit of the label, rack or image of a step in bytes.
+const NAME_MAX: usize = 4_000;
+/// Message for a job without steps, or with too many.
+pub const STEPS_ERROR: &str = "a job has 1 to 64 steps";
+/// Estimated memory of a job beside its steps, tasks and texts, in bytes.
+const JOB_BYTES: usize = 512;
+/// Estimated memory of the state of one task, in bytes.
+const TASK_BYTES: usize = 128;
 
 /// How a task shares the processors of its worker.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -66,6 +74,17 @@
 }
 
 impl Step {
+    /// Returns its label, rack and image, as far as they are set.
+    fn names(&self) -> impl Iterator<Item = &Arc<str>> {
+        [&self.label, &self.rack, &self.image].into_iter().flatten()
+    }
+
+    /// Returns an estimate of its memory in bytes.
+    fn memory(&self) -> usize {
+        let names: usize = self.names().map(|name| name.len()).sum();
+        size_of::<Self>() + names + self.depends_on.len() * size_of::<u16>()
+    }
+
     /// Reports whether its tasks are best-effort.
     #[must_use]
     pub fn fills(&self) -> bool {
@@ -138,17 +157,40 @@
         self.schedule.map_or(1, |schedule| schedule.times)
     }
 
+    /// Returns an estimate of the memory that the submission takes, in bytes.
+    #[must_use]
+    pub fn submitted_bytes(&self) -> usize {
+        let steps: usize = self.steps.iter().map(Step::memory).sum();
+        JOB_BYTES + self.payload.len() + steps
+    }
+
+    /// Returns an estimate of the memory that the job takes until it has ended, in bytes.
+    #[must_use]
+    pub fn open_bytes(&self) -> usize {
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        let tasks = usize::try_from(tasks).unwrap_or(usize::MAX);
+        self.submitted_bytes()
+            .saturating_add(tasks.saturating_mul(TASK_BYTES))
+    }
+
     /// Validates the job.
     ///
     /// # Errors
     /// Describes the first defect that makes the job impossible to run, in words for the client.
     pub fn check(&self) -> Result<(), &'static str> {
         if self.steps.is_empty() || self.steps.len() > STEPS_MAX {
-            return Err("a job has 1 to 64 steps");
+            return Err(STEPS_ERROR);
         }
         if self.payload.len() > PAYLOAD_MAX {
             return Err("the text for the tasks has over 4,000 bytes");
         }
+        if self
+            .steps
+            .iter()
+            .any(|step| step.names().any(|name| name.len() > NAME_MAX))
+        {
+            return Err("a label, rack or image has over 4,000 bytes");
+        }
         if self.steps.iter().any(|step| step.count == 0) {
             return Err("a step has no tasks");
         }
