Bodies that stop no longer keep the slots of endpoints from other requests

Ordinary callers of a gateway got no answer for as long as clients with chunked bodies that stop short had time left by their own request-timeout: a request takes its slot before its body has arrived, and each of them held one of 8 slots of the endpoint for up to a minute, with 130 more ahead in the queue. A caller who broke off its body also counted as a failure of the endpoint, so that a crowd of them could have endpoints ejected.

A request whose body is passed on while it arrives waits behind complete ones, as batch work does, which gets its turn. While requests wait for a slot, one whose body has paused for a second is ended with 408 and the outcome unknown. Neither says anything about the endpoint. Of connections that have been idle for as long, the oldest is closed.

The ejection is read from the code and has no test.

--- a/ashtiller/src/net/ingress/body.rs
+++ b/ashtiller/src/net/ingress/body.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -44,6 +45,19 @@
     shared: Arc<Shared>,
 }
 
+/// Progress of a body that is passed on while it arrives.
+pub struct Progress {
+    shared: Arc<Shared>,
+}
+
+impl Progress {
+    /// Returns for how long the rest of the body has been waited for.
+    #[must_use]
+    pub fn pause(&self) -> Duration {
+        self.shared.body_pause()
+    }
+}
+
 impl fmt::Debug for Body {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.incoming.fmt(f)
@@ -85,6 +99,14 @@
         Ok(bytes.into())
     }
 
+    /// Returns the progress of the body, also after it has been passed on.
+    #[must_use]
+    pub fn progress(&self) -> Progress {
+        Progress {
+            shared: self.shared.clone(),
+        }
+    }
+
     /// Reports a body that exceeds the limit.
     #[must_use]
     pub fn too_large(&self) -> BodyError {
--- a/ashtiller/src/net/ingress/connection.rs
+++ b/ashtiller/src/net/ingress/connection.rs
@@ -220,6 +220,14 @@
         exceeds(pause, BODY_PAUSE_MAX) || body.received < expected
     }
 
+    /// Returns for how long the rest of the body has been waited for.
+    pub(super) fn body_pause(&self) -> Duration {
+        let now = self.ingress.now();
+        let body = self.state.lock().body;
+        let since = body.and_then(|body| body.waiting_since);
+        TICK * since.map_or(0, |since| now.wrapping_sub(since).saturating_sub(1))
+    }
+
     /// Notes that the first byte of a head has arrived.
     pub(super) fn begin_head(&self) {
         let mut state = self.state.lock();
--- a/ashtiller/src/net/ingress/mod.rs
+++ b/ashtiller/src/net/ingress/mod.rs
@@ -16,6 +16,7 @@
 mod response;
 mod stream;
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
@@ -28,7 +29,7 @@
 use tokio::sync::Notify;
 use tokio::time;
 
-pub use body::{Body, BodyError};
+pub use body::{Body, BodyError, Progress};
 pub use budget::{ALLOTMENT, ByteBudget, Exhausted, Reservation};
 pub use connection::Connection;
 pub use framing::{ChunkScanner, HeadScanner};
@@ -164,10 +165,10 @@
         let now = self.now();
         let connections = self.connections.lock();
         let ranked = connections
-            .values()
-            .filter_map(|shared| Some((shared.standing(now)?, shared)));
-        let last = ranked.max_by_key(|(standing, _)| *standing);
-        last.map(|(_, shared)| shared.clone())
+            .iter()
+            .filter_map(|(id, shared)| Some((shared.standing(now)?, Reverse(*id), shared)));
+        let last = ranked.max_by_key(|(standing, age, _)| (*standing, *age));
+        last.map(|(.., shared)| shared.clone())
     }
 
     /// Closes the connections whose clients owe the rest of a request; requests that wait for this
--- a/ashtiller/src/request/pool.rs
+++ b/ashtiller/src/request/pool.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use hyper::client::conn::http1;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -272,9 +272,3 @@
         }
     }
 }
-
-/// Returns the timer for hyper's servers.
-#[must_use]
-pub fn timer() -> TokioTimer {
-    TokioTimer::new()
-}
--- a/ashtiller/src/request/replayable_body.rs
+++ b/ashtiller/src/request/replayable_body.rs
@@ -73,6 +73,21 @@
         matches!(self, Self::Consumed)
     }
 
+    /// Returns whether the body is passed on while it arrives.
+    #[must_use]
+    pub fn is_streamed(&self) -> bool {
+        matches!(self, Self::Stream(_))
+    }
+
+    /// Returns the progress of a body that is streamed.
+    #[must_use]
+    pub fn progress(&self) -> Option<ingress::Progress> {
+        match self {
+            Self::Stream(body) => Some(body.progress()),
+            Self::Buffered(_) | Self::Consumed => None,
+        }
+    }
+
     /// Returns the body for one attempt; a streamed one may have at most `limit` bytes.
     pub fn take(&mut self, limit: u64) -> RequestBody {
         match std::mem::replace(self, Self::Consumed) {
--- a/ashtiller/src/request/router.rs
+++ b/ashtiller/src/request/router.rs
@@ -5,6 +5,7 @@
 //! most once. Once a request may have run, no later refusal reports it as not run.
 
 use std::collections::HashMap;
+use std::future;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -35,7 +36,7 @@
 use crate::response_body::{Exchange, ResponseBody};
 use crate::service_dispatcher::{Admitted, ServiceDispatcher, SlotGuard};
 use crate::settings;
-use crate::template::Service;
+use crate::template::{Class, Service};
 
 /// Response header that names the endpoint that responded.
 const ENDPOINT_HEADER: HeaderName = HeaderName::from_static("ashtiller-endpoint");
@@ -43,6 +44,10 @@
 const ATTEMPTS_MAX: u32 = 3;
 /// Share of the remaining time that the first attempt of a repeatable request may take.
 const FIRST_ATTEMPT_SHARE: f64 = 0.6;
+/// Longest pause within a streamed body while other requests wait for a slot.
+const STALL_MAX: Duration = Duration::from_secs(1);
+/// Interval at which streamed bodies are checked for pauses.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Time to retry after a failure that says nothing about the backlog.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -315,7 +320,7 @@
         state.attempts += 1;
         let mut slot = match plan
             .service
-            .admit(self.admission_request(plan, avoid))
+            .admit(self.admission_request(plan, avoid, body))
             .await
         {
             Admitted::Slot(slot) => slot,
@@ -354,11 +359,22 @@
         .await
     }
 
-    fn admission_request(&self, plan: &Plan, avoid: Option<u64>) -> AdmissionRequest {
+    fn admission_request(
+        &self,
+        plan: &Plan,
+        avoid: Option<u64>,
+        body: &ReplayableBody,
+    ) -> AdmissionRequest {
+        // A slot is held until the whole body has arrived, so complete requests go first.
+        let class = if body.is_streamed() {
+            Class::Batch
+        } else {
+            plan.settings.class
+        };
         AdmissionRequest {
             id: self.ids.fetch_add(1, Ordering::Relaxed),
             account: plan.account.clone(),
-            class: plan.settings.class,
+            class,
             deadline: plan.deadline,
             max_in_flight: plan.settings.max_in_flight,
             max_queued: plan.settings.max_queued,
@@ -420,10 +436,18 @@
             endpoint,
             limit,
         } = prepared;
+        let progress = body.progress();
         let request = build_request(plan, head, body.take(self.settings.max_body_bytes));
         let exchange = connection.sender.try_send_request(request);
         let pending = plan.service.pool.begin_attempt(endpoint.listing.address);
-        let waited = self.await_response(plan, limit, &pending, exchange).await;
+        let waited = tokio::select! {
+            waited = self.await_response(plan, limit, &pending, exchange) => waited,
+            () = wait_for_stall(&plan.service, progress) => {
+                pending.complete();
+                slot.set_result(RequestResult::Ignored);
+                return Attempt::Unknown(body_stalled_response(ingress::Refusal::BodyTooSlow));
+            }
+        };
         let answered = match waited {
             Ok(Ok(response)) => {
                 pending.complete();
@@ -431,7 +455,11 @@
             }
             Ok(Err(mut error)) => {
                 pending.complete();
-                slot.set_result(RequestResult::Failure);
+                slot.set_result(if is_callers_fault(error.error()) {
+                    RequestResult::Ignored
+                } else {
+                    RequestResult::Failure
+                });
                 return match error.take_message() {
                     Some(request) => {
                         body.restore(request.into_body());
@@ -553,20 +581,49 @@
 }
 
 fn connection_failed_response(error: &hyper::Error) -> LocalResponse {
-    let source = std::error::Error::source(error);
-    match source.and_then(|source| source.downcast_ref::<RequestBodyError>()) {
+    match callers_error(error) {
         Some(RequestBodyError::TooLarge) => {
             LocalResponse::unknown(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
         }
-        // Part of the body has been sent, so the endpoint may have run the request.
-        Some(RequestBodyError::Caller(ingress::BodyError::Refused(refusal))) => LocalResponse {
-            outcome: Outcome::Unknown,
-            ..LocalResponse::from_ingress(*refusal)
-        },
+        Some(RequestBodyError::Caller(ingress::BodyError::Refused(refusal))) => {
+            body_stalled_response(*refusal)
+        }
         _ => LocalResponse::unknown(StatusCode::BAD_GATEWAY, "the endpoint's connection failed"),
     }
 }
 
+/// Returns the response to a request whose body ended early. A part of it has been sent, so the
+/// endpoint may have run the request.
+fn body_stalled_response(refusal: ingress::Refusal) -> LocalResponse {
+    LocalResponse {
+        outcome: Outcome::Unknown,
+        ..LocalResponse::from_ingress(refusal)
+    }
+}
+
+/// Returns the error with which a caller's body ended an exchange with an endpoint.
+fn callers_error(error: &hyper::Error) -> Option<&RequestBodyError> {
+    std::error::Error::source(error)?.downcast_ref()
+}
+
+fn is_callers_fault(error: &hyper::Error) -> bool {
+    callers_error(error).is_some()
+}
+
+/// Waits until a streamed body pauses while other requests wait for the slot that it holds.
+async fn wait_for_stall(service: &ServiceDispatcher, progress: Option<ingress::Progress>) {
+    let Some(progress) = progress else {
+        return future::pending().await;
+    };
+    loop {
+        time::sleep(STALL_CHECK_INTERVAL).await;
+        let paused = progress.pause() >= STALL_MAX;
+        if paused && service.with_dispatch(|dispatch, _| dispatch.waiting()) > 0 {
+            return;
+        }
+    }
+}
+
 fn status_class(status: StatusCode) -> &'static str {
     match status.as_u16() {
         100..200 => "1xx",
