Bound the memory of submissions and open jobs at the owner of the log

Callers saw the owner end: 200 clients with ten jobs each of 10,000 tasks, 50 bytes a job, end it at 64 MiB of memory, and a crowd with the largest valid jobs at each of three entries brings it to 40 MB there.

Cause: what all entries take meets in the owner, which bounds its jobs (20,000) and waiting requests (2,048) by number. A job takes 2 KB or over a megabyte, and a submission up to three times 256 KiB while it is received and recorded.

A submission reserves memory until it is recorded or refused: a 32nd of the process's memory for small ones and as much for large ones, so that a crowd of large ones does not shut the others out. Open jobs are counted by an estimate of their memory, an eighth of the process's; a job beyond it is refused before anything of it is recorded. The budget of bytes at the listeners is a sixteenth now, so that the sum of all bounds stays within half of the memory beside the process itself.

--- a/ashtiller/src/net/ingress/limits.rs
+++ b/ashtiller/src/net/ingress/limits.rs
@@ -11,7 +11,7 @@
 /// Part of the memory that connections may take: one in this many.
 const CONNECTION_MEMORY_SHARE: u64 = 4;
 /// Part of the memory that the budget of bytes may take: one in this many.
-const BUDGET_MEMORY_SHARE: u64 = 8;
+const BUDGET_MEMORY_SHARE: u64 = 16;
 /// Part of the descriptors that clients may take, one in this many; the others are for the store, workers, peers and
 /// operators.
 const CLIENT_DESCRIPTOR_SHARE: u64 = 3;
--- a/ashtiller/src/workflow/core/admission.rs
+++ b/ashtiller/src/workflow/core/admission.rs
@@ -97,16 +97,27 @@
     }
 
     /// Returns the reason to reject a job, or `None` if it can be accepted.
-    fn check_admission(&self, job: &Job, now: Now) -> Option<Reply> {
+    fn check_admission(&mut self, job: &Job, now: Now) -> Option<Reply> {
         if self.is_stalled(now) || self.log_state.open().len() >= self.tuning.jobs {
             return Some(self.retry_later_reply(&job.id));
         }
         if let Err(reason) = job.check() {
             return Some(Reply::Invalid(reason.into()));
         }
+        if !self.has_memory_for(job) {
+            self.counts.refused_for_memory += 1;
+            return Some(self.retry_later_reply(&job.id));
+        }
         None
     }
 
+    /// Reports whether the open jobs leave memory for one more, beside those that arrived with it.
+    fn has_memory_for(&self, job: &Job) -> bool {
+        let arrived = self.arrivals.iter().map(|(job, _)| job.open_bytes());
+        let taken = self.log_state.open_bytes() + arrived.sum::<usize>();
+        taken.saturating_add(job.open_bytes()) <= self.tuning.job_bytes
+    }
+
     /// Cancels a job. The client is answered once the cancellation is durable. A later owner may know
     /// a job that is unknown here.
     pub fn cancel(&mut self, id: &str, ticket: RequestToken, now: Now) {
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -165,6 +165,8 @@
     pub reordered: u64,
     /// Jobs refused for overload, without repeats before their time.
     pub refused: u64,
+    /// Jobs refused because the open jobs take too much memory.
+    pub refused_for_memory: u64,
     /// Refused ids that were repeated before their time and refused again.
     pub refused_early: u64,
     /// Jobs accepted after a refusal.
--- a/ashtiller/src/workflow/log_state.rs
+++ b/ashtiller/src/workflow/log_state.rs
@@ -90,6 +90,9 @@
     by_id: BTreeMap<Arc<str>, u32>,
     #[serde(skip)]
     open: BTreeSet<u32>,
+    /// Estimated memory of the open jobs, in bytes.
+    #[serde(skip)]
+    open_bytes: usize,
     #[serde(skip)]
     scheduled: BTreeSet<u32>,
     #[serde(skip)]
@@ -103,6 +106,7 @@
             self.by_id.insert(job.job.id.clone(), *number);
             if job.outcome.is_none() || job.live > 0 {
                 self.open.insert(*number);
+                self.open_bytes += job.job.open_bytes();
             }
             if job.outcome.is_some() {
                 self.ended.insert(*number, now);
@@ -127,6 +131,12 @@
         &self.open
     }
 
+    /// Returns an estimate of the memory of the open jobs, in bytes.
+    #[must_use]
+    pub fn open_bytes(&self) -> usize {
+        self.open_bytes
+    }
+
     /// Opens the job occurrences that are due at `wall` milliseconds since the Unix epoch; returns
     /// true if there were any.
     pub fn open_due_occurrences(&mut self, wall: u64) -> bool {
@@ -506,6 +516,7 @@
         }
         self.by_id.insert(job.id.clone(), number);
         self.open.insert(number);
+        self.open_bytes += job.open_bytes();
         self.jobs.insert(number, state);
     }
 
@@ -633,6 +644,9 @@
             return;
         }
         job.occurrences.clear();
+        if self.open.remove(&number) {
+            self.open_bytes -= job.job.open_bytes();
+        }
         let Job { id, queue, .. } = &*job.job;
         job.job = Arc::new(Job {
             id: id.clone(),
@@ -641,15 +655,16 @@
             steps: Vec::new(),
             schedule: None,
         });
-        self.open.remove(&number);
     }
 
     fn forget(&mut self, number: u32) {
         self.origins.remove(number);
         if let Some(job) = self.jobs.remove(&number) {
             self.by_id.remove(&job.job.id);
+            if self.open.remove(&number) {
+                self.open_bytes -= job.job.open_bytes();
+            }
         }
-        self.open.remove(&number);
         self.ended.remove(&number);
     }
 }
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -151,6 +151,7 @@
     shares: GaugeVec,
     silent: IntCounter,
     unreadable: IntCounter,
+    room_refusals: IntCounter,
     build: IntGaugeVec,
 }
 
@@ -250,6 +251,10 @@
                 "silent_links",
                 "connections to peers that went silent while new ones worked",
             ))?,
+            room_refusals: IntCounter::with_opts(opts(
+                "submissions_refused_for_room",
+                "submissions refused because those that wait for the owner take too much memory",
+            ))?,
             unreadable: IntCounter::with_opts(opts(
                 "unreadable_entries",
                 "entries of workers in the store that cannot be read",
@@ -285,6 +290,7 @@
         let [messages, bytes] = traffic::counters();
         vec![
             Box::new(self.unreadable.clone()),
+            Box::new(self.room_refusals.clone()),
             Box::new(self.calls.clone()),
             Box::new(self.answers.clone()),
             Box::new(self.orders.clone()),
@@ -319,6 +325,11 @@
         self.silent.clone()
     }
 
+    /// Counts a submission for which there is no memory beside those that wait for the owner.
+    pub fn note_room_refusal(&self) {
+        self.room_refusals.inc();
+    }
+
     /// Records the reply to a client's call.
     pub fn note_call(&self, call: &str, reply: &Reply, took: Duration) {
         let answer = match reply {
@@ -496,6 +507,10 @@
             ("absolved", now.absolved - before.absolved),
             ("reordered", now.reordered - before.reordered),
             ("refused", now.refused - before.refused),
+            (
+                "refused_for_memory",
+                now.refused_for_memory - before.refused_for_memory,
+            ),
             ("refused_early", now.refused_early - before.refused_early),
             ("readmitted", now.readmitted - before.readmitted),
             ("promoted", now.promoted - before.promoted),
--- a/ashtiller/src/workflow/mod.rs
+++ b/ashtiller/src/workflow/mod.rs
@@ -51,6 +51,7 @@
 pub mod snapshot;
 pub mod state;
 pub mod store_latency;
+pub mod submission_room;
 pub mod switches;
 pub mod traffic;
 pub mod tuning;
--- a/ashtiller/src/workflow/node/forward.rs
+++ b/ashtiller/src/workflow/node/forward.rs
@@ -10,7 +10,7 @@
 use crate::workflow::admission::refusals;
 use crate::workflow::message::{PeerRequest, Reply};
 use crate::workflow::node::Node;
-use crate::workflow::owner::OwnerRequest;
+use crate::workflow::owner::{OwnerRequest, ReplySender};
 use crate::workflow::shares::origins::SubmitSection;
 
 /// Delay between two attempts to reach the owner.
@@ -118,12 +118,23 @@
             return Reply::NotOwner;
         };
         let refusal = self.refusal(&request);
+        let reservation = match &request {
+            PeerRequest::Submit(job) => match self.room.reserve(job) {
+                Ok(reservation) => Some(reservation),
+                Err(exhausted) => {
+                    tracing::debug!(job = %job.id, %exhausted, "submission refused");
+                    self.metrics.note_room_refusal();
+                    return refusal;
+                }
+            },
+            _ => None,
+        };
         let (sender, reply) = oneshot::channel();
         if owner
             .try_send(OwnerRequest {
                 request,
                 origin,
-                reply: sender,
+                reply: ReplySender::new(sender, reservation),
             })
             .is_err()
         {
--- a/ashtiller/src/workflow/node/mod.rs
+++ b/ashtiller/src/workflow/node/mod.rs
@@ -37,6 +37,7 @@
 use crate::workflow::relay::client::RelayClient;
 use crate::workflow::relay::server::RelayServer;
 use crate::workflow::settings::Settings;
+use crate::workflow::submission_room::SubmissionRoom;
 
 pub use store_watch::PROBE_INTERVAL;
 
@@ -83,6 +84,8 @@
     position: Cell<u64>,
     leaving: Cell<bool>,
     dump: watch::Sender<Arc<str>>,
+    /// Memory for submissions that wait for the owner in this process.
+    room: SubmissionRoom,
     /// State of admission as this process, as the owner, last published it.
     overload: RefCell<Option<(OverloadCopy, Moment)>>,
 }
@@ -126,6 +129,7 @@
             relay_server: RelayServer::new(agents.clone(), links.clone()),
             relay_client: RelayClient::new(agents.clone(), links.clone(), settings.entry.peers),
             links,
+            room: SubmissionRoom::new(&settings.entry.resources),
             settings,
             agents,
             metrics,
--- a/ashtiller/src/workflow/owner/effects.rs
+++ b/ashtiller/src/workflow/owner/effects.rs
@@ -113,7 +113,7 @@
     /// Replies to a waiting caller, which may have given up.
     pub(super) fn reply(&mut self, ticket: RequestToken, reply: Reply) {
         if let Some(waiting) = self.pending_replies.remove(&ticket) {
-            let _ = waiting.send(reply);
+            waiting.send(reply);
         }
     }
 
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -18,6 +18,7 @@
 
 use crate::clock::Moment;
 use crate::failure::Failure;
+use crate::ingress::Reservation;
 use crate::workflow::advisor::Tickets;
 use crate::workflow::agents::{Order, OrderReply, PollReply};
 use crate::workflow::core::advice::StepKey;
@@ -57,7 +58,34 @@
     /// unknown.
     pub origin: Arc<str>,
     /// Channel for the reply.
-    pub reply: oneshot::Sender<Reply>,
+    pub reply: ReplySender,
+}
+
+/// Channel for the reply to a request, with the memory that the request holds until then.
+pub struct ReplySender {
+    sender: oneshot::Sender<Reply>,
+    _reservation: Option<Reservation>,
+}
+
+impl ReplySender {
+    /// Creates the channel of a request.
+    #[must_use]
+    pub fn new(sender: oneshot::Sender<Reply>, reservation: Option<Reservation>) -> Self {
+        Self {
+            sender,
+            _reservation: reservation,
+        }
+    }
+
+    /// Sends the reply; the caller may have given up.
+    fn send(self, reply: Reply) {
+        let _ = self.sender.send(reply);
+    }
+
+    /// Returns whether the caller has given up.
+    fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
 }
 
 /// Reading of an owner's clock as it begins.
@@ -252,7 +280,7 @@
     requests: mpsc::Receiver<OwnerRequest>,
     events: mpsc::Receiver<Event>,
     event_sender: mpsc::Sender<Event>,
-    pending_replies: HashMap<RequestToken, oneshot::Sender<Reply>>,
+    pending_replies: HashMap<RequestToken, ReplySender>,
     next_ticket: u64,
     snapshot: Option<(u64, Vec<u8>)>,
     compaction: Option<JoinHandle<()>>,
@@ -420,14 +448,14 @@
     fn reject_pending(&mut self) {
         for ticket in self.core.waiting_queries() {
             if let Some(reply) = self.pending_replies.remove(&ticket) {
-                let _ = reply.send(Reply::NotOwner);
+                reply.send(Reply::NotOwner);
             }
         }
         for (_, reply) in self.pending_replies.drain() {
-            let _ = reply.send(Reply::Unknown);
+            reply.send(Reply::Unknown);
         }
         while let Ok(request) = self.requests.try_recv() {
-            let _ = request.reply.send(Reply::NotOwner);
+            request.reply.send(Reply::NotOwner);
         }
     }
 }
--- a/ashtiller/src/workflow/settings.rs
+++ b/ashtiller/src/workflow/settings.rs
@@ -14,6 +14,8 @@
 
 /// Sections of a settings file.
 const SECTIONS: [&str; 5] = ["instance", "entry", "platform", "workers", "policy"];
+/// Part of the memory that open jobs may take: one in this many.
+const OPEN_JOBS_SHARE: u64 = 8;
 const MILLISECOND: Duration = Duration::from_millis(1);
 const SECOND: Duration = Duration::from_secs(1);
 const MINUTE: Duration = Duration::from_mins(1);
@@ -79,13 +81,15 @@
     /// Reports every mistake in the file at once.
     pub fn parse(file: &str, text: &str) -> Result<Self, Mistakes> {
         let mut document = Document::parse(file, text)?;
-        let read = Self {
+        let mut read = Self {
             instance: settings::read_instance(&mut document),
             entry: read_entry(&mut document),
             platform: read_platform(&mut document),
             tuning: read_tuning(&mut document),
         };
         document.finish(&SECTIONS)?;
+        let memory = read.entry.resources.memory / OPEN_JOBS_SHARE;
+        read.tuning.job_bytes = usize::try_from(memory).unwrap_or(usize::MAX);
         Ok(read)
     }
 }
--- a/ashtiller/src/workflow/tuning.rs
+++ b/ashtiller/src/workflow/tuning.rs
@@ -46,6 +46,8 @@
     pub far: f64,
     /// Largest number of jobs that have not ended.
     pub jobs: usize,
+    /// Largest estimated memory of these jobs, in bytes.
+    pub job_bytes: usize,
     /// Time for which a worker may be missing from the platform's list after a store outage.
     pub relist: Duration,
     /// Time between a pace order and its effect.
@@ -101,6 +103,7 @@
             far: 2.0,
             // About 2 KB each, of 260 MB per instance.
             jobs: 20_000,
+            job_bytes: 32 << 20,
             relist: Duration::from_millis(2500),
             pace_delay: Duration::from_millis(100),
             report: Duration::from_millis(500),
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -23,6 +23,7 @@
 mod listing;
 mod lives;
 mod machine_list;
+mod memory;
 mod news;
 mod overdue_fills;
 mod partial_reports;
--- a/soak/tests/clients/crowd.rs
+++ b/soak/tests/clients/crowd.rs
@@ -1,5 +1,6 @@
 //! A crowd of clients that all send the same.
 
+use std::borrow::Cow;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -17,6 +18,9 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Times that a client whose connection is closed returns.
 const RETURNS_MAX: usize = 40;
+/// Where the id of a job begins in a submission, and its length.
+const ID_AT: usize = "POST /q/".len();
+const ID_DIGITS: usize = 16;
 /// Receive buffer of a client that reads no answers.
 const SMALL_BUFFER: u32 = 4096;
 
@@ -33,6 +37,8 @@
     pub deaf: bool,
     /// Whether a client whose connection is closed connects again at once.
     pub returns: bool,
+    /// Whether each piece is a submission that gets an id of its own.
+    pub numbered: bool,
 }
 
 /// Connected clients; dropping it closes their connections.
@@ -112,7 +118,12 @@
     let mut stream = connect(address, script.deaf).await.ok()?;
     let pieces = std::iter::repeat_n(&script.piece, script.pieces);
     for bytes in std::iter::once(&script.opening).chain(pieces) {
-        match time::timeout(WRITE_TIMEOUT, stream.write_all(bytes)).await {
+        let bytes = if script.numbered {
+            number(bytes)
+        } else {
+            Cow::Borrowed(bytes)
+        };
+        match time::timeout(WRITE_TIMEOUT, stream.write_all(&bytes)).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) => return None,
             Err(_) => break,
@@ -124,6 +135,17 @@
     Some(stream)
 }
 
+/// Returns a submission with an id that no other one has.
+fn number(submission: &[u8]) -> Cow<'_, Vec<u8>> {
+    static NUMBER: AtomicUsize = AtomicUsize::new(1);
+    let mut bytes = submission.to_vec();
+    if let Some(id) = bytes.get_mut(ID_AT..ID_AT + ID_DIGITS) {
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        id.copy_from_slice(format!("{number:0ID_DIGITS$x}").as_bytes());
+    }
+    Cow::Owned(bytes)
+}
+
 /// Reads the answers that have arrived; returns whether the connection is closed.
 fn discard_answers(stream: &TcpStream) -> bool {
     let mut answers = [0; 4096];
--- a/soak/tests/clients/entry.rs
+++ b/soak/tests/clients/entry.rs
@@ -4,6 +4,7 @@
 
 use crate::crowd::{Crowd, Script};
 use crate::fixture::{self, BODY_MAX, ENTRY_LIMITS, Entries, HEAD_MAX};
+use crate::process::Process;
 
 /// Clients of a crowd.
 const CLIENTS: usize = 200;
@@ -259,16 +260,10 @@
 }
 
 /// A crowd at every entry, so that the owner bears the sum of what they forward.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn whole_bodies_at_all_entries() {
+async fn crowds_at_all_entries(script: &Script) {
     let mut entries = Entries::start(3, fixture::usual_limits()).await;
-    let script = Script {
-        piece: large_submission(),
-        pieces: 10,
-        ..Script::default()
-    };
-    let addresses: Vec<_> = entries.processes.iter().map(|p| p.clients()).collect();
-    let spawn = |address| Crowd::spawn(address, &script, CLIENTS / 2);
+    let addresses: Vec<_> = entries.processes.iter().map(Process::clients).collect();
+    let spawn = |address| Crowd::spawn(address, script, CLIENTS / 2);
     let mut crowds: Vec<Crowd> = addresses.iter().copied().map(spawn).collect();
     for crowd in &mut crowds {
         crowd.sent().await;
@@ -280,6 +275,46 @@
     entries.check();
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn whole_bodies_at_all_entries() {
+    crowds_at_all_entries(&Script {
+        piece: large_submission(),
+        pieces: 10,
+        ..Script::default()
+    })
+    .await;
+}
+
+/// Valid jobs with as many steps and as long texts as are allowed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn large_jobs_at_all_entries() {
+    let step = format!(
+        r#"{{"count":1,"cpu":9000000,"image":"{}"}},"#,
+        "i".repeat(3900)
+    );
+    let body = format!(r#"{{"steps":[{}]}}"#, step.repeat(64).trim_end_matches(','));
+    crowds_at_all_entries(&Script {
+        piece: [sized_opening(body.len()), body.into_bytes()].concat(),
+        pieces: 10,
+        numbered: true,
+        ..Script::default()
+    })
+    .await;
+}
+
+/// Small valid jobs, each of which has the largest number of tasks.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn jobs_of_many_tasks() {
+    let body = r#"{"steps":[{"count":10000,"cpu":9000000}]}"#;
+    entry_withstands(Script {
+        piece: [sized_opening(body.len()), body.as_bytes().to_vec()].concat(),
+        pieces: 10,
+        numbered: true,
+        ..Script::default()
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn heads_without_end_beside_bodies_that_stop_short() {
     let mut entries = Entries::start(1, fixture::usual_limits()).await;
--- a/soak/tests/clients/fixture.rs
+++ b/soak/tests/clients/fixture.rs
@@ -24,6 +24,8 @@
 pub const BODY_MAX: usize = 262_144;
 /// Largest head that the configuration allows.
 pub const HEAD_MAX: usize = 16_384;
+/// First id of ordinary callers' jobs.
+const ORDINARY_IDS: u64 = 0x0dd0_0000_0000_0000;
 /// Offset of the entries' port for peers.
 const PEERS: u16 = 4;
 /// Limit of one attempt of an ordinary caller.
@@ -160,7 +162,7 @@
 /// Returns a submission of an ordinary job.
 pub fn ordinary_job() -> Vec<u8> {
     static NUMBER: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(1);
-    let id = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let id = ORDINARY_IDS + NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
     let body = br#"{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":64,"estimate_ms":500}]}"#;
     let mut bytes = submission(id, &format!("content-length: {}", body.len()));
     bytes.extend_from_slice(body);
