--- a/ashtiller/src/net/ops.rs
+++ b/ashtiller/src/net/ops.rs
@@ -99,6 +99,7 @@
     let bind_error = |error| Failure::no_effect("bind operators' port", address, error);
     let listener = TcpListener::bind(address).await.map_err(bind_error)?;
     let address = listener.local_addr().map_err(bind_error)?;
+    Ingress::prepare(&listener);
     let capacity = Capacity::side(&ProcessResources::detect(None, None));
     let ingress = Ingress::open(
         capacity,
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -161,6 +161,14 @@
         .subsystem("entry")
 }
 
+fn counter(name: &str, help: &str) -> Result<IntCounter, prometheus::Error> {
+    IntCounter::with_opts(opts(name, help))
+}
+
+fn gauges(name: &str, help: &str, labels: &[&str]) -> Result<IntGaugeVec, prometheus::Error> {
+    IntGaugeVec::new(opts(name, help), labels)
+}
+
 fn histogram(name: &str, help: &str) -> HistogramOpts {
     HistogramOpts::from(opts(name, help)).buckets(BOUNDS.to_vec())
 }
@@ -211,26 +219,19 @@
                 opts("events", "what the owner of the log did"),
                 &["event"],
             )?,
-            waiting: IntGaugeVec::new(
-                opts("waiting_tasks", "tasks that wait for a worker"),
-                &["kind"],
-            )?,
+            waiting: gauges("waiting_tasks", "tasks that wait for a worker", &["kind"])?,
             waited: GaugeVec::new(
                 opts("waiting_seconds", "longest wait of a step for workers"),
                 &["kind"],
             )?,
-            workers: IntGaugeVec::new(
-                opts(
-                    "workers",
-                    "workers that may get runs, and why others may not",
-                ),
+            workers: gauges(
+                "workers",
+                "workers that may get runs, and why others may not",
                 &["gate"],
             )?,
-            reserve: IntGaugeVec::new(
-                opts(
-                    "reserve",
-                    "gaps for short tasks: demanded, reserved and present, and long-running steps held back",
-                ),
+            reserve: gauges(
+                "reserve",
+                "gaps for short tasks: demanded, reserved and present, and long-running steps held back",
                 &["service", "what"],
             )?,
             pressure: GaugeVec::new(
@@ -247,23 +248,21 @@
                 ),
                 &["service", "class", "queue", "origin", "what"],
             )?,
-            silent: IntCounter::with_opts(opts(
+            silent: counter(
                 "silent_links",
                 "connections to peers that went silent while new ones worked",
-            ))?,
-            room_refusals: IntCounter::with_opts(opts(
+            )?,
+            room_refusals: counter(
                 "submissions_refused_for_room",
                 "submissions refused because those that wait for the owner take too much memory",
-            ))?,
-            unreadable: IntCounter::with_opts(opts(
+            )?,
+            unreadable: counter(
                 "unreadable_entries",
                 "entries of workers in the store that cannot be read",
-            ))?,
-            build: IntGaugeVec::new(
-                opts(
-                    "build_info",
-                    "1 for the version and the commit that is running",
-                ),
+            )?,
+            build: gauges(
+                "build_info",
+                "1 for the version and the commit that is running",
                 &["version", "commit", "modified"],
             )?,
             registry,
