Keep a connection whose request had a body that nobody reads

A client whose submission is refused before its body is read (no such queue, no configuration yet) lost its connection, although the body had arrived with the head: the rest of the body counted as owed after the parser had dropped it. It does not now.

--- a/ashtiller/src/net/ingress/connection.rs
+++ b/ashtiller/src/net/ingress/connection.rs
@@ -98,6 +98,14 @@
     has_next: bool,
 }
 
+impl State {
+    /// Reports whether no request can follow, because the rest of the present one is not read.
+    fn is_last(&self) -> bool {
+        let owes = |body: OwedBody| body.remaining != Some(0);
+        self.refusal.is_some() || self.body.is_some_and(owes)
+    }
+}
+
 /// State of a connection that its task and the listener share.
 pub struct Shared {
     pub(super) ingress: Arc<Ingress>,
@@ -278,8 +286,11 @@
     /// Notes that the response has been handed over for writing, or will not be.
     pub(super) fn end_request(&self) {
         let mut state = self.state.lock();
-        let last = state.refusal.is_some() || state.body.is_some();
-        state.phase = if last { Phase::Closing } else { Phase::Idle };
+        state.phase = if state.is_last() {
+            Phase::Closing
+        } else {
+            Phase::Idle
+        };
         state.since = self.ingress.now();
         state.head_charge = 0;
         state.reservation.clear();
@@ -369,7 +380,7 @@
     /// Begins to discard what the client still sends; returns false if it has nothing to send.
     pub(super) fn begin_linger(&self) -> bool {
         let mut state = self.state.lock();
-        let lingers = state.refusal.is_some() || state.body.is_some();
+        let lingers = state.is_last();
         if lingers && state.phase != Phase::Closing {
             state.phase = Phase::Closing;
             state.since = self.ingress.now();
