Split the state of a connection from serving it

ingress::state has what a connection is doing, since when and what it holds; ingress::connection serves its requests. Nothing else is changed.

--- a/ashtiller/src/net/ingress/body.rs
+++ b/ashtiller/src/net/ingress/body.rs
@@ -10,8 +10,8 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 
-use super::connection::Shared;
 use super::metrics::Refusal;
+use super::state::Shared;
 
 /// First size of the buffer of a body whose size is not declared.
 const BUFFER_MIN: usize = 4 << 10;
--- a/ashtiller/src/net/ingress/mod.rs
+++ b/ashtiller/src/net/ingress/mod.rs
@@ -14,6 +14,7 @@
 mod limits;
 mod metrics;
 mod response;
+mod state;
 mod stream;
 
 use std::cmp::Reverse;
@@ -37,7 +38,7 @@
 pub use metrics::{Metrics, Refusal};
 pub use response::GuardedResponse;
 
-use connection::{Shared, Standing};
+use state::{Shared, Standing};
 
 /// Interval at which the times of connections are checked.
 const TICK: Duration = Duration::from_millis(250);
--- a/ashtiller/src/net/ingress/response.rs
+++ b/ashtiller/src/net/ingress/response.rs
@@ -6,7 +6,7 @@
 
 use hyper::body::{Body, Frame, SizeHint};
 
-use super::connection::Shared;
+use super::state::Shared;
 
 /// Body of a response; its request holds its part of the budget until this is dropped.
 pub struct GuardedResponse<B> {
--- a/ashtiller/src/net/ingress/stream.rs
+++ b/ashtiller/src/net/ingress/stream.rs
@@ -13,9 +13,9 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use super::connection::{Owed, Phase, Shared};
 use super::framing::{ChunkScanner, HeadScanner};
 use super::metrics::Refusal;
+use super::state::{Owed, Phase, Shared};
 
 /// Bytes that one read takes beyond what the parser has asked for.
 const READ_SIZE: usize = 4 << 10;
