--- a/review/world.py
+++ b/review/world.py
@@ -808,6 +808,9 @@
 def run(folder, case, **options):
     """Plays a case: exit code 1 if a rule was broken, 0 if it held, 2 if it couldn't run."""
     async def main():
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         world = World(folder, os.environ.get("TROUBLE", "1") != "0", **options)
         try:
             await asyncio.wait_for(case(world), 112)
@@ -821,7 +824,9 @@
             return 2
         finally:
             await world.close()
-    socket.setdefaulttimeout(5)
-    code = asyncio.run(main())
+    try:
+        code = asyncio.run(main())
+    except (asyncio.CancelledError, KeyboardInterrupt):
+        code = 2
     sys.stdout.flush()
     os._exit(code)
