--- a/review/lib3/deployment.py
+++ b/review/lib3/deployment.py
@@ -290,7 +290,7 @@
         self.world.record("runner started", machine=self.machine.name, runner=self.id)
 
     def clock(self):
-        return self.clock_base + int((time.monotonic() - self.started) * 1000)
+        return self.clock_base + int((time.monotonic() - self.started) * 1000 * self.world.clock_rate)
 
     def entry(self):
         self.sequence += 1
@@ -411,6 +411,8 @@
         if number <= self.over.get(task, 0) or known:
             self.lend(body["deadline_ms"])
             return 409, {**answer, "reason": "old"}
+        if not self.world.admits(self, body):
+            return 409, {**answer, "reason": "ticket"}
         used = sum(run.work["cpu"] for run in self.runs.values())
         work = json.loads(body["spec"])
         self.lend(body["deadline_ms"])
@@ -543,7 +545,8 @@
             "limits": {"cpu_share": 0.25, "memory_mb": 260, "max_fds": 4100},
             "bounds": BOUNDS,
             "platform": {"address": "%s:%d" % world.store.server.address, "value_bytes": 1048576},
-            "cloud_api": {"address": "%s:%d" % world.cloud.address}, "advice": None,
+            "cloud_api": {"address": "%s:%d" % world.cloud.address},
+            "advice": "%s:%d" % world.advisor.address,
         }
         with open(os.path.join(ROOT, "deploy", "entry.ini"), encoding="utf-8") as file:
             text = fill(file.read(), fields)
@@ -592,9 +595,13 @@
         self.fates, self.watchers = [], []
         self.trouble_of = lambda runner, start: None
         self.starts = 0
+        self.clock_rate = 1.0
         self.ports = self.free_ports()
         self.store = Store(self.record)
         self.cloud = Server(self.machines_call)
+        self.advisor = Server(self.advise)
+        self.advice = None
+        self.tickets, self.deciding = {}, {}
         self.machines = [Machine(self, index, f"{self.net}.{50 + index}")
                          for index in range(machines)]
         self.entries = [Entry(self, index) for index in range(entries)]
@@ -617,6 +624,7 @@
     async def open(self):
         await self.store.server.open(f"{self.net}.200")
         await self.cloud.open(f"{self.net}.201")
+        await self.advisor.open(f"{self.net}.202")
         for machine in self.machines:
             await machine.boot()
         self.lapsing = asyncio.create_task(self.lapse())
@@ -638,12 +646,13 @@
         raise Broken(cause)
 
     def configure(self, version, max_attempts=3):
+        advice = {"advice": self.advice} if self.advice else {}
         self.store.write("op/config", {
             "version": version,
             "routes": [{"name": "r-1", "host": self.host, "prefix": self.prefix,
                         "kind": "non_idempotent", "timeout_ms": 3000, "target_latency_ms": 1000,
                         "priority": 0, "service": self.service, "max_attempts": max_attempts,
-                        "extension": 2.0}],
+                        "extension": 2.0, **advice}],
             "services": [{"name": self.service, "health_path": "/healthz", "max_conns": 64,
                           "protocol": "h1", "tls": False, "enforces_capacity": True,
                           "headroom": False}],
@@ -686,6 +695,36 @@
                     answer=answer[0])
         return answer
 
+    async def advise(self, method, path, query, headers, body):
+        """Answers which runners may run a step, three quarters of them, with tickets that hold for `valid_ms`
+        from the answer on. Only the owner of the log calls, so calls are handled one at a time."""
+        step, named = body["step_index"], body["workers"]
+        before, turn = self.deciding.get("last"), asyncio.get_running_loop().create_future()
+        self.deciding["last"] = turn
+        try:
+            if before:
+                await before
+            advice = self.advice
+            await asyncio.sleep((advice["decide_ms"] + advice["each_ms"] * len(named)) / 1000)
+        finally:
+            turn.done() or turn.set_result(None)
+        good = []
+        for id in named:
+            if int(id[-1], 16) % 4:
+                ticket = f"t-{random.getrandbits(32):08x}"
+                until = time.monotonic() + advice["valid_ms"] / 1000
+                self.tickets[ticket] = (step, id, until)
+                good.append([id, ticket])
+        self.record("advice", step=step, named=len(named), good=len(good))
+        return 200, {"good": good, "valid_ms": advice["valid_ms"]}
+
+    def admits(self, runner, start):
+        """Reports whether a start brings a ticket that holds, if its queue needs one."""
+        step = start["task"].rsplit(".", 1)[0]
+        ticket = self.tickets.get(start.get("ticket"))
+        return not self.advice or (ticket is not None and ticket[:2] == (step, runner.id)
+                                   and time.monotonic() < ticket[2])
+
     # Hooks of a case: what becomes of a run, and what to note of it.
 
     def fate(self, runner, run):
