--- a/review/lib3/deployment.py
+++ b/review/lib3/deployment.py
@@ -590,7 +590,7 @@
         self.net = f"127.{1 + number // 250 % 200}.{1 + number % 250}"
         self.zones = ["north-1", "north-2", "north-3"]
         self.service, self.cpu = "depot", 16000
-        self.host, self.prefix = "queue.example", "/work/"
+        self.host, self.prefix = "queue.example", "/jobs/"
         self.beats = {}
         self.fates, self.watchers = [], []
         self.trouble_of = lambda runner, start: None
