Start long-running tasks again when they end done

Cause: LogState::end takes any end `Done` for the completion of the task, and the owner records the end as the worker reports it.

The new tests owner::long_running are red before: seven of seven.

The meaning of an end is now decided in one place, LogState::effective_end: `Done` of a long-running task counts as `Stopped`.

A failed run is started again at once as before.

--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -39,6 +39,7 @@
 mod relocation;
 mod reports;
 pub mod reserve;
+mod restart_pauses;
 pub mod round_report;
 pub mod run_times;
 mod runs;
@@ -284,6 +285,8 @@
     reserved: Option<starvation::WorkerReservation>,
     /// Moves that make room for short tasks.
     defragmentation: defragmentation::Defragmentation,
+    /// Long-running tasks that keep ending soon after their start.
+    restart_pauses: restart_pauses::RestartPauses,
     /// Workers on which runs have freed capacity since the last round while long-running steps
     /// wait.
     freed_workers: BTreeSet<Incarnation>,
@@ -390,6 +393,7 @@
             passed_over: BTreeMap::new(),
             reserved: None,
             defragmentation: defragmentation::Defragmentation::default(),
+            restart_pauses: restart_pauses::RestartPauses::default(),
             freed_workers: BTreeSet::new(),
             wait_logged_at: BTreeMap::new(),
             next_short_wait_log: Duration::ZERO,
@@ -530,6 +534,7 @@
             self.forget_absent_workers(now);
             self.drain_leaving_workers(now);
             self.withdraw_starts(now);
+            self.end_restart_pauses(now);
             self.open_due_occurrences(now);
             self.advance_waves(now);
         }
@@ -576,6 +581,7 @@
         self.headroom_history.remove(&number);
         self.searches.forget_job(number);
         self.learned_run_times.forget_job(number);
+        self.restart_pauses.forget_job(number);
         self.wait_logged_at.retain(|key, _| key.0 != number);
         self.stop_job(number, StopReason::Over);
     }
--- a/ashtiller/src/workflow/core/runs.rs
+++ b/ashtiller/src/workflow/core/runs.rs
@@ -62,12 +62,14 @@
     }
 
     /// Records the end of a run and acts on it.
-    pub(super) fn end_run(&mut self, run: Run, end: End, checkpoint: &Arc<str>, now: Now) {
+    pub(super) fn end_run(&mut self, run: Run, reported: End, checkpoint: &Arc<str>, now: Now) {
+        let end = self.log_state.effective_end(run.task, reported);
         let Some(live) = self.remove_run(run, end, now) else {
             return;
         };
         self.release(run, &live);
-        self.note_awaited_start(run, &live, end, now);
+        self.note_awaited_start(run, &live, reported, now);
+        self.pace_restart(run, reported, &live, now);
         if end != End::Done {
             self.record_former_start(run, &live.worker, now);
         }
@@ -90,7 +92,7 @@
             && let Some(job) = self.log_state.jobs.get(&run.task.job)
         {
             tracing::info!(job = %job.job.id, task = %run.task, run = run.number,
-                worker = %live.worker, ?end, age_ms = age, stop = ?live.stop, percent = live.percent, "run ended");
+                worker = %live.worker, end = ?reported, age_ms = age, stop = ?live.stop, percent = live.percent, "run ended");
         }
         self.record(LogRecord::Ended(run, end, checkpoint.clone()), now);
         self.needs_planning = true;
--- a/ashtiller/src/workflow/core/step_priority.rs
+++ b/ashtiller/src/workflow/core/step_priority.rs
@@ -70,17 +70,19 @@
         found
     }
 
+    /// Returns the tasks of a step that wait for a worker, without those whose restart is delayed.
     pub(super) fn waiting_tasks(&self, pending: WaitingStep) -> Vec<Task> {
         let job = &self.log_state.jobs[&pending.job];
         let state = &job.occurrences[&pending.occurrence].steps[usize::from(pending.step)];
         let tasks = (0..).zip(&state.tasks).filter(|(_, task)| task.waits());
+        let tasks = tasks.map(|(index, _)| Task {
+            job: pending.job,
+            occurrence: pending.occurrence,
+            step: pending.step,
+            index,
+        });
         tasks
-            .map(|(index, _)| Task {
-                job: pending.job,
-                occurrence: pending.occurrence,
-                step: pending.step,
-                index,
-            })
+            .filter(|task| !self.restart_pauses.is_paused(*task))
             .collect()
     }
 
--- a/ashtiller/src/workflow/core/unconfirmed_starts.rs
+++ b/ashtiller/src/workflow/core/unconfirmed_starts.rs
@@ -66,9 +66,11 @@
     }
 
     /// Records the start of a run that ends while its reply is still awaited.
-    pub(super) fn note_awaited_start(&mut self, run: Run, live: &LiveRun, end: End, now: Now) {
-        let listed = end == End::Failed && self.has_single_start(live);
-        if end != End::Done && !listed && live.ordering && live.stage == Stage::Starting {
+    pub(super) fn note_awaited_start(&mut self, run: Run, live: &LiveRun, reported: End, now: Now) {
+        let ended_itself = matches!(reported, End::Done | End::Failed);
+        let listed = ended_itself && self.has_single_start(live);
+        let completes = self.log_state.effective_end(run.task, reported) == End::Done;
+        if !completes && !listed && live.ordering && live.stage == Stage::Starting {
             self.note_unconfirmed_start(run, &live.worker, now);
         }
     }
--- a/ashtiller/src/workflow/log_state.rs
+++ b/ashtiller/src/workflow/log_state.rs
@@ -119,6 +119,7 @@
             if job.outcome.is_none() || job.live > 0 {
                 self.open.insert(*number);
                 job.close_surplus_occurrences();
+                job.reopen_long_running();
                 self.open_bytes += job.count_bytes();
             }
             if job.outcome.is_some() {
@@ -215,6 +216,25 @@
             .is_some_and(|(_, task)| task.live.iter().any(|live| live.number == run.number))
     }
 
+    /// Reports whether a task is one of those that run until their job is cancelled.
+    #[must_use]
+    pub fn is_long_running(&self, task: Task) -> bool {
+        let job = self.jobs.get(&task.job);
+        job.and_then(|job| job.step(task))
+            .is_some_and(|step| step.long_running)
+    }
+
+    /// Returns what the reported end of a run means for its task. No end completes a long-running
+    /// task.
+    #[must_use]
+    pub fn effective_end(&self, task: Task, reported: End) -> End {
+        if reported == End::Done && self.is_long_running(task) {
+            End::Stopped
+        } else {
+            reported
+        }
+    }
+
     /// Reports whether the end of an inactive run still changes the state: a worker may report it
     /// after the run was given up as lost.
     #[must_use]
@@ -640,6 +660,8 @@
 
     fn end(&mut self, run: Run, end: End, checkpoint: &Arc<str>, now: Duration) -> Effect {
         let number = run.task.job;
+        // Earlier versions record long-running tasks as done.
+        let end = self.effective_end(run.task, end);
         if !self.is_live(run) && !self.late_end_matters(run, end) {
             return Effect::None;
         }
--- a/ashtiller/src/workflow/state.rs
+++ b/ashtiller/src/workflow/state.rs
@@ -129,6 +129,16 @@
     pub waiting: u32,
 }
 
+impl StepState {
+    fn reopen_done(&mut self) {
+        for task in self.tasks.iter_mut().filter(|task| task.done) {
+            task.done = false;
+            self.left += 1;
+            self.waiting += u32::from(task.waits());
+        }
+    }
+}
+
 /// State of one occurrence of a job.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Occurrence {
@@ -208,6 +218,20 @@
         self.job.steps.get(usize::from(task.step))
     }
 
+    /// Opens the long-running tasks of an open job that earlier versions took for done.
+    pub(super) fn reopen_long_running(&mut self) {
+        if self.outcome.is_some() {
+            return;
+        }
+        let job = &self.job;
+        for occurrence in self.occurrences.values_mut() {
+            let steps = job.steps.iter().zip(&mut occurrence.steps);
+            for (_, state) in steps.filter(|(step, _)| step.long_running) {
+                state.reopen_done();
+            }
+        }
+    }
+
     pub(super) fn open_occurrence(&mut self, number: u32) {
         while self.next_occurrence <= number {
             self.occurrences
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -25,6 +25,7 @@
 mod leaving;
 mod listing;
 mod lives;
+mod long_running;
 mod machine_list;
 mod memory;
 mod news;
