Record the machines of workers for later owners

Cause: an unanswered start binds its task to the worker's id until the list of machines shows that no process of this id will run again. That needs the machine of the worker, which only its entry names. The entry lapses within seconds of the crash, so an owner that takes over later doesn't know the machine, and takes the absence of the id for a machine that may come back with it.

The new tests a_start_to_a_crashed_worker_is_settled_by_an_owner_that_never_saw_its_entry and a_snapshot_tells_the_machine_of_a_worker_whose_entry_has_gone are red without the record.

--- a/ashtiller/src/workflow/core/allocation.rs
+++ b/ashtiller/src/workflow/core/allocation.rs
@@ -144,6 +144,7 @@
         live.ticket = ticket;
         self.record(LogRecord::Placed(run, id.clone(), saved), now);
         self.record_pending_start(run, now);
+        self.record_machine(id, now);
         self.add_run(run, live);
         self.workers_to_wake.insert((self.position, id.clone()));
         self.allocate(run, id);
--- a/ashtiller/src/workflow/core/machine_list.rs
+++ b/ashtiller/src/workflow/core/machine_list.rs
@@ -13,7 +13,7 @@
 use crate::workflow::core::{Core, Effect, Now};
 use crate::workflow::incarnation::Incarnation;
 use crate::workflow::machines::MachineList;
-use crate::workflow::record::{End, Run};
+use crate::workflow::record::{End, LogRecord, Run};
 use crate::workflow::worker::Worker;
 
 /// Silence of a worker after which the list is read.
@@ -86,6 +86,17 @@
         }
     }
 
+    /// Records the machine of a worker that gets a run, unless the log has it.
+    pub(super) fn record_machine(&mut self, id: &Incarnation, now: Now) {
+        let listed = self.workers.get(id).map(|worker| &worker.listed);
+        let Some(machine) = listed.and_then(|listed| listed.machine.clone()) else {
+            return;
+        };
+        if self.log_state.worker_machines().get(id.id()) != Some(&machine) {
+            self.record(LogRecord::WorkerMachine(id.id().into(), machine), now);
+        }
+    }
+
     /// Withdraws the end of a worker that has answered since.
     pub(super) fn note_answer_after_end(&mut self, incarnation: &Incarnation) {
         let was_retired = self.machine_readings.retired.remove(incarnation.id());
@@ -214,8 +225,11 @@
         if let Some(worker) = self.workers.get(incarnation) {
             return worker.listed.machine.clone();
         }
-        let former = self.machine_readings.former_machines.get(incarnation.id());
-        former.map(|(machine, _)| machine.clone())
+        let id = incarnation.id();
+        let former = self.machine_readings.former_machines.get(id);
+        let former = former.map(|(machine, _)| machine);
+        let recorded = || self.log_state.worker_machines().get(id);
+        former.or_else(recorded).cloned()
     }
 
     /// Returns the silent workers that no machine can be running.
--- a/ashtiller/src/workflow/log_state.rs
+++ b/ashtiller/src/workflow/log_state.rs
@@ -24,6 +24,7 @@
 use crate::workflow::state::{
     JobState, PlacedRun, Sending, StepState, TaskState, UnconfirmedStart,
 };
+use crate::workflow::worker_machines::WorkerMachines;
 
 /// Number of the sendings of unconfirmed starts among the extensions of a snapshot.
 const SENDINGS_EXTENSION: u8 = 4;
@@ -33,6 +34,8 @@
 const SILENT_EXTENSION: u8 = 6;
 /// Number of the learned interference factors among the extensions of a snapshot.
 const FACTORS_EXTENSION: u8 = 7;
+/// Number of the machines of workers among the extensions of a snapshot.
+const MACHINES_EXTENSION: u8 = 9;
 /// Number of the learned demand among the extensions of a snapshot.
 const DEMAND_EXTENSION: u8 = 3;
 
@@ -96,6 +99,9 @@
     /// Workers without a lease from each owner; they are an extension of a snapshot.
     #[serde(skip)]
     silent_workers: SilentWorkers,
+    /// Machines of workers; they are an extension of a snapshot.
+    #[serde(skip)]
+    worker_machines: WorkerMachines,
     #[serde(skip)]
     by_id: BTreeMap<Arc<str>, u32>,
     #[serde(skip)]
@@ -309,6 +315,7 @@
             LogRecord::OwnersKnown(writer, ages) => self.note_known_owners(*writer, ages),
             LogRecord::WorkersSilent(epoch, workers) => self.silent_workers.add(*epoch, workers),
             LogRecord::WorkerHeard(epoch, worker) => self.silent_workers.remove(*epoch, worker),
+            LogRecord::WorkerMachine(worker, machine) => self.worker_machines.add(worker, machine),
         }
         Effect::None
     }
@@ -406,6 +413,12 @@
         &self.silent_workers
     }
 
+    /// Returns the machines of workers on which runs were placed.
+    #[must_use]
+    pub fn worker_machines(&self) -> &WorkerMachines {
+        &self.worker_machines
+    }
+
     /// Sets when the newest unconfirmed start of a run was sent at the latest, on this owner's clock.
     pub fn date_unconfirmed(&mut self, run: Run, sent: Duration) {
         let starts = self.unconfirmed.get_mut(&run.task);
@@ -502,6 +515,9 @@
             let silent = postcard::to_stdvec(&self.silent_workers)?;
             extensions.insert(SILENT_EXTENSION, silent);
         }
+        if !self.worker_machines.is_empty() {
+            extensions.insert(MACHINES_EXTENSION, self.worker_machines.encode()?);
+        }
         Ok(extensions)
     }
 
@@ -557,6 +573,13 @@
                 Err(error) => tracing::warn!(%error, "silent workers of a snapshot skipped"),
             }
         }
+        if let Some(bytes) = extensions.get(&MACHINES_EXTENSION) {
+            // Without it the starts to workers that are gone stay in doubt for longer.
+            match WorkerMachines::decode(bytes) {
+                Ok(machines) => self.worker_machines = machines,
+                Err(error) => tracing::warn!(%error, "machines of a snapshot skipped"),
+            }
+        }
         Ok(())
     }
 
--- a/ashtiller/src/workflow/mod.rs
+++ b/ashtiller/src/workflow/mod.rs
@@ -58,3 +58,4 @@
 pub mod traffic;
 pub mod tuning;
 pub mod worker;
+pub mod worker_machines;
--- a/ashtiller/src/workflow/record.rs
+++ b/ashtiller/src/workflow/record.rs
@@ -136,6 +136,8 @@
     FactorsLearned(FactorTable),
     /// The job with this id, which is not in the log, was cancelled.
     IdCancelled(Arc<str>),
+    /// The worker with this id runs on the machine with this name.
+    WorkerMachine(Arc<str>, Arc<str>),
 }
 
 impl LogRecord {
@@ -153,7 +155,8 @@
             | Self::WorkersSilent(..)
             | Self::WorkerHeard(..)
             | Self::FactorsLearned(_)
-            | Self::IdCancelled(_) => Section::Extension,
+            | Self::IdCancelled(_)
+            | Self::WorkerMachine(..) => Section::Extension,
             _ => Section::Required,
         }
     }
--- a/ashtiller/tests/owner/machine_list.rs
+++ b/ashtiller/tests/owner/machine_list.rs
@@ -9,8 +9,11 @@
 use ashtiller::workflow::core::Effect;
 use ashtiller::workflow::incarnation::Incarnation;
 use ashtiller::workflow::job::Step;
+use ashtiller::workflow::log_state::LogState;
 use ashtiller::workflow::machines::{Machine, MachineList, Process};
 use ashtiller::workflow::record::{LogRecord, Run, Task};
+use ashtiller::workflow::snapshot;
+use ashtiller::workflow::worker_machines::WorkerMachines;
 
 use crate::driver::{Driver, MS, job, listed, policy, step};
 
@@ -402,6 +405,94 @@
     }
 }
 
+/// Returns the log of an owner that ended right after it had sent a start to `w0`.
+fn log_of_a_sent_start() -> Vec<LogRecord> {
+    let worker = Incarnation::from("w0");
+    let driver = begin_with_unanswered_start(&worker, list(&[]));
+    let records = driver.records.into_iter();
+    // All owners of these tests have one epoch.
+    let records = records.map(|record| match record {
+        LogRecord::StartPending(run, _) => LogRecord::StartPending(run, 4),
+        other => other,
+    });
+    records.collect()
+}
+
+/// Returns an owner of that log that has never seen an entry of `w0`.
+fn begin_without_entry(records: &[LogRecord], machines: &[Machine]) -> Driver {
+    let mut driver = Driver::replay(records, 0, policy());
+    driver.core.enable_machine_list();
+    driver.core.set_predecessors(&[4]);
+    driver.machine_list = Some(list(machines));
+    driver.core.list_all(vec![listed(1)], driver.now);
+    driver
+}
+
+/// The worker has crashed and its entry has gone before the owner ends. The next owner did not know
+/// the machine, and the task waited for 13 s, or 17 s, although the list showed another worker there.
+#[test]
+fn a_start_to_a_crashed_worker_is_settled_by_an_owner_that_never_saw_its_entry() {
+    let records = log_of_a_sent_start();
+    let machines = [
+        running("m0", "w9"),
+        running("m1", "w1"),
+        machine("m2", Process::Ended),
+        machine("m3", Process::Unknown),
+    ];
+    let mut driver = begin_without_entry(&records, &machines);
+    assert_starts_soon(&mut driver);
+}
+
+/// As above, with the machine removed.
+#[test]
+fn a_start_to_a_removed_machine_is_settled_by_an_owner_that_never_saw_its_entry() {
+    let records = log_of_a_sent_start();
+    let machines = [running("m1", "w1"), machine("m2", Process::Ended)];
+    let mut driver = begin_without_entry(&records, &machines);
+    assert_starts_soon(&mut driver);
+}
+
+/// While the machine is down, its next process may have the same id.
+#[test]
+fn a_start_to_a_machine_that_is_down_stays_in_doubt_for_the_next_owner() {
+    let records = log_of_a_sent_start();
+    for process in [Process::Ended, Process::Unknown] {
+        let machines = [machine("m0", process), running("m1", "w1")];
+        let mut driver = begin_without_entry(&records, &machines);
+        driver.run_for(12 * SECOND);
+        assert!(started_on(&driver, 2).is_empty());
+        driver.run_for(LONG);
+        assert_eq!(started_on(&driver, 2), ["w1"]);
+    }
+}
+
+/// A snapshot keeps the machines of workers.
+#[test]
+fn a_snapshot_tells_the_machine_of_a_worker_whose_entry_has_gone() {
+    let mut state = LogState::default();
+    for record in log_of_a_sent_start() {
+        state.apply(&record, Duration::ZERO);
+    }
+    let state = snapshot::decode(&snapshot::encode(&state).unwrap()).unwrap();
+    assert_eq!(state.worker_machines().get("w0"), Some(&Arc::from("m0")));
+}
+
+/// Workers come and go for as long as the log is kept, and each crash gives another id.
+#[test]
+fn the_machines_of_the_workers_that_were_recorded_first_are_dropped() {
+    let mut machines = WorkerMachines::default();
+    for number in 0..10_000 {
+        let (worker, machine) = (format!("w{number}"), format!("m{}", number % 100));
+        machines.add(&worker.into(), &machine.into());
+    }
+    let bytes = machines.encode().unwrap();
+    assert!(bytes.len() < 128 << 10, "{} bytes", bytes.len());
+    let decoded = WorkerMachines::decode(&bytes).unwrap();
+    assert_eq!(decoded.get("w0"), None);
+    assert_eq!(decoded.get("w9999"), Some(&Arc::from("m99")));
+    assert_eq!(decoded.encode().unwrap(), bytes);
+}
+
 /// An owner that has recorded a start in flight ends, and the worker of that start is gone.
 #[test]
 fn a_start_in_flight_as_its_owner_ended_is_settled_once_the_machine_is_gone() {
