Count the validity of tickets from the advisor's answer

Cause: handle_advice counts the validity from the request, and no start uses a ticket in its last 600 ms. By the protocol the advisor answers after decide_ms and each_ms for each worker, and its tickets hold from then on. A call longer than valid_ms less 600 ms yields nothing, and the owner asks again for ever.

The validity now counts from the earliest time at which the advisor can have answered: after the stated time of the call, and after the answer before it, as it handles requests in turn. The margin is at most a quarter of the validity; a request names as many workers as the advisor can decide about in 1 s, or in decide_ms; a ticket that a worker rejects is dropped. Tickets that are over as they arrive are counted, with one line for each step.

--- a/ashtiller/src/workflow/core/advice.rs
+++ b/ashtiller/src/workflow/core/advice.rs
@@ -10,7 +10,7 @@
 use crate::workflow::core::{Core, Effect, Now, candidates};
 use crate::workflow::incarnation::Incarnation;
 use crate::workflow::job::Advice;
-use crate::workflow::record::Task;
+use crate::workflow::record::{Run, Task};
 
 /// Limit on workers in one request. The platform allows 100 and its users count 30.
 const REQUEST_WORKERS_MAX: usize = 30;
@@ -20,6 +20,11 @@
 const REQUESTS_MAX: usize = 4;
 /// Remaining validity below which a ticket is no longer used, since a start may be sent again.
 const TICKET_MARGIN: Duration = Duration::from_millis(600);
+/// Fraction of the validity that the margin takes at most.
+const TICKET_MARGIN_FRACTION: u32 = 4;
+/// Time that a request may take, unless the advisor needs most of it whatever is asked. A job may be
+/// without a run for 3 s only, and requests about other steps wait meanwhile.
+const REQUEST_TIME_MAX: Duration = Duration::from_secs(1);
 /// Pause after a request that was not answered.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -52,8 +57,8 @@
 /// Answers of the advisor about one step, and the request in flight.
 #[derive(Clone, Debug, Default)]
 pub struct AdviceState {
-    /// Workers that may run the step, each with its ticket and the time at which that expires.
-    allowed: BTreeMap<Incarnation, (Arc<str>, Duration)>,
+    /// Workers that may run the step, each with its newest ticket.
+    allowed: BTreeMap<Incarnation, Ticket>,
     /// Workers that must never run the step.
     forbidden: BTreeSet<Incarnation>,
     /// Workers in the request in flight.
@@ -61,6 +66,44 @@
     retry_at: Duration,
     /// Whether the last request got no answer.
     unanswered: bool,
+    /// Whether it was logged that tickets were over when they arrived.
+    has_useless_tickets: bool,
+}
+
+impl AdviceState {
+    /// Returns the tickets that a start may still use.
+    fn usable_tickets(&self, now: Now) -> impl Iterator<Item = (&Incarnation, &Arc<str>)> {
+        let usable = self
+            .allowed
+            .iter()
+            .filter(move |(_, ticket)| ticket.last_use > now.at);
+        usable.map(|(id, ticket)| (id, &ticket.text))
+    }
+}
+
+/// A ticket for the starts of a step on one worker.
+#[derive(Clone, Debug)]
+struct Ticket {
+    text: Arc<str>,
+    /// Time until which starts may be sent with it.
+    last_use: Duration,
+}
+
+/// Returns how long a ticket that holds for `valid` may be used.
+fn usable_time(valid: Duration) -> Duration {
+    valid.saturating_sub(TICKET_MARGIN.min(valid / TICKET_MARGIN_FRACTION))
+}
+
+/// Returns how many workers one request may name.
+fn named_max(advice: Advice) -> usize {
+    let time = REQUEST_TIME_MAX
+        .saturating_sub(advice.decide)
+        .max(advice.decide);
+    let named = time.as_nanos().checked_div(advice.each.as_nanos());
+    let named = named.and_then(|named| usize::try_from(named).ok());
+    named.map_or(REQUEST_WORKERS_MAX, |named| {
+        named.clamp(1, REQUEST_WORKERS_MAX)
+    })
 }
 
 impl Core {
@@ -72,12 +115,9 @@
         else {
             return BTreeMap::new();
         };
-        let valid = advised
-            .allowed
-            .iter()
-            .filter(|(_, (_, until))| *until > now.at + TICKET_MARGIN);
-        valid
-            .map(|(id, (ticket, _))| (id.clone(), ticket.clone()))
+        let usable = advised.usable_tickets(now);
+        usable
+            .map(|(id, ticket)| (id.clone(), ticket.clone()))
             .collect()
     }
 
@@ -109,9 +149,8 @@
         }
         let (forbidden, allowed) = (advised.forbidden.clone(), advised.allowed.clone());
         let has_ticket = |id: &Incarnation| {
-            allowed
-                .get(id)
-                .is_some_and(|(_, until)| *until > now.at + TICKET_MARGIN)
+            let ticket = allowed.get(id);
+            ticket.is_some_and(|ticket| ticket.last_use > now.at)
         };
         let unrestricted = PlacementRequest {
             tickets: None,
@@ -134,14 +173,15 @@
             let was_allowed = allowed.contains_key(&candidate.id);
             (!was_allowed, std::cmp::Reverse(candidate.free.processors))
         });
-        candidates.truncate(REQUEST_WORKERS_MAX.min(tasks * WORKERS_PER_TASK).max(1));
+        let Some(job) = self.log_state.jobs.get(&task.job) else {
+            return;
+        };
+        let named = job.policy.advice.map_or(REQUEST_WORKERS_MAX, named_max);
+        candidates.truncate(named.min(tasks * WORKERS_PER_TASK).max(1));
         let workers: Vec<Incarnation> = candidates
             .iter()
             .map(|candidate| candidate.id.clone())
             .collect();
-        let Some(job) = self.log_state.jobs.get(&task.job) else {
-            return;
-        };
         if workers.is_empty() {
             return;
         }
@@ -182,7 +222,7 @@
     fn stated_time(&self, key: StepKey, named: usize) -> Option<Duration> {
         let advice = self.log_state.jobs.get(&key.0)?.policy.advice?;
         let named = u32::try_from(named).ok().filter(|named| *named > 0)?;
-        Some(advice.decide + advice.each * named)
+        Some(advice.answer_time(named))
     }
 
     /// Handles the advisor's answer to the request made at `asked_at`.
@@ -193,37 +233,70 @@
         answer: Result<Tickets, Failure>,
         now: Now,
     ) {
-        let valid = self
-            .log_state
-            .jobs
-            .get(&key.0)
-            .and_then(|job| job.policy.advice);
+        let job = self.log_state.jobs.get(&key.0);
+        let advice = job.and_then(|job| job.policy.advice);
         let Some(advised) = self.advice_states.get_mut(&key) else {
             return;
         };
         let in_flight = std::mem::take(&mut advised.in_flight);
-        let Some(Advice { valid, .. }) = valid else {
+        let Some(advice) = advice else {
             self.advice_states.remove(&key);
             return;
         };
-        match answer {
-            Ok(allowed) => {
-                advised.unanswered = false;
-                advised.forbidden.extend(in_flight);
-                for (id, ticket) in allowed {
-                    advised.forbidden.remove(&id);
-                    // The advisor counts the validity from the request or later, so the ticket does
-                    // not expire there before this time.
-                    advised.allowed.insert(id, (ticket, asked_at + valid));
-                }
-                self.needs_planning = true;
-            }
+        self.needs_planning = true;
+        let allowed = match answer {
+            Ok(allowed) => allowed,
             Err(failure) => {
                 tracing::info!(job = key.0, step = key.2, %failure, "advisor did not answer");
                 advised.retry_at = now.at + RETRY_PAUSE;
                 advised.unanswered = true;
-                self.needs_planning = true;
+                return;
+            }
+        };
+        // The advisor handles requests in turn, and the tickets hold from its answer on. So this is
+        // the earliest time at which they may expire.
+        let began = asked_at.max(self.last_advice);
+        let named = u32::try_from(in_flight.len()).unwrap_or(u32::MAX);
+        let issued = (began + advice.answer_time(named)).min(now.at);
+        self.last_advice = issued;
+        let last_use = issued + usable_time(advice.valid);
+        advised.unanswered = false;
+        advised.forbidden.extend(in_flight);
+        if last_use <= now.at && !allowed.is_empty() {
+            self.counts.useless_tickets += allowed.len() as u64;
+            advised.retry_at = now.at + RETRY_PAUSE;
+            if !std::mem::replace(&mut advised.has_useless_tickets, true) {
+                tracing::warn!(
+                    job = key.0,
+                    step = key.2,
+                    tickets = allowed.len(),
+                    valid_ms = advice.valid.as_millis(),
+                    asked_ms = now.at.saturating_sub(asked_at).as_millis(),
+                    "tickets of the advisor are over before a start can use them"
+                );
             }
         }
+        for (id, text) in allowed {
+            advised.forbidden.remove(&id);
+            advised.allowed.insert(id, Ticket { text, last_use });
+        }
+    }
+
+    /// Drops the ticket that a worker has rejected, so that the next start there brings another one.
+    pub(super) fn drop_ticket(&mut self, run: Run, now: Now) {
+        let task = run.task;
+        let key = (task.job, task.occurrence, task.step);
+        let (Some(live), Some(advised)) = (self.runs.get(&run), self.advice_states.get_mut(&key))
+        else {
+            return;
+        };
+        let ticket = advised.allowed.get_mut(&live.worker);
+        if let Some(ticket) = ticket.filter(|it| Some(&it.text) == live.ticket.as_ref())
+            && ticket.last_use > now.at
+        {
+            ticket.last_use = now.at;
+            advised.retry_at = advised.retry_at.max(now.at + RETRY_PAUSE);
+            self.counts.useless_tickets += 1;
+        }
     }
 }
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -187,6 +187,8 @@
     pub steps_examined: u64,
     /// Workers that were compared for tasks of these steps.
     pub candidates_compared: u64,
+    /// Tickets of the advisor that were over before a start could use them, or that workers rejected.
+    pub useless_tickets: u64,
 }
 
 /// The state machine of a log's owner.
@@ -259,6 +261,8 @@
     start_hold: Option<start_hold::StartHold>,
     effects: Vec<Effect>,
     advice_states: BTreeMap<StepKey, AdviceState>,
+    /// Time by which at the earliest the advisor had answered its last request.
+    last_advice: Duration,
     waves: BTreeMap<u64, WaveProgress>,
     headroom_history: BTreeMap<u32, HeadroomHistory>,
     interference: Interference,
@@ -377,6 +381,7 @@
             start_hold: None,
             effects: Vec::new(),
             advice_states: BTreeMap::new(),
+            last_advice: Duration::ZERO,
             waves: BTreeMap::new(),
             headroom_history: BTreeMap::new(),
             interference: Interference::default(),
--- a/ashtiller/src/workflow/core/orders.rs
+++ b/ashtiller/src/workflow/core/orders.rs
@@ -280,6 +280,7 @@
         let mut refused = None;
         match &reply {
             Ok(OrderReply::Refused(Refusal::Old)) => self.note_refused_start(run, now),
+            Ok(OrderReply::Refused(Refusal::Ticket)) => self.drop_ticket(run, now),
             Err(failure) if failure.effect == failure::RemoteEffect::None => {
                 self.note_unsent_start(run, now);
             }
--- a/ashtiller/src/workflow/job.rs
+++ b/ashtiller/src/workflow/job.rs
@@ -273,3 +273,11 @@
     /// Time for which a ticket is valid.
     pub valid: Duration,
 }
+
+impl Advice {
+    /// Returns the time of a call that names this many workers.
+    #[must_use]
+    pub fn answer_time(&self, named: u32) -> Duration {
+        self.decide.saturating_add(self.each.saturating_mul(named))
+    }
+}
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -558,6 +558,10 @@
             ),
             ("refused_early", now.refused_early - before.refused_early),
             ("readmitted", now.readmitted - before.readmitted),
+            (
+                "useless_tickets",
+                now.useless_tickets - before.useless_tickets,
+            ),
             ("promoted", now.promoted - before.promoted),
             ("defragmented", now.defragmented - before.defragmented),
             ("rounds", now.rounds - before.rounds),
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the owner of a log as a state machine: its single decisions, case by case.
 
+mod advice;
 mod asleep;
 mod blame;
 mod cancelled_ids;
