Start failed tasks again on the worker they are bound to

Cause: an unanswered start binds the task to its worker for 13 s, since the next process under that id may carry it out. The run was listed, but as it had been sent twice that proves only one of the starts spent. site_of then answers Nowhere, because the task has failed on that worker.

The binding is right: nothing the worker lists shows that the other start is spent. The exclusion is lifted instead, unless one more failure would fail the job. The worker rejects the earlier start, whose run has ended there, and the new run's number is higher; one scenario delivers the earlier start to the worker's next process beside it. A short task with one attempt left waits as before.

--- a/ashtiller/src/workflow/core/runs.rs
+++ b/ashtiller/src/workflow/core/runs.rs
@@ -110,23 +110,39 @@
         }
     }
 
+    /// Returns how many runs of a task, or of its gang, have failed.
+    fn failures_of(&self, task: Task) -> u32 {
+        let Some((job, state)) = self.log_state.task(task) else {
+            return 0;
+        };
+        if !job.step(task).is_some_and(|step| step.gang) {
+            return state.failures();
+        }
+        let occurrence = &job.occurrences[&task.occurrence];
+        let tasks = &occurrence.steps[usize::from(task.step)].tasks;
+        tasks.iter().map(TaskState::failures).sum()
+    }
+
+    /// Returns how many more runs of a task, or of its gang, may fail before the job does; `None` if
+    /// any number may.
+    pub(super) fn attempts_left(&self, task: Task) -> Option<u32> {
+        let (job, _) = self.log_state.task(task)?;
+        let attempts = job.policy.attempts;
+        let is_limited = !job.step(task).is_some_and(|step| step.long_running);
+        is_limited.then(|| attempts.saturating_sub(self.failures_of(task)))
+    }
+
     /// Fails a job when one of its tasks, or one of its gangs, has reached the failure limit.
     pub(super) fn check_failure_limit(&mut self, run: Run, now: Now) {
-        let Some((job, task)) = self.log_state.task(run.task) else {
+        if self.attempts_left(run.task) != Some(0) {
+            return;
+        }
+        let Some(job) = self.log_state.jobs.get(&run.task.job) else {
             return;
         };
-        let gang = job.step(run.task).is_some_and(|step| step.gang);
-        let failures = if gang {
-            let occurrence = &job.occurrences[&run.task.occurrence];
-            let tasks = &occurrence.steps[usize::from(run.task.step)].tasks;
-            tasks.iter().map(TaskState::failures).sum()
-        } else {
-            task.failures()
-        };
-        let long_running = job.step(run.task).is_some_and(|step| step.long_running);
-        if failures >= job.policy.attempts && !long_running && job.outcome.is_none() {
-            tracing::info!(job = %job.job.id, task = %run.task, failures,
-                "job failed: failure limit reached");
+        if job.outcome.is_none() {
+            tracing::info!(job = %job.job.id, task = %run.task,
+                failures = self.failures_of(run.task), "job failed: failure limit reached");
             self.record(LogRecord::Failed(run.task.job), now);
         }
     }
--- a/ashtiller/src/workflow/core/unconfirmed_starts.rs
+++ b/ashtiller/src/workflow/core/unconfirmed_starts.rs
@@ -214,10 +214,12 @@
         if !starts.iter().all(same) || starts.len() >= orders::UNANSWERED_MAX as usize {
             return Site::Nowhere;
         }
-        // The next attempt would fail there as well.
+        // The next attempt may fail there as well, and must not be the last one.
         let failed_on = self.log_state.task(task).map(|(_, state)| &state.failed_on);
         let failed_there = |id: &Incarnation| id.is_same_worker(&first.worker);
-        if failed_on.is_some_and(|them| them.iter().any(failed_there)) {
+        if failed_on.is_some_and(|them| them.iter().any(failed_there))
+            && self.attempts_left(task) == Some(1)
+        {
             return Site::Nowhere;
         }
         let latest = starts.iter().map(|start| start.run).max().unwrap_or(0);
--- a/ashtiller/tests/owner/late_starts.rs
+++ b/ashtiller/tests/owner/late_starts.rs
@@ -19,9 +19,9 @@
 use ashtiller::workflow::core::{Core, Effect, Now, RequestToken};
 use ashtiller::workflow::evacuations::Zones;
 use ashtiller::workflow::incarnation::Incarnation;
-use ashtiller::workflow::job::Step;
+use ashtiller::workflow::job::{Policy, Step};
 use ashtiller::workflow::log_state::LogState;
-use ashtiller::workflow::record::{LogRecord, Outcome, Run};
+use ashtiller::workflow::record::{End, LogRecord, Outcome, Run};
 use ashtiller::workflow::snapshot;
 use ashtiller::workflow::tuning::Tuning;
 use ashtiller::workflow::worker::LATE_MAX;
@@ -1018,3 +1018,6 @@
 
 #[path = "late_starts_leases.rs"]
 mod leases;
+
+#[path = "late_starts_failures.rs"]
+mod failures;
