Count jobs as pending whose runs were refused

Cause: has_started takes a job without live runs for one with a run that has ended. A run that was refused and withdrawn leaves the job in the same state.

A job now counts as started by what its workers have confirmed, which this owner remembers, or by what the log shows of earlier runs.

--- a/ashtiller/src/workflow/core/admission.rs
+++ b/ashtiller/src/workflow/core/admission.rs
@@ -11,7 +11,7 @@
 use crate::workflow::log::entry;
 use crate::workflow::message::{Reply, State};
 use crate::workflow::record::{LogRecord, Outcome, Run};
-use crate::workflow::state::JobState;
+use crate::workflow::state::{JobState, TaskState};
 
 impl Core {
     /// Accepts a job. The client is answered once the log entry that holds the job is durable.
@@ -230,15 +230,21 @@
         Reply::Pending(pending.count() as u64)
     }
 
-    /// Returns whether a worker has confirmed a start of the job or a run of it has ended. A placed
-    /// run does not count: its start order may wait behind others or get no answer.
+    /// Returns whether a worker has confirmed a start of the job. A placed run does not count, and neither
+    /// does one that was withdrawn: its start order may have waited behind others, or been refused.
+    /// Of the runs of earlier owners those count that left a trace in the log.
     fn has_started(&self, number: u32, job: &JobState) -> bool {
         let steps = || {
             job.occurrences
                 .values()
                 .flat_map(|occurrence| &occurrence.steps)
         };
-        let ended = job.live == 0 || steps().any(|step| step.tasks.iter().any(|task| task.done));
+        let has_run =
+            |task: &TaskState| task.done || !task.failed.is_empty() || !task.checkpoint.is_empty();
+        let has_closed_occurrence = job.occurrences.len() < job.next_occurrence as usize;
+        let ended = self.started_jobs.contains(&number)
+            || has_closed_occurrence
+            || steps().any(|step| step.tasks.iter().any(has_run));
         let started = |run: &Run| {
             let live = self.runs.get(run);
             live.is_some_and(|live| matches!(live.stage, Stage::Started(_)))
--- a/ashtiller/src/workflow/core/load.rs
+++ b/ashtiller/src/workflow/core/load.rs
@@ -43,6 +43,11 @@
     /// Removes a run that has ended.
     pub(super) fn remove_run(&mut self, run: Run, end: End, now: Now) -> Option<LiveRun> {
         let live = self.runs.remove(&run)?;
+        let job = self.log_state.jobs.get(&run.task.job);
+        let is_open = job.is_some_and(|job| job.outcome.is_none());
+        if is_open && matches!(live.stage, Stage::Started(_)) {
+            self.started_jobs.insert(run.task.job);
+        }
         if let Some((job, _)) = self.log_state.task(run.task)
             && let Some(step) = job.step(run.task)
         {
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -212,6 +212,8 @@
     catalog: (Catalog, Option<Duration>),
     /// Capacity that long-running work leaves to short work.
     reserve: reserve::ReserveState,
+    /// Open jobs with a run that had started and is over.
+    started_jobs: BTreeSet<u32>,
     /// Runs of earlier owners whose workers are not listed yet.
     adopted: adopted_runs::AdoptedRuns,
     config: Arc<Config>,
@@ -346,6 +348,7 @@
             admission: Control::default(),
             catalog: (Catalog::default(), None),
             reserve,
+            started_jobs: BTreeSet::new(),
             adopted: adopted_runs::AdoptedRuns::default(),
             config: Arc::default(),
             arrivals: Vec::new(),
@@ -587,6 +590,7 @@
         self.searches.forget_job(number);
         self.learned_run_times.forget_job(number);
         self.restart_pauses.forget_job(number);
+        self.started_jobs.remove(&number);
         self.wait_logged_at.retain(|key, _| key.0 != number);
         self.stop_job(number, StopReason::Over);
     }
