Reword two comments on tickets

The sum of the times cannot overflow with the figures a configuration may hold; it saturates now as the product does.

--- a/ashtiller/src/workflow/core/advice.rs
+++ b/ashtiller/src/workflow/core/advice.rs
@@ -66,7 +66,7 @@
     retry_at: Duration,
     /// Whether the last request got no answer.
     unanswered: bool,
-    /// Whether it was logged that tickets were over when they arrived.
+    /// Whether tickets have arrived too late to be used, which is logged once.
     has_useless_tickets: bool,
 }
 
@@ -253,11 +253,11 @@
                 return;
             }
         };
-        // The advisor handles requests in turn, and the tickets hold from its answer on. So this is
-        // the earliest time at which they may expire.
+        // The tickets hold from the advisor's answer on. It handles requests in turn, so it cannot have
+        // answered earlier than this.
         let began = asked_at.max(self.last_advice);
         let named = u32::try_from(in_flight.len()).unwrap_or(u32::MAX);
-        let issued = (began + advice.answer_time(named)).min(now.at);
+        let issued = began.saturating_add(advice.answer_time(named)).min(now.at);
         self.last_advice = issued;
         let last_use = issued + usable_time(advice.valid);
         advised.unanswered = false;
