--- a/ashtiller/tests/owner/advice.rs
+++ b/ashtiller/tests/owner/advice.rs
@@ -32,8 +32,8 @@
     idle_from: Duration,
     /// Starts that were rejected for their tickets.
     rejected: usize,
-    /// Workers that reject the tickets of the first starts that they get, by number of starts.
-    distrusts: usize,
+    /// Number of the next starts whose tickets are rejected, valid or not.
+    rejections_left: usize,
     jobs: Vec<(String, Duration)>,
 }
 
@@ -51,7 +51,7 @@
             good,
             calls: VecDeque::new(),
             rejected: 0,
-            distrusts: 0,
+            rejections_left: 0,
             jobs: Vec::new(),
         }
     }
@@ -106,8 +106,8 @@
         let Order::Start(start) = order else {
             return true;
         };
-        if self.distrusts > 0 {
-            self.distrusts -= 1;
+        if self.rejections_left > 0 {
+            self.rejections_left -= 1;
             return false;
         }
         let ends: u128 = start.ticket.as_ref().unwrap().parse().unwrap();
@@ -202,7 +202,7 @@
 #[test]
 fn a_rejected_ticket_is_not_used_again() {
     let mut advised = Advised::new(advice(50 * MS, 8 * MS, 60 * SECOND), 1, 1);
-    advised.distrusts = 1;
+    advised.rejections_left = 1;
     advised.submit("1", 1);
     let waits = advised.first_waits(10 * SECOND);
     assert!(waits[0] < WAIT_MAX, "{waits:?}");
