--- a/ashtiller/tests/owner/driver.rs
+++ b/ashtiller/tests/owner/driver.rs
@@ -119,6 +119,8 @@
     pub silent: Option<Incarnation>,
     /// A worker whose polls time out.
     pub timing_out: Option<Incarnation>,
+    /// Workers behind a network partition: calls to them time out, and they continue.
+    pub unreachable: BTreeSet<Incarnation>,
     /// Incarnations that have ended: they answer nothing.
     pub crashed: BTreeSet<Incarnation>,
     /// Incarnations that are not at their listed address: another one answers there.
@@ -212,6 +214,7 @@
             refusing_worker: None,
             silent: None,
             timing_out: None,
+            unreachable: BTreeSet::new(),
             crashed: BTreeSet::new(),
             displaced: BTreeSet::new(),
             restarted: BTreeMap::new(),
@@ -311,6 +314,23 @@
                     self.now,
                 );
             }
+            Effect::Poll(target, _) if self.unreachable.contains(&target.incarnation) => {
+                let failure =
+                    Failure::unknown_effect("look", &target.incarnation, "no answer in time");
+                self.core
+                    .handle_poll_reply(&target.incarnation, Err(failure), self.now);
+            }
+            Effect::Order(target, run, order) if self.unreachable.contains(&target.incarnation) => {
+                let failure =
+                    Failure::unknown_effect("order", &target.incarnation, "no answer in time");
+                self.core.handle_order_reply(
+                    &target.incarnation,
+                    run,
+                    &order,
+                    Err(failure),
+                    self.now,
+                );
+            }
             Effect::Order(target, run, order) if self.crashed.contains(&target.incarnation) => {
                 let failure =
                     Failure::unknown_effect("order", &target.incarnation, "connection refused");
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -27,6 +27,7 @@
 mod listing;
 mod lives;
 mod long_running;
+mod lost_together;
 mod machine_list;
 mod memory;
 mod news;
