Take losses with an outside cause for no evidence against tasks

Callers saw long-running tasks wait for up to 40 s after a zone was lost twice. Cause: each task that was lost with its worker became a suspect, with a weight of at least one: also where most of a zone went at once, and where a lease expired on a worker that was only out of reach. At a weight of two a task waits to be tried in isolation, and with it some hundred others.

- Where at least half of the workers of a zone or a label, and at least three, were lost at the same time, nothing is counted.
The time of a loss is an interval from the last answer on, so the first worker that is found lost is told from the others only later: what it counted is taken back then, by the new record LossExplained.
Runs of one step that had just begun on half of these workers still count.
- Where many workers were lost at once, only runs that had just begun count.
- A lease that expires has no weight.
It counts toward the limit of starts, and is taken back when the same process answers again, also by a later owner.
- Runs on workers that a new owner does not know are recorded by worker.

The one on the first worker found lost was wrong: the others had answered after that loss, so they were not lost with it. It now has their polls in flight; it asks for the same, and also that all four losses were seen.

--- a/ashtiller/src/workflow/blame.rs
+++ b/ashtiller/src/workflow/blame.rs
@@ -37,7 +37,10 @@
 /// Weight of a crash for a run that had just begun.
 const HEAVY_WEIGHT: u32 = 2;
 /// Weight of a crash for other runs, and in doubtful cases.
-pub const LIGHT: u32 = 1;
+const LIGHT: u32 = 1;
+/// Weight of a loss that nothing shows to be a crash, or for which a cause outside of the tasks is
+/// likely.
+pub const NO_WEIGHT: u32 = 0;
 /// Weight from which a task is strongly suspected and runs isolated.
 const STRONG_WEIGHT: u32 = 2;
 /// Margin by which a run must exceed twice the oldest age at a crash to clear its task.
@@ -77,6 +80,17 @@
     pub weight: u32,
 }
 
+/// How a worker was lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Loss {
+    /// It crashed, and few others did at the same time.
+    Alone,
+    /// It only stopped answering or was about to leave, so that it may have been lost at another time.
+    Unseen,
+    /// Many workers were lost at the same time, so that the cause is likely external.
+    WithMany,
+}
+
 /// Circumstances of a crash for one of the runs on the worker.
 #[derive(Clone, Copy, Debug)]
 pub struct CrashContext {
@@ -85,9 +99,8 @@
     /// Whether the run was active: the worker had confirmed its start, else the crash may have come
     /// first; and it was not nearly done.
     pub begun: bool,
-    /// Whether the cause may be external: many workers were lost at the same time, or this one only
-    /// stopped answering.
-    pub many: bool,
+    /// How the worker was lost.
+    pub loss: Loss,
     /// Whether tasks of the same step had just begun on several of the lost workers.
     pub alike: bool,
 }
@@ -96,21 +109,28 @@
     /// Returns the weight of the crash as evidence against the task.
     #[must_use]
     pub fn weight(&self) -> u32 {
-        let young = self.age <= JUST_BEGUN;
-        if young && self.begun && (self.alike || !self.many) {
-            HEAVY_WEIGHT
-        } else {
-            LIGHT
+        let just_begun = self.age <= JUST_BEGUN && self.begun;
+        match () {
+            () if just_begun && (self.alike || self.loss == Loss::Alone) => HEAVY_WEIGHT,
+            () if !just_begun && !self.alike && self.loss == Loss::WithMany => NO_WEIGHT,
+            () => LIGHT,
         }
     }
+
+    /// Reports whether the loss says nothing about the task: many workers were lost at the same time,
+    /// and the run had not just begun.
+    #[must_use]
+    pub fn is_unrelated(&self) -> bool {
+        self.loss == Loss::WithMany && !self.alike && self.age > JUST_BEGUN
+    }
 }
 
 impl Suspect {
-    /// Adds a crash under a run; one that was added before changes nothing.
-    pub fn note(&mut self, lost: &LostRun) {
+    /// Adds a crash under a run; returns false if it was added before, which changes nothing.
+    pub fn note(&mut self, lost: &LostRun) -> bool {
         // Crashes may be reported out of order.
         let Err(place) = self.crashed.binary_search(&lost.run.number) else {
-            return;
+            return false;
         };
         self.crashes += 1;
         self.sure += u32::from(lost.begun);
@@ -118,6 +138,18 @@
         self.crashed.truncate(self.crashes_max());
         self.oldest = self.oldest.max(lost.age);
         self.weight += lost.weight;
+        true
+    }
+
+    /// Takes back a crash under a run that turned out to have another cause.
+    pub fn withdraw(&mut self, lost: &LostRun) {
+        let Ok(place) = self.crashed.binary_search(&lost.run.number) else {
+            return;
+        };
+        self.crashed.remove(place);
+        self.crashes = self.crashes.saturating_sub(1);
+        self.sure = self.sure.saturating_sub(u32::from(lost.begun));
+        self.weight = self.weight.saturating_sub(lost.weight);
     }
 
     fn is_certain(&self) -> bool {
--- a/ashtiller/src/workflow/core/crashes.rs
+++ b/ashtiller/src/workflow/core/crashes.rs
@@ -1,12 +1,13 @@
 //! Detection of worker crashes, and of the tasks suspected to cause them.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::workflow::blame::{self, CrashContext, LostRun, Suspect};
+use crate::workflow::blame::{self, CrashContext, Loss, LostRun, Suspect};
 use crate::workflow::core::advice::StepKey;
 use crate::workflow::core::crash_record::{Crash, is_simultaneous};
+use crate::workflow::core::place_losses::Place;
 use crate::workflow::core::{Core, Now};
 use crate::workflow::incarnation::Incarnation;
 use crate::workflow::live_run::{LiveRun, Stage};
@@ -34,8 +35,10 @@
     /// Number of workers lost. Those that only fell silent are counted no further than to
     /// [`COMMON_CAUSE_WORKERS`].
     together: usize,
-    /// Whether they were lost to a cause outside of them.
+    /// Whether there are so many that a common cause is assumed.
     many: bool,
+    /// Place that explains the loss, if most of its workers were lost.
+    place: Option<Place>,
 }
 
 /// Returns whether a worker only fell silent or was about to leave. Then nothing shows that its
@@ -86,21 +89,38 @@
         if let Some(limit) = now.at.checked_sub(CRASH_MEMORY) {
             self.crashes.forget_before(limit);
         }
-        let others = self.find_concurrent_losses(id, at, now);
-        let many = others.many;
+        self.place_losses
+            .count_workers(self.workers.values(), now.at);
+        self.place_losses.note(worker, now.at);
+        let mut others = self.find_concurrent_losses(id, at, now);
         let runs = worker.runs.iter();
         let live = runs.filter_map(|run| Some((*run, self.runs.get(run)?)));
         let live = live.filter(|(_, live)| live.sent > 0);
         // A run that another incarnation started was not on this one.
         let live = live.filter(|(_, live)| !live.misdelivered || live.began.is_some());
-        let lost_runs: Vec<LostRun> = live
-            .map(|(run, live)| self.assess_run(run, live, worker, &others, now))
+        let live: Vec<(Run, &LiveRun)> = live.collect();
+        let alike: BTreeSet<StepKey> = live
+            .iter()
+            .map(|(run, _)| step_of(*run))
+            .filter(|step| self.had_just_begun_on_others(*step, worker, &others))
+            .collect();
+        if !alike.is_empty() {
+            others.place = None;
+        }
+        let related = live.iter().filter(|_| others.place.is_none());
+        let lost_runs: Vec<LostRun> = related
+            .filter_map(|(run, live)| {
+                let alike = alike.contains(&step_of(*run));
+                self.assess_run(*run, live, worker, &others, alike, now)
+            })
             .collect();
+        let many = others.many || others.place.is_some();
+        let live_count = live.len();
         let begun = self.recently_begun_steps(worker, at);
         let crash = Crash {
             at,
             machine: machine_of(worker),
-            tasks: lost_runs.iter().map(|lost_run| lost_run.run.task).collect(),
+            tasks: live.iter().map(|(run, _)| run.task).collect(),
             begun,
             had_trial: self.has_trial(worker, now),
         };
@@ -117,19 +137,57 @@
             .flatten();
         tracing::warn!(
             worker = %id,
-            runs = lost_runs.len(),
+            runs = live_count,
+            charged = lost_runs.len(),
             suspects = lost_runs
                 .iter()
                 .filter(|it| suspects.contains_key(&it.run.task))
                 .count(),
             together = others.together,
+            place = others.place.as_ref().map(|place| &**place.name()),
             "worker crashed"
         );
         let culprit = culprit.or_else(|| self.find_exhausted(&lost_runs, id));
+        if let Some(place) = &others.place {
+            self.explain_losses(place, id, now);
+        }
         self.record_lost_runs(id, &lost_runs, now);
         culprit
     }
 
+    /// Takes back what counts against the tasks of workers that were lost with the given one, when
+    /// their place turns out to be the cause. The first of them are found lost before the others.
+    fn explain_losses(&mut self, place: &Place, id: &Incarnation, now: Now) {
+        for worker in self.place_losses.lost_together(place, id) {
+            if self.log_state.losses().contains(&worker) {
+                self.explain_loss(&worker, place.name(), now);
+            }
+        }
+    }
+
+    /// Takes back what the loss of a worker counts against the tasks that ran there.
+    pub(super) fn explain_loss(&mut self, id: &Incarnation, cause: &str, now: Now) {
+        tracing::info!(worker = %id, cause, "loss of a worker no longer counts against its tasks");
+        self.counts.explained += 1;
+        self.record(LogRecord::LossExplained(id.clone()), now);
+        self.needs_planning = true;
+    }
+
+    /// Withdraws the suspicion of tasks that were lost with the lease of a worker which answers again:
+    /// its process did not crash.
+    pub(super) fn note_process_survived(&mut self, id: &Incarnation, now: Now) {
+        self.place_losses.remove(id);
+        // Without a start time this may be another process under the same id.
+        let lapsed = |worker: &Worker| id.born().is_some() || worker.lapsed;
+        let survived = self.workers.get(id).is_some_and(lapsed);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.lapsed = false;
+        }
+        if survived && self.log_state.losses().contains(id) {
+            self.explain_loss(id, "it answers again", now);
+        }
+    }
+
     /// Records the runs that were lost with a worker, in records of a bounded size.
     fn record_lost_runs(&mut self, id: &Incarnation, lost_runs: &[LostRun], now: Now) {
         for lost_runs in lost_runs.chunks(LOST_RUNS_MAX) {
@@ -167,15 +225,17 @@
         drained || left || self.is_closed_for_upkeep(worker)
     }
 
-    /// Returns what a crash reveals about one run.
+    /// Returns what a crash reveals about one run; `None` if it says nothing about the task. `alike`
+    /// tells that runs of the step had just begun on other workers that were lost.
     fn assess_run(
         &self,
         run: Run,
         live: &LiveRun,
         worker: &Worker,
         others: &ConcurrentLosses,
+        alike: bool,
         now: Now,
-    ) -> LostRun {
+    ) -> Option<LostRun> {
         let at = others.at;
         // A worker that fell silent first may have continued until its connections were reset.
         let latest = worker.broken_since.unwrap_or(now.at);
@@ -190,15 +250,19 @@
             },
             begun: matches!(live.stage, Stage::Started(_))
                 && !self.may_be_done(run, live, at, latest),
-            many: others.many || is_silent_or_leaving(worker),
-            alike: self.had_just_begun_on_others(step_of(run), worker, others),
+            loss: match () {
+                () if others.many => Loss::WithMany,
+                () if is_silent_or_leaving(worker) => Loss::Unseen,
+                () => Loss::Alone,
+            },
+            alike,
         };
-        LostRun {
+        (!context.is_unrelated()).then(|| LostRun {
             run,
             age: if known { millis(age) } else { 0 },
             weight: context.weight(),
             begun: context.begun,
-        }
+        })
     }
 
     /// Returns the number of crashes of a worker's machine that no task explains.
@@ -248,19 +312,27 @@
             at,
             together,
             many: unexplained >= COMMON_CAUSE_WORKERS,
+            place: self.place_losses.find_cause(id).cloned(),
         }
     }
 
     /// Returns whether runs of a step had just begun on several workers that were lost at the same
-    /// time.
+    /// time; on at least half of them if most workers of a place were.
     fn had_just_begun_on_others(
         &self,
         step: StepKey,
         worker: &Worker,
         others: &ConcurrentLosses,
     ) -> bool {
+        let required = match &others.place {
+            Some(place) => {
+                let lost = self.place_losses.lost_together(place, worker.incarnation());
+                COMMON_STEP_WORKERS.max(lost.len() / 2)
+            }
+            None => COMMON_STEP_WORKERS,
+        };
         let crashed = self.crashes.count_begun(step, others.at);
-        if crashed >= COMMON_STEP_WORKERS {
+        if crashed >= required {
             return true;
         }
         let silent = |live: &LiveRun| {
@@ -273,7 +345,7 @@
         };
         let runs = self.runs_of_step(step);
         let silent: BTreeSet<Incarnation> = runs.filter_map(|(_, live)| silent(live)).collect();
-        crashed + silent.len() >= COMMON_STEP_WORKERS
+        crashed + silent.len() >= required
     }
 
     fn recently_begun_steps(&self, worker: &Worker, at: Duration) -> BTreeSet<StepKey> {
@@ -290,20 +362,43 @@
     }
 
     /// Suspects the tasks of runs that were lost without word from their worker, because its lease
-    /// expired or it was never listed. It may have crashed, so this counts toward the limit of
-    /// starts and has only light weight otherwise.
+    /// expired or it was never listed. Nothing shows that it crashed, so this has no weight, and only
+    /// counts toward the limit of starts. It does not even count if most workers of its place fell
+    /// silent as well.
     pub(super) fn suspect_lost_runs(&mut self, id: &Incarnation, lost: &[Run], now: Now) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.lapsed = true;
+            self.place_losses.note(worker, now.at);
+            self.place_losses
+                .count_workers(self.workers.values(), now.at);
+        }
+        if let Some(place) = self.place_losses.find_cause(id).cloned() {
+            return self.explain_losses(&place, id, now);
+        }
         let sent = |run: &&Run| self.runs.get(run).is_some_and(|live| live.sent > 0);
         let lost_runs = lost.iter().filter(sent).map(|run| LostRun {
             run: *run,
             age: 0,
-            weight: blame::LIGHT,
+            weight: blame::NO_WEIGHT,
             begun: false,
         });
         let lost_runs: Vec<LostRun> = lost_runs.collect();
         self.record_lost_runs(id, &lost_runs, now);
     }
 
+    /// Suspects the tasks of runs on workers that this owner does not know.
+    pub(super) fn suspect_adopted_runs(&mut self, lost: &[Run], now: Now) {
+        let mut by_worker: BTreeMap<Incarnation, Vec<Run>> = BTreeMap::new();
+        for run in lost {
+            if let Some(live) = self.runs.get(run) {
+                by_worker.entry(live.worker.clone()).or_default().push(*run);
+            }
+        }
+        for (worker, runs) in by_worker {
+            self.suspect_lost_runs(&worker, &runs, now);
+        }
+    }
+
     /// Fails the job of a task that crashes its workers.
     pub(super) fn fail_crashing_job(&mut self, task: Task, now: Now) {
         let Some(job) = self.log_state.jobs.get(&task.job) else {
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -32,6 +32,7 @@
 mod orphan_runs;
 mod pacing;
 mod pending_starts;
+mod place_losses;
 mod plan;
 mod polls;
 mod predecessors;
@@ -165,6 +166,8 @@
     pub convicted: u64,
     /// Tasks cleared of the suspicion of crashing workers.
     pub absolved: u64,
+    /// Losses of workers that no longer count against the tasks that ran there.
+    pub explained: u64,
     /// Steps placed before one with less slack, for the shares of their queues and origins.
     pub reordered: u64,
     /// Jobs refused for overload, without repeats before their time.
@@ -319,6 +322,8 @@
     stale_entries: BTreeMap<Incarnation, (ListedWorker, Duration)>,
     /// Recent crashes of workers.
     crashes: crash_record::CrashRecord,
+    /// Recent losses of workers by zone and label.
+    place_losses: place_losses::PlaceLosses,
     counts: Counts,
 }
 
@@ -416,6 +421,7 @@
             learned_run_times,
             stale_entries: BTreeMap::new(),
             crashes: crash_record::CrashRecord::default(),
+            place_losses: place_losses::PlaceLosses::default(),
             counts: Counts::default(),
         };
         core.interference = core.log_state.factors().clone();
--- /dev/null
+++ b/ashtiller/src/workflow/core/place_losses.rs
@@ -0,0 +1,174 @@
+//! Losses of workers by what they have in common: their availability zone and their labels, of which
+//! the rack is one. When most workers of such a place are lost at once, the place is the cause.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::workflow::incarnation::Incarnation;
+use crate::workflow::worker::Worker;
+
+/// Number of workers of a place that must be lost together for the place to be the cause.
+const PLACE_WORKERS_MIN: usize = 3;
+/// Part of a place's workers that must be lost together, as a divisor.
+const PLACE_DIVISOR: usize = 2;
+/// Uncertainty of the time of a loss that is noticed at once.
+const NOTICE_DELAY: Duration = Duration::from_millis(125);
+/// The same for a worker that has never answered this owner.
+const UNHEARD_DELAY: Duration = Duration::from_secs(1);
+/// Time for which losses are remembered. Workers that fell silent together are given up together,
+/// after the longest lease.
+const MEMORY: Duration = Duration::from_secs(30);
+/// Time for which the numbers of workers are kept.
+const SIZES_AGE_MAX: Duration = Duration::from_millis(20);
+
+/// A zone or a label of a service's workers.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub(super) struct Place {
+    service: Arc<str>,
+    name: Arc<str>,
+}
+
+impl Place {
+    /// Returns the name of the zone, or the label.
+    pub fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+}
+
+/// The time within which a worker was lost.
+#[derive(Clone, Copy, Debug)]
+struct LossInterval {
+    from: Duration,
+    to: Duration,
+}
+
+impl LossInterval {
+    /// Returns the interval of a worker that fell silent or is found lost now.
+    fn of(worker: &Worker, now: Duration) -> Self {
+        let to = worker.silent_since.unwrap_or(now);
+        // A connection that breaks shows the loss at once.
+        let at_once = worker.broken_since.is_some() && worker.broken_since == worker.silent_since;
+        let from = match worker.last_answer {
+            _ if at_once => to.saturating_sub(NOTICE_DELAY),
+            Duration::ZERO => to.saturating_sub(UNHEARD_DELAY),
+            last => last.min(to),
+        };
+        Self { from, to }
+    }
+
+    fn overlaps(self, other: Self) -> bool {
+        self.from <= other.to && other.from <= self.to
+    }
+}
+
+#[derive(Debug)]
+struct Loss {
+    interval: LossInterval,
+    places: Vec<Place>,
+}
+
+/// Recent losses by place.
+#[derive(Debug, Default)]
+pub(super) struct PlaceLosses {
+    losses: BTreeMap<Incarnation, Loss>,
+    /// Lost workers of each place, by the end of the interval of their loss.
+    by_place: BTreeMap<Place, BTreeSet<(Duration, Incarnation)>>,
+    /// Numbers of workers by place, and when they were counted.
+    sizes: (Option<Duration>, HashMap<Place, usize>),
+}
+
+fn places_of(worker: &Worker) -> Vec<Place> {
+    let listed = &worker.listed;
+    let names = std::iter::once(&listed.zone).chain(listed.labels.iter());
+    let places = names.map(|name| Place {
+        service: listed.service.clone(),
+        name: name.clone(),
+    });
+    places.collect()
+}
+
+impl PlaceLosses {
+    /// Adds a worker that fell silent or was found lost.
+    pub fn note(&mut self, worker: &Worker, now: Duration) {
+        let id = worker.incarnation();
+        let interval = LossInterval::of(worker, now);
+        let known = self.losses.get(id).map(|loss| loss.interval.to);
+        if known == Some(interval.to) {
+            return;
+        }
+        self.remove(id);
+        let places = places_of(worker);
+        for place in &places {
+            let lost = self.by_place.entry(place.clone()).or_default();
+            lost.insert((interval.to, id.clone()));
+        }
+        self.losses.insert(id.clone(), Loss { interval, places });
+    }
+
+    /// Removes a worker that answers again.
+    pub fn remove(&mut self, id: &Incarnation) {
+        let Some(loss) = self.losses.remove(id) else {
+            return;
+        };
+        for place in loss.places {
+            if let Some(lost) = self.by_place.get_mut(&place) {
+                lost.remove(&(loss.interval.to, id.clone()));
+                if lost.is_empty() {
+                    self.by_place.remove(&place);
+                }
+            }
+        }
+    }
+
+    /// Forgets losses from before `limit`.
+    fn forget_before(&mut self, limit: Duration) {
+        let losses = self.losses.iter();
+        let old = losses.filter(|(_, loss)| loss.interval.to < limit);
+        for id in old.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            self.remove(&id);
+        }
+    }
+
+    /// Counts the workers of each place, if they were not counted just now.
+    pub fn count_workers<'a>(&mut self, workers: impl Iterator<Item = &'a Worker>, now: Duration) {
+        if self.sizes.0.is_some_and(|at| now < at + SIZES_AGE_MAX) {
+            return;
+        }
+        self.forget_before(now.saturating_sub(MEMORY));
+        let mut sizes = HashMap::new();
+        for place in workers.flat_map(places_of) {
+            *sizes.entry(place).or_insert(0) += 1;
+        }
+        self.sizes = (Some(now), sizes);
+    }
+
+    /// Returns the place that explains the loss of a worker, if most workers there were lost at the
+    /// same time.
+    pub fn find_cause(&self, id: &Incarnation) -> Option<&Place> {
+        let loss = self.losses.get(id)?;
+        loss.places.iter().find(|place| {
+            let size = self.sizes.1.get(*place).copied().unwrap_or(0);
+            let most = size.div_ceil(PLACE_DIVISOR).max(PLACE_WORKERS_MIN);
+            self.lost_at(place, loss.interval).take(most).count() == most
+        })
+    }
+
+    /// Returns the workers of a place that were lost at the same time as one of them.
+    pub fn lost_together(&self, place: &Place, id: &Incarnation) -> Vec<Incarnation> {
+        let interval = self.losses.get(id).map(|loss| loss.interval);
+        let lost = interval.into_iter();
+        lost.flat_map(|interval| self.lost_at(place, interval))
+            .cloned()
+            .collect()
+    }
+
+    fn lost_at(&self, place: &Place, interval: LossInterval) -> impl Iterator<Item = &Incarnation> {
+        let lost = self.by_place.get(place).into_iter();
+        let lost = lost.flat_map(move |lost| lost.range((interval.from, Incarnation::from(""))..));
+        lost.map(|(_, id)| id).filter(move |id| {
+            let other = self.losses.get(*id);
+            other.is_some_and(|other| other.interval.overlaps(interval))
+        })
+    }
+}
--- a/ashtiller/src/workflow/core/polls.rs
+++ b/ashtiller/src/workflow/core/polls.rs
@@ -151,6 +151,7 @@
         if broke {
             worker.broken_since.get_or_insert(now.at);
         }
+        self.place_losses.note(worker, now.at);
         let silent = now.at.saturating_sub(worker.last_answer) > SILENT_AFTER;
         worker.next_poll = now.at + POLL_RETRY[usize::from(silent)];
     }
--- a/ashtiller/src/workflow/core/reports.rs
+++ b/ashtiller/src/workflow/core/reports.rs
@@ -212,6 +212,9 @@
             // One reply reports several ends that are queued.
             now.at + self.tuning.pause.max(self.congestion.usual())
         };
+        if recovered {
+            self.note_process_survived(id, now);
+        }
         if first {
             self.end_former_incarnations(id, now);
             // The entry may be durable by the next poll, which grants the lease.
--- a/ashtiller/src/workflow/core/worker_list.rs
+++ b/ashtiller/src/workflow/core/worker_list.rs
@@ -166,7 +166,7 @@
         );
         let waited = now.at.saturating_sub(self.began);
         self.note_leases_expired(&lost, LeaseHold::EarlierOwners, waited);
-        self.suspect_lost_runs(&Incarnation::from(""), &lost, now);
+        self.suspect_adopted_runs(&lost, now);
         for run in lost {
             self.end_run(run, End::Lost, &Arc::from(""), now);
         }
--- a/ashtiller/src/workflow/log_state.rs
+++ b/ashtiller/src/workflow/log_state.rs
@@ -17,6 +17,7 @@
 use crate::workflow::known_owners::KnownOwners;
 use crate::workflow::occurrence_window;
 use crate::workflow::record::{End, LogRecord, Outcome, Run, Task};
+use crate::workflow::recorded_losses::{self, RecordedLosses};
 use crate::workflow::run_times::recorded::{EncodedModels, RecordedModels};
 use crate::workflow::shares::origins::{self, Origins};
 use crate::workflow::silent_workers::SilentWorkers;
@@ -72,6 +73,9 @@
     /// Tasks suspected of crashing workers; they have a section of their own in a snapshot.
     #[serde(skip)]
     suspects: BTreeMap<Task, Suspect>,
+    /// Lost runs that count against suspects; they are an extension of a snapshot.
+    #[serde(skip)]
+    losses: RecordedLosses,
     /// Starts that may still be carried out; they have a section of their own in a snapshot.
     #[serde(skip)]
     unconfirmed: BTreeMap<Task, Vec<UnconfirmedStart>>,
@@ -283,11 +287,8 @@
                 self.cleared = self.cleared.max(*epoch);
                 self.silent_workers.forget_before(self.cleared);
             }
-            LogRecord::Crashed(_, lost_runs) => {
-                for lost in lost_runs {
-                    self.add_suspect(lost);
-                }
-            }
+            LogRecord::Crashed(worker, lost_runs) => self.add_loss(worker, lost_runs),
+            LogRecord::LossExplained(worker) => self.withdraw_loss(worker),
             LogRecord::Absolved(task) => {
                 self.suspects.remove(task);
             }
@@ -331,13 +332,41 @@
         self.suspects = suspects;
     }
 
-    /// Adds a crash to a task that may be started again.
-    fn add_suspect(&mut self, lost: &LostRun) {
+    /// Returns the lost runs that count against suspects.
+    #[must_use]
+    pub fn losses(&self) -> &RecordedLosses {
+        &self.losses
+    }
+
+    /// Adds the loss of a worker to the tasks that ran there.
+    fn add_loss(&mut self, worker: &Incarnation, lost_runs: &[LostRun]) {
+        let counted = lost_runs.iter().copied();
+        let counted = counted.filter(|lost| self.add_suspect(lost)).collect();
+        // Earlier versions recorded runs on workers that were never listed without the worker.
+        if !worker.as_str().is_empty() {
+            self.losses.add(worker, counted);
+        }
+    }
+
+    /// Takes the loss of a worker back.
+    fn withdraw_loss(&mut self, worker: &Incarnation) {
+        for lost in self.losses.take(worker) {
+            let task = lost.run.task;
+            let Some(suspect) = self.suspects.get_mut(&task) else {
+                continue;
+            };
+            suspect.withdraw(&lost);
+            if suspect.crashes == 0 {
+                self.suspects.remove(&task);
+            }
+        }
+    }
+
+    /// Adds a crash to a task that may be started again; returns whether it counts.
+    fn add_suspect(&mut self, lost: &LostRun) -> bool {
         let task = lost.run.task;
         let open = |(job, state): (&JobState, &TaskState)| job.outcome.is_none() && !state.done;
-        if self.task(task).is_some_and(open) {
-            self.suspects.entry(task).or_default().note(lost);
-        }
+        self.task(task).is_some_and(open) && self.suspects.entry(task).or_default().note(lost)
     }
 
     /// Returns the starts that may still be carried out.
@@ -518,6 +547,10 @@
         if !self.worker_machines.is_empty() {
             extensions.insert(MACHINES_EXTENSION, self.worker_machines.encode()?);
         }
+        if !self.losses.is_empty() {
+            let is_needed = |lost: &LostRun| self.suspects.contains_key(&lost.run.task);
+            extensions.insert(recorded_losses::EXTENSION, self.losses.encode(is_needed)?);
+        }
         Ok(extensions)
     }
 
@@ -580,6 +613,13 @@
                 Err(error) => tracing::warn!(%error, "machines of a snapshot skipped"),
             }
         }
+        if let Some(bytes) = extensions.get(&recorded_losses::EXTENSION) {
+            // Without them suspicions last until a run survives.
+            match RecordedLosses::decode(bytes) {
+                Ok(losses) => self.losses = losses,
+                Err(error) => tracing::warn!(%error, "losses of a snapshot skipped"),
+            }
+        }
         Ok(())
     }
 
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -550,6 +550,7 @@
             ("proved_down", now.proved_down - before.proved_down),
             ("convicted", now.convicted - before.convicted),
             ("absolved", now.absolved - before.absolved),
+            ("explained", now.explained - before.explained),
             ("reordered", now.reordered - before.reordered),
             ("refused", now.refused - before.refused),
             (
--- a/ashtiller/src/workflow/mod.rs
+++ b/ashtiller/src/workflow/mod.rs
@@ -43,6 +43,7 @@
 pub mod owner;
 pub mod peers;
 pub mod record;
+pub mod recorded_losses;
 pub mod relay;
 pub mod reserve;
 pub mod room;
--- a/ashtiller/src/workflow/record.rs
+++ b/ashtiller/src/workflow/record.rs
@@ -138,6 +138,9 @@
     IdCancelled(Arc<str>),
     /// The worker with this id runs on the machine with this name.
     WorkerMachine(Arc<str>, Arc<str>),
+    /// The loss of a worker says nothing about the tasks that ran there: it had a cause outside of
+    /// them, or the worker was only out of reach.
+    LossExplained(Incarnation),
 }
 
 impl LogRecord {
@@ -156,7 +159,8 @@
             | Self::WorkerHeard(..)
             | Self::FactorsLearned(_)
             | Self::IdCancelled(_)
-            | Self::WorkerMachine(..) => Section::Extension,
+            | Self::WorkerMachine(..)
+            | Self::LossExplained(_) => Section::Extension,
             _ => Section::Required,
         }
     }
@@ -190,6 +194,7 @@
                 | Self::OwnersKnown(..)
                 | Self::WorkersSilent(..)
                 | Self::FactorsLearned(_)
+                | Self::LossExplained(_)
         )
     }
 }
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -108,6 +108,8 @@
     /// Time since then at which a connection to it was first refused or broken: either its process
     /// has ended or the network reports so.
     pub broken_since: Option<Duration>,
+    /// Whether runs were given up since its last answer, without proof that its process has ended.
+    pub lapsed: bool,
     /// Poll in flight.
     pub pending_poll: Option<PendingPoll>,
     /// Time at which the next poll is due.
@@ -193,6 +195,7 @@
             last_answer: Duration::ZERO,
             silent_since: None,
             broken_since: None,
+            lapsed: false,
             pending_poll: None,
             next_poll: Duration::ZERO,
             ordering: 0,
--- a/ashtiller/tests/owner/blame.rs
+++ b/ashtiller/tests/owner/blame.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use ashtiller::workflow::blame::{self, CRASHES_MAX, CrashContext, LostRun, STARTS_AFTER, Suspect};
+use ashtiller::workflow::blame::{
+    self, CRASHES_MAX, CrashContext, Loss, LostRun, STARTS_AFTER, Suspect,
+};
 use ashtiller::workflow::record::{Run, Task};
 
 use crate::driver::MS;
@@ -49,7 +51,7 @@
     let young = CrashContext {
         age: 30 * MS,
         begun: true,
-        many: false,
+        loss: Loss::Alone,
         alike: false,
     };
     let old = CrashContext {
@@ -65,7 +67,7 @@
     let rack = CrashContext {
         age: 30 * MS,
         begun: true,
-        many: true,
+        loss: Loss::WithMany,
         alike: false,
     };
     let siblings = CrashContext {
@@ -111,7 +113,7 @@
     let context = CrashContext {
         age: 30 * MS,
         begun: false,
-        many: false,
+        loss: Loss::Alone,
         alike: false,
     };
     assert_eq!(context.weight(), LIGHT);
--- a/ashtiller/tests/owner/lost_together.rs
+++ b/ashtiller/tests/owner/lost_together.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use ashtiller::workflow::agents::PollReply;
 use ashtiller::workflow::blame::LostRun;
 use ashtiller::workflow::config::ListedWorker;
 use ashtiller::workflow::incarnation::Incarnation;
@@ -117,15 +118,19 @@
     assert!(suspects.is_empty(), "{suspects:?}");
 }
 
-/// The owner hears of the first worker's restart before the calls to the others have timed out.
+/// The owner hears of the first worker's restart while its polls of the others are in flight.
 #[test]
 fn tasks_of_the_first_worker_found_lost_are_cleared_once_its_zone_is_known_to_be_lost() {
     let mut driver = full_fleet();
-    let first = LOST_ZONE.start;
-    restart(&mut driver, first..first + 1, 1000);
-    driver.run_for(400 * MS);
-    restart(&mut driver, first + 1..LOST_ZONE.end, 1000);
-    driver.run_for(400 * MS);
+    driver.long_polls = true;
+    driver.run_for(500 * MS);
+    for number in LOST_ZONE {
+        let former = started_at(number, 1000).incarnation;
+        let next = PollReply::OtherIncarnation(Some(started_at(number, 1001).incarnation));
+        driver.core.handle_poll_reply(&former, Ok(next), driver.now);
+        driver.run_for(300 * MS);
+    }
+    assert_eq!(driver.core.counts().crashes, 4);
     let suspects = driver.core.log_state().suspects();
     assert!(suspects.is_empty(), "{suspects:?}");
 }
