Count losses as those of a place only at one common moment

Cause: the loss of a zone at 6.0 s also took back what crashes there at 5.1 and 5.6 s had counted. The time of a loss is an interval that begins with the last answer, up to 2 s before, and two intervals that overlapped counted as one loss.

A place is the cause only if at least half of its workers may have been lost at one moment, and only losses around that moment are taken back.

--- a/ashtiller/src/workflow/core/crashes.rs
+++ b/ashtiller/src/workflow/core/crashes.rs
@@ -7,7 +7,7 @@
 use crate::workflow::blame::{self, CrashContext, Loss, LostRun, Suspect};
 use crate::workflow::core::advice::StepKey;
 use crate::workflow::core::crash_record::{Crash, is_simultaneous};
-use crate::workflow::core::place_losses::Place;
+use crate::workflow::core::place_losses::PlaceLoss;
 use crate::workflow::core::{Core, Now};
 use crate::workflow::incarnation::Incarnation;
 use crate::workflow::live_run::{LiveRun, Stage};
@@ -37,8 +37,8 @@
     together: usize,
     /// Whether there are so many that a common cause is assumed.
     many: bool,
-    /// Place that explains the loss, if most of its workers were lost.
-    place: Option<Place>,
+    /// What explains the loss, if most workers of a place were lost.
+    place: Option<PlaceLoss>,
 }
 
 /// Returns whether a worker only fell silent or was about to leave. Then nothing shows that its
@@ -144,12 +144,12 @@
                 .filter(|it| suspects.contains_key(&it.run.task))
                 .count(),
             together = others.together,
-            place = others.place.as_ref().map(|place| &**place.name()),
+            place = others.place.as_ref().map(|loss| &**loss.place.name()),
             "worker crashed"
         );
         let culprit = culprit.or_else(|| self.find_exhausted(&lost_runs, id));
-        if let Some(place) = &others.place {
-            self.explain_losses(place, id, now);
+        if let Some(loss) = &others.place {
+            self.explain_losses(loss, now);
         }
         self.record_lost_runs(id, &lost_runs, now);
         culprit
@@ -157,10 +157,10 @@
 
     /// Takes back what counts against the tasks of workers that were lost with the given one, when
     /// their place turns out to be the cause. The first of them are found lost before the others.
-    fn explain_losses(&mut self, place: &Place, id: &Incarnation, now: Now) {
-        for worker in self.place_losses.lost_together(place, id) {
+    fn explain_losses(&mut self, loss: &PlaceLoss, now: Now) {
+        for worker in self.place_losses.lost_with(loss) {
             if self.log_state.losses().contains(&worker) {
-                self.explain_loss(&worker, place.name(), now);
+                self.explain_loss(&worker, loss.place.name(), now);
             }
         }
     }
@@ -312,7 +312,7 @@
             at,
             together,
             many: unexplained >= COMMON_CAUSE_WORKERS,
-            place: self.place_losses.find_cause(id).cloned(),
+            place: self.place_losses.find_cause(id),
         }
     }
 
@@ -325,8 +325,8 @@
         others: &ConcurrentLosses,
     ) -> bool {
         let required = match &others.place {
-            Some(place) => {
-                let lost = self.place_losses.lost_together(place, worker.incarnation());
+            Some(loss) => {
+                let lost = self.place_losses.lost_with(loss);
                 COMMON_STEP_WORKERS.max(lost.len() / 2)
             }
             None => COMMON_STEP_WORKERS,
@@ -372,8 +372,8 @@
             self.place_losses
                 .count_workers(self.workers.values(), now.at);
         }
-        if let Some(place) = self.place_losses.find_cause(id).cloned() {
-            return self.explain_losses(&place, id, now);
+        if let Some(loss) = self.place_losses.find_cause(id) {
+            return self.explain_losses(&loss, now);
         }
         let sent = |run: &&Run| self.runs.get(run).is_some_and(|live| live.sent > 0);
         let lost_runs = lost.iter().filter(sent).map(|run| LostRun {
--- a/ashtiller/src/workflow/core/place_losses.rs
+++ b/ashtiller/src/workflow/core/place_losses.rs
@@ -57,6 +57,13 @@
         Self { from, to }
     }
 
+    fn at(moment: Duration) -> Self {
+        Self {
+            from: moment,
+            to: moment,
+        }
+    }
+
     fn overlaps(self, other: Self) -> bool {
         self.from <= other.to && other.from <= self.to
     }
@@ -68,6 +75,13 @@
     places: Vec<Place>,
 }
 
+/// The loss of most workers of a place at one moment.
+#[derive(Clone, Debug)]
+pub(super) struct PlaceLoss {
+    pub place: Place,
+    moment: Duration,
+}
+
 /// Recent losses by place.
 #[derive(Debug, Default)]
 pub(super) struct PlaceLosses {
@@ -143,32 +157,66 @@
         self.sizes = (Some(now), sizes);
     }
 
-    /// Returns the place that explains the loss of a worker, if most workers there were lost at the
-    /// same time.
-    pub fn find_cause(&self, id: &Incarnation) -> Option<&Place> {
+    /// Returns what explains the loss of a worker, if most workers of a place were lost at the same
+    /// moment.
+    pub fn find_cause(&self, id: &Incarnation) -> Option<PlaceLoss> {
         let loss = self.losses.get(id)?;
-        loss.places.iter().find(|place| {
-            let size = self.sizes.1.get(*place).copied().unwrap_or(0);
+        loss.places.iter().find_map(|place| {
+            let size = self.sizes.1.get(place).copied().unwrap_or(0);
             let most = size.div_ceil(PLACE_DIVISOR).max(PLACE_WORKERS_MIN);
-            self.lost_at(place, loss.interval).take(most).count() == most
+            let moment = self.common_moment(place, loss.interval, most)?;
+            let place = place.clone();
+            Some(PlaceLoss { place, moment })
         })
     }
 
-    /// Returns the workers of a place that were lost at the same time as one of them.
-    pub fn lost_together(&self, place: &Place, id: &Incarnation) -> Vec<Incarnation> {
-        let interval = self.losses.get(id).map(|loss| loss.interval);
-        let lost = interval.into_iter();
-        lost.flat_map(|interval| self.lost_at(place, interval))
-            .cloned()
-            .collect()
+    /// Returns the workers that were lost with their place.
+    pub fn lost_with(&self, loss: &PlaceLoss) -> Vec<Incarnation> {
+        let lost = self.lost_in(&loss.place, LossInterval::at(loss.moment));
+        lost.map(|(id, _)| id.clone()).collect()
     }
 
-    fn lost_at(&self, place: &Place, interval: LossInterval) -> impl Iterator<Item = &Incarnation> {
+    /// Returns the moment of an interval at which most workers of a place may have been lost, if at
+    /// least `most` of them may have been at once.
+    fn common_moment(
+        &self,
+        place: &Place,
+        interval: LossInterval,
+        most: usize,
+    ) -> Option<Duration> {
+        if self.lost_in(place, interval).take(most).count() < most {
+            return None;
+        }
+        let lost = self.lost_in(place, interval);
+        let bounds = lost.flat_map(|(_, other)| {
+            let from = other.from.max(interval.from);
+            [(from, false), (other.to, true)]
+        });
+        let mut bounds: Vec<(Duration, bool)> = bounds.collect();
+        // At one time, beginnings come before ends.
+        bounds.sort_unstable();
+        let (mut open, mut best) = (0, (0, interval.from));
+        for (at, ends) in bounds {
+            if ends {
+                open -= 1;
+            } else {
+                open += 1;
+                best = best.max((open, at));
+            }
+        }
+        let (count, moment) = best;
+        (count >= most).then_some(moment)
+    }
+
+    /// Returns the workers of a place that may have been lost within an interval.
+    fn lost_in(
+        &self,
+        place: &Place,
+        interval: LossInterval,
+    ) -> impl Iterator<Item = (&Incarnation, LossInterval)> {
         let lost = self.by_place.get(place).into_iter();
         let lost = lost.flat_map(move |lost| lost.range((interval.from, Incarnation::from(""))..));
-        lost.map(|(_, id)| id).filter(move |id| {
-            let other = self.losses.get(*id);
-            other.is_some_and(|other| other.interval.overlaps(interval))
-        })
+        let lost = lost.filter_map(|(_, id)| Some((id, self.losses.get(id)?.interval)));
+        lost.filter(move |(_, other)| other.overlaps(interval))
     }
 }
--- a/ashtiller/tests/owner/lost_together.rs
+++ b/ashtiller/tests/owner/lost_together.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use ashtiller::failure::Failure;
 use ashtiller::workflow::agents::PollReply;
 use ashtiller::workflow::blame::LostRun;
 use ashtiller::workflow::config::ListedWorker;
@@ -135,6 +136,36 @@
     assert!(suspects.is_empty(), "{suspects:?}");
 }
 
+/// Of the workers that are lost later, one has last answered before that crash, the others after it.
+#[test]
+fn a_crash_shortly_before_the_loss_of_a_zone_counts_against_its_tasks() {
+    let mut driver = full_fleet();
+    driver.long_polls = true;
+    driver.run_for(500 * MS);
+    let first = started_at(LOST_ZONE.start, 1000).incarnation;
+    let broken = Failure::unknown_effect("look", &first, "connection closed");
+    driver
+        .core
+        .handle_poll_reply(&first, Err(broken), driver.now);
+    let next = started_at(LOST_ZONE.start, 1001).incarnation;
+    driver.restarted.insert(first, next);
+    driver.run_for(200 * MS);
+    for number in LOST_ZONE.start + 2..LOST_ZONE.end {
+        let answering = started_at(number, 1000).incarnation;
+        driver.report(&answering, Vec::new(), Vec::new());
+    }
+    driver.run_for(200 * MS);
+    let charged = driver.core.log_state().suspects().len();
+    assert!(charged > 0, "the crash is recorded");
+    for number in (LOST_ZONE.start + 1..LOST_ZONE.end).rev() {
+        let former = started_at(number, 1000).incarnation;
+        let next = PollReply::OtherIncarnation(Some(started_at(number, 1001).incarnation));
+        driver.core.handle_poll_reply(&former, Ok(next), driver.now);
+    }
+    assert_eq!(driver.core.counts().crashes, 4);
+    assert_eq!(driver.core.log_state().suspects().len(), charged);
+}
+
 /// Returns the records of long-running tasks that are strongly suspected and have no run.
 fn strong_suspects(count: u16) -> Vec<LogRecord> {
     let runs = (0..count).map(|index| Run {
