Let long-running tasks start although trials withhold capacity

Callers saw long-running tasks, also some that were never lost, wait beside free capacity: up to half of the workers hold a trial for 4 s and take nothing else, and when one trial ends the next one takes its place.

- No trial begins while workers with trials withhold more processors than the others have free.
- A long-running task without suspicion that has waited for 1.5 s starts beside a task on trial where no other worker has room.
- A suspected one that has waited for 3 s starts without isolation.

--- a/ashtiller/src/workflow/core/candidates.rs
+++ b/ashtiller/src/workflow/core/candidates.rs
@@ -194,6 +194,18 @@
         candidates
     }
 
+    /// Returns the workers that could get runs but for a task on trial there.
+    pub(super) fn collect_trial_hosts(&self, now: Now) -> Vec<Candidate> {
+        let hosts = self.workers.values();
+        let hosts =
+            hosts.filter(|worker| self.eligibility(worker, now) == Eligibility::RunsSuspect);
+        let candidates = hosts.map(|worker| Candidate {
+            changed: self.collections,
+            ..self.summarize(worker)
+        });
+        candidates.collect()
+    }
+
     /// Returns whether a worker may get runs now.
     fn may_get_runs(&self, worker: &Worker, now: Now) -> bool {
         self.eligibility(worker, now) == Eligibility::Eligible
--- a/ashtiller/src/workflow/core/plan.rs
+++ b/ashtiller/src/workflow/core/plan.rs
@@ -8,7 +8,7 @@
 use crate::workflow::core::candidates::{self, Candidate, CandidateRanking, PlacementRequest};
 use crate::workflow::core::selectivity::Tolerance;
 use crate::workflow::core::step_priority::WaitingStep;
-use crate::workflow::core::trials::{ActiveTrials, TrialResult};
+use crate::workflow::core::trials::{ActiveTrials, Isolation, TrialResult};
 use crate::workflow::core::unconfirmed_starts::Site;
 use crate::workflow::core::{Core, Now, sharing_of};
 use crate::workflow::incarnation::Incarnation;
@@ -65,6 +65,8 @@
     pub promoted_late: BTreeSet<StepKey>,
     /// Isolated runs of tasks that are suspected of crashing workers.
     pub trials: ActiveTrials,
+    /// How tasks that are strongly suspected are placed.
+    pub isolation: Isolation,
     /// Capacity that long-running tasks leave to short ones.
     pub reserve: ReservePlan,
     /// Prices of the room that long-running tasks take from short ones.
@@ -80,6 +82,7 @@
             reserved: None,
             promoted_late: BTreeSet::new(),
             trials,
+            isolation: Isolation::default(),
             reserve: ReservePlan::default(),
             room: RoomPrices::new(),
         }
@@ -259,6 +262,7 @@
                 self.log_wait(pending, &round, now);
             }
         }
+        self.place_despite_trials(&waiting, &mut round, now);
         self.log_shares(order.reordered(), now);
         if is_limited {
             self.counts.limited_rounds += 1;
--- a/ashtiller/src/workflow/core/trials.rs
+++ b/ashtiller/src/workflow/core/trials.rs
@@ -7,6 +7,7 @@
 use crate::workflow::core::advice::StepKey;
 use crate::workflow::core::candidates::{self, Candidate, CandidateRanking, PlacementRequest};
 use crate::workflow::core::plan::PlacementRound;
+use crate::workflow::core::step_priority::WaitingStep;
 use crate::workflow::core::{Core, Now};
 use crate::workflow::record::{Run, Task};
 use crate::workflow::worker::Worker;
@@ -19,6 +20,9 @@
 /// Time that a step waits before more of its tasks may be on trial at once. The platform requires
 /// something of a job to run within 3 s.
 const TRIAL_PATIENCE: Duration = Duration::from_millis(1500);
+/// Time after which a long-running task starts although no trial may begin. The platform asks for
+/// its start within 9 s of its last run, of which leases take up to 6 s.
+const ISOLATED_START_MAX: Duration = Duration::from_secs(3);
 /// Fraction (one in this many) of a service's workers that may hold trials at the same time; at
 /// least one may.
 const TRIAL_WORKER_DIVISOR: usize = 4;
@@ -43,22 +47,56 @@
     Waits,
 }
 
+/// How a placement round treats tasks that are strongly suspected.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) enum Isolation {
+    /// They are placed as trials.
+    #[default]
+    Trials,
+    /// They wait.
+    Deferred,
+    /// They are placed like other tasks, as they have waited too long for a trial.
+    Waived,
+}
+
+/// Workers and trials of one service.
+#[derive(Default)]
+struct ServiceTrials {
+    /// Workers, including those that hold trials.
+    workers: usize,
+    /// Tasks on trial.
+    trials: usize,
+    /// Free processors, in thousandths, of workers that may get runs.
+    free: u64,
+    /// The same of workers that hold trials, which nothing may use meanwhile.
+    withheld: u64,
+}
+
 /// The active trials during a placement round.
 #[derive(Default)]
 pub(super) struct ActiveTrials {
-    /// Workers by service, including those that hold trials.
-    workers_by_service: BTreeMap<Arc<str>, usize>,
-    /// Tasks on trial, by service.
-    trials_by_service: BTreeMap<Arc<str>, usize>,
+    by_service: BTreeMap<Arc<str>, ServiceTrials>,
     trials_by_job: BTreeMap<u32, usize>,
     /// The remaining workers for trials of one step, best first.
     ranked: Option<(StepKey, CandidateRanking)>,
 }
 
 impl ActiveTrials {
-    fn add(&mut self, service: &Arc<str>, job: u32) {
-        *self.trials_by_service.entry(service.clone()).or_insert(0) += 1;
+    /// Adds a task that is on trial on a worker with this many free processors, in thousandths.
+    fn add(&mut self, service: &Arc<str>, job: u32, free: u64) -> &mut ServiceTrials {
         *self.trials_by_job.entry(job).or_insert(0) += 1;
+        let of_service = self.by_service.entry(service.clone()).or_default();
+        of_service.trials += 1;
+        of_service.withheld += free;
+        of_service
+    }
+}
+
+impl ServiceTrials {
+    /// Returns whether one more trial may begin: its tasks are on at most a fraction (one in
+    /// `divisor`) of the workers, and withhold no more capacity than they leave.
+    fn may_begin(&self, divisor: usize) -> bool {
+        self.trials < (self.workers / divisor).max(1) && self.withheld <= self.free
     }
 }
 
@@ -71,8 +109,74 @@
 
     /// Returns whether a step has waited too long for its tasks to be tried a few at a time.
     fn is_trial_overdue(&self, key: StepKey, now: Now) -> bool {
+        self.has_waited(key, TRIAL_PATIENCE, now)
+    }
+
+    /// Returns whether a step has had tasks that could start for this time.
+    fn has_waited(&self, key: StepKey, wait: Duration, now: Now) -> bool {
         let since = self.job_timings.ready_since(key);
-        since.is_some_and(|since| now.at >= since + TRIAL_PATIENCE)
+        since.is_some_and(|since| now.at >= since + wait)
+    }
+
+    /// Places long-running tasks that trials have kept waiting. Those without suspicion start beside
+    /// a task on trial where no other worker has room, and strongly suspected ones without isolation
+    /// once they have waited for [`ISOLATED_START_MAX`].
+    pub(super) fn place_despite_trials(
+        &mut self,
+        waiting: &[WaitingStep],
+        round: &mut PlacementRound,
+        now: Now,
+    ) {
+        if self.log_state.suspects().is_empty() {
+            return;
+        }
+        let patient = |pending: &&WaitingStep| {
+            self.is_long_running(pending) && self.has_waited(pending.key(), TRIAL_PATIENCE, now)
+        };
+        let kept: Vec<WaitingStep> = waiting.iter().filter(patient).copied().collect();
+        if kept.is_empty() {
+            return;
+        }
+        round.isolation = Isolation::Waived;
+        for pending in &kept {
+            if self.has_waited(pending.key(), ISOLATED_START_MAX, now) {
+                self.place_kept_step(*pending, round, now);
+            }
+        }
+        let mut beside =
+            PlacementRound::new(self.collect_trial_hosts(now), ActiveTrials::default());
+        beside.reserve = round.reserve.clone();
+        beside.room = self.price_room(&beside.candidates, &kept);
+        for pending in kept {
+            let is_overdue = self.has_waited(pending.key(), ISOLATED_START_MAX, now);
+            beside.isolation = if is_overdue {
+                Isolation::Waived
+            } else {
+                Isolation::Deferred
+            };
+            self.place_kept_step(pending, &mut beside, now);
+        }
+    }
+
+    fn place_kept_step(&mut self, pending: WaitingStep, round: &mut PlacementRound, now: Now) {
+        if !self.has_capacity(&pending, &round.candidates) {
+            return;
+        }
+        let before = self.count_waiting(pending);
+        if before == 0 {
+            return;
+        }
+        self.place_step(pending, round, now);
+        let left = self.count_waiting(pending);
+        if left < before {
+            tracing::info!(job = pending.job, step = pending.step, placed = before - left,
+                isolation = ?round.isolation, "long-running tasks start despite trials");
+        }
+        if left == 0 {
+            self.job_timings.note_placed(pending.key());
+            self.searches.forget(pending.key());
+            self.wait_logged_at.remove(&pending.key());
+        }
     }
 
     /// Counts the active trials, once per placement round.
@@ -82,10 +186,10 @@
             return trials;
         }
         for candidate in fleet {
-            *trials
-                .workers_by_service
-                .entry(candidate.service.clone())
-                .or_insert(0) += 1;
+            let service = candidate.service.clone();
+            let of_service = trials.by_service.entry(service).or_default();
+            of_service.workers += 1;
+            of_service.free += candidate.free.processors;
         }
         for task in self.log_state.suspects().keys() {
             let live = self.log_state.task(*task).into_iter();
@@ -99,11 +203,7 @@
                     && let Some(worker) = self.workers.get(worker)
                 {
                     let service = &worker.listed.service;
-                    *trials
-                        .workers_by_service
-                        .entry(service.clone())
-                        .or_insert(0) += 1;
-                    trials.add(service, task.job);
+                    trials.add(service, task.job, worker.unused()).workers += 1;
                 }
             }
         }
@@ -125,10 +225,10 @@
         } else {
             TRIAL_WORKER_DIVISOR
         };
-        let count = |counts: &BTreeMap<Arc<str>, usize>| counts.get(service).copied().unwrap_or(0);
-        let max = (count(&trials.workers_by_service) / divisor).max(1);
         let of_job = trials.trials_by_job.get(&task.job).copied().unwrap_or(0);
-        (overdue || of_job < TRIALS_PER_JOB_MAX) && count(&trials.trials_by_service) < max
+        let of_service = trials.by_service.get(service);
+        (overdue || of_job < TRIALS_PER_JOB_MAX)
+            && of_service.is_none_or(|it| it.may_begin(divisor))
     }
 
     /// Returns whether a run is on trial now.
@@ -201,9 +301,13 @@
         round: &mut PlacementRound,
         now: Now,
     ) -> TrialResult {
+        let isolation = round.isolation;
         match () {
             () if self.has_reached_crash_limit(task) => TrialResult::Waits,
-            () if !self.is_strong_suspect(task) => TrialResult::None,
+            () if !self.is_strong_suspect(task) || isolation == Isolation::Waived => {
+                TrialResult::None
+            }
+            () if isolation == Isolation::Deferred => TrialResult::Waits,
             () if self.place_suspect(task, request, round, now) => TrialResult::Placed,
             () => TrialResult::Waits,
         }
@@ -227,7 +331,10 @@
         let candidate = &mut round.candidates[place];
         candidate.close();
         let id = candidate.id.clone();
-        round.trials.add(request.service, task.job);
+        let free = candidate.free;
+        let left = free.minus(&request.resources).processors;
+        let of_service = round.trials.add(request.service, task.job, left);
+        of_service.free = of_service.free.saturating_sub(free.processors);
         let ticket = request.tickets.and_then(|it| it.get(&id).cloned());
         let number = self.next_run_number(task);
         tracing::info!(%task, run = number, worker = %id, "suspected task is tried in isolation");
