--- a/ashtiller/src/workflow/core/crashes.rs
+++ b/ashtiller/src/workflow/core/crashes.rs
@@ -326,8 +326,8 @@
     ) -> bool {
         let required = match &others.place {
             Some(loss) => {
-                let lost = self.place_losses.lost_with(loss);
-                COMMON_STEP_WORKERS.max(lost.len() / 2)
+                let workers = self.place_losses.lost_with(loss);
+                COMMON_STEP_WORKERS.max(workers.len() / 2)
             }
             None => COMMON_STEP_WORKERS,
         };
--- a/ashtiller/src/workflow/core/place_losses.rs
+++ b/ashtiller/src/workflow/core/place_losses.rs
@@ -172,8 +172,8 @@
 
     /// Returns the workers that were lost with their place.
     pub fn lost_with(&self, loss: &PlaceLoss) -> Vec<Incarnation> {
-        let lost = self.lost_in(&loss.place, LossInterval::at(loss.moment));
-        lost.map(|(id, _)| id.clone()).collect()
+        let workers = self.lost_in(&loss.place, LossInterval::at(loss.moment));
+        workers.map(|(id, _)| id.clone()).collect()
     }
 
     /// Returns the moment of an interval at which most workers of a place may have been lost, if at
