Show which tasks are suspected of crashing workers and wait for trials

- `lasting task waits` and the hold of starts count `suspected` tasks, as do the waiting steps of the dump.
- `worker crashed` has `strong`, the charged tasks that are strongly suspected from then on.
Runs lost without proof of a crash get one line for each worker.
The line on a loss that no longer counts has its runs and what became of their tasks.
- The dump has a summary and the 100 suspects with the most evidence against them.
- Gauges `suspects` and `trials`, histogram `suspect_wait_seconds` from the end of a strongly suspected task's run until it gets the next one.

--- a/ashtiller/src/workflow/core/allocation.rs
+++ b/ashtiller/src/workflow/core/allocation.rs
@@ -138,6 +138,7 @@
         let (share, processors) = sharing_of(&mut self.interference, step);
         self.counts.placed += 1;
         self.record_placement_time(run, now.at);
+        self.note_suspect_placed(run.task, now);
         let stage = Stage::Recorded(self.position);
         let mut live = LiveRun::new(id.clone(), stage, share, processors, now.at);
         live.checkpoint = saved.clone();
--- a/ashtiller/src/workflow/core/crashes.rs
+++ b/ashtiller/src/workflow/core/crashes.rs
@@ -143,6 +143,7 @@
                 .iter()
                 .filter(|it| suspects.contains_key(&it.run.task))
                 .count(),
+            strong = self.count_strong_after(&lost_runs),
             together = others.together,
             place = others.place.as_ref().map(|place| &**place.name()),
             "worker crashed"
@@ -167,10 +168,21 @@
 
     /// Takes back what the loss of a worker counts against the tasks that ran there.
     pub(super) fn explain_loss(&mut self, id: &Incarnation, cause: &str, now: Now) {
-        tracing::info!(worker = %id, cause, "loss of a worker no longer counts against its tasks");
+        let lost_runs = self.log_state.losses().of(id);
+        let runs = lost_runs.len();
+        let tasks = lost_runs.iter().map(|lost| lost.run.task);
+        let tasks: Vec<Task> = tasks.filter(|task| self.is_suspect(*task)).collect();
         self.counts.explained += 1;
         self.record(LogRecord::LossExplained(id.clone()), now);
         self.needs_planning = true;
+        tracing::info!(
+            worker = %id,
+            cause,
+            runs,
+            cleared = tasks.iter().filter(|task| !self.is_suspect(**task)).count(),
+            strong = self.count_strong(&tasks),
+            "loss of a worker no longer counts against its tasks"
+        );
     }
 
     /// Withdraws the suspicion of tasks that were lost with the lease of a worker which answers again:
@@ -373,6 +385,8 @@
                 .count_workers(self.workers.values(), now.at);
         }
         if let Some(place) = self.place_losses.find_cause(id).cloned() {
+            tracing::info!(worker = %id, runs = lost.len(), charged = 0, place = &**place.name(),
+                "runs lost without proof that their worker crashed");
             return self.explain_losses(&place, id, now);
         }
         let sent = |run: &&Run| self.runs.get(run).is_some_and(|live| live.sent > 0);
@@ -383,6 +397,8 @@
             begun: false,
         });
         let lost_runs: Vec<LostRun> = lost_runs.collect();
+        tracing::info!(worker = %id, runs = lost.len(), charged = lost_runs.len(),
+            "runs lost without proof that their worker crashed");
         self.record_lost_runs(id, &lost_runs, now);
     }
 
--- a/ashtiller/src/workflow/core/dump.rs
+++ b/ashtiller/src/workflow/core/dump.rs
@@ -2,7 +2,7 @@
 
 use crate::workflow::core::{Core, Now};
 
-/// Limit of the jobs, of the waiting steps and of the unconfirmed starts in a dump.
+/// Limit of the jobs, of the waiting steps, of the suspects and of the unconfirmed starts in a dump.
 const DUMP_MAX: usize = 100;
 
 impl Core {
@@ -48,6 +48,7 @@
                 })
             })
         });
+        let suspicion = self.summarize_suspicion(now);
         serde_json::json!({
             "epoch": self.epoch, "earlier_owners": self.running_predecessors(), "durable": self.durable, "position": self.position,
             "stalled_ms": u64::try_from(self.stalled_for(now).as_millis()).unwrap_or(u64::MAX),
@@ -62,6 +63,11 @@
             "run_times": self.dump_run_times(now),
             "shares": self.dump_shares(),
             "reserve": self.dump_reserve(now),
+            "suspicion": serde_json::json!({
+                "suspects": suspicion.suspects, "strong": suspicion.strong, "waiting": suspicion.waiting,
+                "trial_workers": suspicion.trial_workers, "withheld_processors": suspicion.withheld / 1000,
+            }),
+            "suspects": self.dump_suspects(DUMP_MAX),
             "unconfirmed_starts": unconfirmed.take(DUMP_MAX).collect::<Vec<_>>(),
             "jobs": jobs.collect::<Vec<_>>(), "workers": workers.collect::<Vec<_>>(),
         })
--- a/ashtiller/src/workflow/core/lease_waits.rs
+++ b/ashtiller/src/workflow/core/lease_waits.rs
@@ -82,14 +82,9 @@
     }
 
     fn count_long_running<'a>(&self, runs: impl IntoIterator<Item = &'a Run>) -> u32 {
-        let is_long_running = |run: &&Run| {
-            let known = self.log_state.task(run.task);
-            known
-                .and_then(|(job, _)| job.step(run.task))
-                .is_some_and(|step| step.long_running)
-        };
-        let count = runs.into_iter().filter(is_long_running).count();
-        u32::try_from(count).unwrap_or(u32::MAX)
+        let runs = runs.into_iter();
+        let long_running = runs.filter(|run| self.is_long_running_task(run.task));
+        u32::try_from(long_running.count()).unwrap_or(u32::MAX)
     }
 
     /// Returns the runs on silent workers by what holds them.
--- a/ashtiller/src/workflow/core/mod.rs
+++ b/ashtiller/src/workflow/core/mod.rs
@@ -52,6 +52,7 @@
 mod start_hold;
 mod starvation;
 mod step_priority;
+pub mod suspicion_report;
 pub mod times;
 mod trials;
 mod unconfirmed_starts;
@@ -79,7 +80,7 @@
 use crate::workflow::log_state::LogState;
 use crate::workflow::machines::MachineOrder;
 use crate::workflow::message::Reply;
-use crate::workflow::record::{LogRecord, Outcome, Run};
+use crate::workflow::record::{LogRecord, Outcome, Run, Task};
 use crate::workflow::tuning::Tuning;
 use crate::workflow::worker::Worker;
 
@@ -309,6 +310,10 @@
     next_held_log: Duration,
     /// Waits for leases that ended and are not counted yet.
     ended_lease_waits: Vec<lease_waits::LeaseWait>,
+    /// Strongly suspected tasks without a run, and since when.
+    suspects_waiting: BTreeMap<Task, Duration>,
+    /// Waits of strongly suspected tasks that ended and are not counted yet.
+    ended_trial_waits: Vec<suspicion_report::TrialWait>,
     /// When an overdue step was last placed first.
     last_rescue: Duration,
     services: BTreeSet<Arc<str>>,
@@ -413,6 +418,8 @@
             next_round_log: Duration::ZERO,
             next_held_log: Duration::ZERO,
             ended_lease_waits: Vec::new(),
+            suspects_waiting: BTreeMap::new(),
+            ended_trial_waits: Vec::new(),
             last_rescue: now.at,
             services: BTreeSet::new(),
             job_timings: times::JobTimings::default(),
--- a/ashtiller/src/workflow/core/runs.rs
+++ b/ashtiller/src/workflow/core/runs.rs
@@ -95,6 +95,7 @@
                 worker = %live.worker, end = ?reported, age_ms = age, stop = ?live.stop, percent = live.percent, "run ended");
         }
         self.record(LogRecord::Ended(run, end, checkpoint.clone()), now);
+        self.note_suspect_waits(run.task, now);
         self.needs_planning = true;
         if end == End::Failed {
             self.check_failure_limit(run, now);
--- a/ashtiller/src/workflow/core/start_hold.rs
+++ b/ashtiller/src/workflow/core/start_hold.rs
@@ -69,6 +69,7 @@
             held_ms = now.at.saturating_sub(since).as_millis(),
             lasting = lasting.tasks,
             short = short.tasks,
+            suspected = lasting.suspected + short.suspected,
             waited_ms = lasting.longest.max(short.longest).as_millis(),
             "starts wait: the list of workers or of evacuations is outdated, or ownership in doubt"
         );
--- a/ashtiller/src/workflow/core/wait_report.rs
+++ b/ashtiller/src/workflow/core/wait_report.rs
@@ -20,6 +20,8 @@
 pub struct WaitSummary {
     /// Number of tasks without a run.
     pub tasks: u32,
+    /// Number of these that wait to be tried in isolation.
+    pub suspected: u32,
     /// Longest wait of a step with such tasks.
     pub longest: Duration,
 }
@@ -53,7 +55,7 @@
         let bound = tasks.iter().filter(|it| self.site_of(**it) != Site::Any);
         tracing::info!(job = %job.job.id, number = pending.job, time = pending.occurrence,
             step = pending.step, tasks = tasks.len(), bound = bound.count(),
-            waited_ms = now.at.saturating_sub(since).as_millis(), asks = %step.reserved(),
+            suspected = self.count_strong(&tasks), waited_ms = now.at.saturating_sub(since).as_millis(), asks = %step.reserved(),
             workers = %self.count_by_eligibility(Some(service), now), with_room = fitting.count(),
             shut_with_room = %self.count_ineligible_with_capacity(service, &step.reserved(), now),
             freest = %freest.map_or_else(String::new, |it| it.free.to_string()),
@@ -83,10 +85,9 @@
         let lowest = costs.reduce(f64::min).unwrap_or(f64::INFINITY);
         let tasks = self.waiting_tasks(pending);
         let bound = tasks.iter().filter(|it| self.site_of(**it) != Site::Any);
-        let suspected = tasks.iter().filter(|it| self.is_strong_suspect(**it));
         tracing::info!(job = %job.job.id, number = pending.job, time = pending.occurrence,
             step = pending.step, tasks = tasks.len(), bound = bound.count(),
-            suspected = suspected.count(), waited_ms = now.at.saturating_sub(since).as_millis(),
+            suspected = self.count_strong(&tasks), waited_ms = now.at.saturating_sub(since).as_millis(),
             asks = %step.needs, share = ?demand.share, with_room = fitting.len(), lowest_cost = lowest,
             passed_over_for = round.passed_over_for(pending.key()).map(Demand::describe),
             kept = self.reserved_worker().unwrap_or_default(), "task waits although workers have room");
@@ -105,7 +106,9 @@
                 .job_timings
                 .ready_since(pending.key())
                 .unwrap_or(now.at);
-            waits.tasks += u32::try_from(self.waiting_tasks(pending).len()).unwrap_or(u32::MAX);
+            let tasks = self.waiting_tasks(pending);
+            waits.tasks += u32::try_from(tasks.len()).unwrap_or(u32::MAX);
+            waits.suspected += u32::try_from(self.count_strong(&tasks)).unwrap_or(u32::MAX);
             waits.longest = waits.longest.max(now.at.saturating_sub(since));
         }
         kinds
@@ -122,10 +125,11 @@
         waiting.sort_by_key(since);
         let longest = waiting.iter().take(limit).map(|pending| {
             let waited = now.at.saturating_sub(since(pending)).as_millis();
+            let tasks = self.waiting_tasks(*pending);
             serde_json::json!({
                 "job": &*self.log_state.jobs[&pending.job].job.id,
                 "time": pending.occurrence, "step": pending.step,
-                "tasks": self.waiting_tasks(*pending).len(),
+                "tasks": tasks.len(), "suspected": self.count_strong(&tasks),
                 "lasting": self.is_long_running(pending),
                 "lateness": pending.urgency.lateness, "slack_ms": pending.urgency.slack,
                 "waited_ms": u64::try_from(waited).unwrap_or(u64::MAX),
--- a/ashtiller/src/workflow/metrics.rs
+++ b/ashtiller/src/workflow/metrics.rs
@@ -18,6 +18,7 @@
 use crate::workflow::core::reserve::ReserveSummary;
 use crate::workflow::core::round_report::FreeProcessors;
 use crate::workflow::core::run_times::RunTimeRatio;
+use crate::workflow::core::suspicion_report::{SuspicionSummary, TrialWait};
 use crate::workflow::core::times::TimeBreakdown;
 use crate::workflow::core::wait_report::WaitSummary;
 use crate::workflow::message::Reply;
@@ -33,6 +34,10 @@
 /// for those of unknown owners and for late starts.
 const LEASE_WAIT_BOUNDS: [f64; 8] = [2.0, 4.0, 6.0, 7.0, 9.0, 13.0, 18.0, 25.0];
 
+/// Bucket bounds in seconds of the waits for trials: long-running tasks are to run within 3 s, and
+/// waited for up to 40 s where trials were many.
+const TRIAL_WAIT_BOUNDS: [f64; 9] = [0.1, 0.25, 0.5, 1.0, 2.0, 3.0, 6.0, 15.0, 40.0];
+
 /// Bucket bounds of the ratios of actual to predicted run times: estimates are off by a factor
 /// between 0.1 and 1.9, and some runs take seven times as long as others.
 const RATIO_BOUNDS: [f64; 10] = [0.25, 0.5, 0.7, 0.85, 1.15, 1.4, 2.0, 4.0, 7.0, 12.0];
@@ -83,6 +88,70 @@
     }
 }
 
+/// Metrics of tasks that are suspected of crashing workers.
+pub struct SuspicionMetrics {
+    suspects: IntGaugeVec,
+    trials: IntGaugeVec,
+    waits: HistogramVec,
+}
+
+impl SuspicionMetrics {
+    fn open(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let waits = opts(
+            "suspect_wait_seconds",
+            "time from the end of a strongly suspected task's run until it gets the next one",
+        );
+        let waits = HistogramOpts::from(waits).buckets(TRIAL_WAIT_BOUNDS.to_vec());
+        let metrics = Self {
+            suspects: gauges(
+                "suspects",
+                "tasks suspected of crashing workers: all, the strongly suspected ones, and those of them that wait",
+                &["what"],
+            )?,
+            trials: gauges(
+                "trials",
+                "workers that hold a trial of a suspected task, and their free processors",
+                &["what"],
+            )?,
+            waits: HistogramVec::new(waits, &["kind"])?,
+        };
+        registry.register(Box::new(metrics.suspects.clone()))?;
+        registry.register(Box::new(metrics.trials.clone()))?;
+        registry.register(Box::new(metrics.waits.clone()))?;
+        Ok(metrics)
+    }
+
+    /// Sets the gauges of suspected tasks and of their trials.
+    pub fn note_summary(&self, summary: &SuspicionSummary) {
+        for (what, tasks) in [
+            ("all", summary.suspects),
+            ("strong", summary.strong),
+            ("waiting", summary.waiting),
+            ("waiting_lasting", summary.waiting_long_running),
+        ] {
+            self.suspects.with_label_values(&[what]).set(tasks.into());
+        }
+        let withheld = i64::try_from(summary.withheld / 1000).unwrap_or(i64::MAX);
+        for (what, figure) in [
+            ("workers", summary.trial_workers.into()),
+            ("withheld_processors", withheld),
+        ] {
+            self.trials.with_label_values(&[what]).set(figure);
+        }
+    }
+
+    /// Records how long a strongly suspected task waited for its run.
+    pub fn note_wait(&self, wait: &TrialWait) {
+        let kind = if wait.long_running {
+            "lasting"
+        } else {
+            "short"
+        };
+        let waits = self.waits.with_label_values(&[kind]);
+        waits.observe(wait.waited.as_secs_f64());
+    }
+}
+
 /// Metrics of placement rounds and of the capacity that they find.
 pub struct PlacementMetrics {
     rounds: Histogram,
@@ -180,6 +249,7 @@
     run_time_ratios: HistogramVec,
     events: IntCounterVec,
     leases: LeaseMetrics,
+    suspicion: SuspicionMetrics,
     placement: PlacementMetrics,
     waiting: IntGaugeVec,
     waited: GaugeVec,
@@ -221,6 +291,7 @@
         let registry = Registry::new();
         let metrics = Self {
             leases: LeaseMetrics::open(&registry)?,
+            suspicion: SuspicionMetrics::open(&registry)?,
             placement: PlacementMetrics::open(&registry)?,
             log: LogMetrics::open(&registry)?,
             calls: HistogramVec::new(
@@ -478,6 +549,12 @@
         &self.leases
     }
 
+    /// Returns the metrics of suspected tasks.
+    #[must_use]
+    pub fn suspicion(&self) -> &SuspicionMetrics {
+        &self.suspicion
+    }
+
     /// Sets the gauges of orders in flight and of relayed calls.
     #[expect(clippy::cast_precision_loss, reason = "counts for a gauge")]
     pub fn note_pressure(&self, pressure: &Congestion, relays: usize, relayed: u64) {
@@ -512,6 +589,8 @@
     /// Resets the gauges that only the owner of the log sets.
     pub fn forget_waits(&self) {
         self.leases.held.reset();
+        self.suspicion.suspects.reset();
+        self.suspicion.trials.reset();
         self.waiting.reset();
         self.waited.reset();
         self.workers.reset();
--- a/ashtiller/src/workflow/owner/mod.rs
+++ b/ashtiller/src/workflow/owner/mod.rs
@@ -425,6 +425,11 @@
         for wait in self.core.drain_lease_waits() {
             leases.note_wait(&wait);
         }
+        let suspicion = self.node.metrics.suspicion();
+        suspicion.note_summary(&self.core.summarize_suspicion(now));
+        for wait in self.core.drain_trial_waits() {
+            suspicion.note_wait(&wait);
+        }
         self.last_counts = counts;
         let eligibility = self.core.workers_by_eligibility(now);
         self.node
--- a/ashtiller/src/workflow/recorded_losses.rs
+++ b/ashtiller/src/workflow/recorded_losses.rs
@@ -57,6 +57,12 @@
         self.by_worker.contains_key(worker)
     }
 
+    /// Returns the runs that are recorded as lost with a worker.
+    #[must_use]
+    pub fn of(&self, worker: &Incarnation) -> &[LostRun] {
+        self.by_worker.get(worker).map_or(&[], Vec::as_slice)
+    }
+
     /// Reports whether nothing is recorded.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -50,6 +50,7 @@
 mod slow;
 mod stops;
 mod strangers;
+mod suspicion;
 mod takeover;
 mod takeover_review;
 #[path = "../simulation/trace.rs"]
--- a/ashtiller/tests/succession/entries.rs
+++ b/ashtiller/tests/succession/entries.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashtiller::workflow::blame::LostRun;
 use ashtiller::workflow::interference::Interference;
 use ashtiller::workflow::kv::{Store, Txn};
 use ashtiller::workflow::log::Log;
@@ -137,3 +138,23 @@
     assert!(state.cancelled_ids().contains("a"));
     assert!(!state.factors().is_empty());
 }
+
+/// The same for losses that say nothing about the tasks; an earlier version keeps its suspects.
+#[tokio::test(start_paused = true)]
+async fn records_of_explained_losses_are_replayed_and_skipped_by_earlier_versions() {
+    let lost = LostRun {
+        run: RUN,
+        age: 40,
+        weight: 2,
+        begun: true,
+    };
+    let crashed = records_with(&[LogRecord::Crashed("w0".into(), vec![lost])]);
+    let state = replay(encode(&crashed)).await;
+    assert_eq!(state.suspects().len(), 1);
+    let explained = [LogRecord::LossExplained("w0".into())];
+    let records = [&crashed[..], &explained].concat();
+    let entry: EarlierEntry = postcard::from_bytes(&encode(&records)).unwrap();
+    assert_eq!(entry.facts, crashed);
+    let state = replay(encode(&records)).await;
+    assert!(state.suspects().is_empty());
+}
