--- a/ashtiller/src/workflow/core/trials.rs
+++ b/ashtiller/src/workflow/core/trials.rs
@@ -169,8 +169,9 @@
         self.place_step(pending, round, now);
         let left = self.count_waiting(pending);
         if left < before {
-            tracing::info!(job = pending.job, step = pending.step, placed = before - left,
-                isolation = ?round.isolation, "long-running tasks start despite trials");
+            let job = &self.log_state.jobs[&pending.job].job.id;
+            tracing::info!(%job, number = pending.job, step = pending.step,
+                placed = before - left, left, "long-running tasks start despite trials");
         }
         if left == 0 {
             self.job_timings.note_placed(pending.key());
