Let the bench of crashing jobs lose a zone

Tallied: the longest time from the end of a harmless run with its zone to the task's next start, apart for short and for lasting jobs.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -36,7 +36,9 @@
       processor time of one placement round for 350, 1,000 and 3,000 workers and 0, 300 and
       2,000 waiting steps, with switches of [policy] off; cost of the record of demand
   bench crashes [--seeds 4] [--delay-ms 10] [--tasks 1] [--flaky 0] [--load 0.6]
-      jobs whose tasks crash their workers: workers taken, and what it costs the others
+                [--zone-losses 0] [--cut-off]
+      jobs whose tasks crash their workers: workers taken, and what it costs the others; with
+      losses of a zone, each followed by a cut, also how long tasks that ran there wait
   bench compare --bench PROGRAM --folder DIR --site FILE... --day DAY... [--seed N...]
                 --variant NAME[@COMMIT][:KEY=VALUE,...]... [--jobs 4] [--charge-time]
       plays the same days with variants of the program, each a commit with settings of
