--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod asleep;
 mod blame;
+mod blame_of_places;
 mod cancelled_ids;
 mod compaction;
 mod crash_wave;
