Waive the isolation of a suspect by its own wait

Now it is the task's own, since its last run ended or the owner began. Gangs are left out, whose placement knows trials only.

--- a/ashtiller/src/workflow/core/trials.rs
+++ b/ashtiller/src/workflow/core/trials.rs
@@ -53,9 +53,7 @@
     /// They are placed as trials.
     #[default]
     Trials,
-    /// They wait.
-    Deferred,
-    /// They are placed like other tasks, as they have waited too long for a trial.
+    /// Those that have waited too long for a trial are placed like other tasks; the others wait.
     Waived,
 }
 
@@ -131,7 +129,9 @@
             return;
         }
         let patient = |pending: &&WaitingStep| {
-            self.is_long_running(pending) && self.has_waited(pending.key(), TRIAL_PATIENCE, now)
+            self.is_long_running(pending)
+                && !self.is_gang_step(pending)
+                && self.has_waited(pending.key(), TRIAL_PATIENCE, now)
         };
         let kept: Vec<WaitingStep> = waiting.iter().filter(patient).copied().collect();
         if kept.is_empty() {
@@ -139,25 +139,28 @@
         }
         round.isolation = Isolation::Waived;
         for pending in &kept {
-            if self.has_waited(pending.key(), ISOLATED_START_MAX, now) {
-                self.place_kept_step(*pending, round, now);
-            }
+            self.place_kept_step(*pending, round, now);
         }
         let mut beside =
             PlacementRound::new(self.collect_trial_hosts(now), ActiveTrials::default());
+        beside.isolation = Isolation::Waived;
         beside.reserve = round.reserve.clone();
         beside.room = self.price_room(&beside.candidates, &kept);
         for pending in kept {
-            let is_overdue = self.has_waited(pending.key(), ISOLATED_START_MAX, now);
-            beside.isolation = if is_overdue {
-                Isolation::Waived
-            } else {
-                Isolation::Deferred
-            };
             self.place_kept_step(pending, &mut beside, now);
         }
     }
 
+    /// Returns whether a strongly suspected task has waited too long for a trial.
+    fn is_kept_waiting(&self, task: Task, now: Now) -> bool {
+        let since = self.suspects_waiting.get(&task).copied();
+        now.at >= since.unwrap_or(self.began) + ISOLATED_START_MAX
+    }
+
+    fn is_gang_step(&self, pending: &WaitingStep) -> bool {
+        self.log_state.jobs[&pending.job].job.steps[usize::from(pending.step)].gang
+    }
+
     fn place_kept_step(&mut self, pending: WaitingStep, round: &mut PlacementRound, now: Now) {
         if !self.has_capacity(&pending, &round.candidates) {
             return;
@@ -305,10 +308,11 @@
         let isolation = round.isolation;
         match () {
             () if self.has_reached_crash_limit(task) => TrialResult::Waits,
-            () if !self.is_strong_suspect(task) || isolation == Isolation::Waived => {
+            () if !self.is_strong_suspect(task) => TrialResult::None,
+            () if isolation == Isolation::Waived && self.is_kept_waiting(task, now) => {
                 TrialResult::None
             }
-            () if isolation == Isolation::Deferred => TrialResult::Waits,
+            () if isolation != Isolation::Trials => TrialResult::Waits,
             () if self.place_suspect(task, request, round, now) => TrialResult::Placed,
             () => TrialResult::Waits,
         }
