Bound what the loss of a place explains

- Such losses count toward the limit of starts, without weight, if the run is about as old as an earlier one at its loss: a task that crashes its workers does so at like ages, and what is lost with a zone is of any age. 25 of 48 cases of blame_of_places were red.
- A lapse records the age of the run.
It was zero, so that a run of 1 s cleared a task that stalls its worker after 5 s; that was so before.
- What is taken back is named by its runs: a replay applied LossExplained after a later crash in one entry, and a worker without a start time kept one key for all its processes.
- A zone or label that all workers of a service share explains nothing, and a worker counts once, not once an incarnation.
- Machines of a lost place do not count as crashed by themselves.

place_loss_limits and blame_of_places are green; the test of the first worker found lost now asks that nothing tells against its tasks, as the count stays.

--- a/ashtiller/src/workflow/blame.rs
+++ b/ashtiller/src/workflow/blame.rs
@@ -117,10 +117,10 @@
         }
     }
 
-    /// Reports whether the loss says nothing about the task: many workers were lost at the same time,
+    /// Reports whether the loss says little about the task: many workers were lost at the same time,
     /// and the run had not just begun.
     #[must_use]
-    pub fn is_unrelated(&self) -> bool {
+    pub fn is_likely_unrelated(&self) -> bool {
         self.loss == Loss::WithMany && !self.alike && self.age > JUST_BEGUN
     }
 }
@@ -141,7 +141,16 @@
         true
     }
 
-    /// Takes back a crash under a run that turned out to have another cause.
+    /// Takes back what a crash under a run tells against the task, as it has a likely cause outside
+    /// of it. The crash still counts toward the limit of starts.
+    pub fn discount(&mut self, lost: &LostRun) {
+        if self.crashed.contains(&lost.run.number) {
+            self.sure = self.sure.saturating_sub(u32::from(lost.begun));
+            self.weight = self.weight.saturating_sub(lost.weight);
+        }
+    }
+
+    /// Takes back a crash under a run that was none.
     pub fn withdraw(&mut self, lost: &LostRun) {
         let Ok(place) = self.crashed.binary_search(&lost.run.number) else {
             return;
@@ -195,14 +204,21 @@
         third.is_some_and(|third| last >= third + STARTS_AFTER)
     }
 
+    /// Reports whether a run that was lost at this age, in milliseconds, was about as old as the oldest
+    /// one that was lost before.
+    #[must_use]
+    pub fn is_like_earlier(&self, age: u32) -> bool {
+        let oldest = Duration::from_millis(u64::from(self.oldest));
+        let age = Duration::from_millis(u64::from(age));
+        age.abs_diff(oldest) <= oldest / ALIKE_DIVISOR + ALIKE_MARGIN
+    }
+
     /// Reports whether a crash during an isolated run convicts the task. Two crashes must be
     /// certain; and either this one came at a similar age as the earlier ones, or there were at
     /// least [`CRASHES_MAX`] in all.
     #[must_use]
     fn is_convicted(&self, lost: &LostRun) -> bool {
-        let oldest = Duration::from_millis(u64::from(self.oldest));
-        let age = Duration::from_millis(u64::from(lost.age));
-        let alike = age.abs_diff(oldest) <= oldest / ALIKE_DIVISOR + ALIKE_MARGIN;
+        let alike = self.is_like_earlier(lost.age);
         let sure = self.sure + u32::from(lost.begun) >= CERTAIN_CRASHES_MIN;
         sure && (alike || self.crashes as usize + 1 >= CRASHES_MAX)
     }
--- a/ashtiller/src/workflow/core/crash_record.rs
+++ b/ashtiller/src/workflow/core/crash_record.rs
@@ -16,8 +16,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Crash {
     pub at: Duration,
-    /// The worker's machine.
-    pub machine: Arc<str>,
+    /// The worker's machine, unless the loss of its place explains the crash.
+    pub machine: Option<Arc<str>>,
     /// Tasks that were running there, until one of them is found to be the cause.
     pub tasks: BTreeSet<Task>,
     /// Steps with a run that had just begun there.
@@ -40,7 +40,9 @@
 impl CrashRecord {
     /// Adds a crash.
     pub fn note(&mut self, crash: Crash) {
-        *self.machines.entry(crash.machine.clone()).or_insert(0) += 1;
+        if let Some(machine) = &crash.machine {
+            *self.machines.entry(machine.clone()).or_insert(0) += 1;
+        }
         for step in &crash.begun {
             self.begun.entry(*step).or_default().push(crash.at);
         }
@@ -69,10 +71,12 @@
         let Some(crash) = self.crashes.remove(&key) else {
             return;
         };
-        if let Some(count) = self.machines.get_mut(&crash.machine) {
+        if let Some(machine) = &crash.machine
+            && let Some(count) = self.machines.get_mut(machine)
+        {
             *count -= 1;
             if *count == 0 {
-                self.machines.remove(&crash.machine);
+                self.machines.remove(machine);
             }
         }
         for step in &crash.begun {
--- a/ashtiller/src/workflow/core/crashes.rs
+++ b/ashtiller/src/workflow/core/crashes.rs
@@ -39,6 +39,8 @@
     many: bool,
     /// What explains the loss, if most workers of a place were lost.
     place: Option<PlaceLoss>,
+    /// Whether that was found just now.
+    is_new: bool,
 }
 
 /// Returns whether a worker only fell silent or was about to leave. Then nothing shows that its
@@ -92,23 +94,26 @@
         self.place_losses
             .count_workers(self.workers.values(), now.at);
         self.place_losses.note(worker, now.at);
+        let cause = self.place_losses.find_cause(id);
         let mut others = self.find_concurrent_losses(id, at, now);
+        others.is_new = cause.as_ref().is_some_and(|(_, is_new)| *is_new);
+        others.place = cause.map(|(cause, _)| cause);
         let runs = worker.runs.iter();
         let live = runs.filter_map(|run| Some((*run, self.runs.get(run)?)));
         let live = live.filter(|(_, live)| live.sent > 0);
         // A run that another incarnation started was not on this one.
         let live = live.filter(|(_, live)| !live.misdelivered || live.began.is_some());
         let live: Vec<(Run, &LiveRun)> = live.collect();
-        let alike: BTreeSet<StepKey> = live
-            .iter()
-            .map(|(run, _)| step_of(*run))
+        let steps: BTreeSet<StepKey> = live.iter().map(|(run, _)| step_of(*run)).collect();
+        let alike: BTreeSet<StepKey> = steps
+            .into_iter()
             .filter(|step| self.had_just_begun_on_others(*step, worker, &others))
             .collect();
         if !alike.is_empty() {
             others.place = None;
         }
-        let related = live.iter().filter(|_| others.place.is_none());
-        let lost_runs: Vec<LostRun> = related
+        let lost_runs: Vec<LostRun> = live
+            .iter()
             .filter_map(|(run, live)| {
                 let alike = alike.contains(&step_of(*run));
                 self.assess_run(*run, live, worker, &others, alike, now)
@@ -119,7 +124,7 @@
         let begun = self.recently_begun_steps(worker, at);
         let crash = Crash {
             at,
-            machine: machine_of(worker),
+            machine: others.place.is_none().then(|| machine_of(worker)),
             tasks: live.iter().map(|(run, _)| run.task).collect(),
             begun,
             had_trial: self.has_trial(worker, now),
@@ -148,40 +153,48 @@
             place = others.place.as_ref().map(|loss| &**loss.place.name()),
             "worker crashed"
         );
-        let culprit = culprit.or_else(|| self.find_exhausted(&lost_runs, id));
-        if let Some(loss) = &others.place {
-            self.explain_losses(loss, now);
+        let culprit = culprit.or_else(|| {
+            (!many)
+                .then(|| self.find_exhausted(&lost_runs, id))
+                .flatten()
+        });
+        if let Some(loss) = others.place.filter(|_| others.is_new) {
+            self.discount_losses(&loss, now);
         }
         self.record_lost_runs(id, &lost_runs, now);
         culprit
     }
 
-    /// Takes back what counts against the tasks of workers that were lost with the given one, when
-    /// their place turns out to be the cause. The first of them are found lost before the others.
-    fn explain_losses(&mut self, loss: &PlaceLoss, now: Now) {
-        for worker in self.place_losses.lost_with(loss) {
-            if self.log_state.losses().contains(&worker) {
-                self.explain_loss(&worker, loss.place.name(), now);
-            }
+    /// Takes back what tells against the tasks of workers that were lost together, when their place
+    /// turns out to be the cause. The first of them are found lost before the others.
+    fn discount_losses(&mut self, loss: &PlaceLoss, now: Now) {
+        for (worker, runs) in self.place_losses.take_runs(loss) {
+            let record = LogRecord::LossDiscounted(worker.clone(), runs.clone());
+            self.explain_loss(&worker, &runs, loss.place.name(), record, now);
         }
     }
 
-    /// Takes back what the loss of a worker counts against the tasks that ran there.
-    pub(super) fn explain_loss(&mut self, id: &Incarnation, cause: &str, now: Now) {
-        let lost_runs = self.log_state.losses().of(id);
-        let runs = lost_runs.len();
-        let tasks = lost_runs.iter().map(|lost| lost.run.task);
+    /// Takes back what the loss of runs with their worker tells against their tasks.
+    fn explain_loss(
+        &mut self,
+        id: &Incarnation,
+        runs: &[Run],
+        cause: &str,
+        record: LogRecord,
+        now: Now,
+    ) {
+        let tasks = runs.iter().map(|run| run.task);
         let tasks: Vec<Task> = tasks.filter(|task| self.is_suspect(*task)).collect();
         self.counts.explained += 1;
-        self.record(LogRecord::LossExplained(id.clone()), now);
+        self.record(record, now);
         self.needs_planning = true;
         tracing::info!(
             worker = %id,
             cause,
-            runs,
+            runs = runs.len(),
             cleared = tasks.iter().filter(|task| !self.is_suspect(**task)).count(),
             strong = self.count_strong(&tasks),
-            "loss of a worker no longer counts against its tasks"
+            "loss of a worker no longer tells against its tasks"
         );
     }
 
@@ -189,19 +202,30 @@
     /// its process did not crash.
     pub(super) fn note_process_survived(&mut self, id: &Incarnation, now: Now) {
         self.place_losses.remove(id);
-        // Without a start time this may be another process under the same id.
-        let lapsed = |worker: &Worker| id.born().is_some() || worker.lapsed;
-        let survived = self.workers.get(id).is_some_and(lapsed);
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.lapsed = false;
-        }
-        if survived && self.log_state.losses().contains(id) {
-            self.explain_loss(id, "it answers again", now);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let lapsed = std::mem::take(&mut worker.lapsed);
+        // Without a start time, losses of other processes under the id are recorded with these.
+        let is_numbered = id.born().is_some();
+        let lost_runs = self.log_state.losses().of(id).iter();
+        let runs = lost_runs.map(|lost| lost.run);
+        let runs: Vec<Run> = runs
+            .filter(|run| is_numbered || lapsed.contains(run))
+            .collect();
+        if !runs.is_empty() {
+            let record = LogRecord::LossExplained(id.clone(), runs.clone());
+            self.explain_loss(id, &runs, "it answers again", record, now);
         }
     }
 
     /// Records the runs that were lost with a worker, in records of a bounded size.
     fn record_lost_runs(&mut self, id: &Incarnation, lost_runs: &[LostRun], now: Now) {
+        let telling = lost_runs
+            .iter()
+            .filter(|lost| lost.begun || lost.weight > 0);
+        self.place_losses
+            .note_runs(id, telling.map(|lost| lost.run));
         for lost_runs in lost_runs.chunks(LOST_RUNS_MAX) {
             self.record(LogRecord::Crashed(id.clone(), lost_runs.to_vec()), now);
         }
@@ -269,7 +293,10 @@
             },
             alike,
         };
-        (!context.is_unrelated()).then(|| LostRun {
+        if others.place.is_some() || context.is_likely_unrelated() {
+            return self.assess_unrelated_run(run, known.then_some(age));
+        }
+        Some(LostRun {
             run,
             age: if known { millis(age) } else { 0 },
             weight: context.weight(),
@@ -277,6 +304,20 @@
         })
     }
 
+    /// Returns what is recorded of a run that was lost to a likely cause outside of its task. A task
+    /// that crashes its workers does so at about the same age each time, so such losses count toward
+    /// the limit of starts if the ages are alike. So do those of unknown ages.
+    fn assess_unrelated_run(&self, run: Run, age: Option<Duration>) -> Option<LostRun> {
+        let suspect = self.log_state.suspects().get(&run.task);
+        let is_like = |age| suspect.is_none_or(|suspect| suspect.is_like_earlier(millis(age)));
+        age.is_none_or(is_like).then(|| LostRun {
+            run,
+            age: age.map_or(0, millis),
+            weight: blame::NO_WEIGHT,
+            begun: false,
+        })
+    }
+
     /// Returns the number of crashes of a worker's machine that no task explains.
     pub(super) fn count_crashes(&self, worker: &Worker) -> u32 {
         self.crashes.count_at(&machine_of(worker))
@@ -324,7 +365,8 @@
             at,
             together,
             many: unexplained >= COMMON_CAUSE_WORKERS,
-            place: self.place_losses.find_cause(id),
+            place: None,
+            is_new: false,
         }
     }
 
@@ -336,13 +378,8 @@
         worker: &Worker,
         others: &ConcurrentLosses,
     ) -> bool {
-        let required = match &others.place {
-            Some(loss) => {
-                let workers = self.place_losses.lost_with(loss);
-                COMMON_STEP_WORKERS.max(workers.len() / 2)
-            }
-            None => COMMON_STEP_WORKERS,
-        };
+        let place = others.place.as_ref();
+        let required = COMMON_STEP_WORKERS.max(place.map_or(0, |loss| loss.workers / 2));
         let crashed = self.crashes.count_begun(step, others.at);
         if crashed >= required {
             return true;
@@ -375,33 +412,44 @@
 
     /// Suspects the tasks of runs that were lost without word from their worker, because its lease
     /// expired or it was never listed. Nothing shows that it crashed, so this has no weight, and only
-    /// counts toward the limit of starts. It does not even count if most workers of its place fell
-    /// silent as well.
+    /// counts toward the limit of starts.
     pub(super) fn suspect_lost_runs(&mut self, id: &Incarnation, lost: &[Run], now: Now) {
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.lapsed = true;
+            worker.lapsed.extend_from_slice(lost);
             self.place_losses.note(worker, now.at);
             self.place_losses
                 .count_workers(self.workers.values(), now.at);
         }
-        if let Some(loss) = self.place_losses.find_cause(id) {
-            tracing::info!(worker = %id, runs = lost.len(), charged = 0, place = &**loss.place.name(),
-                "runs lost without proof that their worker crashed");
-            return self.explain_losses(&loss, now);
-        }
-        let sent = |run: &&Run| self.runs.get(run).is_some_and(|live| live.sent > 0);
-        let lost_runs = lost.iter().filter(sent).map(|run| LostRun {
-            run: *run,
-            age: 0,
-            weight: blame::NO_WEIGHT,
-            begun: false,
+        let cause = self.place_losses.find_cause(id);
+        let place = cause.as_ref().map(|(loss, _)| loss);
+        let lost_runs = lost.iter().filter_map(|run| {
+            let live = self.runs.get(run).filter(|live| live.sent > 0)?;
+            match place {
+                Some(_) => self.assess_unrelated_run(*run, self.age_at_silence(live)),
+                None => Some(LostRun {
+                    run: *run,
+                    age: self.age_at_silence(live).map_or(0, millis),
+                    weight: blame::NO_WEIGHT,
+                    begun: false,
+                }),
+            }
         });
         let lost_runs: Vec<LostRun> = lost_runs.collect();
         tracing::info!(worker = %id, runs = lost.len(), charged = lost_runs.len(),
+            place = place.map(|loss| &**loss.place.name()),
             "runs lost without proof that their worker crashed");
+        if let Some((loss, true)) = &cause {
+            self.discount_losses(loss, now);
+        }
         self.record_lost_runs(id, &lost_runs, now);
     }
 
+    /// Returns the age of a run when its worker fell silent, if this owner placed it.
+    fn age_at_silence(&self, live: &LiveRun) -> Option<Duration> {
+        let silent = self.workers.get(&live.worker)?.silent_since?;
+        (live.placed > self.began).then(|| silent.saturating_sub(live.placed))
+    }
+
     /// Suspects the tasks of runs on workers that this owner does not know.
     pub(super) fn suspect_adopted_runs(&mut self, lost: &[Run], now: Now) {
         let mut by_worker: BTreeMap<Incarnation, Vec<Run>> = BTreeMap::new();
--- a/ashtiller/src/workflow/core/place_losses.rs
+++ b/ashtiller/src/workflow/core/place_losses.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::workflow::incarnation::Incarnation;
+use crate::workflow::record::Run;
 use crate::workflow::worker::Worker;
 
 /// Number of workers of a place that must be lost together for the place to be the cause.
@@ -73,6 +74,8 @@
 struct Loss {
     interval: LossInterval,
     places: Vec<Place>,
+    /// Runs whose loss tells against their tasks.
+    runs: Vec<Run>,
 }
 
 /// The loss of most workers of a place at one moment.
@@ -80,6 +83,8 @@
 pub(super) struct PlaceLoss {
     pub place: Place,
     moment: Duration,
+    /// Number of workers that were known to be lost when it was found.
+    pub workers: usize,
 }
 
 /// Recent losses by place.
@@ -90,6 +95,8 @@
     by_place: BTreeMap<Place, BTreeSet<(Duration, Incarnation)>>,
     /// Numbers of workers by place, and when they were counted.
     sizes: (Option<Duration>, HashMap<Place, usize>),
+    /// The last loss of most workers of each place.
+    causes: BTreeMap<Place, PlaceLoss>,
 }
 
 fn places_of(worker: &Worker) -> Vec<Place> {
@@ -117,7 +124,13 @@
             let lost = self.by_place.entry(place.clone()).or_default();
             lost.insert((interval.to, id.clone()));
         }
-        self.losses.insert(id.clone(), Loss { interval, places });
+        let runs = Vec::new();
+        let loss = Loss {
+            interval,
+            places,
+            runs,
+        };
+        self.losses.insert(id.clone(), loss);
     }
 
     /// Removes a worker that answers again.
@@ -149,41 +162,82 @@
         if self.sizes.0.is_some_and(|at| now < at + SIZES_AGE_MAX) {
             return;
         }
-        self.forget_before(now.saturating_sub(MEMORY));
+        let limit = now.saturating_sub(MEMORY);
+        self.forget_before(limit);
+        self.causes.retain(|_, cause| cause.moment >= limit);
         let mut sizes = HashMap::new();
-        for place in workers.flat_map(places_of) {
-            *sizes.entry(place).or_insert(0) += 1;
+        let mut services = HashMap::new();
+        let mut last = None;
+        for worker in workers {
+            // Former incarnations are kept for a while.
+            let id = worker.incarnation();
+            if last.replace(id).is_some_and(|last| last.is_same_worker(id)) {
+                continue;
+            }
+            let service = worker.listed.service.clone();
+            *services.entry(service).or_insert(0) += 1;
+            for place in places_of(worker) {
+                *sizes.entry(place).or_insert(0) += 1;
+            }
         }
+        // What all workers of a service have in common tells no loss from another.
+        sizes.retain(|place, size| services.get(&place.service) != Some(size));
         self.sizes = (Some(now), sizes);
     }
 
     /// Returns what explains the loss of a worker, if most workers of a place were lost at the same
-    /// moment.
-    pub fn find_cause(&self, id: &Incarnation) -> Option<PlaceLoss> {
+    /// moment, and whether that was found just now.
+    pub fn find_cause(&mut self, id: &Incarnation) -> Option<(PlaceLoss, bool)> {
         let loss = self.losses.get(id)?;
-        loss.places.iter().find_map(|place| {
-            let size = self.sizes.1.get(place).copied().unwrap_or(0);
+        let known = loss
+            .places
+            .iter()
+            .filter_map(|place| self.causes.get(place));
+        let mut known =
+            known.filter(|cause| loss.interval.overlaps(LossInterval::at(cause.moment)));
+        if let Some(cause) = known.next() {
+            return Some((cause.clone(), false));
+        }
+        let cause = loss.places.iter().find_map(|place| {
+            let size = *self.sizes.1.get(place)?;
             let most = size.div_ceil(PLACE_DIVISOR).max(PLACE_WORKERS_MIN);
-            let moment = self.common_moment(place, loss.interval, most)?;
-            let place = place.clone();
-            Some(PlaceLoss { place, moment })
-        })
+            let (moment, workers) = self.common_moment(place, loss.interval, most)?;
+            Some(PlaceLoss {
+                place: place.clone(),
+                moment,
+                workers,
+            })
+        })?;
+        self.causes.insert(cause.place.clone(), cause.clone());
+        Some((cause, true))
     }
 
-    /// Returns the workers that were lost with their place.
-    pub fn lost_with(&self, loss: &PlaceLoss) -> Vec<Incarnation> {
-        let workers = self.lost_in(&loss.place, LossInterval::at(loss.moment));
-        workers.map(|(id, _)| id.clone()).collect()
+    /// Adds runs whose loss with a worker tells against their tasks.
+    pub fn note_runs(&mut self, id: &Incarnation, runs: impl Iterator<Item = Run>) {
+        if let Some(loss) = self.losses.get_mut(id) {
+            loss.runs.extend(runs);
+        }
+    }
+
+    /// Removes and returns the runs, by worker, whose loss with a place tells against their tasks.
+    pub fn take_runs(&mut self, cause: &PlaceLoss) -> Vec<(Incarnation, Vec<Run>)> {
+        let workers = self.lost_in(&cause.place, LossInterval::at(cause.moment));
+        let workers: Vec<Incarnation> = workers.map(|(id, _)| id.clone()).collect();
+        let runs = workers.into_iter().filter_map(|id| {
+            let runs = std::mem::take(&mut self.losses.get_mut(&id)?.runs);
+            (!runs.is_empty()).then_some((id, runs))
+        });
+        runs.collect()
     }
 
-    /// Returns the moment of an interval at which most workers of a place may have been lost, if at
-    /// least `most` of them may have been at once.
+    /// Returns the moment of an interval at which most workers of a place may have been lost, and
+    /// their number, if at least `most` of them may have been at once.
     fn common_moment(
         &self,
         place: &Place,
         interval: LossInterval,
         most: usize,
-    ) -> Option<Duration> {
+    ) -> Option<(Duration, usize)> {
         if self.lost_in(place, interval).take(most).count() < most {
             return None;
         }
@@ -205,7 +259,7 @@
             }
         }
         let (count, moment) = best;
-        (count >= most).then_some(moment)
+        (count >= most).then_some((moment, count))
     }
 
     /// Returns the workers of a place that may have been lost within an interval.
--- a/ashtiller/src/workflow/log_state.rs
+++ b/ashtiller/src/workflow/log_state.rs
@@ -288,7 +288,8 @@
                 self.silent_workers.forget_before(self.cleared);
             }
             LogRecord::Crashed(worker, lost_runs) => self.add_loss(worker, lost_runs),
-            LogRecord::LossExplained(worker) => self.withdraw_loss(worker),
+            LogRecord::LossExplained(worker, runs) => self.withdraw_loss(worker, runs),
+            LogRecord::LossDiscounted(worker, runs) => self.discount_loss(worker, runs),
             LogRecord::Absolved(task) => {
                 self.suspects.remove(task);
             }
@@ -348,9 +349,9 @@
         }
     }
 
-    /// Takes the loss of a worker back.
-    fn withdraw_loss(&mut self, worker: &Incarnation) {
-        for lost in self.losses.take(worker) {
+    /// Takes the loss of runs with their worker back.
+    fn withdraw_loss(&mut self, worker: &Incarnation, runs: &[Run]) {
+        for lost in self.losses.take(worker, runs) {
             let task = lost.run.task;
             let Some(suspect) = self.suspects.get_mut(&task) else {
                 continue;
@@ -362,6 +363,15 @@
         }
     }
 
+    /// Takes the weight of the loss of runs with their worker back.
+    fn discount_loss(&mut self, worker: &Incarnation, runs: &[Run]) {
+        for lost in self.losses.discount(worker, runs) {
+            if let Some(suspect) = self.suspects.get_mut(&lost.run.task) {
+                suspect.discount(&lost);
+            }
+        }
+    }
+
     /// Adds a crash to a task that may be started again; returns whether it counts.
     fn add_suspect(&mut self, lost: &LostRun) -> bool {
         let task = lost.run.task;
--- a/ashtiller/src/workflow/record.rs
+++ b/ashtiller/src/workflow/record.rs
@@ -138,9 +138,12 @@
     IdCancelled(Arc<str>),
     /// The worker with this id runs on the machine with this name.
     WorkerMachine(Arc<str>, Arc<str>),
-    /// The loss of a worker says nothing about the tasks that ran there: it had a cause outside of
-    /// them, or the worker was only out of reach.
-    LossExplained(Incarnation),
+    /// The loss of these runs with their worker says nothing about their tasks: it was only out of
+    /// reach.
+    LossExplained(Incarnation, Vec<Run>),
+    /// The loss of these runs with their worker says little about their tasks, as most workers of a
+    /// place were lost at the same moment. It counts toward their limits of starts only.
+    LossDiscounted(Incarnation, Vec<Run>),
 }
 
 impl LogRecord {
@@ -160,7 +163,8 @@
             | Self::FactorsLearned(_)
             | Self::IdCancelled(_)
             | Self::WorkerMachine(..)
-            | Self::LossExplained(_) => Section::Extension,
+            | Self::LossExplained(..)
+            | Self::LossDiscounted(..) => Section::Extension,
             _ => Section::Required,
         }
     }
@@ -194,7 +198,8 @@
                 | Self::OwnersKnown(..)
                 | Self::WorkersSilent(..)
                 | Self::FactorsLearned(_)
-                | Self::LossExplained(_)
+                | Self::LossExplained(..)
+                | Self::LossDiscounted(..)
         )
     }
 }
--- a/ashtiller/src/workflow/recorded_losses.rs
+++ b/ashtiller/src/workflow/recorded_losses.rs
@@ -3,8 +3,9 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::workflow::blame::LostRun;
+use crate::workflow::blame::{self, LostRun};
 use crate::workflow::incarnation::Incarnation;
+use crate::workflow::record::Run;
 
 /// Number of the recorded losses among the extensions of a snapshot.
 pub const EXTENSION: u8 = 10;
@@ -41,14 +42,30 @@
         }
     }
 
-    /// Removes and returns the runs that were lost with a worker.
-    pub fn take(&mut self, worker: &Incarnation) -> Vec<LostRun> {
-        let Some(lost_runs) = self.by_worker.remove(worker) else {
+    /// Removes and returns these runs, which were lost with a worker.
+    pub fn take(&mut self, worker: &Incarnation, runs: &[Run]) -> Vec<LostRun> {
+        let Some(lost_runs) = self.by_worker.get_mut(worker) else {
             return Vec::new();
         };
-        self.order.retain(|other| other != worker);
-        self.count -= lost_runs.len();
-        lost_runs
+        let taken = lost_runs.extract_if(.., |lost| runs.contains(&lost.run));
+        let taken: Vec<LostRun> = taken.collect();
+        self.count -= taken.len();
+        if lost_runs.is_empty() {
+            self.by_worker.remove(worker);
+            self.order.retain(|other| other != worker);
+        }
+        taken
+    }
+
+    /// Removes the weight of these runs, which were lost with a worker, and returns them as they were.
+    pub fn discount(&mut self, worker: &Incarnation, runs: &[Run]) -> Vec<LostRun> {
+        let lost_runs = self.by_worker.get_mut(worker).into_iter().flatten();
+        let mut former = Vec::new();
+        for lost in lost_runs.filter(|lost| runs.contains(&lost.run)) {
+            former.push(*lost);
+            (lost.weight, lost.begun) = (blame::NO_WEIGHT, false);
+        }
+        former
     }
 
     /// Reports whether runs are recorded as lost with a worker.
--- a/ashtiller/src/workflow/worker.rs
+++ b/ashtiller/src/workflow/worker.rs
@@ -108,8 +108,8 @@
     /// Time since then at which a connection to it was first refused or broken: either its process
     /// has ended or the network reports so.
     pub broken_since: Option<Duration>,
-    /// Whether runs were given up since its last answer, without proof that its process has ended.
-    pub lapsed: bool,
+    /// Runs that were given up since its last answer.
+    pub lapsed: Vec<Run>,
     /// Poll in flight.
     pub pending_poll: Option<PendingPoll>,
     /// Time at which the next poll is due.
@@ -195,7 +195,7 @@
             last_answer: Duration::ZERO,
             silent_since: None,
             broken_since: None,
-            lapsed: false,
+            lapsed: Vec::new(),
             pending_poll: None,
             next_poll: Duration::ZERO,
             ordering: 0,
--- a/ashtiller/tests/owner/blame_of_places.rs
+++ b/ashtiller/tests/owner/blame_of_places.rs
@@ -233,7 +233,7 @@
             format!(
                 "a task was started {most} times, {open} of {jobs} bad jobs are not given up after \
                  {:?} ({} crashes, {} losses explained)",
-                self.driver.now.at + PLAY - end,
+                (self.driver.now.at + PLAY).saturating_sub(end),
                 counts.crashes,
                 counts.explained
             )
--- a/ashtiller/tests/owner/lost_together.rs
+++ b/ashtiller/tests/owner/lost_together.rs
@@ -85,6 +85,22 @@
     driver.unreachable.clear();
 }
 
+/// Returns the weight of the crashes against all tasks.
+fn weight(driver: &Driver) -> u32 {
+    let suspects = driver.core.log_state().suspects().values();
+    suspects.map(|suspect| suspect.weight).sum()
+}
+
+/// Asserts that no task is suspected by more than a count of losses.
+fn assert_no_evidence(driver: &Driver) {
+    let suspects = driver.core.log_state().suspects();
+    let told: Vec<_> = suspects
+        .iter()
+        .filter(|(_, suspect)| suspect.weight > 0 || suspect.sure > 0)
+        .collect();
+    assert!(told.is_empty(), "{told:?}");
+}
+
 #[test]
 fn long_running_tasks_run_again_after_their_zone_has_crashed_twice() {
     let mut driver = full_fleet();
@@ -114,14 +130,15 @@
     let mut driver = full_fleet();
     cut_off_zone(&mut driver);
     assert!(driver.core.counts().lost > 0, "leases have expired");
-    driver.run_for(300 * MS);
+    // Silent workers are polled each 700 ms.
+    driver.run_for(900 * MS);
     let suspects = driver.core.log_state().suspects();
     assert!(suspects.is_empty(), "{suspects:?}");
 }
 
 /// The owner hears of the first worker's restart while its polls of the others are in flight.
 #[test]
-fn tasks_of_the_first_worker_found_lost_are_cleared_once_its_zone_is_known_to_be_lost() {
+fn nothing_tells_against_the_first_worker_found_lost_once_its_zone_is_known_to_be_lost() {
     let mut driver = full_fleet();
     driver.long_polls = true;
     driver.run_for(500 * MS);
@@ -132,8 +149,7 @@
         driver.run_for(300 * MS);
     }
     assert_eq!(driver.core.counts().crashes, 4);
-    let suspects = driver.core.log_state().suspects();
-    assert!(suspects.is_empty(), "{suspects:?}");
+    assert_no_evidence(&driver);
 }
 
 /// Of the workers that are lost later, one has last answered before that crash, the others after it.
@@ -155,7 +171,7 @@
         driver.report(&answering, Vec::new(), Vec::new());
     }
     driver.run_for(200 * MS);
-    let charged = driver.core.log_state().suspects().len();
+    let charged = weight(&driver);
     assert!(charged > 0, "the crash is recorded");
     for number in (LOST_ZONE.start + 1..LOST_ZONE.end).rev() {
         let former = started_at(number, 1000).incarnation;
@@ -163,7 +179,7 @@
         driver.core.handle_poll_reply(&former, Ok(next), driver.now);
     }
     assert_eq!(driver.core.counts().crashes, 4);
-    assert_eq!(driver.core.log_state().suspects().len(), charged);
+    assert_eq!(weight(&driver), charged);
 }
 
 /// Returns the records of long-running tasks that are strongly suspected and have no run.
--- a/ashtiller/tests/owner/main.rs
+++ b/ashtiller/tests/owner/main.rs
@@ -35,6 +35,7 @@
 mod overdue_fills;
 mod partial_reports;
 mod parts;
+mod place_loss_limits;
 mod placing;
 mod pressure;
 mod proof_age;
--- a/ashtiller/tests/owner/suspicion.rs
+++ b/ashtiller/tests/owner/suspicion.rs
@@ -65,6 +65,11 @@
     records
 }
 
+/// Returns the record that takes back the loss of the first tasks with the worker `w9`.
+fn explained(tasks: u16) -> LogRecord {
+    LogRecord::LossExplained("w9".into(), (0..tasks).map(run).collect())
+}
+
 fn replay(records: &[LogRecord]) -> LogState {
     let mut state = LogState::default();
     for record in records {
@@ -98,7 +103,7 @@
     let driver = begin_after_loss(&lost, &lost);
     assert!(driver.core.log_state().suspects().is_empty());
     assert_eq!(driver.core.counts().explained, 1);
-    let explained = LogRecord::LossExplained(lost);
+    let explained = LogRecord::LossExplained(lost, vec![run(0)]);
     assert!(driver.records.contains(&explained), "{:?}", driver.records);
 }
 
@@ -163,7 +168,7 @@
     read.index(MS);
     let expected = [lost_run(0, 2), lost_run(1, 1)];
     assert_eq!(read.losses().of(&"w9".into()), expected);
-    read.apply(&LogRecord::LossExplained("w9".into()), MS);
+    read.apply(&explained(2), MS);
     assert!(read.suspects().is_empty());
     assert!(read.losses().is_empty());
 }
@@ -183,7 +188,7 @@
     read.index(MS);
     assert_eq!(read.suspects(), state.suspects());
     assert!(read.losses().is_empty());
-    read.apply(&LogRecord::LossExplained("w9".into()), MS);
+    read.apply(&explained(1), MS);
     assert_eq!(read.suspects(), state.suspects());
 }
 
@@ -203,13 +208,13 @@
     records.push(LogRecord::Crashed("w8".into(), vec![lost]));
     records.push(LogRecord::Ended(again, End::Lost, "".into()));
     let mut state = replay(&records);
-    state.apply(&LogRecord::LossExplained("w9".into()), MS);
+    state.apply(&explained(1), MS);
     let suspect = &state.suspects()[&run(0).task];
     assert_eq!((suspect.crashes, suspect.sure, suspect.weight), (1, 1, 1));
     assert_eq!(suspect.crashed, [2]);
     assert!(!suspect.is_strong());
     // A second copy of the record changes nothing.
-    state.apply(&LogRecord::LossExplained("w9".into()), MS);
+    state.apply(&explained(1), MS);
     assert_eq!(state.suspects()[&run(0).task].crashes, 1);
 }
 
