--- a/ashtiller/src/workflow/blame.rs
+++ b/ashtiller/src/workflow/blame.rs
@@ -106,22 +106,51 @@
 }
 
 impl CrashContext {
+    /// Reports whether the run was active and had just begun.
+    #[must_use]
+    pub fn has_just_begun(&self) -> bool {
+        self.age <= JUST_BEGUN && self.begun
+    }
+
+    /// Reports whether the loss says little about the task: many workers were lost at the same time,
+    /// and the run had not just begun.
+    #[must_use]
+    pub fn is_likely_unrelated(&self) -> bool {
+        self.loss == Loss::WithMany && !self.alike && !self.has_just_begun()
+    }
+
     /// Returns the weight of the crash as evidence against the task.
     #[must_use]
     pub fn weight(&self) -> u32 {
-        let just_begun = self.age <= JUST_BEGUN && self.begun;
         match () {
-            () if just_begun && (self.alike || self.loss == Loss::Alone) => HEAVY_WEIGHT,
-            () if !just_begun && !self.alike && self.loss == Loss::WithMany => NO_WEIGHT,
+            () if self.is_likely_unrelated() => NO_WEIGHT,
+            () if self.has_just_begun() && (self.alike || self.loss == Loss::Alone) => HEAVY_WEIGHT,
             () => LIGHT,
         }
     }
+}
 
-    /// Reports whether the loss says little about the task: many workers were lost at the same time,
-    /// and the run had not just begun.
+impl LostRun {
+    /// Returns what the loss still tells once it has a likely cause outside of the task. The age of a
+    /// run that has just begun is no coincidence each time.
     #[must_use]
-    pub fn is_likely_unrelated(&self) -> bool {
-        self.loss == Loss::WithMany && !self.alike && self.age > JUST_BEGUN
+    pub fn discounted(&self) -> Self {
+        let just_begun = self.begun && self.is_young();
+        Self {
+            weight: if just_begun {
+                self.weight.min(LIGHT)
+            } else {
+                NO_WEIGHT
+            },
+            begun: just_begun,
+            ..*self
+        }
+    }
+
+    /// Reports whether the run was so young that it may have just begun.
+    #[must_use]
+    pub fn is_young(&self) -> bool {
+        Duration::from_millis(u64::from(self.age)) <= JUST_BEGUN
     }
 }
 
@@ -141,12 +170,15 @@
         true
     }
 
-    /// Takes back what a crash under a run tells against the task, as it has a likely cause outside
-    /// of it. The crash still counts toward the limit of starts.
+    /// Takes back what a crash under a run tells against the task beyond [`LostRun::discounted`]. The
+    /// crash still counts toward the limit of starts.
     pub fn discount(&mut self, lost: &LostRun) {
         if self.crashed.contains(&lost.run.number) {
-            self.sure = self.sure.saturating_sub(u32::from(lost.begun));
-            self.weight = self.weight.saturating_sub(lost.weight);
+            let left = lost.discounted();
+            self.sure = self
+                .sure
+                .saturating_sub(u32::from(lost.begun != left.begun));
+            self.weight = self.weight.saturating_sub(lost.weight - left.weight);
         }
     }
 
--- a/ashtiller/src/workflow/core/crashes.rs
+++ b/ashtiller/src/workflow/core/crashes.rs
@@ -287,13 +287,13 @@
             begun: matches!(live.stage, Stage::Started(_))
                 && !self.may_be_done(run, live, at, latest),
             loss: match () {
-                () if others.many => Loss::WithMany,
+                () if others.many || others.place.is_some() => Loss::WithMany,
                 () if is_silent_or_leaving(worker) => Loss::Unseen,
                 () => Loss::Alone,
             },
             alike,
         };
-        if others.place.is_some() || context.is_likely_unrelated() {
+        if context.is_likely_unrelated() {
             return self.assess_unrelated_run(run, known.then_some(age));
         }
         Some(LostRun {
@@ -305,17 +305,18 @@
     }
 
     /// Returns what is recorded of a run that was lost to a likely cause outside of its task. A task
-    /// that crashes its workers does so at about the same age each time, so such losses count toward
-    /// the limit of starts if the ages are alike. So do those of unknown ages.
+    /// that crashes its workers does so when it has just begun, or at about the same age each time, so
+    /// such losses count toward the limit of starts. So do those of unknown ages.
     fn assess_unrelated_run(&self, run: Run, age: Option<Duration>) -> Option<LostRun> {
-        let suspect = self.log_state.suspects().get(&run.task);
-        let is_like = |age| suspect.is_none_or(|suspect| suspect.is_like_earlier(millis(age)));
-        age.is_none_or(is_like).then(|| LostRun {
+        let lost = LostRun {
             run,
             age: age.map_or(0, millis),
             weight: blame::NO_WEIGHT,
             begun: false,
-        })
+        };
+        let suspect = self.log_state.suspects().get(&run.task);
+        let is_like = || suspect.is_none_or(|suspect| suspect.is_like_earlier(lost.age));
+        (lost.is_young() || is_like()).then_some(lost)
     }
 
     /// Returns the number of crashes of a worker's machine that no task explains.
--- a/ashtiller/src/workflow/log_state.rs
+++ b/ashtiller/src/workflow/log_state.rs
@@ -363,7 +363,7 @@
         }
     }
 
-    /// Takes the weight of the loss of runs with their worker back.
+    /// Discounts the loss of runs with their worker.
     fn discount_loss(&mut self, worker: &Incarnation, runs: &[Run]) {
         for lost in self.losses.discount(worker, runs) {
             if let Some(suspect) = self.suspects.get_mut(&lost.run.task) {
--- a/ashtiller/src/workflow/recorded_losses.rs
+++ b/ashtiller/src/workflow/recorded_losses.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::workflow::blame::{self, LostRun};
+use crate::workflow::blame::LostRun;
 use crate::workflow::incarnation::Incarnation;
 use crate::workflow::record::Run;
 
@@ -57,13 +57,13 @@
         taken
     }
 
-    /// Removes the weight of these runs, which were lost with a worker, and returns them as they were.
+    /// Discounts the loss of these runs with a worker, and returns them as they were.
     pub fn discount(&mut self, worker: &Incarnation, runs: &[Run]) -> Vec<LostRun> {
         let lost_runs = self.by_worker.get_mut(worker).into_iter().flatten();
         let mut former = Vec::new();
         for lost in lost_runs.filter(|lost| runs.contains(&lost.run)) {
             former.push(*lost);
-            (lost.weight, lost.begun) = (blame::NO_WEIGHT, false);
+            *lost = lost.discounted();
         }
         former
     }
