Blame the task on trial for the loss of its worker, not the worker's place

A worker on trial is left out of the losses of its place now. The age of a run is taken from its confirmed start for that, as orders arrive late.

--- a/ashtiller/src/workflow/core/crashes.rs
+++ b/ashtiller/src/workflow/core/crashes.rs
@@ -93,7 +93,13 @@
         }
         self.place_losses
             .count_workers(self.workers.values(), now.at);
-        self.place_losses.note(worker, now.at);
+        let had_trial = self.has_trial(worker, now);
+        // The task on trial explains the loss.
+        if had_trial {
+            self.place_losses.remove(id);
+        } else {
+            self.place_losses.note(worker, now.at);
+        }
         let cause = self.place_losses.find_cause(id);
         let mut others = self.find_concurrent_losses(id, at, now);
         others.is_new = cause.as_ref().is_some_and(|(_, is_new)| *is_new);
@@ -127,7 +133,7 @@
             machine: others.place.is_none().then(|| machine_of(worker)),
             tasks: live.iter().map(|(run, _)| run.task).collect(),
             begun,
-            had_trial: self.has_trial(worker, now),
+            had_trial,
         };
         // A worker that only fell silent may have been partitioned or have lost power.
         let alone = !many && !is_silent_or_leaving(worker) && self.count_crashes(worker) == 0;
@@ -294,7 +300,7 @@
             alike,
         };
         if context.is_likely_unrelated() {
-            return self.assess_unrelated_run(run, known.then_some(age));
+            return self.assess_unrelated_run(run, self.age_since_start(live, at));
         }
         Some(LostRun {
             run,
@@ -426,7 +432,11 @@
         let lost_runs = lost.iter().filter_map(|run| {
             let live = self.runs.get(run).filter(|live| live.sent > 0)?;
             match place {
-                Some(_) => self.assess_unrelated_run(*run, self.age_at_silence(live)),
+                Some(_) => {
+                    let silent = self.workers.get(&live.worker)?.silent_since;
+                    let age = silent.and_then(|at| self.age_since_start(live, at));
+                    self.assess_unrelated_run(*run, age)
+                }
                 None => Some(LostRun {
                     run: *run,
                     age: self.age_at_silence(live).map_or(0, millis),
@@ -445,6 +455,15 @@
         self.record_lost_runs(id, &lost_runs, now);
     }
 
+    /// Returns the age of a run that this owner placed, from its confirmed start on: the order may have
+    /// arrived late.
+    fn age_since_start(&self, live: &LiveRun, at: Duration) -> Option<Duration> {
+        match live.stage {
+            Stage::Started(start) if live.placed > self.began => Some(at.saturating_sub(start)),
+            _ => None,
+        }
+    }
+
     /// Returns the age of a run when its worker fell silent, if this owner placed it.
     fn age_at_silence(&self, live: &LiveRun) -> Option<Duration> {
         let silent = self.workers.get(&live.worker)?.silent_since?;
--- a/ashtiller/src/workflow/core/polls.rs
+++ b/ashtiller/src/workflow/core/polls.rs
@@ -143,6 +143,8 @@
     /// Records an unanswered poll; `broke` is set if its connection was refused or reset.
     pub(super) fn note_missed_poll(&mut self, id: &Incarnation, broke: bool, now: Now) {
         self.raise_fence(id, now);
+        let has_trial = |worker| self.has_trial(worker, now);
+        let had_trial = self.workers.get(id).is_some_and(has_trial);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -151,7 +153,9 @@
         if broke {
             worker.broken_since.get_or_insert(now.at);
         }
-        self.place_losses.note(worker, now.at);
+        if !had_trial {
+            self.place_losses.note(worker, now.at);
+        }
         let silent = now.at.saturating_sub(worker.last_answer) > SILENT_AFTER;
         worker.next_poll = now.at + POLL_RETRY[usize::from(silent)];
     }
