--- a/ashtiller/src/workflow/core/polls.rs
+++ b/ashtiller/src/workflow/core/polls.rs
@@ -143,8 +143,8 @@
     /// Records an unanswered poll; `broke` is set if its connection was refused or reset.
     pub(super) fn note_missed_poll(&mut self, id: &Incarnation, broke: bool, now: Now) {
         self.raise_fence(id, now);
-        let has_trial = |worker| self.has_trial(worker, now);
-        let had_trial = self.workers.get(id).is_some_and(has_trial);
+        let worker = self.workers.get(id);
+        let is_tried = worker.is_some_and(|worker| self.has_trial(worker, now));
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -153,7 +153,7 @@
         if broke {
             worker.broken_since.get_or_insert(now.at);
         }
-        if !had_trial {
+        if !is_tried {
             self.place_losses.note(worker, now.at);
         }
         let silent = now.at.saturating_sub(worker.last_answer) > SILENT_AFTER;
